Lay out the build, the shared values and the interfaces between libraries

Before: empty repository. Conclusion: the interfaces in libs/*/include are what each part is written to.

--- /dev/null
+++ b/build.sh
@@ -0,0 +1,75 @@
+#!/usr/bin/env bash
+# Installs what the project needs, builds it, and runs the demo or the tests.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")"
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
+
+usage() {
+  cat <<'T'
+Usage: ./build.sh COMMAND
+
+  demo            build, then serve three requests through separate processes
+  test [LABEL]    build, then run the tests (all, or those with one ctest label)
+  build           install packages and build
+  format          rewrite sources with clang-format
+  lint            check formatting and run clang-tidy
+T
+}
+
+missing_packages() {
+  local name
+  while read -r name; do
+    dpkg-query -W -f='${Status}' "$name" 2>/dev/null | grep -q 'ok installed' || echo "$name"
+  done < packages.txt
+}
+
+install_packages() {
+  local missing
+  missing=$(missing_packages)
+  [ -z "$missing" ] && return
+  apt-get update -q
+  # shellcheck disable=SC2086
+  DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends $missing
+}
+
+build() {
+  install_packages
+  if [ ! -f out/build.ninja ]; then
+    cmake -G Ninja -S . -B out
+  fi
+  cmake --build out
+}
+
+sources() {
+  git ls-files --cached --others --exclude-standard '*.cc' '*.h'
+}
+
+lint() {
+  sources | xargs clang-format --dry-run --Werror
+  tests_and_units=$(sources | grep '\.cc$')
+  echo "$tests_and_units" | xargs -P "$(nproc)" -n 1 ./cmake/tidy.sh
+}
+
+case "${1:-}" in
+  demo)
+    build
+    exec ./samples/demo.sh
+    ;;
+  test)
+    build
+    if [ -n "${2:-}" ]; then
+      exec ctest --test-dir out --output-on-failure --no-tests=error -L "^$2\$"
+    fi
+    exec ctest --test-dir out --output-on-failure -j "$(nproc)"
+    ;;
+  build) build ;;
+  format) sources | xargs clang-format -i ;;
+  lint)
+    build
+    lint
+    ;;
+  *)
+    usage
+    exit 2
+    ;;
+esac
--- /dev/null
+++ b/libs/base/include/base/clocks.h
@@ -0,0 +1,16 @@
+#ifndef BASE_CLOCKS_H_
+#define BASE_CLOCKS_H_
+
+#include "base/millis.h"
+
+namespace godwit::base {
+
+// Milliseconds of the machine's monotonic clock. Any thread.
+Millis SteadyNow() noexcept;
+
+// Milliseconds since the Unix epoch. Any thread. May step backwards.
+Millis WallNow() noexcept;
+
+}  // namespace godwit::base
+
+#endif  // BASE_CLOCKS_H_
--- /dev/null
+++ b/libs/config/include/config/traffic_class.h
@@ -0,0 +1,33 @@
+#ifndef CONFIG_TRAFFIC_CLASS_H_
+#define CONFIG_TRAFFIC_CLASS_H_
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+#include "base/millis.h"
+
+namespace godwit::config {
+
+// A class of requests with a priority and a deadline, such as quotes or
+// chat.
+struct TrafficClass {
+  // Named by the caller in the Godwit-Class header.
+  std::string name;
+  // Higher goes first; 0 to 100.
+  int64_t priority = 50;
+  // Longest useful time from arrival to the first answer byte.
+  base::Millis deadline{30000};
+
+  friend bool operator==(const TrafficClass& a, const TrafficClass& b) {
+    return std::tie(a.name, a.priority, a.deadline) ==
+           std::tie(b.name, b.priority, b.deadline);
+  }
+  friend bool operator!=(const TrafficClass& a, const TrafficClass& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_TRAFFIC_CLASS_H_
--- /dev/null
+++ b/libs/http/include/http/client_pool.h
@@ -0,0 +1,37 @@
+#ifndef HTTP_CLIENT_POOL_H_
+#define HTTP_CLIENT_POOL_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/millis.h"
+
+namespace godwit::runtime {
+class Runtime;
+}
+
+namespace godwit::http {
+
+// Keeps HTTP/1.1 connections to one server. A connection idle for longer than
+// the idle limit is not used again, since a peer may have lost track of it.
+class ClientPool {
+ public:
+  // `ip` is an IP number.
+  ClientPool(runtime::Runtime& runtime, std::string ip, uint16_t port);
+  ~ClientPool();
+  ClientPool(const ClientPool&) = delete;
+  ClientPool& operator=(const ClientPool&) = delete;
+
+  // Default 5 s. Returns *this.
+  ClientPool& IdleLimit(base::Millis span);
+
+ private:
+  friend class ClientCall;
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_CLIENT_POOL_H_
--- /dev/null
+++ b/libs/http/include/http/server.h
@@ -0,0 +1,85 @@
+#ifndef HTTP_SERVER_H_
+#define HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/error.h"
+#include "base/millis.h"
+
+namespace godwit::runtime {
+class Runtime;
+}
+
+namespace godwit::http {
+
+class Exchange;
+
+// Accepts HTTP/1.1 with keep-alive. A request that breaks a limit or is not
+// HTTP gets a JSON error {"error":{kind,message,remedy,not_run:true}} without
+// reaching the handler.
+class Server {
+ public:
+  // Called on the core's dispatching fiber; must not block (Spawn instead).
+  using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+
+  class Builder {
+   public:
+    // IP number and port to listen on; port 0 lets the kernel choose.
+    Builder& Address(std::string ip, uint16_t port);
+    // Bodies above this are refused with 413. Default 8 MB.
+    Builder& MaxBodyBytes(size_t bytes);
+    // Headers above this are refused with 431. Default 16 KB.
+    Builder& MaxHeaderBytes(size_t bytes);
+    // A request that is not whole after this is refused with 408. Default 10 s.
+    Builder& ReadTimeout(base::Millis span);
+    // A connection that takes no answer bytes for this long is closed.
+    // Default 60 s.
+    Builder& WriteTimeout(base::Millis span);
+    // PEM files; serves TLS when set.
+    Builder& Tls(std::string certificate_file, std::string key_file);
+    Builder& Handle(Handler handler);
+    // Starts to listen. Empty when the address or a file can't be used; see
+    // last_error().
+    std::unique_ptr<Server> Build(runtime::Runtime& runtime);
+    const base::Error& last_error() const noexcept { return error_; }
+
+   private:
+    friend class Server;
+    std::string ip_ = "127.0.0.1";
+    uint16_t port_ = 0;
+    size_t max_body_bytes_ = 8 * 1024 * 1024;
+    size_t max_header_bytes_ = 16 * 1024;
+    base::Millis read_timeout_ = base::Seconds(10);
+    base::Millis write_timeout_ = base::Seconds(60);
+    std::string certificate_file_;
+    std::string key_file_;
+    Handler handler_;
+    base::Error error_;
+  };
+
+  ~Server();
+
+  // The port listened on.
+  uint16_t port() const noexcept;
+
+  // Accepts no new connections; open ones go on, and idle ones are closed.
+  void StopAccepting();
+
+  // Reads certificate and key files again for new connections. False when
+  // they can't be used; the old ones stay in force, see `reason`.
+  bool ReloadTls(base::Error* reason);
+
+ private:
+  struct State;
+  explicit Server(std::shared_ptr<State> state);
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SERVER_H_
--- /dev/null
+++ b/libs/link/include/link/key_owner.h
@@ -0,0 +1,58 @@
+#ifndef LINK_KEY_OWNER_H_
+#define LINK_KEY_OWNER_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "base/digest.h"
+#include "base/ids.h"
+
+namespace godwit::link {
+
+// Agent to router: the directory entry of a key after RegisterKey.
+struct KeyOwner {
+  // Digest of the organisation and its idempotency key.
+  base::Digest key;
+  // The attempt of the RegisterKey that this answers.
+  base::AttemptId asked;
+  // True when the request was placed by an old fleet record; nothing was
+  // recorded.
+  bool stale = false;
+  // Version of the fleet record at the agent.
+  int64_t fleet_version = 0;
+  // Body digest of the owner.
+  base::Digest body_digest;
+  // The owner.
+  base::AttemptId attempt;
+  // The agent that runs it.
+  base::ProcessId agent;
+  // The life of that agent.
+  base::Incarnation agent_incarnation;
+
+  // Calls visit(name, field) for each field, in wire order.
+  template <typename Self, typename Visit>
+  static void ForEachField(Self& self, Visit&& visit) {
+    visit("key", self.key);
+    visit("asked", self.asked);
+    visit("stale", self.stale);
+    visit("fleet_version", self.fleet_version);
+    visit("body_digest", self.body_digest);
+    visit("attempt", self.attempt);
+    visit("agent", self.agent);
+    visit("agent_incarnation", self.agent_incarnation);
+  }
+
+  friend bool operator==(const KeyOwner& a, const KeyOwner& b) {
+    return std::tie(a.key, a.asked, a.stale, a.fleet_version, a.body_digest,
+                    a.attempt, a.agent, a.agent_incarnation) ==
+           std::tie(b.key, b.asked, b.stale, b.fleet_version, b.body_digest,
+                    b.attempt, b.agent, b.agent_incarnation);
+  }
+  friend bool operator!=(const KeyOwner& a, const KeyOwner& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::link
+
+#endif  // LINK_KEY_OWNER_H_
--- /dev/null
+++ b/libs/link/include/link/register_key.h
@@ -0,0 +1,59 @@
+#ifndef LINK_REGISTER_KEY_H_
+#define LINK_REGISTER_KEY_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "base/digest.h"
+#include "base/ids.h"
+
+namespace godwit::link {
+
+// Router to agent: record in the directory that an attempt runs a request,
+// unless another owns the key. Answered by KeyOwner.
+struct RegisterKey {
+  // Digest of the organisation and its idempotency key.
+  base::Digest key;
+  // Digest of method, path and body.
+  base::Digest body_digest;
+  // The attempt that asks.
+  base::AttemptId attempt;
+  // The agent that would run it.
+  base::ProcessId agent;
+  // The life of that agent.
+  base::Incarnation agent_incarnation;
+  // An attempt known never to bill, which gives way; may be empty.
+  base::AttemptId replaces;
+  // True for a copy that decides nothing.
+  bool shadow = false;
+  // Version of the fleet record that placed the key here.
+  int64_t fleet_version = 0;
+
+  // Calls visit(name, field) for each field, in wire order.
+  template <typename Self, typename Visit>
+  static void ForEachField(Self& self, Visit&& visit) {
+    visit("key", self.key);
+    visit("body_digest", self.body_digest);
+    visit("attempt", self.attempt);
+    visit("agent", self.agent);
+    visit("agent_incarnation", self.agent_incarnation);
+    visit("replaces", self.replaces);
+    visit("shadow", self.shadow);
+    visit("fleet_version", self.fleet_version);
+  }
+
+  friend bool operator==(const RegisterKey& a, const RegisterKey& b) {
+    return std::tie(a.key, a.body_digest, a.attempt, a.agent,
+                    a.agent_incarnation, a.replaces, a.shadow,
+                    a.fleet_version) ==
+           std::tie(b.key, b.body_digest, b.attempt, b.agent,
+                    b.agent_incarnation, b.replaces, b.shadow, b.fleet_version);
+  }
+  friend bool operator!=(const RegisterKey& a, const RegisterKey& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::link
+
+#endif  // LINK_REGISTER_KEY_H_
--- /dev/null
+++ b/libs/link/include/link/run_state.h
@@ -0,0 +1,35 @@
+#ifndef LINK_RUN_STATE_H_
+#define LINK_RUN_STATE_H_
+
+#include <tuple>
+
+#include "base/ids.h"
+#include "link/run_phase.h"
+
+namespace godwit::link {
+
+// Agent to router: what the agent knows of an attempt.
+struct RunState {
+  // The attempt.
+  base::AttemptId attempt;
+  // Its phase; kTombstoned is final.
+  RunPhase phase = RunPhase::kUnknown;
+
+  // Calls visit(name, field) for each field, in wire order.
+  template <typename Self, typename Visit>
+  static void ForEachField(Self& self, Visit&& visit) {
+    visit("attempt", self.attempt);
+    visit("phase", self.phase);
+  }
+
+  friend bool operator==(const RunState& a, const RunState& b) {
+    return std::tie(a.attempt, a.phase) == std::tie(b.attempt, b.phase);
+  }
+  friend bool operator!=(const RunState& a, const RunState& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::link
+
+#endif  // LINK_RUN_STATE_H_
--- /dev/null
+++ b/libs/link/include/link/transport_handler.h
@@ -0,0 +1,30 @@
+#ifndef LINK_TRANSPORT_HANDLER_H_
+#define LINK_TRANSPORT_HANDLER_H_
+
+#include <functional>
+
+#include "link/connection_id.h"
+#include "link/message.h"
+
+namespace godwit::link {
+
+struct Hello;
+
+// What a Transport reports, on the core's dispatching fiber; the callbacks must
+// not block.
+struct TransportHandler {
+  // A link is up: both ends have sent Hello and agree on protocol and fleet.
+  std::function<void(ConnectionId, const Hello& peer)> on_up;
+  // A message other than Hello arrived.
+  std::function<void(ConnectionId, Message)> on_message;
+  // The link is gone: closed, silent beyond the progress deadline, or foreign.
+  // Also reported for a dial that failed, with the id that Dial returned.
+  std::function<void(ConnectionId)> on_down;
+  // Contents of the next Hello and Heartbeat of this process.
+  std::function<Hello()> hello;
+  std::function<Heartbeat()> heartbeat;
+};
+
+}  // namespace godwit::link
+
+#endif  // LINK_TRANSPORT_HANDLER_H_
--- /dev/null
+++ b/libs/platform/include/platform/kv_read_done.h
@@ -0,0 +1,21 @@
+#ifndef PLATFORM_KV_READ_DONE_H_
+#define PLATFORM_KV_READ_DONE_H_
+
+#include <cstdint>
+#include <string>
+
+namespace godwit::platform {
+
+// Event for a decision machine: outcome of a KvRead.
+struct KvReadDone {
+  int64_t operation = 0;
+  // False when the KV could not be asked; the other fields are then empty.
+  bool available = false;
+  // Version of the key; 0 when it does not exist.
+  int64_t version = 0;
+  std::string value;
+};
+
+}  // namespace godwit::platform
+
+#endif  // PLATFORM_KV_READ_DONE_H_
--- /dev/null
+++ b/libs/runtime/src/runtime.cc
@@ -0,0 +1,114 @@
+#include "runtime/runtime.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/fixedsize_stack.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace godwit::runtime {
+namespace {
+
+constexpr size_t kFiberStackBytes = 128 * 1024;
+
+using Task = std::function<void()>;
+using WorkGuard =
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+void Launch(Task task) {
+  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                       boost::fibers::fixedsize_stack(kFiberStackBytes),
+                       std::move(task))
+      .detach();
+}
+
+}  // namespace
+
+struct Runtime::State {
+  boost::asio::io_context io{1};
+  WorkGuard work{io.get_executor()};
+  std::thread io_thread;
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable ready;
+  std::deque<Task> tasks;
+  bool stopping = false;
+
+  std::deque<Task> Take() {
+    std::unique_lock<boost::fibers::mutex> lock(mutex);
+    ready.wait(lock, [this] { return stopping || !tasks.empty(); });
+    return std::exchange(tasks, {});
+  }
+
+  bool Stopped() {
+    const std::lock_guard<boost::fibers::mutex> lock(mutex);
+    return stopping && tasks.empty();
+  }
+};
+
+Runtime::Runtime() : state_(std::make_unique<State>()) {
+  state_->io_thread = std::thread([this] { state_->io.run(); });
+}
+
+Runtime::~Runtime() {
+  Stop();
+  state_->work.reset();
+  state_->io.stop();
+  state_->io_thread.join();
+}
+
+void Runtime::Run(std::function<void()> main) {
+  Launch(std::move(main));
+  while (!state_->Stopped()) {
+    for (Task& task : state_->Take()) {
+      task();
+    }
+    boost::this_fiber::yield();
+  }
+}
+
+void Runtime::Stop() {
+  {
+    const std::lock_guard<boost::fibers::mutex> lock(state_->mutex);
+    state_->stopping = true;
+  }
+  state_->ready.notify_all();
+}
+
+void Runtime::Post(std::function<void()> task) {
+  {
+    const std::lock_guard<boost::fibers::mutex> lock(state_->mutex);
+    state_->tasks.push_back(std::move(task));
+  }
+  state_->ready.notify_one();
+}
+
+void Runtime::Spawn(std::function<void()> task) {
+  Post([task = std::move(task)]() mutable { Launch(std::move(task)); });
+}
+
+void Runtime::Every(base::Millis period, std::function<void()> task) {
+  Launch([this, period, task = std::move(task)] {
+    while (!state_->Stopped()) {
+      SleepFor(period);
+      task();
+    }
+  });
+}
+
+void Runtime::SleepFor(base::Millis span) {
+  boost::this_fiber::sleep_for(std::chrono::milliseconds(span.count()));
+}
+
+boost::asio::io_context& Runtime::io() noexcept {
+  return state_->io;
+}
+
+}  // namespace godwit::runtime
