Let the directory confirm a whole answer before it is billed

Cause: a run at an agent that one router takes for gone and another still reads would be billed by both routers; a resumed answer lacked its first part for a later replay. Ruled out: trusting the agent's lease (a paused holder does not know that it lapsed). Change: RegisterKey and KeyOwner carry complete, StartRun carries the answer so far, RunState carries the bill. Interfaces only; nothing measured.

--- a/libs/link/include/link/key_owner.h
+++ b/libs/link/include/link/key_owner.h
@@ -24,6 +24,8 @@
   base::Digest body_digest;
   // The owner.
   base::AttemptId attempt;
+  // True when the owner has a whole answer.
+  bool complete = false;
   // The agent that runs it.
   base::ProcessId agent;
   // The life of that agent.
@@ -38,15 +40,16 @@
     visit("fleet_version", self.fleet_version);
     visit("body_digest", self.body_digest);
     visit("attempt", self.attempt);
+    visit("complete", self.complete);
     visit("agent", self.agent);
     visit("agent_incarnation", self.agent_incarnation);
   }
 
   friend bool operator==(const KeyOwner& a, const KeyOwner& b) {
     return std::tie(a.key, a.asked, a.stale, a.fleet_version, a.body_digest,
-                    a.attempt, a.agent, a.agent_incarnation) ==
+                    a.attempt, a.complete, a.agent, a.agent_incarnation) ==
            std::tie(b.key, b.asked, b.stale, b.fleet_version, b.body_digest,
-                    b.attempt, b.agent, b.agent_incarnation);
+                    b.attempt, b.complete, b.agent, b.agent_incarnation);
   }
   friend bool operator!=(const KeyOwner& a, const KeyOwner& b) {
     return !(a == b);
--- a/libs/link/include/link/register_key.h
+++ b/libs/link/include/link/register_key.h
@@ -26,6 +26,9 @@
   base::AttemptId replaces;
   // True for a copy that decides nothing.
   bool shadow = false;
+  // True when the answer of the attempt is whole and is about to be
+  // billed; from then on nothing replaces the entry.
+  bool complete = false;
   // Version of the fleet record that placed the key here.
   int64_t fleet_version = 0;
 
@@ -39,15 +42,17 @@
     visit("agent_incarnation", self.agent_incarnation);
     visit("replaces", self.replaces);
     visit("shadow", self.shadow);
+    visit("complete", self.complete);
     visit("fleet_version", self.fleet_version);
   }
 
   friend bool operator==(const RegisterKey& a, const RegisterKey& b) {
     return std::tie(a.key, a.body_digest, a.attempt, a.agent,
-                    a.agent_incarnation, a.replaces, a.shadow,
+                    a.agent_incarnation, a.replaces, a.shadow, a.complete,
                     a.fleet_version) ==
            std::tie(b.key, b.body_digest, b.attempt, b.agent,
-                    b.agent_incarnation, b.replaces, b.shadow, b.fleet_version);
+                    b.agent_incarnation, b.replaces, b.shadow, b.complete,
+                    b.fleet_version);
   }
   friend bool operator!=(const RegisterKey& a, const RegisterKey& b) {
     return !(a == b);
--- a/libs/link/include/link/run_end.h
+++ b/libs/link/include/link/run_end.h
@@ -9,7 +9,8 @@
 
 namespace godwit::link {
 
-// Agent to router: the answer is complete.
+// Agent to router: the answer is complete. Goes to the link attached last
+// and to every link of the router that started the run.
 struct RunEnd {
   // Digest of the organisation and its idempotency key.
   base::Digest key;
--- a/libs/link/include/link/run_state.h
+++ b/libs/link/include/link/run_state.h
@@ -14,16 +14,23 @@
   base::AttemptId attempt;
   // Its phase; kTombstoned is final.
   RunPhase phase = RunPhase::kUnknown;
+  // The grant that pays; empty unless the run has ended.
+  base::GrantId grant;
+  // Tokens billed; zero unless the run has ended.
+  base::Tokens billed = 0;
 
   // Calls visit(name, field) for each field, in wire order.
   template <typename Self, typename Visit>
   static void ForEachField(Self& self, Visit&& visit) {
     visit("attempt", self.attempt);
     visit("phase", self.phase);
+    visit("grant", self.grant);
+    visit("billed", self.billed);
   }
 
   friend bool operator==(const RunState& a, const RunState& b) {
-    return std::tie(a.attempt, a.phase) == std::tie(b.attempt, b.phase);
+    return std::tie(a.attempt, a.phase, a.grant, a.billed) ==
+           std::tie(b.attempt, b.phase, b.grant, b.billed);
   }
   friend bool operator!=(const RunState& a, const RunState& b) {
     return !(a == b);
--- a/libs/link/include/link/start_run.h
+++ b/libs/link/include/link/start_run.h
@@ -48,8 +48,9 @@
   base::Tokens output_cap = 0;
   // Model pools: tokens that an earlier attempt delivered.
   base::Tokens resume_tokens = 0;
-  // Model pools: the text of those tokens.
-  std::string resume_text;
+  // Model pools: answer bytes that an earlier attempt delivered, whole
+  // events; this answer goes on after them.
+  std::string answer_prefix;
   // Answer bytes that the agent may send before more credit.
   int64_t credit = 0;
 
@@ -73,7 +74,7 @@
     visit("body", self.body);
     visit("output_cap", self.output_cap);
     visit("resume_tokens", self.resume_tokens);
-    visit("resume_text", self.resume_text);
+    visit("answer_prefix", self.answer_prefix);
     visit("credit", self.credit);
   }
 
@@ -81,11 +82,11 @@
     return std::tie(a.attempt, a.key, a.body_digest, a.organisation, a.service,
                     a.grant, a.reserved, a.repeatable, a.claimed, a.priority,
                     a.deadline_in, a.method, a.path, a.content_type, a.body,
-                    a.output_cap, a.resume_tokens, a.resume_text, a.credit) ==
+                    a.output_cap, a.resume_tokens, a.answer_prefix, a.credit) ==
            std::tie(b.attempt, b.key, b.body_digest, b.organisation, b.service,
                     b.grant, b.reserved, b.repeatable, b.claimed, b.priority,
                     b.deadline_in, b.method, b.path, b.content_type, b.body,
-                    b.output_cap, b.resume_tokens, b.resume_text, b.credit);
+                    b.output_cap, b.resume_tokens, b.answer_prefix, b.credit);
   }
   friend bool operator!=(const StartRun& a, const StartRun& b) {
     return !(a == b);
