Declare the router core and read callers' requests

Cause: the router's decisions need one entry that tests and the daemon share. Ruled out: deciding inside the HTTP handler, which no fuzz test could drive in virtual time. Interfaces and parser only; nothing measured.

--- /dev/null
+++ b/libs/router/include/router/answer_abort.h
@@ -0,0 +1,16 @@
+#ifndef ROUTER_ANSWER_ABORT_H_
+#define ROUTER_ANSWER_ABORT_H_
+
+#include "router/exchange_id.h"
+
+namespace godwit::router {
+
+// Command: cut a streamed answer so that the caller sees that it is not
+// whole.
+struct AnswerAbort {
+  ExchangeId exchange = 0;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_ANSWER_ABORT_H_
--- /dev/null
+++ b/libs/router/include/router/exchange_id.h
@@ -0,0 +1,13 @@
+#ifndef ROUTER_EXCHANGE_ID_H_
+#define ROUTER_EXCHANGE_ID_H_
+
+#include <cstdint>
+
+namespace godwit::router {
+
+// Names one exchange with a caller within a router; never reused.
+using ExchangeId = int64_t;
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_EXCHANGE_ID_H_
--- /dev/null
+++ b/libs/router/include/router/fleet_seen.h
@@ -0,0 +1,19 @@
+#ifndef ROUTER_FLEET_SEEN_H_
+#define ROUTER_FLEET_SEEN_H_
+
+#include <cstdint>
+
+#include "membership/fleet_record.h"
+
+namespace godwit::router {
+
+// Event: a version of the fleet record was read.
+struct FleetSeen {
+  membership::FleetRecord record;
+  // Version of its KV key.
+  int64_t version = 0;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_FLEET_SEEN_H_
--- /dev/null
+++ b/libs/router/include/router/link_received.h
@@ -0,0 +1,17 @@
+#ifndef ROUTER_LINK_RECEIVED_H_
+#define ROUTER_LINK_RECEIVED_H_
+
+#include "link/connection_id.h"
+#include "link/message.h"
+
+namespace godwit::router {
+
+// Event: a message came on a link.
+struct LinkReceived {
+  link::ConnectionId connection = 0;
+  link::Message message;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_LINK_RECEIVED_H_
--- /dev/null
+++ b/libs/router/include/router/router_command.h
@@ -0,0 +1,39 @@
+#ifndef ROUTER_ROUTER_COMMAND_H_
+#define ROUTER_ROUTER_COMMAND_H_
+
+#include <variant>
+
+#include "platform/kv_read.h"
+#include "platform/kv_write.h"
+#include "router/answer_abort.h"
+#include "router/answer_bytes.h"
+#include "router/answer_end.h"
+#include "router/answer_error.h"
+#include "router/answer_head.h"
+#include "router/answer_whole.h"
+#include "router/close_link.h"
+#include "router/dial_agent.h"
+#include "router/drained.h"
+#include "router/request_ended.h"
+#include "router/send_message.h"
+
+namespace godwit::router {
+
+// Anything that a RouterCore asks its shell to do.
+using RouterCommand = std::variant<AnswerWhole,
+                                   AnswerHead,
+                                   AnswerBytes,
+                                   AnswerEnd,
+                                   AnswerAbort,
+                                   AnswerError,
+                                   SendMessage,
+                                   DialAgent,
+                                   CloseLink,
+                                   platform::KvRead,
+                                   platform::KvWrite,
+                                   RequestEnded,
+                                   Drained>;
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_ROUTER_COMMAND_H_
--- /dev/null
+++ b/libs/router/include/router/vms_seen.h
@@ -0,0 +1,17 @@
+#ifndef ROUTER_VMS_SEEN_H_
+#define ROUTER_VMS_SEEN_H_
+
+#include <vector>
+
+#include "platform/vm.h"
+
+namespace godwit::router {
+
+// Event: the platform's list of VMs was read.
+struct VmsSeen {
+  std::vector<platform::Vm> vms;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_VMS_SEEN_H_
--- /dev/null
+++ b/libs/router/src/chat_body.cc
@@ -0,0 +1,106 @@
+#include "chat_body.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/digester.h"
+
+namespace godwit::router {
+namespace {
+
+using nlohmann::json;
+
+constexpr int64_t kMostTokens = 1'000'000;
+// Text of one message is hashed in blocks so that prompts which share a long
+// beginning share digests.
+constexpr size_t kPrefixBlockBytes = 2048;
+
+base::Error Malformed(std::string message, std::string remedy) {
+  return base::Error(base::ErrorKind::kMalformed, std::move(message),
+                     std::move(remedy));
+}
+
+bool IsMessage(const json& message) {
+  return message.is_object() && message.contains("role") &&
+         message["role"].is_string() && message.contains("content") &&
+         message["content"].is_string();
+}
+
+void AppendBlocks(const std::string& text,
+                  base::Digester* digester,
+                  std::vector<base::Digest>* blocks) {
+  for (size_t at = 0; at < text.size(); at += kPrefixBlockBytes) {
+    const std::string_view block =
+        std::string_view(text).substr(at, kPrefixBlockBytes);
+    digester->Update(block);
+    blocks->push_back(digester->Value());
+  }
+}
+
+std::vector<base::Digest> PrefixBlocks(const std::string& model,
+                                       const json& messages) {
+  base::Digester digester;
+  digester.Update(model);
+  std::vector<base::Digest> blocks;
+  for (const json& message : messages) {
+    digester.Update(message["role"].get_ref<const std::string&>());
+    AppendBlocks(message["content"].get_ref<const std::string&>(), &digester,
+                 &blocks);
+  }
+  return blocks;
+}
+
+// The first thing wrong with a body, or an error of kind kNone.
+base::Error FindFault(const json& body) {
+  if (!body.is_object()) {
+    return Malformed("the body is not a JSON object",
+                     "send a chat completion object");
+  }
+  if (!body.contains("model") || !body["model"].is_string()) {
+    return Malformed("\"model\" is missing or not a string",
+                     "name a model of the configuration");
+  }
+  if (!body.contains("messages") || !body["messages"].is_array() ||
+      body["messages"].empty()) {
+    return Malformed("\"messages\" is missing or empty",
+                     "send at least one message");
+  }
+  for (const json& message : body["messages"]) {
+    if (!IsMessage(message)) {
+      return Malformed("a message lacks a string \"role\" or \"content\"",
+                       "give each message both as strings");
+    }
+  }
+  if (body.contains("stream") && !body["stream"].is_boolean()) {
+    return Malformed("\"stream\" is not a boolean", "send true or false");
+  }
+  if (body.contains("max_tokens")) {
+    const json& cap = body["max_tokens"];
+    if (!cap.is_number_integer() || cap < 1 || cap > kMostTokens) {
+      return Malformed("\"max_tokens\" is not an integer from 1 to 1000000",
+                       "send such an integer or leave it out");
+    }
+  }
+  return base::Error();
+}
+
+}  // namespace
+
+std::optional<ChatBody> ChatBodyReader::Read(const std::string& body) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (parsed.is_discarded()) {
+    error_ = Malformed("the body is not JSON", "send valid JSON");
+    return std::nullopt;
+  }
+  error_ = FindFault(parsed);
+  if (error_.kind() != base::ErrorKind::kNone) {
+    return std::nullopt;
+  }
+  ChatBody result;
+  result.model = parsed["model"].get<std::string>();
+  result.stream = parsed.value("stream", false);
+  result.max_tokens = parsed.value("max_tokens", int64_t{0});
+  result.prefix_blocks = PrefixBlocks(result.model, parsed["messages"]);
+  return result;
+}
+
+}  // namespace godwit::router
