--- /dev/null
+++ b/libs/claims/include/claims/claim_policy.h
@@ -0,0 +1,39 @@
+#ifndef CLAIMS_CLAIM_POLICY_H_
+#define CLAIMS_CLAIM_POLICY_H_
+
+#include <cstddef>
+#include <tuple>
+
+#include "base/millis.h"
+
+namespace godwit::claims {
+
+// Settings of a ClaimWriter.
+struct ClaimPolicy {
+  // Claims keys of the fleet.
+  int shard_count = 64;
+  // Time for which a claim is kept.
+  base::Millis retention = base::Millis(24 * 60 * 60 * 1000);
+  // Least time between two writes of a shard.
+  base::Millis write_spacing = base::Millis(10);
+  // Longest that an attempt waits for its claim.
+  base::Millis max_wait = base::Millis(2000);
+  // When a caller refused for want of the KV should come back.
+  base::Millis retry_after = base::Millis(2000);
+  // Largest stored record.
+  size_t max_bytes = 900 * 1000;
+
+  friend bool operator==(const ClaimPolicy& a, const ClaimPolicy& b) {
+    return std::tie(a.shard_count, a.retention, a.write_spacing, a.max_wait,
+                    a.retry_after, a.max_bytes) ==
+           std::tie(b.shard_count, b.retention, b.write_spacing, b.max_wait,
+                    b.retry_after, b.max_bytes);
+  }
+  friend bool operator!=(const ClaimPolicy& a, const ClaimPolicy& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::claims
+
+#endif  // CLAIMS_CLAIM_POLICY_H_
--- /dev/null
+++ b/libs/claims/include/claims/member_state.h
@@ -0,0 +1,13 @@
+#ifndef CLAIMS_MEMBER_STATE_H_
+#define CLAIMS_MEMBER_STATE_H_
+
+#include <cstdint>
+
+namespace godwit::claims {
+
+// Standing of an agent in the fleet record.
+enum class MemberState : uint8_t { kActive, kLeaving, kGone };
+
+}  // namespace godwit::claims
+
+#endif  // CLAIMS_MEMBER_STATE_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/agent_account.h
@@ -0,0 +1,28 @@
+#ifndef LEDGER_AGENT_ACCOUNT_H_
+#define LEDGER_AGENT_ACCOUNT_H_
+
+#include <tuple>
+
+#include "base/ids.h"
+#include "ledger/account_state.h"
+
+namespace godwit::ledger {
+
+// Usage of a grant at one agent incarnation.
+struct AgentAccount {
+  // Tokens billed there since the grant began; never falls.
+  base::Tokens billed = 0;
+  // Whether more may come.
+  AccountState state = AccountState::kOpen;
+
+  friend bool operator==(const AgentAccount& a, const AgentAccount& b) {
+    return std::tie(a.billed, a.state) == std::tie(b.billed, b.state);
+  }
+  friend bool operator!=(const AgentAccount& a, const AgentAccount& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_AGENT_ACCOUNT_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/agent_usage_reported.h
@@ -0,0 +1,36 @@
+#ifndef LEDGER_AGENT_USAGE_REPORTED_H_
+#define LEDGER_AGENT_USAGE_REPORTED_H_
+
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace godwit::ledger {
+
+// Event: an agent's account of a grant, as in link::GrantUsage.
+struct AgentUsageReported {
+  // The grant.
+  base::GrantId grant;
+  // The agent incarnation.
+  base::Incarnation agent;
+  // Tokens of ended runs.
+  base::Tokens billed = 0;
+  // Tokens reserved by runs that have not ended.
+  base::Tokens running = 0;
+  // True when nothing more starts under the grant.
+  bool sealed = false;
+
+  friend bool operator==(const AgentUsageReported& a,
+                         const AgentUsageReported& b) {
+    return std::tie(a.grant, a.agent, a.billed, a.running, a.sealed) ==
+           std::tie(b.grant, b.agent, b.billed, b.running, b.sealed);
+  }
+  friend bool operator!=(const AgentUsageReported& a,
+                         const AgentUsageReported& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_AGENT_USAGE_REPORTED_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/grant_state.h
@@ -0,0 +1,18 @@
+#ifndef LEDGER_GRANT_STATE_H_
+#define LEDGER_GRANT_STATE_H_
+
+#include <cstdint>
+
+namespace godwit::ledger {
+
+// Whether a grant may still be spent. The values are stored; append only.
+enum class GrantState : uint8_t {
+  // Its holder may spend it.
+  kActive = 0,
+  // Nothing more starts under it; its usage is being collected.
+  kSealed = 1,
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_GRANT_STATE_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/holder_policy.h
@@ -0,0 +1,63 @@
+#ifndef LEDGER_HOLDER_POLICY_H_
+#define LEDGER_HOLDER_POLICY_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "ledger/shard.h"
+
+namespace godwit::ledger {
+
+// Settings of a BudgetHolder.
+struct HolderPolicy {
+  // Ledger keys of the fleet.
+  int shard_count = kShardCount;
+  // Length of a KV outage that grants should outlast.
+  base::Millis outage = base::Millis(10 * 60 * 1000);
+  // Half-life of the average that estimates the burn rate.
+  base::Millis burn_half_life = base::Millis(30 * 1000);
+  // Smallest free part of a grant that is in use, while the budget is far from
+  // its end.
+  base::Tokens min_grant = 20000;
+  // Most of what is left of a budget that one router sets aside ahead of need,
+  // in percent of an equal share.
+  int64_t share_percent = 100;
+  // Time between writes that carry only usage.
+  base::Millis settle_period = base::Millis(2000);
+  // Least time between two writes of a shard.
+  base::Millis write_spacing = base::Millis(20);
+  // Time between reads of a shard whose budgets are near their end.
+  base::Millis recall_poll = base::Millis(200);
+  // Age up to which a record read proves that a budget is exhausted.
+  base::Millis fresh = base::Millis(250);
+  // Longest that a reservation waits for budget.
+  base::Millis max_wait = base::Millis(1000);
+  // Time without use after which a grant is returned.
+  base::Millis idle = base::Millis(20 * 60 * 1000);
+  // Time in which every shard is read for grants of lost holders.
+  base::Millis scan_period = base::Millis(10 * 1000);
+  // Time between seal requests to an agent that has not answered.
+  base::Millis seal_retry = base::Millis(500);
+  // When a caller refused for want of the KV should come back.
+  base::Millis retry_after = base::Millis(2000);
+
+  friend bool operator==(const HolderPolicy& a, const HolderPolicy& b) {
+    return std::tie(a.shard_count, a.outage, a.burn_half_life, a.min_grant,
+                    a.share_percent, a.settle_period, a.write_spacing,
+                    a.recall_poll, a.fresh, a.max_wait, a.idle, a.scan_period,
+                    a.seal_retry, a.retry_after) ==
+           std::tie(b.shard_count, b.outage, b.burn_half_life, b.min_grant,
+                    b.share_percent, b.settle_period, b.write_spacing,
+                    b.recall_poll, b.fresh, b.max_wait, b.idle, b.scan_period,
+                    b.seal_retry, b.retry_after);
+  }
+  friend bool operator!=(const HolderPolicy& a, const HolderPolicy& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_HOLDER_POLICY_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/ledger_record.h
@@ -0,0 +1,38 @@
+#ifndef LEDGER_LEDGER_RECORD_H_
+#define LEDGER_LEDGER_RECORD_H_
+
+#include <map>
+#include <optional>
+#include <tuple>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "ledger/budget.h"
+
+namespace godwit::ledger {
+
+// Value of one ledger key of the KV: many budgets, changed together by one
+// compare-and-swap.
+struct LedgerRecord {
+  // Id of the write that made this version.
+  base::WriteId write;
+  // The budgets of this shard.
+  std::map<base::BudgetId, Budget> budgets;
+
+  // Empty when every budget keeps
+  //   billed + held + sum of grant amounts <= limit,
+  //   usage of each grant <= its amount, no amount negative;
+  // otherwise the first violation, of kind kCorrupt.
+  std::optional<base::Error> CheckInvariant() const;
+
+  friend bool operator==(const LedgerRecord& a, const LedgerRecord& b) {
+    return std::tie(a.write, a.budgets) == std::tie(b.write, b.budgets);
+  }
+  friend bool operator!=(const LedgerRecord& a, const LedgerRecord& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_LEDGER_RECORD_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/reserve_granted.h
@@ -0,0 +1,28 @@
+#ifndef LEDGER_RESERVE_GRANTED_H_
+#define LEDGER_RESERVE_GRANTED_H_
+
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace godwit::ledger {
+
+// Command: the attempt may run under a grant, at agents for which
+// BudgetHolder::MaySpendAt holds.
+struct ReserveGranted {
+  // The attempt.
+  base::AttemptId attempt;
+  // The grant that pays.
+  base::GrantId grant;
+
+  friend bool operator==(const ReserveGranted& a, const ReserveGranted& b) {
+    return std::tie(a.attempt, a.grant) == std::tie(b.attempt, b.grant);
+  }
+  friend bool operator!=(const ReserveGranted& a, const ReserveGranted& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_RESERVE_GRANTED_H_
