--- /dev/null
+++ b/libs/admission/include/admission/organisation_limits.h
@@ -0,0 +1,43 @@
+#ifndef ADMISSION_ORGANISATION_LIMITS_H_
+#define ADMISSION_ORGANISATION_LIMITS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "admission/limit_refusal.h"
+#include "base/ids.h"
+#include "base/millis.h"
+
+namespace godwit::admission {
+
+// Rate and concurrency limits of organisations over one router. The rate is a
+// token bucket that holds one second's worth. One thread at a time.
+class OrganisationLimits {
+ public:
+  // Admits a request and counts it, or says why not. Limits of 0 are none.
+  // Admitted requests are to be released once.
+  std::optional<LimitRefusal> Admit(base::Millis now,
+                                    const base::OrganisationId& organisation,
+                                    int64_t max_requests_per_second,
+                                    int64_t max_concurrent);
+  // An admitted request has ended.
+  void Release(const base::OrganisationId& organisation);
+
+  // Requests in progress.
+  int64_t in_progress(const base::OrganisationId& organisation) const;
+
+ private:
+  struct Account {
+    double tokens = 0;
+    base::Millis filled_at;
+    bool filled = false;
+    int64_t in_progress = 0;
+  };
+
+  std::map<base::OrganisationId, Account> accounts_;
+};
+
+}  // namespace godwit::admission
+
+#endif  // ADMISSION_ORGANISATION_LIMITS_H_
--- /dev/null
+++ b/libs/admission/include/admission/pending_entry.h
@@ -0,0 +1,22 @@
+#ifndef ADMISSION_PENDING_ENTRY_H_
+#define ADMISSION_PENDING_ENTRY_H_
+
+#include <cstdint>
+
+#include "base/millis.h"
+
+namespace godwit::admission {
+
+// A request that waits for room.
+struct PendingEntry {
+  // Chosen by the caller; unique in the queue.
+  int64_t id = 0;
+  // Higher goes first; 0 to 100.
+  int64_t priority = 50;
+  // Point after which it is refused.
+  base::Millis deadline;
+};
+
+}  // namespace godwit::admission
+
+#endif  // ADMISSION_PENDING_ENTRY_H_
--- /dev/null
+++ b/libs/membership/include/membership/fleet_edit.h
@@ -0,0 +1,18 @@
+#ifndef MEMBERSHIP_FLEET_EDIT_H_
+#define MEMBERSHIP_FLEET_EDIT_H_
+
+#include <variant>
+
+#include "membership/join.h"
+#include "membership/mark_gone.h"
+#include "membership/mark_leaving.h"
+#include "membership/prune.h"
+
+namespace godwit::membership {
+
+// A change of the fleet record. Applying an edit twice is the same as once.
+using FleetEdit = std::variant<Join, MarkLeaving, MarkGone, Prune>;
+
+}  // namespace godwit::membership
+
+#endif  // MEMBERSHIP_FLEET_EDIT_H_
--- /dev/null
+++ b/libs/membership/include/membership/join.h
@@ -0,0 +1,18 @@
+#ifndef MEMBERSHIP_JOIN_H_
+#define MEMBERSHIP_JOIN_H_
+
+#include "membership/fleet_agent.h"
+
+namespace godwit::membership {
+
+// Edit: a life of an agent begins. Earlier lives of the process become gone
+// at its joined_at. No effect when the incarnation is already in the record,
+// whatever its state.
+struct Join {
+  // `state` is kActive.
+  FleetAgent agent;
+};
+
+}  // namespace godwit::membership
+
+#endif  // MEMBERSHIP_JOIN_H_
--- /dev/null
+++ b/libs/membership/include/membership/mark_gone.h
@@ -0,0 +1,18 @@
+#ifndef MEMBERSHIP_MARK_GONE_H_
+#define MEMBERSHIP_MARK_GONE_H_
+
+#include "base/ids.h"
+#include "base/millis.h"
+
+namespace godwit::membership {
+
+// Edit: a life has ended. No effect when it is unknown or gone.
+struct MarkGone {
+  base::Incarnation incarnation;
+  // Wall time.
+  base::Millis at;
+};
+
+}  // namespace godwit::membership
+
+#endif  // MEMBERSHIP_MARK_GONE_H_
--- /dev/null
+++ b/libs/membership/include/membership/membership_settings.h
@@ -0,0 +1,28 @@
+#ifndef MEMBERSHIP_MEMBERSHIP_SETTINGS_H_
+#define MEMBERSHIP_MEMBERSHIP_SETTINGS_H_
+
+#include <cstddef>
+
+#include "base/ids.h"
+#include "base/millis.h"
+
+namespace godwit::membership {
+
+// Settings of a router's Membership.
+struct MembershipSettings {
+  // The router itself.
+  base::ProcessId self;
+  // Most agents that the router links to for one service.
+  size_t subset_size = 16;
+  // A link on which nothing was heard for this long counts as down.
+  base::Millis silence_limit{2000};
+  // An agent without lease and link for this long is to be marked gone.
+  base::Millis gone_after{15000};
+  // First and longest pause between dials of the same agent.
+  base::Millis dial_backoff_min{250};
+  base::Millis dial_backoff_max{5000};
+};
+
+}  // namespace godwit::membership
+
+#endif  // MEMBERSHIP_MEMBERSHIP_SETTINGS_H_
--- /dev/null
+++ b/libs/membership/include/membership/prune.h
@@ -0,0 +1,15 @@
+#ifndef MEMBERSHIP_PRUNE_H_
+#define MEMBERSHIP_PRUNE_H_
+
+#include "base/millis.h"
+
+namespace godwit::membership {
+
+// Edit: remove lives that were gone at or before a wall time.
+struct Prune {
+  base::Millis gone_until;
+};
+
+}  // namespace godwit::membership
+
+#endif  // MEMBERSHIP_PRUNE_H_
