Assemble answers from frames that are late, doubled or foreign

AnswerAssembler hands out each byte once and in order, asks to attach at a gap and reports an answer as complete only when length and digest agree with RunEnd.

--- /dev/null
+++ b/libs/stream/include/stream/answer_buffer.h
@@ -0,0 +1,52 @@
+#ifndef STREAM_ANSWER_BUFFER_H_
+#define STREAM_ANSWER_BUFFER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/digest.h"
+#include "base/digester.h"
+#include "base/ids.h"
+
+namespace godwit::stream {
+
+// The answer bytes of one run, with the tokens that they carry. One thread at
+// a time.
+class AnswerBuffer {
+ public:
+  // Adds bytes that carry `tokens` further tokens.
+  void Append(std::string_view bytes, base::Tokens tokens);
+
+  // At most `limit` bytes from `offset` on; empty when there are none. The view
+  // lives until the next Append.
+  std::string_view Read(int64_t offset, int64_t limit) const noexcept;
+
+  // Bytes so far.
+  int64_t length() const noexcept {
+    return static_cast<int64_t>(bytes_.size());
+  }
+  // Tokens so far.
+  base::Tokens tokens() const noexcept { return tokens_; }
+  // Tokens whose bytes lie wholly before `offset`.
+  base::Tokens TokensBefore(int64_t offset) const noexcept;
+  // Digest of the bytes so far.
+  base::Digest digest() const noexcept { return digester_.Value(); }
+
+ private:
+  // A position at which the count of tokens rose.
+  struct Mark {
+    int64_t offset = 0;
+    base::Tokens tokens = 0;
+  };
+
+  std::string bytes_;
+  base::Tokens tokens_ = 0;
+  std::vector<Mark> marks_;
+  base::Digester digester_;
+};
+
+}  // namespace godwit::stream
+
+#endif  // STREAM_ANSWER_BUFFER_H_
--- /dev/null
+++ b/libs/stream/src/answer_assembler.cc
@@ -0,0 +1,91 @@
+#include "stream/answer_assembler.h"
+
+#include <algorithm>
+#include <limits>
+#include <string_view>
+#include <utility>
+
+namespace godwit::stream {
+namespace {
+
+AssemblerStep Dropped() {
+  AssemblerStep step;
+  step.dropped = true;
+  return step;
+}
+
+// False when the end of the piece is no valid offset.
+bool HasValidRange(const link::RunData& frame) noexcept {
+  const auto size = static_cast<int64_t>(frame.bytes.size());
+  return frame.offset >= 0 && size > 0 &&
+         frame.offset <= std::numeric_limits<int64_t>::max() - size;
+}
+
+}  // namespace
+
+AnswerAssembler::AnswerAssembler(base::Digest key, base::AttemptId attempt)
+    : key_(key), attempt_(std::move(attempt)) {}
+
+bool AnswerAssembler::Accepts(const base::Digest& key,
+                              const base::AttemptId& attempt) const noexcept {
+  return !complete_ && !corrupt_ && key == key_ && attempt == attempt_;
+}
+
+AssemblerStep AnswerAssembler::OnHead(const link::RunHead& frame) {
+  if (!Accepts(frame.key, frame.attempt) || has_head_) {
+    return Dropped();
+  }
+  has_head_ = true;
+  AssemblerStep step;
+  step.head = frame;
+  return step;
+}
+
+AssemblerStep AnswerAssembler::OnData(link::RunData frame) {
+  if (!Accepts(frame.key, frame.attempt) || !HasValidRange(frame)) {
+    return Dropped();
+  }
+  const int64_t end = frame.offset + static_cast<int64_t>(frame.bytes.size());
+  if (!has_head_ || frame.offset > offset_) {
+    return ReportGap(frame.offset);
+  }
+  if (end <= offset_) {
+    return Dropped();
+  }
+  frame.bytes.erase(0, static_cast<size_t>(offset_ - frame.offset));
+  digester_.Update(frame.bytes);
+  offset_ = end;
+  tokens_ = std::max(tokens_, frame.tokens);
+  attach_asked_ = false;
+  highest_gap_offset_ = 0;
+  AssemblerStep step;
+  step.bytes = std::move(frame.bytes);
+  return step;
+}
+
+AssemblerStep AnswerAssembler::OnEnd(const link::RunEnd& frame) {
+  if (!Accepts(frame.key, frame.attempt) || frame.length < 0) {
+    return Dropped();
+  }
+  if (!has_head_ || frame.length > offset_) {
+    return ReportGap(frame.length);
+  }
+  AssemblerStep step;
+  complete_ = frame.length == offset_ && frame.digest == digester_.Value();
+  corrupt_ = !complete_;
+  step.complete = complete_;
+  step.corrupt = corrupt_;
+  return step;
+}
+
+// Asks once for each gap. A frame at or below an offset that already lay beyond
+// the gap shows that the repetition came through with the gap still there.
+AssemblerStep AnswerAssembler::ReportGap(int64_t frame_offset) {
+  AssemblerStep step = Dropped();
+  step.attach = !attach_asked_ || frame_offset <= highest_gap_offset_;
+  attach_asked_ = true;
+  highest_gap_offset_ = std::max(highest_gap_offset_, frame_offset);
+  return step;
+}
+
+}  // namespace godwit::stream
