--- /dev/null
+++ b/libs/config/src/map_reader.h
@@ -0,0 +1,76 @@
+#ifndef CONFIG_MAP_READER_H_
+#define CONFIG_MAP_READER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "yaml_node.h"
+
+namespace godwit::config {
+
+// Reads the entries of one YAML map and checks them. The first failure is kept
+// in `error`; after it every call returns its default.
+class MapReader {
+ public:
+  // `path` names the map in messages, empty for the document. `node` and
+  // `error` must outlive the reader.
+  MapReader(const YamlNode& node, std::string path, base::Error& error);
+
+  // The entry of that key, or null when it is missing.
+  const YamlNode* Find(std::string_view key);
+  // As Find, but a missing entry is a failure.
+  const YamlNode* Require(std::string_view key);
+  // A map; null when it is missing or of another type.
+  const YamlNode* Map(std::string_view key);
+
+  // A whole number within the range.
+  int64_t Integer(std::string_view key,
+                  int64_t fallback,
+                  int64_t min,
+                  int64_t max);
+  // A number within the range.
+  double Number(std::string_view key, double fallback, double min, double max);
+  // A name; see IsName. Required.
+  std::string Name(std::string_view key);
+  // A scalar that is not empty; required.
+  std::string Text(std::string_view key);
+  // A list of names without repetition; empty when it is missing.
+  std::vector<std::string> Names(std::string_view key);
+  // Fails on each entry that no call asked for.
+  void RefuseUnknown();
+
+  // Keeps a failure at a line, unless one is kept already.
+  void Fail(int line, const std::string& what, const std::string& remedy);
+  // As above with the path of `key` before the message.
+  void FailAt(const YamlNode& entry,
+              std::string_view key,
+              const std::string& what,
+              const std::string& remedy);
+
+  bool failed() const noexcept;
+  const std::string& path() const noexcept { return path_; }
+  const YamlNode& node() const noexcept { return node_; }
+
+  // "path.key", or "key" in the document itself.
+  std::string PathOf(std::string_view key) const;
+
+ private:
+  const YamlNode& node_;
+  std::string path_;
+  base::Error& error_;
+  std::vector<std::string> known_;
+};
+
+// True for 1 to 64 letters, digits, '-', '_' and '.', the first of which is a
+// letter or a digit.
+bool IsName(std::string_view text);
+
+// What IsName asks for, in words.
+extern const char kNameRemedy[];
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_MAP_READER_H_
