--- /dev/null
+++ b/libs/config/include/config/endpoint.h
@@ -0,0 +1,38 @@
+#ifndef CONFIG_ENDPOINT_H_
+#define CONFIG_ENDPOINT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace godwit::config {
+
+// Where a server listens: an IP number and a port.
+struct Endpoint {
+  // IPv4 or IPv6 number, without brackets.
+  std::string ip;
+  // 1 to 65535.
+  uint16_t port = 0;
+
+  // Reads "127.0.0.1:8080" or "[::1]:8080"; empty when the text is anything
+  // else, such as a host name.
+  static std::optional<Endpoint> FromText(std::string_view text);
+  // The form that FromText reads.
+  std::string ToText() const;
+
+  friend bool operator==(const Endpoint& a, const Endpoint& b) {
+    return std::tie(a.ip, a.port) == std::tie(b.ip, b.port);
+  }
+  friend bool operator!=(const Endpoint& a, const Endpoint& b) {
+    return !(a == b);
+  }
+};
+
+// True for an IPv4 or IPv6 number.
+bool IsIpNumber(std::string_view text);
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_ENDPOINT_H_
--- /dev/null
+++ b/libs/config/include/config/settings.h
@@ -0,0 +1,57 @@
+#ifndef CONFIG_SETTINGS_H_
+#define CONFIG_SETTINGS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/millis.h"
+#include "config/endpoint.h"
+
+namespace godwit::config {
+
+// The checked settings of a process, read by SettingsReader. Asking for a key
+// that was not declared, or as another type, is a programming error and
+// aborts. Immutable; any thread.
+class Settings {
+ public:
+  // True unless an optional key was left out.
+  bool Has(std::string_view key) const;
+
+  // Keys declared by String, Name, Ip and Choice; empty when left out.
+  const std::string& Text(std::string_view key) const;
+  // Keys declared by Integer; 0 when left out.
+  int64_t Integer(std::string_view key) const;
+  // Keys declared by Port; 0 asks the system for a free port.
+  uint16_t Port(std::string_view key) const;
+  // Keys declared by Duration.
+  base::Millis Duration(std::string_view key) const;
+  // Keys declared by Flag; false when left out.
+  bool Flag(std::string_view key) const;
+  // Keys declared by Address.
+  const Endpoint& Address(std::string_view key) const;
+  // Keys declared by Addresses.
+  const std::vector<Endpoint>& Addresses(std::string_view key) const;
+  // Keys declared by Names.
+  const std::vector<std::string>& Names(std::string_view key) const;
+
+ private:
+  friend class SettingsReader;
+  struct Value {
+    bool given = false;
+    std::string text;
+    int64_t integer = 0;
+    std::vector<std::string> names;
+    std::vector<Endpoint> endpoints;
+  };
+
+  const Value& At(std::string_view key) const;
+
+  std::map<std::string, Value, std::less<>> values_;
+};
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_SETTINGS_H_
--- /dev/null
+++ b/libs/config/include/config/settings_reader.h
@@ -0,0 +1,97 @@
+#ifndef CONFIG_SETTINGS_READER_H_
+#define CONFIG_SETTINGS_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+
+namespace godwit::config {
+
+class Settings;
+
+// Reads the YAML settings of a process against a table of keys that the
+// process declares:
+//
+//   SettingsReader reader;
+//   reader.Name("process", "name of this process")
+//       .Ip("listen_ip", "where callers connect")
+//       .Port("listen_port", "0 for a free one").Default("8080");
+//   const auto settings = reader.ReadFile(path);
+//
+// A key is required unless Default or Optional follows its declaration.
+// Programs print last_error() and exit with kSettingsExitCode on failure.
+class SettingsReader {
+ public:
+  SettingsReader();
+  ~SettingsReader();
+  SettingsReader(const SettingsReader&) = delete;
+  SettingsReader& operator=(const SettingsReader&) = delete;
+
+  // Any text that is not empty.
+  SettingsReader& String(std::string key, std::string help);
+  // 1 to 64 letters, digits, '-', '_' and '.'.
+  SettingsReader& Name(std::string key, std::string help);
+  // An IPv4 or IPv6 number.
+  SettingsReader& Ip(std::string key, std::string help);
+  // 0 to 65535; 0 asks the system for a free port.
+  SettingsReader& Port(std::string key, std::string help);
+  SettingsReader& Integer(std::string key,
+                          std::string help,
+                          int64_t min,
+                          int64_t max);
+  // A number of milliseconds; the key ends in _ms by convention.
+  SettingsReader& Duration(std::string key,
+                           std::string help,
+                           int64_t min_ms,
+                           int64_t max_ms);
+  // true or false.
+  SettingsReader& Flag(std::string key, std::string help);
+  // One of the given words.
+  SettingsReader& Choice(std::string key,
+                         std::string help,
+                         std::vector<std::string> words);
+  // IP:PORT.
+  SettingsReader& Address(std::string key, std::string help);
+  // A list of IP:PORT.
+  SettingsReader& Addresses(std::string key, std::string help);
+  // A list of names.
+  SettingsReader& Names(std::string key, std::string help);
+
+  // Value of the key declared last when the file leaves it out, as the file
+  // would write it. A default that is not valid aborts on reading.
+  SettingsReader& Default(std::string text);
+  // Lets the file leave out the key declared last; see Settings::Has.
+  SettingsReader& Optional();
+
+  // Empty when the text does not fit the table; last_error() then names file,
+  // line, key and remedy. `file` is for messages only.
+  std::optional<Settings> Read(const std::string& text,
+                               const std::string& file);
+  // As Read, for the contents of a file.
+  std::optional<Settings> ReadFile(const std::string& file);
+
+  const base::Error& last_error() const noexcept { return error_; }
+
+  // A line for each key with its type, default and help, for --help.
+  std::string Help() const;
+
+ private:
+  struct Key;
+
+  SettingsReader& Declare(Key key);
+  std::optional<Settings> ReadChecked(const std::string& text);
+  void NameFile(const std::string& file);
+
+  std::vector<Key> keys_;
+  base::Error error_;
+};
+
+// Exit code of a program whose settings or command line are not valid.
+inline constexpr int kSettingsExitCode = 2;
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_SETTINGS_READER_H_
--- /dev/null
+++ b/libs/config/src/endpoint.cc
@@ -0,0 +1,54 @@
+#include "config/endpoint.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace godwit::config {
+namespace {
+
+bool ParsesAs(int family, const std::string& text) {
+  unsigned char address[sizeof(in6_addr)];
+  return inet_pton(family, text.c_str(), address) == 1;
+}
+
+std::optional<uint16_t> ReadPort(std::string_view text) {
+  uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, port);
+  if (result.ec != std::errc() || result.ptr != end || port == 0) {
+    return std::nullopt;
+  }
+  return port;
+}
+
+}  // namespace
+
+bool IsIpNumber(std::string_view text) {
+  const std::string copy(text);
+  return ParsesAs(AF_INET, copy) || ParsesAs(AF_INET6, copy);
+}
+
+std::optional<Endpoint> Endpoint::FromText(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto port = ReadPort(text.substr(colon + 1));
+  std::string ip(text.substr(0, colon));
+  const bool bracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+  if (bracketed) {
+    ip = ip.substr(1, ip.size() - 2);
+  }
+  if (!port || !ParsesAs(bracketed ? AF_INET6 : AF_INET, ip)) {
+    return std::nullopt;
+  }
+  return Endpoint{std::move(ip), *port};
+}
+
+std::string Endpoint::ToText() const {
+  const bool six = ip.find(':') != std::string::npos;
+  return (six ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
+}
+
+}  // namespace godwit::config
--- a/libs/config/src/lookup.cc
+++ b/libs/config/src/lookup.cc
@@ -10,6 +10,8 @@
 namespace godwit::config {
 namespace {
 
+constexpr char kHexDigits[] = "0123456789abcdef";
+
 // The first element that satisfies the predicate, or null.
 template <typename Value, typename Predicate>
 const Value* FindIf(const std::vector<Value>& values, Predicate predicate) {
@@ -68,7 +70,6 @@
 }
 
 std::string HashApiKey(std::string_view api_key) {
-  constexpr char kHexDigits[] = "0123456789abcdef";
   std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
   SHA256(reinterpret_cast<const unsigned char*>(api_key.data()), api_key.size(),
          hash.data());
--- /dev/null
+++ b/libs/config/src/settings.cc
@@ -0,0 +1,56 @@
+#include "config/settings.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace godwit::config {
+
+bool Settings::Has(std::string_view key) const {
+  return At(key).given;
+}
+
+const std::string& Settings::Text(std::string_view key) const {
+  return At(key).text;
+}
+
+int64_t Settings::Integer(std::string_view key) const {
+  return At(key).integer;
+}
+
+uint16_t Settings::Port(std::string_view key) const {
+  return static_cast<uint16_t>(At(key).integer);
+}
+
+base::Millis Settings::Duration(std::string_view key) const {
+  return base::Millis(At(key).integer);
+}
+
+bool Settings::Flag(std::string_view key) const {
+  return At(key).integer != 0;
+}
+
+const Endpoint& Settings::Address(std::string_view key) const {
+  static const Endpoint none;
+  const auto& endpoints = At(key).endpoints;
+  return endpoints.empty() ? none : endpoints.front();
+}
+
+const std::vector<Endpoint>& Settings::Addresses(std::string_view key) const {
+  return At(key).endpoints;
+}
+
+const std::vector<std::string>& Settings::Names(std::string_view key) const {
+  return At(key).names;
+}
+
+const Settings::Value& Settings::At(std::string_view key) const {
+  const auto found = values_.find(key);
+  if (found == values_.end()) {
+    std::fprintf(stderr, "setting \"%s\" was not declared\n",
+                 std::string(key).c_str());
+    std::abort();
+  }
+  return found->second;
+}
+
+}  // namespace godwit::config
