--- a/libs/stream/tests/answer_assembler_test.cc
+++ b/libs/stream/tests/answer_assembler_test.cc
@@ -9,7 +9,6 @@
 
 #include "base/digest.h"
 #include "stream/answer_assembler.h"
-#include "stream/answer_buffer.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -19,7 +18,6 @@
 using godwit::link::RunEnd;
 using godwit::link::RunHead;
 using godwit::stream::AnswerAssembler;
-using godwit::stream::AnswerBuffer;
 using godwit::stream::AssemblerStep;
 
 namespace {
