Add the fleet record, a router's membership, the picker and admission limits

Decision code without I/O. An agent that said on any link that it is leaving stays so for its life, whatever a late heartbeat or a lagging list says. A link that was silent for the silence limit gives no work, however open its socket looks.

--- a/libs/admission/include/admission/organisation_limits.h
+++ b/libs/admission/include/admission/organisation_limits.h
@@ -29,7 +29,8 @@
 
  private:
   struct Account {
-    double tokens = 0;
+    // Thousandths of a request.
+    int64_t allowance = 0;
     base::Millis filled_at;
     bool filled = false;
     int64_t in_progress = 0;
--- a/libs/admission/include/admission/pending_queue.h
+++ b/libs/admission/include/admission/pending_queue.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <set>
 #include <vector>
@@ -59,8 +58,10 @@
   size_t max_entries_;
   int64_t next_sequence_ = 1;
   std::set<Queued> entries_;
-  // Times of the latest pops.
-  std::deque<base::Millis> pops_;
+  // Mean time between pops while entries wait; 0 while unknown.
+  double pop_interval_ms_ = 0;
+  // The latest pop; empty when nothing waited after it.
+  std::optional<base::Millis> last_pop_;
 };
 
 }  // namespace godwit::admission
--- a/libs/membership/include/membership/fleet_editor.h
+++ b/libs/membership/include/membership/fleet_editor.h
@@ -47,6 +47,7 @@
 
  private:
   std::vector<FleetCommand> Read();
+  std::vector<FleetCommand> Write();
   void BackOff(base::Millis now);
 
   std::mt19937_64 random_;
--- a/libs/membership/include/membership/fleet_record.h
+++ b/libs/membership/include/membership/fleet_record.h
@@ -1,6 +1,7 @@
 #ifndef MEMBERSHIP_FLEET_RECORD_H_
 #define MEMBERSHIP_FLEET_RECORD_H_
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -55,6 +56,9 @@
 
  private:
   std::vector<FleetAgent> agents_;
+  // Positions in agents_, sorted by incarnation and by process.
+  std::vector<size_t> by_incarnation_;
+  std::vector<size_t> by_process_;
 };
 
 }  // namespace godwit::membership
--- a/libs/membership/include/membership/join.h
+++ b/libs/membership/include/membership/join.h
@@ -11,6 +11,11 @@
 struct Join {
   // `state` is kActive.
   FleetAgent agent;
+
+  friend bool operator==(const Join& a, const Join& b) {
+    return a.agent == b.agent;
+  }
+  friend bool operator!=(const Join& a, const Join& b) { return !(a == b); }
 };
 
 }  // namespace godwit::membership
--- a/libs/membership/include/membership/mark_gone.h
+++ b/libs/membership/include/membership/mark_gone.h
@@ -11,6 +11,13 @@
   base::Incarnation incarnation;
   // Wall time.
   base::Millis at;
+
+  friend bool operator==(const MarkGone& a, const MarkGone& b) {
+    return a.incarnation == b.incarnation && a.at == b.at;
+  }
+  friend bool operator!=(const MarkGone& a, const MarkGone& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace godwit::membership
--- a/libs/membership/include/membership/mark_leaving.h
+++ b/libs/membership/include/membership/mark_leaving.h
@@ -8,6 +8,13 @@
 // Edit: a life takes no new work. No effect unless it is active.
 struct MarkLeaving {
   base::Incarnation incarnation;
+
+  friend bool operator==(const MarkLeaving& a, const MarkLeaving& b) {
+    return a.incarnation == b.incarnation;
+  }
+  friend bool operator!=(const MarkLeaving& a, const MarkLeaving& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace godwit::membership
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -57,7 +57,7 @@
   void OnRefusedLeaving(link::ConnectionId connection);
   // The lease keys `agents/INCARNATION` that the KV holds, all of them. Don't
   // call when the KV could not be asked.
-  void OnLeases(base::Millis now, std::set<base::Incarnation> live);
+  void OnLeases(base::Millis now, const std::set<base::Incarnation>& live);
 
   // Agents of the service that may be given new work: connected, not leaving,
   // not gone.
@@ -116,8 +116,10 @@
   std::optional<DialTarget> AddressOf(const base::ProcessId& process) const;
   std::optional<base::DataCentreId> PlaceOf(
       const base::ProcessId& process) const;
+  bool IsHeard(base::Millis now, const base::ProcessId& process) const;
+  bool IsLeaving(const base::ProcessId& process) const;
   void RebuildSubsets();
-  void ForgetLivesWithoutLink();
+  void ForgetEndedLives();
 
   MembershipSettings settings_;
   std::vector<ServiceAgents> services_;
@@ -132,8 +134,8 @@
   std::map<base::ProcessId, link::ConnectionId> current_;
   std::map<base::ProcessId, Dialling> dialling_;
   std::map<base::ProcessId, base::Millis> kept_;
-  std::set<base::Incarnation> leases_;
-  // Since when a life has had neither link nor lease.
+  base::Millis leases_read_at_;
+  // When the lease was first found missing, of lives without a link.
   std::map<base::Incarnation, base::Millis> missing_since_;
 };
 
--- a/libs/membership/include/membership/prune.h
+++ b/libs/membership/include/membership/prune.h
@@ -8,6 +8,11 @@
 // Edit: remove lives that were gone at or before a wall time.
 struct Prune {
   base::Millis gone_until;
+
+  friend bool operator==(const Prune& a, const Prune& b) {
+    return a.gone_until == b.gone_until;
+  }
+  friend bool operator!=(const Prune& a, const Prune& b) { return !(a == b); }
 };
 
 }  // namespace godwit::membership
--- /dev/null
+++ b/libs/membership/src/membership.cc
@@ -0,0 +1,378 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "link/hello.h"
+#include "subset.h"
+
+namespace godwit::membership {
+
+Membership::Membership(MembershipSettings settings)
+    : settings_(std::move(settings)) {}
+
+void Membership::SetServices(std::vector<ServiceAgents> services) {
+  services_ = std::move(services);
+  RebuildSubsets();
+}
+
+void Membership::OnFleetRecord(base::Millis /*now*/,
+                               FleetRecord record,
+                               int64_t version) {
+  if (version <= version_) {
+    return;
+  }
+  version_ = version;
+  record_ = std::move(record);
+  for (auto it = current_.begin(); it != current_.end();) {
+    const bool gone = IsGone(links_.at(it->second).incarnation);
+    it = gone ? current_.erase(it) : std::next(it);
+  }
+  ForgetEndedLives();
+  RebuildSubsets();
+}
+
+void Membership::OnVmList(base::Millis /*now*/,
+                          const std::vector<platform::Vm>& vms) {
+  vms_.clear();
+  for (const platform::Vm& vm : vms) {
+    if (vm.role == "agent") {
+      vms_[vm.process] = vm;
+    }
+  }
+  RebuildSubsets();
+}
+
+void Membership::OnLinkUp(base::Millis now,
+                          link::ConnectionId connection,
+                          const link::Hello& peer) {
+  links_[connection] = Link{peer.incarnation, now};
+  Life& life = lives_[peer.incarnation];
+  life.process = peer.process;
+  life.data_centre = peer.data_centre;
+  life.leaving = life.leaving || peer.leaving;
+  if (!IsGone(peer.incarnation)) {
+    current_[peer.process] = connection;
+    dialling_.erase(peer.process);
+    missing_since_.erase(peer.incarnation);
+  }
+  RebuildSubsets();
+}
+
+void Membership::OnLinkDown(base::Millis /*now*/,
+                            link::ConnectionId connection) {
+  links_.erase(connection);
+  for (auto it = current_.begin(); it != current_.end(); ++it) {
+    if (it->second == connection) {
+      current_.erase(it);
+      break;
+    }
+  }
+  ForgetEndedLives();
+  RebuildSubsets();
+}
+
+void Membership::OnHeartbeat(base::Millis now,
+                             link::ConnectionId connection,
+                             bool leaving) {
+  OnHeard(now, connection);
+  if (leaving) {
+    OnRefusedLeaving(connection);
+  }
+}
+
+void Membership::OnHeard(base::Millis now, link::ConnectionId connection) {
+  auto link = links_.find(connection);
+  if (link != links_.end()) {
+    link->second.heard_at = now;
+  }
+}
+
+void Membership::OnRefusedLeaving(link::ConnectionId connection) {
+  auto link = links_.find(connection);
+  if (link == links_.end()) {
+    return;
+  }
+  Life& life = lives_[link->second.incarnation];
+  if (!life.leaving) {
+    life.leaving = true;
+    RebuildSubsets();
+  }
+}
+
+void Membership::OnLeases(base::Millis now,
+                          const std::set<base::Incarnation>& live) {
+  leases_read_at_ = now;
+  std::map<base::Incarnation, base::Millis> missing;
+  for (const FleetAgent& agent : record_.agents()) {
+    if (agent.state == AgentState::kGone || live.count(agent.incarnation) > 0 ||
+        ViewOf(now, agent.incarnation, &agent).connected) {
+      continue;
+    }
+    auto known = missing_since_.find(agent.incarnation);
+    missing[agent.incarnation] =
+        known == missing_since_.end() ? now : known->second;
+  }
+  missing_since_ = std::move(missing);
+}
+
+std::vector<AgentView> Membership::Usable(
+    base::Millis now,
+    const base::ServiceId& service) const {
+  std::vector<AgentView> usable;
+  auto subset = subsets_.find(service);
+  if (subset == subsets_.end()) {
+    return usable;
+  }
+  for (const base::ProcessId& process : subset->second) {
+    auto connection = current_.find(process);
+    if (connection == current_.end()) {
+      continue;
+    }
+    const base::Incarnation& incarnation =
+        links_.at(connection->second).incarnation;
+    AgentView view = ViewOf(now, incarnation, record_.Find(incarnation));
+    if (view.connected && !view.leaving) {
+      usable.push_back(std::move(view));
+    }
+  }
+  return usable;
+}
+
+std::vector<AgentView> Membership::Views(base::Millis now) const {
+  std::vector<AgentView> views;
+  for (const FleetAgent& agent : record_.agents()) {
+    if (agent.state != AgentState::kGone) {
+      views.push_back(ViewOf(now, agent.incarnation, &agent));
+    }
+  }
+  for (const auto& [process, connection] : current_) {
+    const base::Incarnation& incarnation = links_.at(connection).incarnation;
+    if (record_.Find(incarnation) == nullptr) {
+      views.push_back(ViewOf(now, incarnation, nullptr));
+    }
+  }
+  std::sort(views.begin(), views.end(),
+            [](const AgentView& a, const AgentView& b) {
+              return std::tie(a.process, a.incarnation) <
+                     std::tie(b.process, b.incarnation);
+            });
+  return views;
+}
+
+std::optional<AgentView> Membership::Find(
+    base::Millis now,
+    const base::Incarnation& incarnation) const {
+  const FleetAgent* listed = record_.Find(incarnation);
+  const bool living = listed != nullptr ? listed->state != AgentState::kGone
+                                        : lives_.count(incarnation) > 0;
+  if (!living) {
+    return std::nullopt;
+  }
+  return ViewOf(now, incarnation, listed);
+}
+
+std::vector<base::ProcessId> Membership::Subset(
+    const base::ServiceId& service) const {
+  auto subset = subsets_.find(service);
+  return subset == subsets_.end() ? std::vector<base::ProcessId>()
+                                  : subset->second;
+}
+
+void Membership::KeepLink(const base::ProcessId& process, base::Millis until) {
+  base::Millis& kept = kept_[process];
+  kept = std::max(kept, until);
+}
+
+std::vector<DialTarget> Membership::TakeDials(base::Millis now) {
+  for (auto it = kept_.begin(); it != kept_.end();) {
+    it = it->second <= now ? kept_.erase(it) : std::next(it);
+  }
+  std::set<base::ProcessId> wanted = subset_union_;
+  for (const auto& [process, until] : kept_) {
+    wanted.insert(process);
+  }
+  std::vector<DialTarget> targets;
+  for (const base::ProcessId& process : wanted) {
+    std::optional<DialTarget> target = AddressOf(process);
+    if (!target || IsHeard(now, process)) {
+      continue;
+    }
+    auto [dialling, first] = dialling_.try_emplace(
+        process, Dialling{now, settings_.dial_backoff_min});
+    if (now < dialling->second.next_at) {
+      continue;
+    }
+    base::Millis& backoff = dialling->second.backoff;
+    dialling->second.next_at = now + backoff;
+    backoff = std::min(backoff * 2, settings_.dial_backoff_max);
+    targets.push_back(*std::move(target));
+  }
+  return targets;
+}
+
+std::vector<link::ConnectionId> Membership::UnwantedLinks(
+    base::Millis now) const {
+  std::vector<link::ConnectionId> unwanted;
+  for (const auto& [connection, link] : links_) {
+    const Life& life = lives_.at(link.incarnation);
+    auto current = current_.find(life.process);
+    const bool replaced =
+        current == current_.end() || current->second != connection;
+    const bool needed = Wanted(now, life.process) || IsLeaving(life.process);
+    if (replaced || !needed || IsGone(link.incarnation)) {
+      unwanted.push_back(connection);
+    }
+  }
+  return unwanted;
+}
+
+std::vector<base::Incarnation> Membership::Lapsed(base::Millis now) const {
+  std::vector<base::Incarnation> lapsed;
+  for (const auto& [incarnation, since] : missing_since_) {
+    const FleetAgent* listed = record_.Find(incarnation);
+    const bool living = listed != nullptr && listed->state != AgentState::kGone;
+    if (living && leases_read_at_ - since >= settings_.gone_after &&
+        !ViewOf(now, incarnation, listed).connected) {
+      lapsed.push_back(incarnation);
+    }
+  }
+  return lapsed;
+}
+
+bool Membership::Wanted(base::Millis now,
+                        const base::ProcessId& process) const {
+  auto kept = kept_.find(process);
+  return subset_union_.count(process) > 0 ||
+         (kept != kept_.end() && now < kept->second);
+}
+
+bool Membership::IsGone(const base::Incarnation& incarnation) const {
+  const FleetAgent* listed = record_.Find(incarnation);
+  return listed != nullptr && listed->state == AgentState::kGone;
+}
+
+bool Membership::VmIsLeaving(const FleetAgent& agent) const {
+  auto vm = vms_.find(agent.process);
+  return vm != vms_.end() && vm->second.leaving && vm->second.ip == agent.ip &&
+         vm->second.port == agent.port;
+}
+
+AgentView Membership::ViewOf(base::Millis now,
+                             const base::Incarnation& incarnation,
+                             const FleetAgent* listed) const {
+  AgentView view;
+  view.incarnation = incarnation;
+  view.joined = listed != nullptr;
+  if (listed != nullptr) {
+    view.process = listed->process;
+    view.data_centre = listed->data_centre;
+    view.leaving = listed->state != AgentState::kActive || VmIsLeaving(*listed);
+  }
+  auto life = lives_.find(incarnation);
+  if (life == lives_.end()) {
+    return view;
+  }
+  view.process = life->second.process;
+  view.data_centre = life->second.data_centre;
+  view.leaving = view.leaving || life->second.leaving;
+  if (listed == nullptr) {
+    auto vm = vms_.find(view.process);
+    view.leaving = view.leaving || (vm != vms_.end() && vm->second.leaving);
+  }
+  auto connection = current_.find(view.process);
+  if (connection != current_.end()) {
+    const Link& link = links_.at(connection->second);
+    if (link.incarnation == incarnation) {
+      view.connection = connection->second;
+      view.connected = now - link.heard_at < settings_.silence_limit;
+    }
+  }
+  return view;
+}
+
+std::optional<DialTarget> Membership::AddressOf(
+    const base::ProcessId& process) const {
+  const FleetAgent* listed = record_.FindLiving(process);
+  if (listed != nullptr) {
+    return DialTarget{process, listed->ip, listed->port};
+  }
+  auto vm = vms_.find(process);
+  if (vm != vms_.end()) {
+    return DialTarget{process, vm->second.ip, vm->second.port};
+  }
+  return std::nullopt;
+}
+
+std::optional<base::DataCentreId> Membership::PlaceOf(
+    const base::ProcessId& process) const {
+  const FleetAgent* listed = record_.FindLiving(process);
+  if (listed != nullptr) {
+    return listed->data_centre;
+  }
+  auto connection = current_.find(process);
+  if (connection != current_.end()) {
+    return lives_.at(links_.at(connection->second).incarnation).data_centre;
+  }
+  auto vm = vms_.find(process);
+  if (vm != vms_.end()) {
+    return vm->second.data_centre;
+  }
+  return std::nullopt;
+}
+
+bool Membership::IsHeard(base::Millis now,
+                         const base::ProcessId& process) const {
+  auto connection = current_.find(process);
+  return connection != current_.end() &&
+         now - links_.at(connection->second).heard_at < settings_.silence_limit;
+}
+
+bool Membership::IsLeaving(const base::ProcessId& process) const {
+  const FleetAgent* listed = record_.FindLiving(process);
+  auto connection = current_.find(process);
+  if (connection != current_.end()) {
+    const base::Incarnation& incarnation =
+        links_.at(connection->second).incarnation;
+    return ViewOf(base::Millis(), incarnation, record_.Find(incarnation))
+        .leaving;
+  }
+  if (listed != nullptr) {
+    return ViewOf(base::Millis(), listed->incarnation, listed).leaving;
+  }
+  auto vm = vms_.find(process);
+  return vm != vms_.end() && vm->second.leaving;
+}
+
+void Membership::RebuildSubsets() {
+  subsets_.clear();
+  subset_union_.clear();
+  for (const ServiceAgents& service : services_) {
+    std::vector<SubsetMember> members;
+    for (const base::ProcessId& process : service.agents) {
+      std::optional<base::DataCentreId> place = PlaceOf(process);
+      if (place && !IsLeaving(process)) {
+        members.push_back(SubsetMember{process, *std::move(place)});
+      }
+    }
+    std::vector<base::ProcessId> subset =
+        ChooseSubset(settings_.self, members, settings_.subset_size);
+    subset_union_.insert(subset.begin(), subset.end());
+    subsets_[service.service] = std::move(subset);
+  }
+}
+
+void Membership::ForgetEndedLives() {
+  std::set<base::Incarnation> linked;
+  for (const auto& [connection, link] : links_) {
+    linked.insert(link.incarnation);
+  }
+  for (auto it = lives_.begin(); it != lives_.end();) {
+    const FleetAgent* listed = record_.Find(it->first);
+    const bool ended = listed == nullptr || listed->state == AgentState::kGone;
+    const bool forget = ended && linked.count(it->first) == 0;
+    it = forget ? lives_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace godwit::membership
--- /dev/null
+++ b/libs/routing/src/prefix_memory.cc
@@ -0,0 +1,61 @@
+#include "prefix_memory.h"
+
+#include <algorithm>
+
+namespace godwit::routing {
+
+namespace {
+
+constexpr size_t kMaxAgentsPerBlock = 4;
+
+}  // namespace
+
+PrefixMemory::PrefixMemory(size_t max_blocks) : max_blocks_(max_blocks) {}
+
+void PrefixMemory::Remember(const std::vector<base::Digest>& blocks,
+                            const base::Incarnation& agent) {
+  // The longest first, so that shorter prefixes outlive it.
+  for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+    auto [it, first] = entries_.try_emplace(*block);
+    Entry& entry = it->second;
+    if (first) {
+      order_.push_front(*block);
+      entry.position = order_.begin();
+    } else {
+      order_.splice(order_.begin(), order_, entry.position);
+    }
+    auto& agents = entry.agents;
+    agents.erase(std::remove(agents.begin(), agents.end(), agent),
+                 agents.end());
+    agents.insert(agents.begin(), agent);
+    if (agents.size() > kMaxAgentsPerBlock) {
+      agents.pop_back();
+    }
+  }
+  while (order_.size() > max_blocks_) {
+    entries_.erase(order_.back());
+    order_.pop_back();
+  }
+}
+
+std::map<base::Incarnation, int64_t> PrefixMemory::Match(
+    const std::vector<base::Digest>& blocks) const {
+  std::map<base::Incarnation, int64_t> matched;
+  for (size_t i = 0; i < blocks.size(); ++i) {
+    auto entry = entries_.find(blocks[i]);
+    if (entry == entries_.end()) {
+      break;
+    }
+    const auto leading = static_cast<int64_t>(i);
+    for (const base::Incarnation& agent : entry->second.agents) {
+      int64_t& count = matched[agent];
+      count += count == leading ? 1 : 0;
+    }
+  }
+  for (auto it = matched.begin(); it != matched.end();) {
+    it = it->second == 0 ? matched.erase(it) : std::next(it);
+  }
+  return matched;
+}
+
+}  // namespace godwit::routing
--- /dev/null
+++ b/libs/routing/src/prefix_memory.h
@@ -0,0 +1,46 @@
+#ifndef ROUTING_PREFIX_MEMORY_H_
+#define ROUTING_PREFIX_MEMORY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "base/digest.h"
+#include "base/ids.h"
+
+namespace godwit::routing {
+
+// Remembers which agents lately served each prefix block; the least recently
+// served blocks go first. One thread at a time.
+class PrefixMemory {
+ public:
+  explicit PrefixMemory(size_t max_blocks);
+
+  // The agent serves a prompt with these blocks.
+  void Remember(const std::vector<base::Digest>& blocks,
+                const base::Incarnation& agent);
+
+  // For each agent that served the first block: how many leading blocks of
+  // the prompt it served.
+  std::map<base::Incarnation, int64_t> Match(
+      const std::vector<base::Digest>& blocks) const;
+
+ private:
+  struct Entry {
+    // Most recent first.
+    std::vector<base::Incarnation> agents;
+    std::list<base::Digest>::iterator position;
+  };
+
+  size_t max_blocks_;
+  // Most recently served first.
+  std::list<base::Digest> order_;
+  std::unordered_map<base::Digest, Entry> entries_;
+};
+
+}  // namespace godwit::routing
+
+#endif  // ROUTING_PREFIX_MEMORY_H_
