--- /dev/null
+++ b/libs/daemon/include/daemon/config_service.h
@@ -0,0 +1,75 @@
+#ifndef DAEMON_CONFIG_SERVICE_H_
+#define DAEMON_CONFIG_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "config/spread.h"
+#include "link/message.h"
+
+namespace godwit::platform {
+class Client;
+}
+
+namespace godwit::runtime {
+class Runtime;
+}
+
+namespace godwit::config {
+struct Config;
+}
+
+namespace godwit::daemon {
+
+// Keeps the newest accepted configuration in force in a process: drives
+// config::Spread by the KV and by the process's links. Core thread.
+class ConfigService {
+ public:
+  struct Handler {
+    // A newer configuration is in force.
+    std::function<void(std::shared_ptr<const config::Config>)> on_in_force;
+    // A configuration was not valid here and is not in force.
+    std::function<void(int64_t revision, const base::Error&)> on_rejected;
+    // Sends a message to a linked peer.
+    std::function<void(const base::ProcessId&, link::Message)> send;
+  };
+
+  // Must outlive the runtime's run.
+  ConfigService(runtime::Runtime& runtime,
+                platform::Client& client,
+                Handler handler);
+
+  void Start();
+
+  // What links show of peers.
+  void OnPeerRevision(const base::ProcessId& peer, int64_t revision);
+  void OnPeerGone(const base::ProcessId& peer);
+  void OnPull(const base::ProcessId& peer, const link::PullConfig& pull);
+  void OnPush(const link::PushConfig& push);
+
+  // Revision in force; 0 for none.
+  int64_t revision() const noexcept { return spread_.revision(); }
+  // True once a configuration is in force that the KV or, while it is down,
+  // the peers have confirmed.
+  bool may_serve() const noexcept { return spread_.may_serve(); }
+
+ private:
+  void Step(const config::SpreadEvent& event);
+  void Do(const config::WatchKv& command);
+  void Do(const config::PullFrom& command);
+  void Do(const config::PushTo& command);
+  void Do(const config::InForce& command);
+  void Do(const config::ConfigRejected& command);
+
+  runtime::Runtime& runtime_;
+  platform::Client& client_;
+  const Handler handler_;
+  config::Spread spread_;
+};
+
+}  // namespace godwit::daemon
+
+#endif  // DAEMON_CONFIG_SERVICE_H_
--- /dev/null
+++ b/libs/daemon/src/config_service.cc
@@ -0,0 +1,87 @@
+#include "daemon/config_service.h"
+
+#include <utility>
+#include <variant>
+
+#include "base/clocks.h"
+#include "config/config_key.h"
+#include "platform/client.h"
+#include "runtime/runtime.h"
+
+namespace godwit::daemon {
+namespace {
+
+constexpr base::Millis kTickPeriod(200);
+
+}  // namespace
+
+ConfigService::ConfigService(runtime::Runtime& runtime,
+                             platform::Client& client,
+                             Handler handler)
+    : runtime_(runtime),
+      client_(client),
+      handler_(std::move(handler)),
+      spread_(base::SteadyNow()) {}
+
+void ConfigService::Start() {
+  Step(config::SpreadTick());
+  runtime_.Every(kTickPeriod, [this] { Step(config::SpreadTick()); });
+}
+
+void ConfigService::OnPeerRevision(const base::ProcessId& peer,
+                                   int64_t revision) {
+  Step(config::PeerRevision{peer, revision});
+}
+
+void ConfigService::OnPeerGone(const base::ProcessId& peer) {
+  Step(config::PeerGone{peer});
+}
+
+void ConfigService::OnPull(const base::ProcessId& peer,
+                           const link::PullConfig& pull) {
+  Step(config::ConfigPulled{peer, pull.after_revision});
+}
+
+void ConfigService::OnPush(const link::PushConfig& push) {
+  Step(config::ConfigPushed{push.revision, push.text});
+}
+
+void ConfigService::Step(const config::SpreadEvent& event) {
+  for (const config::SpreadCommand& command :
+       spread_.Step(base::SteadyNow(), event)) {
+    std::visit([this](const auto& c) { Do(c); }, command);
+  }
+}
+
+void ConfigService::Do(const config::WatchKv& command) {
+  runtime_.Spawn([this, command] {
+    const platform::KvReadDone done =
+        command.wait == base::Millis()
+            ? client_.Read(config::kConfigKey)
+            : client_.Watch(config::kConfigKey, command.after_revision,
+                            command.wait);
+    if (done.available) {
+      Step(config::KvSeen{done.version, done.value});
+    } else {
+      Step(config::KvFailed());
+    }
+  });
+}
+
+void ConfigService::Do(const config::PullFrom& command) {
+  handler_.send(command.peer, link::PullConfig{command.after_revision});
+}
+
+void ConfigService::Do(const config::PushTo& command) {
+  handler_.send(command.peer, link::PushConfig{command.revision, command.text});
+}
+
+void ConfigService::Do(const config::InForce& command) {
+  handler_.on_in_force(command.config);
+}
+
+void ConfigService::Do(const config::ConfigRejected& command) {
+  handler_.on_rejected(command.revision, command.error);
+}
+
+}  // namespace godwit::daemon
--- /dev/null
+++ b/libs/daemon/src/lease_keeper.cc
@@ -0,0 +1,64 @@
+#include "daemon/lease_keeper.h"
+
+#include <utility>
+
+#include "platform/client.h"
+#include "runtime/runtime.h"
+
+namespace godwit::daemon {
+namespace {
+
+// Renewals in the life of a lease.
+constexpr int64_t kRenewals = 4;
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(runtime::Runtime& runtime,
+                         platform::Client& client,
+                         std::string key,
+                         base::Millis ttl)
+    : runtime_(runtime), client_(client), key_(std::move(key)), ttl_(ttl) {}
+
+void LeaseKeeper::Start() {
+  runtime_.Spawn([this] { Keep(); });
+}
+
+void LeaseKeeper::Keep() {
+  const base::Millis period(ttl_.count() / kRenewals);
+  while (!stopped_) {
+    if (lease_.empty()) {
+      Create();
+    } else {
+      const auto renewed = client_.RenewLease(lease_);
+      if (renewed && !*renewed) {
+        lease_.clear();
+        continue;
+      }
+    }
+    runtime::Runtime::SleepFor(period);
+  }
+}
+
+bool LeaseKeeper::Create() {
+  const auto lease = client_.GrantLease(ttl_);
+  if (!lease) {
+    return false;
+  }
+  const platform::KvReadDone current = client_.Read(key_);
+  if (!current.available) {
+    return false;
+  }
+  platform::KvWrite write;
+  write.key = key_;
+  write.expected_version = current.version;
+  write.value = key_;
+  write.lease = *lease;
+  const auto done = client_.Write(write);
+  if (done.outcome != platform::WriteOutcome::kWon) {
+    return false;
+  }
+  lease_ = *lease;
+  return true;
+}
+
+}  // namespace godwit::daemon
--- /dev/null
+++ b/libs/router/src/call.h
@@ -0,0 +1,111 @@
+#ifndef ROUTER_CALL_H_
+#define ROUTER_CALL_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/digest.h"
+#include "base/ids.h"
+#include "base/millis.h"
+#include "config/config.h"
+#include "registration.h"
+#include "router/caller_request.h"
+#include "routing/pick_refusal.h"
+#include "routing/pick_request.h"
+#include "stream/answer_assembler.h"
+
+namespace godwit::router {
+
+// What a call waits for.
+enum class CallPhase : uint8_t {
+  // The directory's answer to its key.
+  kRegistering,
+  // A newer fleet record, to place its key again.
+  kReplanning,
+  // The claim of a call that may run once.
+  kClaiming,
+  // Budget.
+  kReserving,
+  // The agent's answer to StartRun.
+  kStarting,
+  // What became of an attempt whose link broke, or that another call started.
+  kProbing,
+  // Its answer.
+  kRunning,
+  // The directory's consent to bill its whole answer.
+  kConfirming,
+};
+
+// One request of a caller, from arrival until nothing of it is left open.
+struct Call {
+  CallerRequest request;
+  std::shared_ptr<const config::Config> config;
+  const config::Service* service = nullptr;
+  const config::Organisation* organisation = nullptr;
+  const config::TrafficClass* traffic_class = nullptr;
+  base::Millis arrived;
+  base::Millis deadline;
+  // True when the caller gave an idempotency key.
+  bool keyed = false;
+  base::Digest key;
+  base::Digest body_digest;
+
+  CallPhase phase = CallPhase::kRegistering;
+  // When the current phase is given up.
+  base::Millis phase_ends;
+  std::optional<Registration> registration;
+  // True once the directory named an attempt of this call the key's first.
+  bool fresh = false;
+  // Attempt that the next registration or claim takes the place of.
+  base::AttemptId replaces;
+  base::AttemptId claim_replaces;
+  // Attempt of this call that the directory names, if any.
+  base::AttemptId registered;
+
+  base::AttemptId attempt;
+  base::ProcessId agent;
+  base::Incarnation agent_incarnation;
+  routing::PickRequest pick;
+  // True when this router started, or may start, the attempt.
+  bool own = true;
+  // True once the attempt's RunEnd was seen: the run cannot change any more.
+  bool ended = false;
+  // True when the attempt was admitted against the organisation's limits.
+  bool admitted = false;
+  // True while the budget holder knows the attempt.
+  bool reserved = false;
+  // True while the picker counts the attempt.
+  bool counted = false;
+  // True once StartRun of the attempt was sent.
+  bool sent = false;
+  // True once any attempt may have executed something.
+  bool may_have_run = false;
+  base::GrantId grant;
+  base::Tokens reservation = 0;
+  int64_t attempts = 0;
+  std::vector<base::Incarnation> excluded;
+
+  std::optional<stream::AnswerAssembler> assembler;
+  int status = 0;
+  std::string content_type;
+  // Answer bytes so far; kept for a whole answer and to resume a stream.
+  std::string answer;
+  bool head_sent = false;
+  // Of the whole answer, from its RunEnd.
+  base::Tokens billed = 0;
+  base::Millis first_byte;
+
+  // Why no agent was picked.
+  routing::PickRefusal pick_refusal;
+  // True once nothing of the call is left open.
+  bool forgotten = false;
+  // False once the caller has its final answer or is gone; the call goes on
+  // until its attempt is settled.
+  bool open = true;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_CALL_H_
--- /dev/null
+++ b/libs/router/src/call_flow.cc
@@ -0,0 +1,430 @@
+#include "call_flow.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "config/lookup.h"
+#include "context.h"
+
+namespace godwit::router {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+constexpr base::Millis kNever(INT64_MAX);
+constexpr base::Millis kAskAgain = base::Seconds(2);
+// Slack over the time in which budget holder and claim writer answer.
+constexpr base::Millis kMachineLimit = base::Seconds(10);
+
+base::Digest DigestOfParts(std::initializer_list<std::string_view> parts) {
+  std::string whole;
+  for (const std::string_view part : parts) {
+    whole.append(std::to_string(part.size())).append(":").append(part);
+  }
+  return base::Digest::Of(whole);
+}
+
+}  // namespace
+
+CallFlow::CallFlow(Context& context) : context_(context) {}
+
+void CallFlow::OnArrived(CallerRequest request) {
+  const ExchangeId exchange = request.exchange;
+  Call& call = calls_[exchange];
+  call.request = std::move(request);
+  call.config = context_.config;
+  call.service = config::FindService(*call.config, call.request.service);
+  call.organisation =
+      config::FindOrganisation(*call.config, call.request.organisation);
+  call.traffic_class =
+      config::FindClass(*call.config, call.request.traffic_class);
+  call.arrived = context_.now;
+  call.deadline = context_.now + call.traffic_class->deadline;
+  call.keyed = !call.request.idempotency_key.empty();
+  Bind(call, context_.NewAttempt());
+  const std::string& key =
+      call.keyed ? call.request.idempotency_key : call.attempt.value();
+  call.key = DigestOfParts(
+      {call.request.organisation.value(), call.keyed ? "key" : "attempt", key});
+  call.body_digest = DigestOfParts(
+      {call.request.method, call.request.path, call.request.body});
+  if (context_.draining) {
+    Refuse(call,
+           Error(ErrorKind::kLeaving, "this router is shutting down",
+                 "send the request again; another router takes it"),
+           base::Seconds(1));
+    return;
+  }
+  context_.retries.OnRequest();
+  if (call.keyed) {
+    PickAgent(call);
+    Register(call, false);
+    return;
+  }
+  Admit(call);
+}
+
+void CallFlow::OnCallerGone(ExchangeId exchange) {
+  Call* call = Find(exchange);
+  if (call == nullptr || !call->open) {
+    return;
+  }
+  CloseCaller(*call, Outcome::kCallerGone, ErrorKind::kCancelled);
+  if (!call->own) {
+    Forget(*call);
+    return;
+  }
+  if (!call->sent) {
+    DropAttempt(*call);
+    Forget(*call);
+    return;
+  }
+  if (!call->keyed && call->request.repeatable && !call->ended) {
+    context_.SendTo(call->agent_incarnation, link::CancelRun{call->attempt});
+  }
+}
+
+void CallFlow::OnCallerDrained(ExchangeId exchange, int64_t bytes) {
+  Call* call = Find(exchange);
+  if (call != nullptr && call->phase == CallPhase::kRunning) {
+    context_.SendTo(call->agent_incarnation,
+                    link::AddCredit{call->attempt, bytes});
+  }
+}
+
+void CallFlow::OnMessage(const base::Incarnation& from,
+                         const link::Message& message) {
+  if (const auto* reply = std::get_if<link::KeyOwner>(&message)) {
+    OnKeyOwner(from, *reply);
+    return;
+  }
+  const auto for_each = [&](const base::AttemptId& attempt, auto&& handle) {
+    for (const ExchangeId exchange : CallsOf(attempt)) {
+      Call* call = Find(exchange);
+      if (call != nullptr && call->agent_incarnation == from) {
+        handle(*call);
+      }
+    }
+  };
+  std::visit(
+      [&](const auto& frame) {
+        using Frame = std::decay_t<decltype(frame)>;
+        if constexpr (std::is_same_v<Frame, link::RunAccepted>) {
+          for_each(frame.attempt, [&](Call& call) { OnAccepted(call); });
+        } else if constexpr (std::is_same_v<Frame, link::RunRefused>) {
+          for_each(frame.attempt, [&](Call& call) { OnRefused(call, frame); });
+        } else if constexpr (std::is_same_v<Frame, link::RunState>) {
+          for_each(frame.attempt, [&](Call& call) { OnRunState(call, frame); });
+        } else if constexpr (std::is_same_v<Frame, link::RunHead>) {
+          for_each(frame.attempt, [&](Call& call) { OnHead(call, frame); });
+        } else if constexpr (std::is_same_v<Frame, link::RunData>) {
+          for_each(frame.attempt, [&](Call& call) { OnData(call, frame); });
+        } else if constexpr (std::is_same_v<Frame, link::RunEnd>) {
+          for_each(frame.attempt, [&](Call& call) { OnEnd(call, frame); });
+        } else if constexpr (std::is_same_v<Frame, link::RunFailed>) {
+          for_each(frame.attempt, [&](Call& call) { OnFailed(call, frame); });
+        }
+      },
+      message);
+}
+
+void CallFlow::OnAgentLinked(const base::Incarnation& agent) {
+  for (const ExchangeId exchange : AllCalls()) {
+    Call* call = Find(exchange);
+    if (call->registration && call->registration->target() != nullptr &&
+        call->registration->target()->incarnation == agent) {
+      AskDirectory(*call);
+      continue;
+    }
+    if (call->phase == CallPhase::kProbing &&
+        call->agent_incarnation == agent) {
+      SendProbe(*call);
+    }
+  }
+}
+
+void CallFlow::OnAgentUnlinked(const base::Incarnation& agent) {
+  for (const ExchangeId exchange : AllCalls()) {
+    Call* call = Find(exchange);
+    const bool there = call->agent_incarnation == agent &&
+                       (call->phase == CallPhase::kStarting ||
+                        call->phase == CallPhase::kRunning);
+    if (there) {
+      StopCounting(*call, true);
+      Probe(*call);
+    }
+  }
+}
+
+void CallFlow::OnAgentGone(const base::Incarnation& agent) {
+  for (const ExchangeId exchange : AllCalls()) {
+    Call* call = Find(exchange);
+    const bool there = call->agent_incarnation == agent &&
+                       (call->phase == CallPhase::kStarting ||
+                        call->phase == CallPhase::kRunning ||
+                        call->phase == CallPhase::kProbing);
+    if (there) {
+      OnAttemptLost(*call);
+    }
+  }
+}
+
+void CallFlow::OnReserveGranted(const ledger::ReserveGranted& granted) {
+  Call* call = FindByAttempt(granted.attempt);
+  if (call == nullptr || call->phase != CallPhase::kReserving) {
+    context_.StepHolder(ledger::RunReleased{granted.attempt});
+    return;
+  }
+  call->grant = granted.grant;
+  Start(*call);
+}
+
+void CallFlow::OnReserveRefused(const ledger::ReserveRefused& refused) {
+  Call* call = FindByAttempt(refused.attempt);
+  if (call == nullptr || call->phase != CallPhase::kReserving) {
+    return;
+  }
+  call->reserved = false;
+  Refuse(*call, refused.error, refused.retry_after);
+}
+
+void CallFlow::OnTick() {
+  for (const ExchangeId exchange : AllCalls()) {
+    Call* call = Find(exchange);
+    if (call->phase_ends <= context_.now) {
+      GiveUpPhase(*call);
+    }
+  }
+}
+
+void CallFlow::GiveUpPhase(Call& call) {
+  const Error unreachable(ErrorKind::kUnavailable,
+                          "the agents that keep track of this request's key "
+                          "could not be reached",
+                          "send it again with the same Idempotency-Key");
+  switch (call.phase) {
+    case CallPhase::kRegistering:
+    case CallPhase::kReplanning:
+      Refuse(call, unreachable, kAskAgain);
+      return;
+    case CallPhase::kClaiming:
+    case CallPhase::kReserving:
+      Refuse(call,
+             Error(ErrorKind::kBudgetUnavailable,
+                   "the budget could not be asked in time",
+                   "send the request again"),
+             kAskAgain);
+      return;
+    case CallPhase::kStarting:
+      Probe(call);
+      return;
+    case CallPhase::kProbing:
+      FailUnknown(call,
+                  Error(ErrorKind::kOutcomeUnknown,
+                        "the agent that may have run the request can't be "
+                        "reached",
+                        "send it again with the same Idempotency-Key"),
+                  kAskAgain);
+      if (!call.own) {
+        Forget(call);
+        return;
+      }
+      Probe(call);
+      return;
+    case CallPhase::kConfirming:
+      FailUnknown(call, unreachable, kAskAgain);
+      if (!call.own) {
+        Forget(call);
+        return;
+      }
+      Register(call, true);
+      return;
+    case CallPhase::kRunning:
+      return;
+  }
+}
+
+void CallFlow::Refuse(Call& call,
+                      const base::Error& why,
+                      base::Millis retry_after) {
+  const bool not_run =
+      !call.may_have_run && !call.ended && (!call.keyed || call.fresh);
+  if (!not_run) {
+    FailUnknown(call, why, retry_after);
+  } else if (call.open) {
+    context_.Emit(AnswerError{call.request.exchange,
+                              CallerError{why.kind(), why.message(),
+                                          why.remedy(), true, retry_after}});
+    CloseCaller(call, Outcome::kNotRun, why.kind());
+  }
+  DropAttempt(call);
+  Forget(call);
+}
+
+void CallFlow::FailUnknown(Call& call,
+                           const base::Error& why,
+                           base::Millis retry_after) {
+  if (!call.open) {
+    return;
+  }
+  if (call.head_sent) {
+    context_.Emit(AnswerAbort{call.request.exchange});
+  } else {
+    context_.Emit(
+        AnswerError{call.request.exchange,
+                    CallerError{ErrorKind::kOutcomeUnknown, why.message(),
+                                why.remedy(), false, retry_after}});
+  }
+  CloseCaller(call, Outcome::kOutcomeUnknown, why.kind());
+}
+
+void CallFlow::CloseCaller(Call& call, Outcome outcome, base::ErrorKind kind) {
+  call.open = false;
+  if (call.admitted) {
+    context_.limits.Release(call.organisation->id);
+    call.admitted = false;
+  }
+  RequestEnded ended;
+  ended.service = call.request.service;
+  ended.organisation = call.request.organisation;
+  ended.traffic_class = call.traffic_class->name;
+  ended.outcome = outcome;
+  ended.kind = kind;
+  ended.status = outcome == Outcome::kAnswer ? call.status : 0;
+  ended.first_byte = call.first_byte;
+  ended.total = context_.now - call.arrived;
+  ended.tokens = outcome == Outcome::kAnswer ? call.billed : 0;
+  context_.Emit(std::move(ended));
+}
+
+void CallFlow::DropAttempt(Call& call) {
+  StopCounting(call, false);
+  if (call.reserved) {
+    call.reserved = false;
+    context_.StepHolder(ledger::RunReleased{call.attempt});
+  }
+}
+
+void CallFlow::Settle(Call& call, base::Tokens billed) {
+  StopCounting(call, false);
+  if (call.reserved) {
+    call.reserved = false;
+    context_.StepHolder(
+        ledger::RunSettled{call.attempt, call.agent_incarnation, billed});
+  }
+}
+
+void CallFlow::StopCounting(Call& call, bool failed) {
+  if (!call.counted) {
+    return;
+  }
+  call.counted = false;
+  if (failed) {
+    context_.picker.OnFailed(context_.now, call.attempt);
+  } else {
+    context_.picker.OnEnded(context_.now, call.attempt);
+  }
+}
+
+void CallFlow::Forget(Call& call) {
+  if (call.forgotten) {
+    return;
+  }
+  call.forgotten = true;
+  Unbind(call);
+  forgotten_.push_back(call.request.exchange);
+}
+
+void CallFlow::Sweep() {
+  for (const ExchangeId exchange : forgotten_) {
+    calls_.erase(exchange);
+  }
+  forgotten_.clear();
+}
+
+void CallFlow::EnterPhase(Call& call, CallPhase phase, base::Millis limit) {
+  call.phase = phase;
+  switch (phase) {
+    case CallPhase::kRunning:
+      call.phase_ends = kNever;
+      return;
+    case CallPhase::kClaiming:
+    case CallPhase::kReserving:
+      call.phase_ends = context_.now + kMachineLimit;
+      return;
+    default:
+      call.phase_ends = context_.now + limit;
+  }
+}
+
+size_t CallFlow::open_calls() const noexcept {
+  return static_cast<size_t>(
+      std::count_if(calls_.begin(), calls_.end(),
+                    [](const auto& entry) { return entry.second.open; }));
+}
+
+bool CallFlow::IsConfirming(const base::Incarnation& agent) const noexcept {
+  return std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
+    return entry.second.phase == CallPhase::kConfirming &&
+           entry.second.agent_incarnation == agent && !entry.second.forgotten;
+  });
+}
+
+Call* CallFlow::Find(ExchangeId exchange) {
+  const auto position = calls_.find(exchange);
+  if (position == calls_.end() || position->second.forgotten) {
+    return nullptr;
+  }
+  return &position->second;
+}
+
+Call* CallFlow::FindByAttempt(const base::AttemptId& attempt) {
+  for (const ExchangeId exchange : CallsOf(attempt)) {
+    Call* call = Find(exchange);
+    if (call != nullptr && call->own) {
+      return call;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<ExchangeId> CallFlow::CallsOf(
+    const base::AttemptId& attempt) const {
+  std::vector<ExchangeId> result;
+  const auto [begin, end] = by_attempt_.equal_range(attempt);
+  for (auto at = begin; at != end; ++at) {
+    result.push_back(at->second);
+  }
+  return result;
+}
+
+std::vector<ExchangeId> CallFlow::AllCalls() const {
+  std::vector<ExchangeId> result;
+  result.reserve(calls_.size());
+  for (const auto& [exchange, call] : calls_) {
+    if (!call.forgotten) {
+      result.push_back(exchange);
+    }
+  }
+  return result;
+}
+
+void CallFlow::Bind(Call& call, const base::AttemptId& attempt) {
+  Unbind(call);
+  call.attempt = attempt;
+  by_attempt_.emplace(attempt, call.request.exchange);
+}
+
+void CallFlow::Unbind(const Call& call) {
+  const auto [begin, end] = by_attempt_.equal_range(call.attempt);
+  for (auto at = begin; at != end; ++at) {
+    if (at->second == call.request.exchange) {
+      by_attempt_.erase(at);
+      return;
+    }
+  }
+}
+
+}  // namespace godwit::router
--- /dev/null
+++ b/libs/router/src/call_flow.h
@@ -0,0 +1,132 @@
+#ifndef ROUTER_CALL_FLOW_H_
+#define ROUTER_CALL_FLOW_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "call.h"
+#include "claims/claim_command.h"
+#include "ledger/reserve_granted.h"
+#include "ledger/reserve_refused.h"
+#include "link/message.h"
+#include "router/exchange_id.h"
+#include "router/outcome.h"
+
+namespace godwit::router {
+
+struct Context;
+
+// Carries each call from arrival to its final answer and its bill:
+//   key registered -> admitted and picked -> claimed -> reserved -> started
+//   -> relayed -> confirmed at the directory -> billed and ended.
+// Calls without an idempotency key skip the directory and the claim.
+class CallFlow {
+ public:
+  explicit CallFlow(Context& context);
+
+  void OnArrived(CallerRequest request);
+  void OnCallerGone(ExchangeId exchange);
+  void OnCallerDrained(ExchangeId exchange, int64_t bytes);
+  void OnMessage(const base::Incarnation& from, const link::Message& message);
+  // The link to an agent life came up or went down.
+  void OnAgentLinked(const base::Incarnation& agent);
+  void OnAgentUnlinked(const base::Incarnation& agent);
+  // A life has ended for good.
+  void OnAgentGone(const base::Incarnation& agent);
+  // A newer fleet record was read.
+  void OnFleetChanged();
+  void OnReserveGranted(const ledger::ReserveGranted& granted);
+  void OnReserveRefused(const ledger::ReserveRefused& refused);
+  void OnClaimWon(const claims::ClaimWon& won);
+  void OnClaimExists(const claims::ClaimExists& exists);
+  void OnClaimUnavailable(const claims::ClaimUnavailable& unavailable);
+  void OnTick();
+
+  // Drops the calls that have ended. Call after each event.
+  void Sweep();
+
+  // Calls whose caller awaits an answer.
+  size_t open_calls() const noexcept;
+  // All calls, those that only await their bill included.
+  size_t calls() const noexcept { return calls_.size(); }
+  // True while a whole answer of that agent awaits its bill.
+  bool IsConfirming(const base::Incarnation& agent) const noexcept;
+
+ private:
+  // call_flow_directory.cc
+  void Register(Call& call, bool complete);
+  void OnNoDirectory(Call& call, bool complete, base::Millis wait);
+  void AskDirectory(Call& call);
+  void OnKeyOwner(const base::Incarnation& from, const link::KeyOwner& reply);
+  void OnRegistered(Call& call);
+  void OnOwned(Call& call);
+  void FollowOwner(Call& call, const link::KeyOwner& owner);
+  void RepairPrimary(const Call& call, const link::KeyOwner& owner);
+  void AwaitFleet(Call& call, int64_t version);
+
+  // call_flow_start.cc
+  void Admit(Call& call);
+  bool WithinLimits(Call& call);
+  bool DependenciesUp(Call& call);
+  bool PickAgent(Call& call);
+  void Claim(Call& call);
+  void Reserve(Call& call);
+  void Start(Call& call);
+  void OnAccepted(Call& call);
+  void OnRefused(Call& call, const link::RunRefused& refused);
+  bool MayTryAgain(const Call& call) const noexcept;
+  void TryElsewhere(Call& call);
+
+  // call_flow_probe.cc
+  void Probe(Call& call);
+  void SendProbe(Call& call);
+  void OnRunState(Call& call, const link::RunState& state);
+  void Attach(Call& call);
+  void ReplaceForeign(Call& call, bool may_have_run);
+  void OnAttemptLost(Call& call);
+
+  // call_flow_answer.cc
+  void OnHead(Call& call, const link::RunHead& frame);
+  void OnData(Call& call, const link::RunData& frame);
+  void OnEnd(Call& call, const link::RunEnd& frame);
+  void OnFailed(Call& call, const link::RunFailed& frame);
+  void Relay(Call& call, std::string bytes);
+  void Confirm(Call& call);
+  void Deliver(Call& call);
+  void OnConsentLost(Call& call);
+
+  // Final answers. Refuse says "not run" only when that is certain, and
+  // otherwise that the outcome is unknown.
+  void Refuse(Call& call, const base::Error& why, base::Millis retry_after);
+  void FailUnknown(Call& call, const base::Error& why, base::Millis retry);
+  void CloseCaller(Call& call, Outcome outcome, base::ErrorKind kind);
+  // Gives up the current attempt, for which nothing will be billed.
+  void DropAttempt(Call& call);
+  void Settle(Call& call, base::Tokens billed);
+  void Forget(Call& call);
+  void GiveUpPhase(Call& call);
+
+  void EnterPhase(Call& call, CallPhase phase, base::Millis limit);
+  void StopCounting(Call& call, bool failed);
+  Call* FindByAttempt(const base::AttemptId& attempt);
+  std::vector<ExchangeId> CallsOf(const base::AttemptId& attempt) const;
+  std::vector<ExchangeId> AllCalls() const;
+  Call* Find(ExchangeId exchange);
+  void Bind(Call& call, const base::AttemptId& attempt);
+  void Unbind(const Call& call);
+
+  Context& context_;
+  std::map<ExchangeId, Call> calls_;
+  // Calls by the attempt that they wait for.
+  std::multimap<base::AttemptId, ExchangeId> by_attempt_;
+  std::vector<ExchangeId> forgotten_;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_CALL_FLOW_H_
--- /dev/null
+++ b/libs/router/src/call_flow_directory.cc
@@ -0,0 +1,238 @@
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "call_flow.h"
+#include "claims/plan_directory.h"
+#include "context.h"
+#include "membership/fleet_record.h"
+
+namespace godwit::router {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+constexpr base::Millis kAskAgain = base::Seconds(2);
+
+claims::MemberState StateOf(membership::AgentState state) {
+  switch (state) {
+    case membership::AgentState::kActive:
+      return claims::MemberState::kActive;
+    case membership::AgentState::kLeaving:
+      return claims::MemberState::kLeaving;
+    case membership::AgentState::kGone:
+      break;
+  }
+  return claims::MemberState::kGone;
+}
+
+std::vector<claims::DirectoryMember> MembersOf(
+    const membership::FleetRecord& record) {
+  std::vector<claims::DirectoryMember> members;
+  members.reserve(record.agents().size());
+  for (const membership::FleetAgent& agent : record.agents()) {
+    members.push_back(claims::DirectoryMember{
+        agent.process, agent.incarnation, agent.data_centre,
+        StateOf(agent.state), agent.joined_at, agent.gone_at});
+  }
+  return members;
+}
+
+}  // namespace
+
+void CallFlow::Register(Call& call, bool complete) {
+  const claims::DirectoryPlan plan = claims::PlanDirectory(
+      MembersOf(context_.membership.record()), call.key, context_.wall);
+  if (!plan.primary || plan.blind) {
+    const base::Millis wait =
+        plan.blind ? plan.blind_until - context_.wall : kAskAgain;
+    OnNoDirectory(call, complete, wait);
+    return;
+  }
+  link::RegisterKey request;
+  request.key = call.key;
+  request.body_digest = call.body_digest;
+  request.attempt = call.attempt;
+  request.agent = call.agent;
+  request.agent_incarnation = call.agent_incarnation;
+  request.replaces = call.replaces;
+  request.complete = complete;
+  request.fleet_version = context_.membership.version();
+  call.registration.emplace(plan, std::move(request));
+  EnterPhase(call, complete ? CallPhase::kConfirming : CallPhase::kRegistering,
+             context_.options.reply_limit);
+  AskDirectory(call);
+}
+
+void CallFlow::OnNoDirectory(Call& call, bool complete, base::Millis wait) {
+  const Error why(ErrorKind::kUnavailable,
+                  "the agents that kept track of this request's key are gone",
+                  "send it again with the same Idempotency-Key");
+  if (!complete) {
+    Refuse(call, why, wait);
+    return;
+  }
+  FailUnknown(call, why, wait);
+  if (!call.own) {
+    Forget(call);
+    return;
+  }
+  EnterPhase(call, CallPhase::kConfirming, context_.options.reply_limit);
+}
+
+void CallFlow::AskDirectory(Call& call) {
+  const claims::DirectoryMember* target = call.registration->target();
+  if (target == nullptr) {
+    OnRegistered(call);
+    return;
+  }
+  if (!context_.SendTo(target->incarnation, call.registration->request())) {
+    context_.WantLink(target->process);
+  }
+}
+
+void CallFlow::OnKeyOwner(const base::Incarnation& from,
+                          const link::KeyOwner& reply) {
+  Call* call = nullptr;
+  for (const ExchangeId exchange : CallsOf(reply.asked)) {
+    Call* candidate = Find(exchange);
+    if (candidate != nullptr && candidate->registration) {
+      call = candidate;
+    }
+  }
+  if (call == nullptr) {
+    return;
+  }
+  switch (call->registration->OnReply(from, reply)) {
+    case RegistrationStatus::kIgnored:
+      return;
+    case RegistrationStatus::kContinue:
+      AskDirectory(*call);
+      return;
+    case RegistrationStatus::kDone:
+      OnRegistered(*call);
+      return;
+    case RegistrationStatus::kOwned:
+      OnOwned(*call);
+      return;
+    case RegistrationStatus::kStale:
+      AwaitFleet(*call, reply.fleet_version);
+      return;
+  }
+}
+
+void CallFlow::AwaitFleet(Call& call, int64_t version) {
+  const bool complete = call.registration->request().complete;
+  call.registration.reset();
+  if (context_.membership.version() >= version) {
+    Register(call, complete);
+    return;
+  }
+  context_.RefreshFleet();
+  EnterPhase(call, complete ? CallPhase::kConfirming : CallPhase::kReplanning,
+             context_.options.reply_limit);
+}
+
+void CallFlow::OnFleetChanged() {
+  for (const ExchangeId exchange : AllCalls()) {
+    Call* call = Find(exchange);
+    const bool waits = call->phase == CallPhase::kReplanning ||
+                       call->phase == CallPhase::kRegistering ||
+                       call->phase == CallPhase::kConfirming;
+    if (waits) {
+      Register(*call, call->phase == CallPhase::kConfirming);
+    }
+  }
+}
+
+void CallFlow::OnRegistered(Call& call) {
+  const bool complete = call.registration->request().complete;
+  call.registration.reset();
+  if (complete) {
+    Deliver(call);
+    return;
+  }
+  call.fresh = true;
+  call.registered = call.attempt;
+  call.replaces = base::AttemptId();
+  Admit(call);
+}
+
+void CallFlow::OnOwned(Call& call) {
+  const link::KeyOwner owner = call.registration->owner();
+  RepairPrimary(call, owner);
+  const bool complete = call.registration->request().complete;
+  call.registration.reset();
+  if (complete) {
+    OnConsentLost(call);
+    return;
+  }
+  if (owner.body_digest != call.body_digest) {
+    // Another request has the key; this one did not run.
+    call.fresh = true;
+    Refuse(call,
+           Error(ErrorKind::kKeyReused,
+                 "the Idempotency-Key was used for another request",
+                 "send each request with a key of its own"),
+           base::Millis());
+    return;
+  }
+  call.registered = base::AttemptId();
+  FollowOwner(call, owner);
+}
+
+// Copies that had accepted this attempt are given the owner that another copy
+// knows, so that all copies name the same one.
+void CallFlow::RepairPrimary(const Call& call, const link::KeyOwner& owner) {
+  link::RegisterKey repair = call.registration->request();
+  repair.replaces = call.attempt;
+  repair.attempt = owner.attempt;
+  repair.agent = owner.agent;
+  repair.agent_incarnation = owner.agent_incarnation;
+  repair.body_digest = owner.body_digest;
+  repair.complete = owner.complete;
+  repair.shadow = false;
+  for (const claims::DirectoryMember& copy : call.registration->accepted()) {
+    context_.SendTo(copy.incarnation, repair);
+  }
+}
+
+void CallFlow::FollowOwner(Call& call, const link::KeyOwner& owner) {
+  DropAttempt(call);
+  if (call.head_sent) {
+    OnConsentLost(call);
+    return;
+  }
+  call.own = false;
+  call.assembler.reset();
+  Bind(call, owner.attempt);
+  call.agent = owner.agent;
+  call.agent_incarnation = owner.agent_incarnation;
+  call.sent = false;
+  if (owner.agent_incarnation.empty()) {
+    ReplaceForeign(call, false);
+    return;
+  }
+  const auto* listed =
+      context_.membership.record().Find(owner.agent_incarnation);
+  const bool gone =
+      listed == nullptr || listed->state == membership::AgentState::kGone;
+  if (!gone) {
+    Probe(call);
+    return;
+  }
+  if (owner.complete) {
+    FailUnknown(call,
+                Error(ErrorKind::kOutcomeUnknown,
+                      "the request was answered and billed, and its answer "
+                      "was lost with the agent that kept it",
+                      "send it as a new request if it may be repeated"),
+                base::Millis());
+    Forget(call);
+    return;
+  }
+  OnAttemptLost(call);
+}
+
+}  // namespace godwit::router
--- /dev/null
+++ b/libs/router/src/call_flow_probe.cc
@@ -0,0 +1,124 @@
+#include <utility>
+
+#include "call_flow.h"
+#include "context.h"
+
+namespace godwit::router {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+constexpr base::Millis kAskAgain = base::Seconds(2);
+constexpr int64_t kUnlimitedCredit = int64_t{1} << 40U;
+
+Error Unknown() {
+  return Error(ErrorKind::kOutcomeUnknown,
+               "the request was started, and its outcome is not known",
+               "find out at the service before sending it as a new request");
+}
+
+}  // namespace
+
+void CallFlow::Probe(Call& call) {
+  EnterPhase(call, CallPhase::kProbing, context_.options.probe_limit);
+  SendProbe(call);
+}
+
+void CallFlow::SendProbe(Call& call) {
+  if (!context_.SendTo(call.agent_incarnation,
+                       link::TombstoneRun{call.attempt})) {
+    context_.WantLink(call.agent);
+  }
+}
+
+void CallFlow::OnRunState(Call& call, const link::RunState& state) {
+  if (call.phase != CallPhase::kProbing) {
+    return;
+  }
+  switch (state.phase) {
+    case link::RunPhase::kRunning:
+      Attach(call);
+      return;
+    case link::RunPhase::kComplete:
+      if (call.open) {
+        Attach(call);
+        return;
+      }
+      call.billed = state.billed;
+      Confirm(call);
+      return;
+    case link::RunPhase::kTombstoned:
+      if (call.own) {
+        TryElsewhere(call);
+        return;
+      }
+      ReplaceForeign(call, false);
+      return;
+    case link::RunPhase::kFailed:
+      if (call.own && state.billed > 0) {
+        Settle(call, state.billed);
+        FailUnknown(call, Unknown(), base::Millis());
+        Forget(call);
+        return;
+      }
+      OnAttemptLost(call);
+      return;
+    case link::RunPhase::kUnknown:
+      FailUnknown(call, Unknown(), base::Millis());
+      DropAttempt(call);
+      Forget(call);
+      return;
+  }
+}
+
+void CallFlow::Attach(Call& call) {
+  if (!call.assembler) {
+    call.assembler.emplace(call.key, call.attempt);
+  }
+  EnterPhase(call, CallPhase::kRunning, base::Millis());
+  link::AttachRun attach;
+  attach.key = call.key;
+  attach.attempt = call.attempt;
+  attach.offset = call.assembler->offset();
+  attach.credit = call.request.stream ? context_.options.stream_window_bytes
+                                      : kUnlimitedCredit;
+  context_.SendTo(call.agent_incarnation, std::move(attach));
+}
+
+// Takes over a key whose owner, started elsewhere, will never be billed.
+void CallFlow::ReplaceForeign(Call& call, bool may_have_run) {
+  call.may_have_run = call.may_have_run || may_have_run;
+  if (!call.open) {
+    Forget(call);
+    return;
+  }
+  call.replaces = call.registered.empty() ? call.attempt : call.registered;
+  call.claim_replaces = call.attempt;
+  call.own = true;
+  call.sent = false;
+  if (!call.request.stream) {
+    call.answer.clear();
+  }
+  Bind(call, context_.NewAttempt());
+  PickAgent(call);
+  Register(call, false);
+}
+
+// The attempt started, or may have, and nothing of it will be billed.
+void CallFlow::OnAttemptLost(Call& call) {
+  if (!call.request.repeatable) {
+    FailUnknown(call, Unknown(), base::Millis());
+    DropAttempt(call);
+    Forget(call);
+    return;
+  }
+  if (!call.own) {
+    ReplaceForeign(call, true);
+    return;
+  }
+  call.may_have_run = true;
+  TryElsewhere(call);
+}
+
+}  // namespace godwit::router
--- /dev/null
+++ b/libs/router/src/call_flow_start.cc
@@ -0,0 +1,287 @@
+#include <utility>
+
+#include "call_flow.h"
+#include "context.h"
+
+namespace godwit::router {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+constexpr base::Millis kAskAgain = base::Seconds(1);
+// Credit of a call whose answer is collected whole before it is sent.
+constexpr int64_t kUnlimitedCredit = int64_t{1} << 40U;
+// Longest wait for budget or a claim.
+constexpr base::Millis kMachineWait = base::Seconds(1);
+
+}  // namespace
+
+void CallFlow::Admit(Call& call) {
+  if (!WithinLimits(call) || !DependenciesUp(call)) {
+    return;
+  }
+  if (call.agent.empty() && (call.keyed || !PickAgent(call))) {
+    const bool overloaded = call.pick_refusal.kind == ErrorKind::kOverloaded;
+    Refuse(
+        call,
+        Error(call.pick_refusal.kind,
+              overloaded ? "no backend server of " + call.service->id.value() +
+                               " is expected to answer in time"
+                         : "no backend server of " + call.service->id.value() +
+                               " can be reached",
+              "send the request again"),
+        call.pick_refusal.retry_after);
+    return;
+  }
+  if (call.keyed && !call.request.repeatable) {
+    Claim(call);
+    return;
+  }
+  Reserve(call);
+}
+
+bool CallFlow::WithinLimits(Call& call) {
+  if (call.admitted) {
+    return true;
+  }
+  const auto refusal =
+      context_.limits.Admit(context_.now, call.organisation->id,
+                            call.organisation->max_requests_per_second,
+                            call.organisation->max_concurrent);
+  if (!refusal) {
+    call.admitted = true;
+    return true;
+  }
+  Refuse(call,
+         Error(refusal->kind,
+               "the organisation's request limit at this router is reached",
+               "send the request again, or ask the operator for a higher "
+               "limit"),
+         refusal->retry_after);
+  return false;
+}
+
+bool CallFlow::DependenciesUp(Call& call) {
+  for (const base::ServiceId& needed : call.service->depends_on) {
+    if (context_.membership.Usable(context_.now, needed).empty()) {
+      Refuse(call,
+             Error(ErrorKind::kDependencyDown,
+                   call.service->id.value() + " needs " + needed.value() +
+                       ", which is down",
+                   "send the request again"),
+             kAskAgain);
+      return false;
+    }
+  }
+  return true;
+}
+
+bool CallFlow::PickAgent(Call& call) {
+  std::vector<routing::Candidate> candidates;
+  for (const membership::AgentView& agent :
+       context_.membership.Usable(context_.now, call.service->id)) {
+    candidates.push_back(routing::Candidate{
+        agent.incarnation, agent.data_centre, call.service->max_running});
+  }
+  call.pick.prefix_blocks = call.request.prefix_blocks;
+  call.pick.priority = call.traffic_class->priority;
+  call.pick.deadline_in = call.deadline - context_.now;
+  call.pick.prompt_tokens = call.request.prompt_tokens_bound;
+  call.pick.exclude = call.excluded;
+  call.agent = base::ProcessId();
+  call.agent_incarnation = base::Incarnation();
+  const routing::Pick pick =
+      context_.picker.Choose(context_.now, call.pick, candidates);
+  if (const auto* refusal = std::get_if<routing::PickRefusal>(&pick)) {
+    call.pick_refusal = *refusal;
+    return false;
+  }
+  call.agent_incarnation = std::get<routing::PickedAgent>(pick).agent;
+  const auto view =
+      context_.membership.Find(context_.now, call.agent_incarnation);
+  call.agent = view ? view->process : base::ProcessId();
+  return view.has_value();
+}
+
+void CallFlow::Claim(Call& call) {
+  claims::ClaimRequested request;
+  request.attempt = call.attempt;
+  request.key = call.key;
+  request.body_digest = call.body_digest;
+  request.agent = call.agent_incarnation;
+  request.replaces = call.claim_replaces;
+  request.expires = context_.now + kMachineWait;
+  EnterPhase(call, CallPhase::kClaiming, kMachineWait);
+  context_.StepClaims(request);
+}
+
+void CallFlow::OnClaimWon(const claims::ClaimWon& won) {
+  Call* call = FindByAttempt(won.attempt);
+  if (call != nullptr && call->phase == CallPhase::kClaiming) {
+    Reserve(*call);
+  }
+}
+
+void CallFlow::OnClaimExists(const claims::ClaimExists& exists) {
+  Call* call = FindByAttempt(exists.attempt);
+  if (call == nullptr || call->phase != CallPhase::kClaiming) {
+    return;
+  }
+  call->fresh = false;
+  if (exists.claim.body_digest != call->body_digest) {
+    call->fresh = true;
+    Refuse(*call,
+           Error(ErrorKind::kKeyReused,
+                 "the Idempotency-Key was used for another request",
+                 "send each request with a key of its own"),
+           base::Millis());
+    return;
+  }
+  link::KeyOwner owner;
+  owner.attempt = exists.claim.attempt;
+  owner.agent_incarnation = exists.claim.agent;
+  const auto view = context_.membership.Find(context_.now, exists.claim.agent);
+  owner.agent = view ? view->process : base::ProcessId();
+  call->replaces = call->attempt;
+  FollowOwner(*call, owner);
+}
+
+void CallFlow::OnClaimUnavailable(const claims::ClaimUnavailable& unavailable) {
+  Call* call = FindByAttempt(unavailable.attempt);
+  if (call != nullptr && call->phase == CallPhase::kClaiming) {
+    Refuse(*call, unavailable.error, unavailable.retry_after);
+  }
+}
+
+void CallFlow::Reserve(Call& call) {
+  const bool model = call.service->kind == config::ServiceKind::kModelPool;
+  call.reservation =
+      model ? call.request.prompt_tokens_bound + call.request.output_cap
+            : call.service->call_cost;
+  ledger::ReserveRequested request;
+  request.attempt = call.attempt;
+  request.budget = call.organisation->budget;
+  request.amount = call.reservation;
+  request.agents = {call.agent_incarnation};
+  request.expires = context_.now + kMachineWait;
+  call.reserved = true;
+  EnterPhase(call, CallPhase::kReserving, kMachineWait);
+  context_.StepHolder(request);
+}
+
+void CallFlow::Start(Call& call) {
+  const auto view =
+      context_.membership.Find(context_.now, call.agent_incarnation);
+  const bool usable =
+      view && view->connected && !view->leaving &&
+      context_.holder.MaySpendAt(call.grant, call.agent_incarnation);
+  if (!usable) {
+    TryElsewhere(call);
+    return;
+  }
+  link::StartRun start;
+  start.attempt = call.attempt;
+  start.key = call.key;
+  start.body_digest = call.body_digest;
+  start.organisation = call.request.organisation;
+  start.service = call.request.service;
+  start.grant = call.grant;
+  start.reserved = call.reservation;
+  start.repeatable = call.request.repeatable;
+  start.claimed = call.agent_incarnation;
+  start.priority = call.traffic_class->priority;
+  start.deadline_in = call.deadline - context_.now;
+  start.method = call.request.method;
+  start.path = call.request.path;
+  start.content_type = call.request.content_type;
+  start.body = call.request.body;
+  start.output_cap = call.request.output_cap;
+  start.credit = call.request.stream ? context_.options.stream_window_bytes
+                                     : kUnlimitedCredit;
+  call.assembler.emplace(call.key, call.attempt);
+  if (call.request.stream && !call.answer.empty()) {
+    start.answer_prefix = call.answer;
+    call.assembler->OnData(
+        link::RunData{call.key, call.attempt, 0, call.answer, 0});
+  }
+  call.sent = true;
+  call.counted = true;
+  ++call.attempts;
+  context_.StepHolder(ledger::RunStarted{call.attempt, call.agent_incarnation});
+  context_.picker.OnStarted(context_.now, call.attempt, call.agent_incarnation,
+                            call.pick);
+  EnterPhase(call, CallPhase::kStarting, context_.options.reply_limit);
+  context_.Emit(SendMessage{view->connection, std::move(start)});
+}
+
+void CallFlow::OnAccepted(Call& call) {
+  if (call.phase == CallPhase::kStarting) {
+    EnterPhase(call, CallPhase::kRunning, base::Millis());
+  }
+}
+
+void CallFlow::OnRefused(Call& call, const link::RunRefused& refused) {
+  const bool awaited =
+      call.own && call.sent &&
+      (call.phase == CallPhase::kStarting ||
+       call.phase == CallPhase::kProbing || call.phase == CallPhase::kRunning);
+  if (!awaited) {
+    return;
+  }
+  if (call.counted) {
+    call.counted = false;
+    context_.picker.OnRefused(context_.now, call.attempt);
+  }
+  if (!call.open) {
+    DropAttempt(call);
+    Forget(call);
+    return;
+  }
+  if (!MayTryAgain(call)) {
+    Refuse(call, Error(refused.kind, refused.message, refused.remedy),
+           refused.retry_after);
+    return;
+  }
+  TryElsewhere(call);
+}
+
+bool CallFlow::MayTryAgain(const Call& call) const noexcept {
+  return call.attempts < context_.options.max_attempts &&
+         (call.head_sent || context_.now < call.deadline);
+}
+
+// The current attempt never bills; a new one takes its place.
+void CallFlow::TryElsewhere(Call& call) {
+  DropAttempt(call);
+  if (!call.open) {
+    Forget(call);
+    return;
+  }
+  call.excluded.push_back(call.agent_incarnation);
+  if (!MayTryAgain(call) || !context_.retries.TryRetry()) {
+    Refuse(call,
+           Error(ErrorKind::kUnavailable,
+                 "the backend servers tried did not answer",
+                 "send the request again"),
+           kAskAgain);
+    return;
+  }
+  call.replaces = call.attempt;
+  call.claim_replaces = call.attempt;
+  call.own = true;
+  call.sent = false;
+  call.ended = false;
+  if (!call.request.stream) {
+    call.answer.clear();
+  }
+  Bind(call, context_.NewAttempt());
+  PickAgent(call);
+  if (call.keyed) {
+    Register(call, false);
+    return;
+  }
+  Admit(call);
+}
+
+}  // namespace godwit::router
--- /dev/null
+++ b/libs/router/src/context.cc
@@ -0,0 +1,80 @@
+#include "context.h"
+
+#include <string>
+
+namespace godwit::router {
+namespace {
+
+// Share of requests that may be tried again, and retries allowed at start.
+constexpr double kRetryRatio = 0.2;
+constexpr double kRetryBurst = 20;
+// How long a link opened on demand is kept after its last use.
+constexpr base::Millis kKeepLink = base::Seconds(60);
+
+membership::MembershipSettings MembershipSettingsOf(
+    const RouterOptions& options) {
+  membership::MembershipSettings settings;
+  settings.self = options.process;
+  settings.subset_size = static_cast<size_t>(options.subset_size);
+  return settings;
+}
+
+routing::PickerSettings PickerSettingsOf(const RouterOptions& options) {
+  routing::PickerSettings settings;
+  settings.data_centre = options.data_centre;
+  return settings;
+}
+
+}  // namespace
+
+Context::Context(RouterOptions router_options)
+    : options(std::move(router_options)),
+      random(options.seed),
+      membership(MembershipSettingsOf(options)),
+      editor(std::mt19937_64(random())),
+      holder(options.incarnation, ledger::HolderPolicy()),
+      claims(options.incarnation, claims::ClaimPolicy()),
+      picker(PickerSettingsOf(options), std::mt19937_64(random())),
+      retries(kRetryRatio, kRetryBurst) {}
+
+bool Context::SendTo(const base::Incarnation& agent, link::Message message) {
+  const auto view = membership.Find(now, agent);
+  if (!view || !view->connected) {
+    return false;
+  }
+  Emit(SendMessage{view->connection, std::move(message)});
+  return true;
+}
+
+void Context::WantLink(const base::ProcessId& agent) {
+  membership.KeepLink(agent, now + kKeepLink);
+}
+
+void Context::RefreshFleet() {
+  if (refreshing_fleet) {
+    return;
+  }
+  refreshing_fleet = true;
+  platform::KvRead read;
+  read.key = membership::kFleetKey;
+  Emit(kv.Wrap(KvUser::kFleetRefresh, std::move(read)));
+}
+
+base::AttemptId Context::NewAttempt() {
+  return base::AttemptId(options.incarnation.value() + "/" +
+                         std::to_string(next_attempt++));
+}
+
+void Context::StepHolder(const ledger::HolderEvent& event) {
+  for (auto& command : holder.Step(now, event)) {
+    holder_commands.push_back(std::move(command));
+  }
+}
+
+void Context::StepClaims(const claims::ClaimEvent& event) {
+  for (auto& command : claims.Step(now, wall, event)) {
+    claim_commands.push_back(std::move(command));
+  }
+}
+
+}  // namespace godwit::router
--- /dev/null
+++ b/libs/router/src/context.h
@@ -0,0 +1,75 @@
+#ifndef ROUTER_CONTEXT_H_
+#define ROUTER_CONTEXT_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "admission/organisation_limits.h"
+#include "base/ids.h"
+#include "base/millis.h"
+#include "claims/claim_writer.h"
+#include "config/config.h"
+#include "kv_mux.h"
+#include "ledger/budget_holder.h"
+#include "membership/fleet_editor.h"
+#include "membership/membership.h"
+#include "router/router_command.h"
+#include "router/router_options.h"
+#include "routing/picker.h"
+#include "routing/retry_budget.h"
+
+namespace godwit::router {
+
+// The machines that the parts of a RouterCore share, the time of the current
+// event, and the commands collected for it.
+struct Context {
+  explicit Context(RouterOptions router_options);
+
+  // Queues a command of this step.
+  template <typename Command>
+  void Emit(Command command) {
+    out.emplace_back(std::move(command));
+  }
+
+  // Queues a message on the link to an agent life; false when it is not
+  // linked.
+  bool SendTo(const base::Incarnation& agent, link::Message message);
+  // Asks for a link to an agent outside the subsets.
+  void WantLink(const base::ProcessId& agent);
+  // Reads the fleet record again, unless a read is open.
+  void RefreshFleet();
+  base::AttemptId NewAttempt();
+  // Steps a machine; its commands wait in `holder_commands` or
+  // `claim_commands` until the event's handler has returned.
+  void StepHolder(const ledger::HolderEvent& event);
+  void StepClaims(const claims::ClaimEvent& event);
+
+  RouterOptions options;
+  base::Millis now;
+  base::Millis wall;
+  std::vector<RouterCommand> out;
+  std::deque<ledger::HolderCommand> holder_commands;
+  std::deque<claims::ClaimCommand> claim_commands;
+  std::shared_ptr<const config::Config> config;
+  std::mt19937_64 random;
+  membership::Membership membership;
+  membership::FleetEditor editor;
+  ledger::BudgetHolder holder;
+  claims::ClaimWriter claims;
+  routing::Picker picker;
+  routing::RetryBudget retries;
+  admission::OrganisationLimits limits;
+  KvMux kv;
+  bool draining = false;
+  bool refreshing_fleet = false;
+  int64_t next_attempt = 1;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_CONTEXT_H_
--- /dev/null
+++ b/libs/router/src/registration.cc
@@ -0,0 +1,48 @@
+#include "registration.h"
+
+#include <utility>
+
+namespace godwit::router {
+
+Registration::Registration(const claims::DirectoryPlan& plan,
+                           link::RegisterKey request)
+    : request_(std::move(request)) {
+  for (const auto& copy : {plan.primary, plan.secondary}) {
+    if (copy && copy->state != claims::MemberState::kGone) {
+      copies_.push_back(*copy);
+    }
+  }
+  deciding_ = copies_.size();
+  copies_.insert(copies_.end(), plan.shadows.begin(), plan.shadows.end());
+  request_.shadow = !target_decides();
+}
+
+const claims::DirectoryMember* Registration::target() const noexcept {
+  return accepted_.size() < copies_.size() ? &copies_[accepted_.size()]
+                                           : nullptr;
+}
+
+RegistrationStatus Registration::OnReply(const base::Incarnation& from,
+                                         const link::KeyOwner& reply) {
+  const claims::DirectoryMember* expected = target();
+  if (expected == nullptr || expected->incarnation != from ||
+      reply.asked != request_.attempt) {
+    return RegistrationStatus::kIgnored;
+  }
+  if (reply.stale) {
+    return RegistrationStatus::kStale;
+  }
+  if (target_decides() && reply.attempt != request_.attempt) {
+    owner_ = reply;
+    return RegistrationStatus::kOwned;
+  }
+  if (target_decides() && request_.complete && !reply.complete) {
+    return RegistrationStatus::kIgnored;
+  }
+  accepted_.push_back(*expected);
+  request_.shadow = !target_decides();
+  return target() == nullptr ? RegistrationStatus::kDone
+                             : RegistrationStatus::kContinue;
+}
+
+}  // namespace godwit::router
--- /dev/null
+++ b/libs/router/src/registration.h
@@ -0,0 +1,65 @@
+#ifndef ROUTER_REGISTRATION_H_
+#define ROUTER_REGISTRATION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "claims/directory_member.h"
+#include "claims/directory_plan.h"
+#include "link/key_owner.h"
+#include "link/register_key.h"
+
+namespace godwit::router {
+
+// Where a registration stands after a reply.
+enum class RegistrationStatus : uint8_t {
+  // The reply was late or foreign; nothing changed.
+  kIgnored,
+  // Send request() to target().
+  kContinue,
+  // Every copy names the attempt.
+  kDone,
+  // Another attempt owns the key; see owner().
+  kOwned,
+  // A newer fleet record places the key; plan again.
+  kStale,
+};
+
+// Brings one attempt into the directory: primary, then secondary, then shadows,
+// whose answers decide nothing. One thread at a time.
+class Registration {
+ public:
+  Registration(const claims::DirectoryPlan& plan, link::RegisterKey request);
+
+  // The copy to ask next, or null when all have answered.
+  const claims::DirectoryMember* target() const noexcept;
+  const link::RegisterKey& request() const noexcept { return request_; }
+
+  // Handles an answer of the agent life `from`.
+  RegistrationStatus OnReply(const base::Incarnation& from,
+                             const link::KeyOwner& reply);
+
+  // After kOwned.
+  const link::KeyOwner& owner() const noexcept { return owner_; }
+  // Copies that named this attempt before another one turned up.
+  const std::vector<claims::DirectoryMember>& accepted() const noexcept {
+    return accepted_;
+  }
+
+ private:
+  bool target_decides() const noexcept { return accepted_.size() < deciding_; }
+
+  std::vector<claims::DirectoryMember> copies_;
+  // The first copies decide; the rest are shadows.
+  size_t deciding_ = 0;
+  std::vector<claims::DirectoryMember> accepted_;
+  link::RegisterKey request_;
+  link::KeyOwner owner_;
+};
+
+}  // namespace godwit::router
+
+#endif  // ROUTER_REGISTRATION_H_
--- a/libs/router/src/request_parser.cc
+++ b/libs/router/src/request_parser.cc
@@ -110,10 +110,10 @@
   result.service = service->id;
   result.organisation = caller.id;
   result.stream = body->stream;
-  result.output_cap = body->max_tokens == 0
-                          ? service->max_output_tokens
-                          : std::min(body->max_tokens,
-                                     service->max_output_tokens);
+  result.output_cap =
+      body->max_tokens == 0
+          ? service->max_output_tokens
+          : std::min(body->max_tokens, service->max_output_tokens);
   // A token is at least one byte of the prompt.
   result.prompt_tokens_bound =
       static_cast<base::Tokens>(request.body.size()) + kTemplateTokens;
@@ -143,8 +143,8 @@
   CallerRequest result;
   result.service = id;
   result.organisation = caller.id;
-  result.path = end == std::string_view::npos ? "/"
-                                              : std::string(rest.substr(end));
+  result.path =
+      end == std::string_view::npos ? "/" : std::string(rest.substr(end));
   if (!MayCall(caller, id) || !ReadCommonHeaders(config, request, &result)) {
     return std::nullopt;
   }
--- /dev/null
+++ b/libs/router/src/router_core.cc
@@ -0,0 +1,386 @@
+#include "router/router_core.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "call_flow.h"
+#include "context.h"
+#include "membership/fleet_codec.h"
+
+namespace godwit::router {
+namespace {
+
+// How often links, leases and lapsed agents are looked at.
+constexpr base::Millis kUpkeepPeriod(100);
+
+std::vector<membership::ServiceAgents> ServicesOf(
+    const config::Config& config) {
+  std::vector<membership::ServiceAgents> services;
+  services.reserve(config.services.size());
+  for (const config::Service& service : config.services) {
+    services.push_back({service.id, service.backend_servers});
+  }
+  return services;
+}
+
+}  // namespace
+
+class RouterCore::Impl {
+ public:
+  explicit Impl(RouterOptions options)
+      : context_(std::move(options)), flow_(context_) {}
+
+  std::vector<RouterCommand> Step(base::Millis now, const RouterEvent& event) {
+    context_.now = now;
+    context_.wall = now + wall_offset_;
+    std::visit([this](const auto& e) { On(e); }, event);
+    RunMachines();
+    flow_.Sweep();
+    return std::exchange(context_.out, {});
+  }
+
+  bool ready() const noexcept {
+    return context_.config != nullptr && !context_.draining && !usable_.empty();
+  }
+
+  size_t open_calls() const noexcept { return flow_.open_calls(); }
+
+ private:
+  void On(const CallerArrived& event) { flow_.OnArrived(event.request); }
+  void On(const CallerGone& event) { flow_.OnCallerGone(event.exchange); }
+  void On(const CallerDrained& event) {
+    flow_.OnCallerDrained(event.exchange, event.bytes);
+  }
+
+  void On(const LinkOpened& event) {
+    const base::Incarnation life = event.peer.incarnation;
+    lives_[event.connection] = life;
+    context_.membership.OnLinkUp(context_.now, event.connection, event.peer);
+    const auto view = context_.membership.Find(context_.now, life);
+    if (!view || view->connection != event.connection) {
+      return;
+    }
+    UpdateUsable();
+    flow_.OnAgentLinked(life);
+  }
+
+  void On(const LinkClosed& event) {
+    const auto position = lives_.find(event.connection);
+    context_.membership.OnLinkDown(context_.now, event.connection);
+    if (position == lives_.end()) {
+      return;
+    }
+    const base::Incarnation life = position->second;
+    lives_.erase(position);
+    UpdateUsable();
+    const auto view = context_.membership.Find(context_.now, life);
+    if (!view || !view->connected) {
+      flow_.OnAgentUnlinked(life);
+    }
+  }
+
+  void On(const LinkReceived& event) {
+    const auto position = lives_.find(event.connection);
+    if (position == lives_.end()) {
+      return;
+    }
+    const base::Incarnation life = position->second;
+    context_.membership.OnHeard(context_.now, event.connection);
+    if (const auto* heartbeat = std::get_if<link::Heartbeat>(&event.message)) {
+      OnHeartbeat(event.connection, life, *heartbeat);
+      return;
+    }
+    if (const auto* usage = std::get_if<link::GrantUsage>(&event.message)) {
+      context_.StepHolder(ledger::AgentUsageReported{
+          usage->grant, usage->incarnation, usage->billed, usage->running,
+          usage->sealed});
+      return;
+    }
+    if (const auto* refused = std::get_if<link::RunRefused>(&event.message);
+        refused != nullptr && refused->kind == base::ErrorKind::kLeaving) {
+      context_.membership.OnRefusedLeaving(event.connection);
+      UpdateUsable();
+    }
+    flow_.OnMessage(life, event.message);
+  }
+
+  void OnHeartbeat(link::ConnectionId connection,
+                   const base::Incarnation& life,
+                   const link::Heartbeat& heartbeat) {
+    context_.membership.OnHeartbeat(context_.now, connection,
+                                    heartbeat.leaving);
+    context_.picker.OnLoad(context_.now, life, heartbeat.running,
+                           heartbeat.queued);
+    if (heartbeat.fleet_version > context_.membership.version()) {
+      context_.RefreshFleet();
+    }
+    UpdateUsable();
+  }
+
+  void On(const platform::KvReadDone& event) {
+    const auto origin = context_.kv.Unwrap(event.operation);
+    if (!origin) {
+      return;
+    }
+    platform::KvReadDone inner = event;
+    inner.operation = origin->operation;
+    switch (origin->user) {
+      case KvUser::kHolder:
+        context_.StepHolder(inner);
+        return;
+      case KvUser::kClaims:
+        context_.StepClaims(inner);
+        return;
+      case KvUser::kFleetEditor:
+        EmitFleet(context_.editor.OnReadDone(context_.now, inner));
+        return;
+      case KvUser::kFleetRefresh:
+        OnFleetRead(inner);
+        return;
+    }
+  }
+
+  void On(const platform::KvWriteDone& event) {
+    const auto origin = context_.kv.Unwrap(event.operation);
+    if (!origin) {
+      return;
+    }
+    platform::KvWriteDone inner = event;
+    inner.operation = origin->operation;
+    switch (origin->user) {
+      case KvUser::kHolder:
+        context_.StepHolder(inner);
+        return;
+      case KvUser::kClaims:
+        context_.StepClaims(inner);
+        return;
+      case KvUser::kFleetEditor:
+        EmitFleet(context_.editor.OnWriteDone(context_.now, inner));
+        return;
+      case KvUser::kFleetRefresh:
+        return;
+    }
+  }
+
+  void OnFleetRead(const platform::KvReadDone& done) {
+    context_.refreshing_fleet = false;
+    membership::FleetCodec codec;
+    const auto record =
+        done.available ? codec.Decode(done.value) : std::nullopt;
+    if (record) {
+      On(FleetSeen{*record, done.version});
+    }
+  }
+
+  void On(const ConfigInForce& event) {
+    context_.config = event.config;
+    context_.membership.SetServices(ServicesOf(*event.config));
+    UpdateUsable();
+  }
+
+  void On(const FleetSeen& event) {
+    if (event.version <= context_.membership.version()) {
+      return;
+    }
+    context_.membership.OnFleetRecord(context_.now, event.record,
+                                      event.version);
+    for (const membership::FleetAgent& agent : event.record.agents()) {
+      if (agent.state == membership::AgentState::kGone &&
+          known_gone_.insert(agent.incarnation).second) {
+        ending_.insert(agent.incarnation);
+      }
+    }
+    UpdateUsable();
+    flow_.OnFleetChanged();
+    EndLives();
+  }
+
+  // Lives that the record calls gone are closed in the ledger only once no
+  // whole answer of theirs awaits its bill.
+  void EndLives() {
+    for (auto at = ending_.begin(); at != ending_.end();) {
+      flow_.OnAgentGone(*at);
+      if (flow_.IsConfirming(*at)) {
+        ++at;
+        continue;
+      }
+      context_.picker.Forget(*at);
+      context_.StepHolder(ledger::AgentGone{*at});
+      at = ending_.erase(at);
+    }
+  }
+
+  void On(const VmsSeen& event) {
+    context_.membership.OnVmList(context_.now, event.vms);
+    UpdateUsable();
+  }
+
+  void On(const LeasesSeen& event) {
+    context_.membership.OnLeases(context_.now, event.agents);
+    context_.StepHolder(ledger::LiveHolders{event.routers});
+  }
+
+  void On(const DrainRequested&) { context_.draining = true; }
+
+  void On(const Tick& event) {
+    wall_offset_ = event.wall - context_.now;
+    context_.wall = event.wall;
+    context_.StepHolder(ledger::Tick());
+    context_.StepClaims(claims::ClaimTick());
+    EmitFleet(context_.editor.Tick(context_.now));
+    flow_.OnTick();
+    EndLives();
+    if (context_.now - upkeep_at_ >= kUpkeepPeriod) {
+      upkeep_at_ = context_.now;
+      Upkeep();
+    }
+    Drain();
+  }
+
+  void Upkeep() {
+    UpdateUsable();
+    for (const membership::DialTarget& target :
+         context_.membership.TakeDials(context_.now)) {
+      context_.Emit(DialAgent{target.process, target.ip, target.port});
+    }
+    for (const link::ConnectionId connection :
+         context_.membership.UnwantedLinks(context_.now)) {
+      context_.Emit(CloseLink{connection});
+    }
+    for (const base::Incarnation& life :
+         context_.membership.Lapsed(context_.now)) {
+      EmitFleet(context_.editor.Submit(
+          context_.now, membership::MarkGone{life, context_.wall}));
+    }
+    if (context_.membership.version() < context_.editor.version()) {
+      On(FleetSeen{context_.editor.record(), context_.editor.version()});
+    }
+  }
+
+  void Drain() {
+    if (!context_.draining || draining_ledger_ || flow_.calls() > 0) {
+      return;
+    }
+    draining_ledger_ = true;
+    context_.StepHolder(ledger::DrainRequested());
+  }
+
+  // Tells the ledger which agents runs may go to.
+  void UpdateUsable() {
+    std::set<base::Incarnation> usable;
+    if (context_.config != nullptr) {
+      for (const config::Service& service : context_.config->services) {
+        for (const membership::AgentView& agent :
+             context_.membership.Usable(context_.now, service.id)) {
+          usable.insert(agent.incarnation);
+        }
+      }
+    }
+    if (usable != usable_) {
+      usable_ = std::move(usable);
+      context_.StepHolder(ledger::AgentsChanged{usable_});
+    }
+  }
+
+  void EmitFleet(std::vector<membership::FleetCommand> commands) {
+    for (membership::FleetCommand& command : commands) {
+      std::visit(
+          [this](auto& operation) {
+            context_.Emit(
+                context_.kv.Wrap(KvUser::kFleetEditor, std::move(operation)));
+          },
+          command);
+    }
+  }
+
+  void RunMachines() {
+    while (!context_.holder_commands.empty() ||
+           !context_.claim_commands.empty()) {
+      if (!context_.holder_commands.empty()) {
+        const ledger::HolderCommand command =
+            std::move(context_.holder_commands.front());
+        context_.holder_commands.pop_front();
+        std::visit([this](const auto& c) { Do(c); }, command);
+        continue;
+      }
+      const claims::ClaimCommand command =
+          std::move(context_.claim_commands.front());
+      context_.claim_commands.pop_front();
+      std::visit([this](const auto& c) { DoClaim(c); }, command);
+    }
+  }
+
+  void Do(const ledger::ReserveGranted& command) {
+    flow_.OnReserveGranted(command);
+  }
+  void Do(const ledger::ReserveRefused& command) {
+    flow_.OnReserveRefused(command);
+  }
+  void Do(const ledger::SendSealGrant& command) {
+    SendToLife(command.agent, link::SealGrant{command.grant});
+  }
+  void Do(const ledger::SendForgetGrant& command) {
+    SendToLife(command.agent, link::ForgetGrant{command.grant});
+  }
+  void Do(const ledger::Drained&) { context_.Emit(Drained()); }
+  template <typename Operation>
+  void Do(const Operation& operation) {
+    context_.Emit(context_.kv.Wrap(KvUser::kHolder, operation));
+  }
+
+  void DoClaim(const claims::ClaimWon& command) { flow_.OnClaimWon(command); }
+  void DoClaim(const claims::ClaimExists& command) {
+    flow_.OnClaimExists(command);
+  }
+  void DoClaim(const claims::ClaimUnavailable& command) {
+    flow_.OnClaimUnavailable(command);
+  }
+  template <typename Operation>
+  void DoClaim(const Operation& operation) {
+    context_.Emit(context_.kv.Wrap(KvUser::kClaims, operation));
+  }
+
+  // Sends to an agent life, opening a link for later repeats if need be.
+  void SendToLife(const base::Incarnation& life, link::Message message) {
+    if (context_.SendTo(life, std::move(message))) {
+      return;
+    }
+    const auto* agent = context_.membership.record().Find(life);
+    if (agent != nullptr && agent->state != membership::AgentState::kGone) {
+      context_.WantLink(agent->process);
+    }
+  }
+
+  Context context_;
+  CallFlow flow_;
+  std::map<link::ConnectionId, base::Incarnation> lives_;
+  std::set<base::Incarnation> usable_;
+  std::set<base::Incarnation> known_gone_;
+  // Gone lives that the ledger does not know to be gone yet.
+  std::set<base::Incarnation> ending_;
+  base::Millis wall_offset_;
+  base::Millis upkeep_at_;
+  bool draining_ledger_ = false;
+};
+
+RouterCore::RouterCore(RouterOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
+
+RouterCore::~RouterCore() = default;
+
+std::vector<RouterCommand> RouterCore::Step(base::Millis now,
+                                            const RouterEvent& event) {
+  return impl_->Step(now, event);
+}
+
+bool RouterCore::ready() const noexcept {
+  return impl_->ready();
+}
+
+size_t RouterCore::open_calls() const noexcept {
+  return impl_->open_calls();
+}
+
+}  // namespace godwit::router
--- /dev/null
+++ b/tools/godwit-router/src/front_door.cc
@@ -0,0 +1,138 @@
+#include "front_door.h"
+
+#include <utility>
+
+#include "error_page.h"
+#include "http/exchange.h"
+#include "http/request.h"
+#include "http/response.h"
+#include "router/request_parser.h"
+
+namespace godwit::router_daemon {
+namespace {
+
+http::Response Page(int status, std::string type, std::string body) {
+  http::Response response;
+  response.status = status;
+  response.headers["content-type"] = std::move(type);
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+FrontDoor::FrontDoor(Handler handler) : handler_(std::move(handler)) {}
+
+void FrontDoor::OnExchange(std::shared_ptr<http::Exchange> exchange) {
+  if (!AnswerOwnPage(*exchange)) {
+    Serve(exchange);
+  }
+}
+
+bool FrontDoor::AnswerOwnPage(http::Exchange& exchange) {
+  const std::string& target = exchange.request().target;
+  if (target == "/healthz") {
+    exchange.Respond(Page(200, "text/plain", "ok\n"));
+    return true;
+  }
+  if (target == "/readyz") {
+    const bool ready = handler_.ready();
+    exchange.Respond(Page(ready ? 200 : 503, "text/plain",
+                          ready ? "ready\n" : "not ready\n"));
+    return true;
+  }
+  if (target == "/metrics") {
+    exchange.Respond(
+        Page(200, "text/plain; version=0.0.4", handler_.metrics()));
+    return true;
+  }
+  if (target == "/status") {
+    exchange.Respond(Page(200, "application/json", handler_.status()));
+    return true;
+  }
+  return false;
+}
+
+void FrontDoor::Serve(const std::shared_ptr<http::Exchange>& exchange) {
+  const config::Config* config = handler_.config();
+  if (config == nullptr) {
+    exchange->Respond(ErrorPage(
+        {base::ErrorKind::kUnavailable, "this router has no configuration yet",
+         "send the request again", true, base::Seconds(1)}));
+    return;
+  }
+  router::RequestParser parser;
+  auto request = parser.Parse(*config, exchange->request());
+  if (!request) {
+    const base::Error& why = parser.last_error();
+    exchange->Respond(ErrorPage(
+        {why.kind(), why.message(), why.remedy(), true, base::Millis()}));
+    return;
+  }
+  const router::ExchangeId id = next_++;
+  request->exchange = id;
+  open_[id] = exchange;
+  exchange->OnCallerGone([this, id] {
+    open_.erase(id);
+    handler_.on_event(router::CallerGone{id});
+  });
+  exchange->OnDrained([this, id](size_t bytes) {
+    handler_.on_event(router::CallerDrained{id, static_cast<int64_t>(bytes)});
+  });
+  handler_.on_event(router::CallerArrived{std::move(*request)});
+}
+
+void FrontDoor::Do(const router::AnswerWhole& command) {
+  if (const auto exchange = Take(command.exchange)) {
+    exchange->Respond(Page(command.status, command.content_type, command.body));
+  }
+}
+
+void FrontDoor::Do(const router::AnswerHead& command) {
+  if (auto* exchange = Find(command.exchange)) {
+    exchange->BeginStream(command.status,
+                          {{"content-type", command.content_type},
+                           {"cache-control", "no-store"}});
+  }
+}
+
+void FrontDoor::Do(const router::AnswerBytes& command) {
+  if (auto* exchange = Find(command.exchange)) {
+    exchange->Write(command.bytes);
+  }
+}
+
+void FrontDoor::Do(const router::AnswerEnd& command) {
+  if (const auto exchange = Take(command.exchange)) {
+    exchange->EndStream();
+  }
+}
+
+void FrontDoor::Do(const router::AnswerAbort& command) {
+  if (const auto exchange = Take(command.exchange)) {
+    exchange->Abort();
+  }
+}
+
+void FrontDoor::Do(const router::AnswerError& command) {
+  if (const auto exchange = Take(command.exchange)) {
+    exchange->Respond(ErrorPage(command.error));
+  }
+}
+
+http::Exchange* FrontDoor::Find(router::ExchangeId id) {
+  const auto position = open_.find(id);
+  return position == open_.end() ? nullptr : position->second.get();
+}
+
+std::shared_ptr<http::Exchange> FrontDoor::Take(router::ExchangeId id) {
+  const auto position = open_.find(id);
+  if (position == open_.end()) {
+    return nullptr;
+  }
+  auto exchange = std::move(position->second);
+  open_.erase(position);
+  return exchange;
+}
+
+}  // namespace godwit::router_daemon
--- /dev/null
+++ b/tools/godwit-router/src/front_door.h
@@ -0,0 +1,68 @@
+#ifndef GODWIT_ROUTER_FRONT_DOOR_H_
+#define GODWIT_ROUTER_FRONT_DOOR_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "router/answer_abort.h"
+#include "router/answer_bytes.h"
+#include "router/answer_end.h"
+#include "router/answer_error.h"
+#include "router/answer_head.h"
+#include "router/answer_whole.h"
+#include "router/exchange_id.h"
+#include "router/router_event.h"
+
+namespace godwit::config {
+struct Config;
+}
+
+namespace godwit::http {
+class Exchange;
+}
+
+namespace godwit::router_daemon {
+
+// Joins callers' HTTP exchanges to the router core: requests become events,
+// answer commands become HTTP answers. Core thread.
+class FrontDoor {
+ public:
+  struct Handler {
+    std::function<void(const router::RouterEvent&)> on_event;
+    // The configuration in force; null before the first.
+    std::function<const config::Config*()> config;
+    std::function<bool()> ready;
+    // Bodies of the operator's pages.
+    std::function<std::string()> metrics;
+    std::function<std::string()> status;
+  };
+
+  explicit FrontDoor(Handler handler);
+
+  // Takes a request from the HTTP server.
+  void OnExchange(std::shared_ptr<http::Exchange> exchange);
+
+  void Do(const router::AnswerWhole& command);
+  void Do(const router::AnswerHead& command);
+  void Do(const router::AnswerBytes& command);
+  void Do(const router::AnswerEnd& command);
+  void Do(const router::AnswerAbort& command);
+  void Do(const router::AnswerError& command);
+
+ private:
+  bool AnswerOwnPage(http::Exchange& exchange);
+  void Serve(const std::shared_ptr<http::Exchange>& exchange);
+  http::Exchange* Find(router::ExchangeId id);
+  // Removes and returns the exchange; null when the caller is gone.
+  std::shared_ptr<http::Exchange> Take(router::ExchangeId id);
+
+  const Handler handler_;
+  router::ExchangeId next_ = 1;
+  std::unordered_map<router::ExchangeId, std::shared_ptr<http::Exchange>> open_;
+};
+
+}  // namespace godwit::router_daemon
+
+#endif  // GODWIT_ROUTER_FRONT_DOOR_H_
--- /dev/null
+++ b/tools/godwit-router/src/platform_watch.cc
@@ -0,0 +1,88 @@
+#include "platform_watch.h"
+
+#include <utility>
+
+#include "membership/fleet_codec.h"
+#include "platform/client.h"
+#include "runtime/runtime.h"
+
+namespace godwit::router_daemon {
+namespace {
+
+constexpr base::Millis kWatchWait = base::Seconds(8);
+constexpr base::Millis kRetry = base::Seconds(1);
+constexpr base::Millis kVmPeriod = base::Seconds(5);
+constexpr base::Millis kLeasePeriod = base::Seconds(3);
+constexpr char kRouterLeases[] = "routers/";
+constexpr char kAgentLeases[] = "agents/";
+
+}  // namespace
+
+PlatformWatch::PlatformWatch(
+    runtime::Runtime& runtime,
+    platform::Client& client,
+    std::function<void(const router::RouterEvent&)> on_event)
+    : runtime_(runtime), client_(client), on_event_(std::move(on_event)) {}
+
+void PlatformWatch::Start() {
+  runtime_.Spawn([this] { WatchFleet(); });
+  runtime_.Spawn([this] { PollVms(); });
+  runtime_.Spawn([this] { PollLeases(); });
+}
+
+void PlatformWatch::WatchFleet() {
+  int64_t version = 0;
+  for (;;) {
+    const platform::KvReadDone done =
+        client_.Watch(membership::kFleetKey, version, kWatchWait);
+    if (!done.available) {
+      runtime::Runtime::SleepFor(kRetry);
+      continue;
+    }
+    if (done.version == version) {
+      continue;
+    }
+    membership::FleetCodec codec;
+    const auto record = codec.Decode(done.value);
+    if (!record) {
+      runtime::Runtime::SleepFor(kRetry);
+      continue;
+    }
+    version = done.version;
+    on_event_(router::FleetSeen{*record, version});
+  }
+}
+
+void PlatformWatch::PollVms() {
+  for (;;) {
+    if (auto vms = client_.ListVms()) {
+      on_event_(router::VmsSeen{std::move(*vms)});
+    }
+    runtime::Runtime::SleepFor(kVmPeriod);
+  }
+}
+
+void PlatformWatch::PollLeases() {
+  for (;;) {
+    router::LeasesSeen seen;
+    if (ListLives(kRouterLeases, &seen.routers) &&
+        ListLives(kAgentLeases, &seen.agents)) {
+      on_event_(seen);
+    }
+    runtime::Runtime::SleepFor(kLeasePeriod);
+  }
+}
+
+bool PlatformWatch::ListLives(const std::string& prefix,
+                              std::set<base::Incarnation>* lives) {
+  const auto keys = client_.ListKeys(prefix);
+  if (!keys) {
+    return false;
+  }
+  for (const std::string& key : *keys) {
+    lives->insert(base::Incarnation(key.substr(prefix.size())));
+  }
+  return true;
+}
+
+}  // namespace godwit::router_daemon
