--- a/libs/ledger/include/ledger/holder_policy.h
+++ b/libs/ledger/include/ledger/holder_policy.h
@@ -30,6 +30,12 @@
   base::Millis write_spacing = base::Millis(20);
   // Time between reads of a shard whose budgets are near their end.
   base::Millis recall_poll = base::Millis(200);
+  // Time between reads of a shard while a reservation waits for what others
+  // give back.
+  base::Millis wait_poll = base::Millis(50);
+  // Time without a useful answer after which the KV counts as down, so that
+  // reservations no longer wait for it.
+  base::Millis outage_detection = base::Millis(500);
   // Age up to which a record read proves that a budget is exhausted.
   base::Millis fresh = base::Millis(250);
   // Longest that a reservation waits for budget.
@@ -46,12 +52,14 @@
   friend bool operator==(const HolderPolicy& a, const HolderPolicy& b) {
     return std::tie(a.shard_count, a.outage, a.burn_half_life, a.min_grant,
                     a.share_percent, a.settle_period, a.write_spacing,
-                    a.recall_poll, a.fresh, a.max_wait, a.idle, a.scan_period,
-                    a.seal_retry, a.retry_after) ==
+                    a.recall_poll, a.wait_poll, a.outage_detection, a.fresh,
+                    a.max_wait, a.idle, a.scan_period, a.seal_retry,
+                    a.retry_after) ==
            std::tie(b.shard_count, b.outage, b.burn_half_life, b.min_grant,
                     b.share_percent, b.settle_period, b.write_spacing,
-                    b.recall_poll, b.fresh, b.max_wait, b.idle, b.scan_period,
-                    b.seal_retry, b.retry_after);
+                    b.recall_poll, b.wait_poll, b.outage_detection, b.fresh,
+                    b.max_wait, b.idle, b.scan_period, b.seal_retry,
+                    b.retry_after);
   }
   friend bool operator!=(const HolderPolicy& a, const HolderPolicy& b) {
     return !(a == b);
--- /dev/null
+++ b/libs/ledger/src/burn_rate.h
@@ -0,0 +1,30 @@
+#ifndef LEDGER_BURN_RATE_H_
+#define LEDGER_BURN_RATE_H_
+
+#include "base/ids.h"
+#include "base/millis.h"
+
+namespace godwit::ledger {
+
+// Estimates tokens billed per millisecond by an exponentially decaying sum.
+class BurnRate {
+ public:
+  explicit BurnRate(base::Millis half_life) : half_life_(half_life) {}
+
+  // Counts tokens billed at `now`.
+  void Add(base::Millis now, base::Tokens tokens);
+
+  // Tokens that `span` would take at the present rate.
+  base::Tokens Over(base::Millis now, base::Millis span) const;
+
+ private:
+  double Decayed(base::Millis now) const;
+
+  base::Millis half_life_;
+  base::Millis at_;
+  double sum_ = 0;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_BURN_RATE_H_
--- /dev/null
+++ b/libs/ledger/src/edit_planner.cc
@@ -0,0 +1,244 @@
+#include "edit_planner.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace godwit::ledger {
+namespace {
+
+using base::Tokens;
+
+// A grant is refilled when its free part falls below this part of the target,
+constexpr Tokens kRefillDivisor = 2;
+// at once below this part, and shrunk when it exceeds the target by this part.
+constexpr Tokens kLowWaterDivisor = 8;
+constexpr Tokens kSlackDivisor = 4;
+
+const Budget& BudgetIn(const LedgerEdit& edit, const base::BudgetId& id) {
+  return edit.record().budgets.at(id);
+}
+
+const Grant* GrantIn(const LedgerEdit& edit, const LocalBudget& local) {
+  if (!local.grant) {
+    return nullptr;
+  }
+  const Budget& budget = BudgetIn(edit, local.id);
+  const auto found = budget.grants.find(local.grant->id);
+  return found == budget.grants.end() ? nullptr : &found->second;
+}
+
+}  // namespace
+
+Tokens AvailableIn(const ShardView& view, const LocalBudget& local) {
+  if (!local.grant) {
+    return 0;
+  }
+  return view.ceiling(local.id, local.grant->id) - local.grant->committed();
+}
+
+bool EditPlanner::Plan(const Context& context,
+                       LocalBudget& local,
+                       LedgerEdit& edit) {
+  if (edit.record().budgets.count(local.id) == 0) {
+    return false;
+  }
+  SettleUsage(local, edit);
+  FoldGoneAgents(context, local, edit);
+  const bool unused = local.grant && local.grant->reserved == 0;
+  const bool idle =
+      local.waiting.empty() && context.now - local.used_at > policy_.idle;
+  if (unused && (context.draining || idle) && GrantIn(edit, local) != nullptr) {
+    return edit.ReturnGrant(local.id, local.grant->id);
+  }
+  bool urgent = false;
+  if (!context.draining && !idle) {
+    urgent |= local.waiting.empty() ? DrawAhead(context, local, edit)
+                                    : DrawForWaiting(context, local, edit);
+  }
+  urgent |= GiveToOthers(context, local, edit);
+  GiveExcess(context, local, edit);
+  urgent |= ListUsable(context, local, edit);
+  return urgent;
+}
+
+Tokens EditPlanner::Target(const Context& context,
+                           const LocalBudget& local) const {
+  const Budget* const budget = context.view.budget(local.id);
+  if (budget == nullptr) {
+    return 0;
+  }
+  const Tokens left =
+      budget->free() + std::max<Tokens>(0, AvailableIn(context.view, local));
+  const bool counted =
+      local.grant && budget->grants.count(local.grant->id) != 0;
+  const auto sharers =
+      static_cast<Tokens>(budget->grants.size()) + (counted ? 0 : 1);
+  const Tokens share = left / sharers / 100 * policy_.share_percent;
+  const Tokens wish =
+      std::max(policy_.min_grant, local.burn.Over(context.now, policy_.outage));
+  return std::min(wish, share);
+}
+
+void EditPlanner::SettleUsage(const LocalBudget& local,
+                              LedgerEdit& edit) const {
+  if (GrantIn(edit, local) == nullptr) {
+    return;
+  }
+  for (const auto& [agent, billed] : local.grant->billed) {
+    edit.Settle(local.id, local.grant->id, agent, billed);
+  }
+}
+
+void EditPlanner::FoldGoneAgents(const Context& context,
+                                 const LocalBudget& local,
+                                 LedgerEdit& edit) const {
+  const Grant* const stored = GrantIn(edit, local);
+  if (stored == nullptr) {
+    return;
+  }
+  std::vector<base::Incarnation> gone;
+  for (const auto& [agent, account] : stored->agents) {
+    if (context.recovery.IsGone(agent)) {
+      gone.push_back(agent);
+    }
+  }
+  for (const auto& agent : gone) {
+    const auto lost = local.grant->unaccounted.find(agent);
+    const Tokens unaccounted =
+        lost == local.grant->unaccounted.end() ? 0 : lost->second;
+    edit.FoldAgent(local.id, local.grant->id, agent, unaccounted);
+  }
+}
+
+bool EditPlanner::DrawForWaiting(const Context& context,
+                                 LocalBudget& local,
+                                 LedgerEdit& edit) {
+  const Tokens available = AvailableIn(context.view, local);
+  const Tokens free = BudgetIn(edit, local.id).free();
+  Tokens smallest = local.waiting.front().request.amount;
+  Tokens sum = 0;
+  for (const auto& waiting : local.waiting) {
+    smallest = std::min(smallest, waiting.request.amount);
+    sum += std::min(waiting.request.amount, free + available - sum);
+  }
+  const Tokens lacking = smallest - available;
+  if (lacking <= 0) {
+    // Budget suffices; an agent has to be listed.
+    return local.grant ? false : Draw(local, 0, edit);
+  }
+  if (lacking > free) {
+    return AskForRecall(local, local.waiting.front().request.amount - available,
+                        edit);
+  }
+  const Tokens spare = OthersWants(BudgetIn(edit, local.id), false) > 0
+                           ? 0
+                           : std::max<Tokens>(0, Target(context, local));
+  return Draw(local, std::min(free, std::max(lacking, sum - available) + spare),
+              edit);
+}
+
+bool EditPlanner::AskForRecall(const LocalBudget& local,
+                               Tokens lacking,
+                               LedgerEdit& edit) const {
+  const Budget& budget = BudgetIn(edit, local.id);
+  const auto mark = budget.wants.find(self_);
+  if (mark != budget.wants.end() && mark->second >= lacking) {
+    return false;
+  }
+  return edit.Want(local.id, self_, lacking);
+}
+
+bool EditPlanner::DrawAhead(const Context& context,
+                            LocalBudget& local,
+                            LedgerEdit& edit) {
+  edit.Want(local.id, self_, 0);
+  const Budget& budget = BudgetIn(edit, local.id);
+  const Tokens unclaimed = budget.free() - OthersWants(budget, false);
+  const Tokens available = AvailableIn(context.view, local);
+  const Tokens target = Target(context, local);
+  local.low_water = target / kLowWaterDivisor;
+  if (!local.grant || available >= target / kRefillDivisor || unclaimed <= 0) {
+    return false;
+  }
+  Draw(local, std::min(unclaimed, target - available), edit);
+  return available < local.low_water;
+}
+
+bool EditPlanner::Draw(LocalBudget& local, Tokens amount, LedgerEdit& edit) {
+  if (!local.grant) {
+    local.grant.emplace();
+    local.grant->id =
+        base::GrantId(self_.value() + "/" + std::to_string(next_grant_++));
+  }
+  edit.Want(local.id, self_, 0);
+  return edit.Draw(local.id, local.grant->id, self_, amount);
+}
+
+bool EditPlanner::GiveToOthers(const Context& context,
+                               const LocalBudget& local,
+                               LedgerEdit& edit) const {
+  if (GrantIn(edit, local) == nullptr) {
+    return false;
+  }
+  // Of two routers that both lack tokens, the one whose name sorts first keeps
+  // what it has, so that they don't pass the rest back and forth.
+  const bool lacks = !local.waiting.empty();
+  const Tokens unmet = UnmetWants(BudgetIn(edit, local.id), lacks);
+  const Tokens spare = AvailableIn(context.view, local);
+  const Tokens gift = std::min(unmet, spare);
+  return gift > 0 && edit.Shrink(local.id, local.grant->id, gift);
+}
+
+void EditPlanner::GiveExcess(const Context& context,
+                             const LocalBudget& local,
+                             LedgerEdit& edit) const {
+  const Grant* const stored = GrantIn(edit, local);
+  if (stored == nullptr || !local.waiting.empty()) {
+    return;
+  }
+  const Tokens target = Target(context, local);
+  // What this edit draws or gives already counts.
+  const Tokens planned = std::min(stored->amount - local.grant->committed(),
+                                  AvailableIn(context.view, local));
+  const Tokens excess = planned - target;
+  if (excess > target / kSlackDivisor && excess > 0) {
+    edit.Shrink(local.id, local.grant->id, excess);
+  }
+}
+
+bool EditPlanner::ListUsable(const Context& context,
+                             const LocalBudget& local,
+                             LedgerEdit& edit) const {
+  const Grant* const stored = GrantIn(edit, local);
+  if (stored == nullptr || stored->state != GrantState::kActive) {
+    return false;
+  }
+  std::vector<base::Incarnation> missing;
+  for (const auto& agent : context.usable) {
+    if (stored->agents.count(agent) == 0 && !context.recovery.IsGone(agent)) {
+      missing.push_back(agent);
+    }
+  }
+  if (missing.empty()) {
+    return false;
+  }
+  return edit.ListAgents(local.id, local.grant->id, missing);
+}
+
+Tokens EditPlanner::OthersWants(const Budget& budget, bool only_prior) const {
+  Tokens sum = 0;
+  for (const auto& [holder, amount] : budget.wants) {
+    const bool counts = only_prior ? holder < self_ : holder != self_;
+    if (counts) {
+      sum += std::min(amount, budget.limit - sum);
+    }
+  }
+  return sum;
+}
+
+Tokens EditPlanner::UnmetWants(const Budget& budget, bool only_prior) const {
+  return std::max<Tokens>(0, OthersWants(budget, only_prior) - budget.free());
+}
+
+}  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/src/edit_planner.h
@@ -0,0 +1,76 @@
+#ifndef LEDGER_EDIT_PLANNER_H_
+#define LEDGER_EDIT_PLANNER_H_
+
+#include <cstdint>
+#include <set>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "grant_recovery.h"
+#include "ledger/holder_policy.h"
+#include "ledger/ledger_edit.h"
+#include "local_budget.h"
+#include "shard_view.h"
+
+namespace godwit::ledger {
+
+// Decides what a router writes about a budget: what to draw, give back, list
+// and settle.
+class EditPlanner {
+ public:
+  // What the plans of all budgets of a shard share.
+  struct Context {
+    base::Millis now;
+    const ShardView& view;
+    const std::set<base::Incarnation>& usable;
+    const GrantRecovery& recovery;
+    bool draining;
+  };
+
+  EditPlanner(base::Incarnation self, HolderPolicy policy)
+      : self_(std::move(self)), policy_(policy) {}
+
+  // Adds the budget's changes to the edit; true when some of them should not
+  // wait for the settle period.
+  bool Plan(const Context& context, LocalBudget& local, LedgerEdit& edit);
+
+  // Free part that the budget's grant should have.
+  base::Tokens Target(const Context& context, const LocalBudget& local) const;
+
+ private:
+  void SettleUsage(const LocalBudget& local, LedgerEdit& edit) const;
+  void FoldGoneAgents(const Context& context,
+                      const LocalBudget& local,
+                      LedgerEdit& edit) const;
+  bool DrawForWaiting(const Context& context,
+                      LocalBudget& local,
+                      LedgerEdit& edit);
+  bool AskForRecall(const LocalBudget& local,
+                    base::Tokens lacking,
+                    LedgerEdit& edit) const;
+  bool DrawAhead(const Context& context, LocalBudget& local, LedgerEdit& edit);
+  bool Draw(LocalBudget& local, base::Tokens amount, LedgerEdit& edit);
+  bool GiveToOthers(const Context& context,
+                    const LocalBudget& local,
+                    LedgerEdit& edit) const;
+  void GiveExcess(const Context& context,
+                  const LocalBudget& local,
+                  LedgerEdit& edit) const;
+  bool ListUsable(const Context& context,
+                  const LocalBudget& local,
+                  LedgerEdit& edit) const;
+  // What other routers lack beyond what is free.
+  base::Tokens UnmetWants(const Budget& budget, bool only_prior) const;
+  base::Tokens OthersWants(const Budget& budget, bool only_prior) const;
+
+  base::Incarnation self_;
+  HolderPolicy policy_;
+  int64_t next_grant_ = 1;
+};
+
+// Tokens of the budget's grant that can be reserved.
+base::Tokens AvailableIn(const ShardView& view, const LocalBudget& local);
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_EDIT_PLANNER_H_
--- /dev/null
+++ b/libs/ledger/src/grant_recovery.cc
@@ -0,0 +1,105 @@
+#include "grant_recovery.h"
+
+namespace godwit::ledger {
+
+void GrantRecovery::AddReport(const AgentUsageReported& report) {
+  if (report.sealed && report.running == 0) {
+    reports_[{report.grant, report.agent}] = report.billed;
+  }
+}
+
+void GrantRecovery::FindLost(const LedgerRecord& record,
+                             const std::set<base::Incarnation>& live) {
+  for (const auto& [budget_id, budget] : record.budgets) {
+    for (const auto& [id, grant] : budget.grants) {
+      const bool alive = grant.holder == self_ || live.count(grant.holder) != 0;
+      if (alive) {
+        lost_.erase(id);
+      } else {
+        lost_.insert(id);
+      }
+    }
+  }
+}
+
+bool GrantRecovery::Advance(LedgerEdit& edit) const {
+  bool advanced = false;
+  const LedgerRecord before = edit.record();
+  for (const auto& [budget_id, budget] : before.budgets) {
+    for (const auto& [id, grant] : budget.grants) {
+      advanced |= AdvanceGrant(edit, budget_id, id, grant);
+    }
+  }
+  return advanced;
+}
+
+bool GrantRecovery::AdvanceGrant(LedgerEdit& edit,
+                                 const base::BudgetId& budget,
+                                 const base::GrantId& grant,
+                                 const Grant& state) const {
+  bool advanced = false;
+  if (state.state == GrantState::kActive) {
+    if (lost_.count(grant) == 0) {
+      return false;
+    }
+    advanced = edit.Seal(budget, grant);
+  }
+  advanced |= AdvanceAccounts(edit, budget, grant, state);
+  advanced |= edit.Close(budget, grant);
+  return advanced;
+}
+
+bool GrantRecovery::AdvanceAccounts(LedgerEdit& edit,
+                                    const base::BudgetId& budget,
+                                    const base::GrantId& grant,
+                                    const Grant& state) const {
+  bool advanced = false;
+  for (const auto& [agent, account] : state.agents) {
+    if (account.state != AccountState::kOpen) {
+      continue;
+    }
+    const auto report = reports_.find({grant, agent});
+    if (report != reports_.end()) {
+      advanced |= edit.FinishAgent(budget, grant, agent, report->second);
+    } else if (IsGone(agent)) {
+      advanced |= edit.LoseAgent(budget, grant, agent);
+    }
+  }
+  return advanced;
+}
+
+void GrantRecovery::RequestReports(base::Millis now,
+                                   const LedgerRecord& record,
+                                   std::vector<HolderCommand>& commands) {
+  for (const auto& [budget_id, budget] : record.budgets) {
+    for (const auto& [id, grant] : budget.grants) {
+      if (grant.state != GrantState::kSealed) {
+        continue;
+      }
+      const auto [last, is_first] = requested_at_.emplace(id, now);
+      if (!is_first && now - last->second < seal_retry_) {
+        continue;
+      }
+      last->second = now;
+      for (const auto& [agent, account] : grant.agents) {
+        if (account.state == AccountState::kOpen && !IsGone(agent) &&
+            reports_.count({id, agent}) == 0) {
+          commands.emplace_back(SendSealGrant{agent, id});
+        }
+      }
+    }
+  }
+}
+
+void GrantRecovery::Forget(const base::GrantId& grant) {
+  lost_.erase(grant);
+  requested_at_.erase(grant);
+  const auto first = reports_.lower_bound({grant, base::Incarnation()});
+  auto last = first;
+  while (last != reports_.end() && last->first.first == grant) {
+    ++last;
+  }
+  reports_.erase(first, last);
+}
+
+}  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/src/holder_state.cc
@@ -0,0 +1,390 @@
+#include "holder_state.h"
+
+#include <algorithm>
+#include <string>
+
+namespace godwit::ledger {
+namespace {
+
+// An operation that takes longer counts as unanswered.
+constexpr base::Millis kOperationTimeout = base::Seconds(10);
+// Pause after an operation that the KV did not answer usefully.
+constexpr base::Millis kRetryPause(100);
+// A budget is near its end when less than this part of its limit is free.
+constexpr base::Tokens kNearEndDivisor = 4;
+
+}  // namespace
+
+BudgetHolder::State::State(base::Incarnation self, HolderPolicy policy)
+    : self_(self),
+      policy_(policy),
+      planner_(self, policy),
+      recovery_(self, policy.seal_retry) {
+  shards_.reserve(static_cast<size_t>(policy.shard_count));
+  for (int i = 0; i < policy.shard_count; ++i) {
+    shards_.emplace_back(ShardKey(i));
+    // Spreads the scans over their period.
+    shards_.back().scan_at =
+        base::Millis(policy.scan_period.count() * i / policy.shard_count);
+  }
+}
+
+std::vector<HolderCommand> BudgetHolder::State::Step(base::Millis now,
+                                                     const HolderEvent& event) {
+  now_ = now;
+  commands_.clear();
+  std::visit([this](const auto& e) { On(e); }, event);
+  ReportDrained();
+  return std::move(commands_);
+}
+
+void BudgetHolder::State::On(const RunStarted& event) {
+  const auto found = reservations_.find(event.attempt);
+  if (found != reservations_.end()) {
+    found->second.agent = event.agent;
+  }
+}
+
+void BudgetHolder::State::On(const RunSettled& event) {
+  const auto found = reservations_.find(event.attempt);
+  if (found == reservations_.end()) {
+    return;
+  }
+  const Reservation reservation = std::move(found->second);
+  reservations_.erase(found);
+  HeldGrant* const grant = GrantOf(reservation.budget, reservation.grant);
+  if (grant == nullptr) {
+    return;
+  }
+  const base::Tokens billed =
+      std::clamp<base::Tokens>(event.billed, 0, reservation.amount);
+  grant->reserved -= reservation.amount;
+  grant->billed[event.agent] += billed;
+  LocalBudget& local = BudgetOf(reservation.budget);
+  local.burn.Add(now_, billed);
+  local.used_at = now_;
+  Shard& shard = ShardOfBudget(local);
+  shard.lazy = true;
+  ServeWaiting(local);
+  Pump(shard);
+}
+
+void BudgetHolder::State::On(const RunReleased& event) {
+  const auto found = reservations_.find(event.attempt);
+  if (found == reservations_.end()) {
+    return;
+  }
+  const Reservation reservation = std::move(found->second);
+  reservations_.erase(found);
+  HeldGrant* const grant = GrantOf(reservation.budget, reservation.grant);
+  if (grant == nullptr) {
+    return;
+  }
+  grant->reserved -= reservation.amount;
+  LocalBudget& local = BudgetOf(reservation.budget);
+  Shard& shard = ShardOfBudget(local);
+  shard.lazy = true;
+  ServeWaiting(local);
+  Pump(shard);
+}
+
+void BudgetHolder::State::On(const AgentsChanged& event) {
+  usable_ = event.usable;
+  for (Shard& shard : shards_) {
+    shard.check = shard.check || !shard.budgets.empty();
+    Pump(shard);
+  }
+}
+
+void BudgetHolder::State::On(const AgentGone& event) {
+  if (recovery_.IsGone(event.agent)) {
+    return;
+  }
+  recovery_.AddGone(event.agent);
+  for (auto it = reservations_.begin(); it != reservations_.end();) {
+    const Reservation& reservation = it->second;
+    if (reservation.agent != event.agent) {
+      ++it;
+      continue;
+    }
+    HeldGrant* const grant = GrantOf(reservation.budget, reservation.grant);
+    if (grant != nullptr) {
+      grant->unaccounted[event.agent] += reservation.amount;
+    }
+    it = reservations_.erase(it);
+  }
+  for (Shard& shard : shards_) {
+    shard.check = true;
+    Pump(shard);
+  }
+}
+
+void BudgetHolder::State::On(const AgentUsageReported& event) {
+  recovery_.AddReport(event);
+  for (Shard& shard : shards_) {
+    for (const auto& [id, budget] : shard.view.record().budgets) {
+      if (budget.grants.count(event.grant) != 0) {
+        shard.check = true;
+      }
+    }
+    Pump(shard);
+  }
+}
+
+void BudgetHolder::State::On(const LiveHolders& event) {
+  for (Shard& shard : shards_) {
+    recovery_.FindLost(shard.view.record(), event.holders);
+    shard.check = true;
+    Pump(shard);
+  }
+}
+
+void BudgetHolder::State::On(const DrainRequested&) {
+  draining_ = true;
+  for (auto& [id, local] : budgets_) {
+    ServeWaiting(local);
+  }
+  for (Shard& shard : shards_) {
+    shard.check = true;
+    Pump(shard);
+  }
+}
+
+void BudgetHolder::State::On(const Tick&) {
+  GiveUpOverdue();
+  for (auto& [id, local] : budgets_) {
+    if (!local.waiting.empty()) {
+      ServeWaiting(local);
+    }
+  }
+  for (Shard& shard : shards_) {
+    recovery_.RequestReports(now_, shard.view.record(), commands_);
+    Pump(shard);
+  }
+}
+
+void BudgetHolder::State::GiveUpOverdue() {
+  for (auto it = operations_.begin(); it != operations_.end();) {
+    Shard& shard = shards_[it->second];
+    const auto busy_since = shard.view.busy_since();
+    if (busy_since && now_ - *busy_since <= kOperationTimeout) {
+      ++it;
+      continue;
+    }
+    shard.view.GiveUp();
+    shard.check = true;
+    it = operations_.erase(it);
+  }
+}
+
+void BudgetHolder::State::On(const platform::KvReadDone& event) {
+  OnDone(event);
+}
+
+void BudgetHolder::State::On(const platform::KvWriteDone& event) {
+  OnDone(event);
+}
+
+template <typename Done>
+void BudgetHolder::State::OnDone(const Done& done) {
+  const auto owner = operations_.find(done.operation);
+  if (owner == operations_.end()) {
+    return;
+  }
+  Shard& shard = shards_[owner->second];
+  operations_.erase(owner);
+  const LedgerRecord before = shard.view.record();
+  switch (shard.view.Finish(done)) {
+    case ShardView::Progress::kForeign:
+      return;
+    case ShardView::Progress::kAdopted:
+      kv_failing_since_.reset();
+      Adopted(shard, before);
+      break;
+    case ShardView::Progress::kLost:
+      kv_failing_since_.reset();
+      break;
+    case ShardView::Progress::kFailed:
+      kv_failing_since_ = kv_failing_since_.value_or(now_);
+      shard.retry_at = now_ + kRetryPause;
+      break;
+  }
+  shard.check = true;
+  for (const auto& id : shard.budgets) {
+    ServeWaiting(budgets_.at(id));
+  }
+  Pump(shard);
+}
+
+void BudgetHolder::State::Adopted(Shard& shard, const LedgerRecord& before) {
+  ForgetClosed(before, shard.view.record());
+  for (const auto& id : shard.budgets) {
+    SyncGrant(shard, budgets_.at(id));
+  }
+}
+
+void BudgetHolder::State::ForgetClosed(const LedgerRecord& before,
+                                       const LedgerRecord& after) {
+  for (const auto& [budget_id, budget] : before.budgets) {
+    const auto kept = after.budgets.find(budget_id);
+    for (const auto& [id, grant] : budget.grants) {
+      if (kept != after.budgets.end() && kept->second.grants.count(id) != 0) {
+        continue;
+      }
+      recovery_.Forget(id);
+      for (const auto& [agent, account] : grant.agents) {
+        commands_.emplace_back(SendForgetGrant{agent, id});
+      }
+    }
+  }
+}
+
+void BudgetHolder::State::SyncGrant(Shard& shard, LocalBudget& local) {
+  if (!local.grant) {
+    return;
+  }
+  const Budget* const budget = shard.view.budget(local.id);
+  const Grant* stored = nullptr;
+  if (budget != nullptr) {
+    const auto found = budget->grants.find(local.grant->id);
+    stored = found == budget->grants.end() ? nullptr : &found->second;
+  }
+  if (stored == nullptr) {
+    // Closed, or never drawn.
+    if (local.grant->stored || !shard.view.has_open_writes()) {
+      grant_budgets_.erase(local.grant->id);
+      local.grant.reset();
+    }
+    return;
+  }
+  if (stored->state == GrantState::kSealed) {
+    grant_budgets_.erase(local.grant->id);
+    local.grant.reset();
+    return;
+  }
+  local.grant->stored = true;
+  grant_budgets_[local.grant->id] = local.id;
+  DropFolded(*stored, *local.grant);
+}
+
+void BudgetHolder::State::DropFolded(const Grant& stored, HeldGrant& grant) {
+  for (auto it = grant.billed.begin(); it != grant.billed.end();) {
+    const bool folded = stored.agents.count(it->first) == 0;
+    it = folded ? grant.billed.erase(it) : std::next(it);
+  }
+  for (auto it = grant.unaccounted.begin(); it != grant.unaccounted.end();) {
+    if (stored.agents.count(it->first) != 0) {
+      ++it;
+      continue;
+    }
+    grant.reserved -= it->second;
+    it = grant.unaccounted.erase(it);
+  }
+}
+
+void BudgetHolder::State::Pump(Shard& shard) {
+  if (shard.view.busy_since() || now_ < shard.retry_at) {
+    return;
+  }
+  const bool readable = shard.view.known() && !shard.view.outdated();
+  if (readable && WriteIfDue(shard)) {
+    return;
+  }
+  if (ReadIsDue(shard)) {
+    const int64_t operation = next_operation_++;
+    operations_[operation] = static_cast<size_t>(&shard - shards_.data());
+    shard.scan_at = now_ + policy_.scan_period;
+    commands_.emplace_back(shard.view.StartRead(now_, operation));
+  }
+}
+
+bool BudgetHolder::State::WriteIfDue(Shard& shard) {
+  const base::Millis since = now_ - shard.last_write_at;
+  const bool lazy_due = since >= policy_.settle_period;
+  const bool due = shard.check || (shard.lazy && lazy_due);
+  if (!due || since < policy_.write_spacing) {
+    return false;
+  }
+  LedgerEdit edit(shard.view.record());
+  bool urgent = recovery_.Advance(edit);
+  const EditPlanner::Context context{now_, shard.view, usable_, recovery_,
+                                     draining_};
+  for (const auto& id : shard.budgets) {
+    urgent |= planner_.Plan(context, budgets_.at(id), edit);
+  }
+  // A write without changes settles whether an open write took effect.
+  urgent |= shard.view.has_open_writes();
+  shard.check = false;
+  shard.lazy = edit.changed();
+  if (!urgent && !(edit.changed() && lazy_due)) {
+    return false;
+  }
+  const int64_t operation = next_operation_++;
+  operations_[operation] = static_cast<size_t>(&shard - shards_.data());
+  edit.SetWrite(base::WriteId(self_.value() + "/" + std::to_string(operation)));
+  commands_.emplace_back(shard.view.StartWrite(now_, operation, edit.record()));
+  shard.last_write_at = now_;
+  return true;
+}
+
+bool BudgetHolder::State::ReadIsDue(const Shard& shard) const {
+  if (!shard.view.known() || shard.view.outdated()) {
+    return shard.view.outdated() || !shard.budgets.empty() ||
+           now_ >= shard.scan_at;
+  }
+  return now_ - shard.view.proven_at() >= PollPeriod(shard);
+}
+
+base::Millis BudgetHolder::State::PollPeriod(const Shard& shard) const {
+  base::Millis period = policy_.scan_period;
+  for (const auto& id : shard.budgets) {
+    const LocalBudget& local = budgets_.at(id);
+    if (!local.waiting.empty()) {
+      return policy_.wait_poll;
+    }
+    const Budget* const budget = shard.view.budget(id);
+    if (budget == nullptr || !local.grant) {
+      continue;
+    }
+    const bool near_end = budget->free() < budget->limit / kNearEndDivisor;
+    const bool can_give = near_end && Available(local) > 0;
+    period = std::min(period,
+                      can_give ? policy_.recall_poll : policy_.settle_period);
+  }
+  return period;
+}
+
+bool BudgetHolder::State::KvIsDown(const Shard& shard) const {
+  const auto busy_since = shard.view.busy_since();
+  if (busy_since && now_ - *busy_since >= policy_.max_wait) {
+    return true;
+  }
+  return kv_failing_since_ &&
+         now_ - *kv_failing_since_ >= policy_.outage_detection;
+}
+
+BudgetHolder::State::Shard& BudgetHolder::State::ShardOfBudget(
+    const LocalBudget& local) {
+  return shards_[static_cast<size_t>(local.shard)];
+}
+
+const BudgetHolder::State::Shard& BudgetHolder::State::ShardOfBudget(
+    const LocalBudget& local) const {
+  return shards_[static_cast<size_t>(local.shard)];
+}
+
+void BudgetHolder::State::ReportDrained() {
+  if (!draining_ || reported_drained_ || !reservations_.empty()) {
+    return;
+  }
+  for (const auto& [id, local] : budgets_) {
+    const bool has_grant = local.grant && local.grant->stored;
+    if (has_grant || ShardOfBudget(local).view.has_open_writes()) {
+      return;
+    }
+  }
+  reported_drained_ = true;
+  commands_.emplace_back(Drained{});
+}
+
+}  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/src/holder_state.h
@@ -0,0 +1,129 @@
+#ifndef LEDGER_HOLDER_STATE_H_
+#define LEDGER_HOLDER_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "edit_planner.h"
+#include "grant_recovery.h"
+#include "ledger/budget_holder.h"
+#include "local_budget.h"
+#include "shard_view.h"
+
+namespace godwit::ledger {
+
+// The state machine behind BudgetHolder.
+struct BudgetHolder::State {
+ public:
+  State(base::Incarnation self, HolderPolicy policy);
+
+  std::vector<HolderCommand> Step(base::Millis now, const HolderEvent& event);
+
+  bool MaySpendAt(const base::GrantId& grant,
+                  const base::Incarnation& agent) const;
+  size_t open_reservations() const noexcept { return reservations_.size(); }
+  base::Tokens available(const base::BudgetId& budget) const;
+
+ private:
+  // One key of the ledger with the times that steer its reads and writes.
+  struct Shard {
+    explicit Shard(std::string key) : view(std::move(key)) {}
+
+    ShardView view;
+    // Something changed that a write should carry soon.
+    bool check = false;
+    // Something changed that a write may carry after the settle period.
+    bool lazy = false;
+    base::Millis last_write_at;
+    base::Millis retry_at;
+    base::Millis scan_at;
+    std::set<base::BudgetId> budgets;
+  };
+
+  struct Reservation {
+    base::BudgetId budget;
+    base::GrantId grant;
+    base::Tokens amount = 0;
+    std::optional<base::Incarnation> agent;
+  };
+
+  // Events.
+  void On(const ReserveRequested& event);
+  void On(const RunStarted& event);
+  void On(const RunSettled& event);
+  void On(const RunReleased& event);
+  void On(const AgentsChanged& event);
+  void On(const AgentGone& event);
+  void On(const AgentUsageReported& event);
+  void On(const LiveHolders& event);
+  void On(const DrainRequested& event);
+  void On(const Tick& event);
+  void On(const platform::KvReadDone& event);
+  void On(const platform::KvWriteDone& event);
+
+  // Reservations.
+  LocalBudget& BudgetOf(const base::BudgetId& id);
+  // The budget's grant if it is still the one named.
+  HeldGrant* GrantOf(const base::BudgetId& budget, const base::GrantId& grant);
+  base::Tokens Available(const LocalBudget& local) const;
+  bool TryReserve(LocalBudget& local, const ReserveRequested& request);
+  bool HasUsableAgent(const LocalBudget& local,
+                      const ReserveRequested& request) const;
+  void ServeWaiting(LocalBudget& local);
+  // Why a waiting request gets nothing; empty while it may yet.
+  std::optional<ReserveRefused> Verdict(const LocalBudget& local,
+                                        const LocalBudget::Waiting& waiting);
+  ReserveRefused TimedOut(const LocalBudget& local,
+                          const LocalBudget::Waiting& waiting) const;
+  std::optional<ReserveRefused> Exhausted(
+      const LocalBudget& local,
+      const Budget& budget,
+      const LocalBudget::Waiting& waiting) const;
+
+  // Reads and writes.
+  template <typename Done>
+  void OnDone(const Done& done);
+  Shard& ShardOfBudget(const LocalBudget& local);
+  const Shard& ShardOfBudget(const LocalBudget& local) const;
+  void Adopted(Shard& shard, const LedgerRecord& before);
+  void ForgetClosed(const LedgerRecord& before, const LedgerRecord& after);
+  void SyncGrant(Shard& shard, LocalBudget& local);
+  void DropFolded(const Grant& stored, HeldGrant& grant);
+  void Pump(Shard& shard);
+  bool WriteIfDue(Shard& shard);
+  bool ReadIsDue(const Shard& shard) const;
+  base::Millis PollPeriod(const Shard& shard) const;
+  void GiveUpOverdue();
+  bool KvIsDown(const Shard& shard) const;
+  void ReportDrained();
+
+  base::Incarnation self_;
+  HolderPolicy policy_;
+  EditPlanner planner_;
+  GrantRecovery recovery_;
+  std::vector<Shard> shards_;
+  std::map<base::BudgetId, LocalBudget> budgets_;
+  std::unordered_map<base::AttemptId, Reservation> reservations_;
+  std::set<base::Incarnation> usable_;
+  std::map<base::GrantId, base::BudgetId> grant_budgets_;
+  // Shard of each operation in flight.
+  std::map<int64_t, size_t> operations_;
+  bool draining_ = false;
+  bool reported_drained_ = false;
+  std::optional<base::Millis> kv_failing_since_;
+  int64_t next_operation_ = 1;
+  // Of the step in progress.
+  base::Millis now_;
+  std::vector<HolderCommand> commands_;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_HOLDER_STATE_H_
