Serve and call HTTP/1.1 over Beast behind the http interfaces

Every program needs HTTP towards callers, backend servers or the platform. Beast stays in three sources; sessions and calls run on the I/O thread and reach the core thread by posted events only.

A table of nine bad inputs over raw sockets gets typed errors and none reaches the handler. Beast 1.74 refuses bodies with a length when the body limit is unset, so the client sets the largest limit instead.

--- a/libs/http/include/http/client_pool.h
+++ b/libs/http/include/http/client_pool.h
@@ -13,6 +13,8 @@
 
 namespace godwit::http {
 
+class ConnectionPool;
+
 // Keeps HTTP/1.1 connections to one server. A connection idle for longer than
 // the idle limit is not used again, since a peer may have lost track of it.
 class ClientPool {
@@ -28,8 +30,7 @@
 
  private:
   friend class ClientCall;
-  struct State;
-  std::shared_ptr<State> state_;
+  std::shared_ptr<ConnectionPool> connections_;
 };
 
 }  // namespace godwit::http
--- /dev/null
+++ b/libs/http/include/http/target.h
@@ -0,0 +1,32 @@
+#ifndef HTTP_TARGET_H_
+#define HTTP_TARGET_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace godwit::http {
+
+// A request target split into its decoded parts.
+struct Target {
+  // Decoded path, without the query.
+  std::string path;
+  // Decoded query parameters; a repeated name keeps its first value.
+  std::map<std::string, std::string, std::less<>> query;
+
+  // Empty when an escape sequence is malformed.
+  static std::optional<Target> Parse(std::string_view text);
+
+  friend bool operator==(const Target& a, const Target& b) {
+    return a.path == b.path && a.query == b.query;
+  }
+  friend bool operator!=(const Target& a, const Target& b) { return !(a == b); }
+};
+
+// Percent-encodes what may not stand in a path or a query value; '/' stays.
+std::string PercentEncode(std::string_view text);
+
+}  // namespace godwit::http
+
+#endif  // HTTP_TARGET_H_
--- /dev/null
+++ b/libs/http/src/call_operation.cc
@@ -0,0 +1,299 @@
+#include "call_operation.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <limits>
+#include <string>
+#include <utility>
+
+#include "call_events.h"
+#include "connection_pool.h"
+#include "http/request.h"
+#include "messages.h"
+#include "runtime/runtime.h"
+#include "watchdog.h"
+
+namespace godwit::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 16 * 1024;
+constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+
+base::Error ConnectionError(const std::string& server, error_code ec) {
+  return {base::ErrorKind::kUnavailable,
+          "the connection to " + server + " failed: " + ec.message(),
+          "check that the server runs and can be reached"};
+}
+
+base::Error TimeoutError(const std::string& server, const std::string& what) {
+  return {base::ErrorKind::kDeadlineExceeded,
+          server + " did not answer: " + what + " is over",
+          "check that the server runs, or allow more time"};
+}
+
+base::Error CancelledError() {
+  return {base::ErrorKind::kCancelled, "the call was cancelled",
+          "repeat it if it is still needed"};
+}
+
+class SocketOperation : public CallOperation,
+                        public std::enable_shared_from_this<SocketOperation> {
+ public:
+  SocketOperation(std::shared_ptr<ConnectionPool> connections,
+                  std::shared_ptr<CallEvents> events,
+                  const Request& request,
+                  Timeouts timeouts)
+      : connections_(std::move(connections)),
+        events_(std::move(events)),
+        timeouts_(timeouts),
+        text_(SerializeRequest(request, connections_->HostField())),
+        socket_(connections_->runtime().io()),
+        idle_(connections_->runtime().io()),
+        total_(connections_->runtime().io()) {
+    parser_.header_limit(kMaxHeaderBytes);
+    parser_.body_limit(std::numeric_limits<uint64_t>::max());
+    parser_.skip(request.method == "HEAD");
+  }
+
+  void Start() override {
+    OnIo([](SocketOperation& self) { self.Begin(); });
+  }
+
+  void Resume() override {
+    OnIo([](SocketOperation& self) { self.ReadBody(); });
+  }
+
+  void Cancel() override {
+    OnIo([](SocketOperation& self) { self.Stop(CancelledError()); });
+  }
+
+ private:
+  template <typename Function>
+  void OnIo(Function function) {
+    asio::post(connections_->runtime().io(),
+               [self = shared_from_this(), function] {
+                 if (!self->ended_) {
+                   function(*self);
+                 }
+               });
+  }
+
+  template <typename Method>
+  auto Bound(Method method) {
+    return [self = shared_from_this(), method](error_code ec, auto... args) {
+      ((*self).*method)(ec, args...);
+    };
+  }
+
+  void Begin() {
+    if (timeouts_.total) {
+      total_.Start(*timeouts_.total, [this] {
+        Stop(TimeoutError(connections_->HostField(), "the total timeout"));
+      });
+    }
+    idle_.Start(timeouts_.idle, [this] {
+      Stop(TimeoutError(connections_->HostField(), "the idle timeout"));
+    });
+    if (auto idle = connections_->TakeIdle()) {
+      reused_ = true;
+      socket_ = std::move(*idle);
+      Write();
+      return;
+    }
+    Connect();
+  }
+
+  void Connect() {
+    error_code ec;
+    const auto address = asio::ip::make_address(connections_->ip(), ec);
+    if (ec) {
+      End(ConnectionError(connections_->HostField(), ec));
+      return;
+    }
+    pending_ = true;
+    socket_.async_connect(tcp::endpoint(address, connections_->port()),
+                          Bound(&SocketOperation::OnConnected));
+  }
+
+  void OnConnected(error_code ec) {
+    if (Settle(ec)) {
+      return;
+    }
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    Write();
+  }
+
+  void Write() {
+    pending_ = true;
+    socket_.async_write_some(asio::buffer(text_) + written_,
+                             Bound(&SocketOperation::OnWritten));
+  }
+
+  void OnWritten(error_code ec, size_t bytes) {
+    written_ += bytes;
+    if (ec && !stopped_ && reused_ && written_ == 0) {
+      ConnectAnew();
+      return;
+    }
+    if (Settle(ec)) {
+      return;
+    }
+    if (written_ < text_.size()) {
+      Write();
+      return;
+    }
+    ReadHead();
+  }
+
+  // A pooled connection was closed by the server before it took a byte.
+  void ConnectAnew() {
+    reused_ = false;
+    error_code ec;
+    socket_.close(ec);
+    Connect();
+  }
+
+  void ReadHead() {
+    pending_ = true;
+    beast::http::async_read_header(socket_, buffer_, parser_,
+                                   Bound(&SocketOperation::OnHead));
+  }
+
+  void OnHead(error_code ec, size_t /*bytes*/) {
+    if (Settle(ec)) {
+      return;
+    }
+    Response response;
+    response.status = static_cast<int>(parser_.get().result_int());
+    response.headers = ToHeaders(parser_.get().base());
+    events_->Push(CallHead{std::move(response)});
+    ReadBody();
+  }
+
+  void ReadBody() {
+    if (parser_.is_done()) {
+      Finish();
+      return;
+    }
+    idle_.Start(timeouts_.idle, [this] {
+      Stop(TimeoutError(connections_->HostField(), "the idle timeout"));
+    });
+    pending_ = true;
+    parser_.get().body().data = piece_.data();
+    parser_.get().body().size = piece_.size();
+    beast::http::async_read_some(socket_, buffer_, parser_,
+                                 Bound(&SocketOperation::OnBody));
+  }
+
+  void OnBody(error_code ec, size_t /*bytes*/) {
+    if (ec == beast::http::error::need_buffer) {
+      ec = {};
+    }
+    if (Settle(ec)) {
+      return;
+    }
+    const size_t bytes = piece_.size() - parser_.get().body().size;
+    bool wait = false;
+    if (bytes > 0) {
+      wait = events_->Push(CallBody{std::string(piece_.data(), bytes)});
+    }
+    if (wait && !parser_.is_done()) {
+      idle_.Stop();
+      return;
+    }
+    ReadBody();
+  }
+
+  void Finish() {
+    const bool reusable = parser_.keep_alive() && buffer_.size() == 0;
+    if (reusable) {
+      connections_->Keep(std::move(socket_));
+    }
+    ended_ = true;
+    idle_.Stop();
+    total_.Stop();
+    events_->Push(CallDone{});
+  }
+
+  // True when the operation that just completed ends the call.
+  bool Settle(error_code ec) {
+    pending_ = false;
+    if (stopped_) {
+      End(*stopped_);
+      return true;
+    }
+    if (ec) {
+      End(ConnectionError(connections_->HostField(), ec));
+      return true;
+    }
+    idle_.Touch();
+    return false;
+  }
+
+  // Ends the call with `error`, once the operation in flight has told how many
+  // bytes went out.
+  void Stop(const base::Error& error) {
+    stopped_ = error;
+    error_code ec;
+    socket_.close(ec);
+    if (!pending_) {
+      End(error);
+    }
+  }
+
+  void End(const base::Error& error) {
+    if (ended_) {
+      return;
+    }
+    ended_ = true;
+    idle_.Stop();
+    total_.Stop();
+    error_code ec;
+    socket_.close(ec);
+    events_->Push(CallFailed{error, written_ > 0});
+  }
+
+  std::shared_ptr<ConnectionPool> connections_;
+  std::shared_ptr<CallEvents> events_;
+  const Timeouts timeouts_;
+  const std::string text_;
+  size_t written_ = 0;
+  tcp::socket socket_;
+  // Whether the connection comes from the pool.
+  bool reused_ = false;
+  // Whether an operation on the socket is in flight.
+  bool pending_ = false;
+  std::optional<base::Error> stopped_;
+  bool ended_ = false;
+  Watchdog idle_;
+  Watchdog total_;
+  beast::flat_buffer buffer_;
+  beast::http::response_parser<beast::http::buffer_body> parser_;
+  std::array<char, kReadBytes> piece_{};
+};
+
+}  // namespace
+
+std::shared_ptr<CallOperation> CallOperation::Make(
+    std::shared_ptr<ConnectionPool> connections,
+    std::shared_ptr<CallEvents> events,
+    const Request& request,
+    Timeouts timeouts) {
+  return std::make_shared<SocketOperation>(
+      std::move(connections), std::move(events), request, timeouts);
+}
+
+}  // namespace godwit::http
--- /dev/null
+++ b/libs/http/src/call_operation.h
@@ -0,0 +1,40 @@
+#ifndef HTTP_SRC_CALL_OPERATION_H_
+#define HTTP_SRC_CALL_OPERATION_H_
+
+#include <memory>
+#include <optional>
+
+#include "base/millis.h"
+
+namespace godwit::http {
+
+class CallEvents;
+class ConnectionPool;
+struct Request;
+
+// Connection side of one call. Any thread; does not block.
+class CallOperation {
+ public:
+  struct Timeouts {
+    base::Millis idle = base::Seconds(10);
+    std::optional<base::Millis> total;
+  };
+
+  virtual ~CallOperation() = default;
+  // Sends the request and pushes what comes back.
+  virtual void Start() = 0;
+  // Reads on after CallEvents::Push asked to wait.
+  virtual void Resume() = 0;
+  // Ends the call with ErrorKind::kCancelled.
+  virtual void Cancel() = 0;
+
+  static std::shared_ptr<CallOperation> Make(
+      std::shared_ptr<ConnectionPool> connections,
+      std::shared_ptr<CallEvents> events,
+      const Request& request,
+      Timeouts timeouts);
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SRC_CALL_OPERATION_H_
--- /dev/null
+++ b/libs/http/src/connection_pool.h
@@ -0,0 +1,55 @@
+#ifndef HTTP_SRC_CONNECTION_POOL_H_
+#define HTTP_SRC_CONNECTION_POOL_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+#include "base/millis.h"
+
+namespace godwit::runtime {
+class Runtime;
+}
+
+namespace godwit::http {
+
+// Connections to one server on which nothing is in flight. I/O thread, but for
+// construction and what is constant.
+class ConnectionPool {
+ public:
+  ConnectionPool(runtime::Runtime& runtime, std::string ip, uint16_t port);
+
+  // The connection used last that is still open and within the idle limit.
+  std::optional<boost::asio::ip::tcp::socket> TakeIdle();
+  // Keeps a connection on which nothing is in flight.
+  void Keep(boost::asio::ip::tcp::socket socket);
+  void IdleLimit(base::Millis span) noexcept { idle_limit_ = span; }
+  void Clear() { idle_.clear(); }
+
+  runtime::Runtime& runtime() const noexcept { return runtime_; }
+  const std::string& ip() const noexcept { return ip_; }
+  uint16_t port() const noexcept { return port_; }
+  // Value of the Host field.
+  std::string HostField() const;
+
+ private:
+  struct IdleConnection {
+    boost::asio::ip::tcp::socket socket;
+    std::chrono::steady_clock::time_point since;
+  };
+
+  void DropExpired();
+
+  runtime::Runtime& runtime_;
+  const std::string ip_;
+  const uint16_t port_;
+  base::Millis idle_limit_ = base::Seconds(5);
+  std::deque<IdleConnection> idle_;
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SRC_CONNECTION_POOL_H_
--- /dev/null
+++ b/libs/http/src/exchange_state.h
@@ -0,0 +1,38 @@
+#ifndef HTTP_SRC_EXCHANGE_STATE_H_
+#define HTTP_SRC_EXCHANGE_STATE_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "http/exchange.h"
+#include "http/request.h"
+#include "wire.h"
+
+namespace godwit::http {
+
+// Core side of one request. Core thread, but for construction.
+struct Exchange::State {
+  State(Request received, std::shared_ptr<Wire> connection);
+
+  // The connection took `bytes` of the streamed answer.
+  void Drained(size_t bytes);
+  // The connection closed before the answer was taken whole.
+  void CallerGone();
+  // The connection took the whole answer.
+  void Finished();
+
+  Request request;
+  std::shared_ptr<Wire> wire;
+  size_t queued_bytes = 0;
+  std::function<void(size_t)> drained;
+  std::function<void()> gone;
+  bool streaming = false;
+  bool ended = false;
+  bool caller_gone = false;
+  bool finished = false;
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SRC_EXCHANGE_STATE_H_
--- /dev/null
+++ b/libs/http/src/messages.h
@@ -0,0 +1,36 @@
+#ifndef HTTP_SRC_MESSAGES_H_
+#define HTTP_SRC_MESSAGES_H_
+
+#include <boost/beast/http/fields.hpp>
+#include <string>
+#include <string_view>
+
+#include "http/headers.h"
+#include "http/request.h"
+#include "http/response.h"
+
+namespace godwit::http {
+
+// Conversions between our values and HTTP/1.1 text.
+
+// Which parts of an answer its request allows.
+struct AnswerForm {
+  // The answer to HEAD carries no body.
+  bool without_body = false;
+  bool keep_alive = true;
+};
+
+std::string SerializeRequest(const Request& request, const std::string& host);
+std::string SerializeResponse(const Response& response, AnswerForm form);
+std::string SerializeStreamHead(int status,
+                                const Headers& headers,
+                                AnswerForm form);
+// A chunk of a chunked body; `bytes` is not empty.
+std::string SerializeChunk(std::string_view bytes);
+std::string SerializeLastChunk();
+
+Headers ToHeaders(const boost::beast::http::fields& fields);
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SRC_MESSAGES_H_
--- /dev/null
+++ b/libs/http/src/session.cc
@@ -0,0 +1,527 @@
+#include "session.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <type_traits>
+#include <utility>
+
+#include "exchange_state.h"
+#include "http/error_response.h"
+#include "messages.h"
+#include "runtime/runtime.h"
+#include "session_context.h"
+#include "tls_context.h"
+#include "watchdog.h"
+
+namespace godwit::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+using PlainStream = tcp::socket;
+using TlsStream = asio::ssl::stream<tcp::socket>;
+
+// Time for which a connection may stay open between requests.
+constexpr base::Millis kKeepAlive = base::Seconds(60);
+// Time for which a closing connection waits for its caller to close, so that
+// unread bytes don't reset the connection and destroy the last answer.
+constexpr base::Millis kLinger = base::Seconds(2);
+constexpr size_t kReadBytes = 4096;
+// Largest chunk of a streamed answer.
+constexpr size_t kMaxChunkBytes = 64 * 1024;
+constexpr unsigned kHttp11 = 11;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+struct Refusal {
+  int status;
+  base::Error error;
+};
+
+Refusal RefusalFor(error_code ec) {
+  using base::ErrorKind;
+  if (ec == beast::http::error::header_limit) {
+    return {431,
+            {ErrorKind::kTooLarge, "the request header is too large",
+             "send fewer or shorter header fields"}};
+  }
+  if (ec == beast::http::error::body_limit) {
+    return {413,
+            {ErrorKind::kTooLarge, "the request body is too large",
+             "send a shorter body"}};
+  }
+  return {400,
+          {ErrorKind::kMalformed, "this is not HTTP/1.1: " + ec.message(),
+           "send a well-formed HTTP/1.1 request"}};
+}
+
+Refusal TimeoutRefusal() {
+  return {408,
+          {base::ErrorKind::kDeadlineExceeded,
+           "the request did not arrive whole in time",
+           "send the request again without pauses"}};
+}
+
+Refusal VersionRefusal() {
+  return {505,
+          {base::ErrorKind::kMalformed, "only HTTP/1.1 is served",
+           "send the request as HTTP/1.1"}};
+}
+
+bool IsParseError(error_code ec) {
+  return ec.category() ==
+             beast::http::make_error_code(beast::http::error::bad_method)
+                 .category() &&
+         ec != beast::http::error::end_of_stream;
+}
+
+// Reads one request at a time and sends its answer. While an answer is made,
+// a pending read notices that the caller goes away.
+template <typename Stream>
+class StreamSession
+    : public Session,
+      public std::enable_shared_from_this<StreamSession<Stream>> {
+ public:
+  template <typename... StreamArgs>
+  StreamSession(std::shared_ptr<SessionContext> context,
+                std::shared_ptr<TlsContext> tls,
+                StreamArgs&&... stream_args)
+      : context_(std::move(context)),
+        tls_(std::move(tls)),
+        stream_(std::forward<StreamArgs>(stream_args)...),
+        watchdog_(context_->runtime.io()) {}
+
+  void Start() override {
+    context_->sessions.insert(this);
+    if constexpr (kTls) {
+      Guard(context_->read_timeout);
+      stream_.async_handshake(asio::ssl::stream_base::server,
+                              Bound(&StreamSession::OnHandshake));
+    } else {
+      NextRequest();
+    }
+  }
+
+  void CloseIfIdle() override {
+    if (phase_ == Phase::kIdle) {
+      Close();
+    }
+  }
+
+  void Close() override {
+    if (phase_ == Phase::kClosed) {
+      return;
+    }
+    phase_ = Phase::kClosed;
+    watchdog_.Stop();
+    context_->sessions.erase(this);
+    error_code ec;
+    Socket().close(ec);
+    if (auto exchange = std::exchange(exchange_, nullptr)) {
+      context_->runtime.Post([exchange] { exchange->CallerGone(); });
+    }
+  }
+
+  void Respond(Response response) override {
+    OnIo([response = std::move(response)](StreamSession& self) {
+      self.head_ = SerializeResponse(response, self.Form());
+      self.ending_ = true;
+      self.Pump();
+    });
+  }
+
+  void BeginStream(int status, Headers headers) override {
+    OnIo([status, headers = std::move(headers)](StreamSession& self) {
+      self.head_ = SerializeStreamHead(status, headers, self.Form());
+      self.chunked_ = true;
+      self.Pump();
+    });
+  }
+
+  void Write(std::string bytes) override {
+    OnIo([bytes = std::move(bytes)](StreamSession& self) {
+      self.queue_ += bytes;
+      self.Pump();
+    });
+  }
+
+  void EndStream() override {
+    OnIo([](StreamSession& self) {
+      self.ending_ = true;
+      self.Pump();
+    });
+  }
+
+  void Abort() override {
+    OnIo([](StreamSession& self) { self.Close(); });
+  }
+
+ private:
+  static constexpr bool kTls = std::is_same_v<Stream, TlsStream>;
+
+  enum class Phase : uint8_t {
+    kIdle,
+    kReading,
+    kAnswering,
+    kLingering,
+    kClosed,
+  };
+
+  using Parser = beast::http::request_parser<beast::http::string_body>;
+
+  template <typename Function>
+  void OnIo(Function function) {
+    asio::post(context_->runtime.io(), [self = this->shared_from_this(),
+                                        function = std::move(function)] {
+      if (self->phase_ == Phase::kAnswering) {
+        function(*self);
+      }
+    });
+  }
+
+  template <typename Method>
+  auto Bound(Method method) {
+    return
+        [self = this->shared_from_this(), method](error_code ec, auto... args) {
+          if (self->phase_ != Phase::kClosed) {
+            ((*self).*method)(ec, args...);
+          }
+        };
+  }
+
+  tcp::socket& Socket() noexcept {
+    if constexpr (kTls) {
+      return stream_.next_layer();
+    } else {
+      return stream_;
+    }
+  }
+
+  // Closes the connection unless the watchdog is touched within `span`.
+  void Guard(base::Millis span) {
+    watchdog_.Start(span, [this] { Close(); });
+  }
+
+  void OnHandshake(error_code ec) {
+    if (ec) {
+      Close();
+      return;
+    }
+    NextRequest();
+  }
+
+  void NextRequest() {
+    phase_ = Phase::kIdle;
+    if (context_->stopping && buffer_.size() == 0) {
+      Linger();
+      return;
+    }
+    if (buffer_.size() > 0) {
+      ReadHeader();
+      return;
+    }
+    Guard(kKeepAlive);
+    Watch();
+  }
+
+  // Reads ahead, at most one piece.
+  void Watch() {
+    if (watching_ || buffer_.size() > 0) {
+      return;
+    }
+    watching_ = true;
+    stream_.async_read_some(buffer_.prepare(kReadBytes),
+                            Bound(&StreamSession::OnWatched));
+  }
+
+  void OnWatched(error_code ec, size_t bytes) {
+    watching_ = false;
+    if (ec) {
+      Close();
+      return;
+    }
+    buffer_.commit(bytes);
+    if (phase_ == Phase::kIdle) {
+      ReadHeader();
+    } else if (phase_ == Phase::kLingering) {
+      Discard();
+    }
+  }
+
+  void ReadHeader() {
+    phase_ = Phase::kReading;
+    timed_out_ = false;
+    parser_.emplace();
+    parser_->header_limit(static_cast<uint32_t>(context_->max_header_bytes));
+    parser_->body_limit(context_->max_body_bytes);
+    watchdog_.Start(context_->read_timeout, [this] {
+      timed_out_ = true;
+      error_code ec;
+      Socket().cancel(ec);
+    });
+    beast::http::async_read_header(stream_, buffer_, *parser_,
+                                   Bound(&StreamSession::OnHeader));
+  }
+
+  void OnHeader(error_code ec, size_t /*bytes*/) {
+    if (ec) {
+      OnReadFailed(ec);
+      return;
+    }
+    if (parser_->get().version() != kHttp11) {
+      Refuse(VersionRefusal());
+      return;
+    }
+    const auto expect = parser_->get()[beast::http::field::expect];
+    if (beast::iequals(expect, "100-continue") && !parser_->is_done()) {
+      asio::async_write(stream_,
+                        asio::buffer(kContinue.data(), kContinue.size()),
+                        Bound(&StreamSession::OnContinueSent));
+      return;
+    }
+    ReadBody();
+  }
+
+  void OnContinueSent(error_code ec, size_t /*bytes*/) {
+    if (ec) {
+      OnReadFailed(ec);
+      return;
+    }
+    ReadBody();
+  }
+
+  void ReadBody() {
+    beast::http::async_read(stream_, buffer_, *parser_,
+                            Bound(&StreamSession::OnRequest));
+  }
+
+  void OnRequest(error_code ec, size_t /*bytes*/) {
+    if (ec) {
+      OnReadFailed(ec);
+      return;
+    }
+    watchdog_.Stop();
+    BeginAnswer();
+    Request request;
+    request.method = std::string(parser_->get().method_string());
+    request.target = std::string(parser_->get().target());
+    request.headers = ToHeaders(parser_->get().base());
+    request.body = std::move(parser_->get().body());
+    exchange_ = std::make_shared<Exchange::State>(std::move(request),
+                                                  this->shared_from_this());
+    context_->runtime.Post([context = context_, state = exchange_] {
+      auto exchange = std::make_shared<Exchange>(state);
+      if (context->handler) {
+        context->handler(std::move(exchange));
+      }
+    });
+    Watch();
+  }
+
+  void OnReadFailed(error_code ec) {
+    if (timed_out_) {
+      Refuse(TimeoutRefusal());
+    } else if (IsParseError(ec)) {
+      Refuse(RefusalFor(ec));
+    } else {
+      Close();
+    }
+  }
+
+  void BeginAnswer() {
+    phase_ = Phase::kAnswering;
+    keep_alive_ = parser_->get().keep_alive();
+    without_body_ = parser_->get().method() == beast::http::verb::head;
+    chunked_ = false;
+    ending_ = false;
+    last_chunk_sent_ = false;
+  }
+
+  void Refuse(const Refusal& refusal) {
+    BeginAnswer();
+    keep_alive_ = false;
+    head_ = SerializeResponse(
+        ErrorResponse(refusal.status, refusal.error, true), Form());
+    ending_ = true;
+    Pump();
+  }
+
+  AnswerForm Form() {
+    keep_alive_ = keep_alive_ && !context_->stopping;
+    return {without_body_, keep_alive_};
+  }
+
+  // Sends what is queued, one piece at a time.
+  void Pump() {
+    if (writing_) {
+      return;
+    }
+    FillOutput();
+    if (!output_.empty()) {
+      WriteSome();
+    } else if (ending_) {
+      FinishAnswer();
+    }
+  }
+
+  void FillOutput() {
+    output_ = std::exchange(head_, {});
+    output_offset_ = 0;
+    output_body_bytes_ = 0;
+    if (!chunked_) {
+      return;
+    }
+    output_body_bytes_ =
+        std::min(queue_.size() - queue_offset_, kMaxChunkBytes);
+    if (output_body_bytes_ > 0) {
+      TakeChunk(output_body_bytes_);
+    }
+    if (ending_ && queue_.empty() && !last_chunk_sent_) {
+      last_chunk_sent_ = true;
+      output_ += without_body_ ? "" : SerializeLastChunk();
+    }
+  }
+
+  // Moves the first bytes of the queue into the output.
+  void TakeChunk(size_t bytes) {
+    if (!without_body_) {
+      output_ +=
+          SerializeChunk(std::string_view(queue_).substr(queue_offset_, bytes));
+    }
+    queue_offset_ += bytes;
+    if (queue_offset_ == queue_.size()) {
+      queue_.clear();
+      queue_offset_ = 0;
+    }
+  }
+
+  void WriteSome() {
+    writing_ = true;
+    Guard(context_->write_timeout);
+    stream_.async_write_some(asio::buffer(output_) + output_offset_,
+                             Bound(&StreamSession::OnWrote));
+  }
+
+  void OnWrote(error_code ec, size_t bytes) {
+    if (ec) {
+      Close();
+      return;
+    }
+    output_offset_ += bytes;
+    if (output_offset_ < output_.size()) {
+      WriteSome();
+      return;
+    }
+    writing_ = false;
+    watchdog_.Stop();
+    ReportDrained();
+    Pump();
+  }
+
+  void ReportDrained() {
+    if (output_body_bytes_ == 0) {
+      return;
+    }
+    context_->runtime.Post([exchange = exchange_, bytes = output_body_bytes_] {
+      exchange->Drained(bytes);
+    });
+  }
+
+  void FinishAnswer() {
+    if (auto exchange = std::exchange(exchange_, nullptr)) {
+      context_->runtime.Post([exchange] { exchange->Finished(); });
+    }
+    if (!keep_alive_) {
+      Linger();
+      return;
+    }
+    NextRequest();
+  }
+
+  void Linger() {
+    phase_ = Phase::kLingering;
+    Guard(kLinger);
+    if constexpr (kTls) {
+      stream_.async_shutdown(Bound(&StreamSession::OnTlsShutdown));
+    } else {
+      OnTlsShutdown({});
+    }
+  }
+
+  void OnTlsShutdown(error_code /*ec*/) {
+    error_code ec;
+    Socket().shutdown(tcp::socket::shutdown_send, ec);
+    if (!watching_) {
+      Discard();
+    }
+  }
+
+  void Discard() {
+    Socket().async_read_some(asio::buffer(discarded_),
+                             Bound(&StreamSession::OnDiscarded));
+  }
+
+  void OnDiscarded(error_code ec, size_t /*bytes*/) {
+    if (ec) {
+      Close();
+      return;
+    }
+    Discard();
+  }
+
+  std::shared_ptr<SessionContext> context_;
+  std::shared_ptr<TlsContext> tls_;
+  Stream stream_;
+  Watchdog watchdog_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::shared_ptr<Exchange::State> exchange_;
+  Phase phase_ = Phase::kReading;
+  bool watching_ = false;
+  bool timed_out_ = false;
+  // Properties of the answer being sent.
+  bool keep_alive_ = true;
+  bool without_body_ = false;
+  bool chunked_ = false;
+  bool ending_ = false;
+  bool last_chunk_sent_ = false;
+  // Serialised head or whole answer, not yet in the output.
+  std::string head_;
+  // Body bytes of a stream, not yet in the output.
+  std::string queue_;
+  size_t queue_offset_ = 0;
+  // What is being written.
+  bool writing_ = false;
+  std::string output_;
+  size_t output_offset_ = 0;
+  size_t output_body_bytes_ = 0;
+  std::array<char, kReadBytes> discarded_{};
+};
+
+}  // namespace
+
+std::shared_ptr<Session> Session::Make(tcp::socket socket,
+                                       std::shared_ptr<SessionContext> context,
+                                       std::shared_ptr<TlsContext> tls) {
+  if (!tls) {
+    return std::make_shared<StreamSession<PlainStream>>(
+        std::move(context), nullptr, std::move(socket));
+  }
+  asio::ssl::context& tls_context = tls->context();
+  return std::make_shared<StreamSession<TlsStream>>(
+      std::move(context), std::move(tls), std::move(socket), tls_context);
+}
+
+}  // namespace godwit::http
--- /dev/null
+++ b/libs/http/src/session.h
@@ -0,0 +1,30 @@
+#ifndef HTTP_SRC_SESSION_H_
+#define HTTP_SRC_SESSION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+
+#include "wire.h"
+
+namespace godwit::http {
+
+class TlsContext;
+struct SessionContext;
+
+// One accepted connection. I/O thread, but for the calls of Wire.
+class Session : public Wire {
+ public:
+  virtual void Start() = 0;
+  // Closes the connection if no request is being read or answered.
+  virtual void CloseIfIdle() = 0;
+  virtual void Close() = 0;
+
+  // Serves TLS if `tls` is set.
+  static std::shared_ptr<Session> Make(boost::asio::ip::tcp::socket socket,
+                                       std::shared_ptr<SessionContext> context,
+                                       std::shared_ptr<TlsContext> tls);
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SRC_SESSION_H_
--- /dev/null
+++ b/libs/http/src/session_context.h
@@ -0,0 +1,34 @@
+#ifndef HTTP_SRC_SESSION_CONTEXT_H_
+#define HTTP_SRC_SESSION_CONTEXT_H_
+
+#include <cstddef>
+#include <memory>
+#include <set>
+
+#include "base/millis.h"
+#include "http/server.h"
+
+namespace godwit::http {
+
+class Session;
+
+// What the connections of one server share.
+struct SessionContext {
+  explicit SessionContext(runtime::Runtime& owner) : runtime(owner) {}
+
+  runtime::Runtime& runtime;
+  size_t max_body_bytes = 0;
+  size_t max_header_bytes = 0;
+  base::Millis read_timeout;
+  base::Millis write_timeout;
+  // Core thread; empty once the server is gone.
+  Server::Handler handler;
+  // I/O thread: no new connections, and open ones close when idle.
+  bool stopping = false;
+  // I/O thread: the open connections.
+  std::set<Session*> sessions;
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SRC_SESSION_CONTEXT_H_
--- /dev/null
+++ b/libs/http/src/wire.h
@@ -0,0 +1,25 @@
+#ifndef HTTP_SRC_WIRE_H_
+#define HTTP_SRC_WIRE_H_
+
+#include <string>
+
+#include "http/headers.h"
+#include "http/response.h"
+
+namespace godwit::http {
+
+// Connection side of an exchange. Any thread; calls keep their order and do
+// not block.
+class Wire {
+ public:
+  virtual ~Wire() = default;
+  virtual void Respond(Response response) = 0;
+  virtual void BeginStream(int status, Headers headers) = 0;
+  virtual void Write(std::string bytes) = 0;
+  virtual void EndStream() = 0;
+  virtual void Abort() = 0;
+};
+
+}  // namespace godwit::http
+
+#endif  // HTTP_SRC_WIRE_H_
