--- /dev/null
+++ b/libs/ledger/tests/ledger_world.cc
@@ -0,0 +1,496 @@
+#include "ledger_world.h"
+
+#include <algorithm>
+
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_edit.h"
+#include "ledger/shard.h"
+
+namespace godwit::ledger {
+namespace {
+
+using base::Millis;
+using base::Tokens;
+
+const base::BudgetId kBudget("budget");
+const base::OrganisationId kOrganisation("organisation");
+constexpr Millis kStep(10);
+constexpr Millis kTick(50);
+constexpr Millis kLeaseTtl(3000);
+constexpr Millis kLeaseRead(1000);
+
+HolderPolicy WorldPolicy() {
+  HolderPolicy policy;
+  policy.shard_count = 2;
+  policy.min_grant = 300;
+  policy.settle_period = Millis(500);
+  policy.scan_period = Millis(2000);
+  policy.idle = Millis(10000);
+  return policy;
+}
+
+std::string Key() {
+  return ShardKey(ShardOf(kBudget, WorldPolicy().shard_count));
+}
+
+}  // namespace
+
+LedgerWorld::LedgerWorld(uint64_t seed, Planted planted)
+    : random_(seed), planted_(planted), kv_(seed + 1) {
+  kv_.faults().ignores_versions = planted == Planted::kKvIgnoresVersions;
+  LedgerEdit edit((LedgerRecord()));
+  edit.CreateBudget(kBudget, kOrganisation);
+  kv_.Put(Key(), LedgerCodec().Encode(edit.record()));
+}
+
+void LedgerWorld::StartRouter() {
+  const base::Incarnation life("router-" + std::to_string(routers_.size()));
+  routers_.push_back(std::make_unique<Router>(life, WorldPolicy()));
+  routers_.back()->lease_renewed_at = now_;
+  routers_.back()->next_tick = now_;
+  TellUsable(routers_.size() - 1);
+}
+
+void LedgerWorld::StartAgent() {
+  const base::Incarnation life("agent-" + std::to_string(agents_.size()));
+  agents_.push_back(std::make_unique<Agent>(life));
+  FakeAgent& core = agents_.back()->core;
+  core.ignores_seal = planted_ == Planted::kAgentIgnoresSeal;
+  core.forgets_a_run = planted_ == Planted::kAgentForgetsRun;
+  for (size_t router = 0; router < routers_.size(); ++router) {
+    TellUsable(router);
+  }
+}
+
+void LedgerWorld::KillRouter(size_t index) {
+  routers_[index]->dead = true;
+}
+
+void LedgerWorld::KillAgent(size_t index) {
+  agents_[index]->dead = true;
+}
+
+void LedgerWorld::PauseRouter(size_t index, bool paused) {
+  routers_[index]->paused = paused;
+}
+
+void LedgerWorld::PauseAgent(size_t index, bool paused) {
+  agents_[index]->paused = paused;
+}
+
+void LedgerWorld::MarkGone(size_t index) {
+  if (std::find(gone_.begin(), gone_.end(), index) == gone_.end()) {
+    gone_.push_back(index);
+  }
+}
+
+void LedgerWorld::CutFromKv(size_t router, bool cut) {
+  const auto client = static_cast<int>(router);
+  if (cut) {
+    kv_.faults().cut_clients.insert(client);
+  } else {
+    kv_.faults().cut_clients.erase(client);
+  }
+}
+
+void LedgerWorld::CutLink(size_t router, size_t agent, bool cut) {
+  if (cut) {
+    cut_links_.insert({router, agent});
+  } else {
+    cut_links_.erase({router, agent});
+  }
+}
+
+void LedgerWorld::Request(size_t router, Tokens amount) {
+  Router& asked = *routers_[router];
+  if (asked.dead) {
+    return;
+  }
+  const base::AttemptId attempt("attempt-" + std::to_string(next_attempt_++));
+  asked.waiting.insert(attempt);
+  asked.amounts[attempt] = amount;
+  asked.inbox.emplace_back(
+      ReserveRequested{attempt, kBudget, amount, {}, now_ + base::Seconds(5)});
+}
+
+void LedgerWorld::TopUp(const std::string& operation, Tokens amount) {
+  for (int i = 0; i < 2; ++i) {
+    LedgerEdit edit(StoredRecord());
+    edit.TopUp(kBudget, operation, amount, now_);
+    kv_.Put(Key(), LedgerCodec().Encode(edit.record()));
+  }
+}
+
+void LedgerWorld::Advance(Millis span) {
+  const Millis end = now_ + span;
+  while (now_ < end) {
+    now_ = now_ + kStep;
+    AdvanceAgents();
+    DeliverMessages();
+    DeliverAnswers();
+    for (size_t i = 0; i < routers_.size(); ++i) {
+      TickRouter(i);
+    }
+  }
+}
+
+void LedgerWorld::AdvanceAgents() {
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    Agent& agent = *agents_[i];
+    if (agent.dead || agent.paused) {
+      continue;
+    }
+    for (const FakeAgent::Run& run : agent.core.Advance(now_)) {
+      const auto router = static_cast<size_t>(run.router);
+      Send(router, i, true, [this, run, i] { EndRun(run, i); });
+    }
+  }
+}
+
+void LedgerWorld::EndRun(const FakeAgent::Run& run, size_t agent) {
+  const auto index = static_cast<size_t>(run.router);
+  Router& router = *routers_[index];
+  if (router.running.erase(run.attempt) == 0) {
+    return;
+  }
+  answered_[run.attempt] = run.bill;
+  if (planted_ == Planted::kRouterDropsBills) {
+    Step(index, RunReleased{run.attempt});
+    return;
+  }
+  Step(index,
+       RunSettled{run.attempt, agents_[agent]->core.incarnation(), run.bill});
+}
+
+void LedgerWorld::TickRouter(size_t index) {
+  Router& router = *routers_[index];
+  if (router.dead || router.paused) {
+    return;
+  }
+  while (!router.inbox.empty()) {
+    const HolderEvent event = std::move(router.inbox.front());
+    router.inbox.pop_front();
+    Step(index, event);
+  }
+  if (now_ < router.next_tick) {
+    return;
+  }
+  router.next_tick = now_ + kTick;
+  SeeGone(index);
+  if (ReachesKv(index)) {
+    router.lease_renewed_at = now_;
+    if (now_ >= router.next_lease_read) {
+      router.next_lease_read = now_ + kLeaseRead;
+      Step(index, LiveHolders{LiveRouters()});
+    }
+  }
+  Step(index, Tick{});
+}
+
+void LedgerWorld::SeeGone(size_t index) {
+  Router& router = *routers_[index];
+  if (!ReachesKv(index)) {
+    return;
+  }
+  while (router.gone_seen < gone_.size()) {
+    const size_t agent = gone_[router.gone_seen++];
+    const bool released = random_() % 2 == 0;
+    for (auto it = router.running.begin(); it != router.running.end();) {
+      if (it->second != agent) {
+        ++it;
+        continue;
+      }
+      if (released) {
+        abandoned_.insert(it->first);
+        Step(index, RunReleased{it->first});
+      }
+      it = router.running.erase(it);
+    }
+    Step(index, AgentGone{agents_[agent]->core.incarnation()});
+    TellUsable(index);
+  }
+}
+
+std::set<base::Incarnation> LedgerWorld::LiveRouters() const {
+  std::set<base::Incarnation> live;
+  for (const auto& router : routers_) {
+    if (now_ - router->lease_renewed_at < kLeaseTtl) {
+      live.insert(router->incarnation);
+    }
+  }
+  return live;
+}
+
+bool LedgerWorld::ReachesKv(size_t router) const {
+  const support::FakeKv::Faults& faults = kv_.faults();
+  return !faults.down &&
+         faults.cut_clients.count(static_cast<int>(router)) == 0;
+}
+
+void LedgerWorld::TellUsable(size_t router) {
+  std::set<base::Incarnation> usable;
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    const auto& seen = gone_;
+    const auto end =
+        seen.begin() + static_cast<std::ptrdiff_t>(routers_[router]->gone_seen);
+    if (!agents_[i]->dead && std::find(seen.begin(), end, i) == end) {
+      usable.insert(agents_[i]->core.incarnation());
+    }
+  }
+  routers_[router]->inbox.emplace_back(AgentsChanged{usable});
+}
+
+void LedgerWorld::Step(size_t router, const HolderEvent& event) {
+  const auto commands = routers_[router]->holder.Step(now_, event);
+  for (const HolderCommand& command : commands) {
+    std::visit([&](const auto& c) { Handle(router, c); }, command);
+  }
+}
+
+void LedgerWorld::Handle(size_t router, const ReserveGranted& command) {
+  Router& owner = *routers_[router];
+  owner.waiting.erase(command.attempt);
+  ++granted_;
+  std::vector<size_t> usable;
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    if (owner.holder.MaySpendAt(command.grant,
+                                agents_[i]->core.incarnation())) {
+      usable.push_back(i);
+    }
+  }
+  if (usable.empty()) {
+    Step(router, RunReleased{command.attempt});
+    return;
+  }
+  StartRun(router, command.attempt, command.grant,
+           usable[random_() % usable.size()]);
+}
+
+void LedgerWorld::StartRun(size_t router,
+                           const base::AttemptId& attempt,
+                           const base::GrantId& grant,
+                           size_t agent) {
+  Router& owner = *routers_[router];
+  const Tokens reserved = owner.amounts[attempt];
+  owner.running[attempt] = agent;
+  Step(router, RunStarted{attempt, agents_[agent]->core.incarnation()});
+  FakeAgent::Run run;
+  run.attempt = attempt;
+  run.grant = grant;
+  run.router = static_cast<int>(router);
+  run.reserved = reserved;
+  run.bill = reserved == 0
+                 ? 0
+                 : static_cast<Tokens>(random_() %
+                                       static_cast<uint64_t>(reserved + 1));
+  const Millis length(static_cast<int64_t>(random_() % 3000));
+  Send(router, agent, false, [this, router, agent, run, length]() mutable {
+    run.ends_at = now_ + length;
+    if (agents_[agent]->core.Start(run)) {
+      return;
+    }
+    Send(router, agent, true, [this, router, attempt = run.attempt] {
+      if (routers_[router]->running.erase(attempt) != 0) {
+        Step(router, RunReleased{attempt});
+      }
+    });
+  });
+}
+
+void LedgerWorld::Handle(size_t router, const ReserveRefused& command) {
+  routers_[router]->waiting.erase(command.attempt);
+  refused_[command.attempt] = command.error;
+  if (planted_ == Planted::kRouterStartsRefused) {
+    StartRun(router, command.attempt, base::GrantId("none"),
+             random_() % agents_.size());
+  }
+}
+
+void LedgerWorld::Handle(size_t router, const SendSealGrant& command) {
+  const size_t agent = AgentOf(command.agent);
+  if (planted_ == Planted::kRecoveryAsksNobody) {
+    routers_[router]->inbox.emplace_back(
+        AgentUsageReported{command.grant, command.agent, 0, 0, true});
+    return;
+  }
+  Send(router, agent, false, [this, router, agent, grant = command.grant] {
+    AgentSeals(router, agent, grant);
+  });
+}
+
+void LedgerWorld::AgentSeals(size_t router,
+                             size_t agent,
+                             const base::GrantId& grant) {
+  const AgentUsageReported report = agents_[agent]->core.Seal(grant);
+  Send(router, agent, true, [this, router, report] { Step(router, report); });
+}
+
+void LedgerWorld::Handle(size_t, const SendForgetGrant&) {}
+
+void LedgerWorld::Handle(size_t, const Drained&) {
+  ++drained_;
+}
+
+void LedgerWorld::Handle(size_t router, const platform::KvRead& command) {
+  kv_.Submit(now_, static_cast<int>(router), command);
+}
+
+void LedgerWorld::Handle(size_t router, const platform::KvWrite& command) {
+  kv_.Submit(now_, static_cast<int>(router), command);
+}
+
+Millis LedgerWorld::Latency() {
+  const uint64_t dice = random_() % 100;
+  const uint64_t longest = dice < 5 ? 4000 : 30;
+  return Millis(static_cast<int64_t>(1 + random_() % longest));
+}
+
+void LedgerWorld::Send(size_t router,
+                       size_t agent,
+                       bool to_router,
+                       std::function<void()> deliver) {
+  const Message message{router, agent, to_router, std::move(deliver)};
+  messages_.emplace(now_ + Latency(), message);
+  const bool doubled = random_() % 100 < 5;
+  if (doubled) {
+    messages_.emplace(now_ + Latency(), message);
+  }
+}
+
+void LedgerWorld::DeliverMessages() {
+  constexpr Millis kResend(200);
+  while (!messages_.empty() && messages_.begin()->first <= now_) {
+    const Message message = std::move(messages_.begin()->second);
+    messages_.erase(messages_.begin());
+    const Router& router = *routers_[message.router];
+    const Agent& agent = *agents_[message.agent];
+    const bool lost = message.to_router ? router.dead : agent.dead;
+    if (lost) {
+      continue;
+    }
+    const bool late = (message.to_router ? router.paused : agent.paused) ||
+                      cut_links_.count({message.router, message.agent}) != 0;
+    if (late) {
+      messages_.emplace(now_ + kResend, message);
+      continue;
+    }
+    message.deliver();
+  }
+}
+
+void LedgerWorld::DeliverAnswers() {
+  for (const auto& answer : kv_.Advance(now_)) {
+    Router& router = *routers_[static_cast<size_t>(answer.client)];
+    if (router.dead) {
+      continue;
+    }
+    std::visit([&](const auto& done) { router.inbox.emplace_back(done); },
+               answer.done);
+  }
+}
+
+bool LedgerWorld::Finish() {
+  constexpr Millis kLongest(180000);
+  const bool ignores_versions = kv_.faults().ignores_versions;
+  kv_.faults() = support::FakeKv::Faults();
+  kv_.faults().ignores_versions = ignores_versions;
+  cut_links_.clear();
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    agents_[i]->paused = false;
+    if (agents_[i]->dead) {
+      MarkGone(i);
+    }
+  }
+  for (auto& router : routers_) {
+    router->paused = false;
+  }
+  Advance(base::Seconds(10));
+  for (auto& router : routers_) {
+    if (!router->dead) {
+      router->inbox.emplace_back(DrainRequested{});
+    }
+  }
+  StartRouter();
+  const Millis end = now_ + kLongest;
+  while (now_ < end && !StoredBudget().grants.empty()) {
+    Advance(Millis(500));
+  }
+  Advance(base::Seconds(1));
+  return StoredBudget().grants.empty();
+}
+
+LedgerRecord LedgerWorld::StoredRecord() const {
+  const auto found = kv_.stored().find(Key());
+  LedgerCodec codec;
+  return codec.Decode(found->second.value).value_or(LedgerRecord());
+}
+
+Budget LedgerWorld::StoredBudget() const {
+  return StoredRecord().budgets[kBudget];
+}
+
+bool LedgerWorld::RecordIsSound() const {
+  LedgerCodec codec;
+  return codec.Decode(kv_.stored().at(Key()).value).has_value();
+}
+
+Tokens LedgerWorld::Committed() const {
+  Tokens sum = 0;
+  for (const auto& agent : agents_) {
+    for (const FakeAgent::Run& run : agent->core.runs()) {
+      if (abandoned_.count(run.attempt) != 0) {
+        continue;
+      }
+      sum += run.ended ? run.bill : (agent->dead ? 0 : run.reserved);
+    }
+  }
+  return sum;
+}
+
+Tokens LedgerWorld::Answered() const {
+  Tokens sum = 0;
+  for (const auto& [attempt, bill] : answered_) {
+    sum += bill;
+  }
+  return sum;
+}
+
+Tokens LedgerWorld::Ended() const {
+  Tokens sum = 0;
+  for (const auto& agent : agents_) {
+    for (const FakeAgent::Run& run : agent->core.runs()) {
+      sum += run.ended ? run.bill : 0;
+    }
+  }
+  return sum;
+}
+
+bool LedgerWorld::RefusedNeverRan() const {
+  for (const auto& agent : agents_) {
+    for (const FakeAgent::Run& run : agent->core.runs()) {
+      if (refused_.count(run.attempt) != 0) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+size_t LedgerWorld::Unanswered() const {
+  size_t sum = 0;
+  for (const auto& router : routers_) {
+    sum += router->dead ? 0 : router->waiting.size();
+  }
+  return sum;
+}
+
+size_t LedgerWorld::AgentOf(const base::Incarnation& incarnation) const {
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    if (agents_[i]->core.incarnation() == incarnation) {
+      return i;
+    }
+  }
+  return agents_.size();
+}
+
+}  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/tests/ledger_world.h
@@ -0,0 +1,180 @@
+#ifndef LEDGER_LEDGER_WORLD_H_
+#define LEDGER_LEDGER_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "fake_agent.h"
+#include "ledger/budget_holder.h"
+#include "ledger/ledger_record.h"
+#include "support/fake_kv.h"
+
+namespace godwit::ledger {
+
+// Several BudgetHolders, a KV and agents in virtual time, with faults.
+class LedgerWorld {
+ public:
+  // Defects that a proof has to catch.
+  enum class Planted {
+    kNone,
+    // The KV stores writes whatever version they expect.
+    kKvIgnoresVersions,
+    // Agents start runs under sealed grants.
+    kAgentIgnoresSeal,
+    // Agents leave a run out of their reports.
+    kAgentForgetsRun,
+    // Routers close lost grants without asking the agents.
+    kRecoveryAsksNobody,
+    // Routers take a run for released when its end arrives.
+    kRouterDropsBills,
+    // Routers start the attempts that were refused.
+    kRouterStartsRefused,
+  };
+
+  LedgerWorld(uint64_t seed, Planted planted);
+
+  // Processes.
+  void StartRouter();
+  void StartAgent();
+  void KillRouter(size_t index);
+  void KillAgent(size_t index);
+  void PauseRouter(size_t index, bool paused);
+  void PauseAgent(size_t index, bool paused);
+  // The fleet record takes an agent for gone, rightly or not.
+  void MarkGone(size_t index);
+
+  // Network.
+  void CutFromKv(size_t router, bool cut);
+  void CutLink(size_t router, size_t agent, bool cut);
+  support::FakeKv& kv() { return kv_; }
+
+  // Work.
+  void Request(size_t router, base::Tokens amount);
+  // An operator's top-up, sent twice under one operation id.
+  void TopUp(const std::string& operation, base::Tokens amount);
+  void Advance(base::Millis span);
+
+  // Ends all faults, drains the routers, lets a new one recover the rest.
+  // False when grants are left after a long time.
+  bool Finish();
+
+  // Observations.
+  base::Millis now() const { return now_; }
+  size_t routers() const { return routers_.size(); }
+  size_t agents() const { return agents_.size(); }
+  // The budget in the KV.
+  Budget StoredBudget() const;
+  // True when the stored record can be read and keeps its invariant.
+  bool RecordIsSound() const;
+  // Bills of ended runs and reservations of the others.
+  base::Tokens Committed() const;
+  // Bills of runs whose end reached a caller.
+  base::Tokens Answered() const;
+  // Bills of all ended runs.
+  base::Tokens Ended() const;
+  // True when no refused attempt ran.
+  bool RefusedNeverRan() const;
+  // Reservations asked for and not yet answered, at routers that still run.
+  size_t Unanswered() const;
+  size_t granted() const { return granted_; }
+  size_t refused() const { return refused_.size(); }
+  const std::map<base::AttemptId, base::Error>& refusals() const {
+    return refused_;
+  }
+  size_t drained() const { return drained_; }
+  bool LostAnAgent() const { return !gone_.empty(); }
+
+ private:
+  struct Router {
+    Router(base::Incarnation life, const HolderPolicy& policy)
+        : incarnation(life), holder(life, policy) {}
+
+    base::Incarnation incarnation;
+    BudgetHolder holder;
+    bool dead = false;
+    bool paused = false;
+    base::Millis lease_renewed_at;
+    base::Millis next_tick;
+    base::Millis next_lease_read;
+    size_t gone_seen = 0;
+    // Attempts sent to agents whose end has not arrived.
+    std::map<base::AttemptId, size_t> running;
+    std::set<base::AttemptId> waiting;
+    std::map<base::AttemptId, base::Tokens> amounts;
+    std::deque<HolderEvent> inbox;
+  };
+  struct Agent {
+    explicit Agent(base::Incarnation life) : core(std::move(life)) {}
+
+    FakeAgent core;
+    bool dead = false;
+    bool paused = false;
+  };
+  struct Message {
+    size_t router = 0;
+    size_t agent = 0;
+    bool to_router = false;
+    std::function<void()> deliver;
+  };
+
+  void Step(size_t router, const HolderEvent& event);
+  void Handle(size_t router, const ReserveGranted& command);
+  void Handle(size_t router, const ReserveRefused& command);
+  void Handle(size_t router, const SendSealGrant& command);
+  void Handle(size_t router, const SendForgetGrant& command);
+  void Handle(size_t router, const Drained& command);
+  void Handle(size_t router, const platform::KvRead& command);
+  void Handle(size_t router, const platform::KvWrite& command);
+  void StartRun(size_t router,
+                const base::AttemptId& attempt,
+                const base::GrantId& grant,
+                size_t agent);
+  void EndRun(const FakeAgent::Run& run, size_t agent);
+  void AgentSeals(size_t router, size_t agent, const base::GrantId& grant);
+  void SeeGone(size_t router);
+  void TellUsable(size_t router);
+  void TickRouter(size_t router);
+  std::set<base::Incarnation> LiveRouters() const;
+  bool ReachesKv(size_t router) const;
+
+  void Send(size_t router,
+            size_t agent,
+            bool to_router,
+            std::function<void()> deliver);
+  void DeliverMessages();
+  void DeliverAnswers();
+  void AdvanceAgents();
+  base::Millis Latency();
+  size_t AgentOf(const base::Incarnation& incarnation) const;
+  LedgerRecord StoredRecord() const;
+
+  std::mt19937_64 random_;
+  Planted planted_;
+  support::FakeKv kv_;
+  base::Millis now_;
+  std::vector<std::unique_ptr<Router>> routers_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+  std::multimap<base::Millis, Message> messages_;
+  std::set<std::pair<size_t, size_t>> cut_links_;
+  std::vector<size_t> gone_;
+  int next_attempt_ = 1;
+  size_t granted_ = 0;
+  size_t drained_ = 0;
+  std::map<base::AttemptId, base::Error> refused_;
+  std::set<base::AttemptId> abandoned_;
+  std::map<base::AttemptId, base::Tokens> answered_;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_LEDGER_WORLD_H_
--- a/tests/support/fake_kv.h
+++ b/tests/support/fake_kv.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -32,6 +33,8 @@
     int late_write_percent = 0;
     // Chance in percent that a write is reported unknown and never lands.
     int lost_write_percent = 0;
+    // Clients whose operations do not reach the KV.
+    std::set<int> cut_clients;
     // Planted fault: writes ignore the expected version.
     bool ignores_versions = false;
   };
@@ -49,6 +52,7 @@
   explicit FakeKv(uint64_t seed) : random_(seed) {}
 
   Faults& faults() { return faults_; }
+  const Faults& faults() const { return faults_; }
   const std::map<std::string, Stored>& stored() const { return stored_; }
   int64_t reads() const { return reads_; }
   int64_t writes() const { return writes_; }
@@ -63,7 +67,7 @@
 
   void Submit(base::Millis now, int client, const platform::KvRead& read) {
     ++reads_;
-    if (faults_.down) {
+    if (Unreachable(client)) {
       Reply(now + kTimeout, client,
             platform::KvReadDone{read.operation, false, 0, ""});
       return;
@@ -74,7 +78,7 @@
   void Submit(base::Millis now, int client, const platform::KvWrite& write) {
     ++writes_;
     written_bytes_ += static_cast<int64_t>(write.value.size());
-    if (faults_.down) {
+    if (Unreachable(client)) {
       ReplyUnknown(now, client, write);
       return;
     }
@@ -130,6 +134,10 @@
   // Longest way of an operation without slowness, in milliseconds.
   static constexpr uint64_t kLatency = 4;
 
+  bool Unreachable(int client) const {
+    return faults_.down || faults_.cut_clients.count(client) != 0;
+  }
+
   int Dice() { return static_cast<int>(random_() % 100); }
 
   base::Millis Latency() {
