--- /dev/null
+++ b/libs/cas/include/cas/key_view.h
@@ -0,0 +1,173 @@
+#ifndef CAS_KEY_VIEW_H_
+#define CAS_KEY_VIEW_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/millis.h"
+#include "cas/progress.h"
+#include "platform/kv_read.h"
+#include "platform/kv_read_done.h"
+#include "platform/kv_write.h"
+#include "platform/kv_write_done.h"
+
+namespace godwit::cas {
+
+// A key of the KV as a process knows it: the newest version seen and the writes
+// that may yet replace it. At most one operation is in flight. Codec has
+// Encode(Record) and Decode(bytes) -> std::optional<Record>.
+template <typename Record, typename Codec>
+class KeyView {
+ public:
+  explicit KeyView(std::string key) : key_(std::move(key)) {}
+
+  // True once a version was seen.
+  bool known() const noexcept { return known_; }
+  // True when the version in view is known to be outdated.
+  bool outdated() const noexcept { return outdated_; }
+  // The stored bytes can't be read.
+  bool corrupt() const noexcept { return corrupt_; }
+  const Record& record() const noexcept { return record_; }
+  // A time at which the version in view was surely the stored one.
+  base::Millis proven_at() const noexcept { return proven_at_; }
+
+  // Start of the operation in flight.
+  std::optional<base::Millis> busy_since() const noexcept {
+    if (!operation_) {
+      return std::nullopt;
+    }
+    return operation_->started_at;
+  }
+
+  // True while a write may yet take effect.
+  bool has_open_writes() const noexcept { return !open_writes_.empty(); }
+
+  // True when the predicate holds for the version in view and for every version
+  // that an open write may make of it.
+  template <typename Predicate>
+  bool HoldsInAll(Predicate predicate) const {
+    return predicate(record_) &&
+           std::all_of(
+               open_writes_.begin(), open_writes_.end(),
+               [&](const OpenWrite& write) { return predicate(write.record); });
+  }
+
+  platform::KvRead StartRead(base::Millis now, int64_t operation) {
+    operation_ = Operation{operation, now, false};
+    return {operation, key_};
+  }
+
+  platform::KvWrite StartWrite(base::Millis now,
+                               int64_t operation,
+                               Record record) {
+    operation_ = Operation{operation, now, true};
+    platform::KvWrite write;
+    write.operation = operation;
+    write.key = key_;
+    write.expected_version = version_;
+    write.value = Codec().Encode(record);
+    open_writes_.push_back({version_, std::move(record)});
+    return write;
+  }
+
+  Progress Finish(const platform::KvReadDone& done) {
+    if (!Answers(done.operation, false)) {
+      return Progress::kForeign;
+    }
+    const base::Millis started_at = operation_->started_at;
+    operation_.reset();
+    if (!done.available || done.version < version_) {
+      return Progress::kFailed;
+    }
+    auto record = Codec().Decode(done.value);
+    corrupt_ = !record.has_value();
+    if (corrupt_) {
+      return Progress::kFailed;
+    }
+    Adopt(done.version, std::move(*record), started_at);
+    return Progress::kAdopted;
+  }
+
+  Progress Finish(const platform::KvWriteDone& done) {
+    if (!Answers(done.operation, true)) {
+      return Progress::kForeign;
+    }
+    const base::Millis started_at = operation_->started_at;
+    operation_.reset();
+    switch (done.outcome) {
+      case platform::WriteOutcome::kWon: {
+        Record written = std::move(open_writes_.back().record);
+        Adopt(done.version, std::move(written), started_at);
+        return Progress::kAdopted;
+      }
+      case platform::WriteOutcome::kLost:
+        open_writes_.pop_back();
+        outdated_ = true;
+        return Progress::kLost;
+      case platform::WriteOutcome::kNotSent:
+        open_writes_.pop_back();
+        return Progress::kFailed;
+      case platform::WriteOutcome::kUnknown:
+        break;
+    }
+    outdated_ = true;
+    return Progress::kFailed;
+  }
+
+  // Takes the operation in flight for unanswered.
+  void GiveUp() {
+    outdated_ = outdated_ || operation_->is_write;
+    operation_.reset();
+  }
+
+ private:
+  struct Operation {
+    int64_t number;
+    base::Millis started_at;
+    bool is_write;
+  };
+  struct OpenWrite {
+    int64_t expected_version;
+    Record record;
+  };
+
+  bool Answers(int64_t operation, bool is_write) const {
+    return operation_ && operation_->number == operation &&
+           operation_->is_write == is_write;
+  }
+
+  void Adopt(int64_t version, Record record, base::Millis proven_at) {
+    known_ = true;
+    outdated_ = false;
+    version_ = version;
+    record_ = std::move(record);
+    proven_at_ = proven_at;
+    // A write that expected an older version took effect before this version
+    // or never will.
+    const auto settled = [version](const OpenWrite& write) {
+      return write.expected_version < version;
+    };
+    open_writes_.erase(
+        std::remove_if(open_writes_.begin(), open_writes_.end(), settled),
+        open_writes_.end());
+  }
+
+  std::string key_;
+  bool known_ = false;
+  bool outdated_ = false;
+  bool corrupt_ = false;
+  int64_t version_ = 0;
+  Record record_;
+  base::Millis proven_at_;
+  std::optional<Operation> operation_;
+  // The last one belongs to the write in flight, if there is one.
+  std::vector<OpenWrite> open_writes_;
+};
+
+}  // namespace godwit::cas
+
+#endif  // CAS_KEY_VIEW_H_
--- a/libs/claims/include/claims/claim_policy.h
+++ b/libs/claims/include/claims/claim_policy.h
@@ -18,6 +18,9 @@
   base::Millis write_spacing = base::Millis(10);
   // Longest that an attempt waits for its claim.
   base::Millis max_wait = base::Millis(2000);
+  // Time without a useful answer after which the KV counts as down, so that
+  // attempts no longer wait for it.
+  base::Millis outage_detection = base::Millis(500);
   // When a caller refused for want of the KV should come back.
   base::Millis retry_after = base::Millis(2000);
   // Largest stored record.
@@ -25,9 +28,9 @@
 
   friend bool operator==(const ClaimPolicy& a, const ClaimPolicy& b) {
     return std::tie(a.shard_count, a.retention, a.write_spacing, a.max_wait,
-                    a.retry_after, a.max_bytes) ==
+                    a.outage_detection, a.retry_after, a.max_bytes) ==
            std::tie(b.shard_count, b.retention, b.write_spacing, b.max_wait,
-                    b.retry_after, b.max_bytes);
+                    b.outage_detection, b.retry_after, b.max_bytes);
   }
   friend bool operator!=(const ClaimPolicy& a, const ClaimPolicy& b) {
     return !(a == b);
--- a/libs/claims/include/claims/directory_plan.h
+++ b/libs/claims/include/claims/directory_plan.h
@@ -19,7 +19,8 @@
   std::optional<DirectoryMember> primary;
   // Second copy, in another data centre where possible.
   std::optional<DirectoryMember> secondary;
-  // Agents that take over when the fleet changes; copies that decide nothing.
+  // Agents that will be asked for the key as younger members mature or gone
+  // ones are dropped; copies that decide nothing yet.
   std::vector<DirectoryMember> shadows;
   // True when no copy can be asked: both are gone with entries that may still
   // matter. The request is refused with kOutcomeUnknown.
--- a/libs/ledger/src/holder_state.cc
+++ b/libs/ledger/src/holder_state.cc
@@ -195,16 +195,16 @@
   operations_.erase(owner);
   const LedgerRecord before = shard.view.record();
   switch (shard.view.Finish(done)) {
-    case ShardView::Progress::kForeign:
+    case cas::Progress::kForeign:
       return;
-    case ShardView::Progress::kAdopted:
+    case cas::Progress::kAdopted:
       kv_failing_since_.reset();
       Adopted(shard, before);
       break;
-    case ShardView::Progress::kLost:
+    case cas::Progress::kLost:
       kv_failing_since_.reset();
       break;
-    case ShardView::Progress::kFailed:
+    case cas::Progress::kFailed:
       kv_failing_since_ = kv_failing_since_.value_or(now_);
       shard.retry_at = now_ + kRetryPause;
       break;
