--- /dev/null
+++ b/libs/claims/src/directory.cc
@@ -0,0 +1,67 @@
+#include "claims/directory.h"
+
+#include <algorithm>
+
+namespace godwit::claims {
+
+Directory::Directory(base::Millis retention, size_t max_entries)
+    : retention_(retention), max_entries_(max_entries) {}
+
+void Directory::SetFleetVersion(int64_t version) {
+  fleet_version_ = std::max(fleet_version_, version);
+}
+
+std::optional<link::KeyOwner> Directory::Register(
+    base::Millis now,
+    const link::RegisterKey& request) {
+  Expire(now);
+  link::KeyOwner answer;
+  answer.key = request.key;
+  answer.asked = request.attempt;
+  if (request.fleet_version < fleet_version_) {
+    answer.stale = true;
+    answer.fleet_version = fleet_version_;
+    return answer;
+  }
+  SetFleetVersion(request.fleet_version);
+  answer.fleet_version = fleet_version_;
+  const auto found = entries_.find(request.key);
+  const bool is_new = found == entries_.end();
+  if (is_new && entries_.size() >= max_entries_) {
+    error_ = base::Error(base::ErrorKind::kOverloaded,
+                         "the directory of runs is full",
+                         "send the request again later");
+    return std::nullopt;
+  }
+  Entry& entry = is_new ? entries_[request.key] : found->second;
+  const bool replaced =
+      !request.replaces.empty() && entry.attempt == request.replaces;
+  if (is_new || replaced) {
+    entry = Entry{request.body_digest, request.attempt, request.agent,
+                  request.agent_incarnation, now};
+  }
+  Touch(now, request.key, entry);
+  answer.body_digest = entry.body_digest;
+  answer.attempt = entry.attempt;
+  answer.agent = entry.agent;
+  answer.agent_incarnation = entry.agent_incarnation;
+  return answer;
+}
+
+void Directory::Touch(base::Millis now, const base::Digest& key, Entry& entry) {
+  entry.used_at = now;
+  uses_.emplace_back(now, key);
+}
+
+void Directory::Expire(base::Millis now) {
+  while (!uses_.empty() && now - uses_.front().first >= retention_) {
+    const auto [used_at, key] = uses_.front();
+    uses_.pop_front();
+    const auto found = entries_.find(key);
+    if (found != entries_.end() && found->second.used_at == used_at) {
+      entries_.erase(found);
+    }
+  }
+}
+
+}  // namespace godwit::claims
--- /dev/null
+++ b/libs/claims/src/plan_directory.cc
@@ -0,0 +1,139 @@
+#include "claims/plan_directory.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace godwit::claims {
+namespace {
+
+using Members = std::vector<DirectoryMember>;
+
+constexpr size_t kCopies = 2;
+
+struct Pair {
+  std::optional<DirectoryMember> primary;
+  std::optional<DirectoryMember> secondary;
+};
+
+base::Digest Score(const base::Digest& key, const DirectoryMember& member) {
+  return base::Digest::Of(key.ToHex() + "/" + member.incarnation.value());
+}
+
+// The best member; among those outside a data centre if one is given.
+std::optional<DirectoryMember> Best(
+    const Members& members,
+    const base::Digest& key,
+    const base::Incarnation& except,
+    const std::optional<base::DataCentreId>& outside) {
+  std::optional<DirectoryMember> best;
+  for (const DirectoryMember& member : members) {
+    if (member.incarnation == except ||
+        (outside && member.data_centre == *outside)) {
+      continue;
+    }
+    if (!best || Score(key, *best) < Score(key, member)) {
+      best = member;
+    }
+  }
+  return best;
+}
+
+Pair PairOf(const Members& members, const base::Digest& key) {
+  Pair pair;
+  pair.primary = Best(members, key, base::Incarnation(), std::nullopt);
+  if (!pair.primary) {
+    return pair;
+  }
+  const auto& first = pair.primary->incarnation;
+  pair.secondary = Best(members, key, first, pair.primary->data_centre);
+  if (!pair.secondary) {
+    pair.secondary = Best(members, key, first, std::nullopt);
+  }
+  return pair;
+}
+
+// Members that matter, oldest first; those gone for the retention are dropped.
+Members ByJoinOrder(const Members& members,
+                    base::Millis now,
+                    base::Millis retention) {
+  Members kept;
+  for (const DirectoryMember& member : members) {
+    if (member.state != MemberState::kGone ||
+        now - member.gone_at < retention) {
+      kept.push_back(member);
+    }
+  }
+  std::sort(kept.begin(), kept.end(), [](const auto& a, const auto& b) {
+    return std::make_pair(a.joined_at, a.incarnation) <
+           std::make_pair(b.joined_at, b.incarnation);
+  });
+  return kept;
+}
+
+bool IsGone(const std::optional<DirectoryMember>& member) {
+  return !member || member->state == MemberState::kGone;
+}
+
+// Adds what PairOf gives for the living members of each longer prefix: the
+// fleet as it will count when they are mature and the gone ones are dropped.
+void AddShadows(const Members& members,
+                size_t mature,
+                const base::Digest& key,
+                DirectoryPlan& plan) {
+  std::set<base::Incarnation> known;
+  for (const auto* member : {&plan.primary, &plan.secondary}) {
+    if (*member) {
+      known.insert((*member)->incarnation);
+    }
+  }
+  Members living;
+  for (size_t i = 0; i < members.size(); ++i) {
+    if (members[i].state != MemberState::kGone) {
+      living.push_back(members[i]);
+    }
+    if (i + 1 < mature) {
+      continue;
+    }
+    const Pair pair = PairOf(living, key);
+    for (const auto* member : {&pair.primary, &pair.secondary}) {
+      if (*member && known.insert((*member)->incarnation).second) {
+        plan.shadows.push_back(**member);
+      }
+    }
+  }
+}
+
+}  // namespace
+
+DirectoryPlan PlanDirectory(const std::vector<DirectoryMember>& members,
+                            const base::Digest& key,
+                            base::Millis wall_now,
+                            base::Millis retention) {
+  const Members ordered = ByJoinOrder(members, wall_now, retention);
+  const auto young = std::find_if(
+      ordered.begin(), ordered.end(), [&](const DirectoryMember& member) {
+        return wall_now - member.joined_at < retention;
+      });
+  const size_t mature =
+      std::min(ordered.size(),
+               std::max(kCopies, static_cast<size_t>(young - ordered.begin())));
+  const Members counted(ordered.begin(),
+                        ordered.begin() + static_cast<std::ptrdiff_t>(mature));
+  DirectoryPlan plan;
+  const Pair pair = PairOf(counted, key);
+  plan.primary = pair.primary;
+  plan.secondary = pair.secondary;
+  AddShadows(ordered, mature, key, plan);
+  plan.blind = IsGone(plan.primary) && IsGone(plan.secondary);
+  if (plan.blind && plan.primary) {
+    plan.blind_until = plan.primary->gone_at + retention;
+    if (plan.secondary) {
+      plan.blind_until =
+          std::min(plan.blind_until, plan.secondary->gone_at + retention);
+    }
+  }
+  return plan;
+}
+
+}  // namespace godwit::claims
--- /dev/null
+++ b/libs/claims/tests/claims_test.cc
@@ -0,0 +1,301 @@
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "claims/claim_codec.h"
+#include "claims/claim_writer.h"
+#include "claims/directory.h"
+#include "claims/plan_directory.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using godwit::base::AttemptId;
+using godwit::base::DataCentreId;
+using godwit::base::Digest;
+using godwit::base::ErrorKind;
+using godwit::base::Incarnation;
+using godwit::base::Millis;
+using godwit::base::ProcessId;
+using godwit::base::Seconds;
+using godwit::claims::Claim;
+using godwit::claims::ClaimCodec;
+using godwit::claims::ClaimCommand;
+using godwit::claims::ClaimExists;
+using godwit::claims::ClaimPolicy;
+using godwit::claims::ClaimRecord;
+using godwit::claims::ClaimRequested;
+using godwit::claims::ClaimTick;
+using godwit::claims::ClaimUnavailable;
+using godwit::claims::ClaimWon;
+using godwit::claims::ClaimWriter;
+using godwit::claims::Directory;
+using godwit::claims::DirectoryMember;
+using godwit::claims::MemberState;
+using godwit::claims::PlanDirectory;
+using godwit::link::RegisterKey;
+using godwit::platform::KvRead;
+using godwit::platform::KvReadDone;
+using godwit::platform::KvWrite;
+using godwit::platform::KvWriteDone;
+using godwit::platform::WriteOutcome;
+
+const Digest kKey = Digest::Of("ticket 7");
+const Digest kBody = Digest::Of("body");
+
+RegisterKey Ask(const char* attempt,
+                const char* replaces = "",
+                int64_t fleet_version = 1) {
+  RegisterKey request;
+  request.key = kKey;
+  request.body_digest = kBody;
+  request.attempt = AttemptId(attempt);
+  request.agent_incarnation = Incarnation("agent-1#1");
+  request.replaces = AttemptId(replaces);
+  request.fleet_version = fleet_version;
+  return request;
+}
+
+ClaimRequested WantClaim(const char* attempt, const char* replaces = "") {
+  return ClaimRequested{
+      AttemptId(attempt),  kKey,        kBody, Incarnation("agent-1#1"),
+      AttemptId(replaces), Seconds(100)};
+}
+
+Claim StoredClaim(const char* attempt) {
+  return Claim{kBody, AttemptId(attempt), Incarnation("agent-9#1"), Millis(5)};
+}
+
+std::string Stored(const char* attempt) {
+  ClaimRecord record;
+  record.claims[kKey] = StoredClaim(attempt);
+  return ClaimCodec().Encode(record);
+}
+
+template <typename T>
+const T* Find(const std::vector<ClaimCommand>& commands) {
+  for (const ClaimCommand& command : commands) {
+    if (const T* found = std::get_if<T>(&command)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+TEST_GROUP(Directory){};
+
+TEST(Directory, FirstAttemptOwnsTheKey) {
+  struct Case {
+    const char* name;
+    RegisterKey second;
+    Millis at;
+    const char* owner;
+    bool stale;
+  };
+  const std::vector<Case> cases = {
+      {"another attempt", Ask("b"), Millis(5), "a", false},
+      {"the same attempt", Ask("a"), Millis(5), "a", false},
+      {"replaces the owner", Ask("b", "a"), Millis(5), "b", false},
+      {"replaces another", Ask("b", "x"), Millis(5), "a", false},
+      {"placed by an old fleet", Ask("b", "", 0), Millis(5), "", true},
+      {"after the retention", Ask("b"), Seconds(60), "b", false},
+  };
+  for (const Case& c : cases) {
+    Directory directory(Seconds(60), 10);
+    directory.Register(Millis(0), Ask("a"));
+    const auto answer = directory.Register(c.at, c.second);
+    CHECK_TEXT(answer.has_value(), c.name);
+    CHECK_EQUAL_TEXT(c.stale, answer->stale, c.name);
+    CHECK_TEXT(answer->attempt == AttemptId(c.owner), c.name);
+    CHECK_TEXT(answer->asked == c.second.attempt, c.name);
+  }
+}
+
+TEST(Directory, KeepsAtMostItsEntries) {
+  Directory directory(Seconds(60), 1);
+  directory.Register(Millis(0), Ask("a"));
+  RegisterKey other = Ask("b");
+  other.key = Digest::Of("another");
+  CHECK_FALSE(directory.Register(Millis(1), other).has_value());
+  CHECK(directory.last_error().kind() == ErrorKind::kOverloaded);
+  CHECK(directory.Register(Seconds(61), other).has_value());
+  CHECK_EQUAL(1U, directory.size());
+}
+
+TEST(Directory, UseExtendsTheRetention) {
+  Directory directory(Seconds(60), 10);
+  directory.Register(Seconds(0), Ask("a"));
+  directory.Register(Seconds(50), Ask("b"));
+  const auto answer = directory.Register(Seconds(100), Ask("c"));
+  CHECK(answer->attempt == AttemptId("a"));
+}
+
+TEST_GROUP(PlanDirectory){};
+
+TEST(PlanDirectory, ChoosesLivingCopiesInTwoDataCentres) {
+  const Millis now = Seconds(1000);
+  const Millis retention = Seconds(100);
+  const auto member = [](const char* name, const char* data_centre,
+                         MemberState state, int64_t joined, int64_t gone) {
+    return DirectoryMember{ProcessId(name),           Incarnation(name),
+                           DataCentreId(data_centre), state,
+                           Seconds(joined),           Seconds(gone)};
+  };
+  const auto active = MemberState::kActive;
+  const auto gone = MemberState::kGone;
+  struct Case {
+    const char* name;
+    std::vector<DirectoryMember> members;
+    size_t copies;
+    bool blind;
+  };
+  const std::vector<Case> cases = {
+      {"nobody", {}, 0, true},
+      {"one", {member("a", "k", active, 0, 0)}, 1, false},
+      {"two young",
+       {member("a", "k", active, 990, 0), member("b", "k", active, 995, 0)},
+       2,
+       false},
+      {"both just gone",
+       {member("a", "k", gone, 0, 950), member("b", "t", gone, 0, 960),
+        member("c", "t", active, 990, 0)},
+       2,
+       true},
+      {"one long gone",
+       {member("a", "k", gone, 0, 900), member("b", "t", active, 0, 0)},
+       1,
+       false},
+  };
+  for (const Case& c : cases) {
+    const auto plan = PlanDirectory(c.members, kKey, now, retention);
+    const size_t copies = (plan.primary ? 1 : 0) + (plan.secondary ? 1 : 0);
+    CHECK_EQUAL_TEXT(c.copies, copies, c.name);
+    CHECK_EQUAL_TEXT(c.blind, plan.blind, c.name);
+    if (plan.blind && plan.primary) {
+      CHECK_TEXT(plan.blind_until == Seconds(1050), c.name);
+    }
+  }
+  std::vector<DirectoryMember> spread;
+  for (int i = 0; i < 8; ++i) {
+    spread.push_back(member(("m" + std::to_string(i)).c_str(),
+                            i < 6 ? "k" : "t", active, 0, 0));
+  }
+  for (int i = 0; i < 50; ++i) {
+    const auto plan =
+        PlanDirectory(spread, Digest::Of(std::to_string(i)), now, retention);
+    CHECK(plan.primary->data_centre != plan.secondary->data_centre);
+    CHECK(plan.shadows.empty());
+  }
+}
+
+TEST_GROUP(ClaimCodec){};
+
+TEST(ClaimCodec, RoundTripAndDamage) {
+  ClaimRecord record;
+  record.claims[kKey] = StoredClaim("a");
+  ClaimCodec codec;
+  const std::string sound = codec.Encode(record);
+  CHECK(codec.Decode(sound) == record);
+  CHECK(codec.Decode("") == ClaimRecord());
+  for (const std::string& bytes :
+       {sound.substr(1), sound + "x", std::string("\xa0")}) {
+    CHECK_FALSE(codec.Decode(bytes).has_value());
+    CHECK(codec.last_error().kind() == ErrorKind::kCorrupt);
+  }
+  record.Prune(Millis(6));
+  CHECK(record.claims.empty());
+}
+
+TEST_GROUP(ClaimWriter) {
+  ClaimWriter writer{Incarnation("router-1#1"), ClaimPolicy()};
+  Millis now{1000};
+
+  std::vector<ClaimCommand> Step(const godwit::claims::ClaimEvent& event) {
+    return writer.Step(now, now, event);
+  }
+
+  // Answers the read that the commands ask for.
+  std::vector<ClaimCommand> AnswerRead(
+      const std::vector<ClaimCommand>& commands, int64_t version,
+      const std::string& value) {
+    const auto* read = Find<KvRead>(commands);
+    CHECK(read != nullptr);
+    return Step(KvReadDone{read->operation, true, version, value});
+  }
+
+  std::vector<ClaimCommand> AnswerWrite(
+      const std::vector<ClaimCommand>& commands, WriteOutcome outcome) {
+    const auto* write = Find<KvWrite>(commands);
+    CHECK(write != nullptr);
+    return Step(
+        KvWriteDone{write->operation, outcome, write->expected_version + 1});
+  }
+};
+
+TEST(ClaimWriter, AnswersByWhatIsStored) {
+  struct Case {
+    const char* name;
+    std::string stored;
+    const char* replaces;
+    bool writes;
+    bool exists;
+  };
+  const std::vector<Case> cases = {
+      {"free", "", "", true, false},
+      {"taken", Stored("b"), "", false, true},
+      {"gives way", Stored("b"), "b", true, false},
+      {"taken by another", Stored("b"), "c", false, true},
+      {"stored before", Stored("a"), "", false, false},
+  };
+  for (const Case& c : cases) {
+    writer = ClaimWriter(Incarnation("router-1#1"), ClaimPolicy());
+    auto commands = AnswerRead(Step(WantClaim("a", c.replaces)), 3, c.stored);
+    CHECK_EQUAL_TEXT(c.writes, Find<KvWrite>(commands) != nullptr, c.name);
+    if (c.writes) {
+      commands = AnswerWrite(commands, WriteOutcome::kWon);
+    }
+    CHECK_EQUAL_TEXT(c.exists, Find<ClaimExists>(commands) != nullptr, c.name);
+    CHECK_EQUAL_TEXT(!c.exists, Find<ClaimWon>(commands) != nullptr, c.name);
+  }
+}
+
+TEST(ClaimWriter, OneWriteCarriesManyClaims) {
+  auto commands = Step(WantClaim("a"));
+  for (const char* attempt : {"b", "c"}) {
+    CHECK(Step(WantClaim(attempt)).empty());
+  }
+  commands = AnswerWrite(AnswerRead(commands, 0, ""), WriteOutcome::kWon);
+  CHECK_EQUAL(3U, commands.size());
+  CHECK(Find<ClaimWon>(commands)->attempt == AttemptId("a"));
+  CHECK(Find<ClaimExists>(commands)->claim.attempt == AttemptId("a"));
+}
+
+TEST(ClaimWriter, ReadsBackAnUnknownOutcome) {
+  auto commands = AnswerWrite(AnswerRead(Step(WantClaim("a")), 3, ""),
+                              WriteOutcome::kUnknown);
+  CHECK(Find<ClaimWon>(commands) == nullptr);
+  now = now + Millis(200);
+  commands = AnswerRead(Step(ClaimTick{}), 4, Stored("a"));
+  CHECK(Find<ClaimWon>(commands) != nullptr);
+}
+
+TEST(ClaimWriter, RefusesWhileTheKvIsDownAndRecovers) {
+  auto commands = Step(WantClaim("a"));
+  const auto fail = [&] {
+    const auto* read = Find<KvRead>(commands);
+    CHECK(read != nullptr);
+    commands = Step(KvReadDone{read->operation, false, 0, ""});
+  };
+  fail();
+  now = now + Millis(600);
+  commands = Step(ClaimTick{});
+  CHECK(Find<ClaimUnavailable>(commands) != nullptr);
+  fail();
+  CHECK(Find<ClaimUnavailable>(Step(WantClaim("b"))) != nullptr);
+  now = now + Millis(200);
+  commands = AnswerRead(Step(ClaimTick{}), 0, "");
+  CHECK(Find<KvWrite>(Step(WantClaim("c"))) != nullptr);
+}
