--- /dev/null
+++ b/libs/claims/tests/claims_world.cc
@@ -0,0 +1,263 @@
+#include "claims_world.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace godwit::claims {
+namespace {
+
+using base::AttemptId;
+using base::Incarnation;
+using base::Millis;
+
+constexpr Millis kStep(10);
+
+ClaimPolicy WorldPolicy() {
+  ClaimPolicy policy;
+  policy.shard_count = 1;
+  return policy;
+}
+
+base::Digest KeyDigest(int key) {
+  return base::Digest::Of("key " + std::to_string(key));
+}
+
+}  // namespace
+
+ClaimsWorld::ClaimsWorld(uint64_t seed, Planted planted)
+    : random_(seed), planted_(planted), kv_(seed + 1) {
+  kv_.faults().ignores_versions = planted == Planted::kKvIgnoresVersions;
+}
+
+void ClaimsWorld::StartRouter() {
+  const Incarnation life("router-" + std::to_string(routers_.size()));
+  routers_.push_back(
+      Router{ClaimWriter(life, WorldPolicy()), false, false, {}});
+}
+
+void ClaimsWorld::StartAgent() {
+  Agent agent;
+  agent.incarnation = Incarnation("agent-" + std::to_string(agents_.size()));
+  agents_.push_back(std::move(agent));
+}
+
+void ClaimsWorld::PauseRouter(size_t index, bool paused) {
+  routers_[index].paused = paused;
+}
+
+void ClaimsWorld::PauseAgent(size_t index, bool paused) {
+  agents_[index].paused = paused;
+}
+
+void ClaimsWorld::Request(size_t router, int key) {
+  if (routers_[router].dead) {
+    return;
+  }
+  routers_[router].inbox.emplace_back(
+      [this, router, key] { Ask(router, key, AttemptId()); });
+}
+
+void ClaimsWorld::Ask(size_t router, int key, const AttemptId& replaces) {
+  const AttemptId id("attempt-" + std::to_string(attempts_.size()));
+  Attempt& attempt = attempts_[id];
+  attempt.key = key;
+  attempt.router = router;
+  attempt.agent = random_() % agents_.size();
+  Step(router, ClaimRequested{id, KeyDigest(key), base::Digest(),
+                              agents_[attempt.agent].incarnation, replaces,
+                              now_ + base::Seconds(5)});
+}
+
+void ClaimsWorld::Step(size_t router, const ClaimEvent& event) {
+  for (const ClaimCommand& command :
+       routers_[router].writer.Step(now_, now_, event)) {
+    std::visit([&](const auto& c) { Handle(router, c); }, command);
+  }
+}
+
+void ClaimsWorld::Handle(size_t router, const ClaimWon& command) {
+  SendStart(command.attempt);
+  const size_t agent = attempts_[command.attempt].agent;
+  if (!Chance(30)) {
+    return;
+  }
+  // The router waits no longer.
+  Tombstone(router, agent, command.attempt,
+            [this, id = command.attempt](Phase phase) {
+              End(id, phase == Phase::kTombstoned ? Outcome::kNotRun
+                                                  : Outcome::kAnswered);
+            });
+}
+
+void ClaimsWorld::SendStart(const AttemptId& attempt) {
+  const size_t agent = attempts_[attempt].agent;
+  for (int copies = Chance(10) ? 2 : 1; copies > 0; --copies) {
+    Send(false, agent, [this, agent, attempt] { Start(agent, attempt); });
+  }
+}
+
+void ClaimsWorld::Start(size_t agent, const AttemptId& id) {
+  Phase& phase = agents_[agent].attempts[id];
+  const bool starts =
+      phase == Phase::kUnknown ||
+      (phase == Phase::kRan && planted_ == Planted::kAgentRepeats) ||
+      (phase == Phase::kTombstoned &&
+       planted_ == Planted::kAgentIgnoresTombstones);
+  if (!starts) {
+    return;
+  }
+  phase = Phase::kRan;
+  Attempt& attempt = attempts_[id];
+  ++attempt.executions;
+  ++executions_[attempt.key];
+  Send(true, attempt.router, [this, id] { End(id, Outcome::kAnswered); });
+}
+
+void ClaimsWorld::Handle(size_t router, const ClaimExists& command) {
+  const size_t agent = AgentOf(command.claim.agent);
+  const int key = attempts_[command.attempt].key;
+  const AttemptId owner = command.claim.attempt;
+  if (agents_[agent].dead) {
+    End(command.attempt, Outcome::kUnknown);
+    if (planted_ == Planted::kRouterReplacesLost) {
+      Ask(router, key, owner);
+    }
+    return;
+  }
+  Tombstone(router, agent, owner, [=, id = command.attempt](Phase phase) {
+    if (phase == Phase::kRan) {
+      End(id, Outcome::kAnswered);
+      return;
+    }
+    End(id, Outcome::kNotRun);
+    Ask(router, key, owner);
+  });
+}
+
+void ClaimsWorld::Handle(size_t, const ClaimUnavailable& command) {
+  End(command.attempt, Outcome::kNotRun);
+  if (planted_ == Planted::kRouterStartsUnclaimed) {
+    SendStart(command.attempt);
+  }
+}
+
+void ClaimsWorld::Handle(size_t router, const platform::KvRead& command) {
+  kv_.Submit(now_, static_cast<int>(router), command);
+}
+
+void ClaimsWorld::Handle(size_t router, const platform::KvWrite& command) {
+  kv_.Submit(now_, static_cast<int>(router), command);
+}
+
+void ClaimsWorld::Tombstone(size_t router,
+                            size_t agent,
+                            const AttemptId& attempt,
+                            std::function<void(Phase)> reply) {
+  Send(false, agent, [=] {
+    Phase& phase = agents_[agent].attempts[attempt];
+    if (phase == Phase::kUnknown) {
+      phase = Phase::kTombstoned;
+    }
+    Send(true, router, [reply, seen = phase] { reply(seen); });
+  });
+}
+
+void ClaimsWorld::End(const AttemptId& id, Outcome outcome) {
+  Attempt& attempt = attempts_[id];
+  if (attempt.outcome == Outcome::kOpen) {
+    attempt.outcome = outcome;
+  }
+}
+
+void ClaimsWorld::Send(bool to_router,
+                       size_t target,
+                       std::function<void()> deliver) {
+  const uint64_t longest = Chance(10) ? 3000 : 20;
+  const Millis latency(static_cast<int64_t>(1 + random_() % longest));
+  messages_.emplace(now_ + latency,
+                    Message{to_router, target, std::move(deliver)});
+}
+
+void ClaimsWorld::Advance(Millis span) {
+  constexpr Millis kResend(200);
+  const Millis end = now_ + span;
+  while (now_ < end) {
+    now_ = now_ + kStep;
+    while (!messages_.empty() && messages_.begin()->first <= now_) {
+      const Message message = std::move(messages_.begin()->second);
+      messages_.erase(messages_.begin());
+      const bool dead = message.to_router ? routers_[message.target].dead
+                                          : agents_[message.target].dead;
+      const bool paused = message.to_router ? routers_[message.target].paused
+                                            : agents_[message.target].paused;
+      if (paused && !dead) {
+        messages_.emplace(now_ + kResend, message);
+      } else if (!dead) {
+        message.deliver();
+      }
+    }
+    for (const auto& answer : kv_.Advance(now_)) {
+      const auto router = static_cast<size_t>(answer.client);
+      std::visit(
+          [&](const auto& done) {
+            routers_[router].inbox.emplace_back(
+                [this, router, done] { Step(router, done); });
+          },
+          answer.done);
+    }
+    for (size_t i = 0; i < routers_.size(); ++i) {
+      if (routers_[i].dead || routers_[i].paused) {
+        continue;
+      }
+      const auto inbox = std::exchange(routers_[i].inbox, {});
+      for (const auto& event : inbox) {
+        event();
+      }
+      Step(i, ClaimTick{});
+    }
+  }
+}
+
+void ClaimsWorld::Finish() {
+  const bool ignores_versions = kv_.faults().ignores_versions;
+  kv_.faults() = support::FakeKv::Faults();
+  kv_.faults().ignores_versions = ignores_versions;
+  for (auto& router : routers_) {
+    router.paused = false;
+  }
+  for (auto& agent : agents_) {
+    agent.paused = false;
+  }
+  Advance(base::Seconds(15));
+}
+
+int ClaimsWorld::MostExecutions() const {
+  int most = 0;
+  for (const auto& [key, executions] : executions_) {
+    most = std::max(most, executions);
+  }
+  return most;
+}
+
+bool ClaimsWorld::RanAfterNotRun() const {
+  return std::any_of(attempts_.begin(), attempts_.end(), [](const auto& entry) {
+    return entry.second.outcome == Outcome::kNotRun &&
+           entry.second.executions > 0;
+  });
+}
+
+size_t ClaimsWorld::count(Outcome outcome) const {
+  return static_cast<size_t>(std::count_if(
+      attempts_.begin(), attempts_.end(),
+      [=](const auto& entry) { return entry.second.outcome == outcome; }));
+}
+
+size_t ClaimsWorld::AgentOf(const Incarnation& incarnation) const {
+  const auto found = std::find_if(
+      agents_.begin(), agents_.end(),
+      [&](const Agent& agent) { return agent.incarnation == incarnation; });
+  return static_cast<size_t>(found - agents_.begin());
+}
+
+}  // namespace godwit::claims
--- a/libs/ledger/tests/ledger_proof_test.cc
+++ b/libs/ledger/tests/ledger_proof_test.cc
@@ -1,12 +1,13 @@
-#include <array>
 #include <cstdint>
-#include <iostream>
+#include <initializer_list>
+#include <ostream>
 #include <string>
 
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
 #include "ledger_world.h"
+#include "support/planted.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -206,13 +207,12 @@
 
 using Property = void (*)(Planted);
 
-// True when the property fails within a hundredth of the schedules of a proof.
-bool IsCaught(Property property, Planted planted) {
-  rc::detail::TestParams params = rc::detail::configuration().testParams;
-  params.disableShrinking = true;
-  const auto result = rc::detail::checkTestable(
-      [=] { property(planted); }, rc::detail::TestMetadata(), params);
-  return result.template is<rc::detail::FailureResult>();
+// A check that each of the planted faults makes the property fail.
+void CheckCaught(Property property, std::initializer_list<Planted> faults) {
+  for (const Planted planted : faults) {
+    CHECK_TEXT(godwit::support::IsFalsified([=] { property(planted); }),
+               std::to_string(static_cast<int>(planted)).c_str());
+  }
 }
 
 }  // namespace
@@ -224,12 +224,9 @@
 }
 
 TEST(Overspend, PlantedFaultsAreCaught) {
-  for (const Planted planted :
-       {Planted::kKvIgnoresVersions, Planted::kAgentIgnoresSeal,
-        Planted::kRecoveryAsksNobody}) {
-    CHECK_TEXT(IsCaught(Overspend, planted),
-               std::to_string(static_cast<int>(planted)).c_str());
-  }
+  CheckCaught(Overspend,
+              {Planted::kKvIgnoresVersions, Planted::kAgentIgnoresSeal,
+               Planted::kRecoveryAsksNobody});
 }
 
 TEST_GROUP(BilledOnce){};
@@ -239,12 +236,9 @@
 }
 
 TEST(BilledOnce, PlantedFaultsAreCaught) {
-  for (const Planted planted :
-       {Planted::kAgentForgetsRun, Planted::kRouterDropsBills,
-        Planted::kRecoveryAsksNobody}) {
-    CHECK_TEXT(IsCaught(BilledOnce, planted),
-               std::to_string(static_cast<int>(planted)).c_str());
-  }
+  CheckCaught(BilledOnce,
+              {Planted::kAgentForgetsRun, Planted::kRouterDropsBills,
+               Planted::kRecoveryAsksNobody});
 }
 
 TEST_GROUP(NotRun){};
@@ -254,5 +248,5 @@
 }
 
 TEST(NotRun, PlantedFaultsAreCaught) {
-  CHECK(IsCaught(NotRun, Planted::kRouterStartsRefused));
+  CheckCaught(NotRun, {Planted::kRouterStartsRefused});
 }
--- /dev/null
+++ b/tests/support/planted.h
@@ -0,0 +1,21 @@
+#ifndef SUPPORT_PLANTED_H_
+#define SUPPORT_PLANTED_H_
+
+#include <rapidcheck.h>
+
+namespace godwit::support {
+
+// True when the property fails within the schedules that RC_PARAMS sets.
+// Nothing is printed and nothing is shrunk.
+template <typename Property>
+bool IsFalsified(Property property) {
+  rc::detail::TestParams params = rc::detail::configuration().testParams;
+  params.disableShrinking = true;
+  const auto result =
+      rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
+  return result.template is<rc::detail::FailureResult>();
+}
+
+}  // namespace godwit::support
+
+#endif  // SUPPORT_PLANTED_H_
