Prove that a leaving agent gets no work after 3 s

Two faults in Membership were found and mended on the way: a late link of an earlier life replaced the link of the new one, and the lagging VM list held a restarted agent for leaving that the fleet record did not list yet.

Not covered: heartbeats that trickle in later than 1 s without a silent spell. There the agent's own refusal holds the bound.

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -37,10 +37,13 @@
   // A version of the fleet record was read. Older versions than the newest
   // seen are ignored.
   void OnFleetRecord(base::Millis now, FleetRecord record, int64_t version);
-  // The VM list was read. Only agents matter.
+  // The VM list was read. Only agents matter. That a VM leaves counts for the
+  // life which the fleet record lists at its address: the list may still name
+  // the VM of an earlier life.
   void OnVmList(base::Millis now, const std::vector<platform::Vm>& vms);
-  // A link to an agent is up; it replaces an earlier link to that process
-  // unless it belongs to a life that the fleet record knows to be gone.
+  // A link to an agent is up. Of several links to a process the one dialled
+  // last counts, which has the highest id; links to a life that the fleet
+  // record knows to be gone never do.
   void OnLinkUp(base::Millis now,
                 link::ConnectionId connection,
                 const link::Hello& peer);
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -51,7 +51,9 @@
   life.process = peer.process;
   life.data_centre = peer.data_centre;
   life.leaving = life.leaving || peer.leaving;
-  if (!IsGone(peer.incarnation)) {
+  auto current = current_.find(peer.process);
+  const bool newest = current == current_.end() || current->second < connection;
+  if (newest && !IsGone(peer.incarnation)) {
     current_[peer.process] = connection;
     dialling_.erase(peer.process);
     missing_since_.erase(peer.incarnation);
@@ -276,10 +278,6 @@
   view.process = life->second.process;
   view.data_centre = life->second.data_centre;
   view.leaving = view.leaving || life->second.leaving;
-  if (listed == nullptr) {
-    auto vm = vms_.find(view.process);
-    view.leaving = view.leaving || (vm != vms_.end() && vm->second.leaving);
-  }
   auto connection = current_.find(view.process);
   if (connection != current_.end()) {
     const Link& link = links_.at(connection->second);
--- /dev/null
+++ b/libs/membership/tests/leaving_world.h
@@ -0,0 +1,113 @@
+#ifndef MEMBERSHIP_TESTS_LEAVING_WORLD_H_
+#define MEMBERSHIP_TESTS_LEAVING_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "link/hello.h"
+#include "membership/fleet_record.h"
+#include "membership/membership.h"
+#include "routing/picker.h"
+
+namespace godwit::membership::testing {
+
+// A mistake that the proof must find.
+enum class Fault {
+  kNone,
+  // Only the VM list and the fleet record say who leaves.
+  kLinksIgnored,
+  // A silent link goes on giving work.
+  kSilenceIgnored,
+  // Only the first message on a link says who leaves.
+  kHeartbeatsIgnored,
+  // Picks are made among candidates that were usable 4 s ago.
+  kStaleCandidates,
+};
+
+// Routers and agents in virtual time, with links that a test cuts, delays and
+// replaces, a VM list that lags by 30 s and a fleet record read late. Messages
+// take up to 1 s, overtake each other but for the Hello, and come twice; those
+// held by a cut come all at once when it heals. A connection that is silent
+// for 2 s is closed.
+class LeavingWorld {
+ public:
+  static constexpr int kRouters = 2;
+  static constexpr int kAgents = 3;
+
+  LeavingWorld(Fault fault, uint64_t seed);
+
+  // Moves time on; every router gets a request at each step of 100 ms.
+  void Advance(int64_t ms);
+  void BeginLeaving(int agent, bool writes_record);
+  void Restart(int agent);
+  void Cut(int router, int agent) { links_[router][agent].cut = true; }
+  void Heal(int router, int agent);
+  void Reconnect(int router, int agent);
+  void ReadVmList(int router);
+  void ReadRecord(int router, int versions_late);
+
+  // What went wrong first; empty while nothing did.
+  const std::string& violation() const { return violation_; }
+  int64_t picks() const { return picks_; }
+
+ private:
+  struct Message {
+    int64_t due = 0;
+    link::ConnectionId connection = 0;
+    bool is_hello = false;
+    link::Hello hello;
+  };
+  struct Agent {
+    FleetAgent entry;
+    bool leaving = false;
+    int64_t leaving_at = 0;
+    int64_t lives = 0;
+  };
+  struct Connection {
+    bool up = false;
+    int64_t heard_at = 0;
+  };
+  struct Link {
+    // The connections that are open or being opened; the last one is in use.
+    std::map<link::ConnectionId, Connection> connections;
+    bool cut = false;
+    // Since when nothing was wrong with it.
+    int64_t sound_since = 0;
+    std::vector<Message> on_the_way;
+  };
+  struct Router {
+    std::unique_ptr<Membership> membership;
+    std::unique_ptr<routing::Picker> picker;
+    std::map<int64_t, std::vector<AgentView>> usable_at;
+  };
+
+  link::Hello HelloOf(const Agent& agent) const;
+  void Send(int router, int agent, bool is_hello);
+  void Deliver(int router, int agent);
+  void Receive(Router& router, Link& link, const Message& message);
+  void CloseSilent(int router, int agent);
+  std::vector<AgentView> Candidates(Router& router);
+  void Request(int router);
+  void CheckSoundAgentsAreUsed(int router);
+  void Publish(const FleetEdit& edit);
+
+  Fault fault_;
+  std::mt19937_64 random_;
+  int64_t now_ = 0;
+  link::ConnectionId next_connection_ = 1;
+  std::vector<Agent> agents_;
+  std::vector<Router> routers_;
+  std::vector<std::vector<Link>> links_;
+  std::vector<FleetRecord> records_;
+  std::map<int64_t, std::vector<platform::Vm>> vm_lists_;
+  std::string violation_;
+  int64_t picks_ = 0;
+};
+
+}  // namespace godwit::membership::testing
+
+#endif  // MEMBERSHIP_TESTS_LEAVING_WORLD_H_
