--- /dev/null
+++ b/libs/link/include/link/link_counters.h
@@ -0,0 +1,38 @@
+#ifndef LINK_LINK_COUNTERS_H_
+#define LINK_LINK_COUNTERS_H_
+
+#include <cstdint>
+#include <tuple>
+
+namespace godwit::link {
+
+// Faults of peers that a Transport has seen since it was built.
+struct LinkCounters {
+  // Peers of another protocol version or fleet, or without a certificate of
+  // the fleet.
+  int64_t foreign_peers = 0;
+  // Links whose first frame was not Hello, or that sent Hello twice.
+  int64_t misplaced_frames = 0;
+  // Frames of an unknown type; the link stays up.
+  int64_t unknown_frames = 0;
+  // Frames that are no valid message; the link is closed.
+  int64_t malformed_frames = 0;
+  // Frames above the size limit; the link is closed.
+  int64_t oversized_frames = 0;
+  // Links closed since nothing arrived for the silence limit.
+  int64_t silent_links = 0;
+
+  friend bool operator==(const LinkCounters& a, const LinkCounters& b) {
+    return std::tie(a.foreign_peers, a.misplaced_frames, a.unknown_frames,
+                    a.malformed_frames, a.oversized_frames, a.silent_links) ==
+           std::tie(b.foreign_peers, b.misplaced_frames, b.unknown_frames,
+                    b.malformed_frames, b.oversized_frames, b.silent_links);
+  }
+  friend bool operator!=(const LinkCounters& a, const LinkCounters& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::link
+
+#endif  // LINK_LINK_COUNTERS_H_
--- a/libs/link/include/link/transport.h
+++ b/libs/link/include/link/transport.h
@@ -8,6 +8,7 @@
 #include "base/error.h"
 #include "base/millis.h"
 #include "link/connection_id.h"
+#include "link/link_counters.h"
 #include "link/message.h"
 #include "link/transport_handler.h"
 
@@ -20,7 +21,8 @@
 // Links of a process to its peers: websocketpp carrying CBOR, one message a
 // frame. Heartbeats go out at a period in both directions; a link on which
 // nothing arrives for the silence limit is closed, however open its socket
-// looks. All calls on the core thread.
+// looks. All calls on the core thread, within Runtime::Run; destroy it before
+// the runtime.
 class Transport {
  public:
   class Builder {
@@ -68,14 +70,18 @@
   // Queues a message; dropped when the link is gone.
   void Send(ConnectionId connection, const Message& message);
 
-  // Closes a link; on_down follows.
+  // Closes a link; on_down follows, and nothing else of that link.
   void Close(ConnectionId connection);
 
-  // Bytes queued on a link and not yet taken by its socket.
+  // Bytes queued on a link and not yet handed to its socket, as last seen by
+  // the I/O thread; 0 when the link is gone.
   size_t queued_bytes(ConnectionId connection) const noexcept;
 
+  // Faults of peers so far.
+  const LinkCounters& counters() const noexcept;
+
  private:
-  struct State;
+  class State;
   explicit Transport(std::shared_ptr<State> state);
   std::shared_ptr<State> state_;
 };
--- a/libs/link/include/link/transport_handler.h
+++ b/libs/link/include/link/transport_handler.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "base/error.h"
 #include "link/connection_id.h"
 #include "link/message.h"
 
@@ -20,6 +21,10 @@
   // The link is gone: closed, silent beyond the progress deadline, or foreign.
   // Also reported for a dial that failed, with the id that Dial returned.
   std::function<void(ConnectionId)> on_down;
+  // Optional: a peer broke the protocol, went silent or is foreign. Kinds:
+  // kForbidden (foreign), kProtocol (misplaced or unknown frame), kMalformed,
+  // kTooLarge, kDeadlineExceeded (silent), kUnavailable (connection failed).
+  std::function<void(ConnectionId, const base::Error&)> on_fault;
   // Contents of the next Hello and Heartbeat of this process.
   std::function<Hello()> hello;
   std::function<Heartbeat()> heartbeat;
--- /dev/null
+++ b/libs/link/src/io_side.h
@@ -0,0 +1,146 @@
+#ifndef LINK_IO_SIDE_H_
+#define LINK_IO_SIDE_H_
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/error.h"
+#include "base/millis.h"
+#include "endpoint.h"
+#include "link/codec.h"
+#include "link/connection_id.h"
+#include "link/message.h"
+
+namespace godwit::runtime {
+class Runtime;
+}
+
+namespace godwit::link {
+
+// A connection is open; Hello may be sent.
+struct LinkOpened {
+  ConnectionId id = 0;
+};
+
+// A frame arrived and was decoded.
+struct FrameArrived {
+  ConnectionId id = 0;
+  Message message;
+};
+
+// A frame arrived that is no message.
+struct FrameRefused {
+  ConnectionId id = 0;
+  base::Error error;
+};
+
+// A connection is gone; `reason` is kNone for an orderly end.
+struct LinkClosed {
+  ConnectionId id = 0;
+  base::Error reason;
+};
+
+using IoEvent =
+    std::variant<LinkOpened, FrameArrived, FrameRefused, LinkClosed>;
+
+// Bytes of one link that its socket has not taken.
+struct SendQueueGauge {
+  std::atomic<size_t> outbox{0};
+  std::atomic<size_t> socket{0};
+};
+
+// The half of a Transport that lives on the I/O thread: sends, decodes and
+// watches for silence. Work crosses between the threads in batches, one hop for
+// all that has gathered. Held by shared_ptr.
+class IoSide : public std::enable_shared_from_this<IoSide> {
+ public:
+  using Drain = std::function<void(std::vector<IoEvent>)>;
+
+  IoSide(runtime::Runtime& runtime,
+         base::Millis silence_limit,
+         size_t max_frame_bytes);
+
+  // Creates the endpoint, plain when `tls` is empty. False with `error` set.
+  bool Open(const std::optional<TlsFiles>& tls,
+            size_t max_frame_bytes,
+            base::Error& error);
+  // See Endpoint::Listen.
+  std::optional<uint16_t> Listen(const std::string& ip,
+                                 uint16_t port,
+                                 base::Error& error);
+  // Begins to report; `drain` runs on the core thread.
+  void Start(Drain drain);
+
+  // Core thread from here on.
+  ConnectionId Dial(std::string ip, uint16_t port);
+  void Send(ConnectionId id,
+            std::string frame,
+            std::shared_ptr<SendQueueGauge> gauge);
+  void Close(ConnectionId id);
+  // Reports nothing more.
+  void Shutdown();
+
+ private:
+  struct DialOrder {
+    ConnectionId id = 0;
+    std::string ip;
+    uint16_t port = 0;
+  };
+  struct SendOrder {
+    ConnectionId id = 0;
+    std::string frame;
+    std::shared_ptr<SendQueueGauge> gauge;
+  };
+  struct CloseOrder {
+    ConnectionId id = 0;
+  };
+  using Order = std::variant<DialOrder, SendOrder, CloseOrder>;
+
+  // What the I/O thread knows of one connection.
+  struct Watched {
+    base::Millis last_arrival;
+    std::shared_ptr<SendQueueGauge> gauge;
+  };
+
+  EndpointSink MakeSink();
+  void Enqueue(Order order);
+  void CarryOut(const DialOrder& order);
+  void CarryOut(const SendOrder& order);
+  void CarryOut(const CloseOrder& order);
+  void CarryOutAll();
+  void Report(IoEvent event);
+  void ReportAll();
+  void OnFrame(ConnectionId id, const std::string& frame);
+  void ScheduleCheck();
+  void CheckSilence();
+
+  runtime::Runtime& runtime_;
+  const base::Millis silence_limit_;
+  Codec codec_;
+  std::shared_ptr<Endpoint> endpoint_;
+  std::atomic<ConnectionId> next_id_{1};
+
+  // I/O thread only.
+  std::unordered_map<ConnectionId, Watched> watched_;
+  boost::asio::steady_timer check_timer_;
+  bool shut_down_ = false;
+
+  // Core thread only.
+  Drain drain_;
+
+  std::mutex mutex_;
+  std::vector<Order> orders_;
+  std::vector<IoEvent> events_;
+};
+
+}  // namespace godwit::link
+
+#endif  // LINK_IO_SIDE_H_
--- /dev/null
+++ b/libs/link/src/plain_endpoint.cc
@@ -0,0 +1,28 @@
+#include <utility>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+
+#include "websocket_endpoint.h"
+
+namespace godwit::link {
+namespace {
+
+struct PlainSecurity {
+  using ServerConfig = websocketpp::config::asio;
+  using ClientConfig = websocketpp::config::asio_client;
+  static constexpr char kScheme[] = "ws";
+
+  template <typename Side>
+  void Prepare(Side& /*side*/) {}
+};
+
+}  // namespace
+
+std::shared_ptr<Endpoint> MakePlainEndpoint(boost::asio::io_context& io,
+                                            size_t max_frame_bytes,
+                                            EndpointSink sink) {
+  return std::make_shared<WebsocketEndpoint<PlainSecurity>>(
+      io, max_frame_bytes, PlainSecurity(), std::move(sink));
+}
+
+}  // namespace godwit::link
--- /dev/null
+++ b/libs/link/src/tls_endpoint.cc
@@ -0,0 +1,78 @@
+#include <openssl/x509_vfy.h>
+
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/verify_context.hpp>
+#include <utility>
+#include <websocketpp/config/asio.hpp>
+#include <websocketpp/config/asio_client.hpp>
+
+#include "websocket_endpoint.h"
+
+namespace godwit::link {
+namespace {
+
+namespace ssl = boost::asio::ssl;
+using Context = std::shared_ptr<ssl::context>;
+
+struct TlsSecurity {
+  using ServerConfig = websocketpp::config::asio_tls;
+  using ClientConfig = websocketpp::config::asio_tls_client;
+  static constexpr char kScheme[] = "wss";
+
+  Context context;
+
+  template <typename Side>
+  void Prepare(Side& side) {
+    side.set_tls_init_handler(
+        [context = context](const auto& /*handle*/) { return context; });
+  }
+};
+
+base::Error FileError(const std::string& file,
+                      const boost::system::error_code& reason) {
+  return base::Error(base::ErrorKind::kInvalidArgument,
+                     "can't use TLS file " + file + ": " + reason.message(),
+                     "give a readable PEM file that fits the other files");
+}
+
+// Null with `error` set when a file can't be used.
+Context LoadContext(const TlsFiles& files, base::Error& error) {
+  auto context = std::make_shared<ssl::context>(ssl::context::tls);
+  context->set_options(ssl::context::no_sslv2 | ssl::context::no_sslv3 |
+                       ssl::context::no_tlsv1 | ssl::context::no_tlsv1_1);
+  boost::system::error_code ec;
+  context->use_certificate_chain_file(files.certificate, ec);
+  if (ec) {
+    error = FileError(files.certificate, ec);
+    return nullptr;
+  }
+  context->use_private_key_file(files.key, ssl::context::pem, ec);
+  if (ec) {
+    error = FileError(files.key, ec);
+    return nullptr;
+  }
+  context->load_verify_file(files.authority, ec);
+  if (ec) {
+    error = FileError(files.authority, ec);
+    return nullptr;
+  }
+  context->set_verify_mode(ssl::verify_peer | ssl::verify_fail_if_no_peer_cert);
+  return context;
+}
+
+}  // namespace
+
+std::shared_ptr<Endpoint> MakeTlsEndpoint(boost::asio::io_context& io,
+                                          size_t max_frame_bytes,
+                                          const TlsFiles& files,
+                                          EndpointSink sink,
+                                          base::Error& error) {
+  Context context = LoadContext(files, error);
+  if (context == nullptr) {
+    return nullptr;
+  }
+  return std::make_shared<WebsocketEndpoint<TlsSecurity>>(
+      io, max_frame_bytes, TlsSecurity{std::move(context)}, std::move(sink));
+}
+
+}  // namespace godwit::link
--- a/libs/link/tests/codec_test.cc
+++ b/libs/link/tests/codec_test.cc
@@ -64,9 +64,9 @@
 }
 
 Message AnyMessage() {
-  constexpr size_t kTypes = std::variant_size_v<Message>;
-  return AnyMessage(*rc::gen::inRange<size_t>(0, kTypes),
-                    std::make_index_sequence<kTypes>());
+  constexpr size_t k_type_count = std::variant_size_v<Message>;
+  return AnyMessage(*rc::gen::inRange<size_t>(0, k_type_count),
+                    std::make_index_sequence<k_type_count>());
 }
 
 }  // namespace
--- /dev/null
+++ b/libs/link/tests/silencing_proxy.h
@@ -0,0 +1,76 @@
+#ifndef LINK_TESTS_SILENCING_PROXY_H_
+#define LINK_TESTS_SILENCING_PROXY_H_
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+
+namespace godwit::link {
+
+// Relays one TCP connection at a time to a port of this machine. Once silenced
+// it keeps both sockets open but relays nothing; later connections work.
+class SilencingProxy {
+ public:
+  SilencingProxy(boost::asio::io_context& io, uint16_t target)
+      : io_(io),
+        target_(boost::asio::ip::address_v4::loopback(), target),
+        acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+
+  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+  // Silences the connections opened so far.
+  void Silence() { ++silenced_up_to_; }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Direction {
+    std::shared_ptr<Socket> from;
+    std::shared_ptr<Socket> to;
+    int generation = 0;
+    std::array<char, 4096> buffer{};
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](auto ec, Socket socket) {
+      if (ec) {
+        return;
+      }
+      auto near = std::make_shared<Socket>(std::move(socket));
+      auto far = std::make_shared<Socket>(io_);
+      far->connect(target_);
+      const int generation = silenced_up_to_;
+      Relay(std::make_shared<Direction>(Direction{near, far, generation, {}}));
+      Relay(std::make_shared<Direction>(Direction{far, near, generation, {}}));
+      Accept();
+    });
+  }
+
+  void Relay(const std::shared_ptr<Direction>& way) {
+    way->from->async_read_some(
+        boost::asio::buffer(way->buffer), [this, way](auto ec, size_t size) {
+          if (ec) {
+            boost::system::error_code ignored;
+            way->to->close(ignored);
+            return;
+          }
+          if (way->generation == silenced_up_to_) {
+            boost::asio::write(
+                *way->to, boost::asio::buffer(way->buffer.data(), size), ec);
+          }
+          Relay(way);
+        });
+  }
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint target_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> silenced_up_to_{0};
+};
+
+}  // namespace godwit::link
+
+#endif  // LINK_TESTS_SILENCING_PROXY_H_
--- /dev/null
+++ b/libs/link/tests/transport_test.cc
@@ -0,0 +1,282 @@
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <exception>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/clocks.h"
+#include "endpoint.h"
+#include "link/codec.h"
+#include "link/link_counters.h"
+#include "link/transport.h"
+#include "runtime/runtime.h"
+#include "silencing_proxy.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Error;
+using godwit::base::ErrorKind;
+using godwit::base::Millis;
+using godwit::base::Seconds;
+using godwit::link::AddCredit;
+using godwit::link::Codec;
+using godwit::link::ConnectionId;
+using godwit::link::EndpointSink;
+using godwit::link::Heartbeat;
+using godwit::link::Hello;
+using godwit::link::kProtocolVersion;
+using godwit::link::LinkCounters;
+using godwit::link::MakePlainEndpoint;
+using godwit::link::Message;
+using godwit::link::RunData;
+using godwit::link::SilencingProxy;
+using godwit::link::Transport;
+using godwit::link::TransportHandler;
+using godwit::runtime::Runtime;
+
+namespace {
+
+constexpr char kIp[] = "127.0.0.1";
+constexpr Millis kPeriod{20};
+constexpr Millis kSilence{400};
+constexpr size_t kMaxFrame = 100'000;
+
+// Blocks the calling fiber until the condition holds; false after 20 s.
+bool Await(const std::function<bool()>& condition) {
+  const Millis limit = godwit::base::SteadyNow() + Seconds(20);
+  while (!condition()) {
+    if (godwit::base::SteadyNow() > limit) {
+      return false;
+    }
+    Runtime::SleepFor(Millis(2));
+  }
+  return true;
+}
+
+Hello MakeHello(const std::string& fleet) {
+  Hello hello;
+  hello.protocol = kProtocolVersion;
+  hello.fleet = fleet;
+  return hello;
+}
+
+// A process with a transport that records what it is told.
+struct Peer {
+  std::string fleet = "lantern";
+  std::vector<ConnectionId> up;
+  std::vector<ConnectionId> down;
+  std::vector<ErrorKind> faults;
+  std::vector<Message> messages;
+  int64_t heartbeats = 0;
+  std::unique_ptr<Transport> transport;
+
+  Transport::Builder Builder() {
+    TransportHandler handler;
+    handler.on_up = [this](ConnectionId id, const Hello&) { up.push_back(id); };
+    handler.on_down = [this](ConnectionId id) { down.push_back(id); };
+    handler.on_fault = [this](ConnectionId, const Error& error) {
+      faults.push_back(error.kind());
+    };
+    handler.on_message = [this](ConnectionId, Message message) {
+      if (std::holds_alternative<Heartbeat>(message)) {
+        ++heartbeats;
+      } else {
+        messages.push_back(std::move(message));
+      }
+    };
+    handler.hello = [this] { return MakeHello(fleet); };
+    handler.heartbeat = [] { return Heartbeat(); };
+    Transport::Builder builder;
+    builder.HeartbeatPeriod(kPeriod)
+        .SilenceLimit(kSilence)
+        .MaxFrameBytes(kMaxFrame)
+        .Handle(std::move(handler));
+    return builder;
+  }
+};
+
+// Runs `body` on the core. A failed check leaves the fiber first, since it must
+// not unwind across the stack of a fiber.
+void RunOnCore(Runtime& runtime, const std::function<void()>& body) {
+  std::exception_ptr failure;
+  runtime.Run([&] {
+    try {
+      body();
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    runtime.Stop();
+  });
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
+// Runs `body` on the core with a listening and a dialling process.
+void WithPeers(
+    const std::function<void(Runtime&, Peer& router, Peer& agent)>& body) {
+  Peer router;
+  Peer agent;
+  Runtime runtime;
+  RunOnCore(runtime, [&] {
+    router.transport = router.Builder().Build(runtime);
+    agent.transport = agent.Builder().Listen(kIp, 0).Build(runtime);
+    body(runtime, router, agent);
+    router.transport.reset();
+    agent.transport.reset();
+  });
+}
+
+}  // namespace
+
+TEST_GROUP(Transport){};
+
+TEST(Transport, CarriesMessagesAndHeartbeatsBothWays) {
+  WithPeers([](Runtime&, Peer& router, Peer& agent) {
+    const auto id = router.transport->Dial(kIp, agent.transport->port());
+    CHECK(Await([&] { return !router.up.empty() && !agent.up.empty(); }));
+    CHECK(router.up.front() == id);
+    constexpr int64_t kMessages = 1000;
+    for (int64_t i = 0; i < kMessages; ++i) {
+      router.transport->Send(id, AddCredit{{}, i});
+      agent.transport->Send(agent.up.front(), AddCredit{{}, -i});
+    }
+    CHECK(Await([&] {
+      return router.messages.size() == kMessages &&
+             agent.messages.size() == kMessages;
+    }));
+    for (int64_t i = 0; i < kMessages; ++i) {
+      CHECK_EQUAL(i, std::get<AddCredit>(agent.messages[i]).bytes);
+      CHECK_EQUAL(-i, std::get<AddCredit>(router.messages[i]).bytes);
+    }
+    CHECK(Await([&] { return router.heartbeats > 2 && agent.heartbeats > 2; }));
+    router.transport->Close(id);
+    CHECK(Await([&] { return !router.down.empty() && !agent.down.empty(); }));
+    CHECK(router.faults.empty() && agent.faults.empty());
+  });
+}
+
+TEST(Transport, ReplacesSilentLink) {
+  WithPeers([](Runtime& runtime, Peer& router, Peer& agent) {
+    SilencingProxy proxy(runtime.io(), agent.transport->port());
+    const auto first = router.transport->Dial(kIp, proxy.port());
+    CHECK(Await([&] { return !router.up.empty() && !agent.up.empty(); }));
+    proxy.Silence();
+    CHECK(Await([&] { return !router.down.empty() && !agent.down.empty(); }));
+    CHECK(router.down.front() == first);
+    CHECK_EQUAL(1, router.transport->counters().silent_links);
+    const auto second = router.transport->Dial(kIp, proxy.port());
+    CHECK(Await([&] { return router.up.size() == 2 && agent.up.size() == 2; }));
+    router.transport->Send(second, AddCredit{{}, 7});
+    CHECK(Await([&] { return agent.messages.size() == 1; }));
+  });
+}
+
+TEST(Transport, ReportsDialThatFails) {
+  WithPeers([](Runtime&, Peer& router, Peer& agent) {
+    const uint16_t port = agent.transport->port();
+    agent.transport.reset();
+    const auto id = router.transport->Dial(kIp, port);
+    CHECK(Await([&] { return !router.down.empty(); }));
+    CHECK(router.down.front() == id);
+    CHECK(router.faults == std::vector<ErrorKind>{ErrorKind::kUnavailable});
+  });
+}
+
+TEST(Transport, RefusesForeignFleet) {
+  WithPeers([](Runtime&, Peer& router, Peer& agent) {
+    router.fleet = "brennan";
+    router.transport->Dial(kIp, agent.transport->port());
+    CHECK(Await([&] { return !router.down.empty() && !agent.faults.empty(); }));
+    CHECK(router.up.empty() && agent.up.empty());
+    CHECK_EQUAL(1, agent.transport->counters().foreign_peers);
+  });
+}
+
+TEST(Transport, CountsFaultyFramesAndHarmsNoOtherLink) {
+  struct Case {
+    const char* name;
+    std::vector<std::string> frames;
+    ErrorKind fault;
+    int64_t LinkCounters::*counter;
+    bool closed;
+  };
+  RunData large;
+  large.bytes.assign(2 * kMaxFrame, 'a');
+  const std::string hello = Codec::Encode(MakeHello("lantern"));
+  const Case cases[] = {
+      {"before Hello",
+       {Codec::Encode(AddCredit{})},
+       ErrorKind::kProtocol,
+       &LinkCounters::misplaced_frames,
+       true},
+      {"second Hello",
+       {hello, hello},
+       ErrorKind::kProtocol,
+       &LinkCounters::misplaced_frames,
+       true},
+      {"unknown type",
+       {hello, "\x81\x18\xc8"},
+       ErrorKind::kProtocol,
+       &LinkCounters::unknown_frames,
+       false},
+      {"malformed",
+       {hello, "GET /"},
+       ErrorKind::kMalformed,
+       &LinkCounters::malformed_frames,
+       true},
+      {"oversized",
+       {hello, Codec::Encode(large)},
+       ErrorKind::kTooLarge,
+       &LinkCounters::oversized_frames,
+       true},
+  };
+  for (const Case& c : cases) {
+    WithPeers([&c](Runtime& runtime, Peer& router, Peer& agent) {
+      const auto id = router.transport->Dial(kIp, agent.transport->port());
+      CHECK(Await([&] { return agent.up.size() == 1; }));
+      std::atomic<bool> closed{false};
+      std::shared_ptr<godwit::link::Endpoint> raw;
+      EndpointSink sink;
+      sink.on_open = [&](ConnectionId raw_id) {
+        for (const std::string& frame : c.frames) {
+          raw->Send(raw_id, frame);
+        }
+      };
+      sink.on_frame = [](ConnectionId, const std::string&) {};
+      sink.on_close = [&](ConnectionId, const Error&) { closed = true; };
+      raw = MakePlainEndpoint(runtime.io(), kMaxFrame, std::move(sink));
+      boost::asio::post(runtime.io(),
+                        [&] { raw->Dial(1, kIp, agent.transport->port()); });
+      CHECK_TEXT(Await([&] { return !agent.faults.empty(); }), c.name);
+      CHECK_TEXT(agent.faults.front() == c.fault, c.name);
+      CHECK_EQUAL_TEXT(1, agent.transport->counters().*c.counter, c.name);
+      if (c.closed) {
+        CHECK_TEXT(Await([&] { return closed.load(); }), c.name);
+      }
+      router.transport->Send(id, AddCredit{{}, 7});
+      CHECK_TEXT(Await([&] { return agent.messages.size() == 1; }), c.name);
+      std::atomic<bool> done{false};
+      boost::asio::post(runtime.io(), [&] {
+        raw->Shutdown();
+        done = true;
+      });
+      CHECK(Await([&] { return done.load(); }));
+    });
+  }
+}
+
+TEST(Transport, NamesAddressThatCannotBeUsed) {
+  Runtime runtime;
+  RunOnCore(runtime, [&] {
+    Peer agent;
+    auto builder = agent.Builder();
+    CHECK(builder.Listen("not an address", 0).Build(runtime) == nullptr);
+    CHECK(builder.last_error().kind() == ErrorKind::kInvalidArgument);
+  });
+}
