--- /dev/null
+++ b/libs/membership/include/membership/prune.h
@@ -0,0 +1,20 @@
+#ifndef MEMBERSHIP_PRUNE_H_
+#define MEMBERSHIP_PRUNE_H_
+
+#include "base/millis.h"
+
+namespace godwit::membership {
+
+// Edit: remove lives that were gone at or before a wall time.
+struct Prune {
+  base::Millis gone_until;
+
+  friend bool operator==(const Prune& a, const Prune& b) {
+    return a.gone_until == b.gone_until;
+  }
+  friend bool operator!=(const Prune& a, const Prune& b) { return !(a == b); }
+};
+
+}  // namespace godwit::membership
+
+#endif  // MEMBERSHIP_PRUNE_H_
