Keep a runtime's periodic tasks from outliving it

A fiber of Runtime::Every that slept past the end of its runtime woke up in the next runtime of the same thread and read freed state; transport_test crashed on its second or third runtime.

--- a/libs/link/tests/silencing_proxy.h
+++ b/libs/link/tests/silencing_proxy.h
@@ -1,6 +1,7 @@
 #ifndef LINK_TESTS_SILENCING_PROXY_H_
 #define LINK_TESTS_SILENCING_PROXY_H_
 
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -10,14 +11,15 @@
 
 // Relays one TCP connection at a time to a port of this machine. Once silenced
 // it keeps both sockets open but relays nothing; later connections work.
-class SilencingProxy {
+// Held by shared_ptr; pending operations hold it too.
+class SilencingProxy : public std::enable_shared_from_this<SilencingProxy> {
  public:
   SilencingProxy(boost::asio::io_context& io, uint16_t target)
       : io_(io),
         target_(boost::asio::ip::address_v4::loopback(), target),
-        acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}) {
-    Accept();
-  }
+        acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}) {}
+
+  void Start() { Accept(); }
 
   uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
@@ -35,7 +37,8 @@
   };
 
   void Accept() {
-    acceptor_.async_accept([this](auto ec, Socket socket) {
+    acceptor_.async_accept([this, self = shared_from_this()](auto ec,
+                                                             Socket socket) {
       if (ec) {
         return;
       }
@@ -51,7 +54,8 @@
 
   void Relay(const std::shared_ptr<Direction>& way) {
     way->from->async_read_some(
-        boost::asio::buffer(way->buffer), [this, way](auto ec, size_t size) {
+        boost::asio::buffer(way->buffer),
+        [this, self = shared_from_this(), way](auto ec, size_t size) {
           if (ec) {
             boost::system::error_code ignored;
             way->to->close(ignored);
--- a/libs/link/tests/transport_test.cc
+++ b/libs/link/tests/transport_test.cc
@@ -45,6 +45,7 @@
 constexpr Millis kPeriod{20};
 constexpr Millis kSilence{400};
 constexpr size_t kMaxFrame = 100'000;
+constexpr int64_t kMessages = 1000;
 
 // Blocks the calling fiber until the condition holds; false after 20 s.
 bool Await(const std::function<bool()>& condition) {
@@ -141,7 +142,6 @@
     const auto id = router.transport->Dial(kIp, agent.transport->port());
     CHECK(Await([&] { return !router.up.empty() && !agent.up.empty(); }));
     CHECK(router.up.front() == id);
-    constexpr int64_t kMessages = 1000;
     for (int64_t i = 0; i < kMessages; ++i) {
       router.transport->Send(id, AddCredit{{}, i});
       agent.transport->Send(agent.up.front(), AddCredit{{}, -i});
@@ -163,14 +163,16 @@
 
 TEST(Transport, ReplacesSilentLink) {
   WithPeers([](Runtime& runtime, Peer& router, Peer& agent) {
-    SilencingProxy proxy(runtime.io(), agent.transport->port());
-    const auto first = router.transport->Dial(kIp, proxy.port());
+    const auto proxy =
+        std::make_shared<SilencingProxy>(runtime.io(), agent.transport->port());
+    proxy->Start();
+    const auto first = router.transport->Dial(kIp, proxy->port());
     CHECK(Await([&] { return !router.up.empty() && !agent.up.empty(); }));
-    proxy.Silence();
+    proxy->Silence();
     CHECK(Await([&] { return !router.down.empty() && !agent.down.empty(); }));
     CHECK(router.down.front() == first);
     CHECK_EQUAL(1, router.transport->counters().silent_links);
-    const auto second = router.transport->Dial(kIp, proxy.port());
+    const auto second = router.transport->Dial(kIp, proxy->port());
     CHECK(Await([&] { return router.up.size() == 2 && agent.up.size() == 2; }));
     router.transport->Send(second, AddCredit{{}, 7});
     CHECK(Await([&] { return agent.messages.size() == 1; }));
--- a/libs/runtime/include/runtime/runtime.h
+++ b/libs/runtime/include/runtime/runtime.h
@@ -49,7 +49,7 @@
 
  private:
   struct State;
-  std::unique_ptr<State> state_;
+  std::shared_ptr<State> state_;
 };
 
 }  // namespace godwit::runtime
--- a/libs/runtime/src/runtime.cc
+++ b/libs/runtime/src/runtime.cc
@@ -53,7 +53,7 @@
   }
 };
 
-Runtime::Runtime() : state_(std::make_unique<State>()) {
+Runtime::Runtime() : state_(std::make_shared<State>()) {
   state_->io_thread = std::thread([this] { state_->io.run(); });
 }
 
@@ -95,10 +95,13 @@
 }
 
 void Runtime::Every(base::Millis period, std::function<void()> task) {
-  Launch([this, period, task = std::move(task)] {
-    while (!state_->Stopped()) {
-      SleepFor(period);
+  // The fiber may wake after the runtime is gone, while the thread runs the
+  // fibers of another one.
+  Launch([state = state_, period, task = std::move(task)] {
+    SleepFor(period);
+    while (!state->Stopped()) {
       task();
+      SleepFor(period);
     }
   });
 }
