Add the platform client and standin-platform

Every process keeps what must last in the platform's KV, whose answers can be lost after a write took effect.

A silent connection also empties the pool of its server, because what lost track of one connection may have lost the others; without that each pooled connection costs a timeout of its own.

--- a/libs/http/src/call_operation.cc
+++ b/libs/http/src/call_operation.cc
@@ -99,13 +99,10 @@
 
   void Begin() {
     if (timeouts_.total) {
-      total_.Start(*timeouts_.total, [this] {
-        Stop(TimeoutError(connections_->HostField(), "the total timeout"));
-      });
+      total_.Start(*timeouts_.total,
+                   [this] { StopSilent("the total timeout"); });
     }
-    idle_.Start(timeouts_.idle, [this] {
-      Stop(TimeoutError(connections_->HostField(), "the idle timeout"));
-    });
+    idle_.Start(timeouts_.idle, [this] { StopSilent("the idle timeout"); });
     if (auto idle = connections_->TakeIdle()) {
       reused_ = true;
       socket_ = std::move(*idle);
@@ -188,9 +185,7 @@
       Finish();
       return;
     }
-    idle_.Start(timeouts_.idle, [this] {
-      Stop(TimeoutError(connections_->HostField(), "the idle timeout"));
-    });
+    idle_.Start(timeouts_.idle, [this] { StopSilent("the idle timeout"); });
     pending_ = true;
     parser_.get().body().data = piece_.data();
     parser_.get().body().size = piece_.size();
@@ -243,6 +238,12 @@
     return false;
   }
 
+  // What made this connection silent may have hit the idle ones as well.
+  void StopSilent(const std::string& timeout) {
+    connections_->Clear();
+    Stop(TimeoutError(connections_->HostField(), timeout));
+  }
+
   // Ends the call with `error`, once the operation in flight has told how many
   // bytes went out.
   void Stop(const base::Error& error) {
--- a/libs/http/src/connection_pool.h
+++ b/libs/http/src/connection_pool.h
@@ -27,6 +27,7 @@
   // Keeps a connection on which nothing is in flight.
   void Keep(boost::asio::ip::tcp::socket socket);
   void IdleLimit(base::Millis span) noexcept { idle_limit_ = span; }
+  // Closes the idle connections.
   void Clear() { idle_.clear(); }
 
   runtime::Runtime& runtime() const noexcept { return runtime_; }
--- /dev/null
+++ b/standins/platform/src/kv_store.cc
@@ -0,0 +1,92 @@
+#include "kv_store.h"
+
+#include <utility>
+
+namespace godwit::standin {
+
+KvStore::Entry KvStore::Find(const std::string& key) const {
+  const auto entry = entries_.find(key);
+  return entry == entries_.end() ? Entry() : entry->second;
+}
+
+std::map<std::string, KvStore::Entry> KvStore::FindByPrefix(
+    const std::string& prefix) const {
+  std::map<std::string, Entry> found;
+  for (auto entry = entries_.lower_bound(prefix); entry != entries_.end();
+       ++entry) {
+    if (entry->first.compare(0, prefix.size(), prefix) != 0) {
+      break;
+    }
+    if (entry->second.value) {
+      found.insert(*entry);
+    }
+  }
+  return found;
+}
+
+KvStore::Change KvStore::Set(const std::string& key,
+                             int64_t expected,
+                             std::optional<std::string> value,
+                             const std::string& lease) {
+  if (Find(key).VisibleVersion() != expected) {
+    return Change::kOtherVersion;
+  }
+  if (!lease.empty() && leases_.count(lease) == 0) {
+    return Change::kNoLease;
+  }
+  Entry& entry = entries_[key];
+  ++entry.version;
+  entry.value = std::move(value);
+  entry.lease = lease;
+  return Change::kDone;
+}
+
+std::string KvStore::GrantLease(base::Millis now, base::Millis ttl) {
+  std::string lease = "lease-" + std::to_string(++last_lease_);
+  leases_[lease] = {ttl, now + ttl};
+  return lease;
+}
+
+bool KvStore::RenewLease(base::Millis now, const std::string& lease) {
+  const auto found = leases_.find(lease);
+  if (found == leases_.end() || found->second.expires_at <= now) {
+    return false;
+  }
+  found->second.expires_at = now + found->second.ttl;
+  return true;
+}
+
+std::vector<std::string> KvStore::Lapse(base::Millis now) {
+  std::vector<std::string> removed;
+  for (auto lease = leases_.begin(); lease != leases_.end();) {
+    if (lease->second.expires_at > now) {
+      ++lease;
+      continue;
+    }
+    for (std::string& key : RemoveKeysOf(lease->first)) {
+      removed.push_back(std::move(key));
+    }
+    lease = leases_.erase(lease);
+  }
+  return removed;
+}
+
+void KvStore::RenewAllLeases(base::Millis now) {
+  for (auto& [name, lease] : leases_) {
+    lease.expires_at = now + lease.ttl;
+  }
+}
+
+std::vector<std::string> KvStore::RemoveKeysOf(const std::string& lease) {
+  std::vector<std::string> removed;
+  for (auto& [key, entry] : entries_) {
+    if (entry.value && entry.lease == lease) {
+      ++entry.version;
+      entry.value.reset();
+      removed.push_back(key);
+    }
+  }
+  return removed;
+}
+
+}  // namespace godwit::standin
--- /dev/null
+++ b/standins/platform/src/platform_service.h
@@ -0,0 +1,114 @@
+#ifndef PLATFORM_SERVICE_H_
+#define PLATFORM_SERVICE_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/millis.h"
+#include "http/response.h"
+#include "http/target.h"
+#include "kv_store.h"
+
+namespace godwit::runtime {
+class Runtime;
+}
+
+namespace godwit::http {
+class Exchange;
+struct Request;
+}  // namespace godwit::http
+
+namespace godwit::standin {
+
+// The platform's HTTP calls, with faults set by POST /fault. Core thread.
+class PlatformService {
+ public:
+  struct Rates {
+    double writes_per_second = 0;
+    double reads_per_second = 0;
+  };
+
+  PlatformService(runtime::Runtime& runtime, Rates rates, base::Millis vm_lag);
+
+  // Answers one request; may block the fiber.
+  void Handle(const std::shared_ptr<http::Exchange>& exchange);
+
+ private:
+  struct Faults {
+    // Calls are refused with 503.
+    bool outage = false;
+    // Calls get no answer.
+    bool silent = false;
+    // Leases get their whole time again when the outage ends.
+    bool keep_leases = false;
+    base::Millis delay;
+    // Number of writes whose answers are still to be lost.
+    int64_t lose_answers = 0;
+  };
+
+  struct Counts {
+    int64_t reads = 0;
+    int64_t writes = 0;
+    int64_t watches = 0;
+    int64_t refused = 0;
+    int64_t bytes = 0;
+  };
+
+  // Calls left in this second.
+  struct Allowance {
+    bool Take(base::Millis now);
+
+    double per_second = 0;
+    double left = 0;
+    base::Millis refilled_at;
+  };
+
+  struct Watch {
+    std::shared_ptr<http::Exchange> exchange;
+    std::string key;
+    int64_t after = 0;
+    base::Millis deadline;
+  };
+
+  struct VmList {
+    base::Millis set_at;
+    std::string text;
+  };
+
+  void Tick();
+  void HandleCall(const std::shared_ptr<http::Exchange>& exchange,
+                  const http::Target& target);
+  void HandleKey(const std::shared_ptr<http::Exchange>& exchange,
+                 const http::Target& target);
+  http::Response Write(const http::Request& request,
+                       const http::Target& target,
+                       const std::string& key);
+  http::Response List(const http::Target& target) const;
+  http::Response Lease(const http::Target& target);
+  http::Response Vms(const http::Request& request);
+  http::Response SetFaults(const http::Request& request);
+  http::Response Stats() const;
+  // 200 with the value, or 404.
+  http::Response Value(const std::string& key) const;
+  void Notify(const std::string& key);
+  void Answer(http::Exchange& exchange, http::Response response);
+
+  runtime::Runtime& runtime_;
+  base::Millis vm_lag_;
+  KvStore store_;
+  Faults faults_;
+  Counts counts_;
+  Allowance writes_;
+  Allowance reads_;
+  std::list<Watch> watches_;
+  std::deque<VmList> vm_lists_;
+};
+
+}  // namespace godwit::standin
+
+#endif  // PLATFORM_SERVICE_H_
--- /dev/null
+++ b/tests/support/child_process.cc
@@ -0,0 +1,91 @@
+#include "support/child_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace godwit::support {
+namespace {
+
+std::string ProgramPath(const std::string& program) {
+  const char* directory = std::getenv("GODWIT_BIN_DIR");
+  return std::string(directory == nullptr ? "out/bin" : directory) + "/" +
+         program;
+}
+
+[[noreturn]] void Execute(const std::string& path,
+                          const std::vector<std::string>& arguments,
+                          int output) {
+  std::vector<char*> argv;
+  argv.push_back(const_cast<char*>(path.c_str()));
+  for (const std::string& argument : arguments) {
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  }
+  argv.push_back(nullptr);
+  dup2(output, STDOUT_FILENO);
+  execv(path.c_str(), argv.data());
+  _exit(127);
+}
+
+// Reads lines until one names the port. 0 when the program ends before.
+uint16_t ReadPort(int input) {
+  std::string line;
+  char byte = 0;
+  while (read(input, &byte, 1) == 1) {
+    if (byte != '\n') {
+      line.push_back(byte);
+      continue;
+    }
+    const size_t colon = line.rfind(':');
+    if (line.rfind("listening on ", 0) == 0 && colon != std::string::npos) {
+      return static_cast<uint16_t>(std::atoi(line.c_str() + colon + 1));
+    }
+    line.clear();
+  }
+  return 0;
+}
+
+}  // namespace
+
+ChildProcess::ChildProcess(const std::string& program,
+                           const std::vector<std::string>& arguments) {
+  int ends[2] = {-1, -1};
+  if (pipe2(ends, O_CLOEXEC) != 0) {
+    return;
+  }
+  const std::string path = ProgramPath(program);
+  pid_ = fork();
+  if (pid_ == 0) {
+    Execute(path, arguments, ends[1]);
+  }
+  close(ends[1]);
+  port_ = ReadPort(ends[0]);
+  close(ends[0]);
+}
+
+ChildProcess::~ChildProcess() {
+  Signal(SIGKILL);
+  Wait();
+}
+
+void ChildProcess::Signal(int signal) const {
+  if (pid_ > 0) {
+    kill(pid_, signal);
+  }
+}
+
+int ChildProcess::Wait() {
+  if (pid_ <= 0) {
+    return -1;
+  }
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+}  // namespace godwit::support
