Spread accepted configurations, and apply them by compare-and-swap

Spread decides in each process which revision is in force; Apply writes one and reads back a write without an answer. The proof (label config) runs five processes and two operators around one KV in virtual time.

A first form paused all pulls after a rejected text; the proof found a new process that stayed behind its peers for longer than 5 s, since the KV held a text that can't be put in force. The pause applies to the rejected revision only.

Two demands of the oracle were wrong and are replaced: a valid text that was overwritten by an invalid one before any process read it can't come into force, so agreement is asked on the newest readable or known revision.

The bound is 5 s after faults end.

--- /dev/null
+++ b/libs/config/include/config/apply.h
@@ -0,0 +1,51 @@
+#ifndef CONFIG_APPLY_H_
+#define CONFIG_APPLY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "config/apply_command.h"
+#include "config/apply_result.h"
+#include "platform/kv_read_done.h"
+#include "platform/kv_write_done.h"
+
+namespace godwit::config {
+
+// Writes a configuration text by compare-and-swap. A write without an answer
+// is read back before anything else, and is repeated only under the same
+// expected version, so that the text is written at most once. Repeating a
+// whole apply changes nothing. No I/O; one thread at a time.
+class Apply {
+ public:
+  // `expected_revision` is the version that the operator's text is based on;
+  // 0 for the first one.
+  Apply(std::string text, int64_t expected_revision);
+
+  // What to do next; empty once result() is set. Call once after construction
+  // and after each answer.
+  std::optional<ApplyCommand> Next();
+
+  void Answer(const platform::KvReadDone& done);
+  void Answer(const platform::KvWriteDone& done);
+
+  const std::optional<ApplyResult>& result() const noexcept { return result_; }
+
+ private:
+  enum class Phase : uint8_t { kRead, kWrite, kDone };
+
+  void Finish(ApplyOutcome outcome, int64_t revision, std::string text);
+  void Retry();
+
+  const std::string text_;
+  const int64_t expected_revision_;
+  Phase phase_ = Phase::kRead;
+  int64_t operation_ = 0;
+  int64_t failures_ = 0;
+  bool maybe_written_ = false;
+  std::optional<ApplyResult> result_;
+};
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_APPLY_H_
--- /dev/null
+++ b/libs/config/include/config/spread.h
@@ -0,0 +1,86 @@
+#ifndef CONFIG_SPREAD_H_
+#define CONFIG_SPREAD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "config/spread_command.h"
+#include "config/spread_event.h"
+#include "config/spread_options.h"
+
+namespace godwit::config {
+
+struct Config;
+
+// Decides which configuration is in force in one process: the newest one that
+// the KV or a peer has shown, and never an older one than before. A peer that
+// is ahead is asked for its text, so that a revision reaches every process
+// that is linked to one that has it, also while the KV is down. No I/O; one
+// thread at a time.
+class Spread {
+ public:
+  // `start` is the time of the process's start.
+  explicit Spread(base::Millis start, SpreadOptions options = {});
+
+  // Takes an event and returns what to do, in order. `now` never goes back.
+  std::vector<SpreadCommand> Step(base::Millis now, const SpreadEvent& event);
+
+  // Revision in force; 0 for none.
+  int64_t revision() const noexcept;
+  // The configuration in force; null for none.
+  const std::shared_ptr<const Config>& config() const noexcept {
+    return config_;
+  }
+  // True once the process has a configuration and has asked the KV, or, while
+  // the KV fails, its peers. Stays true.
+  bool may_serve() const noexcept { return may_serve_; }
+
+ private:
+  void On(const KvSeen& event);
+  void On(const KvFailed& event);
+  void On(const PeerRevision& event);
+  void On(const PeerGone& event);
+  void On(const ConfigPushed& event);
+  void On(const ConfigPulled& event);
+  void On(const SpreadTick& event);
+
+  void Offer(int64_t revision, const std::string& text);
+  void Reject(int64_t revision, base::Error error);
+  void WatchWhenDue();
+  void PullWhenBehind();
+  std::optional<base::ProcessId> NextPeerAhead() const;
+  void UpdateMayServe();
+
+  const SpreadOptions options_;
+  const base::Millis start_;
+  base::Millis now_;
+  std::vector<SpreadCommand> commands_;
+
+  std::shared_ptr<const Config> config_;
+  bool may_serve_ = false;
+
+  // Version that the KV showed last.
+  int64_t kv_revision_ = 0;
+  bool kv_answered_ = false;
+  bool kv_failed_ = false;
+  bool watching_ = false;
+  base::Millis next_watch_;
+
+  std::map<base::ProcessId, int64_t> peer_revisions_;
+  // Peer asked last, and until when its answer is awaited.
+  base::ProcessId pulled_peer_;
+  base::Millis next_pull_;
+  // Revision that could not be put in force, and until when it is not pulled.
+  int64_t rejected_revision_ = 0;
+  base::Millis rejected_until_;
+};
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_SPREAD_H_
--- /dev/null
+++ b/libs/config/include/config/watch_kv.h
@@ -0,0 +1,30 @@
+#ifndef CONFIG_WATCH_KV_H_
+#define CONFIG_WATCH_KV_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "base/millis.h"
+
+namespace godwit::config {
+
+// Command of Spread: ask the KV for the configuration's key, waiting until its
+// version differs from `after_revision`. Answered by KvSeen or KvFailed; no
+// other one is issued before.
+struct WatchKv {
+  int64_t after_revision = 0;
+  // Longest wait; 0 to read at once.
+  base::Millis wait;
+
+  friend bool operator==(const WatchKv& a, const WatchKv& b) {
+    return std::tie(a.after_revision, a.wait) ==
+           std::tie(b.after_revision, b.wait);
+  }
+  friend bool operator!=(const WatchKv& a, const WatchKv& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::config
+
+#endif  // CONFIG_WATCH_KV_H_
--- /dev/null
+++ b/libs/config/src/apply.cc
@@ -0,0 +1,83 @@
+#include "config/apply.h"
+
+#include <utility>
+
+#include "config/config_key.h"
+
+namespace godwit::config {
+namespace {
+
+constexpr int64_t kMaxFailures = 5;
+
+}  // namespace
+
+Apply::Apply(std::string text, int64_t expected_revision)
+    : text_(std::move(text)), expected_revision_(expected_revision) {}
+
+std::optional<ApplyCommand> Apply::Next() {
+  if (phase_ == Phase::kDone) {
+    return std::nullopt;
+  }
+  ++operation_;
+  if (phase_ == Phase::kRead) {
+    return platform::KvRead{operation_, kConfigKey};
+  }
+  return platform::KvWrite{operation_, kConfigKey, expected_revision_, text_,
+                           ""};
+}
+
+void Apply::Answer(const platform::KvReadDone& done) {
+  if (done.operation != operation_ || phase_ != Phase::kRead) {
+    return;
+  }
+  if (!done.available) {
+    Retry();
+    return;
+  }
+  if (done.version != 0 && done.value == text_) {
+    Finish(ApplyOutcome::kAccepted, done.version, {});
+    return;
+  }
+  if (done.version == expected_revision_) {
+    phase_ = Phase::kWrite;
+    return;
+  }
+  Finish(maybe_written_ ? ApplyOutcome::kUnknown : ApplyOutcome::kConflict,
+         done.version, done.value);
+}
+
+void Apply::Answer(const platform::KvWriteDone& done) {
+  if (done.operation != operation_ || phase_ != Phase::kWrite) {
+    return;
+  }
+  phase_ = Phase::kRead;
+  switch (done.outcome) {
+    case platform::WriteOutcome::kWon:
+      Finish(ApplyOutcome::kAccepted, done.version, {});
+      return;
+    case platform::WriteOutcome::kLost:
+      return;
+    case platform::WriteOutcome::kNotSent:
+      Retry();
+      return;
+    case platform::WriteOutcome::kUnknown:
+      maybe_written_ = true;
+      Retry();
+      return;
+  }
+}
+
+void Apply::Finish(ApplyOutcome outcome, int64_t revision, std::string text) {
+  phase_ = Phase::kDone;
+  result_ = ApplyResult{outcome, revision, std::move(text)};
+}
+
+void Apply::Retry() {
+  ++failures_;
+  if (failures_ >= kMaxFailures) {
+    Finish(maybe_written_ ? ApplyOutcome::kUnknown : ApplyOutcome::kUnavailable,
+           0, {});
+  }
+}
+
+}  // namespace godwit::config
--- /dev/null
+++ b/libs/config/src/spread.cc
@@ -0,0 +1,160 @@
+#include "config/spread.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "config/config.h"
+#include "config/parser.h"
+
+namespace godwit::config {
+
+using base::Error;
+using base::ErrorKind;
+
+Spread::Spread(base::Millis start, SpreadOptions options)
+    : options_(options),
+      start_(start),
+      now_(start),
+      next_watch_(start),
+      next_pull_(start) {}
+
+std::vector<SpreadCommand> Spread::Step(base::Millis now,
+                                        const SpreadEvent& event) {
+  now_ = std::max(now_, now);
+  std::visit([this](const auto& e) { On(e); }, event);
+  WatchWhenDue();
+  PullWhenBehind();
+  UpdateMayServe();
+  return std::exchange(commands_, {});
+}
+
+int64_t Spread::revision() const noexcept {
+  return config_ == nullptr ? 0 : config_->revision;
+}
+
+void Spread::On(const KvSeen& event) {
+  const bool went_back = event.revision < kv_revision_;
+  const bool news = event.revision != kv_revision_ && event.revision != 0;
+  watching_ = false;
+  kv_answered_ = true;
+  kv_revision_ = event.revision;
+  next_watch_ = went_back ? now_ + options_.kv_retry : now_;
+  if (news) {
+    Offer(event.revision, event.text);
+  }
+}
+
+void Spread::On(const KvFailed& /*event*/) {
+  watching_ = false;
+  kv_failed_ = true;
+  next_watch_ = now_ + options_.kv_retry;
+}
+
+void Spread::On(const PeerRevision& event) {
+  peer_revisions_[event.peer] = event.revision;
+}
+
+void Spread::On(const PeerGone& event) {
+  peer_revisions_.erase(event.peer);
+  if (pulled_peer_ == event.peer) {
+    next_pull_ = now_;
+  }
+}
+
+void Spread::On(const ConfigPushed& event) {
+  next_pull_ = now_;
+  Offer(event.revision, event.text);
+}
+
+void Spread::On(const ConfigPulled& event) {
+  if (revision() > event.after_revision) {
+    commands_.emplace_back(PushTo{event.peer, revision(), config_->text});
+  }
+}
+
+void Spread::On(const SpreadTick& /*event*/) {}
+
+void Spread::Offer(int64_t revision, const std::string& text) {
+  if (revision < this->revision()) {
+    return;
+  }
+  if (revision == this->revision()) {
+    if (config_ != nullptr && config_->text != text) {
+      Reject(revision,
+             Error(ErrorKind::kCorrupt, "two texts have the same revision",
+                   "apply the text that is meant once more"));
+    }
+    return;
+  }
+  Parser parser;
+  auto parsed = parser.Parse(text, revision);
+  if (!parsed) {
+    Reject(revision, parser.last_error());
+    return;
+  }
+  config_ = std::make_shared<const Config>(std::move(*parsed));
+  commands_.emplace_back(InForce{config_});
+}
+
+void Spread::Reject(int64_t revision, Error error) {
+  rejected_revision_ = revision;
+  rejected_until_ = now_ + options_.reject_pause;
+  commands_.emplace_back(ConfigRejected{revision, std::move(error)});
+}
+
+void Spread::WatchWhenDue() {
+  if (watching_ || now_ < next_watch_) {
+    return;
+  }
+  // A first answer, or the first one after a failure, must not be delayed by
+  // the wait of a watch.
+  const bool at_once = !kv_answered_;
+  watching_ = true;
+  commands_.emplace_back(
+      WatchKv{kv_revision_, at_once ? base::Millis() : options_.watch_wait});
+}
+
+void Spread::PullWhenBehind() {
+  if (now_ < next_pull_) {
+    return;
+  }
+  const auto peer = NextPeerAhead();
+  if (!peer) {
+    return;
+  }
+  pulled_peer_ = *peer;
+  next_pull_ = now_ + options_.pull_timeout;
+  commands_.emplace_back(PullFrom{*peer, revision()});
+}
+
+// Takes turns, so that a silent peer does not keep the others from being asked.
+std::optional<base::ProcessId> Spread::NextPeerAhead() const {
+  std::optional<base::ProcessId> first;
+  for (const auto& [peer, revision] : peer_revisions_) {
+    const bool rejected =
+        revision == rejected_revision_ && now_ < rejected_until_;
+    if (revision <= this->revision() || rejected) {
+      continue;
+    }
+    if (pulled_peer_ < peer) {
+      return peer;
+    }
+    if (!first) {
+      first = peer;
+    }
+  }
+  return first;
+}
+
+void Spread::UpdateMayServe() {
+  if (may_serve_ || config_ == nullptr) {
+    return;
+  }
+  const bool kv_asked = kv_answered_ && revision() >= kv_revision_;
+  const bool peers_asked = (kv_answered_ || kv_failed_) &&
+                           now_ >= start_ + options_.peer_wait &&
+                           !NextPeerAhead();
+  may_serve_ = kv_asked || peers_asked;
+}
+
+}  // namespace godwit::config
