Let an owner with a whole answer keep its key

Cause: an answer that was billed could be replaced by a second run of its key, which would be billed again. Before: RegisterKey.complete was ignored. After: two new cases of claims_test cover both orders of completing and replacing.

--- a/libs/claims/src/directory.cc
+++ b/libs/claims/src/directory.cc
@@ -34,17 +34,21 @@
     return std::nullopt;
   }
   Entry& entry = is_new ? entries_[request.key] : found->second;
-  const bool replaced =
-      !request.replaces.empty() && entry.attempt == request.replaces;
+  const bool replaced = !request.replaces.empty() && !entry.complete &&
+                        entry.attempt == request.replaces;
   if (is_new || replaced) {
     entry = Entry{request.body_digest, request.attempt, request.agent,
-                  request.agent_incarnation, now};
+                  request.agent_incarnation, false, now};
+  }
+  if (request.complete && entry.attempt == request.attempt) {
+    entry.complete = true;
   }
   Touch(now, request.key, entry);
   answer.body_digest = entry.body_digest;
   answer.attempt = entry.attempt;
   answer.agent = entry.agent;
   answer.agent_incarnation = entry.agent_incarnation;
+  answer.complete = entry.complete;
   return answer;
 }
 
--- a/libs/claims/tests/claims_test.cc
+++ b/libs/claims/tests/claims_test.cc
@@ -114,6 +114,28 @@
   }
 }
 
+TEST(Directory, NothingReplacesAnOwnerWithAWholeAnswer) {
+  Directory directory(Seconds(60), 10);
+  directory.Register(Millis(0), Ask("a"));
+  RegisterKey complete = Ask("a");
+  complete.complete = true;
+  CHECK(directory.Register(Millis(1), complete)->complete);
+  const auto answer = directory.Register(Millis(2), Ask("b", "a"));
+  CHECK(answer->attempt == AttemptId("a"));
+  CHECK(answer->complete);
+}
+
+TEST(Directory, AnAttemptThatWasReplacedCannotComplete) {
+  Directory directory(Seconds(60), 10);
+  directory.Register(Millis(0), Ask("a"));
+  directory.Register(Millis(1), Ask("b", "a"));
+  RegisterKey complete = Ask("a");
+  complete.complete = true;
+  const auto answer = directory.Register(Millis(2), complete);
+  CHECK(answer->attempt == AttemptId("b"));
+  CHECK_FALSE(answer->complete);
+}
+
 TEST(Directory, KeepsAtMostItsEntries) {
   Directory directory(Seconds(60), 1);
   directory.Register(Millis(0), Ask("a"));
