Decide an agent's runs in a state machine

A router that resumes a stream gives the assembler the prefix by Resume: OnData before RunHead is a gap, so the prefix was asked for again and would have been relayed twice.

--- /dev/null
+++ b/libs/agent/include/agent/agent_command.h
@@ -0,0 +1,29 @@
+#ifndef AGENT_AGENT_COMMAND_H_
+#define AGENT_AGENT_COMMAND_H_
+
+#include <variant>
+
+#include "agent/call_backend.h"
+#include "agent/cancel_backend.h"
+#include "agent/directory_request.h"
+#include "agent/drained.h"
+#include "agent/pause_backend.h"
+#include "agent/resume_backend.h"
+#include "agent/send_message.h"
+#include "agent/send_order.h"
+
+namespace godwit::agent {
+
+// What an AgentCore asks of its shell.
+using AgentCommand = std::variant<SendMessage,
+                                  CallBackend,
+                                  CancelBackend,
+                                  PauseBackend,
+                                  ResumeBackend,
+                                  SendOrder,
+                                  DirectoryRequest,
+                                  Drained>;
+
+}  // namespace godwit::agent
+
+#endif  // AGENT_AGENT_COMMAND_H_
--- /dev/null
+++ b/libs/agent/include/agent/backend_data.h
@@ -0,0 +1,31 @@
+#ifndef AGENT_BACKEND_DATA_H_
+#define AGENT_BACKEND_DATA_H_
+
+#include <string>
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace godwit::agent {
+
+// A piece of the backend server's answer.
+struct BackendData {
+  // The run.
+  base::AttemptId attempt;
+  // The piece.
+  std::string bytes;
+  // Model pools: tokens that the piece carries.
+  base::Tokens tokens = 0;
+
+  friend bool operator==(const BackendData& a, const BackendData& b) {
+    return std::tie(a.attempt, a.bytes, a.tokens) ==
+           std::tie(b.attempt, b.bytes, b.tokens);
+  }
+  friend bool operator!=(const BackendData& a, const BackendData& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::agent
+
+#endif  // AGENT_BACKEND_DATA_H_
--- /dev/null
+++ b/libs/agent/include/agent/link_message.h
@@ -0,0 +1,30 @@
+#ifndef AGENT_LINK_MESSAGE_H_
+#define AGENT_LINK_MESSAGE_H_
+
+#include <tuple>
+
+#include "link/connection_id.h"
+#include "link/message.h"
+
+namespace godwit::agent {
+
+// A message of a peer. Hello, Heartbeat and the configuration messages are the
+// shell's and are ignored.
+struct LinkMessage {
+  // The link.
+  link::ConnectionId connection = 0;
+  // What it says.
+  link::Message message;
+
+  friend bool operator==(const LinkMessage& a, const LinkMessage& b) {
+    return std::tie(a.connection, a.message) ==
+           std::tie(b.connection, b.message);
+  }
+  friend bool operator!=(const LinkMessage& a, const LinkMessage& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::agent
+
+#endif  // AGENT_LINK_MESSAGE_H_
--- /dev/null
+++ b/libs/agent/include/agent/resume_backend.h
@@ -0,0 +1,25 @@
+#ifndef AGENT_RESUME_BACKEND_H_
+#define AGENT_RESUME_BACKEND_H_
+
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace godwit::agent {
+
+// Go on reading an answer.
+struct ResumeBackend {
+  // The run.
+  base::AttemptId attempt;
+
+  friend bool operator==(const ResumeBackend& a, const ResumeBackend& b) {
+    return std::tie(a.attempt) == std::tie(b.attempt);
+  }
+  friend bool operator!=(const ResumeBackend& a, const ResumeBackend& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::agent
+
+#endif  // AGENT_RESUME_BACKEND_H_
--- /dev/null
+++ b/libs/agent/include/agent/tick.h
@@ -0,0 +1,14 @@
+#ifndef AGENT_TICK_H_
+#define AGENT_TICK_H_
+
+namespace godwit::agent {
+
+// Time has passed. Due at least every 100 ms.
+struct Tick {
+  friend bool operator==(const Tick& /*a*/, const Tick& /*b*/) { return true; }
+  friend bool operator!=(const Tick& /*a*/, const Tick& /*b*/) { return false; }
+};
+
+}  // namespace godwit::agent
+
+#endif  // AGENT_TICK_H_
--- /dev/null
+++ b/libs/agent/src/grant_accounts.h
@@ -0,0 +1,50 @@
+#ifndef AGENT_GRANT_ACCOUNTS_H_
+#define AGENT_GRANT_ACCOUNTS_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "base/ids.h"
+#include "link/grant_usage.h"
+
+namespace godwit::agent {
+
+// What runs under each grant cost at this agent.
+class GrantAccounts {
+ public:
+  explicit GrantAccounts(base::Incarnation incarnation);
+
+  // True when nothing may start under the grant.
+  bool IsSealed(const base::GrantId& grant) const;
+  // A run was accepted, for at most `reserved` tokens.
+  void Reserve(const base::GrantId& grant, base::Tokens reserved);
+  // A run that had reserved has ended, for `billed` tokens.
+  void Settle(const base::GrantId& grant,
+              base::Tokens reserved,
+              base::Tokens billed);
+  void Seal(const base::GrantId& grant);
+  // Drops the account; the grant stays sealed. Only seals while runs of the
+  // grant have not ended.
+  void Forget(const base::GrantId& grant);
+
+  link::GrantUsage Usage(const base::GrantId& grant) const;
+
+ private:
+  struct Account {
+    base::Tokens billed = 0;
+    base::Tokens running = 0;
+    // Runs that have not ended.
+    int64_t runs = 0;
+    bool sealed = false;
+  };
+
+  base::Incarnation incarnation_;
+  std::unordered_map<base::GrantId, Account> accounts_;
+  // Digests of forgotten grants. A collision only refuses a run.
+  std::unordered_set<uint64_t> forgotten_;
+};
+
+}  // namespace godwit::agent
+
+#endif  // AGENT_GRANT_ACCOUNTS_H_
--- /dev/null
+++ b/libs/agent/src/run_flow.cc
@@ -0,0 +1,534 @@
+#include "run_flow.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <utility>
+
+#include "link/run_accepted.h"
+#include "link/run_state.h"
+#include "stream/answer_buffer.h"
+
+namespace godwit::agent {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+// Refusals for load name at least this.
+constexpr base::Millis kMinRetryAfter = base::Seconds(1);
+// Larger reservations are refused as not valid.
+constexpr base::Tokens kMaxReserved = int64_t{1} << 40U;
+// Lowest HTTP status with which a server reports its own failure.
+constexpr int64_t kServerErrorStatus = 500;
+
+bool IsValid(const link::StartRun& start) noexcept {
+  return !start.attempt.empty() && !start.grant.empty() &&
+         start.reserved >= 0 && start.reserved <= kMaxReserved &&
+         start.output_cap >= 0 && start.resume_tokens >= 0 && start.credit >= 0;
+}
+
+int64_t SaturatingAdd(int64_t a, int64_t b) noexcept {
+  constexpr int64_t k_max = std::numeric_limits<int64_t>::max();
+  return a > k_max - b ? k_max : a + b;
+}
+
+// The point `span` after `now`, or the end of time. Wire values can be huge.
+base::Millis After(base::Millis now, base::Millis span) noexcept {
+  if (span <= base::Millis()) {
+    return now;
+  }
+  return base::Millis(SaturatingAdd(now.count(), span.count()));
+}
+
+}  // namespace
+
+RunFlow::RunFlow(const AgentOptions& options,
+                 GrantAccounts& accounts,
+                 Delivery& delivery,
+                 std::vector<AgentCommand>& commands)
+    : options_(options),
+      accounts_(accounts),
+      delivery_(delivery),
+      commands_(commands),
+      queue_(options.ageing) {}
+
+void RunFlow::OnStart(base::Millis now,
+                      link::ConnectionId from,
+                      link::StartRun start) {
+  if (const Run* known = Find(start.attempt)) {
+    RepeatReply(from, *known);
+    return;
+  }
+  const auto refusal = CheckStart(now, start);
+  Run& run = runs_[start.attempt];
+  run.start = std::move(start);
+  run.starter = delivery_.PeerOf(from);
+  run.stream = from;
+  run.deadline = After(now, run.start.deadline_in);
+  if (refusal) {
+    run.stage = RunStage::kRefused;
+    run.error = refusal->error;
+    run.retry_after = refusal->retry_after;
+    run.ended_at = now;
+    run.start.body.clear();
+    run.start.answer_prefix.clear();
+    ended_.emplace_back(now, run.start.attempt);
+    delivery_.SendOutcome(from, run);
+    return;
+  }
+  accounts_.Reserve(run.start.grant, run.start.reserved);
+  active_.emplace(run.start.attempt, &run);
+  delivery_.answers()
+      .Open(run.start.attempt)
+      .Append(run.start.answer_prefix, run.start.resume_tokens);
+  run.sent_offset = static_cast<int64_t>(run.start.answer_prefix.size());
+  run.credit = run.start.credit;
+  queue_.Push(now, run.start.priority, run.start.attempt);
+  delivery_.Send(from, link::RunAccepted{run.start.attempt});
+  Dispatch(now);
+}
+
+std::optional<RunFlow::Refusal> RunFlow::CheckStart(
+    base::Millis now,
+    const link::StartRun& start) const {
+  if (!IsValid(start)) {
+    return Refusal{
+        Error(ErrorKind::kInvalidArgument, "StartRun has a field out of range",
+              "run the same release of godwitlatch on both processes"),
+        base::Millis()};
+  }
+  if (leaving_) {
+    return Refusal{Error(ErrorKind::kLeaving, "this agent is leaving",
+                         "use another agent"),
+                   base::Millis()};
+  }
+  if (accounts_.IsSealed(start.grant)) {
+    return Refusal{
+        Error(ErrorKind::kStale,
+              "grant " + start.grant.value() + " is sealed at this agent",
+              "read the ledger again and draw another grant"),
+        base::Millis()};
+  }
+  if (!start.repeatable && start.claimed != options_.incarnation) {
+    return Refusal{
+        Error(ErrorKind::kStale, "the claim names another life of this agent",
+              "claim the request again for the present life"),
+        base::Millis()};
+  }
+  if (start.deadline_in <= base::Millis()) {
+    return Refusal{Error(ErrorKind::kDeadlineExceeded,
+                         "the deadline passed before the run could start",
+                         "send the request again with more time"),
+                   base::Millis()};
+  }
+  return CheckLoad(now, start);
+}
+
+std::optional<RunFlow::Refusal> RunFlow::CheckLoad(
+    base::Millis now,
+    const link::StartRun& start) const {
+  if (running_ + queue_.size() < options_.max_running) {
+    return std::nullopt;
+  }
+  const int64_t ahead = queue_.CountBefore(now, start.priority);
+  const base::Millis wait = estimate_.WaitBehind(ahead, options_.max_running);
+  if (queue_.size() < options_.max_queued && wait < start.deadline_in) {
+    return std::nullopt;
+  }
+  return Refusal{
+      Error(ErrorKind::kOverloaded,
+            "the backend server is not expected to answer in time: " +
+                std::to_string(queue_.size()) + " runs wait, about " +
+                std::to_string(wait.count()) + " ms",
+            "send the request again later or use another agent"),
+      std::max(wait, kMinRetryAfter)};
+}
+
+void RunFlow::RepeatReply(link::ConnectionId from, const Run& run) {
+  if (run.stage == RunStage::kRefused) {
+    delivery_.SendOutcome(from, run);
+  } else if (run.ended()) {
+    delivery_.SendState(from, run);
+  } else {
+    delivery_.Send(from, link::RunAccepted{run.start.attempt});
+  }
+}
+
+void RunFlow::OnAttach(base::Millis now,
+                       link::ConnectionId from,
+                       const link::AttachRun& attach) {
+  const auto found = runs_.find(attach.attempt);
+  if (found == runs_.end()) {
+    link::RunState unknown;
+    unknown.attempt = attach.attempt;
+    delivery_.Send(from, std::move(unknown));
+    return;
+  }
+  Run& run = found->second;
+  if (run.stage == RunStage::kRefused) {
+    delivery_.SendOutcome(from, run);
+    return;
+  }
+  const stream::AnswerBuffer* answer = delivery_.answers().Find(attach.attempt);
+  const bool beyond = answer != nullptr && attach.offset > answer->length();
+  if (run.start.key != attach.key || attach.offset < 0 || attach.credit < 0 ||
+      beyond) {
+    link::RunState unknown;
+    unknown.attempt = attach.attempt;
+    delivery_.Send(from, std::move(unknown));
+    return;
+  }
+  active_.emplace(attach.attempt, &run);
+  delivery_.Attach(run, from, attach);
+  Retire(now);
+}
+
+void RunFlow::OnCredit(link::ConnectionId from, const link::AddCredit& credit) {
+  const auto found = runs_.find(credit.attempt);
+  if (found == runs_.end() || found->second.stream != from ||
+      credit.bytes <= 0) {
+    return;
+  }
+  Run& run = found->second;
+  run.credit = SaturatingAdd(run.credit, credit.bytes);
+  delivery_.Pump(run);
+}
+
+void RunFlow::OnCancel(base::Millis now, const base::AttemptId& attempt) {
+  const auto found = runs_.find(attempt);
+  if (found == runs_.end() || found->second.ended()) {
+    return;
+  }
+  Run& run = found->second;
+  const Error cancelled(ErrorKind::kCancelled, "the caller went away",
+                        "send the request again");
+  if (run.stage == RunStage::kQueued) {
+    Refuse(now, run, Refusal{cancelled, base::Millis()});
+    return;
+  }
+  if (!run.start.repeatable) {
+    delivery_.Detach(now, run);
+    return;
+  }
+  const stream::AnswerBuffer* answer = delivery_.answers().Find(attempt);
+  const base::Tokens generated = answer == nullptr ? 0 : answer->tokens();
+  Stop(run);
+  Fail(now, run, cancelled, std::min(generated, run.start.reserved));
+}
+
+void RunFlow::OnTombstone(base::Millis now,
+                          link::ConnectionId from,
+                          const base::AttemptId& attempt) {
+  auto found = runs_.find(attempt);
+  if (found == runs_.end()) {
+    found = runs_.emplace(attempt, Run()).first;
+    Run& run = found->second;
+    run.start.attempt = attempt;
+    run.stage = RunStage::kRefused;
+    run.error = Error(ErrorKind::kCancelled,
+                      "a router asked that the attempt never start",
+                      "send the request again");
+    run.ended_at = now;
+    ended_.emplace_back(now, attempt);
+  }
+  delivery_.SendState(from, found->second);
+}
+
+void RunFlow::OnHead(base::Millis now, const BackendHead& event) {
+  Run* run = FindOpen(event.attempt);
+  if (run == nullptr || run->head) {
+    return;
+  }
+  if (options_.kind == config::ServiceKind::kModelPool &&
+      event.status >= kServerErrorStatus) {
+    Stop(*run);
+    Fail(
+        now, *run,
+        Error(ErrorKind::kBackendFailed,
+              "the engine answered with status " + std::to_string(event.status),
+              "send the request again"),
+        0);
+    return;
+  }
+  run->head = link::RunHead{run->start.key, event.attempt, event.status,
+                            event.content_type};
+  delivery_.Send(run->stream, *run->head);
+  delivery_.Pump(*run);
+}
+
+void RunFlow::OnData(const BackendData& event) {
+  Run* run = FindOpen(event.attempt);
+  if (run == nullptr || !run->head) {
+    return;
+  }
+  delivery_.answers()
+      .Open(event.attempt)
+      .Append(event.bytes, std::max<base::Tokens>(event.tokens, 0));
+  delivery_.Pump(*run);
+}
+
+void RunFlow::OnEnd(base::Millis now, const BackendEnd& event) {
+  const auto found = runs_.find(event.attempt);
+  if (found == runs_.end() || !found->second.backend_open) {
+    return;
+  }
+  Run& run = found->second;
+  CloseBackend(now, run);
+  if (run.stage == RunStage::kRunning) {
+    if (run.head) {
+      Complete(now, run, BillFor(run, event));
+    } else {
+      Fail(now, run,
+           Error(ErrorKind::kBackendFailed,
+                 "the backend server's answer has no status",
+                 "send the request again"),
+           0);
+    }
+  }
+  Dispatch(now);
+}
+
+void RunFlow::OnFailed(base::Millis now, const BackendFailed& event) {
+  const auto found = runs_.find(event.attempt);
+  if (found == runs_.end() || !found->second.backend_open) {
+    return;
+  }
+  Run& run = found->second;
+  CloseBackend(now, run);
+  if (run.stage == RunStage::kRunning) {
+    const Error error(event.kind, event.message, "send the request again");
+    if (event.sent || run.head) {
+      Fail(now, run, error, 0);
+    } else {
+      Refuse(now, run, Refusal{error, kMinRetryAfter});
+    }
+  }
+  Dispatch(now);
+}
+
+void RunFlow::OnLinkDown(base::Millis now, link::ConnectionId connection) {
+  for (const auto& [attempt, run] : active_) {
+    if (run->stream == connection) {
+      delivery_.Detach(now, *run);
+    }
+  }
+}
+
+void RunFlow::OnSealed(base::Millis now, const base::GrantId& grant) {
+  for (const auto& [attempt, run] : active_) {
+    if (run->stage == RunStage::kQueued && run->start.grant == grant) {
+      Refuse(now, *run,
+             Refusal{Error(ErrorKind::kStale,
+                           "grant " + grant.value() + " was sealed",
+                           "send the request again"),
+                     base::Millis()});
+    }
+  }
+}
+
+void RunFlow::OnTick(base::Millis now) {
+  RefuseLate(now);
+  GiveUpDetached(now);
+  Dispatch(now);
+  Retire(now);
+  Expire(now);
+}
+
+bool RunFlow::IsDrained() const noexcept {
+  return leaving_ && running_ == 0 && active_.empty();
+}
+
+const Run* RunFlow::Find(const base::AttemptId& attempt) const {
+  const auto found = runs_.find(attempt);
+  return found == runs_.end() ? nullptr : &found->second;
+}
+
+std::vector<base::AttemptId> RunFlow::open_runs() const {
+  std::vector<base::AttemptId> open;
+  for (const auto& [attempt, run] : active_) {
+    if (!run->ended()) {
+      open.push_back(attempt);
+    }
+  }
+  return open;
+}
+
+Run* RunFlow::FindOpen(const base::AttemptId& attempt) {
+  const auto found = runs_.find(attempt);
+  const bool open = found != runs_.end() && found->second.backend_open &&
+                    found->second.stage == RunStage::kRunning;
+  return open ? &found->second : nullptr;
+}
+
+void RunFlow::Dispatch(base::Millis now) {
+  while (running_ < options_.max_running) {
+    const auto next = queue_.Pop();
+    if (!next) {
+      return;
+    }
+    Run& run = runs_.at(*next);
+    if (run.deadline <= now) {
+      Refuse(now, run,
+             Refusal{Error(ErrorKind::kDeadlineExceeded,
+                           "the deadline passed before the run could start",
+                           "send the request again with more time"),
+                     kMinRetryAfter});
+      continue;
+    }
+    Call(now, run);
+  }
+}
+
+void RunFlow::Call(base::Millis now, Run& run) {
+  run.stage = RunStage::kRunning;
+  run.started_at = now;
+  run.backend_open = true;
+  ++running_;
+  CallBackend command{run.start.attempt, run.start};
+  run.start.body.clear();
+  run.start.body.shrink_to_fit();
+  run.start.answer_prefix.clear();
+  run.start.answer_prefix.shrink_to_fit();
+  commands_.emplace_back(std::move(command));
+}
+
+void RunFlow::CloseBackend(base::Millis now, Run& run) {
+  run.backend_open = false;
+  run.backend_paused = false;
+  --running_;
+  estimate_.OnRunTook(now - run.started_at);
+}
+
+base::Tokens RunFlow::BillFor(const Run& run, const BackendEnd& event) const {
+  if (options_.kind == config::ServiceKind::kPlain) {
+    return run.head->status < kServerErrorStatus ? run.start.reserved : 0;
+  }
+  const base::Tokens prompt = std::max<base::Tokens>(event.prompt_tokens, 0);
+  const base::Tokens completion =
+      std::max<base::Tokens>(event.completion_tokens, 0);
+  return std::min(SaturatingAdd(prompt, completion), run.start.reserved);
+}
+
+void RunFlow::Complete(base::Millis now, Run& run, base::Tokens billed) {
+  const stream::AnswerBuffer& answer =
+      delivery_.answers().Open(run.start.attempt);
+  link::RunEnd end;
+  end.key = run.start.key;
+  end.attempt = run.start.attempt;
+  end.length = answer.length();
+  end.digest = answer.digest();
+  end.grant = run.start.grant;
+  end.billed = billed;
+  run.end = std::move(end);
+  Settle(now, run, RunStage::kComplete, billed);
+}
+
+void RunFlow::Fail(base::Millis now,
+                   Run& run,
+                   base::Error error,
+                   base::Tokens billed) {
+  run.error = std::move(error);
+  delivery_.answers().Drop(run.start.attempt);
+  Settle(now, run, RunStage::kFailed, billed);
+}
+
+void RunFlow::Refuse(base::Millis now, Run& run, Refusal refusal) {
+  queue_.Remove(run.start.attempt);
+  run.error = std::move(refusal.error);
+  run.retry_after = refusal.retry_after;
+  delivery_.answers().Drop(run.start.attempt);
+  Settle(now, run, RunStage::kRefused, 0);
+}
+
+void RunFlow::Settle(base::Millis now,
+                     Run& run,
+                     RunStage stage,
+                     base::Tokens billed) {
+  run.stage = stage;
+  run.ended_at = now;
+  run.billed = billed;
+  run.start.body.clear();
+  run.start.answer_prefix.clear();
+  accounts_.Settle(run.start.grant, run.start.reserved, billed);
+  ended_.emplace_back(now, run.start.attempt);
+  delivery_.AnnounceEnd(run);
+}
+
+void RunFlow::Stop(Run& run) {
+  run.backend_paused = false;
+  commands_.emplace_back(CancelBackend{run.start.attempt});
+}
+
+void RunFlow::RefuseLate(base::Millis now) {
+  for (const auto& [attempt, run] : active_) {
+    if (run->stage == RunStage::kQueued && run->deadline <= now) {
+      Refuse(now, *run,
+             Refusal{Error(ErrorKind::kDeadlineExceeded,
+                           "the deadline passed before the run could start",
+                           "send the request again with more time"),
+                     kMinRetryAfter});
+    }
+  }
+}
+
+void RunFlow::GiveUpDetached(base::Millis now) {
+  const Error given_up(ErrorKind::kCancelled,
+                       "no router attached to the run in time",
+                       "send the request again");
+  for (const auto& [attempt, run] : active_) {
+    const bool due = !run->ended() && run->stream == kNoConnection &&
+                     run->detached_at + options_.attach_grace <= now;
+    if (!due) {
+      continue;
+    }
+    if (run->stage == RunStage::kQueued) {
+      Refuse(now, *run, Refusal{given_up, base::Millis()});
+    } else if (run->start.repeatable) {
+      Stop(*run);
+      Fail(now, *run, given_up, 0);
+    }
+  }
+}
+
+bool RunFlow::IsHandedOver(base::Millis now, const Run& run) const noexcept {
+  if (!run.ended()) {
+    return false;
+  }
+  if (run.stage != RunStage::kComplete || run.end_sent) {
+    return true;
+  }
+  const base::Millis since = std::max(run.detached_at, run.ended_at);
+  return run.stream == kNoConnection && since + options_.attach_grace <= now;
+}
+
+// Ended runs whose answer is handed over only wait for retries.
+void RunFlow::Retire(base::Millis now) {
+  for (auto at = active_.begin(); at != active_.end();) {
+    const Run& run = *at->second;
+    if (!IsHandedOver(now, run)) {
+      ++at;
+      continue;
+    }
+    if (run.stage == RunStage::kComplete) {
+      delivery_.answers().End(now, run.start.attempt);
+    }
+    at = active_.erase(at);
+  }
+}
+
+void RunFlow::Expire(base::Millis now) {
+  delivery_.answers().DropExpired(now);
+  while (!ended_.empty() && ended_.front().first + options_.retention <= now) {
+    const base::AttemptId attempt = ended_.front().second;
+    ended_.pop_front();
+    if (active_.count(attempt) != 0) {
+      ended_.emplace_back(now, attempt);
+      continue;
+    }
+    delivery_.answers().Drop(attempt);
+    runs_.erase(attempt);
+  }
+}
+
+}  // namespace godwit::agent
--- /dev/null
+++ b/libs/agent/src/wait_estimate.cc
@@ -0,0 +1,26 @@
+#include "wait_estimate.h"
+
+namespace godwit::agent {
+namespace {
+
+constexpr int64_t kMicrosPerMilli = 1000;
+// The latest run counts for this fraction of the average.
+constexpr int64_t kWeightDivisor = 8;
+
+}  // namespace
+
+void WaitEstimate::OnRunTook(base::Millis span) noexcept {
+  const int64_t micros = span.count() * kMicrosPerMilli;
+  if (average_micros_ == 0) {
+    average_micros_ = micros;
+    return;
+  }
+  average_micros_ += (micros - average_micros_) / kWeightDivisor;
+}
+
+base::Millis WaitEstimate::WaitBehind(int64_t ahead,
+                                      int64_t places) const noexcept {
+  return base::Millis(average_micros_ * (ahead + 1) / places / kMicrosPerMilli);
+}
+
+}  // namespace godwit::agent
--- a/libs/router/src/call_flow_start.cc
+++ b/libs/router/src/call_flow_start.cc
@@ -202,8 +202,7 @@
   call.assembler.emplace(call.key, call.attempt);
   if (call.request.stream && !call.answer.empty()) {
     start.answer_prefix = call.answer;
-    call.assembler->OnData(
-        link::RunData{call.key, call.attempt, 0, call.answer, 0});
+    call.assembler->Resume(call.answer);
   }
   call.sent = true;
   call.counted = true;
--- a/libs/stream/include/stream/answer_assembler.h
+++ b/libs/stream/include/stream/answer_assembler.h
@@ -2,6 +2,7 @@
 #define STREAM_ANSWER_ASSEMBLER_H_
 
 #include <cstdint>
+#include <string_view>
 
 #include "base/digest.h"
 #include "base/digester.h"
@@ -20,6 +21,10 @@
  public:
   AnswerAssembler(base::Digest key, base::AttemptId attempt);
 
+  // Counts a prefix of the answer as handed out: bytes of an earlier attempt
+  // that this one goes on after. Before any frame.
+  void Resume(std::string_view prefix);
+
   AssemblerStep OnHead(const link::RunHead& frame);
   AssemblerStep OnData(link::RunData frame);
   AssemblerStep OnEnd(const link::RunEnd& frame);
--- a/libs/stream/src/answer_assembler.cc
+++ b/libs/stream/src/answer_assembler.cc
@@ -31,6 +31,11 @@
   return !complete_ && !corrupt_ && key == key_ && attempt == attempt_;
 }
 
+void AnswerAssembler::Resume(std::string_view prefix) {
+  digester_.Update(prefix);
+  offset_ = static_cast<int64_t>(prefix.size());
+}
+
 AssemblerStep AnswerAssembler::OnHead(const link::RunHead& frame) {
   if (!Accepts(frame.key, frame.attempt) || has_head_) {
     return Dropped();
--- a/libs/stream/src/answer_store.cc
+++ b/libs/stream/src/answer_store.cc
@@ -15,10 +15,11 @@
 }
 
 void AnswerStore::End(base::Millis now, const base::AttemptId& attempt) {
-  Entry& entry = entries_[attempt];
-  if (entry.ended) {
+  const auto found = entries_.find(attempt);
+  if (found == entries_.end() || found->second.ended) {
     return;
   }
+  Entry& entry = found->second;
   entry.ended = true;
   ended_bytes_ += entry.buffer.length();
   ended_.push_back({now, attempt});
--- a/libs/stream/tests/answer_assembler_test.cc
+++ b/libs/stream/tests/answer_assembler_test.cc
@@ -203,6 +203,15 @@
   CHECK_FALSE(AnswersAreWhole<IgnoresOffset>());
 }
 
+TEST(AnswerAssembler, GoesOnAfterThePrefixOfAnEarlierAttempt) {
+  AnswerAssembler assembler(kKey, kAttempt);
+  assembler.Resume("ab");
+  CHECK(assembler.OnHead(Head()).head.has_value());
+  CHECK(assembler.OnData(Data(0, "abc")).bytes == "c");
+  CHECK(assembler.OnData(Data(3, "d")).bytes == "d");
+  CHECK(assembler.OnEnd(End("abcd")).complete);
+}
+
 TEST(AnswerAssembler, Steps) {
   struct Case {
     const char* name;
