--- a/standins/platform/src/kv_store.cc
+++ b/standins/platform/src/kv_store.cc
@@ -4,9 +4,14 @@
 
 namespace godwit::standin {
 
-KvStore::Entry KvStore::Find(const std::string& key) const {
+const KvStore::Entry* KvStore::Find(const std::string& key) const {
   const auto entry = entries_.find(key);
-  return entry == entries_.end() ? Entry() : entry->second;
+  return entry == entries_.end() ? nullptr : &entry->second;
+}
+
+int64_t KvStore::VisibleVersion(const std::string& key) const {
+  const Entry* entry = Find(key);
+  return entry != nullptr && entry->value ? entry->version : 0;
 }
 
 std::map<std::string, KvStore::Entry> KvStore::FindByPrefix(
@@ -28,7 +33,7 @@
                              int64_t expected,
                              std::optional<std::string> value,
                              const std::string& lease) {
-  if (Find(key).VisibleVersion() != expected) {
+  if (VisibleVersion(key) != expected) {
     return Change::kOtherVersion;
   }
   if (!lease.empty() && leases_.count(lease) == 0) {
--- a/standins/platform/src/kv_store.h
+++ b/standins/platform/src/kv_store.h
@@ -22,12 +22,12 @@
     // Empty when the key does not exist.
     std::optional<std::string> value;
     std::string lease;
-
-    // The version that callers see: 0 when the key does not exist.
-    int64_t VisibleVersion() const noexcept { return value ? version : 0; }
   };
 
-  Entry Find(const std::string& key) const;
+  // Null when the key was never written.
+  const Entry* Find(const std::string& key) const;
+  // 0 when the key does not exist.
+  int64_t VisibleVersion(const std::string& key) const;
   std::map<std::string, Entry> FindByPrefix(const std::string& prefix) const;
 
   // Sets the value, or removes the key when `value` is empty, if the key has
--- a/standins/platform/src/platform_service.cc
+++ b/standins/platform/src/platform_service.cc
@@ -185,12 +185,11 @@
   if (change == KvStore::Change::kOtherVersion) {
     Response response =
         Refusal(409, ErrorKind::kConflict, "the key has another version");
-    response.headers["x-version"] =
-        std::to_string(store_.Find(key).VisibleVersion());
+    response.headers["x-version"] = std::to_string(store_.VisibleVersion(key));
     return response;
   }
   Notify(key);
-  return VersionResponse(store_.Find(key).version);
+  return VersionResponse(store_.Find(key)->version);
 }
 
 Response PlatformService::List(const http::Target& target) const {
@@ -269,18 +268,18 @@
 }
 
 Response PlatformService::Value(const std::string& key) const {
-  const KvStore::Entry entry = store_.Find(key);
-  if (!entry.value) {
+  const KvStore::Entry* entry = store_.Find(key);
+  if (entry == nullptr || !entry->value) {
     return Refusal(404, ErrorKind::kNotFound, "no such key");
   }
-  Response response = VersionResponse(entry.version);
-  response.body = *entry.value;
+  Response response = VersionResponse(entry->version);
+  response.body = *entry->value;
   return response;
 }
 
 // Answers the watches of `key` that see another version.
 void PlatformService::Notify(const std::string& key) {
-  const int64_t version = store_.Find(key).VisibleVersion();
+  const int64_t version = store_.VisibleVersion(key);
   for (auto watch = watches_.begin(); watch != watches_.end();) {
     if (watch->key != key || watch->after == version) {
       ++watch;
