Test TLS with certificates made in the test

Callers' connections may need TLS, and certificates are replaced while streams are open. A reload serves new connections with the new certificate, keeps the open ones, and leaves the old files in force when the new ones can't be used.

--- /dev/null
+++ b/libs/http/tests/tls_test.cc
@@ -0,0 +1,224 @@
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "core_thread.h"
+#include "http/exchange.h"
+#include "http/request.h"
+#include "http/server.h"
+#include "raw_connection.h"
+#include "support/test_certificate.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using godwit::base::Error;
+using godwit::base::ErrorKind;
+using godwit::base::Millis;
+using godwit::http::CoreThread;
+using godwit::http::Exchange;
+using godwit::http::RawConnection;
+using godwit::http::Server;
+using godwit::support::TestCertificate;
+using godwit::support::TestDirectory;
+
+namespace {
+
+constexpr size_t kStreamBytes = 8 * 1024 * 1024;
+const std::string kGet = "GET / HTTP/1.1\r\n\r\n";
+const std::string kGetAndClose = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+const std::string kStream = "GET /stream HTTP/1.1\r\nConnection: close\r\n\r\n";
+const std::string kHold = "GET /hold HTTP/1.1\r\n\r\n";
+
+// A blocking TLS connection that trusts any certificate.
+class TlsConnection {
+ public:
+  explicit TlsConnection(uint16_t port) : stream_(io_, context_) {
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
+                                           port);
+    stream_.next_layer().connect(endpoint);
+    stream_.handshake(asio::ssl::stream_base::client, error_);
+  }
+
+  bool Send(const std::string& bytes) {
+    asio::write(stream_, asio::buffer(bytes), error_);
+    return !error_;
+  }
+
+  std::string ReadUntil(const std::string& text) {
+    std::string received;
+    asio::read_until(stream_, asio::dynamic_buffer(received), text, error_);
+    return received;
+  }
+
+  std::string ReadToEnd() {
+    std::string received;
+    asio::read(stream_, asio::dynamic_buffer(received), error_);
+    return received;
+  }
+
+  // Whether the peer ended the TLS session in order.
+  bool ended_in_order() const { return error_ == asio::error::eof; }
+
+  std::string SubjectOfPeer() {
+    X509* peer = SSL_get1_peer_certificate(stream_.native_handle());
+    char name[64] = {};
+    X509_NAME_get_text_by_NID(X509_get_subject_name(peer), NID_commonName, name,
+                              sizeof(name));
+    X509_free(peer);
+    return name;
+  }
+
+ private:
+  asio::io_context io_;
+  asio::ssl::context context_{asio::ssl::context::tls_client};
+  asio::ssl::stream<asio::ip::tcp::socket> stream_;
+  error_code error_;
+};
+
+void Copy(const std::string& from, const std::string& to) {
+  std::filesystem::copy_file(from, to,
+                             std::filesystem::copy_options::overwrite_existing);
+}
+
+}  // namespace
+
+TEST_GROUP(Tls) {
+  void setup() override {
+    Install(TestCertificate(directory.path(), "first"));
+    Server::Builder builder;
+    builder.Tls(certificate_file, key_file)
+        .ReadTimeout(Millis(200))
+        .Handle([this](std::shared_ptr<Exchange> exchange) {
+          Handle(std::move(exchange));
+        });
+    server = builder.Build(core.runtime());
+  }
+
+  void teardown() override {
+    core.Call<bool>([this] {
+      held = nullptr;
+      server = nullptr;
+      return true;
+    });
+  }
+
+  void Handle(std::shared_ptr<Exchange> exchange) {
+    const std::string& target = exchange->request().target;
+    if (target == "/stream") {
+      exchange->BeginStream(200, {});
+      exchange->Write(std::string(kStreamBytes, 'a'));
+      exchange->EndStream();
+    } else if (target == "/hold") {
+      exchange->OnCallerGone([this] { gone.set_value(); });
+      held = std::move(exchange);
+      held_one.set_value();
+    } else {
+      exchange->Respond({200, {}, "answer"});
+    }
+  }
+
+  void Install(const TestCertificate& certificate) {
+    Copy(certificate.certificate_file(), certificate_file);
+    Copy(certificate.key_file(), key_file);
+  }
+
+  TestDirectory directory;
+  const std::string certificate_file = directory.path() + "/server.crt";
+  const std::string key_file = directory.path() + "/server.key";
+  CoreThread core;
+  std::unique_ptr<Server> server;
+  std::shared_ptr<Exchange> held;
+  std::promise<void> gone;
+  std::promise<void> held_one;
+};
+
+TEST(Tls, AnswersAndEndsTheSessionInOrder) {
+  TlsConnection connection(server->port());
+  connection.Send(kGet);
+  STRCMP_CONTAINS("200 OK", connection.ReadUntil("answer").c_str());
+  connection.Send(kGetAndClose);
+  STRCMP_CONTAINS("answer", connection.ReadToEnd().c_str());
+  CHECK(connection.ended_in_order());
+}
+
+TEST(Tls, StreamsLargeAnswers) {
+  TlsConnection connection(server->port());
+  connection.Send(kStream);
+  const std::string answer = connection.ReadToEnd();
+  CHECK(answer.size() > kStreamBytes);
+  CHECK(answer.substr(answer.size() - 7) == "\r\n0\r\n\r\n");
+}
+
+TEST(Tls, NoticesCallerThatGoesAway) {
+  auto connection = std::make_unique<TlsConnection>(server->port());
+  connection->Send(kHold);
+  held_one.get_future().wait();
+  connection = nullptr;
+  gone.get_future().wait();
+}
+
+TEST(Tls, PlainAndSilentCallersAreDroppedAndOthersServed) {
+  RawConnection plain(server->port());
+  plain.Send(kGet);
+  CHECK(plain.ReadToEnd().find("HTTP") == std::string::npos);
+  RawConnection silent(server->port());
+  CHECK(silent.ReadToEnd().empty());
+  TlsConnection connection(server->port());
+  connection.Send(kGet);
+  STRCMP_CONTAINS("200 OK", connection.ReadUntil("answer").c_str());
+}
+
+TEST(Tls, ReloadServesNewConnectionsAndKeepsOpenOnes) {
+  TlsConnection open(server->port());
+  STRCMP_EQUAL("first", open.SubjectOfPeer().c_str());
+  open.Send(kHold);
+  held_one.get_future().wait();
+  Install(TestCertificate(directory.path(), "second"));
+  Error reason;
+  CHECK(server->ReloadTls(&reason));
+  STRCMP_EQUAL("second", TlsConnection(server->port()).SubjectOfPeer().c_str());
+  core.Call<bool>([this] {
+    held->Respond({200, {}, "late answer"});
+    return true;
+  });
+  STRCMP_CONTAINS("200 OK", open.ReadUntil("late answer").c_str());
+}
+
+TEST(Tls, UnusableFilesAreRefusedAndOldOnesStayInForce) {
+  const TestCertificate other(directory.path(), "other");
+  const struct {
+    const char* name;
+    std::string certificate;
+    std::string key;
+  } cases[] = {
+      {"key of another certificate", certificate_file, other.key_file()},
+      {"not PEM", directory.path() + "/text", key_file},
+      {"missing", directory.path() + "/missing", key_file},
+  };
+  std::ofstream(directory.path() + "/text") << "hello";
+  for (const auto& files : cases) {
+    Server::Builder builder;
+    builder.Tls(files.certificate, files.key);
+    CHECK_TEXT(!builder.Build(core.runtime()), files.name);
+    CHECK_TEXT(builder.last_error().kind() == ErrorKind::kInvalidArgument,
+               files.name);
+  }
+  Error reason;
+  std::filesystem::remove(key_file);
+  CHECK(!server->ReloadTls(&reason));
+  STRCMP_CONTAINS("server.key", reason.message().c_str());
+  STRCMP_EQUAL("first", TlsConnection(server->port()).SubjectOfPeer().c_str());
+}
