--- a/libs/router/include/router/router_core.h
+++ b/libs/router/include/router/router_core.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/millis.h"
+#include "router/open_call.h"
 #include "router/router_command.h"
 #include "router/router_event.h"
 #include "router/router_options.h"
@@ -28,8 +29,10 @@
   // True when requests are welcome: a configuration is in force, an agent is
   // linked, and no drain was requested.
   bool ready() const noexcept;
-  // Requests in progress.
+  // Requests whose caller awaits an answer.
   size_t open_calls() const noexcept;
+  // All requests in progress, those that only await their bill included.
+  std::vector<OpenCall> OpenCalls() const;
 
  private:
   class Impl;
--- a/libs/router/src/call_flow.cc
+++ b/libs/router/src/call_flow.cc
@@ -18,6 +18,28 @@
 // Slack over the time in which budget holder and claim writer answer.
 constexpr base::Millis kMachineLimit = base::Seconds(10);
 
+std::string_view PhaseName(CallPhase phase) noexcept {
+  switch (phase) {
+    case CallPhase::kRegistering:
+      return "registering";
+    case CallPhase::kReplanning:
+      return "replanning";
+    case CallPhase::kClaiming:
+      return "claiming";
+    case CallPhase::kReserving:
+      return "reserving";
+    case CallPhase::kStarting:
+      return "starting";
+    case CallPhase::kProbing:
+      return "probing";
+    case CallPhase::kRunning:
+      return "running";
+    case CallPhase::kConfirming:
+      return "confirming";
+  }
+  return "unknown";
+}
+
 base::Digest DigestOfParts(std::initializer_list<std::string_view> parts) {
   std::string whole;
   for (const std::string_view part : parts) {
@@ -365,6 +387,17 @@
                     [](const auto& entry) { return entry.second.open; }));
 }
 
+std::vector<OpenCall> CallFlow::OpenCalls() const {
+  std::vector<OpenCall> result;
+  result.reserve(calls_.size());
+  for (const auto& [exchange, call] : calls_) {
+    result.push_back(OpenCall{call.request.service, call.attempt,
+                              call.agent_incarnation, PhaseName(call.phase),
+                              call.open});
+  }
+  return result;
+}
+
 bool CallFlow::IsConfirming(const base::Incarnation& agent) const noexcept {
   return std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
     return entry.second.phase == CallPhase::kConfirming &&
--- a/libs/router/src/call_flow.h
+++ b/libs/router/src/call_flow.h
@@ -15,6 +15,7 @@
 #include "ledger/reserve_refused.h"
 #include "link/message.h"
 #include "router/exchange_id.h"
+#include "router/open_call.h"
 #include "router/outcome.h"
 
 namespace godwit::router {
@@ -52,6 +53,7 @@
 
   // Calls whose caller awaits an answer.
   size_t open_calls() const noexcept;
+  std::vector<OpenCall> OpenCalls() const;
   // All calls, those that only await their bill included.
   size_t calls() const noexcept { return calls_.size(); }
   // True while a whole answer of that agent awaits its bill.
--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -46,6 +46,7 @@
   }
 
   size_t open_calls() const noexcept { return flow_.open_calls(); }
+  std::vector<OpenCall> OpenCalls() const { return flow_.OpenCalls(); }
 
  private:
   void On(const CallerArrived& event) { flow_.OnArrived(event.request); }
@@ -383,4 +384,8 @@
   return impl_->open_calls();
 }
 
+std::vector<OpenCall> RouterCore::OpenCalls() const {
+  return impl_->OpenCalls();
+}
+
 }  // namespace godwit::router
--- /dev/null
+++ b/tests/fleet/fleet_callers.cc
@@ -0,0 +1,132 @@
+#include <string>
+#include <utility>
+
+#include "fleet_world.h"
+
+namespace godwit::fleet {
+
+void FleetWorld::Send(size_t router, Kind kind) {
+  if (requests_.size() >= kMaxRequests) {
+    return;
+  }
+  Request request;
+  request.body = std::to_string(requests_.size());
+  request.kind = kind;
+  requests_.push_back(std::move(request));
+  Arrive(router % routers_.size(), requests_.size() - 1);
+}
+
+void FleetWorld::Retry(size_t router, size_t request) {
+  if (requests_.empty()) {
+    return;
+  }
+  const size_t index = request % requests_.size();
+  if (requests_[index].kind.keyed && !requests_[index].answered) {
+    Arrive(router % routers_.size(), index);
+  }
+}
+
+void FleetWorld::Leave(size_t request) {
+  if (requests_.empty()) {
+    return;
+  }
+  const size_t index = request % requests_.size();
+  for (const router::ExchangeId exchange : requests_[index].open) {
+    const Caller& caller = callers_.at(exchange);
+    routers_[caller.router].inbox.emplace_back(router::CallerGone{exchange});
+    callers_.erase(exchange);
+  }
+  requests_[index].open.clear();
+}
+
+void FleetWorld::Arrive(size_t router, size_t index) {
+  if (routers_[router].dead) {
+    return;
+  }
+  Request& request = requests_[index];
+  request.last_not_run = false;
+  router::CallerRequest arrival;
+  arrival.exchange = next_exchange_++;
+  arrival.organisation = base::OrganisationId("keelung");
+  arrival.service = base::ServiceId("kiosk");
+  arrival.idempotency_key = request.kind.keyed ? "key-" + request.body : "";
+  arrival.repeatable = request.kind.repeatable;
+  arrival.stream = request.kind.stream;
+  arrival.method = "POST";
+  arrival.path = "/v1/chat/completions";
+  arrival.content_type = "application/json";
+  arrival.body = request.body;
+  arrival.prompt_tokens_bound = BackendModel::BillOf(request.body);
+  request.open.insert(arrival.exchange);
+  callers_[arrival.exchange] = Caller{index, router, ""};
+  routers_[router].inbox.emplace_back(
+      router::CallerArrived{std::move(arrival)});
+}
+
+FleetWorld::Caller* FleetWorld::FindCaller(router::ExchangeId exchange) {
+  const auto position = callers_.find(exchange);
+  return position == callers_.end() ? nullptr : &position->second;
+}
+
+void FleetWorld::Do(size_t, const router::AnswerWhole& command) {
+  OnAnswer(command.exchange, command.body);
+}
+
+void FleetWorld::Do(size_t, const router::AnswerHead&) {}
+
+void FleetWorld::Do(size_t, const router::AnswerBytes& command) {
+  if (Caller* caller = FindCaller(command.exchange)) {
+    caller->bytes += command.bytes;
+    routers_[caller->router].inbox.emplace_back(router::CallerDrained{
+        command.exchange, static_cast<int64_t>(command.bytes.size())});
+  }
+}
+
+void FleetWorld::Do(size_t, const router::AnswerEnd& command) {
+  if (const Caller* caller = FindCaller(command.exchange)) {
+    OnAnswer(command.exchange, caller->bytes);
+  }
+}
+
+void FleetWorld::Do(size_t, const router::AnswerAbort& command) {
+  OnError(command.exchange, router::CallerError());
+}
+
+void FleetWorld::Do(size_t, const router::AnswerError& command) {
+  OnError(command.exchange, command.error);
+}
+
+void FleetWorld::OnAnswer(router::ExchangeId exchange,
+                          const std::string& answer) {
+  const Caller* caller = FindCaller(exchange);
+  if (caller == nullptr) {
+    return;
+  }
+  Request& request = requests_[caller->request];
+  if (answer != BackendModel::AnswerTo(request.body)) {
+    Violate("request " + request.body + " got a wrong or partial answer");
+  }
+  request.answered = true;
+  request.open.erase(exchange);
+  callers_.erase(exchange);
+}
+
+void FleetWorld::OnError(router::ExchangeId exchange,
+                         const router::CallerError& error) {
+  const Caller* caller = FindCaller(exchange);
+  if (caller == nullptr) {
+    return;
+  }
+  Request& request = requests_[caller->request];
+  ++refusals_;
+  const bool ran = backend_.executions(request.body) > 0;
+  if (error.not_run && ran) {
+    Violate("request " + request.body + " ran, and its caller was told \"" +
+            error.message + "\"");
+  }
+  request.open.erase(exchange);
+  request.last_not_run = error.not_run && request.open.empty();
+  callers_.erase(exchange);
+}
+
+}  // namespace godwit::fleet
--- /dev/null
+++ b/tests/fleet/fleet_network.cc
@@ -0,0 +1,310 @@
+#include <algorithm>
+#include <utility>
+
+#include "agent/call_backend.h"
+#include "agent/cancel_backend.h"
+#include "agent/directory_request.h"
+#include "agent/send_message.h"
+#include "connection.h"
+#include "fleet_world.h"
+
+namespace godwit::fleet {
+namespace {
+
+constexpr base::Millis kSilenceLimit = base::Seconds(2);
+constexpr base::Millis kHeartbeatPeriod(500);
+constexpr base::Millis kHandshake(10);
+constexpr uint64_t kMostLatency = 30;
+// Longest pause between two pieces of an answer, in milliseconds.
+constexpr uint64_t kMostPieceGap = 300;
+constexpr size_t kPieceBytes = 60;
+// Chance in percent that the network hands a message over twice.
+constexpr uint64_t kDoubledPercent = 3;
+
+}  // namespace
+
+void FleetWorld::StepRouter(size_t index, const router::RouterEvent& event) {
+  for (const router::RouterCommand& command :
+       routers_[index].core->Step(now_, event)) {
+    std::visit([&](const auto& c) { Do(index, c); }, command);
+  }
+}
+
+void FleetWorld::StepAgent(size_t index, const agent::AgentEvent& event) {
+  for (const agent::AgentCommand& command :
+       agents_[index].core->Step(now_, event)) {
+    std::visit([&](const auto& c) { DoAgent(index, c); }, command);
+  }
+}
+
+void FleetWorld::Do(size_t router, const router::SendMessage& command) {
+  for (const auto& connection : connections_) {
+    if (connection->id == command.connection && connection->up &&
+        connection->router == router && !connection->closing) {
+      connection->to_agent.emplace_back(
+          now_ + base::Millis(static_cast<int64_t>(random_() % kMostLatency)),
+          command.message);
+    }
+  }
+}
+
+void FleetWorld::DoAgent(size_t agent, const agent::SendMessage& command) {
+  for (const auto& connection : connections_) {
+    if (connection->id == command.connection && connection->up &&
+        !connection->closing) {
+      const base::Millis at =
+          now_ + base::Millis(static_cast<int64_t>(random_() % kMostLatency));
+      connection->to_router.emplace_back(at, Tamper(agent, command.message));
+      if (random_() % 100 < kDoubledPercent) {
+        connection->to_router.emplace_back(at, command.message);
+      }
+    }
+  }
+}
+
+void FleetWorld::Do(size_t router, const router::DialAgent& command) {
+  auto connection = std::make_unique<Connection>();
+  connection->id = next_connection_++;
+  connection->router = router;
+  connection->agent = command.port - size_t{1};
+  connection->agent_life = agents_[connection->agent].incarnation;
+  connection->agent_process = command.process;
+  connection->opens_at = now_ + kHandshake;
+  connections_.push_back(std::move(connection));
+}
+
+void FleetWorld::Do(size_t, const router::CloseLink& command) {
+  for (const auto& connection : connections_) {
+    if (connection->id == command.connection) {
+      CloseConnection(*connection, kHandshake);
+    }
+  }
+}
+
+void FleetWorld::Do(size_t router, const platform::KvRead& command) {
+  kv_.Submit(now_, static_cast<int>(router), command);
+}
+
+void FleetWorld::Do(size_t router, const platform::KvWrite& command) {
+  kv_.Submit(now_, static_cast<int>(router), command);
+}
+
+void FleetWorld::Do(size_t, const router::RequestEnded&) {}
+
+void FleetWorld::Do(size_t router, const router::Drained&) {
+  routers_[router].drained = true;
+}
+
+void FleetWorld::CloseConnection(Connection& connection, base::Millis after) {
+  if (!connection.closing) {
+    connection.closing = true;
+    connection.closed_at = now_ + after;
+  }
+}
+
+bool FleetWorld::IsCut(const Connection& connection) const {
+  return connection.silent ||
+         cut_links_.count({connection.router, connection.agent}) != 0;
+}
+
+void FleetWorld::Carry() {
+  for (size_t i = 0; i < connections_.size(); ++i) {
+    Connection& connection = *connections_[i];
+    RouterProcess& router = routers_[connection.router];
+    AgentProcess& agent = agents_[connection.agent];
+    const bool life_ended =
+        agent.incarnation != connection.agent_life || router.dead;
+    if (!connection.up && !connection.closing && now_ >= connection.opens_at) {
+      if (life_ended || IsCut(connection) || agent.paused || router.paused) {
+        CloseConnection(connection, base::Millis());
+      } else {
+        connection.up = true;
+        connection.router_heard_at = now_;
+        connection.agent_heard_at = now_;
+        link::Hello hello;
+        hello.process = agent.process;
+        hello.incarnation = agent.incarnation;
+        hello.data_centre = base::DataCentreId("dc-0");
+        hello.leaving = agent.core->leaving();
+        router.inbox.emplace_back(
+            router::LinkOpened{connection.id, std::move(hello)});
+        agent.inbox.emplace_back(
+            agent::LinkUp{connection.id, router.process, router.incarnation});
+      }
+    }
+    const bool quiet = now_ - connection.router_heard_at >= kSilenceLimit ||
+                       now_ - connection.agent_heard_at >= kSilenceLimit;
+    if (connection.up && !connection.closing && (quiet || life_ended)) {
+      CloseConnection(connection, base::Millis());
+    }
+    if (connection.closing && now_ >= connection.closed_at) {
+      connection.done = true;
+      if (!router.dead) {
+        router.inbox.emplace_back(
+            router::LinkClosed{connection.id, connection.agent_process});
+      }
+      if (connection.up && agent.incarnation == connection.agent_life) {
+        agent.inbox.emplace_back(agent::LinkDown{connection.id});
+      }
+      continue;
+    }
+    if (!connection.up || IsCut(connection)) {
+      continue;
+    }
+    while (!connection.to_router.empty() &&
+           connection.to_router.front().first <= now_) {
+      router.inbox.emplace_back(router::LinkReceived{
+          connection.id, std::move(connection.to_router.front().second)});
+      connection.to_router.pop_front();
+      connection.router_heard_at = now_;
+    }
+    while (!connection.to_agent.empty() &&
+           connection.to_agent.front().first <= now_) {
+      agent.inbox.emplace_back(agent::LinkMessage{
+          connection.id, std::move(connection.to_agent.front().second)});
+      connection.to_agent.pop_front();
+      connection.agent_heard_at = now_;
+    }
+  }
+  connections_.erase(
+      std::remove_if(connections_.begin(), connections_.end(),
+                     [](const auto& connection) { return connection->done; }),
+      connections_.end());
+}
+
+void FleetWorld::Heartbeats() {
+  if (now_ < next_heartbeat_) {
+    return;
+  }
+  next_heartbeat_ = now_ + kHeartbeatPeriod;
+  const auto fleet = kv_.stored().find(membership::kFleetKey);
+  for (const auto& connection : connections_) {
+    if (!connection->up || connection->closing) {
+      continue;
+    }
+    const AgentProcess& agent = agents_[connection->agent];
+    if (!agent.paused) {
+      link::Heartbeat heartbeat;
+      heartbeat.leaving = agent.core->leaving();
+      heartbeat.running = agent.core->running();
+      heartbeat.queued = agent.core->queued();
+      heartbeat.fleet_version = kv_.faults().down ? 0 : fleet->second.version;
+      connection->to_router.emplace_back(now_, heartbeat);
+    }
+    if (!routers_[connection->router].paused) {
+      connection->to_agent.emplace_back(now_, link::Heartbeat());
+    }
+  }
+}
+
+link::Message FleetWorld::Tamper(size_t agent, link::Message message) {
+  if (auto* state = std::get_if<link::RunState>(&message);
+      state != nullptr && planted_ == Planted::kTombstonesLie) {
+    state->phase = link::RunPhase::kTombstoned;
+  }
+  if (auto* usage = std::get_if<link::GrantUsage>(&message);
+      usage != nullptr && planted_ == Planted::kUsageLost) {
+    usage->billed = 0;
+    usage->running = 0;
+    usage->sealed = true;
+  }
+  if (planted_ == Planted::kAnswersCrossed) {
+    if (auto* data = std::get_if<link::RunData>(&message)) {
+      std::fill(data->bytes.begin(), data->bytes.end(), 'x');
+    }
+    if (auto* end = std::get_if<link::RunEnd>(&message)) {
+      end->digest =
+          base::Digest::Of(std::string(static_cast<size_t>(end->length), 'x'));
+    }
+  }
+  static_cast<void>(agent);
+  return message;
+}
+
+void FleetWorld::DoAgent(size_t agent, const agent::DirectoryRequest& command) {
+  claims::Directory& directory = *agents_[agent].directory;
+  auto reply = directory.Register(now_, command.request);
+  if (!reply) {
+    return;
+  }
+  if (planted_ == Planted::kDirectoryForgets && !reply->stale) {
+    reply->attempt = command.request.attempt;
+    reply->complete = command.request.complete;
+  }
+  DoAgent(agent, agent::SendMessage{command.connection, *reply});
+}
+
+void FleetWorld::DoAgent(size_t agent, const agent::CallBackend& command) {
+  AgentProcess& process = agents_[agent];
+  BackendRun run;
+  run.body = command.start.body;
+  run.rest = BackendModel::AnswerTo(run.body).substr(
+      command.start.answer_prefix.size());
+  run.next_at =
+      now_ + base::Millis(1 + static_cast<int64_t>(random_() % kMostPieceGap));
+  const bool refuses = process.failures > 0 && random_() % 2 == 0;
+  run.fails = process.failures > 0 && !refuses;
+  process.failures = std::max(process.failures - 1, 0);
+  if (refuses) {
+    process.inbox.emplace_back(agent::BackendFailed{
+        command.attempt, false, base::ErrorKind::kUnavailable, "refused"});
+    return;
+  }
+  backend_.OnExecuted(run.body);
+  if (planted_ == Planted::kRunsTwice) {
+    backend_.OnExecuted(run.body);
+  }
+  process.runs[command.attempt] = std::move(run);
+}
+
+void FleetWorld::DoAgent(size_t agent, const agent::CancelBackend& command) {
+  AgentProcess& process = agents_[agent];
+  if (process.runs.erase(command.attempt) > 0) {
+    process.inbox.emplace_back(agent::BackendFailed{
+        command.attempt, true, base::ErrorKind::kCancelled, "cancelled"});
+  }
+}
+
+void FleetWorld::RunBackends() {
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    std::vector<base::AttemptId> due;
+    for (const auto& [attempt, run] : agents_[i].runs) {
+      if (run.next_at <= now_) {
+        due.push_back(attempt);
+      }
+    }
+    for (const base::AttemptId& attempt : due) {
+      RunBackend(i, attempt);
+    }
+  }
+}
+
+void FleetWorld::RunBackend(size_t agent, const base::AttemptId& attempt) {
+  AgentProcess& process = agents_[agent];
+  BackendRun& run = process.runs[attempt];
+  run.next_at =
+      now_ + base::Millis(1 + static_cast<int64_t>(random_() % kMostPieceGap));
+  if (!run.headed) {
+    run.headed = true;
+    process.inbox.emplace_back(
+        agent::BackendHead{attempt, 200, "text/event-stream"});
+    return;
+  }
+  if (run.rest.empty()) {
+    process.inbox.emplace_back(
+        agent::BackendEnd{attempt, BackendModel::BillOf(run.body), 0});
+    process.runs.erase(attempt);
+    return;
+  }
+  if (run.fails && run.rest.size() < kPieceBytes * 3) {
+    process.inbox.emplace_back(agent::BackendFailed{
+        attempt, true, base::ErrorKind::kBackendFailed, "engine died"});
+    process.runs.erase(attempt);
+    return;
+  }
+  process.inbox.emplace_back(
+      agent::BackendData{attempt, run.rest.substr(0, kPieceBytes), 0});
+  run.rest.erase(0, kPieceBytes);
+}
+
+}  // namespace godwit::fleet
--- /dev/null
+++ b/tests/fleet/fleet_world.cc
@@ -0,0 +1,460 @@
+#include "fleet_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "connection.h"
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_edit.h"
+#include "ledger/shard.h"
+#include "membership/fleet_codec.h"
+
+namespace godwit::fleet {
+namespace {
+
+constexpr size_t kRouters = 2;
+constexpr size_t kAgents = 3;
+constexpr base::Millis kStep(10);
+constexpr base::Millis kTick(50);
+constexpr base::Millis kLeaseTtl = base::Seconds(10);
+constexpr base::Millis kLeasePeriod = base::Seconds(3);
+// Steps once no more faults come.
+constexpr base::Millis kFinishStep(50);
+// A key whose copies were all lost is undecided for ten minutes.
+constexpr base::Millis kFinishLimit = base::Seconds(900);
+constexpr base::Millis kAnswerLimit = base::Seconds(30);
+// A wall clock that differs from the monotonic one.
+constexpr base::Millis kWallOffset = base::Seconds(1'000'000);
+constexpr char kBudget[] = "prepaid";
+constexpr char kOrganisation[] = "keelung";
+
+std::shared_ptr<const config::Config> MakeConfig() {
+  auto config = std::make_shared<config::Config>();
+  config->revision = 1;
+  config::Service service;
+  service.id = base::ServiceId("kiosk");
+  service.kind = config::ServiceKind::kModelPool;
+  service.model = "kiosk";
+  service.max_output_tokens = 1;
+  for (size_t i = 0; i < kAgents; ++i) {
+    service.backend_servers.emplace_back("agent-" + std::to_string(i));
+  }
+  config->services = {service};
+  config->classes = {config::TrafficClass()};
+  config::Organisation organisation;
+  organisation.id = base::OrganisationId(kOrganisation);
+  organisation.budget = base::BudgetId(kBudget);
+  config->organisations = {organisation};
+  return config;
+}
+
+std::string LedgerKey() {
+  return ledger::ShardKey(ledger::ShardOf(base::BudgetId(kBudget)));
+}
+
+ledger::LedgerRecord LedgerIn(const support::FakeKv& kv) {
+  const auto position = kv.stored().find(LedgerKey());
+  ledger::LedgerCodec codec;
+  return codec.Decode(position->second.value).value_or(ledger::LedgerRecord());
+}
+
+}  // namespace
+
+FleetWorld::FleetWorld(uint64_t seed, Planted planted, base::Tokens limit)
+    : planted_(planted),
+      random_(seed),
+      kv_(seed),
+      limit_(limit),
+      config_(MakeConfig()) {
+  kv_.faults().ignores_versions = planted == Planted::kKvIgnoresVersions;
+  ledger::LedgerEdit edit((ledger::LedgerRecord()));
+  edit.CreateBudget(base::BudgetId(kBudget),
+                    base::OrganisationId(kOrganisation));
+  edit.TopUp(base::BudgetId(kBudget), "first", limit, base::Millis(1));
+  kv_.Put(LedgerKey(), ledger::LedgerCodec().Encode(edit.record()));
+  agents_.resize(kAgents);
+  for (size_t i = 0; i < kAgents; ++i) {
+    StartAgent(i);
+  }
+  for (size_t i = 0; i < kRouters; ++i) {
+    StartRouter();
+  }
+  Advance(base::Seconds(1));
+}
+
+FleetWorld::~FleetWorld() = default;
+
+void FleetWorld::StartRouter() {
+  RouterProcess process;
+  process.process =
+      base::ProcessId("router-" + std::to_string(routers_.size()));
+  process.incarnation = base::Incarnation(process.process.value() + "#" +
+                                          std::to_string(next_life_++));
+  router::RouterOptions options;
+  options.process = process.process;
+  options.incarnation = process.incarnation;
+  options.data_centre = base::DataCentreId("dc-0");
+  options.seed = random_();
+  process.core = std::make_unique<router::RouterCore>(options);
+  process.lease_renewed_at = now_;
+  routers_.push_back(std::move(process));
+  const size_t index = routers_.size() - 1;
+  StepRouter(index, router::Tick{now_ + kWallOffset});
+  StepRouter(index, router::ConfigInForce{config_});
+}
+
+void FleetWorld::StartAgent(size_t index) {
+  AgentProcess& process = agents_[index];
+  process.process = base::ProcessId("agent-" + std::to_string(index));
+  process.incarnation = base::Incarnation(process.process.value() + "#" +
+                                          std::to_string(next_life_++));
+  agent::AgentOptions options;
+  options.incarnation = process.incarnation;
+  options.kind = config::ServiceKind::kModelPool;
+  options.max_running = 4;
+  process.core = std::make_unique<agent::AgentCore>(options);
+  process.directory =
+      std::make_unique<claims::Directory>(base::Seconds(600), 1000);
+  process.runs.clear();
+  process.inbox.clear();
+  process.paused = false;
+  process.lease_renewed_at = now_;
+  membership::FleetAgent entry;
+  entry.incarnation = process.incarnation;
+  entry.process = process.process;
+  entry.ip = "127.0.0.1";
+  entry.port = static_cast<uint16_t>(index + 1);
+  entry.data_centre = base::DataCentreId("dc-" + std::to_string(index % 2));
+  entry.joined_at = now_ + kWallOffset;
+  EditFleet(membership::Join{entry});
+}
+
+// Agents bring themselves into the record; the test does it for them, at once.
+void FleetWorld::EditFleet(const membership::FleetEdit& edit) {
+  membership::FleetCodec codec;
+  membership::FleetRecord record;
+  const auto stored = kv_.stored().find(membership::kFleetKey);
+  if (stored != kv_.stored().end()) {
+    record = *codec.Decode(stored->second.value);
+  }
+  kv_.Put(membership::kFleetKey, codec.Encode(record.Apply(edit)));
+}
+
+void FleetWorld::KillRouter(size_t index) {
+  const size_t victim = index % routers_.size();
+  if (routers_[victim].dead) {
+    return;
+  }
+  routers_[victim].dead = true;
+  routers_[victim].core.reset();
+  for (const auto& connection : connections_) {
+    if (connection->router == victim) {
+      CloseConnection(*connection, base::Millis());
+    }
+  }
+  for (auto at = callers_.begin(); at != callers_.end();) {
+    if (at->second.router != victim) {
+      ++at;
+      continue;
+    }
+    requests_[at->second.request].open.erase(at->first);
+    requests_[at->second.request].last_not_run = false;
+    at = callers_.erase(at);
+  }
+  StartRouter();
+}
+
+void FleetWorld::RestartAgent(size_t index) {
+  const size_t victim = index % agents_.size();
+  for (const auto& connection : connections_) {
+    if (connection->agent == victim) {
+      CloseConnection(*connection, base::Millis());
+    }
+  }
+  StartAgent(victim);
+}
+
+void FleetWorld::PauseRouter(size_t index, bool paused) {
+  routers_[index % routers_.size()].paused = paused;
+}
+
+void FleetWorld::PauseAgent(size_t index, bool paused) {
+  agents_[index % agents_.size()].paused = paused;
+}
+
+void FleetWorld::DrainAgent(size_t index) {
+  StepAgent(index % agents_.size(), agent::DrainRequested());
+}
+
+void FleetWorld::CutLink(size_t router, size_t agent, bool cut) {
+  const auto link =
+      std::make_pair(router % routers_.size(), agent % agents_.size());
+  if (cut) {
+    cut_links_.insert(link);
+  } else {
+    cut_links_.erase(link);
+  }
+}
+
+void FleetWorld::SilenceLinks(size_t router) {
+  for (const auto& connection : connections_) {
+    if (connection->router == router % routers_.size()) {
+      connection->silent = true;
+    }
+  }
+}
+
+void FleetWorld::CutFromKv(size_t router, bool cut) {
+  const size_t index = router % routers_.size();
+  routers_[index].cut_from_kv = cut;
+  auto& clients = kv_.faults().cut_clients;
+  if (cut) {
+    clients.insert(static_cast<int>(index));
+  } else {
+    clients.erase(static_cast<int>(index));
+  }
+}
+
+void FleetWorld::TopUp(base::Tokens amount) {
+  ledger::LedgerEdit edit(LedgerIn(kv_));
+  if (edit.TopUp(base::BudgetId(kBudget), std::to_string(next_life_++), amount,
+                 base::Millis(1))) {
+    limit_ += amount;
+    kv_.Put(LedgerKey(), ledger::LedgerCodec().Encode(edit.record()));
+  }
+}
+
+void FleetWorld::Advance(base::Millis span) {
+  const base::Millis end = now_ + span;
+  while (now_ < end && violation_.empty()) {
+    now_ = now_ + (finishing_ ? kFinishStep : kStep);
+    Step();
+  }
+}
+
+void FleetWorld::Step() {
+  for (const support::FakeKv::Answer& answer : kv_.Advance(now_)) {
+    const auto index = static_cast<size_t>(answer.client);
+    std::visit(
+        [&](const auto& done) {
+          if (!routers_[index].dead) {
+            routers_[index].inbox.emplace_back(done);
+          }
+        },
+        answer.done);
+  }
+  Carry();
+  RunBackends();
+  if (now_.count() / kTick.count() != ticked_) {
+    ticked_ = now_.count() / kTick.count();
+    RenewLeases();
+    Heartbeats();
+    for (RouterProcess& process : routers_) {
+      if (!process.dead && !process.paused) {
+        process.inbox.emplace_back(router::Tick{now_ + kWallOffset});
+      }
+    }
+    for (AgentProcess& process : agents_) {
+      if (!process.paused) {
+        process.inbox.emplace_back(agent::Tick());
+      }
+    }
+  }
+  StepProcesses();
+  if (LedgerIn(kv_).CheckInvariant()) {
+    Violate("the stored ledger breaks its invariant");
+  }
+}
+
+void FleetWorld::StepProcesses() {
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    while (!agents_[i].paused && !agents_[i].inbox.empty()) {
+      const agent::AgentEvent event = std::move(agents_[i].inbox.front());
+      agents_[i].inbox.pop_front();
+      StepAgent(i, event);
+    }
+  }
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    while (!routers_[i].dead && !routers_[i].paused &&
+           !routers_[i].inbox.empty()) {
+      const router::RouterEvent event = std::move(routers_[i].inbox.front());
+      routers_[i].inbox.pop_front();
+      StepRouter(i, event);
+    }
+  }
+}
+
+void FleetWorld::RenewLeases() {
+  const bool down = kv_.faults().down;
+  for (AgentProcess& process : agents_) {
+    if (!down && !process.paused) {
+      process.lease_renewed_at = now_;
+    }
+  }
+  for (RouterProcess& process : routers_) {
+    const bool reaches =
+        !down && !process.cut_from_kv && !process.dead && !process.paused;
+    if (!reaches) {
+      continue;
+    }
+    process.lease_renewed_at = now_;
+    if (now_ < process.next_leases) {
+      continue;
+    }
+    process.next_leases = now_ + kLeasePeriod;
+    process.inbox.emplace_back(Leases());
+    const auto stored = kv_.stored().find(membership::kFleetKey);
+    if (stored->second.version != process.fleet_version) {
+      process.fleet_version = stored->second.version;
+      membership::FleetCodec codec;
+      process.inbox.emplace_back(router::FleetSeen{
+          *codec.Decode(stored->second.value), stored->second.version});
+    }
+  }
+}
+
+router::LeasesSeen FleetWorld::Leases() const {
+  router::LeasesSeen seen;
+  for (const RouterProcess& process : routers_) {
+    if (now_ - process.lease_renewed_at < kLeaseTtl) {
+      seen.routers.insert(process.incarnation);
+    }
+  }
+  for (const AgentProcess& process : agents_) {
+    if (now_ - process.lease_renewed_at < kLeaseTtl) {
+      seen.agents.insert(process.incarnation);
+    }
+  }
+  return seen;
+}
+
+bool FleetWorld::Finish() {
+  finishing_ = true;
+  kv_.faults() = support::FakeKv::Faults();
+  kv_.faults().ignores_versions = planted_ == Planted::kKvIgnoresVersions;
+  cut_links_.clear();
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    routers_[i].paused = false;
+    routers_[i].cut_from_kv = false;
+  }
+  for (AgentProcess& process : agents_) {
+    process.paused = false;
+    process.failures = 0;
+  }
+  Advance(kAnswerLimit);
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    if (!routers_[i].dead) {
+      routers_[i].inbox.emplace_back(router::DrainRequested());
+    }
+  }
+  const base::Millis limit = now_ + kFinishLimit;
+  while (now_ < limit && violation_.empty()) {
+    Advance(base::Seconds(1));
+    const bool drained =
+        std::all_of(routers_.begin(), routers_.end(),
+                    [](const auto& r) { return r.dead || r.drained; });
+    if (drained) {
+      break;
+    }
+  }
+  StartRouter();
+  while (now_ < limit && violation_.empty()) {
+    Advance(base::Seconds(1));
+    const auto& budgets = LedgerIn(kv_).budgets;
+    if (budgets.begin()->second.grants.empty()) {
+      return true;
+    }
+  }
+  return !violation_.empty();
+}
+
+std::string FleetWorld::CheckEnd() const {
+  const ledger::LedgerRecord record = LedgerIn(kv_);
+  const ledger::Budget& budget = record.budgets.begin()->second;
+  if (budget.billed + budget.held > limit_) {
+    return "more was spent than prepaid";
+  }
+  base::Tokens left = budget.billed;
+  for (size_t i = 0; i < requests_.size(); ++i) {
+    const Request& request = requests_[i];
+    const int64_t times = left % 4;
+    left /= 4;
+    const std::string name = "request " + request.body;
+    if (times > 1) {
+      return name + " was billed " + std::to_string(times) + " times";
+    }
+    if (request.answered && times == 0 && budget.held == 0) {
+      return name + " was answered and not billed";
+    }
+    const int64_t executions = backend_.executions(request.body);
+    if (times > 0 && executions == 0) {
+      return name + " was billed and never ran";
+    }
+    if (!request.kind.repeatable && executions > 1) {
+      return name + " ran " + std::to_string(executions) + " times";
+    }
+    if (request.last_not_run && executions > 0) {
+      return name + " ran after its caller was told that it did not";
+    }
+  }
+  return left == 0 ? "" : "more was billed than was asked for";
+}
+
+std::string FleetWorld::Describe() const {
+  const ledger::LedgerRecord record = LedgerIn(kv_);
+  const ledger::Budget& budget = record.budgets.begin()->second;
+  std::string text = "limit " + std::to_string(budget.limit) + " billed " +
+                     std::to_string(budget.billed) + " held " +
+                     std::to_string(budget.held) + "\n";
+  for (const auto& [id, grant] : budget.grants) {
+    text += "grant " + id.value() + " of " + grant.holder.value() + " amount " +
+            std::to_string(grant.amount) +
+            (grant.state == ledger::GrantState::kSealed ? " sealed" : "") +
+            "\n";
+    for (const auto& [agent, account] : grant.agents) {
+      text += "  " + agent.value() + " billed " +
+              std::to_string(account.billed) + " state " +
+              std::to_string(static_cast<int>(account.state)) + "\n";
+    }
+  }
+  for (const RouterProcess& process : routers_) {
+    text +=
+        process.incarnation.value() + (process.dead ? " dead" : "") +
+        (process.drained ? " drained" : "") +
+        (process.dead ? ""
+                      : " open " + std::to_string(process.core->open_calls())) +
+        "\n";
+  }
+  for (const RouterProcess& process : routers_) {
+    for (const auto& call : process.dead ? std::vector<router::OpenCall>()
+                                         : process.core->OpenCalls()) {
+      text += "  " + call.attempt.value() + " at " + call.agent.value() + " " +
+              std::string(call.phase) + "\n";
+    }
+  }
+  for (const AgentProcess& process : agents_) {
+    text += process.incarnation.value() +
+            (process.core->leaving() ? " leaving" : "") + "\n";
+  }
+  for (size_t i = 0; i < requests_.size(); ++i) {
+    text += "request " + requests_[i].body +
+            (requests_[i].answered ? " answered" : "") + " executions " +
+            std::to_string(backend_.executions(requests_[i].body)) + " open " +
+            std::to_string(requests_[i].open.size()) + "\n";
+  }
+  return text;
+}
+
+size_t FleetWorld::answered() const {
+  return static_cast<size_t>(
+      std::count_if(requests_.begin(), requests_.end(),
+                    [](const Request& r) { return r.answered; }));
+}
+
+void FleetWorld::Violate(std::string text) {
+  if (violation_.empty()) {
+    violation_ = std::move(text);
+  }
+}
+
+}  // namespace godwit::fleet
--- /dev/null
+++ b/tests/fleet/fleet_world.h
@@ -0,0 +1,207 @@
+#ifndef FLEET_FLEET_WORLD_H_
+#define FLEET_FLEET_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/agent_core.h"
+#include "backend_model.h"
+#include "base/ids.h"
+#include "base/millis.h"
+#include "claims/directory.h"
+#include "config/config.h"
+#include "link/message.h"
+#include "membership/fleet_record.h"
+#include "planted.h"
+#include "router/router_core.h"
+#include "support/fake_kv.h"
+
+namespace godwit::fleet {
+
+// Routers, agents, a KV, backend servers and callers in virtual time, with the
+// faults that a schedule asks for. The daemons' whole decision code runs.
+class FleetWorld {
+ public:
+  FleetWorld(uint64_t seed, Planted planted, base::Tokens limit);
+  ~FleetWorld();
+
+  // Processes. Indices wrap round.
+  void KillRouter(size_t index);
+  void RestartAgent(size_t index);
+  void PauseRouter(size_t index, bool paused);
+  void PauseAgent(size_t index, bool paused);
+  void DrainAgent(size_t index);
+
+  // Network and platform.
+  void CutLink(size_t router, size_t agent, bool cut);
+  // Existing links go silent for good; new ones work.
+  void SilenceLinks(size_t router);
+  void CutFromKv(size_t router, bool cut);
+  support::FakeKv& kv() { return kv_; }
+  // Backend servers fail some of their next calls.
+  void FailBackend(size_t agent, int next_calls) {
+    agents_[agent % agents_.size()].failures = next_calls;
+  }
+
+  // Callers.
+  struct Kind {
+    bool keyed = true;
+    bool repeatable = true;
+    bool stream = false;
+  };
+  // Sends a new request through a router. At most kMaxRequests.
+  void Send(size_t router, Kind kind);
+  // Sends an earlier keyed request, not answered so far, again.
+  void Retry(size_t router, size_t request);
+  // The caller closes its connections of a request.
+  void Leave(size_t request);
+  void TopUp(base::Tokens amount);
+  void Advance(base::Millis span);
+
+  // Ends all faults, retries what is open, drains and recovers. False when
+  // grants are left after a long time.
+  bool Finish();
+
+  // What must hold at any time; the first violation, or an empty text.
+  const std::string& violation() const { return violation_; }
+  // What must hold after Finish.
+  std::string CheckEnd() const;
+
+  // The budget and its grants, for the log of a failure.
+  std::string Describe() const;
+
+  size_t answered() const;
+  size_t refused() const { return refusals_; }
+
+  static constexpr size_t kMaxRequests = 14;
+
+ private:
+  struct Connection;
+  struct RouterProcess {
+    base::ProcessId process;
+    base::Incarnation incarnation;
+    std::unique_ptr<router::RouterCore> core;
+    bool dead = false;
+    bool paused = false;
+    bool drained = false;
+    bool cut_from_kv = false;
+    base::Millis lease_renewed_at;
+    base::Millis next_leases;
+    int64_t fleet_version = 0;
+    std::deque<router::RouterEvent> inbox;
+  };
+  struct BackendRun {
+    std::string body;
+    std::string rest;
+    base::Millis next_at;
+    bool fails = false;
+    bool headed = false;
+  };
+  struct AgentProcess {
+    base::ProcessId process;
+    base::Incarnation incarnation;
+    std::unique_ptr<agent::AgentCore> core;
+    std::unique_ptr<claims::Directory> directory;
+    bool paused = false;
+    int failures = 0;
+    base::Millis lease_renewed_at;
+    std::map<base::AttemptId, BackendRun> runs;
+    std::deque<agent::AgentEvent> inbox;
+  };
+  struct Request {
+    std::string body;
+    Kind kind;
+    bool answered = false;
+    // Exchanges whose caller waits.
+    std::set<router::ExchangeId> open;
+    int64_t answers = 0;
+    // True when the last word to the caller was "not run".
+    bool last_not_run = false;
+  };
+  struct Caller {
+    size_t request = 0;
+    size_t router = 0;
+    std::string bytes;
+  };
+
+  // fleet_world.cc
+  void StartRouter();
+  void StartAgent(size_t index);
+  void EditFleet(const membership::FleetEdit& edit);
+  void Step();
+  void StepProcesses();
+  void RenewLeases();
+  router::LeasesSeen Leases() const;
+  void Violate(std::string text);
+
+  // fleet_network.cc
+  void StepRouter(size_t index, const router::RouterEvent& event);
+  void StepAgent(size_t index, const agent::AgentEvent& event);
+  void Do(size_t router, const router::SendMessage& command);
+  void Do(size_t router, const router::DialAgent& command);
+  void Do(size_t router, const router::CloseLink& command);
+  void Do(size_t router, const platform::KvRead& command);
+  void Do(size_t router, const platform::KvWrite& command);
+  void Do(size_t router, const router::AnswerWhole& command);
+  void Do(size_t router, const router::AnswerHead& command);
+  void Do(size_t router, const router::AnswerBytes& command);
+  void Do(size_t router, const router::AnswerEnd& command);
+  void Do(size_t router, const router::AnswerAbort& command);
+  void Do(size_t router, const router::AnswerError& command);
+  void Do(size_t router, const router::RequestEnded& command);
+  void Do(size_t router, const router::Drained& command);
+  void DoAgent(size_t agent, const agent::SendMessage& command);
+  void DoAgent(size_t agent, const agent::CallBackend& command);
+  void DoAgent(size_t agent, const agent::CancelBackend& command);
+  void DoAgent(size_t agent, const agent::DirectoryRequest& command);
+  template <typename Other>
+  void DoAgent(size_t, const Other&) {}
+  void Carry();
+  void CloseConnection(Connection& connection, base::Millis after);
+  void Heartbeats();
+  bool IsCut(const Connection& connection) const;
+  link::Message Tamper(size_t agent, link::Message message);
+  void RunBackends();
+  void RunBackend(size_t agent, const base::AttemptId& attempt);
+
+  // Callers.
+  void OnAnswer(router::ExchangeId exchange, const std::string& answer);
+  void OnError(router::ExchangeId exchange, const router::CallerError& error);
+  void Arrive(size_t router, size_t request);
+  Caller* FindCaller(router::ExchangeId exchange);
+
+  const Planted planted_;
+  std::mt19937_64 random_;
+  base::Millis now_{1};
+  support::FakeKv kv_;
+  BackendModel backend_;
+  base::Tokens limit_;
+  std::shared_ptr<const config::Config> config_;
+  std::vector<RouterProcess> routers_;
+  std::vector<AgentProcess> agents_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+  std::set<std::pair<size_t, size_t>> cut_links_;
+  std::vector<Request> requests_;
+  std::map<router::ExchangeId, Caller> callers_;
+  router::ExchangeId next_exchange_ = 1;
+  link::ConnectionId next_connection_ = 1;
+  int64_t next_life_ = 1;
+  size_t refusals_ = 0;
+  base::Millis next_heartbeat_;
+  // Number of the last tick.
+  int64_t ticked_ = 0;
+  bool finishing_ = false;
+  std::string violation_;
+};
+
+}  // namespace godwit::fleet
+
+#endif  // FLEET_FLEET_WORLD_H_
