--- a/libs/agent/tests/agent_core_test.cc
+++ b/libs/agent/tests/agent_core_test.cc
@@ -472,6 +472,7 @@
     RC_ASSERT(refused_.count(command.attempt) == 0);
     RC_ASSERT(sealed_.count(command.start.grant) == 0);
     RC_ASSERT(command.start.repeatable || command.start.claimed == kLife);
+    most_billed_[command.start.grant] += command.start.reserved;
     open_.insert(command.attempt);
     RC_ASSERT(open_.size() <= 2);
     RC_ASSERT(static_cast<int64_t>(open_.size()) <= core_.running());
@@ -504,6 +505,7 @@
       RC_ASSERT(usage.running >= 0);
       RC_ASSERT(usage.running % 100 == 0);
       RC_ASSERT(usage.billed >= billed_[grant]);
+      RC_ASSERT(usage.billed <= most_billed_[usage.grant]);
       const auto final = final_.find(usage.grant);
       RC_ASSERT(final == final_.end() || final->second == usage.billed);
       billed_[grant] = usage.billed;
@@ -521,6 +523,8 @@
   std::map<GrantId, Tokens> final_;
   std::map<AttemptId, link::RunEnd> ends_;
   std::map<int, Tokens> billed_;
+  // Reservations of all runs given to the backend server.
+  std::map<GrantId, Tokens> most_billed_;
 };
 
 }  // namespace
