Cut engine answers into whole events and keep the directory in the agent core

What a router has of a streamed answer ends between two events, so another engine can go on after it.

--- a/libs/agent/include/agent/agent_command.h
+++ b/libs/agent/include/agent/agent_command.h
@@ -5,7 +5,6 @@
 
 #include "agent/call_backend.h"
 #include "agent/cancel_backend.h"
-#include "agent/directory_request.h"
 #include "agent/drained.h"
 #include "agent/pause_backend.h"
 #include "agent/resume_backend.h"
@@ -21,7 +20,6 @@
                                   PauseBackend,
                                   ResumeBackend,
                                   SendOrder,
-                                  DirectoryRequest,
                                   Drained>;
 
 }  // namespace godwit::agent
--- a/libs/agent/include/agent/agent_core.h
+++ b/libs/agent/include/agent/agent_core.h
@@ -25,10 +25,11 @@
 // - RunRefused is sent only for an attempt that never reached the backend
 //   server and never will.
 // - What is billed under a grant: for a model pool the prompt and generated
-//   tokens of a whole answer, at most the reservation; for a plain service the
-//   reservation when the answer's status is below 500, else nothing. A run that
-//   failed costs nothing, unless a caller cancelled it: then the tokens
-//   generated until then, at most the reservation.
+//   tokens of a whole answer, at most the reservation, and nothing when the
+//   engine refused the request with a status of 400 or more; for a plain
+//   service the reservation when the answer's status is below 500, else
+//   nothing. A run that failed costs nothing, unless a caller cancelled it:
+//   then the tokens generated until then, at most the reservation.
 // - Answers of plain services pass through whole, whatever their status. A
 //   model engine's status of 500 or more fails the run.
 // - A run outlives its link. If no router attaches within the grace, a run that
@@ -50,6 +51,8 @@
   int64_t queued() const noexcept;
   // True after DrainRequested.
   bool leaving() const noexcept;
+  // Newest version of the fleet record known.
+  int64_t fleet_version() const noexcept;
   // Runs that have not ended, in the order of their ids.
   std::vector<base::AttemptId> open_runs() const;
   link::RunPhase phase(const base::AttemptId& attempt) const;
--- a/libs/agent/include/agent/agent_options.h
+++ b/libs/agent/include/agent/agent_options.h
@@ -24,6 +24,9 @@
   // Answers of ended runs kept for replay, in bytes; beyond it the oldest are
   // dropped, and who attaches learns that the outcome is unknown.
   int64_t answer_limit_bytes = int64_t{32} * 1024 * 1024;
+  // Request keys that this agent's part of the directory holds; beyond it, new
+  // keys get no answer.
+  int64_t directory_limit = 65536;
   // How long a run goes on, and a drain waits, for a router to attach.
   base::Millis attach_grace = base::Seconds(30);
   // Waiting for this long counts as one step of priority.
--- a/libs/agent/src/agent_core.cc
+++ b/libs/agent/src/agent_core.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "claims/directory.h"
 #include "delivery.h"
 #include "grant_accounts.h"
 #include "link/message.h"
@@ -68,7 +69,9 @@
         accounts_(options_.incarnation),
         delivery_(options_, commands_),
         flow_(options_, accounts_, delivery_, commands_),
-        orders_(commands_) {}
+        orders_(commands_),
+        directory_(options_.retention,
+                   static_cast<size_t>(options_.directory_limit)) {}
 
   std::vector<AgentCommand> Step(base::Millis now, const AgentEvent& event) {
     now_ = now;
@@ -81,6 +84,7 @@
   }
 
   const RunFlow& flow() const noexcept { return flow_; }
+  const claims::Directory& directory() const noexcept { return directory_; }
   const GrantAccounts& accounts() const noexcept { return accounts_; }
 
  private:
@@ -110,6 +114,9 @@
     flow_.OnTick(now_);
   }
   void Handle(const OrderFinished& event) { orders_.OnFinished(event); }
+  void Handle(const FleetSeen& event) {
+    directory_.SetFleetVersion(event.version);
+  }
   void Handle(const DrainRequested& /*event*/) {
     flow_.Leave();
     flow_.OnTick(now_);
@@ -146,7 +153,9 @@
   }
   void HandleMessage(link::ConnectionId from,
                      const link::RegisterKey& message) {
-    commands_.emplace_back(DirectoryRequest{from, message});
+    if (const auto owner = directory_.Register(now_, message)) {
+      delivery_.Send(from, *owner);
+    }
   }
   void HandleMessage(link::ConnectionId from,
                      const link::EngineOrder& message) {
@@ -164,6 +173,7 @@
   Delivery delivery_;
   RunFlow flow_;
   OrderDesk orders_;
+  claims::Directory directory_;
 };
 
 AgentCore::AgentCore(AgentOptions options)
@@ -188,6 +198,10 @@
   return impl_->flow().leaving();
 }
 
+int64_t AgentCore::fleet_version() const noexcept {
+  return impl_->directory().fleet_version();
+}
+
 std::vector<base::AttemptId> AgentCore::open_runs() const {
   return impl_->flow().open_runs();
 }
--- a/libs/agent/src/delivery.cc
+++ b/libs/agent/src/delivery.cc
@@ -14,8 +14,8 @@
 namespace godwit::agent {
 namespace {
 
-// Longest answer piece in one frame.
-constexpr int64_t kMaxPieceBytes = int64_t{64} * 1024;
+// Pieces of an answer are joined up to this length.
+constexpr int64_t kMaxJoinedBytes = int64_t{64} * 1024;
 
 link::RunFailed MakeFailed(const Run& run, const base::Error& error) {
   link::RunFailed failed;
@@ -132,10 +132,12 @@
   Throttle(run, answer->length() - run.sent_offset);
 }
 
+// Sends whole pieces only, so that what a router has of a model's answer always
+// ends between two events; the last piece may exceed the credit.
 void Delivery::SendPieces(Run& run, const stream::AnswerBuffer& answer) {
   while (run.credit > 0) {
     const std::string_view piece =
-        answer.Read(run.sent_offset, std::min(run.credit, kMaxPieceBytes));
+        answer.Read(run.sent_offset, std::min(run.credit, kMaxJoinedBytes));
     if (piece.empty()) {
       return;
     }
--- a/libs/agent/src/run_flow.cc
+++ b/libs/agent/src/run_flow.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "agent/engine_answer.h"
 #include "link/run_accepted.h"
 #include "link/run_state.h"
 #include "stream/answer_buffer.h"
@@ -19,6 +20,8 @@
 constexpr base::Millis kMinRetryAfter = base::Seconds(1);
 // Larger reservations are refused as not valid.
 constexpr base::Tokens kMaxReserved = int64_t{1} << 40U;
+// Lowest HTTP status of a request that was not served.
+constexpr int64_t kErrorStatus = 400;
 // Lowest HTTP status with which a server reports its own failure.
 constexpr int64_t kServerErrorStatus = 500;
 
@@ -77,6 +80,10 @@
     delivery_.SendOutcome(from, run);
     return;
   }
+  if (run.start.resume_tokens == 0) {
+    run.start.resume_tokens =
+        EngineAnswer::CountTokens(run.start.answer_prefix);
+  }
   accounts_.Reserve(run.start.grant, run.start.reserved);
   active_.emplace(run.start.attempt, &run);
   delivery_.answers()
@@ -404,6 +411,9 @@
   if (options_.kind == config::ServiceKind::kPlain) {
     return run.head->status < kServerErrorStatus ? run.start.reserved : 0;
   }
+  if (run.head->status >= kErrorStatus) {
+    return 0;
+  }
   const base::Tokens prompt = std::max<base::Tokens>(event.prompt_tokens, 0);
   const base::Tokens completion =
       std::max<base::Tokens>(event.completion_tokens, 0);
--- a/libs/stream/include/stream/answer_buffer.h
+++ b/libs/stream/include/stream/answer_buffer.h
@@ -19,8 +19,9 @@
   // Adds bytes that carry `tokens` further tokens.
   void Append(std::string_view bytes, base::Tokens tokens);
 
-  // At most `limit` bytes from `offset` on; empty when there are none. The view
-  // lives until the next Append.
+  // Bytes from `offset` to the end of an appended piece: as many pieces as end
+  // within `limit` bytes, at least one, so that what is read never ends inside
+  // a piece. Empty when there are none. The view lives until the next Append.
   std::string_view Read(int64_t offset, int64_t limit) const noexcept;
 
   // Bytes so far.
@@ -35,7 +36,7 @@
   base::Digest digest() const noexcept { return digester_.Value(); }
 
  private:
-  // A position at which the count of tokens rose.
+  // The end of a piece, and the tokens up to there.
   struct Mark {
     int64_t offset = 0;
     base::Tokens tokens = 0;
@@ -43,6 +44,9 @@
 
   std::string bytes_;
   base::Tokens tokens_ = 0;
+  // The first mark beyond `offset`; marks_.end() when there is none.
+  std::vector<Mark>::const_iterator MarkBeyond(int64_t offset) const noexcept;
+
   std::vector<Mark> marks_;
   base::Digester digester_;
 };
--- a/libs/stream/src/answer_buffer.cc
+++ b/libs/stream/src/answer_buffer.cc
@@ -1,16 +1,18 @@
 #include "stream/answer_buffer.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace godwit::stream {
 
 void AnswerBuffer::Append(std::string_view bytes, base::Tokens tokens) {
+  if (bytes.empty()) {
+    return;
+  }
   bytes_.append(bytes);
   digester_.Update(bytes);
   tokens_ += tokens;
-  if (tokens != 0) {
-    marks_.push_back({length(), tokens_});
-  }
+  marks_.push_back({length(), tokens_});
 }
 
 std::string_view AnswerBuffer::Read(int64_t offset,
@@ -18,15 +20,24 @@
   if (offset < 0 || offset >= length() || limit <= 0) {
     return {};
   }
-  const int64_t size = std::min(limit, length() - offset);
+  const auto first = MarkBeyond(offset);
+  const auto beyond =
+      limit < length() - offset ? MarkBeyond(offset + limit) : marks_.end();
+  const auto last = beyond == first ? first : std::prev(beyond);
+  const int64_t size = last->offset - offset;
   return {bytes_.data() + offset, static_cast<size_t>(size)};
 }
 
 base::Tokens AnswerBuffer::TokensBefore(int64_t offset) const noexcept {
-  const auto after = std::upper_bound(
+  const auto beyond = MarkBeyond(offset);
+  return beyond == marks_.begin() ? 0 : std::prev(beyond)->tokens;
+}
+
+std::vector<AnswerBuffer::Mark>::const_iterator AnswerBuffer::MarkBeyond(
+    int64_t offset) const noexcept {
+  return std::upper_bound(
       marks_.begin(), marks_.end(), offset,
       [](int64_t value, const Mark& mark) { return value < mark.offset; });
-  return after == marks_.begin() ? 0 : std::prev(after)->tokens;
 }
 
 }  // namespace godwit::stream
--- a/libs/stream/tests/answer_buffer_test.cc
+++ b/libs/stream/tests/answer_buffer_test.cc
@@ -22,10 +22,17 @@
     std::string_view bytes;
     int64_t tokens_before;
   };
+  // Pieces: "one ", "two", " ", "three".
   const Case cases[] = {
       {0, 100, "one two three", 0},
+      {0, 7, "one two", 0},
+      {0, 6, "one ", 0},
+      {0, 1, "one ", 0},
       {4, 3, "two", 1},
       {5, 2, "wo", 1},
+      {5, 1, "wo", 1},
+      {7, 1, " ", 2},
+      {8, 2, "three", 2},
       {13, 10, "", 3},
       {14, 10, "", 3},
       {-1, 10, "", 0},
