--- /dev/null
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -0,0 +1,385 @@
+#include "agent_daemon.h"
+
+#include <cstdio>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "agent/agent_core.h"
+#include "backend_caller.h"
+#include "base/clocks.h"
+#include "config/settings.h"
+#include "config/settings_reader.h"
+#include "daemon/config_service.h"
+#include "daemon/lease_keeper.h"
+#include "daemon/new_incarnation.h"
+#include "fleet_member.h"
+#include "kernel/kernel.h"
+#include "link/transport.h"
+#include "platform/client.h"
+#include "runtime/runtime.h"
+
+namespace godwit::agent_daemon {
+namespace {
+
+constexpr base::Millis kTickPeriod(50);
+constexpr base::Millis kLeaseTtl = base::Seconds(10);
+constexpr base::Millis kFleetLimit = base::Seconds(2);
+// Time for routers to learn from heartbeats that this agent leaves, and for it
+// to refuse the runs that are under way.
+constexpr base::Millis kLeaveNotice = base::Seconds(2);
+// Time for closing handshakes, and the messages before them, to go out.
+constexpr base::Millis kCloseNotice(500);
+constexpr int64_t kMostDrainMillis = 3'600'000;
+constexpr int64_t kMostIdleMillis = 600'000;
+constexpr char kModelPool[] = "model_pool";
+constexpr char kPlain[] = "plain";
+
+config::ServiceKind KindOf(const config::Settings& settings) {
+  return settings.Text("kind") == kModelPool ? config::ServiceKind::kModelPool
+                                             : config::ServiceKind::kPlain;
+}
+
+agent::AgentOptions OptionsOf(const config::Settings& settings) {
+  agent::AgentOptions options;
+  options.incarnation =
+      daemon::NewIncarnation(base::ProcessId(settings.Text("process")));
+  options.kind = KindOf(settings);
+  options.max_running = settings.Integer("max_running");
+  options.max_queued = settings.Integer("max_queued");
+  options.answer_limit_bytes = settings.Integer("answer_limit_bytes");
+  return options;
+}
+
+BackendCaller::Settings BackendOf(const config::Settings& settings) {
+  BackendCaller::Settings backend;
+  backend.backend = settings.Address("backend");
+  backend.kind = KindOf(settings);
+  backend.idle_limit = settings.Duration("backend_idle_limit_ms");
+  return backend;
+}
+
+}  // namespace
+
+void DeclareSettings(config::SettingsReader& reader) {
+  reader.Name("process", "name of this agent, stable over restarts")
+      .Name("fleet", "name of the fleet; links join one fleet only")
+      .Name("data_centre", "where this agent runs")
+      .Ip("listen_ip", "IP number that routers dial")
+      .Default("127.0.0.1")
+      .Port("listen_port", "port that routers dial; 0 for a free one")
+      .Default("0")
+      .Address("platform", "IP:PORT of the platform's KV")
+      .Address("backend", "IP:PORT of the backend server")
+      .Choice("kind", "what the backend server is", {kModelPool, kPlain})
+      .Integer("max_running", "requests at the backend server at once", 1,
+               100'000)
+      .Default("32")
+      .Integer("max_queued", "requests that may wait for it", 0, 1'000'000)
+      .Default("256")
+      .Integer("answer_limit_bytes", "answers kept for retries, in bytes", 1024,
+               int64_t{16} * 1024 * 1024 * 1024)
+      .Default("33554432")
+      .Duration("backend_idle_limit_ms",
+                "longest time without progress of an answer", 10,
+                kMostIdleMillis)
+      .Default("10000")
+      .Duration("drain_limit_ms",
+                "longest wait for requests in progress after SIGTERM", 0,
+                kMostDrainMillis)
+      .Default("60000");
+}
+
+class AgentDaemon::Impl {
+ public:
+  Impl(runtime::Runtime& runtime, const config::Settings& settings)
+      : runtime_(runtime),
+        settings_(settings),
+        options_(OptionsOf(settings)),
+        core_(options_),
+        platform_(runtime,
+                  settings.Address("platform").ip,
+                  settings.Address("platform").port),
+        lease_(runtime,
+               platform_,
+               "agents/" + options_.incarnation.value(),
+               kLeaseTtl),
+        config_(runtime, platform_, ConfigHandler()),
+        fleet_(runtime, platform_, FleetHandler()),
+        backend_(runtime,
+                 BackendOf(settings),
+                 [this](const agent::AgentEvent& event) { Handle(event); }) {
+    kernel_.Register("platform", platform_)
+        .Register("lease", lease_, [this] { lease_.Stop(); })
+        .Register("config", config_)
+        .Register("fleet", fleet_)
+        .Register("core", core_)
+        .Register("backend", backend_);
+  }
+
+  bool Start() {
+    if (!StartLinks()) {
+      return false;
+    }
+    runtime_.Every(kTickPeriod, [this] { Handle(agent::Tick()); });
+    kernel_.Require<daemon::LeaseKeeper>("lease").Start();
+    kernel_.Require<daemon::ConfigService>("config").Start();
+    kernel_.Require<FleetMember>("fleet").Start(Self());
+    std::printf("listening on %s:%u\n", settings_.Text("listen_ip").c_str(),
+                transport_->port());
+    std::fflush(stdout);
+    return true;
+  }
+
+  void Drain() {
+    if (std::exchange(draining_, true)) {
+      return;
+    }
+    Handle(agent::DrainRequested());
+    fleet_.Leave();
+    runtime_.Spawn([this] {
+      runtime::Runtime::SleepFor(kLeaveNotice);
+      notice_given_ = true;
+      StopWhenDrained();
+    });
+    runtime_.Spawn([this] {
+      runtime::Runtime::SleepFor(settings_.Duration("drain_limit_ms"));
+      GiveUpDrain();
+    });
+  }
+
+  const base::Error& last_error() const noexcept { return error_; }
+
+ private:
+  daemon::ConfigService::Handler ConfigHandler() {
+    daemon::ConfigService::Handler handler;
+    // The core takes nothing from the configuration; routers pull it here.
+    handler.on_in_force = [](const auto& /*config*/) {};
+    handler.on_rejected = [](int64_t revision, const base::Error& error) {
+      std::fprintf(stderr, "configuration %lld is not in force: %s\n",
+                   static_cast<long long>(revision), error.ToString().c_str());
+    };
+    handler.send = [this](const base::ProcessId& peer, link::Message message) {
+      const auto found = connections_.find(peer);
+      if (found != connections_.end()) {
+        transport_->Send(found->second, message);
+      }
+    };
+    return handler;
+  }
+
+  FleetMember::Handler FleetHandler() {
+    FleetMember::Handler handler;
+    handler.on_version = [this](int64_t version) {
+      Handle(agent::FleetSeen{version});
+    };
+    handler.on_marked_gone = [this] {
+      error_ = base::Error(base::ErrorKind::kStale,
+                           "the fleet record lists this life as gone",
+                           "start the agent again");
+      Drain();
+    };
+    return handler;
+  }
+
+  bool StartLinks() {
+    link::TransportHandler handler;
+    handler.on_up = [this](link::ConnectionId connection,
+                           const link::Hello& peer) {
+      OnLinkUp(connection, peer);
+    };
+    handler.on_message = [this](link::ConnectionId connection,
+                                link::Message message) {
+      OnLinkMessage(connection, std::move(message));
+    };
+    handler.on_down = [this](link::ConnectionId connection) {
+      OnLinkDown(connection);
+    };
+    handler.on_fault = [](link::ConnectionId connection,
+                          const base::Error& error) {
+      std::fprintf(stderr, "link %lld: %s\n",
+                   static_cast<long long>(connection),
+                   error.ToString().c_str());
+    };
+    handler.hello = [this] { return Hello(); };
+    handler.heartbeat = [this] { return Heartbeat(); };
+    link::Transport::Builder builder;
+    transport_ =
+        builder
+            .Listen(settings_.Text("listen_ip"), settings_.Port("listen_port"))
+            .Handle(std::move(handler))
+            .Build(runtime_);
+    error_ = builder.last_error();
+    return transport_ != nullptr;
+  }
+
+  membership::FleetAgent Self() const {
+    membership::FleetAgent self;
+    self.incarnation = options_.incarnation;
+    self.process = base::ProcessId(settings_.Text("process"));
+    self.ip = settings_.Text("listen_ip");
+    self.port = transport_->port();
+    self.data_centre = base::DataCentreId(settings_.Text("data_centre"));
+    self.joined_at = base::WallNow();
+    return self;
+  }
+
+  link::Hello Hello() const {
+    link::Hello hello;
+    hello.protocol = link::kProtocolVersion;
+    hello.fleet = settings_.Text("fleet");
+    hello.process = base::ProcessId(settings_.Text("process"));
+    hello.incarnation = options_.incarnation;
+    hello.data_centre = base::DataCentreId(settings_.Text("data_centre"));
+    hello.config_revision = config_.revision();
+    hello.leaving = core_.leaving();
+    return hello;
+  }
+
+  link::Heartbeat Heartbeat() const {
+    link::Heartbeat heartbeat;
+    heartbeat.config_revision = config_.revision();
+    heartbeat.leaving = core_.leaving();
+    heartbeat.running = core_.running();
+    heartbeat.queued = core_.queued();
+    heartbeat.fleet_version = core_.fleet_version();
+    return heartbeat;
+  }
+
+  void OnLinkUp(link::ConnectionId connection, const link::Hello& peer) {
+    peers_[connection] = peer.process;
+    connections_[peer.process] = connection;
+    config_.OnPeerRevision(peer.process, peer.config_revision);
+    Handle(agent::LinkUp{connection, peer.process, peer.incarnation});
+  }
+
+  void OnLinkMessage(link::ConnectionId connection, link::Message message) {
+    const auto peer = peers_.find(connection);
+    if (peer == peers_.end()) {
+      return;
+    }
+    if (const auto* pull = std::get_if<link::PullConfig>(&message)) {
+      config_.OnPull(peer->second, *pull);
+    } else if (const auto* push = std::get_if<link::PushConfig>(&message)) {
+      config_.OnPush(*push);
+    } else if (const auto* beat = std::get_if<link::Heartbeat>(&message)) {
+      config_.OnPeerRevision(peer->second, beat->config_revision);
+    } else {
+      Handle(agent::LinkMessage{connection, std::move(message)});
+    }
+  }
+
+  void OnLinkDown(link::ConnectionId connection) {
+    const auto peer = peers_.find(connection);
+    if (peer == peers_.end()) {
+      return;
+    }
+    const base::ProcessId process = peer->second;
+    peers_.erase(peer);
+    const auto current = connections_.find(process);
+    if (current != connections_.end() && current->second == connection) {
+      connections_.erase(current);
+      config_.OnPeerGone(process);
+    }
+    Handle(agent::LinkDown{connection});
+  }
+
+  void Handle(const agent::AgentEvent& event) {
+    for (const agent::AgentCommand& command :
+         core_.Step(base::SteadyNow(), event)) {
+      std::visit([this](const auto& c) { Do(c); }, command);
+    }
+  }
+
+  void Do(const agent::SendMessage& command) {
+    transport_->Send(command.connection, command.message);
+  }
+  void Do(const agent::CallBackend& command) { backend_.Call(command); }
+  void Do(const agent::CancelBackend& command) {
+    backend_.Cancel(command.attempt);
+  }
+  void Do(const agent::PauseBackend& command) {
+    backend_.Pause(command.attempt);
+  }
+  void Do(const agent::ResumeBackend& command) {
+    backend_.Resume(command.attempt);
+  }
+  void Do(const agent::SendOrder& command) { backend_.Order(command); }
+  void Do(const agent::Drained& /*command*/) {
+    drained_ = true;
+    StopWhenDrained();
+  }
+
+  void StopWhenDrained() {
+    if (drained_ && notice_given_ && !std::exchange(stopping_, true)) {
+      runtime_.Spawn([this] { Stop(); });
+    }
+  }
+
+  void GiveUpDrain() {
+    if (std::exchange(stopping_, true)) {
+      return;
+    }
+    std::string names;
+    for (const base::AttemptId& attempt : core_.open_runs()) {
+      names += (names.empty() ? "" : ", ") + attempt.value();
+    }
+    error_ = base::Error(
+        base::ErrorKind::kDeadlineExceeded,
+        "the drain limit is over; still running: " +
+            (names.empty() ? std::string("only answers to be handed over")
+                           : names),
+        "raise drain_limit_ms to let them end");
+    Stop();
+  }
+
+  void Stop() {
+    fleet_.End(kFleetLimit);
+    for (const auto& [connection, process] : peers_) {
+      transport_->Close(connection);
+    }
+    runtime::Runtime::SleepFor(kCloseNotice);
+    kernel_.Stop();
+    runtime_.Stop();
+  }
+
+  runtime::Runtime& runtime_;
+  const config::Settings settings_;
+  const agent::AgentOptions options_;
+  kernel::Kernel kernel_;
+  agent::AgentCore core_;
+  platform::Client platform_;
+  daemon::LeaseKeeper lease_;
+  daemon::ConfigService config_;
+  FleetMember fleet_;
+  BackendCaller backend_;
+  std::unique_ptr<link::Transport> transport_;
+  std::map<link::ConnectionId, base::ProcessId> peers_;
+  std::map<base::ProcessId, link::ConnectionId> connections_;
+  base::Error error_;
+  bool draining_ = false;
+  bool drained_ = false;
+  bool notice_given_ = false;
+  bool stopping_ = false;
+};
+
+AgentDaemon::AgentDaemon(runtime::Runtime& runtime,
+                         const config::Settings& settings)
+    : impl_(std::make_unique<Impl>(runtime, settings)) {}
+
+AgentDaemon::~AgentDaemon() = default;
+
+bool AgentDaemon::Start() {
+  return impl_->Start();
+}
+
+void AgentDaemon::Drain() {
+  impl_->Drain();
+}
+
+const base::Error& AgentDaemon::last_error() const noexcept {
+  return impl_->last_error();
+}
+
+}  // namespace godwit::agent_daemon
--- /dev/null
+++ b/tools/godwit-agent/src/fleet_member.cc
@@ -0,0 +1,110 @@
+#include "fleet_member.h"
+
+#include <random>
+#include <utility>
+#include <variant>
+
+#include "base/clocks.h"
+#include "daemon/new_incarnation.h"
+#include "membership/fleet_codec.h"
+#include "membership/fleet_record.h"
+#include "platform/client.h"
+#include "runtime/runtime.h"
+
+namespace godwit::agent_daemon {
+namespace {
+
+constexpr base::Millis kTickPeriod(100);
+constexpr base::Millis kWatchWait = base::Seconds(8);
+constexpr base::Millis kRetry = base::Seconds(1);
+
+}  // namespace
+
+FleetMember::FleetMember(runtime::Runtime& runtime,
+                         platform::Client& client,
+                         Handler handler)
+    : runtime_(runtime),
+      client_(client),
+      handler_(std::move(handler)),
+      kv_(runtime, client),
+      editor_(std::mt19937_64(daemon::NewSeed())) {}
+
+void FleetMember::Start(membership::FleetAgent self) {
+  self_ = std::move(self);
+  Submit(membership::Join{self_});
+  runtime_.Every(kTickPeriod,
+                 [this] { CarryOut(editor_.Tick(base::SteadyNow())); });
+  runtime_.Spawn([this] { Watch(); });
+}
+
+void FleetMember::Leave() {
+  Submit(membership::MarkLeaving{self_.incarnation});
+}
+
+void FleetMember::End(base::Millis limit) {
+  ending_ = true;
+  Submit(membership::MarkGone{self_.incarnation, base::WallNow()});
+  const base::Millis latest = base::SteadyNow() + limit;
+  while (!editor_.idle() && base::SteadyNow() < latest) {
+    runtime::Runtime::SleepFor(kTickPeriod);
+  }
+}
+
+void FleetMember::Submit(membership::FleetEdit edit) {
+  CarryOut(editor_.Submit(base::SteadyNow(), std::move(edit)));
+}
+
+void FleetMember::CarryOut(
+    const std::vector<membership::FleetCommand>& commands) {
+  for (const membership::FleetCommand& command : commands) {
+    std::visit([this](const auto& c) { Do(c); }, command);
+  }
+}
+
+void FleetMember::Do(const platform::KvRead& command) {
+  kv_.Read(command, [this](const platform::KvReadDone& done) {
+    CarryOut(editor_.OnReadDone(base::SteadyNow(), done));
+  });
+}
+
+void FleetMember::Do(const platform::KvWrite& command) {
+  kv_.Write(command, [this](const platform::KvWriteDone& done) {
+    CarryOut(editor_.OnWriteDone(base::SteadyNow(), done));
+  });
+}
+
+void FleetMember::Watch() {
+  int64_t version = 0;
+  for (;;) {
+    const platform::KvReadDone done =
+        client_.Watch(membership::kFleetKey, version, kWatchWait);
+    if (!done.available) {
+      runtime::Runtime::SleepFor(kRetry);
+      continue;
+    }
+    if (done.version == version) {
+      continue;
+    }
+    membership::FleetCodec codec;
+    const auto record = codec.Decode(done.value);
+    if (!record) {
+      runtime::Runtime::SleepFor(kRetry);
+      continue;
+    }
+    version = done.version;
+    handler_.on_version(version);
+    Look(*record);
+  }
+}
+
+void FleetMember::Look(const membership::FleetRecord& record) {
+  const membership::FleetAgent* entry = record.Find(self_.incarnation);
+  const bool gone =
+      entry != nullptr && entry->state == membership::AgentState::kGone;
+  if (gone && !ending_) {
+    ending_ = true;
+    handler_.on_marked_gone();
+  }
+}
+
+}  // namespace godwit::agent_daemon
--- /dev/null
+++ b/tools/godwit-agent/src/fleet_member.h
@@ -0,0 +1,64 @@
+#ifndef FLEET_MEMBER_H_
+#define FLEET_MEMBER_H_
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "base/millis.h"
+#include "daemon/kv_executor.h"
+#include "membership/fleet_agent.h"
+#include "membership/fleet_editor.h"
+
+namespace godwit::platform {
+class Client;
+}
+
+namespace godwit::runtime {
+class Runtime;
+}
+
+namespace godwit::agent_daemon {
+
+// This agent's place in the fleet record: joins, leaves, and watches it. Core
+// thread; must outlive the runtime's run.
+class FleetMember {
+ public:
+  struct Handler {
+    // The record was read.
+    std::function<void(int64_t version)> on_version;
+    // A router found this life gone: nothing more may start here.
+    std::function<void()> on_marked_gone;
+  };
+
+  FleetMember(runtime::Runtime& runtime,
+              platform::Client& client,
+              Handler handler);
+
+  // Joins and begins to watch.
+  void Start(membership::FleetAgent self);
+  void Leave();
+  // Marks this life gone; blocks the calling fiber until the record shows it,
+  // at most `limit`.
+  void End(base::Millis limit);
+
+ private:
+  void Submit(membership::FleetEdit edit);
+  void CarryOut(const std::vector<membership::FleetCommand>& commands);
+  void Do(const platform::KvRead& command);
+  void Do(const platform::KvWrite& command);
+  void Watch();
+  void Look(const membership::FleetRecord& record);
+
+  runtime::Runtime& runtime_;
+  platform::Client& client_;
+  const Handler handler_;
+  daemon::KvExecutor kv_;
+  membership::FleetEditor editor_;
+  membership::FleetAgent self_;
+  bool ending_ = false;
+};
+
+}  // namespace godwit::agent_daemon
+
+#endif  // FLEET_MEMBER_H_
--- /dev/null
+++ b/tools/godwit-agent/src/main.cc
@@ -0,0 +1,56 @@
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <string>
+
+#include "agent_daemon.h"
+#include "config/settings.h"
+#include "config/settings_reader.h"
+#include "daemon/on_terminate.h"
+#include "runtime/runtime.h"
+
+DEFINE_string(settings, "", "YAML file with the settings of this agent");
+
+namespace {
+
+constexpr char kUsage[] =
+    "Stands before one backend server: starts, meters and keeps its runs for "
+    "the routers of the fleet.\n\n"
+    "  godwit-agent --settings FILE\n\n"
+    "SIGTERM stops it in order: it takes no new runs, finishes those in "
+    "progress and hands their answers over.\n"
+    "Exit codes: 0 stopped in order, 1 can't serve or stopped with runs in "
+    "progress, 2 settings or command line not valid.\n\nSettings:\n";
+
+int Serve(const godwit::config::Settings& settings) {
+  godwit::runtime::Runtime runtime;
+  godwit::agent_daemon::AgentDaemon daemon(runtime, settings);
+  godwit::daemon::OnTerminate on_terminate(runtime,
+                                           [&daemon] { daemon.Drain(); });
+  runtime.Run([&] {
+    if (!daemon.Start()) {
+      runtime.Stop();
+    }
+  });
+  const godwit::base::Error& error = daemon.last_error();
+  if (error.kind() != godwit::base::ErrorKind::kNone) {
+    std::fprintf(stderr, "%s\n", error.ToString().c_str());
+    return 1;
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  godwit::config::SettingsReader reader;
+  godwit::agent_daemon::DeclareSettings(reader);
+  gflags::SetUsageMessage(kUsage + reader.Help());
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const auto settings = reader.ReadFile(FLAGS_settings);
+  if (!settings) {
+    std::fprintf(stderr, "%s\n", reader.last_error().ToString().c_str());
+    return godwit::config::kSettingsExitCode;
+  }
+  return Serve(*settings);
+}
