--- a/libs/agent/tests/agent_core_test.cc
+++ b/libs/agent/tests/agent_core_test.cc
@@ -199,8 +199,7 @@
        RunPhase::kComplete},
       {"overflow", model, 200, BackendEnd{run, INT64_MAX, INT64_MAX}, 100,
        RunPhase::kComplete},
-      {"engine refuses", model, 400, BackendEnd{run, 0, 0}, 0,
-       RunPhase::kComplete},
+      {"engine refuses", model, 400, usage, 0, RunPhase::kComplete},
       {"engine fails", model, 503, usage, 0, RunPhase::kFailed},
       {"cut off", model, 200, cut, 0, RunPhase::kFailed},
       {"cancelled", model, 200, cancel, 3, RunPhase::kFailed},
@@ -237,13 +236,16 @@
   StartRun start = Start("run");
   start.credit = 3;
   bench.Open(start);
-  bench.Step(BackendData{start.attempt, "abcdefgh", 8});
-  CHECK(bench.Answer() == "abc");
+  for (const char* piece : {"ab", "cd", "ef", "gh"}) {
+    bench.Step(BackendData{start.attempt, piece, 1});
+  }
+  CHECK(bench.Answer() == "abcd");
   CHECK_EQUAL(1, bench.Count<PauseBackend>());
-  bench.Say(link::AddCredit{start.attempt, 4});
-  CHECK(bench.Answer() == "abcdefg");
+  bench.Say(link::AddCredit{start.attempt, 2});
+  CHECK(bench.Answer() == "abcdef");
+  CHECK_EQUAL(3, bench.Sent<link::RunData>().back().tokens);
   CHECK_EQUAL(1, bench.Count<ResumeBackend>());
-  bench.Step(BackendEnd{start.attempt, 1, 8});
+  bench.Step(BackendEnd{start.attempt, 1, 4});
   CHECK(bench.Sent<link::RunEnd>().empty());
   bench.Say(link::AddCredit{start.attempt, 100});
   CHECK(bench.Answer() == "abcdefgh");
@@ -343,7 +345,8 @@
   start.credit = 2;
   bench.Open(start);
   bench.Step(DrainRequested());
-  bench.Step(BackendData{start.attempt, "abc", 1});
+  bench.Step(BackendData{start.attempt, "ab", 1});
+  bench.Step(BackendData{start.attempt, "c", 1});
   bench.Step(BackendEnd{start.attempt, 1, 1});
   CHECK_EQUAL(0, bench.Count<Drained>());
   bench.Say(link::AddCredit{start.attempt, 1});
@@ -472,6 +475,7 @@
     RC_ASSERT(refused_.count(command.attempt) == 0);
     RC_ASSERT(sealed_.count(command.start.grant) == 0);
     RC_ASSERT(command.start.repeatable || command.start.claimed == kLife);
+    most_billed_[command.start.grant] += command.start.reserved;
     open_.insert(command.attempt);
     RC_ASSERT(open_.size() <= 2);
     RC_ASSERT(static_cast<int64_t>(open_.size()) <= core_.running());
@@ -504,6 +508,7 @@
       RC_ASSERT(usage.running >= 0);
       RC_ASSERT(usage.running % 100 == 0);
       RC_ASSERT(usage.billed >= billed_[grant]);
+      RC_ASSERT(usage.billed <= most_billed_[usage.grant]);
       const auto final = final_.find(usage.grant);
       RC_ASSERT(final == final_.end() || final->second == usage.billed);
       billed_[grant] = usage.billed;
@@ -521,6 +526,8 @@
   std::map<GrantId, Tokens> final_;
   std::map<AttemptId, link::RunEnd> ends_;
   std::map<int, Tokens> billed_;
+  // Reservations of all runs given to the backend server.
+  std::map<GrantId, Tokens> most_billed_;
 };
 
 }  // namespace
