Log numbered events and render metrics

Log lines are written by a thread of their own with a bounded queue, so that a reader of stderr that stalls drops lines in place of stopping requests.

--- /dev/null
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -0,0 +1,75 @@
+#ifndef TELEMETRY_EVENT_ID_H_
+#define TELEMETRY_EVENT_ID_H_
+
+#include <cstdint>
+
+namespace godwit::telemetry {
+
+// A kind of log entry. The values are the numbers in log lines and in
+// docs/EVENTS.md; they are never reused.
+enum class EventId : uint16_t {
+  // Process.
+  kProcessStarting = 101,
+  kProcessReady = 102,
+  kStopRequested = 103,
+  kDrained = 104,
+  kDrainBoundReached = 105,
+  kProcessStopped = 106,
+  kSettingsRefused = 107,
+  // Configuration.
+  kConfigInForce = 201,
+  kConfigRejected = 202,
+  kConfigPulled = 203,
+  // Links.
+  kLinkOpened = 301,
+  kLinkClosed = 302,
+  kLinkSilent = 303,
+  kLinkRefused = 304,
+  kFrameRefused = 305,
+  kCertificateLoaded = 306,
+  kCertificateRefused = 307,
+  // Membership.
+  kAgentJoined = 401,
+  kAgentLeaving = 402,
+  kAgentGone = 403,
+  kSubsetChanged = 404,
+  kVmListUnavailable = 405,
+  // Requests.
+  kRequestEnded = 501,
+  kRequestMalformed = 502,
+  kRequestResumed = 503,
+  kRequestAttached = 504,
+  kCallerGone = 505,
+  kRunStarted = 506,
+  kRunEnded = 507,
+  kRunRefused = 508,
+  kRequestRetried = 509,
+  // Budgets and claims.
+  kGrantDrawn = 601,
+  kGrantReturned = 602,
+  kHolderLost = 603,
+  kGrantSealed = 604,
+  kGrantRecovered = 605,
+  kUsageHeld = 606,
+  kRecordCorrupt = 607,
+  kBudgetExhausted = 608,
+  kUsageHandedOver = 609,
+  kClaimsWritten = 610,
+  // Backend servers.
+  kBackendDown = 701,
+  kBackendUp = 702,
+  kBackendEjected = 703,
+  kBackendReadmitted = 704,
+  kEngineOrderDone = 705,
+  kEngineOrderRefused = 706,
+  // Platform.
+  kKvUnavailable = 801,
+  kKvAvailable = 802,
+  kKvAnswerLost = 803,
+  kLeaseGranted = 804,
+  kLeaseLapsed = 805,
+};
+
+}  // namespace godwit::telemetry
+
+#endif  // TELEMETRY_EVENT_ID_H_
--- /dev/null
+++ b/libs/telemetry/include/telemetry/level.h
@@ -0,0 +1,20 @@
+#ifndef TELEMETRY_LEVEL_H_
+#define TELEMETRY_LEVEL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace godwit::telemetry {
+
+// How much a log entry matters; higher matters more.
+enum class Level : uint8_t { kDebug, kInfo, kWarning, kError };
+
+// Lower-case name such as "warning".
+std::string_view LevelName(Level level) noexcept;
+// The level of that name; empty for another name.
+std::optional<Level> LevelOf(std::string_view name) noexcept;
+
+}  // namespace godwit::telemetry
+
+#endif  // TELEMETRY_LEVEL_H_
--- /dev/null
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -0,0 +1,40 @@
+#ifndef TELEMETRY_METRIC_ID_H_
+#define TELEMETRY_METRIC_ID_H_
+
+#include <cstdint>
+
+namespace godwit::telemetry {
+
+// A metric; see metric_table.cc and docs/METRICS.md.
+enum class MetricId : uint8_t {
+  kRequestsTotal,
+  kFirstTokenSeconds,
+  kTokenGapSeconds,
+  kRequestSeconds,
+  kLatencyMissedTotal,
+  kTokensBilledTotal,
+  kRequestsInFlight,
+  kRequestsQueued,
+  kRetriesTotal,
+  kResumesTotal,
+  kGrantFreeTokens,
+  kBackendsEjected,
+  kRunsTotal,
+  kRunsInFlight,
+  kRunsQueued,
+  kLinksOpen,
+  kLinksReplacedTotal,
+  kLinkFramesRefusedTotal,
+  kLinkBytesTotal,
+  kKvCallsTotal,
+  kKvCallSeconds,
+  kConfigRevision,
+  kFleetVersion,
+  kLogLinesDroppedTotal,
+  kProcessCpuSecondsTotal,
+  kProcessResidentBytes,
+};
+
+}  // namespace godwit::telemetry
+
+#endif  // TELEMETRY_METRIC_ID_H_
--- /dev/null
+++ b/libs/telemetry/include/telemetry/metric_info.h
@@ -0,0 +1,27 @@
+#ifndef TELEMETRY_METRIC_INFO_H_
+#define TELEMETRY_METRIC_INFO_H_
+
+#include <string_view>
+#include <vector>
+
+#include "telemetry/metric_id.h"
+#include "telemetry/metric_type.h"
+
+namespace godwit::telemetry {
+
+// Entry of the catalogue of metrics.
+struct MetricInfo {
+  MetricId id;
+  MetricType type;
+  // Name with the prefix godwit_ and the unit.
+  std::string_view name;
+  // Unit in words.
+  std::string_view unit;
+  // Names of its labels, in the order that Metrics takes their values.
+  std::vector<std::string_view> labels;
+  std::string_view description;
+};
+
+}  // namespace godwit::telemetry
+
+#endif  // TELEMETRY_METRIC_INFO_H_
--- /dev/null
+++ b/libs/telemetry/include/telemetry/metric_table.h
@@ -0,0 +1,19 @@
+#ifndef TELEMETRY_METRIC_TABLE_H_
+#define TELEMETRY_METRIC_TABLE_H_
+
+#include <vector>
+
+#include "telemetry/metric_id.h"
+#include "telemetry/metric_info.h"
+
+namespace godwit::telemetry {
+
+// The catalogue of metrics, in the order of MetricId.
+const std::vector<MetricInfo>& MetricTable();
+
+// The catalogue's entry of a metric.
+const MetricInfo& InfoOf(MetricId id);
+
+}  // namespace godwit::telemetry
+
+#endif  // TELEMETRY_METRIC_TABLE_H_
--- /dev/null
+++ b/libs/telemetry/include/telemetry/request_outcome.h
@@ -0,0 +1,20 @@
+#ifndef TELEMETRY_REQUEST_OUTCOME_H_
+#define TELEMETRY_REQUEST_OUTCOME_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace godwit::telemetry {
+
+// The three final kinds of a request.
+enum class RequestOutcome : uint8_t { kAnswer, kNotRun, kOutcomeUnknown };
+
+// "answer", "not_run" or "outcome_unknown".
+std::string_view RequestOutcomeName(RequestOutcome outcome) noexcept;
+// The outcome of that name; empty for another name.
+std::optional<RequestOutcome> RequestOutcomeOf(std::string_view name) noexcept;
+
+}  // namespace godwit::telemetry
+
+#endif  // TELEMETRY_REQUEST_OUTCOME_H_
--- /dev/null
+++ b/libs/telemetry/src/event_table.cc
@@ -0,0 +1,138 @@
+#include "telemetry/event_table.h"
+
+#include <algorithm>
+
+namespace godwit::telemetry {
+
+const std::vector<EventInfo>& EventTable() {
+  static const std::vector<EventInfo> table = {
+      {EventId::kProcessStarting, Level::kInfo, "process_starting",
+       "A process starts; fields name its version of the settings and its "
+       "incarnation."},
+      {EventId::kProcessReady, Level::kInfo, "process_ready",
+       "The process serves: it has a configuration and the links that it "
+       "needs."},
+      {EventId::kStopRequested, Level::kInfo, "stop_requested",
+       "An orderly stop began; new work is refused as not run."},
+      {EventId::kDrained, Level::kInfo, "drained",
+       "Everything in progress has ended after a stop was requested."},
+      {EventId::kDrainBoundReached, Level::kWarning, "drain_bound_reached",
+       "The bound of an orderly stop passed; fields name what was still in "
+       "progress."},
+      {EventId::kProcessStopped, Level::kInfo, "process_stopped",
+       "The process ends."},
+      {EventId::kSettingsRefused, Level::kError, "settings_refused",
+       "The settings are not valid; the process exits with code 2."},
+      {EventId::kConfigInForce, Level::kInfo, "config_in_force",
+       "A configuration came into force; fields name its revision."},
+      {EventId::kConfigRejected, Level::kError, "config_rejected",
+       "A configuration can't be put in force; the one before stays. Apply a "
+       "corrected text."},
+      {EventId::kConfigPulled, Level::kDebug, "config_pulled",
+       "A peer that is ahead was asked for its configuration."},
+      {EventId::kLinkOpened, Level::kInfo, "link_opened",
+       "A link to another process of the fleet is open."},
+      {EventId::kLinkClosed, Level::kInfo, "link_closed",
+       "A link closed; fields name the reason."},
+      {EventId::kLinkSilent, Level::kWarning, "link_silent",
+       "A link showed no progress within its deadline and is replaced."},
+      {EventId::kLinkRefused, Level::kWarning, "link_refused",
+       "A process was refused on a link: another fleet, protocol version or "
+       "certificate."},
+      {EventId::kFrameRefused, Level::kWarning, "frame_refused",
+       "A frame was dropped: unknown, oversized, damaged or for a closed "
+       "stream."},
+      {EventId::kCertificateLoaded, Level::kInfo, "certificate_loaded",
+       "Certificate and key were loaded, at the start or after a change."},
+      {EventId::kCertificateRefused, Level::kError, "certificate_refused",
+       "A certificate is expired, foreign or unreadable; the one before stays "
+       "in use."},
+      {EventId::kAgentJoined, Level::kInfo, "agent_joined",
+       "An agent entered the fleet record."},
+      {EventId::kAgentLeaving, Level::kInfo, "agent_leaving",
+       "An agent said that it is leaving; it receives no new work."},
+      {EventId::kAgentGone, Level::kWarning, "agent_gone",
+       "An agent was marked as gone: its lease lapsed and it can't be "
+       "reached."},
+      {EventId::kSubsetChanged, Level::kInfo, "subset_changed",
+       "The subset of agents that this router links to changed."},
+      {EventId::kVmListUnavailable, Level::kWarning, "vm_list_unavailable",
+       "The platform's list of VMs can't be read; the view before stays."},
+      {EventId::kRequestEnded, Level::kInfo, "request_ended",
+       "A caller's request ended; the fields are those of a request record."},
+      {EventId::kRequestMalformed, Level::kInfo, "request_malformed",
+       "A caller's request was refused before admission because of its form."},
+      {EventId::kRequestResumed, Level::kInfo, "request_resumed",
+       "An answer goes on after its link or its backend server was lost."},
+      {EventId::kRequestAttached, Level::kInfo, "request_attached",
+       "A retry attached to the run of an earlier try."},
+      {EventId::kCallerGone, Level::kInfo, "caller_gone",
+       "A caller went away before the end of its answer; the run is "
+       "cancelled."},
+      {EventId::kRunStarted, Level::kDebug, "run_started",
+       "An agent started a run at its backend server."},
+      {EventId::kRunEnded, Level::kDebug, "run_ended",
+       "A run at an agent ended; fields name its tokens."},
+      {EventId::kRunRefused, Level::kInfo, "run_refused",
+       "An agent refused a start as not run; fields name the kind."},
+      {EventId::kRequestRetried, Level::kInfo, "request_retried",
+       "A request that did not run is tried at another backend server."},
+      {EventId::kGrantDrawn, Level::kDebug, "grant_drawn",
+       "A router drew a grant on a budget."},
+      {EventId::kGrantReturned, Level::kDebug, "grant_returned",
+       "A router gave back the free part of a grant."},
+      {EventId::kHolderLost, Level::kWarning, "holder_lost",
+       "The holder of grants has lost its lease; its grants are being sealed."},
+      {EventId::kGrantSealed, Level::kInfo, "grant_sealed",
+       "A grant was sealed; nothing may be spent under it."},
+      {EventId::kGrantRecovered, Level::kInfo, "grant_recovered",
+       "A sealed grant was settled, and its rest is free."},
+      {EventId::kUsageHeld, Level::kWarning, "usage_held",
+       "Usage under a sealed grant can't be known; its bound stays held until "
+       "an operator writes it off."},
+      {EventId::kRecordCorrupt, Level::kError, "record_corrupt",
+       "A record of the KV is damaged; budgets in it refuse new work. Restore "
+       "the record."},
+      {EventId::kBudgetExhausted, Level::kInfo, "budget_exhausted",
+       "A request was refused because the budget of its organisation is used "
+       "up."},
+      {EventId::kUsageHandedOver, Level::kInfo, "usage_handed_over",
+       "A stopping process handed over its unsettled usage."},
+      {EventId::kClaimsWritten, Level::kDebug, "claims_written",
+       "Claims of calls that may not be repeated were written."},
+      {EventId::kBackendDown, Level::kWarning, "backend_down",
+       "A backend server does not answer its agent."},
+      {EventId::kBackendUp, Level::kInfo, "backend_up",
+       "A backend server answers its agent."},
+      {EventId::kBackendEjected, Level::kWarning, "backend_ejected",
+       "A router sends no new work to a backend server that is slow or fails."},
+      {EventId::kBackendReadmitted, Level::kInfo, "backend_readmitted",
+       "An ejected backend server receives work again, a little at first."},
+      {EventId::kEngineOrderDone, Level::kInfo, "engine_order_done",
+       "An engine carried out an order."},
+      {EventId::kEngineOrderRefused, Level::kWarning, "engine_order_refused",
+       "An order to an engine was refused: its fencing number is old, or the "
+       "engine failed."},
+      {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
+       "The platform's KV does not answer; what needs a write is refused as "
+       "not run."},
+      {EventId::kKvAvailable, Level::kInfo, "kv_available",
+       "The platform's KV answers again."},
+      {EventId::kKvAnswerLost, Level::kInfo, "kv_answer_lost",
+       "A write to the KV went without an answer and is read back."},
+      {EventId::kLeaseGranted, Level::kInfo, "lease_granted",
+       "The process holds a lease at the KV."},
+      {EventId::kLeaseLapsed, Level::kWarning, "lease_lapsed",
+       "The lease of this process lapsed; its grants may be sealed."},
+  };
+  return table;
+}
+
+const EventInfo& InfoOf(EventId id) {
+  const auto& table = EventTable();
+  return *std::lower_bound(
+      table.begin(), table.end(), id,
+      [](const EventInfo& info, EventId wanted) { return info.id < wanted; });
+}
+
+}  // namespace godwit::telemetry
--- /dev/null
+++ b/libs/telemetry/src/log.cc
@@ -0,0 +1,103 @@
+#include "telemetry/log.h"
+
+#include <atomic>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions/message.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+
+#include "base/clocks.h"
+#include "telemetry/event_table.h"
+#include "telemetry/log_line.h"
+#include "telemetry/log_options.h"
+
+namespace godwit::telemetry {
+namespace {
+
+namespace logging = boost::log;
+
+constexpr size_t kMaxQueuedLines = 20'000;
+
+std::atomic<int64_t> dropped_lines{0};
+
+// Boost.Log's policy for a full queue, with a count of what is dropped.
+class CountDropped {
+ public:
+  template <typename Lock>
+  static bool on_overflow(const logging::record_view& /*record*/,
+                          Lock& /*lock*/) {
+    dropped_lines.fetch_add(1, std::memory_order_relaxed);
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+using Sink = logging::sinks::asynchronous_sink<
+    logging::sinks::text_ostream_backend,
+    logging::sinks::bounded_fifo_queue<kMaxQueuedLines, CountDropped>>;
+
+struct Logging {
+  LogOptions options;
+  boost::shared_ptr<Sink> sink;
+  logging::sources::logger_mt logger;
+};
+
+std::unique_ptr<Logging> logging_state;
+
+}  // namespace
+
+void StartLogging(const LogOptions& options) {
+  auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+  backend->auto_flush(true);
+  auto state = std::make_unique<Logging>();
+  state->options = options;
+  state->sink = boost::make_shared<Sink>(backend);
+  state->sink->set_formatter([](const logging::record_view& record,
+                                logging::formatting_ostream& stream) {
+    stream << record[logging::expressions::smessage];
+  });
+  logging::core::get()->add_sink(state->sink);
+  logging_state = std::move(state);
+}
+
+void StopLogging() {
+  if (logging_state == nullptr) {
+    return;
+  }
+  logging::core::get()->remove_sink(logging_state->sink);
+  logging_state->sink->stop();
+  logging_state->sink->flush();
+  logging_state.reset();
+}
+
+void Log(EventId id, const std::vector<Field>& fields) {
+  if (logging_state == nullptr ||
+      InfoOf(id).level < logging_state->options.level) {
+    return;
+  }
+  const LogOptions& options = logging_state->options;
+  const base::Millis now = base::WallNow();
+  const std::string line = options.format == LogFormat::kJson
+                               ? JsonLine(now, id, options.process, fields)
+                               : TextLine(now, id, options.process, fields);
+  BOOST_LOG(logging_state->logger) << line;
+}
+
+int64_t DroppedLogLines() noexcept {
+  return dropped_lines.load(std::memory_order_relaxed);
+}
+
+}  // namespace godwit::telemetry
