--- a/libs/cbor/src/read.cc
+++ b/libs/cbor/src/read.cc
@@ -8,6 +8,9 @@
 
 using Json = nlohmann::json;
 
+// How the parser says that a container does not tell its size.
+constexpr size_t kUnknownSize = std::numeric_limits<size_t>::max();
+
 // Stops the parser at nesting and counts that would exhaust the stack or the
 // memory of one that builds the document.
 class BoundsCheck : public nlohmann::json_sax<Json> {
@@ -34,7 +37,6 @@
 
  private:
   bool Enter(size_t elements) {
-    constexpr size_t kUnknownSize = std::numeric_limits<size_t>::max();
     ++depth_;
     return depth_ <= kMaxDepth &&
            (elements == kUnknownSize || elements <= max_elements_);
--- a/libs/claims/tests/claims_test.cc
+++ b/libs/claims/tests/claims_test.cc
@@ -179,6 +179,7 @@
     }
   }
   std::vector<DirectoryMember> spread;
+  spread.reserve(8);
   for (int i = 0; i < 8; ++i) {
     spread.push_back(member(("m" + std::to_string(i)).c_str(),
                             i < 6 ? "k" : "t", active, 0, 0));
--- a/libs/claims/tests/claims_world.cc
+++ b/libs/claims/tests/claims_world.cc
@@ -12,6 +12,8 @@
 using base::Millis;
 
 constexpr Millis kStep(10);
+// Time after which a message to a paused process is tried again.
+constexpr Millis kResend(200);
 
 ClaimPolicy WorldPolicy() {
   ClaimPolicy policy;
@@ -153,7 +155,7 @@
 void ClaimsWorld::Tombstone(size_t router,
                             size_t agent,
                             const AttemptId& attempt,
-                            std::function<void(Phase)> reply) {
+                            const std::function<void(Phase)>& reply) {
   Send(false, agent, [=] {
     Phase& phase = agents_[agent].attempts[attempt];
     if (phase == Phase::kUnknown) {
@@ -180,7 +182,6 @@
 }
 
 void ClaimsWorld::Advance(Millis span) {
-  constexpr Millis kResend(200);
   const Millis end = now_ + span;
   while (now_ < end) {
     now_ = now_ + kStep;
--- a/libs/claims/tests/claims_world.h
+++ b/libs/claims/tests/claims_world.h
@@ -100,7 +100,7 @@
   void Tombstone(size_t router,
                  size_t agent,
                  const base::AttemptId& attempt,
-                 std::function<void(Phase)> reply);
+                 const std::function<void(Phase)>& reply);
   void End(const base::AttemptId& attempt, Outcome outcome);
   void Send(bool to_router, size_t target, std::function<void()> deliver);
   bool Chance(uint64_t percent) { return random_() % 100 < percent; }
--- a/libs/ledger/include/ledger/budget_holder.h
+++ b/libs/ledger/include/ledger/budget_holder.h
@@ -23,7 +23,7 @@
 class BudgetHolder {
  public:
   // `self` is this router's life. Times given to Step never go backwards.
-  BudgetHolder(base::Incarnation self, HolderPolicy policy);
+  BudgetHolder(const base::Incarnation& self, HolderPolicy policy);
   ~BudgetHolder();
   BudgetHolder(BudgetHolder&&) noexcept;
   BudgetHolder& operator=(BudgetHolder&&) noexcept;
--- a/libs/ledger/src/budget_holder.cc
+++ b/libs/ledger/src/budget_holder.cc
@@ -1,13 +1,11 @@
 #include "ledger/budget_holder.h"
 
-#include <utility>
-
 #include "holder_state.h"
 
 namespace godwit::ledger {
 
-BudgetHolder::BudgetHolder(base::Incarnation self, HolderPolicy policy)
-    : state_(std::make_unique<State>(std::move(self), policy)) {}
+BudgetHolder::BudgetHolder(const base::Incarnation& self, HolderPolicy policy)
+    : state_(std::make_unique<State>(self, policy)) {}
 
 BudgetHolder::~BudgetHolder() = default;
 BudgetHolder::BudgetHolder(BudgetHolder&&) noexcept = default;
--- a/libs/ledger/src/burn_rate.cc
+++ b/libs/ledger/src/burn_rate.cc
@@ -3,6 +3,13 @@
 #include <cmath>
 
 namespace godwit::ledger {
+namespace {
+
+constexpr double kLn2 = 0.6931471805599453;
+// Far below the range of Tokens, so that sums of targets can't overflow.
+constexpr double kMost = 1e15;
+
+}  // namespace
 
 double BurnRate::Decayed(base::Millis now) const {
   const auto age = static_cast<double>((now - at_).count());
@@ -15,9 +22,6 @@
 }
 
 base::Tokens BurnRate::Over(base::Millis now, base::Millis span) const {
-  constexpr double kLn2 = 0.6931471805599453;
-  // Far below the range of Tokens, so that sums of targets can't overflow.
-  constexpr double kMost = 1e15;
   const double per_milli =
       Decayed(now) * kLn2 / static_cast<double>(half_life_.count());
   const double tokens = per_milli * static_cast<double>(span.count());
--- a/libs/ledger/src/holder_state.cc
+++ b/libs/ledger/src/holder_state.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-BudgetHolder::State::State(base::Incarnation self, HolderPolicy policy)
+BudgetHolder::State::State(const base::Incarnation& self, HolderPolicy policy)
     : self_(self),
       policy_(policy),
       planner_(self, policy),
--- a/libs/ledger/src/holder_state.h
+++ b/libs/ledger/src/holder_state.h
@@ -22,7 +22,7 @@
 // The state machine behind BudgetHolder.
 struct BudgetHolder::State {
  public:
-  State(base::Incarnation self, HolderPolicy policy);
+  State(const base::Incarnation& self, HolderPolicy policy);
 
   std::vector<HolderCommand> Step(base::Millis now, const HolderEvent& event);
 
--- a/libs/ledger/tests/ledger_world.cc
+++ b/libs/ledger/tests/ledger_world.cc
@@ -16,6 +16,10 @@
 const base::OrganisationId kOrganisation("organisation");
 constexpr Millis kStep(10);
 constexpr Millis kTick(50);
+// Time after which a message to an unreachable process is tried again.
+constexpr Millis kResend(200);
+// Time within which all grants are closed once the faults have ended.
+constexpr Millis kLongestFinish(180000);
 constexpr Millis kLeaseTtl(3000);
 constexpr Millis kLeaseRead(1000);
 
@@ -358,7 +362,6 @@
 }
 
 void LedgerWorld::DeliverMessages() {
-  constexpr Millis kResend(200);
   while (!messages_.empty() && messages_.begin()->first <= now_) {
     const Message message = std::move(messages_.begin()->second);
     messages_.erase(messages_.begin());
@@ -390,7 +393,6 @@
 }
 
 bool LedgerWorld::Finish() {
-  constexpr Millis kLongest(180000);
   const bool ignores_versions = kv_.faults().ignores_versions;
   kv_.faults() = support::FakeKv::Faults();
   kv_.faults().ignores_versions = ignores_versions;
@@ -411,7 +413,7 @@
     }
   }
   StartRouter();
-  const Millis end = now_ + kLongest;
+  const Millis end = now_ + kLongestFinish;
   while (now_ < end && !StoredBudget().grants.empty()) {
     Advance(Millis(500));
   }
--- a/libs/ledger/tests/ledger_world.h
+++ b/libs/ledger/tests/ledger_world.h
@@ -96,7 +96,7 @@
 
  private:
   struct Router {
-    Router(base::Incarnation life, const HolderPolicy& policy)
+    Router(const base::Incarnation& life, const HolderPolicy& policy)
         : incarnation(life), holder(life, policy) {}
 
     base::Incarnation incarnation;
