Let every router that attaches read a run, and confirm late refusals

Ruled out: a grace before the refusal, which delays it and proves nothing. Change: a run has readers, each with offset and credit; a refusal of a registered call asks the directory whether the key is still its own.

--- a/libs/agent/src/agent_core.cc
+++ b/libs/agent/src/agent_core.cc
@@ -132,9 +132,8 @@
   void HandleMessage(link::ConnectionId from, const link::AddCredit& message) {
     flow_.OnCredit(from, message);
   }
-  void HandleMessage(link::ConnectionId /*from*/,
-                     const link::CancelRun& message) {
-    flow_.OnCancel(now_, message.attempt);
+  void HandleMessage(link::ConnectionId from, const link::CancelRun& message) {
+    flow_.OnCancel(now_, from, message.attempt);
   }
   void HandleMessage(link::ConnectionId from,
                      const link::TombstoneRun& message) {
--- a/libs/agent/src/delivery.cc
+++ b/libs/agent/src/delivery.cc
@@ -73,9 +73,7 @@
 }
 
 void Delivery::Send(link::ConnectionId connection, link::Message message) {
-  if (connection != kNoConnection) {
-    commands_.emplace_back(SendMessage{connection, std::move(message)});
-  }
+  commands_.emplace_back(SendMessage{connection, std::move(message)});
 }
 
 void Delivery::SendState(link::ConnectionId connection, const Run& run) {
@@ -89,67 +87,81 @@
   Send(connection, std::move(state));
 }
 
+void Delivery::SendToReaders(const Run& run, const link::Message& message) {
+  for (const auto& [connection, reader] : run.readers) {
+    Send(connection, message);
+  }
+}
+
 void Delivery::Attach(Run& run,
                       link::ConnectionId connection,
                       const link::AttachRun& attach) {
-  run.stream = connection;
-  run.sent_offset = attach.offset;
-  run.credit = attach.credit;
-  run.end_sent = false;
+  run.readers[connection] = Reader{attach.offset, attach.credit, false};
   if (run.head) {
     Send(connection, *run.head);
   }
   if (run.stage == RunStage::kFailed || run.stage == RunStage::kRefused) {
+    run.readers.erase(connection);
     SendOutcome(connection, run);
     return;
   }
   Pump(run);
 }
 
-void Delivery::Detach(base::Millis now, Run& run) {
-  run.stream = kNoConnection;
+void Delivery::Detach(base::Millis now,
+                      Run& run,
+                      link::ConnectionId connection) {
+  if (run.readers.erase(connection) == 0 || !run.readers.empty()) {
+    return;
+  }
   run.detached_at = now;
   Throttle(run, 0);
 }
 
 void Delivery::Pump(Run& run) {
-  if (run.stream == kNoConnection || run.end_sent || !run.head) {
+  if (run.readers.empty() || !run.head) {
     return;
   }
   const stream::AnswerBuffer* answer = answers_.Find(run.start.attempt);
   if (answer == nullptr) {
     if (run.stage == RunStage::kComplete) {
-      run.end_sent = true;
-      Send(run.stream, MakeFailed(run, AnswerDropped()));
+      SendToReaders(run, MakeFailed(run, AnswerDropped()));
+      run.readers.clear();
     }
     return;
   }
-  SendPieces(run, *answer);
-  if (run.end && run.sent_offset >= run.end->length) {
-    run.end_sent = true;
-    Send(run.stream, *run.end);
+  int64_t furthest = 0;
+  for (auto& [connection, reader] : run.readers) {
+    PumpReader(run, connection, reader, *answer);
+    furthest = std::max(furthest, reader.sent_offset);
   }
-  Throttle(run, answer->length() - run.sent_offset);
+  Throttle(run, answer->length() - furthest);
 }
 
-// Sends whole pieces only, so that what a router has of a model's answer always
-// ends between two events; the last piece may exceed the credit.
-void Delivery::SendPieces(Run& run, const stream::AnswerBuffer& answer) {
-  while (run.credit > 0) {
-    const std::string_view piece =
-        answer.Read(run.sent_offset, std::min(run.credit, kMaxJoinedBytes));
+void Delivery::PumpReader(Run& run,
+                          link::ConnectionId connection,
+                          Reader& reader,
+                          const stream::AnswerBuffer& answer) {
+  while (reader.credit > 0) {
+    const std::string_view piece = answer.Read(
+        reader.sent_offset, std::min(reader.credit, kMaxJoinedBytes));
     if (piece.empty()) {
-      return;
+      break;
     }
     link::RunData data;
     data.key = run.start.key;
     data.attempt = run.start.attempt;
-    data.offset = run.sent_offset;
+    data.offset = reader.sent_offset;
     data.bytes = std::string(piece);
-    run.sent_offset += static_cast<int64_t>(piece.size());
-    run.credit -= static_cast<int64_t>(piece.size());
-    data.tokens = answer.TokensBefore(run.sent_offset);
-    Send(run.stream, std::move(data));
+    reader.sent_offset += static_cast<int64_t>(piece.size());
+    reader.credit -= static_cast<int64_t>(piece.size());
+    data.tokens = answer.TokensBefore(reader.sent_offset);
+    Send(connection, std::move(data));
+  }
+  if (run.end && !reader.end_sent && reader.sent_offset >= run.end->length) {
+    reader.end_sent = true;
+    run.delivered = true;
+    Send(connection, *run.end);
   }
 }
 
@@ -173,20 +185,24 @@
 
 void Delivery::AnnounceEnd(Run& run) {
   const bool complete = run.stage == RunStage::kComplete;
-  const bool starter_attached = PeerOf(run.stream) == run.starter;
+  bool starter_reads = false;
+  for (const auto& [connection, reader] : run.readers) {
+    starter_reads = starter_reads || PeerOf(connection) == run.starter;
+  }
   for (const auto& [connection, peer] : links_) {
-    if (connection == run.stream || peer != run.starter ||
-        (complete && starter_attached)) {
-      continue;
+    const bool reads = run.readers.count(connection) != 0;
+    if (peer == run.starter && !reads && !(complete && starter_reads)) {
+      SendOutcome(connection, run);
     }
-    SendOutcome(connection, run);
   }
   if (complete) {
     Pump(run);
     return;
   }
-  run.end_sent = true;
-  SendOutcome(run.stream, run);
+  for (const auto& [connection, reader] : run.readers) {
+    SendOutcome(connection, run);
+  }
+  run.readers.clear();
 }
 
 void Delivery::SendOutcome(link::ConnectionId connection, const Run& run) {
--- a/libs/agent/src/delivery.h
+++ b/libs/agent/src/delivery.h
@@ -29,20 +29,22 @@
   // Life of the peer; empty without the link.
   base::Incarnation PeerOf(link::ConnectionId connection) const;
 
-  // Nothing is sent on kNoConnection.
   void Send(link::ConnectionId connection, link::Message message);
   // RunState, as an answer to a question.
   void SendState(link::ConnectionId connection, const Run& run);
 
-  // Lets the answer go to a link from an offset on.
+  // Lets the answer go to a link, too, from an offset on.
   void Attach(Run& run,
               link::ConnectionId connection,
               const link::AttachRun& attach);
-  void Detach(base::Millis now, Run& run);
+  // The link takes no more of the answer.
+  void Detach(base::Millis now, Run& run, link::ConnectionId connection);
+  // Sends to every reader.
+  void SendToReaders(const Run& run, const link::Message& message);
   // Sends what the credit allows; pauses and resumes the backend server.
   void Pump(Run& run);
-  // Tells the attached link, and all links of the router that started the run,
-  // how it ended.
+  // Tells the readers, and all links of the router that started the run, how it
+  // ended.
   void AnnounceEnd(Run& run);
 
   // Sends how a run ended, the bytes of its answer apart.
@@ -52,7 +54,10 @@
   const stream::AnswerStore& answers() const noexcept { return answers_; }
 
  private:
-  void SendPieces(Run& run, const stream::AnswerBuffer& answer);
+  void PumpReader(Run& run,
+                  link::ConnectionId connection,
+                  Reader& reader,
+                  const stream::AnswerBuffer& answer);
   void Throttle(Run& run, int64_t waiting_bytes);
 
   const AgentOptions& options_;
--- a/libs/agent/src/run.h
+++ b/libs/agent/src/run.h
@@ -2,6 +2,7 @@
 #define AGENT_RUN_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "base/error.h"
@@ -26,8 +27,15 @@
   kRefused,
 };
 
-// No link; real ids are positive.
-constexpr link::ConnectionId kNoConnection = 0;
+// How far a link has got with an answer.
+struct Reader {
+  // Answer bytes sent.
+  int64_t sent_offset = 0;
+  // Bytes that may be sent before more credit.
+  int64_t credit = 0;
+  // True once the end was sent.
+  bool end_sent = false;
+};
 
 // One attempt, as this agent knows it.
 struct Run {
@@ -44,15 +52,12 @@
   bool backend_open = false;
   bool backend_paused = false;
 
-  // Link that the answer goes to.
-  link::ConnectionId stream = kNoConnection;
-  // When the answer lost its link.
+  // Links that the answer goes to.
+  std::map<link::ConnectionId, Reader> readers;
+  // When the answer lost its last link.
   base::Millis detached_at;
-  // Answer bytes sent on the link.
-  int64_t sent_offset = 0;
-  int64_t credit = 0;
-  // True once RunEnd was sent on the link.
-  bool end_sent = false;
+  // True once a reader was sent the whole answer.
+  bool delivered = false;
 
   std::optional<link::RunHead> head;
   // Set when complete.
--- a/libs/agent/src/run_flow.cc
+++ b/libs/agent/src/run_flow.cc
@@ -67,7 +67,6 @@
   Run& run = runs_[start.attempt];
   run.start = std::move(start);
   run.starter = delivery_.PeerOf(from);
-  run.stream = from;
   run.deadline = After(now, run.start.deadline_in);
   if (refusal) {
     run.stage = RunStage::kRefused;
@@ -89,8 +88,9 @@
   delivery_.answers()
       .Open(run.start.attempt)
       .Append(run.start.answer_prefix, run.start.resume_tokens);
-  run.sent_offset = static_cast<int64_t>(run.start.answer_prefix.size());
-  run.credit = run.start.credit;
+  run.readers[from] =
+      Reader{static_cast<int64_t>(run.start.answer_prefix.size()),
+             run.start.credit, false};
   queue_.Push(now, run.start.priority, run.start.attempt);
   delivery_.Send(from, link::RunAccepted{run.start.attempt});
   Dispatch(now);
@@ -193,16 +193,21 @@
 
 void RunFlow::OnCredit(link::ConnectionId from, const link::AddCredit& credit) {
   const auto found = runs_.find(credit.attempt);
-  if (found == runs_.end() || found->second.stream != from ||
-      credit.bytes <= 0) {
+  if (found == runs_.end() || credit.bytes <= 0) {
     return;
   }
   Run& run = found->second;
-  run.credit = SaturatingAdd(run.credit, credit.bytes);
+  const auto reader = run.readers.find(from);
+  if (reader == run.readers.end()) {
+    return;
+  }
+  reader->second.credit = SaturatingAdd(reader->second.credit, credit.bytes);
   delivery_.Pump(run);
 }
 
-void RunFlow::OnCancel(base::Millis now, const base::AttemptId& attempt) {
+void RunFlow::OnCancel(base::Millis now,
+                       link::ConnectionId from,
+                       const base::AttemptId& attempt) {
   const auto found = runs_.find(attempt);
   if (found == runs_.end() || found->second.ended()) {
     return;
@@ -214,8 +219,9 @@
     Refuse(now, run, Refusal{cancelled, base::Millis()});
     return;
   }
-  if (!run.start.repeatable) {
-    delivery_.Detach(now, run);
+  const bool has_other_readers = run.readers.size() > run.readers.count(from);
+  if (!run.start.repeatable || has_other_readers) {
+    delivery_.Detach(now, run, from);
     return;
   }
   const stream::AnswerBuffer* answer = delivery_.answers().Find(attempt);
@@ -260,7 +266,7 @@
   }
   run->head = link::RunHead{run->start.key, event.attempt, event.status,
                             event.content_type};
-  delivery_.Send(run->stream, *run->head);
+  delivery_.SendToReaders(*run, *run->head);
   delivery_.Pump(*run);
 }
 
@@ -316,9 +322,7 @@
 
 void RunFlow::OnLinkDown(base::Millis now, link::ConnectionId connection) {
   for (const auto& [attempt, run] : active_) {
-    if (run->stream == connection) {
-      delivery_.Detach(now, *run);
-    }
+    delivery_.Detach(now, *run, connection);
   }
 }
 
@@ -487,7 +491,7 @@
                        "no router attached to the run in time",
                        "send the request again");
   for (const auto& [attempt, run] : active_) {
-    const bool due = !run->ended() && run->stream == kNoConnection &&
+    const bool due = !run->ended() && run->readers.empty() &&
                      run->detached_at + options_.attach_grace <= now;
     if (!due) {
       continue;
@@ -505,11 +509,15 @@
   if (!run.ended()) {
     return false;
   }
-  if (run.stage != RunStage::kComplete || run.end_sent) {
+  if (run.stage != RunStage::kComplete) {
     return true;
   }
+  if (!run.readers.empty()) {
+    return std::all_of(run.readers.begin(), run.readers.end(),
+                       [](const auto& entry) { return entry.second.end_sent; });
+  }
   const base::Millis since = std::max(run.detached_at, run.ended_at);
-  return run.stream == kNoConnection && since + options_.attach_grace <= now;
+  return run.delivered || since + options_.attach_grace <= now;
 }
 
 // Ended runs whose answer is handed over only wait for retries.
--- a/libs/agent/src/run_flow.h
+++ b/libs/agent/src/run_flow.h
@@ -39,7 +39,9 @@
                 link::ConnectionId from,
                 const link::AttachRun& attach);
   void OnCredit(link::ConnectionId from, const link::AddCredit& credit);
-  void OnCancel(base::Millis now, const base::AttemptId& attempt);
+  void OnCancel(base::Millis now,
+                link::ConnectionId from,
+                const base::AttemptId& attempt);
   void OnTombstone(base::Millis now,
                    link::ConnectionId from,
                    const base::AttemptId& attempt);
--- a/libs/router/src/call.h
+++ b/libs/router/src/call.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/digest.h"
+#include "base/error.h"
 #include "base/ids.h"
 #include "base/millis.h"
 #include "config/config.h"
@@ -38,6 +39,12 @@
   kConfirming,
 };
 
+// A refusal and when the caller should come back.
+struct PendingRefusal {
+  base::Error why;
+  base::Millis retry_after;
+};
+
 // One request of a caller, from arrival until nothing of it is left open.
 struct Call {
   CallerRequest request;
@@ -63,6 +70,10 @@
   base::AttemptId claim_replaces;
   // Attempt of this call that the directory names, if any.
   base::AttemptId registered;
+  base::Millis registered_at;
+  // A refusal that waits for the directory to confirm that nothing of the key
+  // ran meanwhile.
+  std::optional<PendingRefusal> refusal;
 
   base::AttemptId attempt;
   base::ProcessId agent;
--- a/libs/router/src/call_flow.cc
+++ b/libs/router/src/call_flow.cc
@@ -271,6 +271,10 @@
 void CallFlow::Refuse(Call& call,
                       const base::Error& why,
                       base::Millis retry_after) {
+  if (MustConfirmRefusal(call)) {
+    ConfirmRefusal(call, why, retry_after);
+    return;
+  }
   const bool not_run =
       !call.may_have_run && !call.ended && (!call.keyed || call.fresh);
   if (!not_run) {
@@ -285,6 +289,28 @@
   Forget(call);
 }
 
+// While a registered call waited, a retry through another router may have
+// taken its place in the directory and run.
+bool CallFlow::MustConfirmRefusal(const Call& call) const noexcept {
+  return call.open && call.keyed && call.fresh && !call.may_have_run &&
+         !call.ended && !call.refusal && !call.registered.empty() &&
+         call.registered_at != context_.now;
+}
+
+void CallFlow::ConfirmRefusal(Call& call,
+                              const base::Error& why,
+                              base::Millis retry_after) {
+  DropAttempt(call);
+  call.refusal = PendingRefusal{why, retry_after};
+  call.fresh = false;
+  call.sent = false;
+  call.replaces = call.registered;
+  call.agent = base::ProcessId();
+  call.agent_incarnation = base::Incarnation();
+  Bind(call, context_.NewAttempt());
+  Register(call, false);
+}
+
 void CallFlow::FailUnknown(Call& call,
                            const base::Error& why,
                            base::Millis retry_after) {
--- a/libs/router/src/call_flow.h
+++ b/libs/router/src/call_flow.h
@@ -105,6 +105,8 @@
   // Final answers. Refuse says "not run" only when that is certain, and
   // otherwise that the outcome is unknown.
   void Refuse(Call& call, const base::Error& why, base::Millis retry_after);
+  bool MustConfirmRefusal(const Call& call) const noexcept;
+  void ConfirmRefusal(Call& call, const base::Error& why, base::Millis retry);
   void FailUnknown(Call& call, const base::Error& why, base::Millis retry);
   void CloseCaller(Call& call, Outcome outcome, base::ErrorKind kind);
   // Gives up the current attempt, for which nothing will be billed.
--- a/libs/router/src/call_flow_directory.cc
+++ b/libs/router/src/call_flow_directory.cc
@@ -155,7 +155,12 @@
   }
   call.fresh = true;
   call.registered = call.attempt;
+  call.registered_at = context_.now;
   call.replaces = base::AttemptId();
+  if (call.refusal) {
+    Refuse(call, call.refusal->why, call.refusal->retry_after);
+    return;
+  }
   Admit(call);
 }
 
@@ -179,6 +184,7 @@
     return;
   }
   call.registered = base::AttemptId();
+  call.refusal.reset();
   FollowOwner(call, owner);
 }
 
