Fence lost attempts in the directory before their reservation is freed

Ruled out: billing by the second router under its own grant, which would bill twice when the first had heard. Change: the directory keeps the bill of a whole answer; a router takes a lost attempt's place there before it frees or settles it.

--- a/libs/claims/include/claims/directory.h
+++ b/libs/claims/include/claims/directory.h
@@ -47,6 +47,7 @@
     base::ProcessId agent;
     base::Incarnation agent_incarnation;
     bool complete = false;
+    base::Tokens billed = 0;
     base::Millis used_at;
   };
 
--- a/libs/claims/src/directory.cc
+++ b/libs/claims/src/directory.cc
@@ -38,10 +38,11 @@
                         entry.attempt == request.replaces;
   if (is_new || replaced) {
     entry = Entry{request.body_digest, request.attempt, request.agent,
-                  request.agent_incarnation, false, now};
+                  request.agent_incarnation, false, 0, now};
   }
   if (request.complete && entry.attempt == request.attempt) {
     entry.complete = true;
+    entry.billed = request.billed;
   }
   Touch(now, request.key, entry);
   answer.body_digest = entry.body_digest;
@@ -49,6 +50,7 @@
   answer.agent = entry.agent;
   answer.agent_incarnation = entry.agent_incarnation;
   answer.complete = entry.complete;
+  answer.billed = entry.billed;
   return answer;
 }
 
--- a/libs/link/include/link/key_owner.h
+++ b/libs/link/include/link/key_owner.h
@@ -26,6 +26,8 @@
   base::AttemptId attempt;
   // True when the owner has a whole answer.
   bool complete = false;
+  // With complete: what the owner bills.
+  base::Tokens billed = 0;
   // The agent that runs it.
   base::ProcessId agent;
   // The life of that agent.
@@ -41,15 +43,18 @@
     visit("body_digest", self.body_digest);
     visit("attempt", self.attempt);
     visit("complete", self.complete);
+    visit("billed", self.billed);
     visit("agent", self.agent);
     visit("agent_incarnation", self.agent_incarnation);
   }
 
   friend bool operator==(const KeyOwner& a, const KeyOwner& b) {
     return std::tie(a.key, a.asked, a.stale, a.fleet_version, a.body_digest,
-                    a.attempt, a.complete, a.agent, a.agent_incarnation) ==
+                    a.attempt, a.complete, a.billed, a.agent,
+                    a.agent_incarnation) ==
            std::tie(b.key, b.asked, b.stale, b.fleet_version, b.body_digest,
-                    b.attempt, b.complete, b.agent, b.agent_incarnation);
+                    b.attempt, b.complete, b.billed, b.agent,
+                    b.agent_incarnation);
   }
   friend bool operator!=(const KeyOwner& a, const KeyOwner& b) {
     return !(a == b);
--- a/libs/link/include/link/register_key.h
+++ b/libs/link/include/link/register_key.h
@@ -29,6 +29,8 @@
   // True when the answer of the attempt is whole and is about to be
   // billed; from then on nothing replaces the entry.
   bool complete = false;
+  // With complete: what the attempt bills.
+  base::Tokens billed = 0;
   // Version of the fleet record that placed the key here.
   int64_t fleet_version = 0;
 
@@ -43,16 +45,17 @@
     visit("replaces", self.replaces);
     visit("shadow", self.shadow);
     visit("complete", self.complete);
+    visit("billed", self.billed);
     visit("fleet_version", self.fleet_version);
   }
 
   friend bool operator==(const RegisterKey& a, const RegisterKey& b) {
     return std::tie(a.key, a.body_digest, a.attempt, a.agent,
                     a.agent_incarnation, a.replaces, a.shadow, a.complete,
-                    a.fleet_version) ==
+                    a.billed, a.fleet_version) ==
            std::tie(b.key, b.body_digest, b.attempt, b.agent,
                     b.agent_incarnation, b.replaces, b.shadow, b.complete,
-                    b.fleet_version);
+                    b.billed, b.fleet_version);
   }
   friend bool operator!=(const RegisterKey& a, const RegisterKey& b) {
     return !(a == b);
--- a/libs/router/src/call.h
+++ b/libs/router/src/call.h
@@ -39,6 +39,14 @@
   kConfirming,
 };
 
+// An attempt that may have ended whole at an agent life that is gone. Its
+// reservation stays until the directory tells whether another router has
+// presented its answer.
+struct LostAttempt {
+  base::AttemptId attempt;
+  base::Incarnation agent;
+};
+
 // A refusal and when the caller should come back.
 struct PendingRefusal {
   base::Error why;
@@ -106,6 +114,7 @@
   bool head_sent = false;
   // Of the whole answer, from its RunEnd.
   base::Tokens billed = 0;
+  std::optional<LostAttempt> lost;
   base::Millis first_byte;
 
   // Why no agent was picked.
--- a/libs/router/src/call_flow.cc
+++ b/libs/router/src/call_flow.cc
@@ -94,6 +94,9 @@
     return;
   }
   CloseCaller(*call, Outcome::kCallerGone, ErrorKind::kCancelled);
+  if (call->lost) {
+    return;
+  }
   if (!call->own) {
     Forget(*call);
     return;
@@ -229,6 +232,11 @@
   switch (call.phase) {
     case CallPhase::kRegistering:
     case CallPhase::kReplanning:
+      if (call.lost) {
+        FailUnknown(call, unreachable, kAskAgain);
+        Register(call, false);
+        return;
+      }
       Refuse(call, unreachable, kAskAgain);
       return;
     case CallPhase::kClaiming:
@@ -426,8 +434,11 @@
 
 bool CallFlow::IsConfirming(const base::Incarnation& agent) const noexcept {
   return std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
-    return entry.second.phase == CallPhase::kConfirming &&
-           entry.second.agent_incarnation == agent && !entry.second.forgotten;
+    const Call& call = entry.second;
+    const bool confirming =
+        call.phase == CallPhase::kConfirming && call.agent_incarnation == agent;
+    const bool lost = call.lost && call.lost->agent == agent;
+    return !call.forgotten && (confirming || lost);
   });
 }
 
--- a/libs/router/src/call_flow.h
+++ b/libs/router/src/call_flow.h
@@ -56,7 +56,7 @@
   std::vector<OpenCall> OpenCalls() const;
   // All calls, those that only await their bill included.
   size_t calls() const noexcept { return calls_.size(); }
-  // True while a whole answer of that agent awaits its bill.
+  // True while an answer of that agent may still be billed.
   bool IsConfirming(const base::Incarnation& agent) const noexcept;
 
  private:
@@ -91,6 +91,8 @@
   void Attach(Call& call);
   void ReplaceForeign(Call& call, bool may_have_run);
   void OnAttemptLost(Call& call);
+  void FenceLost(Call& call);
+  void ResolveLost(Call& call, const link::KeyOwner& owner);
 
   // call_flow_answer.cc
   void OnHead(Call& call, const link::RunHead& frame);
--- a/libs/router/src/call_flow_directory.cc
+++ b/libs/router/src/call_flow_directory.cc
@@ -58,6 +58,7 @@
   request.agent_incarnation = call.agent_incarnation;
   request.replaces = call.replaces;
   request.complete = complete;
+  request.billed = complete ? call.billed : 0;
   request.fleet_version = context_.membership.version();
   call.registration.emplace(plan, std::move(request));
   EnterPhase(call, complete ? CallPhase::kConfirming : CallPhase::kRegistering,
@@ -69,7 +70,7 @@
   const Error why(ErrorKind::kUnavailable,
                   "the agents that kept track of this request's key are gone",
                   "send it again with the same Idempotency-Key");
-  if (!complete) {
+  if (!complete && !call.lost) {
     Refuse(call, why, wait);
     return;
   }
@@ -78,7 +79,8 @@
     Forget(call);
     return;
   }
-  EnterPhase(call, CallPhase::kConfirming, context_.options.reply_limit);
+  EnterPhase(call, complete ? CallPhase::kConfirming : CallPhase::kRegistering,
+             context_.options.reply_limit);
 }
 
 void CallFlow::AskDirectory(Call& call) {
@@ -154,6 +156,11 @@
     return;
   }
   call.fresh = true;
+  ResolveLost(call, link::KeyOwner());
+  if (!call.open) {
+    Forget(call);
+    return;
+  }
   call.registered = call.attempt;
   call.registered_at = context_.now;
   call.replaces = base::AttemptId();
@@ -166,6 +173,7 @@
 
 void CallFlow::OnOwned(Call& call) {
   const link::KeyOwner owner = call.registration->owner();
+  ResolveLost(call, owner);
   RepairPrimary(call, owner);
   const bool complete = call.registration->request().complete;
   call.registration.reset();
@@ -185,6 +193,10 @@
   }
   call.registered = base::AttemptId();
   call.refusal.reset();
+  if (!call.open) {
+    Forget(call);
+    return;
+  }
   FollowOwner(call, owner);
 }
 
@@ -198,6 +210,7 @@
   repair.agent_incarnation = owner.agent_incarnation;
   repair.body_digest = owner.body_digest;
   repair.complete = owner.complete;
+  repair.billed = owner.billed;
   repair.shadow = false;
   for (const claims::DirectoryMember& copy : call.registration->accepted()) {
     context_.SendTo(copy.incarnation, repair);
--- a/libs/router/src/call_flow_probe.cc
+++ b/libs/router/src/call_flow_probe.cc
@@ -66,8 +66,7 @@
       return;
     case link::RunPhase::kUnknown:
       FailUnknown(call, Unknown(), base::Millis());
-      DropAttempt(call);
-      Forget(call);
+      OnAttemptLost(call);
       return;
   }
 }
@@ -107,18 +106,64 @@
 
 // The attempt started, or may have, and nothing of it will be billed.
 void CallFlow::OnAttemptLost(Call& call) {
+  call.may_have_run = true;
   if (!call.request.repeatable) {
     FailUnknown(call, Unknown(), base::Millis());
-    DropAttempt(call);
+  }
+  if (!call.own) {
+    if (call.open) {
+      ReplaceForeign(call, true);
+      return;
+    }
     Forget(call);
     return;
   }
-  if (!call.own) {
-    ReplaceForeign(call, true);
+  if (call.keyed && call.reserved) {
+    FenceLost(call);
     return;
   }
-  call.may_have_run = true;
-  TryElsewhere(call);
+  if (call.open) {
+    TryElsewhere(call);
+    return;
+  }
+  DropAttempt(call);
+  Forget(call);
+}
+
+// Takes the attempt's place in the directory, so that no other router can
+// present its answer any more, or learns that one has.
+void CallFlow::FenceLost(Call& call) {
+  StopCounting(call, true);
+  call.reserved = false;
+  call.lost = LostAttempt{call.attempt, call.agent_incarnation};
+  call.excluded.push_back(call.agent_incarnation);
+  call.replaces = call.attempt;
+  call.claim_replaces = call.attempt;
+  call.sent = false;
+  if (!call.request.stream) {
+    call.answer.clear();
+  }
+  Bind(call, context_.NewAttempt());
+  call.agent = base::ProcessId();
+  call.agent_incarnation = base::Incarnation();
+  if (call.open) {
+    PickAgent(call);
+  }
+  Register(call, false);
+}
+
+void CallFlow::ResolveLost(Call& call, const link::KeyOwner& owner) {
+  if (!call.lost) {
+    return;
+  }
+  const LostAttempt lost = *call.lost;
+  call.lost.reset();
+  if (owner.attempt == lost.attempt && owner.complete) {
+    context_.StepHolder(
+        ledger::RunSettled{lost.attempt, lost.agent, owner.billed});
+  } else {
+    context_.StepHolder(ledger::RunReleased{lost.attempt});
+  }
 }
 
 }  // namespace godwit::router
--- a/libs/router/src/call_flow_start.cc
+++ b/libs/router/src/call_flow_start.cc
@@ -14,10 +14,22 @@
 constexpr int64_t kUnlimitedCredit = int64_t{1} << 40U;
 // Longest wait for budget or a claim.
 constexpr base::Millis kMachineWait = base::Seconds(1);
+// Time that an answer which has begun has to go on elsewhere.
+constexpr base::Millis kResumeDeadline = base::Seconds(30);
+
+Error NoAnswer() {
+  return Error(ErrorKind::kUnavailable,
+               "the backend servers tried did not answer",
+               "send the request again");
+}
 
 }  // namespace
 
 void CallFlow::Admit(Call& call) {
+  if (call.attempts > 0 && !MayTryAgain(call)) {
+    Refuse(call, NoAnswer(), kAskAgain);
+    return;
+  }
   if (!WithinLimits(call) || !DependenciesUp(call)) {
     return;
   }
@@ -191,7 +203,8 @@
   start.repeatable = call.request.repeatable;
   start.claimed = call.agent_incarnation;
   start.priority = call.traffic_class->priority;
-  start.deadline_in = call.deadline - context_.now;
+  start.deadline_in =
+      call.head_sent ? kResumeDeadline : call.deadline - context_.now;
   start.method = call.request.method;
   start.path = call.request.path;
   start.content_type = call.request.content_type;
@@ -199,9 +212,11 @@
   start.output_cap = call.request.output_cap;
   start.credit = call.request.stream ? context_.options.stream_window_bytes
                                      : kUnlimitedCredit;
+  const base::Tokens resumed = call.assembler ? call.assembler->tokens() : 0;
   call.assembler.emplace(call.key, call.attempt);
   if (call.request.stream && !call.answer.empty()) {
     start.answer_prefix = call.answer;
+    start.resume_tokens = resumed;
     call.assembler->Resume(call.answer);
   }
   call.sent = true;
@@ -259,11 +274,7 @@
   }
   call.excluded.push_back(call.agent_incarnation);
   if (!MayTryAgain(call) || !context_.retries.TryRetry()) {
-    Refuse(call,
-           Error(ErrorKind::kUnavailable,
-                 "the backend servers tried did not answer",
-                 "send the request again"),
-           kAskAgain);
+    Refuse(call, NoAnswer(), kAskAgain);
     return;
   }
   call.replaces = call.attempt;
