Bound a server's connections and skip interim responses

A flood of connections would take the file descriptors that a router's links need, so a server refuses those above a limit with 503. A backend server that sends 100 Continue had its interim response taken for the answer.

--- a/libs/claims/include/claims/directory.h
+++ b/libs/claims/include/claims/directory.h
@@ -30,10 +30,10 @@
   int64_t fleet_version() const noexcept { return fleet_version_; }
 
   // The first attempt for a key becomes its owner; later ones are told the
-  // owner, unless they replace it. An owner with a whole answer stays. A message placed by an older fleet record
-  // is answered stale; one placed by a newer record raises this agent's
-  // version. Empty when the directory is full of unexpired entries; see
-  // last_error().
+  // owner, unless they replace it. An owner with a whole answer stays. A
+  // message placed by an older fleet record is answered stale; one placed by a
+  // newer record raises this agent's version. Empty when the directory is full
+  // of unexpired entries; see last_error().
   std::optional<link::KeyOwner> Register(base::Millis now,
                                          const link::RegisterKey& request);
 
--- a/libs/claims/src/directory.cc
+++ b/libs/claims/src/directory.cc
@@ -37,8 +37,8 @@
   const bool replaced = !request.replaces.empty() && !entry.complete &&
                         entry.attempt == request.replaces;
   if (is_new || replaced) {
-    entry = Entry{request.body_digest, request.attempt, request.agent,
-                  request.agent_incarnation, false, now};
+    entry = Entry{request.body_digest,       request.attempt, request.agent,
+                  request.agent_incarnation, false,           now};
   }
   if (request.complete && entry.attempt == request.attempt) {
     entry.complete = true;
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -40,6 +40,9 @@
     // A connection that takes no answer bytes for this long is closed.
     // Default 60 s.
     Builder& WriteTimeout(base::Millis span);
+    // Connections above this are refused with 503, or closed with TLS. Default
+    // 10,000.
+    Builder& MaxConnections(size_t count);
     // PEM files; serves TLS when set.
     Builder& Tls(std::string certificate_file, std::string key_file);
     Builder& Handle(Handler handler);
@@ -56,6 +59,7 @@
     size_t max_header_bytes_ = 16 * 1024;
     base::Millis read_timeout_ = base::Seconds(10);
     base::Millis write_timeout_ = base::Seconds(60);
+    size_t max_connections_ = 10'000;
     std::string certificate_file_;
     std::string key_file_;
     Handler handler_;
--- a/libs/http/src/call_operation.cc
+++ b/libs/http/src/call_operation.cc
@@ -28,7 +28,9 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr size_t kReadBytes = 16 * 1024;
+constexpr size_t kReadBytes = 8 * 1024;
+// Lower ones announce that another response follows.
+constexpr unsigned kFirstFinalStatus = 200;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
 
 base::Error ConnectionError(const std::string& server, error_code ec) {
@@ -58,13 +60,12 @@
       : connections_(std::move(connections)),
         events_(std::move(events)),
         timeouts_(timeouts),
+        without_body_(request.method == "HEAD"),
         text_(SerializeRequest(request, connections_->HostField())),
         socket_(connections_->runtime().io()),
         idle_(connections_->runtime().io()),
         total_(connections_->runtime().io()) {
-    parser_.header_limit(kMaxHeaderBytes);
-    parser_.body_limit(std::numeric_limits<uint64_t>::max());
-    parser_.skip(request.method == "HEAD");
+    ExpectResponse();
   }
 
   void Start() override {
@@ -163,9 +164,16 @@
     Connect();
   }
 
+  void ExpectResponse() {
+    parser_.emplace();
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(std::numeric_limits<uint64_t>::max());
+    parser_->skip(without_body_);
+  }
+
   void ReadHead() {
     pending_ = true;
-    beast::http::async_read_header(socket_, buffer_, parser_,
+    beast::http::async_read_header(socket_, buffer_, *parser_,
                                    Bound(&SocketOperation::OnHead));
   }
 
@@ -173,23 +181,28 @@
     if (Settle(ec)) {
       return;
     }
+    if (parser_->get().result_int() < kFirstFinalStatus) {
+      ExpectResponse();
+      ReadHead();
+      return;
+    }
     Response response;
-    response.status = static_cast<int>(parser_.get().result_int());
-    response.headers = ToHeaders(parser_.get().base());
+    response.status = static_cast<int>(parser_->get().result_int());
+    response.headers = ToHeaders(parser_->get().base());
     events_->Push(CallHead{std::move(response)});
     ReadBody();
   }
 
   void ReadBody() {
-    if (parser_.is_done()) {
+    if (parser_->is_done()) {
       Finish();
       return;
     }
     idle_.Start(timeouts_.idle, [this] { StopSilent("the idle timeout"); });
     pending_ = true;
-    parser_.get().body().data = piece_.data();
-    parser_.get().body().size = piece_.size();
-    beast::http::async_read_some(socket_, buffer_, parser_,
+    parser_->get().body().data = piece_.data();
+    parser_->get().body().size = piece_.size();
+    beast::http::async_read_some(socket_, buffer_, *parser_,
                                  Bound(&SocketOperation::OnBody));
   }
 
@@ -200,12 +213,12 @@
     if (Settle(ec)) {
       return;
     }
-    const size_t bytes = piece_.size() - parser_.get().body().size;
+    const size_t bytes = piece_.size() - parser_->get().body().size;
     bool wait = false;
     if (bytes > 0) {
       wait = events_->Push(CallBody{std::string(piece_.data(), bytes)});
     }
-    if (wait && !parser_.is_done()) {
+    if (wait && !parser_->is_done()) {
       idle_.Stop();
       return;
     }
@@ -213,7 +226,7 @@
   }
 
   void Finish() {
-    const bool reusable = parser_.keep_alive() && buffer_.size() == 0;
+    const bool reusable = parser_->keep_alive() && buffer_.size() == 0;
     if (reusable) {
       connections_->Keep(std::move(socket_));
     }
@@ -270,6 +283,8 @@
   std::shared_ptr<ConnectionPool> connections_;
   std::shared_ptr<CallEvents> events_;
   const Timeouts timeouts_;
+  // Whether the request is HEAD, whose answer has no body.
+  const bool without_body_;
   const std::string text_;
   size_t written_ = 0;
   tcp::socket socket_;
@@ -282,7 +297,7 @@
   Watchdog idle_;
   Watchdog total_;
   beast::flat_buffer buffer_;
-  beast::http::response_parser<beast::http::buffer_body> parser_;
+  std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
   std::array<char, kReadBytes> piece_{};
 };
 
--- a/libs/http/src/refusal.cc
+++ b/libs/http/src/refusal.cc
@@ -28,6 +28,12 @@
            "send the request again without pauses"}};
 }
 
+Refusal CrowdRefusal() {
+  return {503,
+          {base::ErrorKind::kOverloaded, "too many connections are open",
+           "close idle connections, or try again later"}};
+}
+
 Refusal VersionRefusal() {
   return {505,
           {base::ErrorKind::kMalformed, "only HTTP/1.1 is served",
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -138,6 +138,11 @@
   return *this;
 }
 
+Server::Builder& Server::Builder::MaxConnections(size_t count) {
+  max_connections_ = count;
+  return *this;
+}
+
 Server::Builder& Server::Builder::Tls(std::string certificate_file,
                                       std::string key_file) {
   certificate_file_ = std::move(certificate_file);
@@ -157,6 +162,7 @@
   context.max_header_bytes = max_header_bytes_;
   context.read_timeout = read_timeout_;
   context.write_timeout = write_timeout_;
+  context.max_connections = max_connections_;
   context.handler = handler_;
   state->certificate_file = certificate_file_;
   state->key_file = key_file_;
--- a/libs/http/src/session.cc
+++ b/libs/http/src/session.cc
@@ -1,6 +1,5 @@
 #include "session.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/ssl/stream.hpp>
@@ -68,8 +67,11 @@
         watchdog_(context_->runtime.io()) {}
 
   void Start() override {
+    const bool crowded = context_->sessions.size() >= context_->max_connections;
     context_->sessions.insert(this);
-    if constexpr (kTls) {
+    if (crowded) {
+      RefuseConnection();
+    } else if constexpr (kTls) {
       Guard(context_->read_timeout);
       stream_.async_handshake(asio::ssl::stream_base::server,
                               Bound(&StreamSession::OnHandshake));
@@ -186,6 +188,14 @@
     NextRequest();
   }
 
+  void RefuseConnection() {
+    if constexpr (kTls) {
+      Close();
+    } else {
+      Refuse(CrowdRefusal());
+    }
+  }
+
   void NextRequest() {
     phase_ = Phase::kIdle;
     if (context_->stopping && buffer_.size() == 0) {
@@ -317,8 +327,8 @@
   }
 
   void Refuse(const Refusal& refusal) {
-    BeginAnswer();
-    output_.CloseAfter();
+    phase_ = Phase::kAnswering;
+    output_.Reset({/*without_body=*/false, /*keep_alive=*/false});
     output_.SetWhole(ErrorResponse(refusal.status, refusal.error, true));
     Pump();
   }
@@ -402,7 +412,8 @@
   }
 
   void Discard() {
-    Socket().async_read_some(asio::buffer(discarded_),
+    buffer_.clear();
+    Socket().async_read_some(buffer_.prepare(kReadBytes),
                              Bound(&StreamSession::OnDiscarded));
   }
 
@@ -427,7 +438,6 @@
   AnswerOutput output_;
   // Whether a piece of the output is being written.
   bool writing_ = false;
-  std::array<char, kReadBytes> discarded_{};
 };
 
 }  // namespace
--- a/libs/http/src/session_context.h
+++ b/libs/http/src/session_context.h
@@ -21,6 +21,7 @@
   size_t max_header_bytes = 0;
   base::Millis read_timeout;
   base::Millis write_timeout;
+  size_t max_connections = 0;
   // Core thread; empty once the server is gone.
   Server::Handler handler;
   // I/O thread: no new connections, and open ones close when idle.
