Add godwitctl for configuration, budgets and the fleet's state

Writes go through two state machines, config::Apply and LedgerChange, which read back a write without an answer and repeat it only under the same version. libs/cli reads command lines, since gflags itself exits with code 1 where the programs promise 2.

--- /dev/null
+++ b/libs/cli/src/command_line.cc
@@ -0,0 +1,94 @@
+#include "cli/command_line.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace godwit::cli {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+bool IsFlag(const std::string& argument) {
+  return argument.size() > 1 && argument[0] == '-' &&
+         (argument[1] == '-' ||
+          std::isalpha(static_cast<unsigned char>(argument[1])) != 0);
+}
+
+bool IsHelp(const std::string& argument) {
+  return argument == "--help" || argument == "-help" || argument == "-h";
+}
+
+}  // namespace
+
+// Sets flags one by one, since gflags ends the process on a command line that
+// it can't read.
+std::optional<std::vector<std::string>> CommandLine::Parse(int argc,
+                                                           char** argv) {
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  std::vector<std::string> rest;
+  for (size_t i = 0; i < arguments.size(); ++i) {
+    if (arguments[i] == "--") {
+      rest.insert(rest.end(), arguments.begin() + i + 1, arguments.end());
+      return rest;
+    }
+    if (IsHelp(arguments[i])) {
+      help_ = true;
+    } else if (!IsFlag(arguments[i])) {
+      rest.push_back(arguments[i]);
+    } else if (!SetFlag(arguments, i)) {
+      return std::nullopt;
+    }
+  }
+  return rest;
+}
+
+bool CommandLine::SetFlag(const std::vector<std::string>& arguments,
+                          size_t& position) {
+  const std::string& argument = arguments[position];
+  const std::string text = argument.substr(argument.find_first_not_of('-'));
+  const size_t equals = text.find('=');
+  std::string name = text.substr(0, equals);
+  std::replace(name.begin(), name.end(), '-', '_');
+  gflags::CommandLineFlagInfo info;
+  if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info)) {
+    return Fail("--" + name + " is not a known flag",
+                "run with --help for the list");
+  }
+  std::string value = "true";
+  if (equals != std::string::npos) {
+    value = text.substr(equals + 1);
+  } else if (info.type != "bool") {
+    ++position;
+    if (position == arguments.size()) {
+      return Fail("--" + name + " has no value", "write --" + name + "=VALUE");
+    }
+    value = arguments[position];
+  }
+  if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty()) {
+    return Fail("--" + name + ": \"" + value + "\" is not a " + info.type,
+                info.type == "bool" ? "write --" + name + " without a value"
+                                    : "correct the value");
+  }
+  return true;
+}
+
+bool CommandLine::Fail(const std::string& what, const std::string& remedy) {
+  error_ = Error(ErrorKind::kInvalidArgument, what, remedy);
+  return false;
+}
+
+std::optional<int64_t> ReadNumber(const std::string& text) {
+  int64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, value);
+  if (result.ec != std::errc() || result.ptr != end || text[0] == '-') {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace godwit::cli
--- a/libs/config/include/config/apply.h
+++ b/libs/config/include/config/apply.h
@@ -29,6 +29,9 @@
   void Answer(const platform::KvReadDone& done);
   void Answer(const platform::KvWriteDone& done);
 
+  // True when the KV failed, so that the next try should wait a little.
+  bool should_pause() const noexcept { return should_pause_; }
+
   const std::optional<ApplyResult>& result() const noexcept { return result_; }
 
  private:
@@ -43,6 +46,7 @@
   int64_t operation_ = 0;
   int64_t failures_ = 0;
   bool maybe_written_ = false;
+  bool should_pause_ = false;
   std::optional<ApplyResult> result_;
 };
 
--- a/libs/config/src/apply.cc
+++ b/libs/config/src/apply.cc
@@ -19,6 +19,7 @@
     return std::nullopt;
   }
   ++operation_;
+  should_pause_ = false;
   if (phase_ == Phase::kRead) {
     return platform::KvRead{operation_, kConfigKey};
   }
@@ -74,6 +75,7 @@
 
 void Apply::Retry() {
   ++failures_;
+  should_pause_ = true;
   if (failures_ >= kMaxFailures) {
     Finish(maybe_written_ ? ApplyOutcome::kUnknown : ApplyOutcome::kUnavailable,
            0, {});
--- /dev/null
+++ b/tools/godwitctl/tests/ledger_change_test.cc
@@ -0,0 +1,148 @@
+#include "ledger_change.h"
+
+#include <string>
+#include <vector>
+
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_edit.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::BudgetId;
+using godwit::base::ErrorKind;
+using godwit::base::Millis;
+using godwit::base::OrganisationId;
+using godwit::base::WriteId;
+using godwit::ctl::LedgerChange;
+using godwit::ledger::LedgerCodec;
+using godwit::ledger::LedgerEdit;
+using godwit::ledger::LedgerRecord;
+using godwit::platform::KvRead;
+using godwit::platform::KvReadDone;
+using godwit::platform::KvWrite;
+using godwit::platform::KvWriteDone;
+using godwit::platform::WriteOutcome;
+
+namespace {
+
+const BudgetId kBudget("acme");
+
+// How the KV treats one operation.
+enum class Fate { kWorks, kDown, kLosesAnswer, kLosesWrite, kOtherWins };
+
+// One ledger key.
+class FakeKv {
+ public:
+  FakeKv() {
+    LedgerEdit edit{LedgerRecord()};
+    edit.CreateBudget(kBudget, OrganisationId("acme"));
+    Store(edit.record());
+  }
+
+  KvReadDone Read(const KvRead& read, Fate fate) const {
+    if (fate == Fate::kDown) {
+      return {read.operation, false, 0, ""};
+    }
+    return {read.operation, true, version_, value_};
+  }
+
+  KvWriteDone Write(const KvWrite& write, Fate fate) {
+    if (fate == Fate::kDown) {
+      return {write.operation, WriteOutcome::kNotSent, 0};
+    }
+    if (fate == Fate::kOtherWins) {
+      LedgerEdit edit(Record());
+      edit.TopUp(kBudget, "other-" + std::to_string(version_), 1, Millis(0));
+      Store(edit.record());
+    }
+    if (write.expected_version != version_) {
+      return {write.operation, WriteOutcome::kLost, 0};
+    }
+    if (fate != Fate::kLosesWrite) {
+      ++version_;
+      value_ = write.value;
+    }
+    const bool answered = fate == Fate::kWorks;
+    return {write.operation,
+            answered ? WriteOutcome::kWon : WriteOutcome::kUnknown,
+            answered ? version_ : 0};
+  }
+
+  LedgerRecord Record() const { return *LedgerCodec().Decode(value_); }
+
+ private:
+  void Store(const LedgerRecord& record) {
+    ++version_;
+    value_ = LedgerCodec().Encode(record);
+  }
+
+  int64_t version_ = 0;
+  std::string value_;
+};
+
+struct Case {
+  const char* name;
+  // For the operations in turn; the ones after work.
+  std::vector<Fate> fates;
+  ErrorKind error;
+  // Limit afterwards, top-ups of others left out.
+  int64_t limit;
+};
+
+}  // namespace
+
+TEST_GROUP(LedgerChange){};
+
+TEST(LedgerChange, TopsUpOnceOrSaysWhyNot) {
+  const std::vector<Fate> down(5, Fate::kDown);
+  const std::vector<Case> cases = {
+      {"plain", {}, ErrorKind::kNone, 100},
+      {"lost race", {Fate::kWorks, Fate::kOtherWins}, ErrorKind::kNone, 100},
+      {"lost answer",
+       {Fate::kWorks, Fate::kLosesAnswer},
+       ErrorKind::kNone,
+       100},
+      {"lost write", {Fate::kWorks, Fate::kLosesWrite}, ErrorKind::kNone, 100},
+      {"lost answer, slow read",
+       {Fate::kWorks, Fate::kLosesAnswer, Fate::kDown, Fate::kDown},
+       ErrorKind::kNone,
+       100},
+      {"down", down, ErrorKind::kUnavailable, 0},
+      {"down after a lost answer",
+       {Fate::kWorks, Fate::kLosesAnswer, Fate::kDown, Fate::kDown, Fate::kDown,
+        Fate::kDown},
+       ErrorKind::kOutcomeUnknown,
+       100},
+  };
+  for (const Case& c : cases) {
+    FakeKv kv;
+    LedgerChange change("ledger/1", WriteId("w"), [](LedgerEdit& edit) {
+      return edit.TopUp(kBudget, "invoice", 100, Millis(0));
+    });
+    size_t step = 0;
+    while (const auto command = change.Next()) {
+      const Fate fate = step < c.fates.size() ? c.fates[step] : Fate::kWorks;
+      ++step;
+      if (const auto* read = std::get_if<KvRead>(&*command)) {
+        change.Answer(kv.Read(*read, fate));
+      } else {
+        change.Answer(kv.Write(std::get<KvWrite>(*command), fate));
+      }
+    }
+    CHECK_TEXT(change.result()->error.kind() == c.error, c.name);
+    int64_t limit = 0;
+    for (const auto& [operation, top_up] :
+         kv.Record().budgets.at(kBudget).top_ups) {
+      limit += operation == "invoice" ? top_up.amount : 0;
+    }
+    CHECK_EQUAL_TEXT(c.limit, limit, c.name);
+  }
+}
+
+TEST(LedgerChange, RefusesDamagedRecords) {
+  LedgerChange change("ledger/1", WriteId("w"),
+                      [](LedgerEdit& /*edit*/) { return true; });
+  change.Next();
+  change.Answer(KvReadDone{1, true, 3, "damaged"});
+  CHECK(change.result()->error.kind() == ErrorKind::kCorrupt);
+}
