--- a/libs/runtime/include/runtime/runtime.h
+++ b/libs/runtime/include/runtime/runtime.h
@@ -44,6 +44,10 @@
   // Blocks the calling fiber. Core thread.
   static void SleepFor(base::Millis span);
 
+  // Ends the process with an exit code, for use after Run. Fibers that still
+  // wait would keep a thread that returns from ending.
+  [[noreturn]] static void Exit(int code);
+
   // The context that the I/O thread runs.
   boost::asio::io_context& io() noexcept;
 
--- a/libs/runtime/src/runtime.cc
+++ b/libs/runtime/src/runtime.cc
@@ -8,6 +8,8 @@
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <memory>
 #include <mutex>
@@ -110,6 +112,11 @@
   boost::this_fiber::sleep_for(std::chrono::milliseconds(span.count()));
 }
 
+void Runtime::Exit(int code) {
+  std::fflush(nullptr);
+  std::_Exit(code);
+}
+
 boost::asio::io_context& Runtime::io() noexcept {
   return state_->io;
 }
--- a/tools/godwit-agent/src/agent_daemon.cc
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -160,7 +160,8 @@
       std::fprintf(stderr, "configuration %lld is not in force: %s\n",
                    static_cast<long long>(revision), error.ToString().c_str());
     };
-    handler.send = [this](const base::ProcessId& peer, link::Message message) {
+    handler.send = [this](const base::ProcessId& peer,
+                          const link::Message& message) {
       const auto found = connections_.find(peer);
       if (found != connections_.end()) {
         transport_->Send(found->second, message);
--- a/tools/godwit-agent/src/main.cc
+++ b/tools/godwit-agent/src/main.cc
@@ -22,7 +22,7 @@
     "Exit codes: 0 stopped in order, 1 can't serve or stopped with runs in "
     "progress, 2 settings or command line not valid.\n\nSettings:\n";
 
-int Serve(const godwit::config::Settings& settings) {
+[[noreturn]] void Serve(const godwit::config::Settings& settings) {
   godwit::runtime::Runtime runtime;
   godwit::agent_daemon::AgentDaemon daemon(runtime, settings);
   godwit::daemon::OnTerminate on_terminate(runtime,
@@ -33,11 +33,11 @@
     }
   });
   const godwit::base::Error& error = daemon.last_error();
-  if (error.kind() != godwit::base::ErrorKind::kNone) {
+  const bool in_order = error.kind() == godwit::base::ErrorKind::kNone;
+  if (!in_order) {
     std::fprintf(stderr, "%s\n", error.ToString().c_str());
-    return 1;
   }
-  return 0;
+  godwit::runtime::Runtime::Exit(in_order ? 0 : 1);
 }
 
 }  // namespace
@@ -52,5 +52,5 @@
     std::fprintf(stderr, "%s\n", reader.last_error().ToString().c_str());
     return godwit::config::kSettingsExitCode;
   }
-  return Serve(*settings);
+  Serve(*settings);
 }
