--- a/libs/router/src/call_flow.cc
+++ b/libs/router/src/call_flow.cc
@@ -94,6 +94,9 @@
     return;
   }
   CloseCaller(*call, Outcome::kCallerGone, ErrorKind::kCancelled);
+  if (call->lost) {
+    return;
+  }
   if (!call->own) {
     Forget(*call);
     return;
@@ -229,6 +232,11 @@
   switch (call.phase) {
     case CallPhase::kRegistering:
     case CallPhase::kReplanning:
+      if (call.lost) {
+        FailUnknown(call, unreachable, kAskAgain);
+        Register(call, false);
+        return;
+      }
       Refuse(call, unreachable, kAskAgain);
       return;
     case CallPhase::kClaiming:
@@ -271,6 +279,10 @@
 void CallFlow::Refuse(Call& call,
                       const base::Error& why,
                       base::Millis retry_after) {
+  if (MustConfirmRefusal(call)) {
+    ConfirmRefusal(call, why, retry_after);
+    return;
+  }
   const bool not_run =
       !call.may_have_run && !call.ended && (!call.keyed || call.fresh);
   if (!not_run) {
@@ -285,6 +297,28 @@
   Forget(call);
 }
 
+// While a registered call waited, a retry through another router may have
+// taken its place in the directory and run.
+bool CallFlow::MustConfirmRefusal(const Call& call) const noexcept {
+  return call.open && call.keyed && call.fresh && !call.may_have_run &&
+         !call.ended && !call.refusal && !call.registered.empty() &&
+         call.registered_at != context_.now;
+}
+
+void CallFlow::ConfirmRefusal(Call& call,
+                              const base::Error& why,
+                              base::Millis retry_after) {
+  DropAttempt(call);
+  call.refusal = PendingRefusal{why, retry_after};
+  call.fresh = false;
+  call.sent = false;
+  call.replaces = call.registered;
+  call.agent = base::ProcessId();
+  call.agent_incarnation = base::Incarnation();
+  Bind(call, context_.NewAttempt());
+  Register(call, false);
+}
+
 void CallFlow::FailUnknown(Call& call,
                            const base::Error& why,
                            base::Millis retry_after) {
@@ -400,8 +434,11 @@
 
 bool CallFlow::IsConfirming(const base::Incarnation& agent) const noexcept {
   return std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
-    return entry.second.phase == CallPhase::kConfirming &&
-           entry.second.agent_incarnation == agent && !entry.second.forgotten;
+    const Call& call = entry.second;
+    const bool confirming =
+        call.phase == CallPhase::kConfirming && call.agent_incarnation == agent;
+    const bool lost = call.lost && call.lost->agent == agent;
+    return !call.forgotten && (confirming || lost);
   });
 }
 
