Stop the demo's processes in order of dependence

Cause: the platform ended before the routers, which then waited for the drain limit to give their budgets back (63 s); and the output file of a process could be read before it was made (seen once in 5 runs).

--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -9,13 +9,13 @@
 work=$(mktemp -d)
 pids=()
 
+# Stops the processes in reverse order of start: a router gives its budgets
+# back while the platform still runs.
 stop_all() {
-  local pid
-  for pid in "${pids[@]}"; do
-    kill "$pid" 2> /dev/null || true
-  done
-  for pid in "${pids[@]}"; do
-    wait "$pid" 2> /dev/null || true
+  local i
+  for ((i = ${#pids[@]} - 1; i >= 0; --i)); do
+    kill "${pids[i]}" 2> /dev/null || true
+    wait "${pids[i]}" 2> /dev/null || true
   done
   rm -rf "$work"
 }
@@ -32,6 +32,7 @@
 start() {
   local name=$1
   shift
+  : > "$work/$name.out"
   "$@" > "$work/$name.out" 2> "$work/$name.err" &
   pids+=($!)
   local tries
