--- a/libs/telemetry/src/request_record.cc
+++ b/libs/telemetry/src/request_record.cc
@@ -19,6 +19,9 @@
         {RequestOutcome::kOutcomeUnknown, "outcome_unknown"},
     }};
 
+// Start of the year 10000.
+constexpr base::Millis kLatestWall = base::Seconds(253'402'300'800);
+
 std::optional<std::string> TextOf(const json& line, const char* key) {
   const auto found = line.find(key);
   if (found == line.end() || !found->is_string()) {
@@ -100,7 +103,7 @@
     return std::nullopt;
   }
   const auto outcome = RequestOutcomeOf(*outcome_name);
-  if (!outcome) {
+  if (!outcome || *wall < base::Millis() || *wall > kLatestWall) {
     return std::nullopt;
   }
   RequestRecord record;
--- a/libs/telemetry/tests/request_record_test.cc
+++ b/libs/telemetry/tests/request_record_test.cc
@@ -56,7 +56,10 @@
     CHECK(!RequestRecordOf(line.substr(0, length)));
   }
   for (const char* other :
-       {"[]", "{\"event\":501}", "{\"event\":\"501\",\"ts\":1}",
+       {"{\"ts\":9000000000000000000,\"event\":501,\"service\":\"s\","
+        "\"organisation\":\"o\",\"outcome\":\"answer\",\"kind\":\"none\","
+        "\"total_ms\":1}",
+        "[]", "{\"event\":501}", "{\"event\":\"501\",\"ts\":1}",
         "{\"ts\":1,\"event\":501,\"service\":\"s\",\"organisation\":\"o\","
         "\"outcome\":\"perhaps\",\"kind\":\"none\",\"total_ms\":1}"}) {
     CHECK_TEXT(!RequestRecordOf(other), other);
--- /dev/null
+++ b/tools/godwit-report/src/burn_report.h
@@ -0,0 +1,34 @@
+#ifndef GODWIT_REPORT_BURN_REPORT_H_
+#define GODWIT_REPORT_BURN_REPORT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "base/millis.h"
+#include "series_burn.h"
+#include "source_status.h"
+
+namespace godwit::report {
+
+// The whole report.
+struct BurnReport {
+  std::vector<SourceStatus> sources;
+  // Time of the first and the last request; both 0 when unknown.
+  base::Millis from;
+  base::Millis to;
+  base::Millis fast_window;
+  base::Millis slow_window;
+  // False when the built-in objectives were used.
+  bool objectives_given = false;
+  // By service; for each, all organisations first.
+  std::vector<SeriesBurn> series;
+
+  // Sources that could not be read to the end.
+  int64_t missing_sources() const noexcept;
+  // True when a source is missing or had damaged lines.
+  bool partial() const noexcept;
+};
+
+}  // namespace godwit::report
+
+#endif  // GODWIT_REPORT_BURN_REPORT_H_
--- /dev/null
+++ b/tools/godwit-report/src/collector.h
@@ -0,0 +1,76 @@
+#ifndef GODWIT_REPORT_COLLECTOR_H_
+#define GODWIT_REPORT_COLLECTOR_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/millis.h"
+#include "burn_report.h"
+#include "collector_options.h"
+
+namespace godwit::report {}  // namespace godwit::report
+
+namespace godwit::config {
+struct Config;
+struct Objective;
+}  // namespace godwit::config
+
+namespace godwit::telemetry {
+struct RequestRecord;
+}
+
+namespace godwit::report {
+
+// Counts requests and measures them against objectives. One thread at a time.
+class Collector {
+ public:
+  // `config` gives the objectives; services that it lacks, or all when it is
+  // null, have the built-in ones. It must outlive the collector.
+  Collector(const config::Config* config, CollectorOptions options);
+  ~Collector();
+
+  // Counts one request.
+  void Add(const telemetry::RequestRecord& record);
+
+  // Count requests without times, from a scrape.
+  void AddRequests(const std::string& service,
+                   const std::string& organisation,
+                   const std::string& outcome,
+                   const std::string& kind,
+                   int64_t count);
+  void AddLatency(const std::string& service,
+                  const std::string& organisation,
+                  bool first_token,
+                  const Ratio& ratio);
+  void AddTokens(const std::string& service,
+                 const std::string& organisation,
+                 int64_t tokens);
+
+  BurnReport Report(std::vector<SourceStatus> sources) const;
+
+ private:
+  struct Series;
+  using Key = std::pair<std::string, std::string>;
+
+  Series& At(const std::string& service, const std::string& organisation);
+  config::Objective ObjectiveOf(const std::string& service) const;
+  SeriesBurn Measure(const Key& key, const Series& series) const;
+
+  const config::Config* const config_;
+  const CollectorOptions options_;
+  std::map<Key, std::unique_ptr<Series>> series_;
+  base::Millis from_;
+  base::Millis to_;
+};
+
+// True when a request that ended with this kind of error counts against the
+// availability of its service; refusals that the caller causes don't.
+bool CountsAgainstAvailability(const std::string& kind);
+
+}  // namespace godwit::report
+
+#endif  // GODWIT_REPORT_COLLECTOR_H_
