Authenticate both ends of a link by certificates

A peer without a valid certificate of the fleet is refused before Hello, counted and named with OpenSSL's reason; expired, foreign and missing certificates are tested. Files are read again without touching links that are up; godwit-agent does so every minute.

--- a/libs/link/include/link/link_counters.h
+++ b/libs/link/include/link/link_counters.h
@@ -8,8 +8,8 @@
 
 // Faults of peers that a Transport has seen since it was built.
 struct LinkCounters {
-  // Peers of another protocol version or fleet, or without a certificate of
-  // the fleet.
+  // Peers of another protocol version or fleet, without a valid certificate of
+  // the fleet, or that don't speak the protocol at all.
   int64_t foreign_peers = 0;
   // Links whose first frame was not Hello, or that sent Hello twice.
   int64_t misplaced_frames = 0;
--- a/libs/link/include/link/transport.h
+++ b/libs/link/include/link/transport.h
@@ -73,6 +73,10 @@
   // Closes a link; on_down follows, and nothing else of that link.
   void Close(ConnectionId connection);
 
+  // Reads the TLS files again for new links; links that are up go on. False
+  // when they can't be used; the old ones stay in force, see `reason`.
+  bool ReloadTls(base::Error* reason);
+
   // Bytes queued on a link and not yet handed to its socket, as last seen by
   // the I/O thread; 0 when the link is gone.
   size_t queued_bytes(ConnectionId connection) const noexcept;
--- a/libs/link/include/link/transport_handler.h
+++ b/libs/link/include/link/transport_handler.h
@@ -21,7 +21,8 @@
   // The link is gone: closed, silent beyond the progress deadline, or foreign.
   // Also reported for a dial that failed, with the id that Dial returned.
   std::function<void(ConnectionId)> on_down;
-  // Optional: a peer broke the protocol, went silent or is foreign. Kinds:
+  // Optional: a peer broke the protocol, went silent or is foreign; the id is 0
+  // for an incoming connection that never opened. Kinds:
   // kForbidden (foreign), kProtocol (misplaced or unknown frame), kMalformed,
   // kTooLarge, kDeadlineExceeded (silent), kUnavailable (connection failed).
   std::function<void(ConnectionId, const base::Error&)> on_fault;
--- a/libs/link/src/endpoint.h
+++ b/libs/link/src/endpoint.h
@@ -22,6 +22,8 @@
   std::function<ConnectionId()> next_id;
   std::function<void(ConnectionId)> on_open;
   std::function<void(ConnectionId, std::string frame)> on_frame;
+  // An incoming connection failed before it was open.
+  std::function<void(base::Error reason)> on_reject;
   // Once for each connection; `reason` is kNone for an orderly end.
   std::function<void(ConnectionId, base::Error reason)> on_close;
 };
@@ -50,6 +52,10 @@
   // Closes the socket at once and reports `reason`.
   virtual void Abort(ConnectionId id, base::Error reason) = 0;
   virtual size_t queued_bytes(ConnectionId id) const = 0;
+  // Uses these files for new connections; any thread. False with `error` set
+  // when a file can't be used, and the old ones stay in force. Only for an
+  // endpoint with TLS.
+  virtual bool ReloadTls(const TlsFiles& files, base::Error& error) = 0;
   // Closes everything and reports nothing more. No calls after it.
   virtual void Shutdown() = 0;
 };
--- a/libs/link/src/io_side.cc
+++ b/libs/link/src/io_side.cc
@@ -40,6 +40,10 @@
   return endpoint_->Listen(ip, port, error);
 }
 
+bool IoSide::ReloadTls(const TlsFiles& files, base::Error& error) {
+  return endpoint_->ReloadTls(files, error);
+}
+
 void IoSide::Start(Drain drain) {
   drain_ = std::move(drain);
   boost::asio::post(runtime_.io(),
@@ -56,6 +60,9 @@
   sink.on_frame = [this](ConnectionId id, const std::string& frame) {
     OnFrame(id, frame);
   };
+  sink.on_reject = [this](base::Error reason) {
+    Report(PeerRejected{std::move(reason)});
+  };
   sink.on_close = [this](ConnectionId id, base::Error reason) {
     watched_.erase(id);
     Report(LinkClosed{id, std::move(reason)});
--- a/libs/link/src/io_side.h
+++ b/libs/link/src/io_side.h
@@ -48,8 +48,13 @@
   base::Error reason;
 };
 
-using IoEvent =
-    std::variant<LinkOpened, FrameArrived, FrameRefused, LinkClosed>;
+// An incoming connection failed before it was open.
+struct PeerRejected {
+  base::Error reason;
+};
+
+using IoEvent = std::
+    variant<LinkOpened, FrameArrived, FrameRefused, LinkClosed, PeerRejected>;
 
 // Bytes of one link that its socket has not taken.
 struct SendQueueGauge {
@@ -76,6 +81,8 @@
   std::optional<uint16_t> Listen(const std::string& ip,
                                  uint16_t port,
                                  base::Error& error);
+  // See Endpoint::ReloadTls.
+  bool ReloadTls(const TlsFiles& files, base::Error& error);
   // Begins to report; `drain` runs on the core thread.
   void Start(Drain drain);
 
--- a/libs/link/src/plain_endpoint.cc
+++ b/libs/link/src/plain_endpoint.cc
@@ -14,6 +14,13 @@
 
   template <typename Side>
   void Prepare(Side& /*side*/) {}
+  bool Reload(const TlsFiles& /*files*/, base::Error& error) {
+    error = base::Error(base::ErrorKind::kInvalidArgument,
+                        "the links of this process carry no TLS",
+                        "set the TLS files and start the process again");
+    return false;
+  }
+  std::string TakeFailure() { return {}; }
 };
 
 }  // namespace
--- a/libs/link/src/tls_endpoint.cc
+++ b/libs/link/src/tls_endpoint.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ssl/context.hpp>
 #include <boost/asio/ssl/verify_context.hpp>
+#include <memory>
+#include <string>
 #include <utility>
 #include <websocketpp/config/asio.hpp>
 #include <websocketpp/config/asio_client.hpp>
@@ -14,20 +16,6 @@
 namespace ssl = boost::asio::ssl;
 using Context = std::shared_ptr<ssl::context>;
 
-struct TlsSecurity {
-  using ServerConfig = websocketpp::config::asio_tls;
-  using ClientConfig = websocketpp::config::asio_tls_client;
-  static constexpr char kScheme[] = "wss";
-
-  Context context;
-
-  template <typename Side>
-  void Prepare(Side& side) {
-    side.set_tls_init_handler(
-        [context = context](const auto& /*handle*/) { return context; });
-  }
-};
-
 base::Error FileError(const std::string& file,
                       const boost::system::error_code& reason) {
   return base::Error(base::ErrorKind::kInvalidArgument,
@@ -60,6 +48,53 @@
   return context;
 }
 
+// What the connections of an endpoint share.
+struct Shared {
+  // For new connections; replaced by reloads on any thread.
+  Context context;
+  // Why a certificate was refused last; I/O thread.
+  std::string failure;
+};
+
+// Notes why a peer's certificate is refused.
+void ExplainFailures(ssl::context& context, const std::weak_ptr<Shared>& weak) {
+  context.set_verify_callback([weak](bool valid, ssl::verify_context& peer) {
+    const auto shared = weak.lock();
+    if (!valid && shared) {
+      const int code = X509_STORE_CTX_get_error(peer.native_handle());
+      shared->failure = X509_verify_cert_error_string(code);
+    }
+    return valid;
+  });
+}
+
+struct TlsSecurity {
+  using ServerConfig = websocketpp::config::asio_tls;
+  using ClientConfig = websocketpp::config::asio_tls_client;
+  static constexpr char kScheme[] = "wss";
+
+  std::shared_ptr<Shared> shared;
+
+  template <typename Side>
+  void Prepare(Side& side) {
+    side.set_tls_init_handler([shared = shared](const auto& /*handle*/) {
+      return std::atomic_load(&shared->context);
+    });
+  }
+
+  bool Reload(const TlsFiles& files, base::Error& error) {
+    Context context = LoadContext(files, error);
+    if (context == nullptr) {
+      return false;
+    }
+    ExplainFailures(*context, shared);
+    std::atomic_store(&shared->context, std::move(context));
+    return true;
+  }
+
+  std::string TakeFailure() { return std::exchange(shared->failure, {}); }
+};
+
 }  // namespace
 
 std::shared_ptr<Endpoint> MakeTlsEndpoint(boost::asio::io_context& io,
@@ -67,12 +102,12 @@
                                           const TlsFiles& files,
                                           EndpointSink sink,
                                           base::Error& error) {
-  Context context = LoadContext(files, error);
-  if (context == nullptr) {
+  TlsSecurity security{std::make_shared<Shared>()};
+  if (!security.Reload(files, error)) {
     return nullptr;
   }
   return std::make_shared<WebsocketEndpoint<TlsSecurity>>(
-      io, max_frame_bytes, TlsSecurity{std::move(context)}, std::move(sink));
+      io, max_frame_bytes, std::move(security), std::move(sink));
 }
 
 }  // namespace godwit::link
--- a/libs/link/src/transport.cc
+++ b/libs/link/src/transport.cc
@@ -12,6 +12,13 @@
 
 namespace godwit::link {
 
+namespace {
+
+// Stands for a connection that was never open.
+constexpr ConnectionId kNoConnection = 0;
+
+}  // namespace
+
 // The half of a Transport that lives on the core thread.
 class Transport::State : public std::enable_shared_from_this<State> {
  public:
@@ -69,7 +76,10 @@
 
   const LinkCounters& counters() const noexcept { return counters_; }
 
+  bool ReloadTls(base::Error* reason) { return io_->ReloadTls(tls, *reason); }
+
   uint16_t port = 0;
+  TlsFiles tls;
 
  private:
   struct Link {
@@ -168,6 +178,11 @@
     }
   }
 
+  void Handle(const PeerRejected& event) {
+    ++counters_.foreign_peers;
+    Call(handler_.on_fault, kNoConnection, event.reason);
+  }
+
   void Count(base::ErrorKind reason) {
     if (reason == base::ErrorKind::kTooLarge) {
       ++counters_.oversized_frames;
@@ -259,6 +274,7 @@
     return nullptr;
   }
   auto state = std::make_shared<State>(io, std::move(handler_));
+  state->tls = tls.value_or(TlsFiles());
   state->Start(runtime, heartbeat_period_);
   std::unique_ptr<Transport> transport(new Transport(state));
   if (listen_) {
@@ -293,6 +309,10 @@
   state_->Close(connection);
 }
 
+bool Transport::ReloadTls(base::Error* reason) {
+  return state_->ReloadTls(reason);
+}
+
 size_t Transport::queued_bytes(ConnectionId connection) const noexcept {
   return state_->queued_bytes(connection);
 }
--- a/libs/link/src/websocket_endpoint.h
+++ b/libs/link/src/websocket_endpoint.h
@@ -14,7 +14,8 @@
 namespace godwit::link {
 
 // Endpoint over one websocketpp security policy. `Security` names the two
-// configurations and the URL scheme, and prepares a server or client endpoint.
+// configurations and the URL scheme, prepares a server or client endpoint,
+// reloads its files and explains failed handshakes.
 // Connections hold the endpoint through their handlers, so that it outlives
 // their pending operations.
 template <typename Security>
@@ -51,6 +52,8 @@
     const auto self = this->shared_from_this();
     server_.set_open_handler(
         [self](websocketpp::connection_hdl handle) { self->Accept(handle); });
+    server_.set_fail_handler(
+        [self](websocketpp::connection_hdl handle) { self->Reject(handle); });
     websocketpp::lib::error_code accept_error;
     server_.start_accept(accept_error);
     boost::system::error_code port_error;
@@ -123,6 +126,11 @@
     sink_ = EndpointSink();
     shut_down_ = true;
     server_.set_open_handler(nullptr);
+    server_.set_fail_handler(nullptr);
+  }
+
+  bool ReloadTls(const TlsFiles& files, base::Error& error) override {
+    return security_.Reload(files, error);
   }
 
  private:
@@ -156,6 +164,15 @@
     sink_.on_open(id);
   }
 
+  void Reject(const websocketpp::connection_hdl& handle) {
+    websocketpp::lib::error_code ec;
+    const auto connection = server_.get_con_from_hdl(handle, ec);
+    if (!ec && !shut_down_ &&
+        connection->get_ec() != websocketpp::error::operation_canceled) {
+      sink_.on_reject(ConnectionFailed(connection->get_ec()));
+    }
+  }
+
   void FinishDial(ConnectionId id) {
     const auto found = dialled_.find(id);
     if (found == dialled_.end()) {
@@ -190,7 +207,7 @@
       if (found == connections.end()) {
         return;
       }
-      const base::Error reason = EndReason(*found->second);
+      const base::Error reason = self->EndReason(*found->second);
       connections.erase(found);
       self->sink_.on_close(id, reason);
     };
@@ -199,7 +216,7 @@
   }
 
   template <typename Connection>
-  static base::Error EndReason(const Connection& connection) {
+  base::Error EndReason(const Connection& connection) {
     if (connection.get_local_close_code() ==
         websocketpp::close::status::message_too_big) {
       return base::Error(base::ErrorKind::kTooLarge,
@@ -214,8 +231,15 @@
     return ConnectionFailed(connection.get_ec());
   }
 
-  static base::Error ConnectionFailed(
-      const websocketpp::lib::error_code& reason) {
+  base::Error ConnectionFailed(const websocketpp::lib::error_code& reason) {
+    const std::string refused = security_.TakeFailure();
+    if (!refused.empty()) {
+      return base::Error(
+          base::ErrorKind::kForbidden,
+          "peer has no valid certificate of the fleet: " + refused,
+          "give it a valid certificate signed by the fleet's "
+          "authority");
+    }
     return base::Error(base::ErrorKind::kUnavailable,
                        "connection failed: " + reason.message(),
                        "check that the peer runs and can be reached");
--- a/libs/link/tests/transport_test.cc
+++ b/libs/link/tests/transport_test.cc
@@ -16,6 +16,7 @@
 #include "link/transport.h"
 #include "runtime/runtime.h"
 #include "silencing_proxy.h"
+#include "support/test_certificate.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -38,6 +39,8 @@
 using godwit::link::Transport;
 using godwit::link::TransportHandler;
 using godwit::runtime::Runtime;
+using godwit::support::TestCertificate;
+using godwit::support::TestDirectory;
 
 namespace {
 
@@ -72,6 +75,7 @@
   std::vector<ConnectionId> up;
   std::vector<ConnectionId> down;
   std::vector<ErrorKind> faults;
+  std::string last_fault;
   std::vector<Message> messages;
   int64_t heartbeats = 0;
   std::unique_ptr<Transport> transport;
@@ -82,6 +86,7 @@
     handler.on_down = [this](ConnectionId id) { down.push_back(id); };
     handler.on_fault = [this](ConnectionId, const Error& error) {
       faults.push_back(error.kind());
+      last_fault = error.message();
     };
     handler.on_message = [this](ConnectionId, Message message) {
       if (std::holds_alternative<Heartbeat>(message)) {
@@ -273,6 +278,74 @@
   }
 }
 
+TEST(Transport, TlsLinksOnlyHoldersOfValidCertificates) {
+  const TestDirectory directory;
+  const std::string& path = directory.path();
+  const TestCertificate fleet(path, "fleet");
+  const TestCertificate foreign(path, "foreign");
+  const TestCertificate expired(path, "expired", -60, -30);
+  struct Case {
+    const char* name;
+    const TestCertificate* shown;
+    const TestCertificate* authority;
+    bool up;
+    const char* reason;
+  };
+  const Case cases[] = {
+      {"valid", &fleet, &fleet, true, ""},
+      {"foreign", &foreign, &fleet, false, "self"},
+      {"expired", &expired, &expired, false, "expired"},
+      {"none", nullptr, nullptr, false, ""},
+  };
+  for (const Case& c : cases) {
+    Runtime runtime;
+    RunOnCore(runtime, [&] {
+      Peer agent;
+      agent.transport =
+          agent.Builder()
+              .Listen(kIp, 0)
+              .Tls(fleet.certificate_file(), fleet.key_file(),
+                   c.authority == nullptr ? fleet.certificate_file()
+                                          : c.authority->certificate_file())
+              .Build(runtime);
+      Peer router;
+      Transport::Builder builder = router.Builder();
+      if (c.shown != nullptr) {
+        builder.Tls(c.shown->certificate_file(), c.shown->key_file(),
+                    fleet.certificate_file());
+      }
+      router.transport = builder.Build(runtime);
+      const auto id = router.transport->Dial(kIp, agent.transport->port());
+      if (c.up) {
+        CHECK_TEXT(Await([&] { return agent.up.size() == 1; }), c.name);
+        Error reason;
+        CHECK_TEXT(agent.transport->ReloadTls(&reason), c.name);
+        router.transport->Send(id, AddCredit{{}, 7});
+        CHECK_TEXT(Await([&] { return agent.messages.size() == 1; }), c.name);
+      } else {
+        CHECK_TEXT(Await([&] { return !agent.faults.empty(); }), c.name);
+        CHECK_TEXT(Await([&] { return !router.down.empty(); }), c.name);
+        CHECK_TEXT(agent.up.empty() && router.up.empty(), c.name);
+        CHECK_EQUAL_TEXT(1, agent.transport->counters().foreign_peers, c.name);
+        STRCMP_CONTAINS_TEXT(c.reason, agent.last_fault.c_str(), c.name);
+      }
+      router.transport.reset();
+      agent.transport.reset();
+    });
+  }
+}
+
+TEST(Transport, NamesTlsFileThatCannotBeUsed) {
+  Runtime runtime;
+  RunOnCore(runtime, [&] {
+    Peer agent;
+    auto builder = agent.Builder();
+    CHECK(builder.Tls("/no/file", "/no/file", "/no/file").Build(runtime) ==
+          nullptr);
+    STRCMP_CONTAINS("/no/file", builder.last_error().message().c_str());
+  });
+}
+
 TEST(Transport, NamesAddressThatCannotBeUsed) {
   Runtime runtime;
   RunOnCore(runtime, [&] {
--- a/tools/godwit-agent/src/agent_daemon.cc
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -31,6 +31,8 @@
 constexpr base::Millis kLeaveNotice = base::Seconds(2);
 // Time for closing handshakes, and the messages before them, to go out.
 constexpr base::Millis kCloseNotice(500);
+// Replaced certificates are in use after this.
+constexpr base::Millis kTlsPeriod = base::Seconds(60);
 constexpr int64_t kMostDrainMillis = 3'600'000;
 constexpr int64_t kMostIdleMillis = 600'000;
 constexpr char kModelPool[] = "model_pool";
@@ -85,6 +87,14 @@
                 "longest time without progress of an answer", 10,
                 kMostIdleMillis)
       .Default("10000")
+      .String("link_certificate_file",
+              "PEM certificate for links; links carry TLS when it is set")
+      .Optional()
+      .String("link_key_file", "PEM key of that certificate")
+      .Optional()
+      .String("link_authority_file",
+              "PEM certificate of the authority that signs the fleet's")
+      .Optional()
       .Duration("drain_limit_ms",
                 "longest wait for requests in progress after SIGTERM", 0,
                 kMostDrainMillis)
@@ -123,6 +133,9 @@
       return false;
     }
     runtime_.Every(kTickPeriod, [this] { Handle(agent::Tick()); });
+    if (tls_) {
+      runtime_.Every(kTlsPeriod, [this] { ReloadTls(); });
+    }
     kernel_.Require<daemon::LeaseKeeper>("lease").Start();
     kernel_.Require<daemon::ConfigService>("config").Start();
     kernel_.Require<FleetMember>("fleet").Start(Self());
@@ -206,6 +219,9 @@
     handler.hello = [this] { return Hello(); };
     handler.heartbeat = [this] { return Heartbeat(); };
     link::Transport::Builder builder;
+    if (!SetTls(builder)) {
+      return false;
+    }
     transport_ =
         builder
             .Listen(settings_.Text("listen_ip"), settings_.Port("listen_port"))
@@ -215,6 +231,31 @@
     return transport_ != nullptr;
   }
 
+  // False when only some of the TLS files are set.
+  bool SetTls(link::Transport::Builder& builder) {
+    const std::string& certificate = settings_.Text("link_certificate_file");
+    const std::string& key = settings_.Text("link_key_file");
+    const std::string& authority = settings_.Text("link_authority_file");
+    tls_ = !certificate.empty();
+    if (key.empty() == tls_ || authority.empty() == tls_) {
+      error_ = base::Error(base::ErrorKind::kInvalidArgument,
+                           "only some of the link_*_file settings are set",
+                           "set all three or none");
+      return false;
+    }
+    if (tls_) {
+      builder.Tls(certificate, key, authority);
+    }
+    return true;
+  }
+
+  void ReloadTls() {
+    base::Error reason;
+    if (!transport_->ReloadTls(&reason)) {
+      std::fprintf(stderr, "%s\n", reason.ToString().c_str());
+    }
+  }
+
   membership::FleetAgent Self() const {
     membership::FleetAgent self;
     self.incarnation = options_.incarnation;
@@ -359,6 +400,7 @@
   std::map<link::ConnectionId, base::ProcessId> peers_;
   std::map<base::ProcessId, link::ConnectionId> connections_;
   base::Error error_;
+  bool tls_ = false;
   bool draining_ = false;
   bool drained_ = false;
   bool notice_given_ = false;
