--- a/libs/link/tests/transport_test.cc
+++ b/libs/link/tests/transport_test.cc
@@ -17,6 +17,7 @@
 #include "runtime/runtime.h"
 #include "silencing_proxy.h"
 #include "support/test_certificate.h"
+#include "support/test_directory.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tools/godwit-agent/src/agent_daemon.cc
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -9,6 +9,7 @@
 #include "agent/agent_core.h"
 #include "backend_caller.h"
 #include "base/clocks.h"
+#include "config/config.h"
 #include "config/settings.h"
 #include "config/settings_reader.h"
 #include "daemon/config_service.h"
@@ -19,10 +20,15 @@
 #include "link/transport.h"
 #include "platform/client.h"
 #include "runtime/runtime.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
 
 namespace godwit::agent_daemon {
 namespace {
 
+using telemetry::EventId;
+using telemetry::Log;
+
 constexpr base::Millis kTickPeriod(50);
 constexpr base::Millis kLeaseTtl = base::Seconds(10);
 constexpr base::Millis kFleetLimit = base::Seconds(2);
@@ -38,6 +44,19 @@
 constexpr char kModelPool[] = "model_pool";
 constexpr char kPlain[] = "plain";
 
+// Logs what a peer did wrong, under the event that its kind stands for.
+void LogFault(link::ConnectionId connection, const base::Error& error) {
+  EventId event = EventId::kFrameRefused;
+  if (error.kind() == base::ErrorKind::kDeadlineExceeded) {
+    event = EventId::kLinkSilent;
+  } else if (error.kind() == base::ErrorKind::kForbidden) {
+    event = EventId::kLinkRefused;
+  } else if (error.kind() == base::ErrorKind::kUnavailable) {
+    event = EventId::kLinkClosed;
+  }
+  Log(event, {{"link", connection}, {"reason", error.ToString()}});
+}
+
 config::ServiceKind KindOf(const config::Settings& settings) {
   return settings.Text("kind") == kModelPool ? config::ServiceKind::kModelPool
                                              : config::ServiceKind::kPlain;
@@ -98,7 +117,12 @@
       .Duration("drain_limit_ms",
                 "longest wait for requests in progress after SIGTERM", 0,
                 kMostDrainMillis)
-      .Default("60000");
+      .Default("60000")
+      .Choice("log_format", "form of log lines", {"text", "json"})
+      .Default("text")
+      .Choice("log_level", "log lines below this are left out",
+              {"debug", "info", "warning", "error"})
+      .Default("info");
 }
 
 class AgentDaemon::Impl {
@@ -139,6 +163,7 @@
     kernel_.Require<daemon::LeaseKeeper>("lease").Start();
     kernel_.Require<daemon::ConfigService>("config").Start();
     kernel_.Require<FleetMember>("fleet").Start(Self());
+    Log(EventId::kProcessReady, {{"incarnation", options_.incarnation}});
     std::printf("listening on %s:%u\n", settings_.Text("listen_ip").c_str(),
                 transport_->port());
     std::fflush(stdout);
@@ -149,6 +174,7 @@
     if (std::exchange(draining_, true)) {
       return;
     }
+    Log(EventId::kStopRequested, {{"running", core_.running()}});
     Handle(agent::DrainRequested());
     fleet_.Leave();
     runtime_.Spawn([this] {
@@ -168,10 +194,12 @@
   daemon::ConfigService::Handler ConfigHandler() {
     daemon::ConfigService::Handler handler;
     // The core takes nothing from the configuration; routers pull it here.
-    handler.on_in_force = [](const auto& /*config*/) {};
+    handler.on_in_force = [](const std::shared_ptr<const config::Config>& now) {
+      Log(EventId::kConfigInForce, {{"revision", now->revision}});
+    };
     handler.on_rejected = [](int64_t revision, const base::Error& error) {
-      std::fprintf(stderr, "configuration %lld is not in force: %s\n",
-                   static_cast<long long>(revision), error.ToString().c_str());
+      Log(EventId::kConfigRejected,
+          {{"revision", revision}, {"reason", error.ToString()}});
     };
     handler.send = [this](const base::ProcessId& peer,
                           const link::Message& message) {
@@ -212,9 +240,7 @@
     };
     handler.on_fault = [](link::ConnectionId connection,
                           const base::Error& error) {
-      std::fprintf(stderr, "link %lld: %s\n",
-                   static_cast<long long>(connection),
-                   error.ToString().c_str());
+      LogFault(connection, error);
     };
     handler.hello = [this] { return Hello(); };
     handler.heartbeat = [this] { return Heartbeat(); };
@@ -252,7 +278,7 @@
   void ReloadTls() {
     base::Error reason;
     if (!transport_->ReloadTls(&reason)) {
-      std::fprintf(stderr, "%s\n", reason.ToString().c_str());
+      Log(EventId::kCertificateRefused, {{"reason", reason.ToString()}});
     }
   }
 
@@ -293,6 +319,7 @@
     peers_[connection] = peer.process;
     connections_[peer.process] = connection;
     config_.OnPeerRevision(peer.process, peer.config_revision);
+    Log(EventId::kLinkOpened, {{"link", connection}, {"peer", peer.process}});
     Handle(agent::LinkUp{connection, peer.process, peer.incarnation});
   }
 
@@ -318,6 +345,7 @@
       return;
     }
     const base::ProcessId process = peer->second;
+    Log(EventId::kLinkClosed, {{"link", connection}, {"peer", process}});
     peers_.erase(peer);
     const auto current = connections_.find(process);
     if (current != connections_.end() && current->second == connection) {
@@ -335,9 +363,16 @@
   }
 
   void Do(const agent::SendMessage& command) {
+    if (const auto* refused = std::get_if<link::RunRefused>(&command.message)) {
+      Log(EventId::kRunRefused, {{"attempt", refused->attempt},
+                                 {"kind", base::ErrorKindName(refused->kind)}});
+    }
     transport_->Send(command.connection, command.message);
   }
-  void Do(const agent::CallBackend& command) { backend_.Call(command); }
+  void Do(const agent::CallBackend& command) {
+    Log(EventId::kRunStarted, {{"attempt", command.attempt}});
+    backend_.Call(command);
+  }
   void Do(const agent::CancelBackend& command) {
     backend_.Cancel(command.attempt);
   }
@@ -350,6 +385,7 @@
   void Do(const agent::SendOrder& command) { backend_.Order(command); }
   void Do(const agent::Drained& /*command*/) {
     drained_ = true;
+    Log(EventId::kDrained);
     StopWhenDrained();
   }
 
@@ -373,6 +409,7 @@
             (names.empty() ? std::string("only answers to be handed over")
                            : names),
         "raise drain_limit_ms to let them end");
+    Log(EventId::kDrainBoundReached, {{"running", names}});
     Stop();
   }
 
--- a/tools/godwit-agent/src/main.cc
+++ b/tools/godwit-agent/src/main.cc
@@ -8,6 +8,10 @@
 #include "config/settings_reader.h"
 #include "daemon/on_terminate.h"
 #include "runtime/runtime.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
+#include "telemetry/log_format.h"
+#include "telemetry/log_options.h"
 
 DEFINE_string(settings, "", "YAML file with the settings of this agent");
 
@@ -22,7 +26,20 @@
     "Exit codes: 0 stopped in order, 1 can't serve or stopped with runs in "
     "progress, 2 settings or command line not valid.\n\nSettings:\n";
 
+godwit::telemetry::LogOptions LogOptionsOf(
+    const godwit::config::Settings& settings) {
+  godwit::telemetry::LogOptions options;
+  options.process = settings.Text("process");
+  options.format = settings.Text("log_format") == "json"
+                       ? godwit::telemetry::LogFormat::kJson
+                       : godwit::telemetry::LogFormat::kText;
+  options.level = godwit::telemetry::LevelOf(settings.Text("log_level"))
+                      .value_or(options.level);
+  return options;
+}
+
 [[noreturn]] void Serve(const godwit::config::Settings& settings) {
+  godwit::telemetry::StartLogging(LogOptionsOf(settings));
   godwit::runtime::Runtime runtime;
   godwit::agent_daemon::AgentDaemon daemon(runtime, settings);
   godwit::daemon::OnTerminate on_terminate(runtime,
@@ -37,6 +54,8 @@
   if (!in_order) {
     std::fprintf(stderr, "%s\n", error.ToString().c_str());
   }
+  godwit::telemetry::Log(godwit::telemetry::EventId::kProcessStopped);
+  godwit::telemetry::StopLogging();
   godwit::runtime::Runtime::Exit(in_order ? 0 : 1);
 }
 
--- a/tools/godwit-agent/tests/agent_process_test.cc
+++ b/tools/godwit-agent/tests/agent_process_test.cc
@@ -15,7 +15,7 @@
 #include "runtime/runtime.h"
 #include "stream/answer_assembler.h"
 #include "support/child_process.h"
-#include "support/test_certificate.h"
+#include "support/test_directory.h"
 
 #include <CppUTest/TestHarness.h>
 
