--- a/libs/cas/include/cas/key_view.h
+++ b/libs/cas/include/cas/key_view.h
@@ -43,6 +43,11 @@
     return operation_->started_at;
   }
 
+  // True while a write is in flight.
+  bool is_writing() const noexcept {
+    return operation_ && operation_->is_write;
+  }
+
   // True while a write may yet take effect.
   bool has_open_writes() const noexcept { return !open_writes_.empty(); }
 
--- /dev/null
+++ b/libs/experiments/src/budget_workload.cc
@@ -0,0 +1,193 @@
+#include "budget_workload.h"
+
+#include <array>
+#include <cmath>
+#include <random>
+
+namespace godwit::experiments {
+namespace {
+
+using base::Millis;
+using base::Tokens;
+
+constexpr int kBudgets = 10;
+constexpr int64_t kMinute = 60 * 1000;
+
+// A kind of request: its share, and the ranges of its values.
+struct RequestKind {
+  int percent;
+  Tokens least_amount;
+  Tokens most_amount;
+  int64_t least_length_ms;
+  int64_t most_length_ms;
+};
+
+struct Deployment {
+  const char* name;
+  // Requests a second when nothing special happens.
+  double rate;
+  std::array<RequestKind, 2> kinds;
+};
+
+constexpr std::array<Deployment, 2> kDeployments = {{
+    // Short kiosk questions and long repair logs.
+    {"lantern-line",
+     20,
+     {{{85, 300, 1500, 800, 4000}, {15, 6000, 20000, 8000, 40000}}}},
+    // Quotes and chat.
+    {"brennan-daughters",
+     20,
+     {{{40, 2000, 6000, 2000, 10000}, {60, 500, 2500, 1000, 6000}}}},
+}};
+
+// What is special about a workload.
+struct Course {
+  const char* name;
+  int64_t minutes;
+  double rate_factor;
+  // Limits as a multiple of the expected bills.
+  double budget_factor;
+  int billed_percent;
+  // Factor on the rate in the middle third.
+  double surge_factor;
+  int64_t outage_from_minute;
+  int64_t outage_minutes;
+  int cut_routers;
+  int64_t top_up_minute;
+  int64_t loss_minutes;
+};
+
+constexpr int kAllRouters = 3;
+
+constexpr std::array<Course, 7> kCourses = {{
+    {"steady", 5, 1, 3, 0, 1, 0, 0, 0, 0, 0},
+    {"steady at 10 times the rate", 2, 10, 3, 0, 1, 0, 0, 0, 0, 0},
+    {"deadline surge", 9, 1, 1.5, 0, 6, 0, 0, 0, 0, 0},
+    // The remaining 5% are 80% of what is asked for.
+    {"last 5%", 10, 1, 16, 95, 1, 0, 0, 0, 0, 0},
+    {"KV down for 10 minutes", 15, 1, 3, 0, 1, 3, 10, kAllRouters, 0, 0},
+    {"partition with a top-up", 15, 1, 0.6, 0, 1, 3, 10, 1, 5, 0},
+    {"a router lost every minute", 10, 1, 3, 0, 1, 0, 0, 0, 0, 1},
+}};
+
+class Generator {
+ public:
+  Generator(uint64_t seed, const Deployment& deployment, const Course& course)
+      : random_(seed), deployment_(deployment), course_(course) {}
+
+  BudgetWorkload Make() {
+    BudgetWorkload workload;
+    workload.deployment = deployment_.name;
+    workload.name = course_.name;
+    workload.duration = Millis(course_.minutes * kMinute);
+    workload.billed_percent = course_.billed_percent;
+    workload.outage_from = Millis(course_.outage_from_minute * kMinute);
+    workload.outage_to =
+        workload.outage_from + Millis(course_.outage_minutes * kMinute);
+    workload.cut_routers = course_.cut_routers;
+    workload.top_up_at = Millis(course_.top_up_minute * kMinute);
+    workload.loss_period = Millis(course_.loss_minutes * kMinute);
+    AddRequests(workload);
+    SetLimits(workload);
+    return workload;
+  }
+
+ private:
+  void AddRequests(BudgetWorkload& workload) {
+    double at = 0;
+    const auto end = static_cast<double>(workload.duration.count());
+    while (true) {
+      at += -std::log(1 - Uniform()) * 1000 / RateAt(at / end);
+      if (at >= end) {
+        return;
+      }
+      workload.requests.push_back(Request(Millis(static_cast<int64_t>(at))));
+    }
+  }
+
+  double RateAt(double progress) const {
+    const bool surge = progress > 1.0 / 3 && progress < 2.0 / 3;
+    return deployment_.rate * course_.rate_factor *
+           (surge ? course_.surge_factor : 1);
+  }
+
+  BudgetRequest Request(Millis at) {
+    const auto& kinds = deployment_.kinds;
+    const bool first = Uniform() * 100 < kinds[0].percent;
+    const RequestKind& kind = first ? kinds[0] : kinds[1];
+    BudgetRequest request;
+    request.at = at;
+    request.budget = BudgetNames()[PickBudget()];
+    request.amount = Between(kind.least_amount, kind.most_amount);
+    request.bill = Between(request.amount / 5, request.amount);
+    request.length = Millis(Between(kind.least_length_ms, kind.most_length_ms));
+    return request;
+  }
+
+  // A few organisations are large: weights fall as 1, 1/2, 1/3...
+  size_t PickBudget() {
+    double total = 0;
+    for (int i = 1; i <= kBudgets; ++i) {
+      total += 1.0 / i;
+    }
+    double dice = Uniform() * total;
+    for (int i = 1; i < kBudgets; ++i) {
+      dice -= 1.0 / i;
+      if (dice < 0) {
+        return static_cast<size_t>(i - 1);
+      }
+    }
+    return kBudgets - 1;
+  }
+
+  void SetLimits(BudgetWorkload& workload) const {
+    const auto names = BudgetNames();
+    workload.limits.assign(names.size(), 0);
+    for (const BudgetRequest& request : workload.requests) {
+      for (size_t i = 0; i < names.size(); ++i) {
+        workload.limits[i] += names[i] == request.budget ? request.bill : 0;
+      }
+    }
+    for (Tokens& limit : workload.limits) {
+      limit = static_cast<Tokens>(static_cast<double>(limit) *
+                                  course_.budget_factor) +
+              1;
+    }
+  }
+
+  double Uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+
+  int64_t Between(int64_t least, int64_t most) {
+    return std::uniform_int_distribution<int64_t>(least, most)(random_);
+  }
+
+  std::mt19937_64 random_;
+  const Deployment& deployment_;
+  const Course& course_;
+};
+
+}  // namespace
+
+std::vector<base::BudgetId> BudgetNames() {
+  std::vector<base::BudgetId> names;
+  names.reserve(kBudgets);
+  for (int i = 0; i < kBudgets; ++i) {
+    names.emplace_back("organisation-" + std::to_string(i));
+  }
+  return names;
+}
+
+std::vector<BudgetWorkload> BudgetWorkloads(uint64_t seed) {
+  std::vector<BudgetWorkload> workloads;
+  workloads.reserve(kDeployments.size() * kCourses.size());
+  for (const Deployment& deployment : kDeployments) {
+    for (const Course& course : kCourses) {
+      workloads.push_back(Generator(seed++, deployment, course).Make());
+    }
+  }
+  return workloads;
+}
+
+}  // namespace godwit::experiments
--- /dev/null
+++ b/libs/experiments/src/cas_queue.h
@@ -0,0 +1,88 @@
+#ifndef EXPERIMENTS_CAS_QUEUE_H_
+#define EXPERIMENTS_CAS_QUEUE_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "cas/key_view.h"
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_edit.h"
+#include "spender_output.h"
+
+namespace godwit::experiments {
+
+// Edits of the ledger, each by its own read and compare-and-swap, one after the
+// other for each key: what the naive versions do.
+class CasQueue {
+ public:
+  // Applies the edit; false when the record doesn't allow it. Called again
+  // after a lost race, also when an earlier write took effect without an
+  // answer.
+  using Edit = std::function<bool(ledger::LedgerEdit&)>;
+  // Told once: whether the edit is stored.
+  using Finished = std::function<void(bool stored)>;
+
+  CasQueue(int shard_count, base::Millis patience)
+      : shard_count_(shard_count), patience_(patience) {}
+
+  // Adds an edit that is given up after the patience; without a `finished` it
+  // is kept until it is stored.
+  void Add(base::Millis now,
+           const base::BudgetId& budget,
+           Edit edit,
+           Finished finished);
+  void Tick(base::Millis now, SpenderOutput& out);
+  template <typename Done>
+  void Finish(base::Millis now, const Done& done, SpenderOutput& out) {
+    for (auto& [shard, queue] : queues_) {
+      const cas::Progress progress = queue.view.Finish(done);
+      if (progress == cas::Progress::kForeign) {
+        continue;
+      }
+      OnProgress(now, queue, progress, out);
+      return;
+    }
+  }
+
+  // The budget as last seen; null before the first read.
+  const ledger::Budget* seen(const base::BudgetId& budget) const;
+
+ private:
+  struct Job {
+    Edit edit;
+    Finished finished;
+    base::Millis deadline;
+  };
+  struct Queue {
+    explicit Queue(std::string key) : view(std::move(key)) {}
+
+    cas::KeyView<ledger::LedgerRecord, ledger::LedgerCodec> view;
+    std::deque<Job> jobs;
+    // The operation in flight is the first job's write.
+    bool writing = false;
+    // The view is fresh enough for the first job.
+    bool has_read = false;
+    base::Millis retry_at;
+  };
+
+  void OnProgress(base::Millis now,
+                  Queue& queue,
+                  cas::Progress progress,
+                  SpenderOutput& out);
+  void DropExpired(base::Millis now, Queue& queue);
+  void Pump(base::Millis now, Queue& queue, SpenderOutput& out);
+
+  int shard_count_;
+  base::Millis patience_;
+  int64_t next_operation_ = 1;
+  std::map<int, Queue> queues_;
+};
+
+}  // namespace godwit::experiments
+
+#endif  // EXPERIMENTS_CAS_QUEUE_H_
--- /dev/null
+++ b/libs/experiments/src/cas_spender.h
@@ -0,0 +1,60 @@
+#ifndef EXPERIMENTS_CAS_SPENDER_H_
+#define EXPERIMENTS_CAS_SPENDER_H_
+
+#include <map>
+#include <set>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "cas_queue.h"
+#include "ledger/agent_usage_reported.h"
+#include "spender_output.h"
+#include "spender_setup.h"
+
+namespace godwit::experiments {
+
+// Naive: each request sets its worst case aside by a compare-and-swap of its
+// own, and settles by another.
+class CasSpender {
+ public:
+  explicit CasSpender(const SpenderSetup& setup);
+
+  void Reserve(base::Millis now,
+               const base::AttemptId& attempt,
+               const base::BudgetId& budget,
+               base::Tokens amount,
+               SpenderOutput& out);
+  void Start(base::Millis,
+             const base::AttemptId&,
+             const base::Incarnation&,
+             SpenderOutput&) {}
+  void Settle(base::Millis now,
+              const base::AttemptId& attempt,
+              const base::Incarnation& agent,
+              base::Tokens billed,
+              SpenderOutput& out);
+  void Tick(base::Millis now, SpenderOutput& out);
+  template <typename Done>
+  void Finish(base::Millis now, const Done& done, SpenderOutput& out) {
+    queue_.Finish(now, done, out);
+    Drain(out);
+  }
+  void Report(base::Millis, const ledger::AgentUsageReported&, SpenderOutput&) {
+  }
+  void SeeLive(base::Millis,
+               const std::set<base::Incarnation>&,
+               SpenderOutput&) {}
+
+ private:
+  // Moves what finished jobs produced to the output.
+  void Drain(SpenderOutput& out);
+
+  base::Incarnation self_;
+  CasQueue queue_;
+  SpenderOutput ready_;
+  std::map<base::AttemptId, base::BudgetId> budgets_;
+};
+
+}  // namespace godwit::experiments
+
+#endif  // EXPERIMENTS_CAS_SPENDER_H_
--- a/libs/ledger/include/ledger/holder_policy.h
+++ b/libs/ledger/include/ledger/holder_policy.h
@@ -18,17 +18,17 @@
   base::Millis outage = base::Millis(10 * 60 * 1000);
   // Half-life of the average that estimates the burn rate.
   base::Millis burn_half_life = base::Millis(30 * 1000);
-  // Smallest free part of a grant that is in use, while the budget is far from
-  // its end.
-  base::Tokens min_grant = 20000;
-  // Most of what is left of a budget that one router sets aside ahead of need,
-  // in percent of an equal share.
-  int64_t share_percent = 100;
+  // Part of what is left of a budget that all routers together set aside ahead
+  // of need, in percent.
+  int64_t share_percent = 75;
+  // A budget with less left is near its end, however small its limit.
+  base::Tokens near_end = 200000;
   // Time between writes that carry only usage.
   base::Millis settle_period = base::Millis(2000);
   // Least time between two writes of a shard.
   base::Millis write_spacing = base::Millis(20);
-  // Time between reads of a shard whose budgets are near their end.
+  // Time between reads of a shard whose budgets are near their end, where
+  // another router may want tokens back.
   base::Millis recall_poll = base::Millis(200);
   // Time between reads of a shard while a reservation waits for what others
   // give back.
@@ -50,16 +50,14 @@
   base::Millis retry_after = base::Millis(2000);
 
   friend bool operator==(const HolderPolicy& a, const HolderPolicy& b) {
-    return std::tie(a.shard_count, a.outage, a.burn_half_life, a.min_grant,
-                    a.share_percent, a.settle_period, a.write_spacing,
-                    a.recall_poll, a.wait_poll, a.outage_detection, a.fresh,
-                    a.max_wait, a.idle, a.scan_period, a.seal_retry,
-                    a.retry_after) ==
-           std::tie(b.shard_count, b.outage, b.burn_half_life, b.min_grant,
-                    b.share_percent, b.settle_period, b.write_spacing,
-                    b.recall_poll, b.wait_poll, b.outage_detection, b.fresh,
-                    b.max_wait, b.idle, b.scan_period, b.seal_retry,
-                    b.retry_after);
+    return std::tie(a.shard_count, a.outage, a.burn_half_life, a.share_percent,
+                    a.near_end, a.settle_period, a.write_spacing, a.recall_poll,
+                    a.wait_poll, a.outage_detection, a.fresh, a.max_wait,
+                    a.idle, a.scan_period, a.seal_retry, a.retry_after) ==
+           std::tie(b.shard_count, b.outage, b.burn_half_life, b.share_percent,
+                    b.near_end, b.settle_period, b.write_spacing, b.recall_poll,
+                    b.wait_poll, b.outage_detection, b.fresh, b.max_wait,
+                    b.idle, b.scan_period, b.seal_retry, b.retry_after);
   }
   friend bool operator!=(const HolderPolicy& a, const HolderPolicy& b) {
     return !(a == b);
--- a/libs/ledger/src/edit_planner.cc
+++ b/libs/ledger/src/edit_planner.cc
@@ -14,6 +14,9 @@
 // at once below this part, and shrunk when it exceeds the target by this part.
 constexpr Tokens kLowWaterDivisor = 8;
 constexpr Tokens kSlackDivisor = 4;
+// No router sets aside more than this part of what is left ahead of need.
+constexpr Tokens kLargestPartDivisor = 2;
+constexpr Tokens kPercent = 100;
 
 const Budget& BudgetIn(const LedgerEdit& edit, const base::BudgetId& id) {
   return edit.record().budgets.at(id);
@@ -30,6 +33,10 @@
 
 }  // namespace
 
+Tokens LeftOf(const Budget& budget) {
+  return budget.limit - budget.held - budget.total_billed();
+}
+
 Tokens AvailableIn(const ShardView& view, const LocalBudget& local) {
   if (!local.grant) {
     return 0;
@@ -68,16 +75,16 @@
   if (budget == nullptr) {
     return 0;
   }
-  const Tokens left =
-      budget->free() + std::max<Tokens>(0, AvailableIn(context.view, local));
   const bool counted =
       local.grant && budget->grants.count(local.grant->id) != 0;
+  const size_t holders = budget->grants.size() + (counted ? 0 : 1);
   const auto sharers =
-      static_cast<Tokens>(budget->grants.size()) + (counted ? 0 : 1);
-  const Tokens share = left / sharers / 100 * policy_.share_percent;
-  const Tokens wish =
-      std::max(policy_.min_grant, local.burn.Over(context.now, policy_.outage));
-  return std::min(wish, share);
+      static_cast<Tokens>(std::max(holders, context.live_routers));
+  const Tokens left = LeftOf(*budget);
+  const Tokens share = left / kPercent * policy_.share_percent / sharers;
+  // A router that carries most of the load may hold more.
+  const Tokens outage_need = local.burn.Over(context.now, policy_.outage);
+  return std::max(share, std::min(outage_need, left / kLargestPartDivisor));
 }
 
 void EditPlanner::SettleUsage(const LocalBudget& local,
--- a/libs/ledger/src/edit_planner.h
+++ b/libs/ledger/src/edit_planner.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_EDIT_PLANNER_H_
 #define LEDGER_EDIT_PLANNER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 
@@ -24,6 +25,8 @@
     const ShardView& view;
     const std::set<base::Incarnation>& usable;
     const GrantRecovery& recovery;
+    // Routers with a live lease, as far as known.
+    size_t live_routers;
     bool draining;
   };
 
@@ -68,6 +71,9 @@
   int64_t next_grant_ = 1;
 };
 
+// Tokens of a budget that are neither billed nor held.
+base::Tokens LeftOf(const Budget& budget);
+
 // Tokens of the budget's grant that can be reserved.
 base::Tokens AvailableIn(const ShardView& view, const LocalBudget& local);
 
--- a/libs/ledger/src/holder_state.cc
+++ b/libs/ledger/src/holder_state.cc
@@ -6,12 +6,15 @@
 namespace godwit::ledger {
 namespace {
 
-// An operation that takes longer counts as unanswered.
-constexpr base::Millis kOperationTimeout = base::Seconds(10);
+// A write that takes longer counts as unanswered. Reads are repeated sooner: an
+// answer that comes too late for a waiting reservation is of no use.
+constexpr base::Millis kWriteTimeout = base::Seconds(10);
 // Pause after an operation that the KV did not answer usefully.
 constexpr base::Millis kRetryPause(100);
-// A budget is near its end when less than this part of its limit is free.
-constexpr base::Tokens kNearEndDivisor = 4;
+// A budget is near its end when less than this part of its limit is left,
+constexpr base::Tokens kNearEndDivisor = 10;
+// or less than this part of what is left is free.
+constexpr base::Tokens kScarceDivisor = 8;
 
 }  // namespace
 
@@ -132,6 +135,7 @@
 }
 
 void BudgetHolder::State::On(const LiveHolders& event) {
+  live_routers_ = event.holders.size();
   for (Shard& shard : shards_) {
     recovery_.FindLost(shard.view.record(), event.holders);
     shard.check = true;
@@ -167,12 +171,15 @@
   for (auto it = operations_.begin(); it != operations_.end();) {
     Shard& shard = shards_[it->second];
     const auto busy_since = shard.view.busy_since();
-    if (busy_since && now_ - *busy_since <= kOperationTimeout) {
+    const base::Millis patience =
+        shard.view.is_writing() ? kWriteTimeout : policy_.max_wait;
+    if (busy_since && now_ - *busy_since <= patience) {
       ++it;
       continue;
     }
     shard.view.GiveUp();
     shard.check = true;
+    kv_failing_since_ = kv_failing_since_.value_or(now_);
     it = operations_.erase(it);
   }
 }
@@ -307,8 +314,8 @@
   }
   LedgerEdit edit(shard.view.record());
   bool urgent = recovery_.Advance(edit);
-  const EditPlanner::Context context{now_, shard.view, usable_, recovery_,
-                                     draining_};
+  const EditPlanner::Context context{now_,      shard.view,    usable_,
+                                     recovery_, live_routers_, draining_};
   for (const auto& id : shard.budgets) {
     urgent |= planner_.Plan(context, budgets_.at(id), edit);
   }
@@ -346,14 +353,19 @@
     if (budget == nullptr || !local.grant) {
       continue;
     }
-    const bool near_end = budget->free() < budget->limit / kNearEndDivisor;
-    const bool can_give = near_end && Available(local) > 0;
+    const bool can_give = IsNearEnd(*budget) && Available(local) > 0;
     period = std::min(period,
                       can_give ? policy_.recall_poll : policy_.settle_period);
   }
   return period;
 }
 
+bool BudgetHolder::State::IsNearEnd(const Budget& budget) const {
+  const base::Tokens left = LeftOf(budget);
+  return left < policy_.near_end || left < budget.limit / kNearEndDivisor ||
+         budget.free() < left / kScarceDivisor;
+}
+
 bool BudgetHolder::State::KvIsDown(const Shard& shard) const {
   const auto busy_since = shard.view.busy_since();
   if (busy_since && now_ - *busy_since >= policy_.max_wait) {
--- a/libs/ledger/src/holder_state.h
+++ b/libs/ledger/src/holder_state.h
@@ -100,6 +100,7 @@
   bool WriteIfDue(Shard& shard);
   bool ReadIsDue(const Shard& shard) const;
   base::Millis PollPeriod(const Shard& shard) const;
+  bool IsNearEnd(const Budget& budget) const;
   void GiveUpOverdue();
   bool KvIsDown(const Shard& shard) const;
   void ReportDrained();
@@ -115,6 +116,7 @@
   std::map<base::GrantId, base::BudgetId> grant_budgets_;
   // Shard of each operation in flight.
   std::map<int64_t, size_t> operations_;
+  size_t live_routers_ = 0;
   bool draining_ = false;
   bool reported_drained_ = false;
   std::optional<base::Millis> kv_failing_since_;
--- a/libs/ledger/tests/ledger_world.cc
+++ b/libs/ledger/tests/ledger_world.cc
@@ -26,7 +26,7 @@
 HolderPolicy WorldPolicy() {
   HolderPolicy policy;
   policy.shard_count = 2;
-  policy.min_grant = 300;
+  policy.near_end = 3000;
   policy.settle_period = Millis(500);
   policy.scan_period = Millis(2000);
   policy.idle = Millis(10000);
