--- /dev/null
+++ b/libs/experiments/src/routing_scenario.h
@@ -0,0 +1,37 @@
+#ifndef EXPERIMENTS_ROUTING_SCENARIO_H_
+#define EXPERIMENTS_ROUTING_SCENARIO_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "base/millis.h"
+#include "fake_engine.h"
+
+namespace godwit::experiments {
+
+// How routers choose in a run.
+enum class Policy { kPicker, kRoundRobin, kLeastInFlight };
+
+// One run of the routing experiment.
+struct RoutingScenario {
+  const char* name = "";
+  // Arrivals as a multiple of the fleet's capacity.
+  double load = 0.6;
+  // Load during the middle third of the run, which alone is then measured; 0
+  // for none.
+  double surge_load = 0;
+  // Slowness of the first engine.
+  int64_t first_engine_slowness = 1;
+  base::Millis report_delay{50};
+  // Long logs among the arrivals.
+  int64_t logs_percent = 3;
+  bool loses_data_centre = false;
+  QueueOrder order = QueueOrder::kPriority;
+  bool preempts_prefill = false;
+  // Requests stay in queues beyond their deadline, as for measuring capacity.
+  bool waits_for_ever = false;
+};
+
+}  // namespace godwit::experiments
+
+#endif  // EXPERIMENTS_ROUTING_SCENARIO_H_
--- a/libs/routing/include/routing/picker.h
+++ b/libs/routing/include/routing/picker.h
@@ -16,10 +16,10 @@
 namespace godwit::routing {
 
 // Chooses agents for the requests of one router: power of two choices over
-// local in-flight counts and lagged load reports, prefix affinity bounded by
-// load, refusal when no candidate is expected to make the deadline, and
-// ejection of slow or failing agents. `now` is any monotonic clock. One thread
-// at a time.
+// the expected wait from local in-flight work and lagged load reports, prefix
+// affinity bounded by load, refusal when no candidate is expected to make the
+// deadline, and ejection of slow or failing agents. `now` is any monotonic
+// clock. One thread at a time.
 class Picker {
  public:
   Picker(PickerSettings settings, std::mt19937_64 random);
--- /dev/null
+++ b/libs/routing/src/affinity.cc
@@ -0,0 +1,91 @@
+#include "affinity.h"
+
+#include <cstddef>
+#include <functional>
+
+#include "routing/pick_request.h"
+
+namespace godwit::routing {
+
+namespace {
+
+// Shorter prefixes are cached everywhere soon.
+constexpr size_t kMinAgreedBlocks = 16;
+
+// Spreads every bit of the input over the output.
+uint64_t Mix(uint64_t value) {
+  value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9;
+  value = (value ^ (value >> 27)) * 0x94D049BB133111EB;
+  return value ^ (value >> 31);
+}
+
+// The cheapest of those that hold the longest cached prefix.
+const Option* Cached(const std::vector<Option>& options) {
+  const Option* best = nullptr;
+  for (const Option& option : options) {
+    if (option.cached_blocks == 0) {
+      continue;
+    }
+    if (best == nullptr || option.cached_blocks > best->cached_blocks ||
+        (option.cached_blocks == best->cached_blocks &&
+         option.cost < best->cost)) {
+      best = &option;
+    }
+  }
+  return best;
+}
+
+// Where every router sends a prompt whose longer prefix it has not seen: by
+// rendezvous hashing of the prefix, cut to a power of two of blocks so that a
+// growing prompt moves seldom.
+const Option* Agreed(const PickRequest& request,
+                     const std::vector<Option>& options) {
+  const size_t blocks = request.prefix_blocks.size();
+  if (blocks < kMinAgreedBlocks) {
+    return nullptr;
+  }
+  size_t depth = 1;
+  while (depth * 2 <= blocks) {
+    depth *= 2;
+  }
+  const uint64_t prefix = request.prefix_blocks[depth - 1].low();
+  const Option* best = nullptr;
+  uint64_t best_weight = 0;
+  for (const Option& option : options) {
+    const uint64_t agent =
+        std::hash<base::Incarnation>()(option.candidate->agent);
+    const uint64_t weight = Mix(agent ^ Mix(prefix));
+    if (best == nullptr || weight > best_weight) {
+      best = &option;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+const Option* AffineOption(const PickRequest& request,
+                           const std::vector<Option>& options,
+                           double load_bound) {
+  double runs = 0;
+  for (const Option& option : options) {
+    runs += option.runs;
+  }
+  const double bound =
+      load_bound * runs / static_cast<double>(options.size()) + 1;
+  const Option* cached = Cached(options);
+  if (cached != nullptr &&
+      cached->cached_blocks * 2 >
+          static_cast<int64_t>(request.prefix_blocks.size()) &&
+      cached->runs <= bound) {
+    return cached;
+  }
+  const Option* agreed = Agreed(request, options);
+  if (agreed != nullptr && agreed->runs <= bound) {
+    return agreed;
+  }
+  return cached != nullptr && cached->runs <= bound ? cached : nullptr;
+}
+
+}  // namespace godwit::routing
--- a/libs/routing/src/agent_load.cc
+++ b/libs/routing/src/agent_load.cc
@@ -4,6 +4,51 @@
 
 namespace godwit::routing {
 
+namespace {
+
+// Weight of the newest report in the moving mean.
+constexpr double kNewestReport = 0.3;
+// Share of the full load at the start of a return.
+constexpr double kFirstShare = 0.1;
+constexpr int64_t kMaxDoublings = 20;
+
+}  // namespace
+
+void AgentLoad::Eject(base::Millis now,
+                      base::Millis shortest,
+                      base::Millis longest) {
+  const int64_t doublings = std::min(ejections, kMaxDoublings);
+  ejected_until =
+      now + std::min(longest, base::Millis(shortest.count() << doublings));
+  ++ejections;
+  awaits_return = true;
+  failures_in_row = 0;
+}
+
+void AgentLoad::ReturnWhenDue(base::Millis now, double typical_ms_per_token) {
+  if (!awaits_return || now < ejected_until) {
+    return;
+  }
+  awaits_return = false;
+  returning = true;
+  samples = 0;
+  ms_per_token = typical_ms_per_token;
+}
+
+void AgentLoad::EndReturn() {
+  returning = false;
+  ejections = 0;
+}
+
+double AgentLoad::ShareDue(base::Millis now, base::Millis span) const {
+  if (!returning) {
+    return 1;
+  }
+  const auto since = static_cast<double>((now - ejected_until).count());
+  return std::clamp(since / static_cast<double>(span.count()), kFirstShare,
+                    1.0);
+}
+
 double AgentLoad::PendingAhead(int64_t priority) const {
   double sum = 0;
   for (auto it = pending.lower_bound(priority); it != pending.end(); ++it) {
@@ -20,11 +65,20 @@
   return sum;
 }
 
-int64_t AgentLoad::Runs(base::Millis now, base::Millis lifetime) const {
-  if (!reported || now - reported_at >= lifetime) {
-    return in_flight;
-  }
-  return std::max(in_flight, reported_runs + in_flight - in_flight_at_report);
+void AgentLoad::Report(base::Millis now, int64_t runs) {
+  const auto foreign =
+      static_cast<double>(std::max<int64_t>(0, runs - in_flight));
+  foreign_runs = reported
+                     ? foreign_runs + kNewestReport * (foreign - foreign_runs)
+                     : foreign;
+  reported = true;
+  reported_at = now;
+}
+
+double AgentLoad::Runs(base::Millis now, base::Millis lifetime) const {
+  const auto own = static_cast<double>(in_flight);
+  const bool counts = reported && now - reported_at < lifetime;
+  return counts ? own + foreign_runs : own;
 }
 
 }  // namespace godwit::routing
--- a/libs/routing/src/picker.cc
+++ b/libs/routing/src/picker.cc
@@ -1,31 +1,44 @@
 #include "routing/picker.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <unordered_map>
 #include <utility>
 
+#include "affinity.h"
 #include "agent_load.h"
+#include "option.h"
 #include "prefix_memory.h"
 
 namespace godwit::routing {
 
 namespace {
 
+// Usual number of tokens in a prefix block.
+constexpr base::Tokens kTokensPerBlock = 64;
 // Work of a request beside its prompt, in tokens.
 constexpr double kBaseWork = 200;
 // Weight of the newest observation in moving means.
 constexpr double kNewest = 0.1;
+// Least share of the time to the first token that counts as prefill.
+constexpr double kLeastPrefill = 0.1;
 // Observations before an agent's speed is judged.
 constexpr int64_t kMinSamples = 8;
-// Share of the full load that an agent gets at the start of its return.
-constexpr double kFirstShare = 0.1;
+// Agents of known speed that it takes to judge one of them.
+constexpr size_t kMinJudged = 3;
 // Extra cost of another data centre.
 constexpr double kOtherDataCentreMs = 2;
 constexpr base::Millis kMinRetryAfter{250};
 constexpr base::Millis kUnavailableRetryAfter{1000};
 
+// An affine agent may cost this much more than the other choice: its cached
+// prefix also spares work for the requests behind.
+constexpr double kAffineMultiple = 2;
+constexpr double kAffineSlackMs = 50;
+// Share of the time to the deadline that the expected wait may fill. A longer
+// queue serves nobody more.
+constexpr double kUsableDeadline = 0.85;
+
 double Blend(double mean, double value) {
   return mean == 0 ? value : mean + kNewest * (value - mean);
 }
@@ -36,6 +49,15 @@
   return *middle;
 }
 
+// What the own attempts at the candidates tell of those of other routers.
+struct Crowd {
+  // Of the work that waits for a first token, the share that goes before the
+  // request or along with it.
+  double share_ahead = 1;
+  // That work for each attempt in progress.
+  double work_ahead = 0;
+};
+
 struct Attempt {
   base::Incarnation agent;
   base::Millis started_at;
@@ -43,27 +65,17 @@
   // Its own work, and with that ahead of it when it started.
   double work = 0;
   double work_ahead = 0;
+  // Expected wait for a place in the batch.
+  double slot_wait_ms = 0;
   bool first_token = false;
-};
-
-// One candidate as seen by one request.
-struct Option {
-  const Candidate* candidate = nullptr;
-  AgentLoad* load = nullptr;
-  int64_t cached_blocks = 0;
-  double wait_ms = 0;
-  double cost = 0;
-  int64_t runs = 0;
+  base::Millis first_token_at;
 };
 
 double WorkOf(const PickRequest& request, int64_t cached_blocks) {
-  const auto tokens = static_cast<double>(request.prompt_tokens);
-  if (request.prefix_blocks.empty()) {
-    return kBaseWork + tokens;
-  }
-  const double cached = static_cast<double>(cached_blocks) /
-                        static_cast<double>(request.prefix_blocks.size());
-  return kBaseWork + tokens * (1 - cached);
+  const base::Tokens cached = cached_blocks * kTokensPerBlock;
+  const base::Tokens left =
+      std::max<base::Tokens>(0, request.prompt_tokens - cached);
+  return kBaseWork + static_cast<double>(left);
 }
 
 }  // namespace
@@ -77,13 +89,16 @@
   std::vector<Option> Options(base::Millis now,
                               const PickRequest& request,
                               const std::vector<Candidate>& candidates);
-  void EjectSlow(base::Millis now, std::vector<Option>& options);
-  void Eject(base::Millis now, AgentLoad& load);
-  void Return(base::Millis now, AgentLoad& load, double typical);
-  double ShareOf(base::Millis now, const AgentLoad& load) const;
+  std::vector<Option> Healthy(base::Millis now,
+                              const PickRequest& request,
+                              const std::vector<Candidate>& candidates);
+  void JudgeSpeed(base::Millis now, const std::vector<Option>& options);
+  Crowd CrowdOf(const PickRequest& request,
+                const std::vector<Option>& options) const;
+  double SlotWait(base::Millis now, const AgentLoad& load) const;
   void Estimate(base::Millis now, const PickRequest& request, Option& option);
-  const Option* Affine(const std::vector<Option>& options) const;
   const Option* TwoChoices(const std::vector<Option>& options);
+  AgentLoad* Find(const base::Incarnation& agent);
   std::optional<Attempt> Finish(const base::AttemptId& attempt);
   void ClearPending(const Attempt& attempt);
 
@@ -92,14 +107,15 @@
   PrefixMemory prefixes;
   std::unordered_map<base::Incarnation, AgentLoad> loads;
   std::unordered_map<base::AttemptId, Attempt> attempts;
-  // Work before the first token for each attempt in progress, over all agents.
-  double pending_work = 0;
+  // As of the latest choice.
+  Crowd crowd;
   // Speed of agents that are not yet known.
   double typical_ms_per_token = 0;
 };
 
 // Speed is judged among the candidates only: they serve the same model.
-void Picker::State::EjectSlow(base::Millis now, std::vector<Option>& options) {
+void Picker::State::JudgeSpeed(base::Millis now,
+                               const std::vector<Option>& options) {
   std::vector<double> speeds;
   for (const Option& option : options) {
     if (option.load->samples >= kMinSamples) {
@@ -110,84 +126,74 @@
     return;
   }
   typical_ms_per_token = Median(speeds);
-  for (Option& option : options) {
+  for (const Option& option : options) {
     AgentLoad& load = *option.load;
-    if (load.returning && load.samples == 0 && now >= load.ejected_until) {
-      Return(now, load, typical_ms_per_token);
-    }
-    const bool judged = speeds.size() >= 3 && load.samples >= kMinSamples;
+    const bool judged =
+        speeds.size() >= kMinJudged && load.samples >= kMinSamples;
     if (judged && now >= load.ejected_until &&
         load.ms_per_token > settings.slow_multiple * typical_ms_per_token) {
-      Eject(now, load);
+      load.Eject(now, settings.ejection_min, settings.ejection_max);
     }
   }
 }
 
-void Picker::State::Eject(base::Millis now, AgentLoad& load) {
-  const int64_t doublings = std::min<int64_t>(load.ejections, 20);
-  const base::Millis span =
-      std::min(settings.ejection_max,
-               base::Millis(settings.ejection_min.count() << doublings));
-  ++load.ejections;
-  load.ejected_until = now + span;
-  load.returning = true;
-  load.samples = 0;
-  load.failures_in_row = 0;
-}
-
-void Picker::State::Return(base::Millis /*now*/,
-                           AgentLoad& load,
-                           double typical) {
-  load.ms_per_token = typical;
+Crowd Picker::State::CrowdOf(const PickRequest& request,
+                             const std::vector<Option>& options) const {
+  double ahead = 0;
+  double all = 0;
+  double runs = 0;
+  for (const Option& option : options) {
+    ahead += option.load->PendingAhead(request.priority);
+    all += option.load->PendingTotal();
+    runs += static_cast<double>(option.load->in_flight);
+  }
+  Crowd found;
+  found.share_ahead = all > 0 ? ahead / all : 1;
+  found.work_ahead = runs > 0 ? ahead / runs : 0;
+  return found;
 }
 
-double Picker::State::ShareOf(base::Millis now, const AgentLoad& load) const {
-  if (!load.returning) {
-    return 1;
-  }
-  const auto since = static_cast<double>((now - load.ejected_until).count());
-  const auto span = static_cast<double>(settings.slow_return.count());
-  return std::clamp(since / span, kFirstShare, 1.0);
+double Picker::State::SlotWait(base::Millis now, const AgentLoad& load) const {
+  const auto slots = static_cast<double>(load.max_running);
+  const double runs = load.Runs(now, settings.load_report_lifetime);
+  const double waiting = std::max(0.0, runs + 1 - slots);
+  return waiting * crowd.share_ahead * load.decode_ms / slots;
 }
 
 // Attempts of other routers are taken to be like the own ones on average.
 void Picker::State::Estimate(base::Millis now,
                              const PickRequest& request,
                              Option& option) {
-  const AgentLoad& load = *option.load;
+  AgentLoad& load = *option.load;
+  load.max_running = option.candidate->max_running;
   option.runs = load.Runs(now, settings.load_report_lifetime);
-  const double mean_pending =
-      attempts.empty() ? 0
-                       : pending_work / static_cast<double>(attempts.size());
-  const double foreign =
-      static_cast<double>(option.runs - load.in_flight) * mean_pending;
-  const double work = load.PendingAhead(request.priority) + foreign +
+  const double foreign = option.runs - static_cast<double>(load.in_flight);
+  const double work = load.PendingAhead(request.priority) +
+                      foreign * crowd.work_ahead +
                       WorkOf(request, option.cached_blocks);
   const double ms_per_token =
       load.ms_per_token > 0 ? load.ms_per_token : typical_ms_per_token;
-  const int64_t waiting =
-      std::max<int64_t>(0, option.runs + 1 - option.candidate->max_running);
-  option.wait_ms = work * ms_per_token +
-                   static_cast<double>(waiting) * load.duration_ms /
-                       static_cast<double>(option.candidate->max_running);
+  option.wait_ms = work * ms_per_token + SlotWait(now, load);
   const bool near = option.candidate->data_centre == settings.data_centre;
-  option.cost =
-      (option.wait_ms + (near ? 0 : kOtherDataCentreMs)) / ShareOf(now, load);
+  option.cost = (option.wait_ms + (near ? 0 : kOtherDataCentreMs)) /
+                load.ShareDue(now, settings.slow_return);
 }
 
-std::vector<Option> Picker::State::Options(
+std::vector<Option> Picker::State::Healthy(
     base::Millis now,
     const PickRequest& request,
     const std::vector<Candidate>& candidates) {
   std::vector<Option> options;
+  const auto& exclude = request.exclude;
   for (const Candidate& candidate : candidates) {
-    const auto& exclude = request.exclude;
     if (std::find(exclude.begin(), exclude.end(), candidate.agent) ==
         exclude.end()) {
-      options.push_back(Option{&candidate, &loads[candidate.agent]});
+      AgentLoad& load = loads[candidate.agent];
+      load.ReturnWhenDue(now, typical_ms_per_token);
+      options.push_back(Option{&candidate, &load});
     }
   }
-  EjectSlow(now, options);
+  JudgeSpeed(now, options);
   std::vector<Option> healthy;
   for (const Option& option : options) {
     if (now >= option.load->ejected_until) {
@@ -195,9 +201,15 @@
     }
   }
   // Too many ejections say more on the load than on the agents.
-  if (healthy.size() * 2 >= options.size()) {
-    options = std::move(healthy);
-  }
+  return healthy.size() * 2 >= options.size() ? healthy : options;
+}
+
+std::vector<Option> Picker::State::Options(
+    base::Millis now,
+    const PickRequest& request,
+    const std::vector<Candidate>& candidates) {
+  std::vector<Option> options = Healthy(now, request, candidates);
+  crowd = CrowdOf(request, options);
   const auto cached = prefixes.Match(request.prefix_blocks);
   for (Option& option : options) {
     auto match = cached.find(option.candidate->agent);
@@ -207,30 +219,6 @@
   return options;
 }
 
-// The cheapest of those that hold the longest cached prefix, unless it is
-// loaded beyond the bound.
-const Option* Picker::State::Affine(const std::vector<Option>& options) const {
-  const Option* best = nullptr;
-  double runs = 0;
-  for (const Option& option : options) {
-    runs += static_cast<double>(option.runs);
-    if (option.cached_blocks == 0) {
-      continue;
-    }
-    if (best == nullptr || option.cached_blocks > best->cached_blocks ||
-        (option.cached_blocks == best->cached_blocks &&
-         option.cost < best->cost)) {
-      best = &option;
-    }
-  }
-  if (best == nullptr) {
-    return nullptr;
-  }
-  const double mean = runs / static_cast<double>(options.size());
-  const double bound = settings.affinity_load_bound * mean + 1;
-  return static_cast<double>(best->runs) <= bound ? best : nullptr;
-}
-
 const Option* Picker::State::TwoChoices(const std::vector<Option>& options) {
   std::uniform_int_distribution<size_t> any(0, options.size() - 1);
   const Option& first = options[any(random)];
@@ -238,6 +226,11 @@
   return first.cost <= second.cost ? &first : &second;
 }
 
+AgentLoad* Picker::State::Find(const base::Incarnation& agent) {
+  auto load = loads.find(agent);
+  return load == loads.end() ? nullptr : &load->second;
+}
+
 std::optional<Attempt> Picker::State::Finish(const base::AttemptId& id) {
   auto it = attempts.find(id);
   if (it == attempts.end()) {
@@ -246,20 +239,21 @@
   Attempt attempt = std::move(it->second);
   attempts.erase(it);
   ClearPending(attempt);
-  --loads[attempt.agent].in_flight;
+  if (AgentLoad* load = Find(attempt.agent)) {
+    load->in_flight = std::max<int64_t>(0, load->in_flight - 1);
+  }
   return attempt;
 }
 
 void Picker::State::ClearPending(const Attempt& attempt) {
-  if (attempt.first_token) {
+  AgentLoad* load = Find(attempt.agent);
+  if (attempt.first_token || load == nullptr) {
     return;
   }
-  pending_work = std::max(0.0, pending_work - attempt.work);
-  auto& pending = loads[attempt.agent].pending;
-  double& work = pending[attempt.priority];
+  double& work = load->pending[attempt.priority];
   work -= attempt.work;
   if (work < kBaseWork / 2) {
-    pending.erase(attempt.priority);
+    load->pending.erase(attempt.priority);
   }
 }
 
@@ -277,10 +271,14 @@
   if (options.empty()) {
     return PickRefusal{base::ErrorKind::kUnavailable, kUnavailableRetryAfter};
   }
-  const auto deadline = static_cast<double>(request.deadline_in.count());
-  const Option* chosen = state_->Affine(options);
-  if (chosen == nullptr || chosen->wait_ms > deadline) {
-    chosen = state_->TwoChoices(options);
+  const double deadline =
+      kUsableDeadline * static_cast<double>(request.deadline_in.count());
+  const Option* chosen = state_->TwoChoices(options);
+  const Option* affine =
+      AffineOption(request, options, state_->settings.affinity_load_bound);
+  if (affine != nullptr &&
+      affine->cost <= kAffineMultiple * chosen->cost + kAffineSlackMs) {
+    chosen = affine;
   }
   if (chosen->wait_ms > deadline) {
     chosen = &*std::min_element(
@@ -310,12 +308,12 @@
   started.priority = request.priority;
   started.work = WorkOf(request, match == cached.end() ? 0 : match->second);
   started.work_ahead = load.PendingAhead(request.priority) + started.work;
+  started.slot_wait_ms = state_->SlotWait(now, load);
   if (!state_->attempts.emplace(attempt, started).second) {
     return;
   }
   ++load.in_flight;
   load.pending[request.priority] += started.work;
-  state_->pending_work += started.work;
   state_->prefixes.Remember(request.prefix_blocks, agent);
 }
 
@@ -327,40 +325,45 @@
   Attempt& started = it->second;
   state_->ClearPending(started);
   started.first_token = true;
-  AgentLoad& load = state_->loads[started.agent];
+  started.first_token_at = now;
+  AgentLoad* known = state_->Find(started.agent);
+  if (known == nullptr) {
+    return;
+  }
+  AgentLoad& load = *known;
   const auto latency = static_cast<double>((now - started.started_at).count());
-  load.ms_per_token = Blend(load.ms_per_token, latency / started.work_ahead);
+  const double prefill =
+      std::max(latency * kLeastPrefill, latency - started.slot_wait_ms);
+  load.ms_per_token = Blend(load.ms_per_token, prefill / started.work_ahead);
   ++load.samples;
   load.failures_in_row = 0;
-  const bool returned =
-      load.returning && load.samples >= kMinSamples &&
-      now >= load.ejected_until + state_->settings.slow_return;
-  if (returned) {
-    load.returning = false;
-    load.ejections = 0;
+  if (load.samples >= kMinSamples &&
+      now >= load.ejected_until + state_->settings.slow_return) {
+    load.EndReturn();
   }
 }
 
 void Picker::OnEnded(base::Millis now, const base::AttemptId& attempt) {
   OnFirstToken(now, attempt);
   std::optional<Attempt> ended = state_->Finish(attempt);
-  if (ended) {
-    AgentLoad& load = state_->loads[ended->agent];
-    load.duration_ms =
-        Blend(load.duration_ms,
-              static_cast<double>((now - ended->started_at).count()));
+  AgentLoad* load = ended ? state_->Find(ended->agent) : nullptr;
+  if (load != nullptr) {
+    load->decode_ms =
+        Blend(load->decode_ms,
+              static_cast<double>((now - ended->first_token_at).count()));
   }
 }
 
 void Picker::OnFailed(base::Millis now, const base::AttemptId& attempt) {
   std::optional<Attempt> failed = state_->Finish(attempt);
-  if (!failed) {
+  AgentLoad* load = failed ? state_->Find(failed->agent) : nullptr;
+  if (load == nullptr) {
     return;
   }
-  AgentLoad& load = state_->loads[failed->agent];
-  ++load.failures_in_row;
-  if (load.failures_in_row >= state_->settings.failures_to_eject) {
-    state_->Eject(now, load);
+  ++load->failures_in_row;
+  if (load->failures_in_row >= state_->settings.failures_to_eject) {
+    load->Eject(now, state_->settings.ejection_min,
+                state_->settings.ejection_max);
   }
 }
 
@@ -372,11 +375,7 @@
                     const base::Incarnation& agent,
                     int64_t running,
                     int64_t queued) {
-  AgentLoad& load = state_->loads[agent];
-  load.reported = true;
-  load.reported_runs = running + queued;
-  load.in_flight_at_report = load.in_flight;
-  load.reported_at = now;
+  state_->loads[agent].Report(now, running + queued);
 }
 
 void Picker::Forget(const base::Incarnation& agent) {
--- a/libs/routing/src/prefix_memory.cc
+++ b/libs/routing/src/prefix_memory.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr size_t kMaxAgentsPerBlock = 4;
+constexpr size_t kMaxAgentsPerBlock = 16;
 
 }  // namespace
 
@@ -14,6 +14,7 @@
 
 void PrefixMemory::Remember(const std::vector<base::Digest>& blocks,
                             const base::Incarnation& agent) {
+  const uint32_t number = NumberOf(agent);
   // The longest first, so that shorter prefixes outlive it.
   for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
     auto [it, first] = entries_.try_emplace(*block);
@@ -25,9 +26,9 @@
       order_.splice(order_.begin(), order_, entry.position);
     }
     auto& agents = entry.agents;
-    agents.erase(std::remove(agents.begin(), agents.end(), agent),
+    agents.erase(std::remove(agents.begin(), agents.end(), number),
                  agents.end());
-    agents.insert(agents.begin(), agent);
+    agents.insert(agents.begin(), number);
     if (agents.size() > kMaxAgentsPerBlock) {
       agents.pop_back();
     }
@@ -40,22 +41,34 @@
 
 std::map<base::Incarnation, int64_t> PrefixMemory::Match(
     const std::vector<base::Digest>& blocks) const {
-  std::map<base::Incarnation, int64_t> matched;
+  std::map<uint32_t, int64_t> matched;
   for (size_t i = 0; i < blocks.size(); ++i) {
     auto entry = entries_.find(blocks[i]);
     if (entry == entries_.end()) {
       break;
     }
     const auto leading = static_cast<int64_t>(i);
-    for (const base::Incarnation& agent : entry->second.agents) {
+    for (const uint32_t agent : entry->second.agents) {
       int64_t& count = matched[agent];
       count += count == leading ? 1 : 0;
     }
   }
-  for (auto it = matched.begin(); it != matched.end();) {
-    it = it->second == 0 ? matched.erase(it) : std::next(it);
+  std::map<base::Incarnation, int64_t> named;
+  for (const auto& [agent, count] : matched) {
+    if (count > 0) {
+      named[agents_[agent]] = count;
+    }
+  }
+  return named;
+}
+
+uint32_t PrefixMemory::NumberOf(const base::Incarnation& agent) {
+  const auto next = static_cast<uint32_t>(agents_.size());
+  auto [it, first] = numbers_.try_emplace(agent, next);
+  if (first) {
+    agents_.push_back(agent);
   }
-  return matched;
+  return it->second;
 }
 
 }  // namespace godwit::routing
--- a/libs/routing/src/prefix_memory.h
+++ b/libs/routing/src/prefix_memory.h
@@ -30,12 +30,16 @@
 
  private:
   struct Entry {
-    // Most recent first.
-    std::vector<base::Incarnation> agents;
+    // Numbers of agents, most recent first.
+    std::vector<uint32_t> agents;
     std::list<base::Digest>::iterator position;
   };
 
+  uint32_t NumberOf(const base::Incarnation& agent);
+
   size_t max_blocks_;
+  std::vector<base::Incarnation> agents_;
+  std::unordered_map<base::Incarnation, uint32_t> numbers_;
   // Most recently served first.
   std::list<base::Digest> order_;
   std::unordered_map<base::Digest, Entry> entries_;
