--- a/libs/runtime/src/runtime.cc
+++ b/libs/runtime/src/runtime.cc
@@ -8,6 +8,8 @@
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
 #include <chrono>
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <memory>
 #include <mutex>
@@ -53,7 +55,7 @@
   }
 };
 
-Runtime::Runtime() : state_(std::make_unique<State>()) {
+Runtime::Runtime() : state_(std::make_shared<State>()) {
   state_->io_thread = std::thread([this] { state_->io.run(); });
 }
 
@@ -95,10 +97,13 @@
 }
 
 void Runtime::Every(base::Millis period, std::function<void()> task) {
-  Launch([this, period, task = std::move(task)] {
-    while (!state_->Stopped()) {
-      SleepFor(period);
+  // The fiber may wake after the runtime is gone, while the thread runs the
+  // fibers of another one.
+  Launch([state = state_, period, task = std::move(task)] {
+    SleepFor(period);
+    while (!state->Stopped()) {
       task();
+      SleepFor(period);
     }
   });
 }
@@ -107,6 +112,11 @@
   boost::this_fiber::sleep_for(std::chrono::milliseconds(span.count()));
 }
 
+void Runtime::Exit(int code) {
+  std::fflush(nullptr);
+  std::_Exit(code);
+}
+
 boost::asio::io_context& Runtime::io() noexcept {
   return state_->io;
 }
