Remember with a key that an earlier attempt may have executed

Ruled out: asking the claim's record, which the KV may not serve. Change: the directory entry carries may_have_run over every replacement.

--- a/libs/claims/include/claims/directory.h
+++ b/libs/claims/include/claims/directory.h
@@ -48,6 +48,7 @@
     base::Incarnation agent_incarnation;
     bool complete = false;
     base::Tokens billed = 0;
+    bool may_have_run = false;
     base::Millis used_at;
   };
 
--- a/libs/claims/src/directory.cc
+++ b/libs/claims/src/directory.cc
@@ -36,14 +36,17 @@
   Entry& entry = is_new ? entries_[request.key] : found->second;
   const bool replaced = !request.replaces.empty() && !entry.complete &&
                         entry.attempt == request.replaces;
+  const bool may_have_run =
+      (!is_new && entry.may_have_run) || request.may_have_run;
   if (is_new || replaced) {
-    entry = Entry{request.body_digest,
-                  request.attempt,
-                  request.agent,
-                  request.agent_incarnation,
-                  false,
-                  0,
-                  now};
+    entry = Entry();
+    entry.body_digest = request.body_digest;
+    entry.attempt = request.attempt;
+    entry.agent = request.agent;
+    entry.agent_incarnation = request.agent_incarnation;
+  }
+  if (entry.attempt == request.attempt) {
+    entry.may_have_run = may_have_run;
   }
   if (request.complete && entry.attempt == request.attempt) {
     entry.complete = true;
@@ -56,6 +59,7 @@
   answer.agent_incarnation = entry.agent_incarnation;
   answer.complete = entry.complete;
   answer.billed = entry.billed;
+  answer.may_have_run = entry.may_have_run;
   return answer;
 }
 
--- a/libs/link/include/link/key_owner.h
+++ b/libs/link/include/link/key_owner.h
@@ -28,6 +28,8 @@
   bool complete = false;
   // With complete: what the owner bills.
   base::Tokens billed = 0;
+  // True when an attempt before the owner may have executed.
+  bool may_have_run = false;
   // The agent that runs it.
   base::ProcessId agent;
   // The life of that agent.
@@ -44,16 +46,17 @@
     visit("attempt", self.attempt);
     visit("complete", self.complete);
     visit("billed", self.billed);
+    visit("may_have_run", self.may_have_run);
     visit("agent", self.agent);
     visit("agent_incarnation", self.agent_incarnation);
   }
 
   friend bool operator==(const KeyOwner& a, const KeyOwner& b) {
     return std::tie(a.key, a.asked, a.stale, a.fleet_version, a.body_digest,
-                    a.attempt, a.complete, a.billed, a.agent,
+                    a.attempt, a.complete, a.billed, a.may_have_run, a.agent,
                     a.agent_incarnation) ==
            std::tie(b.key, b.asked, b.stale, b.fleet_version, b.body_digest,
-                    b.attempt, b.complete, b.billed, b.agent,
+                    b.attempt, b.complete, b.billed, b.may_have_run, b.agent,
                     b.agent_incarnation);
   }
   friend bool operator!=(const KeyOwner& a, const KeyOwner& b) {
--- a/libs/link/include/link/register_key.h
+++ b/libs/link/include/link/register_key.h
@@ -31,6 +31,9 @@
   bool complete = false;
   // With complete: what the attempt bills.
   base::Tokens billed = 0;
+  // True when an earlier attempt of the key may have executed; kept with
+  // the entry.
+  bool may_have_run = false;
   // Version of the fleet record that placed the key here.
   int64_t fleet_version = 0;
 
@@ -46,16 +49,17 @@
     visit("shadow", self.shadow);
     visit("complete", self.complete);
     visit("billed", self.billed);
+    visit("may_have_run", self.may_have_run);
     visit("fleet_version", self.fleet_version);
   }
 
   friend bool operator==(const RegisterKey& a, const RegisterKey& b) {
     return std::tie(a.key, a.body_digest, a.attempt, a.agent,
                     a.agent_incarnation, a.replaces, a.shadow, a.complete,
-                    a.billed, a.fleet_version) ==
+                    a.billed, a.may_have_run, a.fleet_version) ==
            std::tie(b.key, b.body_digest, b.attempt, b.agent,
                     b.agent_incarnation, b.replaces, b.shadow, b.complete,
-                    b.billed, b.fleet_version);
+                    b.billed, b.may_have_run, b.fleet_version);
   }
   friend bool operator!=(const RegisterKey& a, const RegisterKey& b) {
     return !(a == b);
--- a/libs/router/src/call_flow_directory.cc
+++ b/libs/router/src/call_flow_directory.cc
@@ -58,6 +58,7 @@
   request.agent_incarnation = call.agent_incarnation;
   request.replaces = call.replaces;
   request.complete = complete;
+  request.may_have_run = call.may_have_run;
   request.billed = complete ? call.billed : 0;
   request.fleet_version = context_.membership.version();
   call.registration.emplace(plan, std::move(request));
@@ -150,6 +151,7 @@
 
 void CallFlow::OnRegistered(Call& call) {
   const bool complete = call.registration->request().complete;
+  call.may_have_run = call.may_have_run || call.registration->may_have_run();
   call.registration.reset();
   if (complete) {
     Deliver(call);
@@ -211,6 +213,7 @@
   repair.body_digest = owner.body_digest;
   repair.complete = owner.complete;
   repair.billed = owner.billed;
+  repair.may_have_run = owner.may_have_run;
   repair.shadow = false;
   for (const claims::DirectoryMember& copy : call.registration->accepted()) {
     context_.SendTo(copy.incarnation, repair);
@@ -219,6 +222,7 @@
 
 void CallFlow::FollowOwner(Call& call, const link::KeyOwner& owner) {
   DropAttempt(call);
+  call.may_have_run = call.may_have_run || owner.may_have_run;
   if (call.head_sent) {
     OnConsentLost(call);
     return;
--- a/libs/router/src/registration.cc
+++ b/libs/router/src/registration.cc
@@ -32,6 +32,7 @@
   if (reply.stale) {
     return RegistrationStatus::kStale;
   }
+  may_have_run_ = may_have_run_ || reply.may_have_run;
   if (target_decides() && reply.attempt != request_.attempt) {
     owner_ = reply;
     return RegistrationStatus::kOwned;
--- a/libs/router/src/registration.h
+++ b/libs/router/src/registration.h
@@ -42,6 +42,9 @@
   RegistrationStatus OnReply(const base::Incarnation& from,
                              const link::KeyOwner& reply);
 
+  // True when a copy knows of an earlier attempt that may have executed.
+  bool may_have_run() const noexcept { return may_have_run_; }
+
   // After kOwned.
   const link::KeyOwner& owner() const noexcept { return owner_; }
   // Copies that named this attempt before another one turned up.
@@ -58,6 +61,7 @@
   std::vector<claims::DirectoryMember> accepted_;
   link::RegisterKey request_;
   link::KeyOwner owner_;
+  bool may_have_run_ = false;
 };
 
 }  // namespace godwit::router
