--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -136,6 +136,7 @@
   void EditFleet(const membership::FleetEdit& edit);
   void Step();
   void StepProcesses();
+  void CheckLedger();
   void RenewLeases();
   router::LeasesSeen Leases() const;
   void Violate(std::string text);
@@ -195,6 +196,8 @@
   base::Millis next_heartbeat_;
   // Number of the last tick.
   int64_t ticked_ = 0;
+  // Version of the ledger record checked last.
+  int64_t checked_version_ = 0;
   bool finishing_ = false;
   std::string violation_;
 };
