--- a/tools/godwitctl/src/commands.cc
+++ b/tools/godwitctl/src/commands.cc
@@ -25,8 +25,8 @@
       shown.
   config show
       Print the newest revision and its text.
-  config status [--processes IP:PORT,IP:PORT...]
-      Print the newest revision and the one in force at each process named.
+  config status [--routers IP:PORT,IP:PORT...]
+      Print the newest revision and the one in force at each router named.
 
 ORGANISATIONS AND BUDGETS
   org list
@@ -58,7 +58,7 @@
   --organisation NAME    organisation of a new budget
   --expect-held TOKENS   held tokens before a write-off
   --bill                 bill written-off tokens in place of freeing them
-  --processes LIST       HTTP addresses of processes, separated by commas
+  --routers LIST         HTTP addresses of routers, separated by commas
 
 Every command may be repeated: what has taken effect is not done twice.
 
--- a/tools/godwitctl/src/config_commands.cc
+++ b/tools/godwitctl/src/config_commands.cc
@@ -1,6 +1,5 @@
 #include "config_commands.h"
 
-#include <charconv>
 #include <optional>
 
 #include <nlohmann/json.hpp>
@@ -22,8 +21,7 @@
 using base::ErrorKind;
 using nlohmann::ordered_json;
 
-constexpr char kRevisionMetric[] = "\ngodwit_config_revision ";
-constexpr base::Millis kScrapeTimeout = base::Seconds(2);
+constexpr base::Millis kStatusTimeout = base::Seconds(2);
 
 std::string Count(size_t count, const char* what) {
   return std::to_string(count) + " " + what + (count == 1 ? "" : "s");
@@ -77,26 +75,22 @@
   return result;
 }
 
-// The revision that a process states in its metrics.
-std::optional<int64_t> ScrapeRevision(Session& session,
-                                      const config::Endpoint& process) {
-  http::ClientPool pool(session.runtime, process.ip, process.port);
-  http::ClientCall call(pool, {"GET", "/metrics", {}, ""});
-  call.TotalTimeout(kScrapeTimeout);
+// The revision that a router states to be in force.
+std::optional<int64_t> ReadRevision(Session& session,
+                                    const config::Endpoint& router) {
+  http::ClientPool pool(session.runtime, router.ip, router.port);
+  http::ClientCall call(pool, {"GET", "/status", {}, ""});
+  call.TotalTimeout(kStatusTimeout);
   const auto response = call.Perform();
   if (!response) {
     return std::nullopt;
   }
-  const std::string body = "\n" + response->body;
-  const size_t found = body.find(kRevisionMetric);
-  if (found == std::string::npos) {
+  const auto status = ordered_json::parse(response->body, nullptr, false);
+  if (!status.is_object() || !status.contains("config_revision") ||
+      !status["config_revision"].is_number_integer()) {
     return std::nullopt;
   }
-  const char* number = body.data() + found + sizeof(kRevisionMetric) - 1;
-  int64_t revision = 0;
-  const auto read =
-      std::from_chars(number, body.data() + body.size(), revision);
-  return read.ec == std::errc() ? std::optional(revision) : std::nullopt;
+  return status["config_revision"].get<int64_t>();
 }
 
 }  // namespace
@@ -198,13 +192,13 @@
       (done.available ? "revision " + std::to_string(done.version)
                       : std::string("does not answer")) +
       "\n";
-  json["processes"] = ordered_json::array();
+  json["routers"] = ordered_json::array();
   bool all_same = done.available;
-  for (const config::Endpoint& process : session.options.processes) {
-    const auto revision = ScrapeRevision(session, process);
-    const std::string address = process.ToText();
+  for (const config::Endpoint& router : session.options.routers) {
+    const auto revision = ReadRevision(session, router);
+    const std::string address = router.ToText();
     all_same = all_same && revision == done.version;
-    json["processes"].push_back(
+    json["routers"].push_back(
         {{"address", address},
          {"revision", revision ? ordered_json(*revision) : nullptr}});
     text += address + ": " +
--- a/tools/godwitctl/src/main.cc
+++ b/tools/godwitctl/src/main.cc
@@ -24,7 +24,7 @@
 DEFINE_string(organisation, "", "organisation of a new budget");
 DEFINE_string(expect_held, "", "held tokens before a write-off");
 DEFINE_bool(bill, false, "bill written-off tokens");
-DEFINE_string(processes, "", "HTTP addresses, separated by commas");
+DEFINE_string(routers, "", "HTTP addresses of routers, separated by commas");
 
 namespace godwit::ctl {
 namespace {
@@ -44,7 +44,7 @@
     options.limit = Number("limit", FLAGS_limit);
     options.expect_held = Number("expect-held", FLAGS_expect_held);
     options.platform = Platform();
-    options.processes = Addresses(FLAGS_processes);
+    options.routers = Addresses(FLAGS_routers);
     return wrong_ ? std::nullopt : std::optional(options);
   }
 
@@ -79,7 +79,7 @@
       const std::string text = list.substr(begin, end - begin);
       const auto endpoint = config::Endpoint::FromText(text);
       if (!endpoint) {
-        Refuse("processes", text, "write IP:PORT,IP:PORT");
+        Refuse("routers", text, "write IP:PORT,IP:PORT");
         return endpoints;
       }
       endpoints.push_back(*endpoint);
--- a/tools/godwitctl/src/options.h
+++ b/tools/godwitctl/src/options.h
@@ -18,7 +18,7 @@
   std::optional<int64_t> expect_held;
   std::string operation;
   std::string organisation;
-  std::vector<config::Endpoint> processes;
+  std::vector<config::Endpoint> routers;
   bool bill = false;
   bool json = false;
 };
--- a/tools/godwitctl/tests/godwitctl_test.cc
+++ b/tools/godwitctl/tests/godwitctl_test.cc
@@ -1,62 +1,22 @@
-#include <array>
-#include <cstdio>
-#include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "support/child_process.h"
+#include "support/test_directory.h"
+#include "support/tool_run.h"
 
 #include <CppUTest/TestHarness.h>
 
 using godwit::support::ChildProcess;
+using godwit::support::RunTool;
+using godwit::support::TestDirectory;
+using godwit::support::ToolRun;
 using nlohmann::json;
 
 namespace {
 
-struct Output {
-  int exit_code = -1;
-  std::string text;
-};
-
-// Runs godwitctl through the shell; stderr goes to the text as well.
-Output RunTool(const std::string& arguments) {
-  const char* directory = std::getenv("GODWIT_BIN_DIR");
-  const std::string command =
-      std::string(directory) + "/godwitctl " + arguments + " 2>&1";
-  Output output;
-  FILE* pipe = popen(command.c_str(), "r");
-  std::array<char, 4096> buffer{};
-  while (const size_t count =
-             std::fread(buffer.data(), 1, buffer.size(), pipe)) {
-    output.text.append(buffer.data(), count);
-  }
-  output.exit_code = WEXITSTATUS(pclose(pipe));
-  return output;
-}
-
-// A file that exists as long as the object.
-class TemporaryFile {
- public:
-  explicit TemporaryFile(const std::string& text) {
-    char path[] = "/tmp/godwitctl-test-XXXXXX";
-    const int descriptor = mkstemp(path);
-    FILE* file = fdopen(descriptor, "w");
-    std::fputs(text.c_str(), file);
-    std::fclose(file);
-    path_ = path;
-  }
-  ~TemporaryFile() { std::remove(path_.c_str()); }
-  TemporaryFile(const TemporaryFile&) = delete;
-  TemporaryFile& operator=(const TemporaryFile&) = delete;
-
-  const std::string& path() const noexcept { return path_; }
-
- private:
-  std::string path_;
-};
-
 std::string TextOf(int max_running) {
   return "services:\n  crew: {kind: plain, backend_servers: [agent-1], "
          "max_running: " +
@@ -64,19 +24,29 @@
          "}\norganisations:\n  acme: {budget: acme-main, api_key_hashes: []}\n";
 }
 
+// Writes a file and returns its path.
+std::string Write(const TestDirectory& directory,
+                  const std::string& name,
+                  const std::string& text) {
+  std::string path = directory.path() + "/" + name;
+  std::ofstream(path) << text;
+  return path;
+}
+
 // godwitctl against a stand-in of the platform.
 class Fleet {
  public:
   Fleet() : platform_("standin-platform", {}) {}
 
-  Output Run(const std::string& arguments) const {
-    return RunTool("--platform 127.0.0.1:" + std::to_string(platform_.port()) +
-                   " " + arguments);
+  ToolRun Run(const std::string& arguments) const {
+    return RunTool("godwitctl",
+                   "--platform 127.0.0.1:" + std::to_string(platform_.port()) +
+                       " " + arguments);
   }
 
   json RunJson(const std::string& arguments) const {
-    const Output output = Run("--json " + arguments);
-    return json::parse(output.text, nullptr, false);
+    const ToolRun run = Run("--json " + arguments);
+    return json::parse(run.output, nullptr, false);
   }
 
  private:
@@ -89,38 +59,37 @@
 
 TEST(Godwitctl, AppliesConfigurationsByCompareAndSwap) {
   const Fleet fleet;
-  const TemporaryFile first(TextOf(4));
-  const TemporaryFile second(TextOf(8));
-  const TemporaryFile invalid(TextOf(0));
-  CHECK_EQUAL(1, fleet.Run("config check " + invalid.path()).exit_code);
-  CHECK_EQUAL(1,
-              fleet.Run("config apply --expect 0 " + invalid.path()).exit_code);
-  CHECK_EQUAL(0, fleet.Run("config check " + first.path()).exit_code);
-  const json applied = fleet.RunJson("config apply --expect 0 " + first.path());
+  const TestDirectory directory;
+  const std::string first = Write(directory, "first", TextOf(4));
+  const std::string second = Write(directory, "second", TextOf(8));
+  const std::string invalid = Write(directory, "invalid", TextOf(0));
+  CHECK_EQUAL(1, fleet.Run("config check " + invalid).exit_code);
+  CHECK_EQUAL(1, fleet.Run("config apply --expect 0 " + invalid).exit_code);
+  CHECK_EQUAL(0, fleet.Run("config check " + first).exit_code);
+  const json applied = fleet.RunJson("config apply --expect 0 " + first);
   const auto revision = applied.at("revision").get<int64_t>();
   CHECK(revision > 0);
-  CHECK(fleet.RunJson("config apply --expect 0 " + first.path()) == applied);
-  const Output late = fleet.Run("config apply --expect 0 " + second.path());
+  CHECK(fleet.RunJson("config apply --expect 0 " + first) == applied);
+  const ToolRun late = fleet.Run("config apply --expect 0 " + second);
   CHECK_EQUAL(1, late.exit_code);
-  STRCMP_CONTAINS("~ services.crew.max_running: 4 -> 8", late.text.c_str());
+  STRCMP_CONTAINS("~ services.crew.max_running: 4 -> 8", late.output.c_str());
   STRCMP_CONTAINS(("--expect " + std::to_string(revision)).c_str(),
-                  late.text.c_str());
-  const Output merged =
-      fleet.Run("config apply --expect " + std::to_string(revision) + " " +
-                second.path());
+                  late.output.c_str());
+  const ToolRun merged = fleet.Run("config apply --expect " +
+                                   std::to_string(revision) + " " + second);
   CHECK_EQUAL(0, merged.exit_code);
   CHECK(fleet.RunJson("config show").at("text") == TextOf(8));
   CHECK_EQUAL(0, fleet.Run("config status").exit_code);
   STRCMP_CONTAINS("no difference",
-                  fleet.Run("config diff " + second.path()).text.c_str());
+                  fleet.Run("config diff " + second).output.c_str());
 }
 
 TEST(Godwitctl, BudgetCommandsMayBeRepeated) {
   const Fleet fleet;
-  const TemporaryFile config(TextOf(4));
+  const TestDirectory directory;
+  const std::string config = Write(directory, "config", TextOf(4));
   CHECK_EQUAL(1, fleet.Run("budget create acme-main").exit_code);
-  CHECK_EQUAL(0,
-              fleet.Run("config apply --expect 0 " + config.path()).exit_code);
+  CHECK_EQUAL(0, fleet.Run("config apply --expect 0 " + config).exit_code);
   for (int i = 0; i < 2; ++i) {
     CHECK_EQUAL(
         0, fleet.Run("budget create acme-main --limit 1000 --op o1").exit_code);
@@ -161,9 +130,9 @@
   };
   const Fleet fleet;
   for (const Case& c : cases) {
-    const Output output = fleet.Run(c.arguments);
-    CHECK_EQUAL_TEXT(c.exit_code, output.exit_code, c.arguments.c_str());
-    STRCMP_CONTAINS(c.text.c_str(), output.text.c_str());
+    const ToolRun run = fleet.Run(c.arguments);
+    CHECK_EQUAL_TEXT(c.exit_code, run.exit_code, c.arguments.c_str());
+    STRCMP_CONTAINS(c.text.c_str(), run.output.c_str());
   }
   CHECK(fleet.RunJson("budget show none").at("error").at("kind") ==
         "not_found");
@@ -173,16 +142,17 @@
   const Fleet fleet;
   CHECK_EQUAL(0, fleet.Run("budget create b --organisation o").exit_code);
   CHECK_EQUAL(0, fleet.Run("budget topup b 5 --op o1").exit_code);
-  const Output other = fleet.Run("budget topup b 6 --op o1");
+  const ToolRun other = fleet.Run("budget topup b 6 --op o1");
   CHECK_EQUAL(1, other.exit_code);
-  STRCMP_CONTAINS("conflict", other.text.c_str());
+  STRCMP_CONTAINS("conflict", other.output.c_str());
   CHECK_EQUAL(5, fleet.RunJson("budget show b").at("limit").get<int64_t>());
 }
 
 TEST(Godwitctl, SaysSoWhenThePlatformIsMissing) {
-  CHECK_EQUAL(2, RunTool("config show").exit_code);
-  const Output down = RunTool("--platform 127.0.0.1:1 config show");
+  CHECK_EQUAL(2, RunTool("godwitctl", "config show").exit_code);
+  const ToolRun down =
+      RunTool("godwitctl", "--platform 127.0.0.1:1 config show");
   CHECK_EQUAL(1, down.exit_code);
-  STRCMP_CONTAINS("does not answer", down.text.c_str());
-  CHECK_EQUAL(0, RunTool("--help").exit_code);
+  STRCMP_CONTAINS("does not answer", down.output.c_str());
+  CHECK_EQUAL(0, RunTool("godwitctl", "--help").exit_code);
 }
