--- a/tools/godwit-agent/src/agent_daemon.cc
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -9,6 +9,7 @@
 #include "agent/agent_core.h"
 #include "backend_caller.h"
 #include "base/clocks.h"
+#include "config/config.h"
 #include "config/settings.h"
 #include "config/settings_reader.h"
 #include "daemon/config_service.h"
@@ -19,10 +20,15 @@
 #include "link/transport.h"
 #include "platform/client.h"
 #include "runtime/runtime.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
 
 namespace godwit::agent_daemon {
 namespace {
 
+using telemetry::EventId;
+using telemetry::Log;
+
 constexpr base::Millis kTickPeriod(50);
 constexpr base::Millis kLeaseTtl = base::Seconds(10);
 constexpr base::Millis kFleetLimit = base::Seconds(2);
@@ -31,11 +37,26 @@
 constexpr base::Millis kLeaveNotice = base::Seconds(2);
 // Time for closing handshakes, and the messages before them, to go out.
 constexpr base::Millis kCloseNotice(500);
+// Replaced certificates are in use after this.
+constexpr base::Millis kTlsPeriod = base::Seconds(60);
 constexpr int64_t kMostDrainMillis = 3'600'000;
 constexpr int64_t kMostIdleMillis = 600'000;
 constexpr char kModelPool[] = "model_pool";
 constexpr char kPlain[] = "plain";
 
+// Logs what a peer did wrong, under the event that its kind stands for.
+void LogFault(link::ConnectionId connection, const base::Error& error) {
+  EventId event = EventId::kFrameRefused;
+  if (error.kind() == base::ErrorKind::kDeadlineExceeded) {
+    event = EventId::kLinkSilent;
+  } else if (error.kind() == base::ErrorKind::kForbidden) {
+    event = EventId::kLinkRefused;
+  } else if (error.kind() == base::ErrorKind::kUnavailable) {
+    event = EventId::kLinkClosed;
+  }
+  Log(event, {{"link", connection}, {"reason", error.ToString()}});
+}
+
 config::ServiceKind KindOf(const config::Settings& settings) {
   return settings.Text("kind") == kModelPool ? config::ServiceKind::kModelPool
                                              : config::ServiceKind::kPlain;
@@ -85,10 +106,23 @@
                 "longest time without progress of an answer", 10,
                 kMostIdleMillis)
       .Default("10000")
+      .String("link_certificate_file",
+              "PEM certificate for links; links carry TLS when it is set")
+      .Optional()
+      .String("link_key_file", "PEM key of that certificate")
+      .Optional()
+      .String("link_authority_file",
+              "PEM certificate of the authority that signs the fleet's")
+      .Optional()
       .Duration("drain_limit_ms",
                 "longest wait for requests in progress after SIGTERM", 0,
                 kMostDrainMillis)
-      .Default("60000");
+      .Default("60000")
+      .Choice("log_format", "form of log lines", {"text", "json"})
+      .Default("text")
+      .Choice("log_level", "log lines below this are left out",
+              {"debug", "info", "warning", "error"})
+      .Default("info");
 }
 
 class AgentDaemon::Impl {
@@ -123,9 +157,13 @@
       return false;
     }
     runtime_.Every(kTickPeriod, [this] { Handle(agent::Tick()); });
+    if (tls_) {
+      runtime_.Every(kTlsPeriod, [this] { ReloadTls(); });
+    }
     kernel_.Require<daemon::LeaseKeeper>("lease").Start();
     kernel_.Require<daemon::ConfigService>("config").Start();
     kernel_.Require<FleetMember>("fleet").Start(Self());
+    Log(EventId::kProcessReady, {{"incarnation", options_.incarnation}});
     std::printf("listening on %s:%u\n", settings_.Text("listen_ip").c_str(),
                 transport_->port());
     std::fflush(stdout);
@@ -136,6 +174,7 @@
     if (std::exchange(draining_, true)) {
       return;
     }
+    Log(EventId::kStopRequested, {{"running", core_.running()}});
     Handle(agent::DrainRequested());
     fleet_.Leave();
     runtime_.Spawn([this] {
@@ -155,10 +194,12 @@
   daemon::ConfigService::Handler ConfigHandler() {
     daemon::ConfigService::Handler handler;
     // The core takes nothing from the configuration; routers pull it here.
-    handler.on_in_force = [](const auto& /*config*/) {};
+    handler.on_in_force = [](const std::shared_ptr<const config::Config>& now) {
+      Log(EventId::kConfigInForce, {{"revision", now->revision}});
+    };
     handler.on_rejected = [](int64_t revision, const base::Error& error) {
-      std::fprintf(stderr, "configuration %lld is not in force: %s\n",
-                   static_cast<long long>(revision), error.ToString().c_str());
+      Log(EventId::kConfigRejected,
+          {{"revision", revision}, {"reason", error.ToString()}});
     };
     handler.send = [this](const base::ProcessId& peer,
                           const link::Message& message) {
@@ -199,13 +240,14 @@
     };
     handler.on_fault = [](link::ConnectionId connection,
                           const base::Error& error) {
-      std::fprintf(stderr, "link %lld: %s\n",
-                   static_cast<long long>(connection),
-                   error.ToString().c_str());
+      LogFault(connection, error);
     };
     handler.hello = [this] { return Hello(); };
     handler.heartbeat = [this] { return Heartbeat(); };
     link::Transport::Builder builder;
+    if (!SetTls(builder)) {
+      return false;
+    }
     transport_ =
         builder
             .Listen(settings_.Text("listen_ip"), settings_.Port("listen_port"))
@@ -215,6 +257,31 @@
     return transport_ != nullptr;
   }
 
+  // False when only some of the TLS files are set.
+  bool SetTls(link::Transport::Builder& builder) {
+    const std::string& certificate = settings_.Text("link_certificate_file");
+    const std::string& key = settings_.Text("link_key_file");
+    const std::string& authority = settings_.Text("link_authority_file");
+    tls_ = !certificate.empty();
+    if (key.empty() == tls_ || authority.empty() == tls_) {
+      error_ = base::Error(base::ErrorKind::kInvalidArgument,
+                           "only some of the link_*_file settings are set",
+                           "set all three or none");
+      return false;
+    }
+    if (tls_) {
+      builder.Tls(certificate, key, authority);
+    }
+    return true;
+  }
+
+  void ReloadTls() {
+    base::Error reason;
+    if (!transport_->ReloadTls(&reason)) {
+      Log(EventId::kCertificateRefused, {{"reason", reason.ToString()}});
+    }
+  }
+
   membership::FleetAgent Self() const {
     membership::FleetAgent self;
     self.incarnation = options_.incarnation;
@@ -252,6 +319,7 @@
     peers_[connection] = peer.process;
     connections_[peer.process] = connection;
     config_.OnPeerRevision(peer.process, peer.config_revision);
+    Log(EventId::kLinkOpened, {{"link", connection}, {"peer", peer.process}});
     Handle(agent::LinkUp{connection, peer.process, peer.incarnation});
   }
 
@@ -277,6 +345,7 @@
       return;
     }
     const base::ProcessId process = peer->second;
+    Log(EventId::kLinkClosed, {{"link", connection}, {"peer", process}});
     peers_.erase(peer);
     const auto current = connections_.find(process);
     if (current != connections_.end() && current->second == connection) {
@@ -294,9 +363,16 @@
   }
 
   void Do(const agent::SendMessage& command) {
+    if (const auto* refused = std::get_if<link::RunRefused>(&command.message)) {
+      Log(EventId::kRunRefused, {{"attempt", refused->attempt},
+                                 {"kind", base::ErrorKindName(refused->kind)}});
+    }
     transport_->Send(command.connection, command.message);
   }
-  void Do(const agent::CallBackend& command) { backend_.Call(command); }
+  void Do(const agent::CallBackend& command) {
+    Log(EventId::kRunStarted, {{"attempt", command.attempt}});
+    backend_.Call(command);
+  }
   void Do(const agent::CancelBackend& command) {
     backend_.Cancel(command.attempt);
   }
@@ -309,6 +385,7 @@
   void Do(const agent::SendOrder& command) { backend_.Order(command); }
   void Do(const agent::Drained& /*command*/) {
     drained_ = true;
+    Log(EventId::kDrained);
     StopWhenDrained();
   }
 
@@ -332,6 +409,7 @@
             (names.empty() ? std::string("only answers to be handed over")
                            : names),
         "raise drain_limit_ms to let them end");
+    Log(EventId::kDrainBoundReached, {{"running", names}});
     Stop();
   }
 
@@ -359,6 +437,7 @@
   std::map<link::ConnectionId, base::ProcessId> peers_;
   std::map<base::ProcessId, link::ConnectionId> connections_;
   base::Error error_;
+  bool tls_ = false;
   bool draining_ = false;
   bool drained_ = false;
   bool notice_given_ = false;
