--- a/libs/experiments/src/cas_queue.cc
+++ b/libs/experiments/src/cas_queue.cc
@@ -19,8 +19,15 @@
   const int shard = ledger::ShardOf(budget, shard_count_);
   Queue& queue =
       queues_.try_emplace(shard, ledger::ShardKey(shard)).first->second;
-  queue.jobs.push_back(
-      Job{std::move(edit), std::move(finished), now + patience_});
+  Job job{std::move(edit), std::move(finished), now + patience_};
+  if (job.finished) {
+    queue.jobs.push_back(std::move(job));
+    return;
+  }
+  // Nobody waits for these, but they free budget: they go first, behind the one
+  // in flight.
+  const auto place = queue.jobs.begin() + (queue.writing ? 1 : 0);
+  queue.jobs.insert(place, std::move(job));
 }
 
 const ledger::Budget* CasQueue::seen(const base::BudgetId& budget) const {
--- a/libs/experiments/src/policy_spender.cc
+++ b/libs/experiments/src/policy_spender.cc
@@ -42,6 +42,10 @@
 void PolicySpender::Step(base::Millis now,
                          const ledger::HolderEvent& event,
                          SpenderOutput& out) {
+  if (!started_) {
+    started_ = true;
+    Step(now, ledger::AgentsChanged{setup_.agents}, out);
+  }
   for (const auto& command : holder_.Step(now, event)) {
     std::visit(Sort{out}, command);
   }
@@ -73,10 +77,6 @@
 }
 
 void PolicySpender::Tick(base::Millis now, SpenderOutput& out) {
-  if (!started_) {
-    started_ = true;
-    Step(now, ledger::AgentsChanged{setup_.agents}, out);
-  }
   Step(now, ledger::Tick{}, out);
 }
 
--- a/libs/ledger/src/edit_planner.cc
+++ b/libs/ledger/src/edit_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace godwit::ledger {
@@ -135,10 +136,9 @@
     return local.grant ? false : Draw(local, 0, edit);
   }
   if (lacking > free) {
-    return AskForRecall(local, local.waiting.front().request.amount - available,
-                        edit);
+    return AskForRecall(local, lacking, edit);
   }
-  const Tokens spare = OthersWants(BudgetIn(edit, local.id), false) > 0
+  const Tokens spare = OthersWants(BudgetIn(edit, local.id)) > 0
                            ? 0
                            : std::max<Tokens>(0, Target(context, local));
   return Draw(local, std::min(free, std::max(lacking, sum - available) + spare),
@@ -161,7 +161,7 @@
                             LedgerEdit& edit) {
   edit.Want(local.id, self_, 0);
   const Budget& budget = BudgetIn(edit, local.id);
-  const Tokens unclaimed = budget.free() - OthersWants(budget, false);
+  const Tokens unclaimed = budget.free() - OthersWants(budget);
   const Tokens available = AvailableIn(context.view, local);
   const Tokens target = Target(context, local);
   local.low_water = target / kLowWaterDivisor;
@@ -188,10 +188,9 @@
   if (GrantIn(edit, local) == nullptr) {
     return false;
   }
-  // Of two routers that both lack tokens, the one whose name sorts first keeps
-  // what it has, so that they don't pass the rest back and forth.
-  const bool lacks = !local.waiting.empty();
-  const Tokens unmet = UnmetWants(BudgetIn(edit, local.id), lacks);
+  const Budget& budget = BudgetIn(edit, local.id);
+  const Tokens unmet =
+      std::max<Tokens>(0, PriorWants(budget, local) - budget.free());
   const Tokens spare = AvailableIn(context.view, local);
   const Tokens gift = std::min(unmet, spare);
   return gift > 0 && edit.Shrink(local.id, local.grant->id, gift);
@@ -233,19 +232,32 @@
   return edit.ListAgents(local.id, local.grant->id, missing);
 }
 
-Tokens EditPlanner::OthersWants(const Budget& budget, bool only_prior) const {
+Tokens EditPlanner::OthersWants(const Budget& budget) const {
   Tokens sum = 0;
   for (const auto& [holder, amount] : budget.wants) {
-    const bool counts = only_prior ? holder < self_ : holder != self_;
-    if (counts) {
+    if (holder != self_) {
       sum += std::min(amount, budget.limit - sum);
     }
   }
   return sum;
 }
 
-Tokens EditPlanner::UnmetWants(const Budget& budget, bool only_prior) const {
-  return std::max<Tokens>(0, OthersWants(budget, only_prior) - budget.free());
+Tokens EditPlanner::PriorWants(const Budget& budget,
+                               const LocalBudget& local) const {
+  if (local.waiting.empty()) {
+    return OthersWants(budget);
+  }
+  // Of routers that all lack tokens, the one that lacks least goes first, so
+  // that they don't pass the rest back and forth and most requests are served.
+  const auto mark = budget.wants.find(self_);
+  const Tokens own = mark == budget.wants.end() ? 0 : mark->second;
+  Tokens sum = 0;
+  for (const auto& [holder, amount] : budget.wants) {
+    if (std::tie(amount, holder) < std::tie(own, self_)) {
+      sum += std::min(amount, budget.limit - sum);
+    }
+  }
+  return sum;
 }
 
 }  // namespace godwit::ledger
--- a/libs/ledger/src/edit_planner.h
+++ b/libs/ledger/src/edit_planner.h
@@ -62,9 +62,10 @@
   bool ListUsable(const Context& context,
                   const LocalBudget& local,
                   LedgerEdit& edit) const;
-  // What other routers lack beyond what is free.
-  base::Tokens UnmetWants(const Budget& budget, bool only_prior) const;
-  base::Tokens OthersWants(const Budget& budget, bool only_prior) const;
+  // What other routers lack.
+  base::Tokens OthersWants(const Budget& budget) const;
+  // What those other routers lack that come before this one.
+  base::Tokens PriorWants(const Budget& budget, const LocalBudget& local) const;
 
   base::Incarnation self_;
   HolderPolicy policy_;
--- a/libs/ledger/src/holder_state.cc
+++ b/libs/ledger/src/holder_state.cc
@@ -66,10 +66,7 @@
   LocalBudget& local = BudgetOf(reservation.budget);
   local.burn.Add(now_, billed);
   local.used_at = now_;
-  Shard& shard = ShardOfBudget(local);
-  shard.lazy = true;
-  ServeWaiting(local);
-  Pump(shard);
+  OnFreed(local);
 }
 
 void BudgetHolder::State::On(const RunReleased& event) {
@@ -85,8 +82,15 @@
   }
   grant->reserved -= reservation.amount;
   LocalBudget& local = BudgetOf(reservation.budget);
+  OnFreed(local);
+}
+
+void BudgetHolder::State::OnFreed(LocalBudget& local) {
   Shard& shard = ShardOfBudget(local);
+  const Budget* const budget = shard.view.budget(local.id);
+  const bool wanted = budget != nullptr && !budget->wants.empty();
   shard.lazy = true;
+  shard.check = shard.check || wanted;
   ServeWaiting(local);
   Pump(shard);
 }
--- a/libs/ledger/src/holder_state.h
+++ b/libs/ledger/src/holder_state.h
@@ -69,6 +69,8 @@
   void On(const platform::KvWriteDone& event);
 
   // Reservations.
+  // Some of the budget's reservations ended.
+  void OnFreed(LocalBudget& local);
   LocalBudget& BudgetOf(const base::BudgetId& id);
   // The budget's grant if it is still the one named.
   HeldGrant* GrantOf(const base::BudgetId& budget, const base::GrantId& grant);
