--- a/libs/cas/include/cas/key_view.h
+++ b/libs/cas/include/cas/key_view.h
@@ -88,6 +88,11 @@
     if (!done.available || done.version < version_) {
       return Progress::kFailed;
     }
+    if (known_ && done.version == version_) {
+      outdated_ = false;
+      proven_at_ = started_at;
+      return Progress::kAdopted;
+    }
     auto record = Codec().Decode(done.value);
     corrupt_ = !record.has_value();
     if (corrupt_) {
--- a/libs/experiments/tests/budgets_experiment_test.cc
+++ b/libs/experiments/tests/budgets_experiment_test.cc
@@ -14,6 +14,8 @@
 using godwit::experiments::BudgetsRun;
 using godwit::experiments::BudgetWorkload;
 using godwit::experiments::BudgetWorkloads;
+using godwit::experiments::PrintBudgets;
+using godwit::experiments::PrintBudgetsCsv;
 using godwit::experiments::SpenderKind;
 
 TEST_GROUP(BudgetsExperiment){
--- a/libs/ledger/src/grant_recovery.cc
+++ b/libs/ledger/src/grant_recovery.cc
@@ -23,13 +23,23 @@
 }
 
 bool GrantRecovery::Advance(LedgerEdit& edit) const {
-  bool advanced = false;
-  const LedgerRecord before = edit.record();
-  for (const auto& [budget_id, budget] : before.budgets) {
+  struct Recovered {
+    base::BudgetId budget;
+    base::GrantId id;
+    Grant grant;
+  };
+  std::vector<Recovered> recovered;
+  for (const auto& [budget_id, budget] : edit.record().budgets) {
     for (const auto& [id, grant] : budget.grants) {
-      advanced |= AdvanceGrant(edit, budget_id, id, grant);
+      if (grant.state == GrantState::kSealed || lost_.count(id) != 0) {
+        recovered.push_back({budget_id, id, grant});
+      }
     }
   }
+  bool advanced = false;
+  for (const Recovered& entry : recovered) {
+    advanced |= AdvanceGrant(edit, entry.budget, entry.id, entry.grant);
+  }
   return advanced;
 }
 
@@ -37,13 +47,8 @@
                                  const base::BudgetId& budget,
                                  const base::GrantId& grant,
                                  const Grant& state) const {
-  bool advanced = false;
-  if (state.state == GrantState::kActive) {
-    if (lost_.count(grant) == 0) {
-      return false;
-    }
-    advanced = edit.Seal(budget, grant);
-  }
+  bool advanced =
+      state.state == GrantState::kActive && edit.Seal(budget, grant);
   advanced |= AdvanceAccounts(edit, budget, grant, state);
   advanced |= edit.Close(budget, grant);
   return advanced;
