--- a/libs/router/src/call_flow.cc
+++ b/libs/router/src/call_flow.cc
@@ -18,6 +18,28 @@
 // Slack over the time in which budget holder and claim writer answer.
 constexpr base::Millis kMachineLimit = base::Seconds(10);
 
+std::string_view PhaseName(CallPhase phase) noexcept {
+  switch (phase) {
+    case CallPhase::kRegistering:
+      return "registering";
+    case CallPhase::kReplanning:
+      return "replanning";
+    case CallPhase::kClaiming:
+      return "claiming";
+    case CallPhase::kReserving:
+      return "reserving";
+    case CallPhase::kStarting:
+      return "starting";
+    case CallPhase::kProbing:
+      return "probing";
+    case CallPhase::kRunning:
+      return "running";
+    case CallPhase::kConfirming:
+      return "confirming";
+  }
+  return "unknown";
+}
+
 base::Digest DigestOfParts(std::initializer_list<std::string_view> parts) {
   std::string whole;
   for (const std::string_view part : parts) {
@@ -72,6 +94,9 @@
     return;
   }
   CloseCaller(*call, Outcome::kCallerGone, ErrorKind::kCancelled);
+  if (call->lost) {
+    return;
+  }
   if (!call->own) {
     Forget(*call);
     return;
@@ -207,6 +232,11 @@
   switch (call.phase) {
     case CallPhase::kRegistering:
     case CallPhase::kReplanning:
+      if (call.lost) {
+        FailUnknown(call, unreachable, kAskAgain);
+        Register(call, false);
+        return;
+      }
       Refuse(call, unreachable, kAskAgain);
       return;
     case CallPhase::kClaiming:
@@ -249,6 +279,10 @@
 void CallFlow::Refuse(Call& call,
                       const base::Error& why,
                       base::Millis retry_after) {
+  if (MustConfirmRefusal(call)) {
+    ConfirmRefusal(call, why, retry_after);
+    return;
+  }
   const bool not_run =
       !call.may_have_run && !call.ended && (!call.keyed || call.fresh);
   if (!not_run) {
@@ -263,6 +297,28 @@
   Forget(call);
 }
 
+// While a registered call waited, a retry through another router may have
+// taken its place in the directory and run.
+bool CallFlow::MustConfirmRefusal(const Call& call) const noexcept {
+  return call.open && call.keyed && call.fresh && !call.may_have_run &&
+         !call.ended && !call.refusal && !call.registered.empty() &&
+         call.registered_at != context_.now;
+}
+
+void CallFlow::ConfirmRefusal(Call& call,
+                              const base::Error& why,
+                              base::Millis retry_after) {
+  DropAttempt(call);
+  call.refusal = PendingRefusal{why, retry_after};
+  call.fresh = false;
+  call.sent = false;
+  call.replaces = call.registered;
+  call.agent = base::ProcessId();
+  call.agent_incarnation = base::Incarnation();
+  Bind(call, context_.NewAttempt());
+  Register(call, false);
+}
+
 void CallFlow::FailUnknown(Call& call,
                            const base::Error& why,
                            base::Millis retry_after) {
@@ -365,10 +421,24 @@
                     [](const auto& entry) { return entry.second.open; }));
 }
 
+std::vector<OpenCall> CallFlow::OpenCalls() const {
+  std::vector<OpenCall> result;
+  result.reserve(calls_.size());
+  for (const auto& [exchange, call] : calls_) {
+    result.push_back(OpenCall{call.request.service, call.attempt,
+                              call.agent_incarnation, PhaseName(call.phase),
+                              call.open});
+  }
+  return result;
+}
+
 bool CallFlow::IsConfirming(const base::Incarnation& agent) const noexcept {
   return std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
-    return entry.second.phase == CallPhase::kConfirming &&
-           entry.second.agent_incarnation == agent && !entry.second.forgotten;
+    const Call& call = entry.second;
+    const bool confirming =
+        call.phase == CallPhase::kConfirming && call.agent_incarnation == agent;
+    const bool lost = call.lost && call.lost->agent == agent;
+    return !call.forgotten && (confirming || lost);
   });
 }
 
--- a/libs/router/src/call_flow.h
+++ b/libs/router/src/call_flow.h
@@ -15,6 +15,7 @@
 #include "ledger/reserve_refused.h"
 #include "link/message.h"
 #include "router/exchange_id.h"
+#include "router/open_call.h"
 #include "router/outcome.h"
 
 namespace godwit::router {
@@ -52,9 +53,10 @@
 
   // Calls whose caller awaits an answer.
   size_t open_calls() const noexcept;
+  std::vector<OpenCall> OpenCalls() const;
   // All calls, those that only await their bill included.
   size_t calls() const noexcept { return calls_.size(); }
-  // True while a whole answer of that agent awaits its bill.
+  // True while an answer of that agent may still be billed.
   bool IsConfirming(const base::Incarnation& agent) const noexcept;
 
  private:
@@ -89,6 +91,8 @@
   void Attach(Call& call);
   void ReplaceForeign(Call& call, bool may_have_run);
   void OnAttemptLost(Call& call);
+  void FenceLost(Call& call);
+  void ResolveLost(Call& call, const link::KeyOwner& owner);
 
   // call_flow_answer.cc
   void OnHead(Call& call, const link::RunHead& frame);
@@ -103,6 +107,8 @@
   // Final answers. Refuse says "not run" only when that is certain, and
   // otherwise that the outcome is unknown.
   void Refuse(Call& call, const base::Error& why, base::Millis retry_after);
+  bool MustConfirmRefusal(const Call& call) const noexcept;
+  void ConfirmRefusal(Call& call, const base::Error& why, base::Millis retry);
   void FailUnknown(Call& call, const base::Error& why, base::Millis retry);
   void CloseCaller(Call& call, Outcome outcome, base::ErrorKind kind);
   // Gives up the current attempt, for which nothing will be billed.
