Report platform calls and unanswered requests to shells

A router that counts its KV calls and waits for the last bytes of answers at its end needs both from the libraries. Wrapping the KV executor alone was ruled out: leases, watches and the VM list don't pass through it. Event 611 tells of budgets that a stopping router could not give back.

The blocking TLS connection of the HTTP tests moves to a header of its own.

--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -74,6 +74,9 @@
   // Accepts no new connections; open ones go on, and idle ones are closed.
   void StopAccepting();
 
+  // Requests whose answers the connections have not taken whole. Any thread.
+  size_t unanswered() const noexcept;
+
   // Reads certificate and key files again for new connections. False when
   // they can't be used; the old ones stay in force, see `reason`.
   bool ReloadTls(base::Error* reason);
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -191,6 +191,10 @@
   return state_->listening_port;
 }
 
+size_t Server::unanswered() const noexcept {
+  return state_->context->unanswered;
+}
+
 void Server::StopAccepting() {
   boost::asio::post(state_->context->runtime.io(),
                     [state = state_] { state->StopAccepting(); });
--- a/libs/http/src/session.cc
+++ b/libs/http/src/session.cc
@@ -96,6 +96,7 @@
     error_code ec;
     Socket().close(ec);
     if (auto exchange = std::exchange(exchange_, nullptr)) {
+      --context_->unanswered;
       context_->runtime.Post([exchange] { exchange->CallerGone(); });
     }
   }
@@ -295,6 +296,7 @@
     request.body = std::move(parser_->get().body());
     exchange_ = std::make_shared<Exchange::State>(std::move(request),
                                                   this->shared_from_this());
+    ++context_->unanswered;
     context_->runtime.Post([context = context_, state = exchange_] {
       auto exchange = std::make_shared<Exchange>(state);
       if (context->handler) {
@@ -384,6 +386,7 @@
 
   void FinishAnswer() {
     if (auto exchange = std::exchange(exchange_, nullptr)) {
+      --context_->unanswered;
       context_->runtime.Post([exchange] { exchange->Finished(); });
     }
     if (!output_.keep_alive()) {
--- a/libs/http/src/session_context.h
+++ b/libs/http/src/session_context.h
@@ -1,6 +1,7 @@
 #ifndef HTTP_SRC_SESSION_CONTEXT_H_
 #define HTTP_SRC_SESSION_CONTEXT_H_
 
+#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <set>
@@ -28,6 +29,9 @@
   bool stopping = false;
   // I/O thread: the open connections.
   std::set<Session*> sessions;
+  // Requests whose answer the connection has not taken whole. Written by the
+  // I/O thread.
+  std::atomic<size_t> unanswered{0};
 };
 
 }  // namespace godwit::http
--- a/libs/http/tests/tls_test.cc
+++ b/libs/http/tests/tls_test.cc
@@ -1,11 +1,4 @@
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/ssl/context.hpp>
-#include <boost/asio/ssl/stream.hpp>
-#include <boost/asio/write.hpp>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -20,11 +13,10 @@
 #include "raw_connection.h"
 #include "support/test_certificate.h"
 #include "support/test_directory.h"
+#include "tls_connection.h"
 
 #include <CppUTest/TestHarness.h>
 
-namespace asio = boost::asio;
-using boost::system::error_code;
 using godwit::base::Error;
 using godwit::base::ErrorKind;
 using godwit::base::Seconds;
@@ -32,6 +24,7 @@
 using godwit::http::Exchange;
 using godwit::http::RawConnection;
 using godwit::http::Server;
+using godwit::http::TlsConnection;
 using godwit::support::TestCertificate;
 using godwit::support::TestDirectory;
 
@@ -43,52 +36,6 @@
 const std::string kStream = "GET /stream HTTP/1.1\r\nConnection: close\r\n\r\n";
 const std::string kHold = "GET /hold HTTP/1.1\r\n\r\n";
 
-// A blocking TLS connection that trusts any certificate.
-class TlsConnection {
- public:
-  explicit TlsConnection(uint16_t port) : stream_(io_, context_) {
-    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
-                                           port);
-    stream_.next_layer().connect(endpoint);
-    stream_.handshake(asio::ssl::stream_base::client, error_);
-  }
-
-  bool Send(const std::string& bytes) {
-    asio::write(stream_, asio::buffer(bytes), error_);
-    return !error_;
-  }
-
-  std::string ReadUntil(const std::string& text) {
-    std::string received;
-    asio::read_until(stream_, asio::dynamic_buffer(received), text, error_);
-    return received;
-  }
-
-  std::string ReadToEnd() {
-    std::string received;
-    asio::read(stream_, asio::dynamic_buffer(received), error_);
-    return received;
-  }
-
-  // Whether the peer ended the TLS session in order.
-  bool ended_in_order() const { return error_ == asio::error::eof; }
-
-  std::string SubjectOfPeer() {
-    X509* peer = SSL_get1_peer_certificate(stream_.native_handle());
-    char name[64] = {};
-    X509_NAME_get_text_by_NID(X509_get_subject_name(peer), NID_commonName, name,
-                              sizeof(name));
-    X509_free(peer);
-    return name;
-  }
-
- private:
-  asio::io_context io_;
-  asio::ssl::context context_{asio::ssl::context::tls_client};
-  asio::ssl::stream<asio::ip::tcp::socket> stream_;
-  error_code error_;
-};
-
 void Copy(const std::string& from, const std::string& to) {
   std::filesystem::copy_file(from, to,
                              std::filesystem::copy_options::overwrite_existing);
--- a/libs/platform/include/platform/client.h
+++ b/libs/platform/include/platform/client.h
@@ -2,6 +2,7 @@
 #define PLATFORM_CLIENT_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "base/error.h"
 #include "base/millis.h"
+#include "platform/call_seen.h"
 #include "platform/kv_read_done.h"
 #include "platform/kv_write.h"
 #include "platform/kv_write_done.h"
@@ -45,6 +47,9 @@
   // Time after which a call counts as unanswered. Default 2 s. Returns *this.
   Client& CallTimeout(base::Millis span);
 
+  // Reports each call once it ended. Set before the first call. Returns *this.
+  Client& OnCall(std::function<void(const CallSeen&)> seen);
+
   KvReadDone Read(const std::string& key);
 
   // Waits until the key's version differs from `after_version`, at most
--- a/libs/platform/src/client.cc
+++ b/libs/platform/src/client.cc
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/clocks.h"
 #include "http/client_call.h"
 #include "http/client_pool.h"
 #include "http/target.h"
@@ -76,6 +77,23 @@
   return done;
 }
 
+std::string_view OutcomeOf(const std::optional<http::Response>& response) {
+  if (!response) {
+    return "unanswered";
+  }
+  switch (response->status) {
+    case kOk:
+    case kNotModified:
+      return "ok";
+    case kNotFound:
+      return "missing";
+    case kConflict:
+      return "conflict";
+    default:
+      return "refused";
+  }
+}
+
 // Member `name` of a JSON object; empty when it isn't a string.
 std::string StringMember(const json& object, const char* name) {
   const auto member = object.is_object() ? object.find(name) : object.end();
@@ -117,13 +135,18 @@
 
   // The answer, if one came within the call timeout and `extra`. `sent` as in
   // http::ClientCall.
-  std::optional<http::Response> Perform(http::Request request,
+  std::optional<http::Response> Perform(std::string_view verb,
+                                        http::Request request,
                                         base::Millis extra = base::Millis(0),
                                         bool* sent = nullptr) {
     const base::Millis timeout = call_timeout + extra;
     http::ClientCall call(pool, std::move(request));
     call.IdleTimeout(timeout).TotalTimeout(timeout);
+    const base::Millis begun = base::SteadyNow();
     auto response = call.Perform();
+    if (on_call) {
+      on_call({verb, OutcomeOf(response), base::SteadyNow() - begun});
+    }
     if (sent != nullptr) {
       *sent = call.sent();
     }
@@ -131,8 +154,9 @@
   }
 
   // The answer if its status is 200.
-  std::optional<http::Response> PerformOk(http::Request request) {
-    auto response = Perform(std::move(request));
+  std::optional<http::Response> PerformOk(std::string_view verb,
+                                          http::Request request) {
+    auto response = Perform(verb, std::move(request));
     if (!response || response->status != kOk) {
       return std::nullopt;
     }
@@ -141,6 +165,7 @@
 
   http::ClientPool pool;
   base::Millis call_timeout = base::Seconds(2);
+  std::function<void(const CallSeen&)> on_call;
 };
 
 Client::Client(runtime::Runtime& runtime, std::string ip, uint16_t port)
@@ -153,8 +178,14 @@
   return *this;
 }
 
+Client& Client::OnCall(std::function<void(const CallSeen&)> seen) {
+  state_->on_call = std::move(seen);
+  return *this;
+}
+
 KvReadDone Client::Read(const std::string& key) {
-  const auto response = state_->Perform({"GET", KeyTarget(key), {}, ""});
+  const auto response =
+      state_->Perform("read", {"GET", KeyTarget(key), {}, ""});
   KvReadDone done;
   if (response && response->status == kNotFound) {
     done.available = true;
@@ -172,7 +203,7 @@
   const std::string target = KeyTarget(key) +
                              "?after=" + std::to_string(after_version) +
                              "&wait_ms=" + std::to_string(wait.count());
-  const auto response = state_->Perform({"GET", target, {}, ""}, wait);
+  const auto response = state_->Perform("watch", {"GET", target, {}, ""}, wait);
   KvReadDone done;
   if (!response) {
     return done;
@@ -192,8 +223,9 @@
 
 KvWriteDone Client::Write(const KvWrite& write) {
   bool sent = false;
-  const auto response = state_->Perform(
-      {"PUT", WriteTarget(write), {}, write.value}, base::Millis(0), &sent);
+  const auto response =
+      state_->Perform("write", {"PUT", WriteTarget(write), {}, write.value},
+                      base::Millis(0), &sent);
   KvWriteDone done = Judge(response, sent);
   done.operation = write.operation;
   return done;
@@ -202,6 +234,7 @@
 std::optional<std::vector<std::string>> Client::ListKeys(
     const std::string& prefix) {
   const auto response = state_->PerformOk(
+      "list",
       {"GET", "/kv?prefix=" + PercentEncode(prefix) + "&values=0", {}, ""});
   const auto entries = response ? ParseArray(*response) : std::nullopt;
   if (!entries) {
@@ -217,6 +250,7 @@
 
 std::optional<std::string> Client::GrantLease(base::Millis ttl) {
   const auto response = state_->PerformOk(
+      "lease",
       {"POST", "/lease?ttl_ms=" + std::to_string(ttl.count()), {}, ""});
   if (!response) {
     return std::nullopt;
@@ -231,7 +265,7 @@
 
 std::optional<bool> Client::RenewLease(const std::string& lease) {
   const auto response = state_->Perform(
-      {"POST", "/lease/" + PercentEncode(lease) + "/renew", {}, ""});
+      "lease", {"POST", "/lease/" + PercentEncode(lease) + "/renew", {}, ""});
   if (response && response->status == kOk) {
     return true;
   }
@@ -242,7 +276,7 @@
 }
 
 std::optional<std::vector<Vm>> Client::ListVms() {
-  const auto response = state_->PerformOk({"GET", "/vms", {}, ""});
+  const auto response = state_->PerformOk("vms", {"GET", "/vms", {}, ""});
   const auto entries = response ? ParseArray(*response) : std::nullopt;
   if (!entries) {
     return std::nullopt;
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -55,6 +55,7 @@
   kBudgetExhausted = 608,
   kUsageHandedOver = 609,
   kClaimsWritten = 610,
+  kHandOverLate = 611,
   // Backend servers.
   kBackendDown = 701,
   kBackendUp = 702,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -100,6 +100,9 @@
        "A stopping process handed over its unsettled usage."},
       {EventId::kClaimsWritten, Level::kDebug, "claims_written",
        "Claims of calls that may not be repeated were written."},
+      {EventId::kHandOverLate, Level::kWarning, "hand_over_late",
+       "A stopping router could not give its budgets back in time; other "
+       "routers recover them once its lease lapses."},
       {EventId::kBackendDown, Level::kWarning, "backend_down",
        "A backend server does not answer its agent."},
       {EventId::kBackendUp, Level::kInfo, "backend_up",
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -19,7 +19,8 @@
 
 [[noreturn]] void Execute(const std::string& path,
                           const std::vector<std::string>& arguments,
-                          int output) {
+                          int output,
+                          int error_output) {
   std::vector<char*> argv;
   argv.push_back(const_cast<char*>(path.c_str()));
   for (const std::string& argument : arguments) {
@@ -27,6 +28,9 @@
   }
   argv.push_back(nullptr);
   dup2(output, STDOUT_FILENO);
+  if (error_output >= 0) {
+    dup2(error_output, STDERR_FILENO);
+  }
   execv(path.c_str(), argv.data());
   _exit(127);
 }
@@ -52,15 +56,24 @@
 }  // namespace
 
 ChildProcess::ChildProcess(const std::string& program,
-                           const std::vector<std::string>& arguments) {
+                           const std::vector<std::string>& arguments,
+                           const std::string& error_file) {
   int ends[2] = {-1, -1};
   if (pipe2(ends, O_CLOEXEC) != 0) {
     return;
   }
   const std::string path = ProgramPath(program);
+  const int error_output =
+      error_file.empty()
+          ? -1
+          : open(error_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                 0600);
   pid_ = fork();
   if (pid_ == 0) {
-    Execute(path, arguments, ends[1]);
+    Execute(path, arguments, ends[1], error_output);
+  }
+  if (error_output >= 0) {
+    close(error_output);
   }
   close(ends[1]);
   port_ = ReadPort(ends[0]);
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -13,9 +13,11 @@
 // "listening on IP:PORT" when it is ready. Killed and reaped at the end.
 class ChildProcess {
  public:
-  // Starts GODWIT_BIN_DIR/`program` and waits until it is ready.
+  // Starts GODWIT_BIN_DIR/`program` and waits until it is ready. Its stderr
+  // goes to `error_file`, or to that of the test when empty.
   ChildProcess(const std::string& program,
-               const std::vector<std::string>& arguments);
+               const std::vector<std::string>& arguments,
+               const std::string& error_file = "");
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
