Share links, KV health, logs and TLS settings among the shells

The router needs what the agent's shell has for logs and TLS. LinkHub, LinkTls and the log settings now stand once; the agent takes the settings from there and reads its certificates again on SIGHUP. An expired certificate of one's own is refused when it is loaded, with the date: OpenSSL loads it without complaint and only peers would have noticed.

--- a/libs/daemon/include/daemon/config_service.h
+++ b/libs/daemon/include/daemon/config_service.h
@@ -52,6 +52,10 @@
 
   // Revision in force; 0 for none.
   int64_t revision() const noexcept { return spread_.revision(); }
+  // The configuration in force; null for none.
+  const std::shared_ptr<const config::Config>& in_force() const noexcept {
+    return in_force_;
+  }
   // True once a configuration is in force that the KV or, while it is down,
   // the peers have confirmed.
   bool may_serve() const noexcept { return spread_.may_serve(); }
@@ -68,6 +72,7 @@
   platform::Client& client_;
   const Handler handler_;
   config::Spread spread_;
+  std::shared_ptr<const config::Config> in_force_;
 };
 
 }  // namespace godwit::daemon
--- /dev/null
+++ b/libs/daemon/include/daemon/process_metrics.h
@@ -0,0 +1,16 @@
+#ifndef DAEMON_PROCESS_METRICS_H_
+#define DAEMON_PROCESS_METRICS_H_
+
+namespace godwit::telemetry {
+class Metrics;
+}
+
+namespace godwit::daemon {
+
+// Sets the metrics of this process itself: processor time, memory and dropped
+// log lines.
+void SetProcessMetrics(telemetry::Metrics& metrics);
+
+}  // namespace godwit::daemon
+
+#endif  // DAEMON_PROCESS_METRICS_H_
--- a/libs/daemon/src/config_service.cc
+++ b/libs/daemon/src/config_service.cc
@@ -77,6 +77,7 @@
 }
 
 void ConfigService::Do(const config::InForce& command) {
+  in_force_ = command.config;
   handler_.on_in_force(command.config);
 }
 
--- a/libs/daemon/src/on_terminate.cc
+++ b/libs/daemon/src/on_signal.cc
@@ -1,17 +1,16 @@
-#include "daemon/on_terminate.h"
+#include "daemon/on_signal.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <utility>
 
 #include "runtime/runtime.h"
 
 namespace godwit::daemon {
 
-struct OnTerminate::State : std::enable_shared_from_this<State> {
+struct OnSignal::State : std::enable_shared_from_this<State> {
   State(runtime::Runtime& r, std::function<void()> h)
-      : runtime(r), handler(std::move(h)), signals(r.io(), SIGTERM, SIGINT) {}
+      : runtime(r), handler(std::move(h)), signals(r.io()) {}
 
   void Wait() {
     signals.async_wait([self = shared_from_this()](
@@ -29,13 +28,17 @@
   boost::asio::signal_set signals;
 };
 
-OnTerminate::OnTerminate(runtime::Runtime& runtime,
-                         std::function<void()> handler)
+OnSignal::OnSignal(runtime::Runtime& runtime,
+                   const std::vector<int>& numbers,
+                   std::function<void()> handler)
     : state_(std::make_shared<State>(runtime, std::move(handler))) {
+  for (const int number : numbers) {
+    state_->signals.add(number);
+  }
   state_->Wait();
 }
 
-OnTerminate::~OnTerminate() {
+OnSignal::~OnSignal() {
   boost::system::error_code ignored;
   state_->signals.cancel(ignored);
 }
--- a/tools/godwit-agent/src/agent_daemon.cc
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -14,6 +14,8 @@
 #include "config/settings_reader.h"
 #include "daemon/config_service.h"
 #include "daemon/lease_keeper.h"
+#include "daemon/link_tls.h"
+#include "daemon/log_settings.h"
 #include "daemon/new_incarnation.h"
 #include "fleet_member.h"
 #include "kernel/kernel.h"
@@ -106,23 +108,12 @@
                 "longest time without progress of an answer", 10,
                 kMostIdleMillis)
       .Default("10000")
-      .String("link_certificate_file",
-              "PEM certificate for links; links carry TLS when it is set")
-      .Optional()
-      .String("link_key_file", "PEM key of that certificate")
-      .Optional()
-      .String("link_authority_file",
-              "PEM certificate of the authority that signs the fleet's")
-      .Optional()
       .Duration("drain_limit_ms",
                 "longest wait for requests in progress after SIGTERM", 0,
                 kMostDrainMillis)
-      .Default("60000")
-      .Choice("log_format", "form of log lines", {"text", "json"})
-      .Default("text")
-      .Choice("log_level", "log lines below this are left out",
-              {"debug", "info", "warning", "error"})
-      .Default("info");
+      .Default("60000");
+  daemon::DeclareLinkTls(reader);
+  daemon::DeclareLogSettings(reader);
 }
 
 class AgentDaemon::Impl {
@@ -157,9 +148,7 @@
       return false;
     }
     runtime_.Every(kTickPeriod, [this] { Handle(agent::Tick()); });
-    if (tls_) {
-      runtime_.Every(kTlsPeriod, [this] { ReloadTls(); });
-    }
+    runtime_.Every(kTlsPeriod, [this] { ReloadCertificates(); });
     kernel_.Require<daemon::LeaseKeeper>("lease").Start();
     kernel_.Require<daemon::ConfigService>("config").Start();
     kernel_.Require<FleetMember>("fleet").Start(Self());
@@ -188,6 +177,19 @@
     });
   }
 
+  void ReloadCertificates() {
+    if (!tls_.enabled()) {
+      return;
+    }
+    base::Error reason;
+    if (const auto wrong = tls_.Check()) {
+      reason = *wrong;
+    } else if (transport_->ReloadTls(&reason)) {
+      return;
+    }
+    Log(EventId::kCertificateRefused, {{"reason", reason.ToString()}});
+  }
+
   const base::Error& last_error() const noexcept { return error_; }
 
  private:
@@ -257,31 +259,19 @@
     return transport_ != nullptr;
   }
 
-  // False when only some of the TLS files are set.
+  // False when the TLS files can't be used.
   bool SetTls(link::Transport::Builder& builder) {
-    const std::string& certificate = settings_.Text("link_certificate_file");
-    const std::string& key = settings_.Text("link_key_file");
-    const std::string& authority = settings_.Text("link_authority_file");
-    tls_ = !certificate.empty();
-    if (key.empty() == tls_ || authority.empty() == tls_) {
-      error_ = base::Error(base::ErrorKind::kInvalidArgument,
-                           "only some of the link_*_file settings are set",
-                           "set all three or none");
+    auto tls = daemon::LinkTlsOf(settings_, &error_);
+    if (!tls) {
       return false;
     }
-    if (tls_) {
-      builder.Tls(certificate, key, authority);
+    tls_ = std::move(*tls);
+    if (tls_.enabled()) {
+      builder.Tls(tls_.certificate, tls_.key, tls_.authority);
     }
     return true;
   }
 
-  void ReloadTls() {
-    base::Error reason;
-    if (!transport_->ReloadTls(&reason)) {
-      Log(EventId::kCertificateRefused, {{"reason", reason.ToString()}});
-    }
-  }
-
   membership::FleetAgent Self() const {
     membership::FleetAgent self;
     self.incarnation = options_.incarnation;
@@ -433,11 +423,11 @@
   daemon::ConfigService config_;
   FleetMember fleet_;
   BackendCaller backend_;
+  daemon::LinkTls tls_;
   std::unique_ptr<link::Transport> transport_;
   std::map<link::ConnectionId, base::ProcessId> peers_;
   std::map<base::ProcessId, link::ConnectionId> connections_;
   base::Error error_;
-  bool tls_ = false;
   bool draining_ = false;
   bool drained_ = false;
   bool notice_given_ = false;
@@ -458,6 +448,10 @@
   impl_->Drain();
 }
 
+void AgentDaemon::ReloadCertificates() {
+  impl_->ReloadCertificates();
+}
+
 const base::Error& AgentDaemon::last_error() const noexcept {
   return impl_->last_error();
 }
--- a/tools/godwit-agent/src/agent_daemon.h
+++ b/tools/godwit-agent/src/agent_daemon.h
@@ -34,6 +34,10 @@
   void Drain();
 
   // kNone unless the agent could not start or did not stop in order.
+  // Reads the certificates of links again; links that are up go on. Core
+  // thread.
+  void ReloadCertificates();
+
   const base::Error& last_error() const noexcept;
 
  private:
--- a/tools/godwit-agent/src/main.cc
+++ b/tools/godwit-agent/src/main.cc
@@ -1,17 +1,17 @@
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <cstdio>
 #include <string>
 
 #include "agent_daemon.h"
 #include "config/settings.h"
 #include "config/settings_reader.h"
-#include "daemon/on_terminate.h"
+#include "daemon/log_settings.h"
+#include "daemon/on_signal.h"
 #include "runtime/runtime.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
-#include "telemetry/log_format.h"
-#include "telemetry/log_options.h"
 
 DEFINE_string(settings, "", "YAML file with the settings of this agent");
 
@@ -22,28 +22,19 @@
     "the routers of the fleet.\n\n"
     "  godwit-agent --settings FILE\n\n"
     "SIGTERM stops it in order: it takes no new runs, finishes those in "
-    "progress and hands their answers over.\n"
+    "progress and hands their answers over. SIGHUP makes it read its "
+    "certificates again.\n"
     "Exit codes: 0 stopped in order, 1 can't serve or stopped with runs in "
     "progress, 2 settings or command line not valid.\n\nSettings:\n";
 
-godwit::telemetry::LogOptions LogOptionsOf(
-    const godwit::config::Settings& settings) {
-  godwit::telemetry::LogOptions options;
-  options.process = settings.Text("process");
-  options.format = settings.Text("log_format") == "json"
-                       ? godwit::telemetry::LogFormat::kJson
-                       : godwit::telemetry::LogFormat::kText;
-  options.level = godwit::telemetry::LevelOf(settings.Text("log_level"))
-                      .value_or(options.level);
-  return options;
-}
-
 [[noreturn]] void Serve(const godwit::config::Settings& settings) {
-  godwit::telemetry::StartLogging(LogOptionsOf(settings));
+  godwit::telemetry::StartLogging(godwit::daemon::LogOptionsOf(settings));
   godwit::runtime::Runtime runtime;
   godwit::agent_daemon::AgentDaemon daemon(runtime, settings);
-  godwit::daemon::OnTerminate on_terminate(runtime,
-                                           [&daemon] { daemon.Drain(); });
+  godwit::daemon::OnSignal on_terminate(runtime, {SIGTERM, SIGINT},
+                                        [&daemon] { daemon.Drain(); });
+  godwit::daemon::OnSignal on_hangup(
+      runtime, {SIGHUP}, [&daemon] { daemon.ReloadCertificates(); });
   runtime.Run([&] {
     if (!daemon.Start()) {
       runtime.Stop();
