Serve logs, metrics, TLS and an ordered stop in the router's shell

- Numbered events in place of prints; each ended request is one record in the log and feeds the metrics that /metrics serves.
- Callers' TLS and TLS on links from settings; SIGHUP reads the files again.
- SIGTERM: unready at once, requests refused after drain_grace_ms, those in progress finished, budgets handed back. handback_limit_ms bounds the end when the KV is down.
The order is a small machine with a test of its own.
- /status lists open calls and whether the KV serves.

--- a/tests/samples/samples_test.cc
+++ b/tests/samples/samples_test.cc
@@ -9,7 +9,7 @@
 #include "config/parser.h"
 #include "config/settings.h"
 #include "config/settings_reader.h"
-#include "router_daemon.h"
+#include "router_settings.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tools/godwit-router/src/error_page.cc
+++ b/tools/godwit-router/src/error_page.cc
@@ -10,6 +10,12 @@
 
 constexpr int64_t kMillisInSecond = 1000;
 
+std::string RetryAfterSeconds(base::Millis wait) {
+  return std::to_string((wait.count() + kMillisInSecond - 1) / kMillisInSecond);
+}
+
+}  // namespace
+
 int StatusOf(ErrorKind kind) {
   switch (kind) {
     case ErrorKind::kInvalidArgument:
@@ -43,12 +49,6 @@
   }
 }
 
-std::string RetryAfterSeconds(base::Millis wait) {
-  return std::to_string((wait.count() + kMillisInSecond - 1) / kMillisInSecond);
-}
-
-}  // namespace
-
 http::Response ErrorPage(const router::CallerError& error) {
   const nlohmann::json body = {
       {"error",
--- a/tools/godwit-router/src/front_door.cc
+++ b/tools/godwit-router/src/front_door.cc
@@ -7,6 +7,8 @@
 #include "http/request.h"
 #include "http/response.h"
 #include "router/request_parser.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
 
 namespace godwit::router_daemon {
 namespace {
@@ -65,6 +67,9 @@
   auto request = parser.Parse(*config, exchange->request());
   if (!request) {
     const base::Error& why = parser.last_error();
+    telemetry::Log(
+        telemetry::EventId::kRequestMalformed,
+        {{"kind", base::ErrorKindName(why.kind())}, {"reason", why.message()}});
     exchange->Respond(ErrorPage(
         {why.kind(), why.message(), why.remedy(), true, base::Millis()}));
     return;
--- a/tools/godwit-router/src/main.cc
+++ b/tools/godwit-router/src/main.cc
@@ -1,13 +1,18 @@
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <cstdio>
 #include <string>
 
 #include "config/settings.h"
 #include "config/settings_reader.h"
-#include "daemon/on_terminate.h"
+#include "daemon/log_settings.h"
+#include "daemon/on_signal.h"
 #include "router_daemon.h"
+#include "router_settings.h"
 #include "runtime/runtime.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
 
 DEFINE_string(settings, "", "YAML file with the settings of this router");
 
@@ -17,28 +22,34 @@
     "Serves callers of the fleet: checks budgets, routes requests to agents "
     "and relays their answers.\n\n"
     "  godwit-router --settings FILE\n\n"
-    "SIGTERM stops it in order: it takes no new requests, finishes those in "
-    "progress and hands its budgets back.\n"
-    "Exit codes: 0 stopped in order, 1 can't serve, 2 settings or command "
-    "line not valid.\n\nSettings:\n";
+    "SIGTERM stops it in order: it says that it is not ready, takes no new "
+    "requests after a grace, finishes those in progress and hands its budgets "
+    "back; while the KV is down, other routers recover them. SIGHUP makes it "
+    "read its certificates again.\n"
+    "Exit codes: 0 stopped in order, 1 can't serve or stopped with requests in "
+    "progress, 2 settings or command line not valid.\n\nSettings:\n";
 
-int Serve(const godwit::config::Settings& settings) {
+[[noreturn]] void Serve(const godwit::config::Settings& settings) {
+  godwit::telemetry::StartLogging(godwit::daemon::LogOptionsOf(settings));
   godwit::runtime::Runtime runtime;
   godwit::router_daemon::RouterDaemon daemon(runtime, settings);
-  godwit::daemon::OnTerminate on_terminate(runtime,
-                                           [&daemon] { daemon.Drain(); });
-  bool started = false;
+  godwit::daemon::OnSignal on_terminate(runtime, {SIGTERM, SIGINT},
+                                        [&daemon] { daemon.Drain(); });
+  godwit::daemon::OnSignal on_hangup(
+      runtime, {SIGHUP}, [&daemon] { daemon.ReloadCertificates(); });
   runtime.Run([&] {
-    started = daemon.Start();
-    if (!started) {
+    if (!daemon.Start()) {
       runtime.Stop();
     }
   });
-  if (!started) {
-    std::fprintf(stderr, "%s\n", daemon.last_error().ToString().c_str());
-    return 1;
+  const godwit::base::Error& error = daemon.last_error();
+  const bool in_order = error.kind() == godwit::base::ErrorKind::kNone;
+  if (!in_order) {
+    std::fprintf(stderr, "%s\n", error.ToString().c_str());
   }
-  return 0;
+  godwit::telemetry::Log(godwit::telemetry::EventId::kProcessStopped);
+  godwit::telemetry::StopLogging();
+  godwit::runtime::Runtime::Exit(in_order ? 0 : 1);
 }
 
 }  // namespace
@@ -53,5 +64,5 @@
     std::fprintf(stderr, "%s\n", reader.last_error().ToString().c_str());
     return godwit::config::kSettingsExitCode;
   }
-  return Serve(*settings);
+  Serve(*settings);
 }
--- /dev/null
+++ b/tools/godwit-router/src/operator_pages.h
@@ -0,0 +1,37 @@
+#ifndef GODWIT_ROUTER_OPERATOR_PAGES_H_
+#define GODWIT_ROUTER_OPERATOR_PAGES_H_
+
+#include <string>
+
+#include "base/ids.h"
+
+namespace godwit::kernel {
+class Kernel;
+}
+
+namespace godwit::router_daemon {
+
+// Bodies of the pages that operators and scrapers read. Finds the services
+// that it reports on in the kernel. Core thread.
+class OperatorPages {
+ public:
+  // The kernel must hold metrics, core, links, config and kv_health before a
+  // page is asked for.
+  OperatorPages(const kernel::Kernel& kernel,
+                base::ProcessId process,
+                base::Incarnation incarnation);
+
+  // Metrics in the Prometheus text format.
+  std::string Metrics() const;
+  // State of this router as JSON.
+  std::string Status(bool ready, bool leaving) const;
+
+ private:
+  const kernel::Kernel& kernel_;
+  const base::ProcessId process_;
+  const base::Incarnation incarnation_;
+};
+
+}  // namespace godwit::router_daemon
+
+#endif  // GODWIT_ROUTER_OPERATOR_PAGES_H_
--- a/tools/godwit-router/src/router_daemon.cc
+++ b/tools/godwit-router/src/router_daemon.cc
@@ -1,8 +1,7 @@
 #include "router_daemon.h"
 
 #include <cstdio>
-#include <map>
-#include <nlohmann/json.hpp>
+#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
@@ -10,65 +9,58 @@
 #include "base/clocks.h"
 #include "config/config.h"
 #include "config/settings.h"
-#include "config/settings_reader.h"
 #include "daemon/config_service.h"
 #include "daemon/kv_executor.h"
+#include "daemon/kv_health.h"
 #include "daemon/lease_keeper.h"
-#include "daemon/new_incarnation.h"
+#include "daemon/link_hub.h"
+#include "daemon/link_tls.h"
 #include "front_door.h"
 #include "http/server.h"
 #include "kernel/kernel.h"
-#include "link/transport.h"
+#include "operator_pages.h"
 #include "platform/client.h"
 #include "platform_watch.h"
+#include "request_recorder.h"
 #include "router/router_core.h"
+#include "router_settings.h"
 #include "runtime/runtime.h"
+#include "stop_plan.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
+#include "telemetry/metrics.h"
 
 namespace godwit::router_daemon {
 namespace {
 
+using telemetry::EventId;
+using telemetry::Log;
+
 constexpr base::Millis kTickPeriod(50);
 constexpr base::Millis kLeaseTtl = base::Seconds(10);
-// Time for a balancer to see that the router is not ready before it closes its
-// port.
-constexpr int64_t kMostDrainMillis = 3'600'000;
-
-router::RouterOptions OptionsOf(const config::Settings& settings) {
-  router::RouterOptions options;
-  options.process = base::ProcessId(settings.Text("process"));
-  options.incarnation = daemon::NewIncarnation(options.process);
-  options.data_centre = base::DataCentreId(settings.Text("data_centre"));
-  options.seed = daemon::NewSeed();
-  return options;
+constexpr base::Millis kMetricsWindow = base::Seconds(60);
+// Longest wait at the end for callers to take the last bytes of their answers.
+constexpr base::Millis kFlushLimit = base::Seconds(3);
+constexpr base::Millis kFlushPeriod(10);
+// Time for the closing handshakes of links to go out.
+constexpr base::Millis kCloseNotice(200);
+
+std::string Describe(const router::OpenCall& call) {
+  return call.service.value() + " " + call.attempt.value() + " (" +
+         std::string(call.phase) + " at " + call.agent.value() + ")";
 }
 
 }  // namespace
 
-void DeclareSettings(config::SettingsReader& reader) {
-  reader.Name("process", "name of this router, stable over restarts")
-      .Name("fleet", "name of the fleet; links join one fleet only")
-      .Name("data_centre", "where this router runs")
-      .Ip("listen_ip", "IP number that callers connect to")
-      .Default("127.0.0.1")
-      .Port("listen_port", "port that callers connect to; 0 for a free one")
-      .Default("8080")
-      .Address("platform", "IP:PORT of the platform's KV")
-      .Duration("drain_limit_ms",
-                "longest wait for requests in progress after SIGTERM", 0,
-                kMostDrainMillis)
-      .Default("60000")
-      .Integer("max_body_bytes", "largest request body", 1024,
-               int64_t{64} * 1024 * 1024)
-      .Default("8388608");
-}
-
 class RouterDaemon::Impl {
  public:
   Impl(runtime::Runtime& runtime, const config::Settings& settings)
       : runtime_(runtime),
         settings_(settings),
         options_(OptionsOf(settings)),
+        stop_plan_(StopLimitsOf(settings)),
         core_(options_),
+        kv_health_(metrics_),
         platform_(runtime,
                   settings.Address("platform").ip,
                   settings.Address("platform").port),
@@ -78,24 +70,35 @@
                "routers/" + options_.incarnation.value(),
                kLeaseTtl),
         config_(runtime, platform_, ConfigHandler()),
+        links_(runtime, config_, LinkHandler()),
         watch_(runtime,
                platform_,
                [this](const router::RouterEvent& event) { Handle(event); }),
+        recorder_(metrics_),
+        pages_(kernel_, options_.process, options_.incarnation),
         door_(DoorHandler()) {
-    kernel_.Register("platform", platform_)
+    platform_.OnCall(
+        [this](const platform::CallSeen& call) { kv_health_.OnCall(call); });
+    kernel_.Register("metrics", metrics_)
+        .Register("kv_health", kv_health_)
+        .Register("platform", platform_)
+        .Register("kv", kv_)
         .Register("lease", lease_, [this] { lease_.Stop(); })
         .Register("config", config_)
+        .Register("links", links_, [this] { links_.CloseAll(); })
         .Register("core", core_)
+        .Register("recorder", recorder_)
         .Register("front_door", door_);
   }
 
   bool Start() {
+    Log(EventId::kProcessStarting, {{"incarnation", options_.incarnation}});
     if (!StartLinks() || !StartHttp()) {
       return false;
     }
-    Handle(router::Tick{base::WallNow()});
-    runtime_.Every(kTickPeriod,
-                   [this] { Handle(router::Tick{base::WallNow()}); });
+    Tick();
+    runtime_.Every(kTickPeriod, [this] { Tick(); });
+    runtime_.Every(kMetricsWindow, [this] { metrics_.CloseWindow(); });
     kernel_.Require<daemon::LeaseKeeper>("lease").Start();
     kernel_.Require<daemon::ConfigService>("config").Start();
     watch_.Start();
@@ -106,21 +109,27 @@
   }
 
   void Drain() {
-    if (draining_) {
+    if (stop_plan_.begun()) {
       return;
     }
-    draining_ = true;
-    Handle(router::DrainRequested());
-    runtime_.Spawn([this] {
-      runtime::Runtime::SleepFor(settings_.Duration("drain_limit_ms"));
-      if (!stopped_) {
-        std::fprintf(stderr,
-                     "the drain limit is over with %zu requests in progress; "
-                     "raise drain_limit_ms to let them end\n",
-                     core_.open_calls());
-        Stop();
-      }
-    });
+    stop_plan_.Begin(base::SteadyNow());
+    Log(EventId::kStopRequested, {{"open_requests", core_.open_calls()}});
+  }
+
+  void ReloadCertificates() {
+    links_.ReloadTls();
+    if (!caller_tls_.enabled()) {
+      return;
+    }
+    base::Error reason;
+    if (const auto wrong = caller_tls_.Check()) {
+      reason = *wrong;
+    } else if (server_->ReloadTls(&reason)) {
+      Log(EventId::kCertificateLoaded, {{"file", caller_tls_.certificate}});
+      return;
+    }
+    Log(EventId::kCertificateRefused,
+        {{"file", caller_tls_.certificate}, {"reason", reason.ToString()}});
   }
 
   const base::Error& last_error() const noexcept { return error_; }
@@ -129,70 +138,91 @@
   daemon::ConfigService::Handler ConfigHandler() {
     daemon::ConfigService::Handler handler;
     handler.on_in_force = [this](std::shared_ptr<const config::Config> config) {
-      config_in_force_ = config;
+      Log(EventId::kConfigInForce, {{"revision", config->revision}});
       Handle(router::ConfigInForce{std::move(config)});
     };
     handler.on_rejected = [](int64_t revision, const base::Error& error) {
-      std::fprintf(stderr, "configuration %lld is not in force: %s\n",
-                   static_cast<long long>(revision), error.ToString().c_str());
+      Log(EventId::kConfigRejected,
+          {{"revision", revision}, {"reason", error.ToString()}});
     };
-    handler.send = [this](const base::ProcessId& peer, link::Message message) {
-      const auto position = connections_.find(peer);
-      if (position != connections_.end()) {
-        transport_->Send(position->second, message);
-      }
+    handler.send = [this](const base::ProcessId& peer,
+                          const link::Message& message) {
+      links_.SendTo(peer, message);
     };
     return handler;
   }
 
-  FrontDoor::Handler DoorHandler() {
-    FrontDoor::Handler handler;
-    handler.on_event = [this](const router::RouterEvent& event) {
-      Handle(event);
-    };
-    handler.config = [this] { return config_in_force_.get(); };
-    handler.ready = [this] { return core_.ready() && config_.may_serve(); };
-    handler.metrics = [] { return std::string(); };
-    handler.status = [this] { return Status(); };
-    return handler;
-  }
-
-  bool StartLinks() {
-    link::TransportHandler handler;
+  daemon::LinkHub::Handler LinkHandler() {
+    daemon::LinkHub::Handler handler;
     handler.on_up = [this](link::ConnectionId connection,
                            const link::Hello& peer) {
-      OnLinkUp(connection, peer);
+      Handle(router::LinkOpened{connection, peer});
     };
     handler.on_message = [this](link::ConnectionId connection,
                                 link::Message message) {
-      OnLinkMessage(connection, std::move(message));
+      Handle(router::LinkReceived{connection, std::move(message)});
     };
-    handler.on_down = [this](link::ConnectionId connection) {
-      OnLinkDown(connection);
+    handler.on_down = [this](link::ConnectionId connection,
+                             const base::ProcessId& peer) {
+      Handle(router::LinkClosed{connection, peer});
     };
     handler.hello = [this] { return Hello(); };
     handler.heartbeat = [this] { return Heartbeat(); };
-    link::Transport::Builder builder;
-    transport_ = builder.Handle(std::move(handler)).Build(runtime_);
-    error_ = builder.last_error();
-    return transport_ != nullptr;
+    return handler;
+  }
+
+  FrontDoor::Handler DoorHandler() {
+    FrontDoor::Handler handler;
+    handler.on_event = [this](const router::RouterEvent& event) {
+      Handle(event);
+    };
+    handler.config = [this] { return config_.in_force().get(); };
+    handler.ready = [this] { return ready(); };
+    handler.metrics = [this] { return pages_.Metrics(); };
+    handler.status = [this] {
+      return pages_.Status(ready(), stop_plan_.begun());
+    };
+    return handler;
+  }
+
+  bool StartLinks() {
+    auto tls = daemon::LinkTlsOf(settings_, &error_);
+    if (!tls) {
+      return false;
+    }
+    const bool started = links_.Start(std::move(*tls), "", 0);
+    error_ = links_.last_error();
+    return started;
   }
 
   bool StartHttp() {
+    const auto tls = CallerTlsOf(settings_, &error_);
+    if (!tls) {
+      return false;
+    }
+    caller_tls_ = *tls;
     http::Server::Builder builder;
-    server_ =
-        builder
-            .Address(settings_.Text("listen_ip"), settings_.Port("listen_port"))
-            .MaxBodyBytes(
-                static_cast<size_t>(settings_.Integer("max_body_bytes")))
-            .Handle([this](std::shared_ptr<http::Exchange> exchange) {
-              door_.OnExchange(std::move(exchange));
-            })
-            .Build(runtime_);
+    builder.Address(settings_.Text("listen_ip"), settings_.Port("listen_port"))
+        .MaxBodyBytes(static_cast<size_t>(settings_.Integer("max_body_bytes")))
+        .ReadTimeout(settings_.Duration("read_limit_ms"))
+        .Handle([this](std::shared_ptr<http::Exchange> exchange) {
+          door_.OnExchange(std::move(exchange));
+        });
+    if (caller_tls_.enabled()) {
+      builder.Tls(caller_tls_.certificate, caller_tls_.key);
+    }
+    server_ = builder.Build(runtime_);
     error_ = builder.last_error();
+    if (server_ != nullptr && caller_tls_.enabled()) {
+      Log(EventId::kCertificateLoaded, {{"file", caller_tls_.certificate}});
+    }
     return server_ != nullptr;
   }
 
+  bool ready() const {
+    return core_.ready() && config_.may_serve() && !stop_plan_.begun();
+  }
+
   link::Hello Hello() const {
     link::Hello hello;
     hello.protocol = link::kProtocolVersion;
@@ -201,56 +231,25 @@
     hello.incarnation = options_.incarnation;
     hello.data_centre = options_.data_centre;
     hello.config_revision = config_.revision();
-    hello.leaving = draining_;
+    hello.leaving = stop_plan_.begun();
     return hello;
   }
 
   link::Heartbeat Heartbeat() const {
     link::Heartbeat heartbeat;
     heartbeat.config_revision = config_.revision();
-    heartbeat.leaving = draining_;
+    heartbeat.leaving = stop_plan_.begun();
     return heartbeat;
   }
 
-  void OnLinkUp(link::ConnectionId connection, const link::Hello& peer) {
-    peers_[connection] = peer.process;
-    connections_[peer.process] = connection;
-    config_.OnPeerRevision(peer.process, peer.config_revision);
-    Handle(router::LinkOpened{connection, peer});
-  }
-
-  void OnLinkMessage(link::ConnectionId connection, link::Message message) {
-    const auto peer = peers_.find(connection);
-    if (peer == peers_.end()) {
-      return;
-    }
-    if (const auto* pull = std::get_if<link::PullConfig>(&message)) {
-      config_.OnPull(peer->second, *pull);
-      return;
-    }
-    if (const auto* push = std::get_if<link::PushConfig>(&message)) {
-      config_.OnPush(*push);
-      return;
-    }
-    if (const auto* heartbeat = std::get_if<link::Heartbeat>(&message)) {
-      config_.OnPeerRevision(peer->second, heartbeat->config_revision);
-    }
-    Handle(router::LinkReceived{connection, std::move(message)});
-  }
-
-  void OnLinkDown(link::ConnectionId connection) {
-    base::ProcessId process;
-    const auto peer = peers_.find(connection);
-    if (peer != peers_.end()) {
-      process = peer->second;
-      peers_.erase(peer);
-      const auto current = connections_.find(process);
-      if (current != connections_.end() && current->second == connection) {
-        connections_.erase(current);
-        config_.OnPeerGone(process);
-      }
+  void Tick() {
+    Handle(router::Tick{base::WallNow()});
+    if (!announced_ && ready()) {
+      announced_ = true;
+      Log(EventId::kProcessReady, {{"links", links_.links()}});
     }
-    Handle(router::LinkClosed{connection, process});
+    Follow(
+        stop_plan_.Step(base::SteadyNow(), core_.OpenCalls().size(), drained_));
   }
 
   void Handle(const router::RouterEvent& event) {
@@ -265,13 +264,13 @@
     door_.Do(answer);
   }
   void Do(const router::SendMessage& command) {
-    transport_->Send(command.connection, command.message);
+    links_.Send(command.connection, command.message);
   }
   void Do(const router::DialAgent& command) {
-    transport_->Dial(command.ip, command.port);
+    links_.Dial(command.ip, command.port);
   }
   void Do(const router::CloseLink& command) {
-    transport_->Close(command.connection);
+    links_.Close(command.connection);
   }
   void Do(const platform::KvRead& command) {
     kv_.Read(command,
@@ -281,54 +280,82 @@
     kv_.Write(command,
               [this](const platform::KvWriteDone& done) { Handle(done); });
   }
-  void Do(const router::RequestEnded&) {}
-  void Do(const router::Drained&) {
-    if (draining_) {
-      Stop();
+  void Do(const router::RequestEnded& ended) {
+    recorder_.Record(ended, *config_.in_force());
+  }
+  void Do(const router::Drained& /*command*/) { drained_ = true; }
+
+  void Follow(StopPlan::Action action) {
+    switch (action) {
+      case StopPlan::Action::kNone:
+        return;
+      case StopPlan::Action::kRefuse:
+        Handle(router::DrainRequested());
+        return;
+      case StopPlan::Action::kEnd:
+        Log(EventId::kDrained);
+        break;
+      case StopPlan::Action::kEndLate:
+        Log(EventId::kHandOverLate,
+            {{"handback_limit_ms", settings_.Duration("handback_limit_ms")}});
+        break;
+      case StopPlan::Action::kEndCut:
+        NameWhatIsCut();
+        break;
     }
+    runtime_.Spawn([this] { Stop(); });
   }
 
-  void Stop() {
-    if (stopped_) {
-      return;
+  void NameWhatIsCut() {
+    std::string names;
+    for (const router::OpenCall& call : core_.OpenCalls()) {
+      names += (names.empty() ? "" : ", ") + Describe(call);
     }
-    stopped_ = true;
+    error_ = base::Error(base::ErrorKind::kDeadlineExceeded,
+                         "the drain limit is over; still running: " + names,
+                         "raise drain_limit_ms to let them end");
+    Log(EventId::kDrainBoundReached, {{"running", names}});
+  }
+
+  void Stop() {
     server_->StopAccepting();
+    if (error_.kind() == base::ErrorKind::kNone) {
+      AwaitLastBytes();
+    }
     kernel_.Stop();
+    runtime::Runtime::SleepFor(kCloseNotice);
     runtime_.Stop();
   }
 
-  std::string Status() const {
-    return nlohmann::json{{"process", options_.process.value()},
-                          {"incarnation", options_.incarnation.value()},
-                          {"config_revision", config_.revision()},
-                          {"ready", core_.ready()},
-                          {"leaving", draining_},
-                          {"open_requests", core_.open_calls()},
-                          {"links", connections_.size()}}
-               .dump() +
-           "\n";
+  void AwaitLastBytes() {
+    const base::Millis limit = base::SteadyNow() + kFlushLimit;
+    while (server_->unanswered() > 0 && base::SteadyNow() < limit) {
+      runtime::Runtime::SleepFor(kFlushPeriod);
+    }
   }
 
   runtime::Runtime& runtime_;
   const config::Settings settings_;
   const router::RouterOptions options_;
   kernel::Kernel kernel_;
+  StopPlan stop_plan_;
   router::RouterCore core_;
+  telemetry::Metrics metrics_;
+  daemon::KvHealth kv_health_;
   platform::Client platform_;
   daemon::KvExecutor kv_;
   daemon::LeaseKeeper lease_;
   daemon::ConfigService config_;
+  daemon::LinkHub links_;
   PlatformWatch watch_;
+  RequestRecorder recorder_;
+  OperatorPages pages_;
   FrontDoor door_;
-  std::unique_ptr<link::Transport> transport_;
+  CallerTls caller_tls_;
   std::unique_ptr<http::Server> server_;
-  std::shared_ptr<const config::Config> config_in_force_;
-  std::map<link::ConnectionId, base::ProcessId> peers_;
-  std::map<base::ProcessId, link::ConnectionId> connections_;
   base::Error error_;
-  bool draining_ = false;
-  bool stopped_ = false;
+  bool announced_ = false;
+  bool drained_ = false;
 };
 
 RouterDaemon::RouterDaemon(runtime::Runtime& runtime,
@@ -345,6 +372,10 @@
   impl_->Drain();
 }
 
+void RouterDaemon::ReloadCertificates() {
+  impl_->ReloadCertificates();
+}
+
 const base::Error& RouterDaemon::last_error() const noexcept {
   return impl_->last_error();
 }
--- a/tools/godwit-router/src/router_daemon.h
+++ b/tools/godwit-router/src/router_daemon.h
@@ -7,8 +7,7 @@
 
 namespace godwit::config {
 class Settings;
-class SettingsReader;
-}  // namespace godwit::config
+}
 
 namespace godwit::runtime {
 class Runtime;
@@ -16,10 +15,7 @@
 
 namespace godwit::router_daemon {
 
-// Declares the settings of the router.
-void DeclareSettings(config::SettingsReader& reader);
-
-// The router process: the core and the shell round it.
+// The router process: the core and the shell round it. Core thread.
 class RouterDaemon {
  public:
   RouterDaemon(runtime::Runtime& runtime, const config::Settings& settings);
@@ -27,14 +23,20 @@
   RouterDaemon(const RouterDaemon&) = delete;
   RouterDaemon& operator=(const RouterDaemon&) = delete;
 
-  // Starts to serve and prints the address on standard output. Core thread.
-  // False when an address or a file can't be used; see last_error().
+  // Starts to serve and prints the address on standard output. False when an
+  // address or a file can't be used; see last_error().
   bool Start();
 
-  // Takes no new requests, finishes those in progress, hands budgets back and
-  // stops the runtime. A second call does nothing. Core thread.
+  // Stops in order: is not ready at once, refuses requests after the grace,
+  // finishes those in progress, hands budgets back and stops the runtime. A
+  // second call does nothing.
   void Drain();
 
+  // Reads certificates again; open connections and links go on. Files that
+  // can't be used are logged, and those before stay in use.
+  void ReloadCertificates();
+
+  // Why Start failed, or what the stop cut off; kind kNone for neither.
   const base::Error& last_error() const noexcept;
 
  private:
--- /dev/null
+++ b/tools/godwit-router/src/stop_plan.cc
@@ -0,0 +1,42 @@
+#include "stop_plan.h"
+
+namespace godwit::router_daemon {
+
+void StopPlan::Begin(base::Millis now) noexcept {
+  if (!begun_at_) {
+    begun_at_ = now;
+  }
+}
+
+StopPlan::Action StopPlan::Step(base::Millis now,
+                                size_t open_calls,
+                                bool drained) noexcept {
+  if (!begun_at_ || ended_) {
+    return Action::kNone;
+  }
+  const base::Millis refuse_at = *begun_at_ + limits_.grace;
+  if (!refusing_) {
+    refusing_ = now >= refuse_at;
+    return refusing_ ? Action::kRefuse : Action::kNone;
+  }
+  if (open_calls > 0) {
+    idle_since_.reset();
+    return now >= refuse_at + limits_.drain ? End(Action::kEndCut)
+                                            : Action::kNone;
+  }
+  if (drained) {
+    return End(Action::kEnd);
+  }
+  if (!idle_since_) {
+    idle_since_ = now;
+  }
+  return now >= *idle_since_ + limits_.hand_over ? End(Action::kEndLate)
+                                                 : Action::kNone;
+}
+
+StopPlan::Action StopPlan::End(Action action) noexcept {
+  ended_ = true;
+  return action;
+}
+
+}  // namespace godwit::router_daemon
--- /dev/null
+++ b/tools/godwit-router/tests/router_process_test.cc
@@ -0,0 +1,205 @@
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+
+#include "raw_connection.h"
+#include "telemetry/request_record.h"
+#include "test_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::http::RawConnection;
+using godwit::router_daemon::Await;
+using godwit::router_daemon::BodyOfAnswer;
+using godwit::router_daemon::QuestionText;
+using godwit::router_daemon::RequestText;
+using godwit::router_daemon::StatusOfAnswer;
+using godwit::router_daemon::TestFleet;
+using godwit::router_daemon::TicketText;
+using godwit::telemetry::RequestOutcome;
+using godwit::telemetry::RequestRecord;
+using godwit::telemetry::RequestRecordOf;
+using nlohmann::json;
+
+namespace {
+
+constexpr char kChat[] = "/v1/chat/completions";
+constexpr char kFirstEvent[] = "data: {";
+constexpr char kLastEvent[] = "data: [DONE]";
+
+std::string Without(const std::string& text, const std::string& part) {
+  std::string rest = text;
+  rest.erase(rest.find(part), part.size());
+  return rest;
+}
+
+// The error of an answer; fails the test unless it is a typed error that says
+// that nothing ran.
+json CheckedError(const std::string& answer, const char* name) {
+  const json page = json::parse(BodyOfAnswer(answer), nullptr, false);
+  CHECK_TEXT(page.is_object() && page.contains("error"), name);
+  json error = page.at("error");
+  CHECK_TEXT(!error.at("message").get<std::string>().empty(), name);
+  CHECK_TEXT(!error.at("remedy").get<std::string>().empty(), name);
+  CHECK_TEXT(error.at("not_run").get<bool>(), name);
+  return error;
+}
+
+}  // namespace
+
+TEST_GROUP(RouterProcess){};
+
+TEST(RouterProcess, RefusesBadInputAndServesOn) {
+  TestFleet fleet({"max_body_bytes: 1024\nread_limit_ms: 500\n", "", false});
+  CHECK(Await([&] { return fleet.IsReady(); }));
+  const std::string good = TicketText();
+  const struct {
+    const char* name;
+    std::string bytes;
+    int status;
+    const char* kind;
+  } cases[] = {
+      {"malformed JSON", RequestText(kChat, "{\"model\":"), 400, "malformed"},
+      {"oversized body", RequestText(kChat, std::string(2000, 'x')), 413,
+       "too_large"},
+      {"unknown service", RequestText("/services/none/x", "{}"), 404,
+       "not_found"},
+      {"unknown path", RequestText("/elsewhere", "{}"), 404, "not_found"},
+      {"no token", Without(good, "Authorization: Bearer demo-key\r\n"), 401,
+       "unauthenticated"},
+      {"wrong token", Without(good, "demo-"), 401, "unauthenticated"},
+      {"wrong content type",
+       Without(RequestText(kChat, "{}"), "application/json"), 400,
+       "invalid_argument"},
+      {"header flood",
+       RequestText(kChat, "{}", "X-Flood: " + std::string(64000, 'x') + "\r\n"),
+       431, "too_large"},
+      {"half-sent request", good.substr(0, good.size() - 4), 408,
+       "deadline_exceeded"},
+      {"no HTTP", "\x16\x03\x01 hello\r\n\r\n", 400, "malformed"},
+  };
+  for (const auto& c : cases) {
+    const std::string answer = fleet.Send(c.bytes);
+    CHECK_EQUAL_TEXT(c.status, StatusOfAnswer(answer), c.name);
+    STRCMP_EQUAL_TEXT(
+        c.kind,
+        CheckedError(answer, c.name).at("kind").get<std::string>().c_str(),
+        c.name);
+    CHECK_EQUAL_TEXT(200, StatusOfAnswer(fleet.Send(good)), c.name);
+  }
+}
+
+TEST(RouterProcess, RecordsRequestsInLogMetricsAndStatus) {
+  TestFleet fleet;
+  CHECK(Await([&] { return fleet.IsReady(); }));
+  CHECK_EQUAL(200, StatusOfAnswer(fleet.Send(QuestionText())));
+  const std::string beyond =
+      R"({"model":"fault-scribe","messages":[{"role":"user","content":")" +
+      std::string(4000, 'x') + "\"}]}";
+  CHECK_EQUAL(402, StatusOfAnswer(fleet.Send(RequestText(kChat, beyond))));
+
+  const std::string metrics = BodyOfAnswer(fleet.Get("/metrics"));
+  for (const char* line :
+       {"godwit_requests_total{service=\"language\",organisation=\"kiosk-"
+        "line\",outcome=\"answer\",kind=\"none\"} 1\n",
+        "outcome=\"not_run\",kind=\"budget_exhausted\"} 1\n",
+        "godwit_first_token_seconds_count{service=\"language\","
+        "organisation=\"kiosk-line\"} 1\n",
+        "godwit_token_gap_seconds_count{service=\"language\","
+        "organisation=\"kiosk-line\"} 1\n",
+        "godwit_requests_in_flight{service=\"language\"} 0\n",
+        "godwit_links_open 2\n", "godwit_config_revision 1\n",
+        "godwit_kv_calls_total{verb=\"write\",outcome=\"ok\"}",
+        "godwit_process_resident_bytes "}) {
+    STRCMP_CONTAINS(line, metrics.c_str());
+  }
+
+  const json status = json::parse(BodyOfAnswer(fleet.Get("/status")));
+  CHECK(status.at("ready").get<bool>());
+  CHECK(!status.at("leaving").get<bool>());
+  CHECK_EQUAL(0, status.at("open_calls").size());
+
+  std::istringstream log(fleet.Log());
+  int answered = 0;
+  int refused = 0;
+  for (std::string line; std::getline(log, line);) {
+    const auto record = RequestRecordOf(line);
+    if (record && record->outcome == RequestOutcome::kAnswer) {
+      ++answered;
+      CHECK(record->first_token.has_value());
+      CHECK(record->gap_p95.has_value());
+      CHECK_EQUAL(200, record->status);
+    } else if (record) {
+      ++refused;
+      STRCMP_EQUAL("budget_exhausted", record->kind.c_str());
+      CHECK_EQUAL(402, record->status);
+    }
+  }
+  CHECK_EQUAL(1, answered);
+  CHECK_EQUAL(1, refused);
+  for (const char* event : {"process_starting", "process_ready",
+                            "config_in_force", "link_opened"}) {
+    CHECK_TEXT(fleet.Logged(event), event);
+  }
+}
+
+TEST(RouterProcess, StopsInOrder) {
+  TestFleet fleet({"drain_grace_ms: 4000\n", "", false});
+  CHECK(Await([&] { return fleet.IsReady(); }));
+  RawConnection stream(fleet.port());
+  stream.Send(QuestionText());
+  std::string answer = stream.ReadUntil(kFirstEvent);
+  fleet.Fault(fleet.engine, R"({"hang":true})");
+  RawConnection held(fleet.port());
+  held.Send(QuestionText());
+  CHECK(Await([&] {
+    return fleet.Get("/status").find(R"("phase":"running")") !=
+           std::string::npos;
+  }));
+  fleet.router->Signal(SIGTERM);
+  CHECK(Await([&] { return StatusOfAnswer(fleet.Get("/readyz")) == 503; }));
+  CHECK_EQUAL(200, StatusOfAnswer(fleet.Send(TicketText())));
+  std::string refusal;
+  CHECK(Await([&] {
+    refusal = fleet.Send(TicketText());
+    return StatusOfAnswer(refusal) == 503;
+  }));
+  STRCMP_EQUAL(
+      "leaving",
+      CheckedError(refusal, "leaving").at("kind").get<std::string>().c_str());
+  fleet.Fault(fleet.engine, R"({"hang":false})");
+  answer += stream.ReadToEnd();
+  STRCMP_CONTAINS(kLastEvent, answer.c_str());
+  STRCMP_CONTAINS(kLastEvent, held.ReadToEnd().c_str());
+  CHECK_EQUAL(0, fleet.router->Wait());
+  CHECK(fleet.Logged("stop_requested"));
+  CHECK(fleet.Logged("drained"));
+}
+
+TEST(RouterProcess, DrainLimitEndsWhatHangs) {
+  TestFleet fleet({"drain_limit_ms: 300\n", "", false});
+  CHECK(Await([&] { return fleet.IsReady(); }));
+  fleet.Fault(fleet.engine, R"({"hang":true})");
+  RawConnection stream(fleet.port());
+  stream.Send(QuestionText());
+  CHECK(Await([&] {
+    return fleet.Get("/status").find(R"("open_requests":1)") !=
+           std::string::npos;
+  }));
+  fleet.router->Signal(SIGTERM);
+  CHECK_EQUAL(1, fleet.router->Wait());
+  CHECK(fleet.Logged("drain_bound_reached"));
+  STRCMP_CONTAINS("still running: language", fleet.Log().c_str());
+}
+
+TEST(RouterProcess, StopsWhileTheKvIsDown) {
+  TestFleet fleet({"handback_limit_ms: 500\n", "", false});
+  CHECK(Await([&] { return fleet.IsReady(); }));
+  CHECK_EQUAL(200, StatusOfAnswer(fleet.Send(TicketText())));
+  fleet.Fault(fleet.platform, R"({"silent":true})");
+  CHECK(Await([&] { return fleet.Logged("kv_unavailable"); }));
+  fleet.router->Signal(SIGTERM);
+  CHECK_EQUAL(0, fleet.router->Wait());
+  CHECK(fleet.Logged("hand_over_late"));
+}
--- /dev/null
+++ b/tools/godwit-router/tests/stop_plan_test.cc
@@ -0,0 +1,65 @@
+#include "stop_plan.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Millis;
+using godwit::router_daemon::StopPlan;
+using Action = StopPlan::Action;
+
+namespace {
+
+struct Moment {
+  int64_t now_ms;
+  size_t open_calls;
+  bool drained;
+  Action expected;
+};
+
+struct Case {
+  const char* name;
+  std::vector<Moment> moments;
+};
+
+constexpr StopPlan::Limits kLimits{Millis(100), Millis(1000), Millis(200)};
+
+}  // namespace
+
+TEST_GROUP(StopPlan){};
+
+TEST(StopPlan, KeepsItsOrderAndItsLimits) {
+  const Case cases[] = {
+      {"in order",
+       {{0, 2, false, Action::kNone},
+        {99, 0, false, Action::kNone},
+        {100, 2, false, Action::kRefuse},
+        {150, 2, false, Action::kNone},
+        {500, 0, false, Action::kNone},
+        {600, 0, true, Action::kEnd},
+        {700, 0, true, Action::kNone}}},
+      {"cut off",
+       {{100, 1, false, Action::kRefuse},
+        {1099, 1, false, Action::kNone},
+        {1100, 1, false, Action::kEndCut},
+        {2000, 1, false, Action::kNone}}},
+      {"hand-over late, counted from the last request",
+       {{100, 1, false, Action::kRefuse},
+        {1050, 0, false, Action::kNone},
+        {1100, 0, false, Action::kNone},
+        {1249, 0, false, Action::kNone},
+        {1250, 0, false, Action::kEndLate}}},
+  };
+  for (const Case& c : cases) {
+    StopPlan plan(kLimits);
+    CHECK_TEXT(plan.Step(Millis(5000), 0, true) == Action::kNone, c.name);
+    plan.Begin(Millis(0));
+    plan.Begin(Millis(90));
+    for (const Moment& moment : c.moments) {
+      CHECK_TEXT(plan.Step(Millis(moment.now_ms), moment.open_calls,
+                           moment.drained) == moment.expected,
+                 c.name);
+    }
+    CHECK_TEXT(plan.ended(), c.name);
+  }
+}
