Prove that stops in order cut nothing off

Cause: the drain of routers and agents was tested alone; together they cut a request off in three ways that the schedules showed: an agent that ended before its last frames had left, one that ended before routers had heard that it leaves, and a router asked before it knew the agents. The first two are how the agent's shell already stops (notice of 2 s, close handshake), which the test's world now follows; the third answers with its own message.

--- a/libs/router/src/call_flow_directory.cc
+++ b/libs/router/src/call_flow_directory.cc
@@ -68,8 +68,11 @@
 }
 
 void CallFlow::OnNoDirectory(Call& call, bool complete, base::Millis wait) {
+  const bool empty = context_.membership.record().agents().empty();
   const Error why(ErrorKind::kUnavailable,
-                  "the agents that kept track of this request's key are gone",
+                  empty ? "this router does not know the agents yet"
+                        : "the agents that kept track of this request's key "
+                          "are gone",
                   "send it again with the same Idempotency-Key");
   if (!complete && !call.lost) {
     Refuse(call, why, wait);
--- a/tests/fleet/fleet_network.cc
+++ b/tests/fleet/fleet_network.cc
@@ -3,6 +3,7 @@
 
 #include "agent/call_backend.h"
 #include "agent/cancel_backend.h"
+#include "agent/drained.h"
 #include "agent/send_message.h"
 #include "connection.h"
 #include "fleet_world.h"
@@ -94,6 +95,10 @@
   routers_[router].drained = true;
 }
 
+void FleetWorld::DoAgent(size_t agent, const agent::Drained&) {
+  agents_[agent].drained = true;
+}
+
 void FleetWorld::CloseConnection(Connection& connection, base::Millis after) {
   if (!connection.closing) {
     connection.closing = true;
--- a/tests/fleet/fleet_proof_test.cc
+++ b/tests/fleet/fleet_proof_test.cc
@@ -131,6 +131,32 @@
        {1, rc::gen::inRange<int64_t>(0, 16000)}})};
 };
 
+// Stops in order. Only one agent is stopped, so that each key keeps a copy of
+// its directory entry.
+class Drain : public FleetCommand {
+ public:
+  void run(const Oracle&, FleetWorld& world) const override {
+    if (router_) {
+      world.DrainRouter(index_);
+    } else {
+      world.DrainAgent(0);
+    }
+    world.Advance(wait_);
+    RC_ASSERT(world.violation() == "");
+    RC_ASSERT(world.cut_off() == "");
+  }
+
+  void show(std::ostream& os) const override {
+    os << "drain " << (router_ ? "router " : "agent 0, not ") << index_
+       << ", then " << wait_.count() << " ms";
+  }
+
+ private:
+  bool router_ = *rc::gen::arbitrary<bool>();
+  size_t index_ = *rc::gen::inRange<size_t>(0, 8);
+  Millis wait_{*rc::gen::inRange<int64_t>(0, 3000)};
+};
+
 // Limits from less than one request to more than all.
 int64_t AnyLimit() {
   return int64_t{1} << *rc::gen::inRange<unsigned>(9, 40);
@@ -152,8 +178,31 @@
   RC_ASSERT(world.CheckEnd() == "");
 }
 
+void RunDrains(Planted planted) {
+  FleetWorld world(*rc::gen::arbitrary<uint64_t>(), planted, int64_t{1} << 40U);
+  rc::state::check(
+      Oracle(), world,
+      rc::state::gen::execOneOfWithArgs<Send, Send, Send, Drain>());
+  const bool settled = world.Finish();
+  RC_CLASSIFY(world.answered() > 2, "more than two answered");
+  RC_ASSERT(settled);
+  RC_ASSERT(world.violation() == "");
+  RC_ASSERT(world.cut_off() == "");
+  RC_ASSERT(world.CheckEnd() == "");
+}
+
 }  // namespace
 
+TEST_GROUP(Drain){};
+
+TEST(Drain, CutsNothingOff) {
+  CHECK(rc::check("drain", [] { RunDrains(Planted::kNone); }));
+}
+
+TEST(Drain, PlantedFaultIsCaught) {
+  CHECK(godwit::support::IsFalsified([] { RunDrains(Planted::kDrainCuts); }));
+}
+
 TEST_GROUP(Fleet){};
 
 TEST(Fleet, KeepsItsPromises) {
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -37,7 +38,12 @@
   void RestartAgent(size_t index);
   void PauseRouter(size_t index, bool paused);
   void PauseAgent(size_t index, bool paused);
+  // An agent takes no new work and ends once it says that it is drained; a new
+  // life then takes its place.
   void DrainAgent(size_t index);
+  // A router is stopped in order; another one takes its place. Callers that
+  // come later go to a router that is ready.
+  void DrainRouter(size_t index);
 
   // Network and platform.
   void CutLink(size_t router, size_t agent, bool cut);
@@ -56,7 +62,8 @@
     bool repeatable = true;
     bool stream = false;
   };
-  // Sends a new request through a router. At most kMaxRequests.
+  // Sends a new request through a router that is ready, if there is one. At
+  // most kMaxRequests.
   void Send(size_t router, Kind kind);
   // Sends an earlier keyed request, not answered so far, again.
   void Retry(size_t router, size_t request);
@@ -79,6 +86,9 @@
 
   size_t answered() const;
   size_t refused() const { return refusals_; }
+  // The first caller whose answer was cut off or whose outcome was left
+  // unknown; empty for none.
+  const std::string& cut_off() const { return cut_off_; }
 
   static constexpr size_t kMaxRequests = 14;
 
@@ -90,6 +100,7 @@
     std::unique_ptr<router::RouterCore> core;
     bool dead = false;
     bool paused = false;
+    bool draining = false;
     bool drained = false;
     bool cut_from_kv = false;
     base::Millis lease_renewed_at;
@@ -109,6 +120,8 @@
     base::Incarnation incarnation;
     std::unique_ptr<agent::AgentCore> core;
     bool paused = false;
+    bool drained = false;
+    base::Millis drain_began;
     int failures = 0;
     base::Millis lease_renewed_at;
     std::map<base::AttemptId, BackendRun> runs;
@@ -137,6 +150,7 @@
   void Step();
   void StepProcesses();
   void CheckLedger();
+  bool IsFlushed(size_t agent) const;
   void RenewLeases();
   router::LeasesSeen Leases() const;
   void Violate(std::string text);
@@ -160,6 +174,7 @@
   void DoAgent(size_t agent, const agent::SendMessage& command);
   void DoAgent(size_t agent, const agent::CallBackend& command);
   void DoAgent(size_t agent, const agent::CancelBackend& command);
+  void DoAgent(size_t agent, const agent::Drained& command);
   template <typename Other>
   void DoAgent(size_t, const Other&) {}
   void Carry();
@@ -173,6 +188,8 @@
   // Callers.
   void OnAnswer(router::ExchangeId exchange, const std::string& answer);
   void OnError(router::ExchangeId exchange, const router::CallerError& error);
+  // The first router from `first` on that is ready.
+  std::optional<size_t> FindReady(size_t first) const;
   void Arrive(size_t router, size_t request);
   Caller* FindCaller(router::ExchangeId exchange);
 
@@ -193,6 +210,7 @@
   link::ConnectionId next_connection_ = 1;
   int64_t next_life_ = 1;
   size_t refusals_ = 0;
+  std::string cut_off_;
   base::Millis next_heartbeat_;
   // Number of the last tick.
   int64_t ticked_ = 0;
--- a/tests/fleet/planted.h
+++ b/tests/fleet/planted.h
@@ -18,6 +18,8 @@
   kAnswersCrossed,
   // Agents execute a run twice.
   kRunsTwice,
+  // Agents that leave cut their runs off.
+  kDrainCuts,
 };
 
 }  // namespace godwit::fleet
