--- a/libs/claims/tests/claims_proof_test.cc
+++ b/libs/claims/tests/claims_proof_test.cc
@@ -1,11 +1,15 @@
+#include <algorithm>
 #include <cstdint>
 #include <initializer_list>
 #include <ostream>
+#include <set>
 #include <string>
+#include <vector>
 
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
+#include "claims/plan_directory.h"
 #include "claims_world.h"
 #include "support/planted.h"
 
@@ -15,6 +19,10 @@
 
 using godwit::base::Millis;
 using godwit::claims::ClaimsWorld;
+using godwit::claims::DirectoryMember;
+using godwit::claims::DirectoryPlan;
+using godwit::claims::MemberState;
+using godwit::claims::PlanDirectory;
 using Planted = ClaimsWorld::Planted;
 
 // What must be true whatever happens needs no state.
@@ -116,6 +124,85 @@
   RC_ASSERT(!world.RanAfterNotRun());
 }
 
+// A fleet whose agents join and go at any time.
+std::vector<DirectoryMember> RandomFleet() {
+  const int size = *rc::gen::inRange(2, 9);
+  std::vector<DirectoryMember> members;
+  members.reserve(static_cast<size_t>(size));
+  for (int i = 0; i < size; ++i) {
+    DirectoryMember member;
+    member.incarnation =
+        godwit::base::Incarnation("agent-" + std::to_string(i));
+    member.data_centre =
+        godwit::base::DataCentreId(std::to_string(*rc::gen::inRange(0, 3)));
+    member.joined_at = Millis(*rc::gen::inRange<int64_t>(0, 2000));
+    // Half of them stay.
+    member.gone_at =
+        member.joined_at + Millis(*rc::gen::inRange<int64_t>(1, 4000));
+    member.state =
+        *rc::gen::arbitrary<bool>() ? MemberState::kGone : MemberState::kActive;
+    members.push_back(member);
+  }
+  return members;
+}
+
+// The fleet record as it is at a time.
+std::vector<DirectoryMember> FleetAt(const std::vector<DirectoryMember>& fleet,
+                                     Millis at) {
+  std::vector<DirectoryMember> present;
+  for (DirectoryMember member : fleet) {
+    if (member.joined_at > at) {
+      continue;
+    }
+    if (member.state == MemberState::kGone && member.gone_at > at) {
+      member.state = MemberState::kActive;
+    }
+    present.push_back(member);
+  }
+  return present;
+}
+
+std::vector<DirectoryMember> Living(const DirectoryPlan& plan, bool shadows) {
+  std::vector<DirectoryMember> living;
+  for (const auto* copy : {&plan.primary, &plan.secondary}) {
+    if (*copy && (*copy)->state != MemberState::kGone) {
+      living.push_back(**copy);
+    }
+  }
+  if (shadows) {
+    living.insert(living.end(), plan.shadows.begin(), plan.shadows.end());
+  }
+  return living;
+}
+
+// Whoever is asked for a key within the retention was told its owner; or, if
+// some copy was not, another copy that is asked was.
+void LaterCopiesHaveTheOwner(bool with_shadows) {
+  constexpr Millis retention(1000);
+  const auto fleet = RandomFleet();
+  const auto key =
+      godwit::base::Digest::Of(std::to_string(*rc::gen::arbitrary<int>()));
+  const Millis registered(*rc::gen::inRange<int64_t>(0, 4000));
+  const Millis asked =
+      registered + Millis(*rc::gen::inRange<int64_t>(0, retention.count()));
+  const auto first =
+      PlanDirectory(FleetAt(fleet, registered), key, registered, retention);
+  const auto later =
+      PlanDirectory(FleetAt(fleet, asked), key, asked, retention);
+  // A fleet with a single agent alive has no second copy to lose.
+  if (later.blind || Living(first, false).size() < 2) {
+    return;
+  }
+  std::set<godwit::base::Incarnation> told;
+  for (const auto& member : Living(first, with_shadows)) {
+    told.insert(member.incarnation);
+  }
+  const auto copies = Living(later, false);
+  RC_ASSERT(std::any_of(copies.begin(), copies.end(), [&](const auto& member) {
+    return told.count(member.incarnation) != 0;
+  }));
+}
+
 // A check that each of the planted faults makes the property fail.
 void CheckCaught(void (*property)(Planted),
                  std::initializer_list<Planted> faults) {
@@ -140,6 +227,16 @@
                Planted::kRouterStartsUnclaimed});
 }
 
+TEST_GROUP(BilledOnce){};
+
+TEST(BilledOnce, LaterCopiesOfAKeyHaveItsOwner) {
+  CHECK(rc::check("directory", [] { LaterCopiesHaveTheOwner(true); }));
+}
+
+TEST(BilledOnce, MissingShadowsAreCaught) {
+  CHECK(godwit::support::IsFalsified([] { LaterCopiesHaveTheOwner(false); }));
+}
+
 TEST_GROUP(NotRun){};
 
 TEST(NotRun, AttemptsCalledNotRunNeverRan) {
--- /dev/null
+++ b/tests/fuzz/ledger/ledger_fuzzer.cc
@@ -0,0 +1,54 @@
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_edit.h"
+
+namespace {
+
+using godwit::ledger::LedgerCodec;
+using godwit::ledger::LedgerEdit;
+using godwit::ledger::LedgerRecord;
+
+void Require(bool holds) {
+  if (!holds) {
+    std::abort();
+  }
+}
+
+// Seals and closes every grant; the record must stay sound.
+void CloseAll(const LedgerRecord& record) {
+  LedgerEdit edit(record);
+  for (const auto& [id, budget] : record.budgets) {
+    for (const auto& [grant_id, grant] : budget.grants) {
+      edit.Seal(id, grant_id);
+      for (const auto& [agent, account] : grant.agents) {
+        edit.LoseAgent(id, grant_id, agent);
+      }
+      Require(edit.Close(id, grant_id));
+    }
+  }
+  Require(!edit.record().CheckInvariant());
+}
+
+}  // namespace
+
+// Feeds arbitrary bytes to the decoder of ledger records: it must either refuse
+// them with message and remedy, or give a sound record that reads the same
+// again.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string bytes(reinterpret_cast<const char*>(data), size);
+  LedgerCodec codec;
+  const auto record = codec.Decode(bytes);
+  if (!record) {
+    Require(!codec.last_error().message().empty());
+    Require(!codec.last_error().remedy().empty());
+    return 0;
+  }
+  Require(!record->CheckInvariant());
+  Require(codec.Decode(codec.Encode(*record)) == record);
+  CloseAll(*record);
+  return 0;
+}
