--- a/libs/routing/include/routing/picker_settings.h
+++ b/libs/routing/include/routing/picker_settings.h
@@ -21,7 +21,7 @@
   size_t max_remembered_blocks = 65536;
   // Failures in a row that eject an agent.
   int failures_to_eject = 3;
-  // An agent is ejected when its time to the first token is above this
+  // An agent is ejected when its time for each token of work is above this
   // multiple of the candidates' median.
   double slow_multiple = 3.0;
   // Length of the first ejection; doubles at each further one.
--- a/libs/routing/src/affinity.cc
+++ b/libs/routing/src/affinity.cc
@@ -1,8 +1,8 @@
 #include "affinity.h"
 
 #include <cstddef>
-#include <functional>
 
+#include "base/digest.h"
 #include "routing/pick_request.h"
 
 namespace godwit::routing {
@@ -53,7 +53,7 @@
   uint64_t best_weight = 0;
   for (const Option& option : options) {
     const uint64_t agent =
-        std::hash<base::Incarnation>()(option.candidate->agent);
+        base::Digest::Of(option.candidate->agent.value()).low();
     const uint64_t weight = Mix(agent ^ Mix(prefix));
     if (best == nullptr || weight > best_weight) {
       best = &option;
