Let the agent's shell use the shared link hub

The agent held the peers of its links, their logs and their TLS a second time. The timer that read certificates every minute is gone: SIGHUP does it, as in the router, and the outcome is logged.

agent_process_test passes (5 tests).

--- a/tools/godwit-agent/src/agent_daemon.cc
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -1,7 +1,6 @@
 #include "agent_daemon.h"
 
 #include <cstdio>
-#include <map>
 #include <string>
 #include <utility>
 #include <variant>
@@ -14,12 +13,12 @@
 #include "config/settings_reader.h"
 #include "daemon/config_service.h"
 #include "daemon/lease_keeper.h"
+#include "daemon/link_hub.h"
 #include "daemon/link_tls.h"
 #include "daemon/log_settings.h"
 #include "daemon/new_incarnation.h"
 #include "fleet_member.h"
 #include "kernel/kernel.h"
-#include "link/transport.h"
 #include "platform/client.h"
 #include "runtime/runtime.h"
 #include "telemetry/event_id.h"
@@ -39,26 +38,11 @@
 constexpr base::Millis kLeaveNotice = base::Seconds(2);
 // Time for closing handshakes, and the messages before them, to go out.
 constexpr base::Millis kCloseNotice(500);
-// Replaced certificates are in use after this.
-constexpr base::Millis kTlsPeriod = base::Seconds(60);
 constexpr int64_t kMostDrainMillis = 3'600'000;
 constexpr int64_t kMostIdleMillis = 600'000;
 constexpr char kModelPool[] = "model_pool";
 constexpr char kPlain[] = "plain";
 
-// Logs what a peer did wrong, under the event that its kind stands for.
-void LogFault(link::ConnectionId connection, const base::Error& error) {
-  EventId event = EventId::kFrameRefused;
-  if (error.kind() == base::ErrorKind::kDeadlineExceeded) {
-    event = EventId::kLinkSilent;
-  } else if (error.kind() == base::ErrorKind::kForbidden) {
-    event = EventId::kLinkRefused;
-  } else if (error.kind() == base::ErrorKind::kUnavailable) {
-    event = EventId::kLinkClosed;
-  }
-  Log(event, {{"link", connection}, {"reason", error.ToString()}});
-}
-
 config::ServiceKind KindOf(const config::Settings& settings) {
   return settings.Text("kind") == kModelPool ? config::ServiceKind::kModelPool
                                              : config::ServiceKind::kPlain;
@@ -131,6 +115,7 @@
                "agents/" + options_.incarnation.value(),
                kLeaseTtl),
         config_(runtime, platform_, ConfigHandler()),
+        links_(runtime, config_, LinkHandler()),
         fleet_(runtime, platform_, FleetHandler()),
         backend_(runtime,
                  BackendOf(settings),
@@ -138,6 +123,7 @@
     kernel_.Register("platform", platform_)
         .Register("lease", lease_, [this] { lease_.Stop(); })
         .Register("config", config_)
+        .Register("links", links_)
         .Register("fleet", fleet_)
         .Register("core", core_)
         .Register("backend", backend_);
@@ -148,13 +134,12 @@
       return false;
     }
     runtime_.Every(kTickPeriod, [this] { Handle(agent::Tick()); });
-    runtime_.Every(kTlsPeriod, [this] { ReloadCertificates(); });
     kernel_.Require<daemon::LeaseKeeper>("lease").Start();
     kernel_.Require<daemon::ConfigService>("config").Start();
     kernel_.Require<FleetMember>("fleet").Start(Self());
     Log(EventId::kProcessReady, {{"incarnation", options_.incarnation}});
     std::printf("listening on %s:%u\n", settings_.Text("listen_ip").c_str(),
-                transport_->port());
+                links_.port());
     std::fflush(stdout);
     return true;
   }
@@ -177,18 +162,7 @@
     });
   }
 
-  void ReloadCertificates() {
-    if (!tls_.enabled()) {
-      return;
-    }
-    base::Error reason;
-    if (const auto wrong = tls_.Check()) {
-      reason = *wrong;
-    } else if (transport_->ReloadTls(&reason)) {
-      return;
-    }
-    Log(EventId::kCertificateRefused, {{"reason", reason.ToString()}});
-  }
+  void ReloadCertificates() { links_.ReloadTls(); }
 
   const base::Error& last_error() const noexcept { return error_; }
 
@@ -205,10 +179,7 @@
     };
     handler.send = [this](const base::ProcessId& peer,
                           const link::Message& message) {
-      const auto found = connections_.find(peer);
-      if (found != connections_.end()) {
-        transport_->Send(found->second, message);
-      }
+      links_.SendTo(peer, message);
     };
     return handler;
   }
@@ -227,49 +198,37 @@
     return handler;
   }
 
-  bool StartLinks() {
-    link::TransportHandler handler;
+  daemon::LinkHub::Handler LinkHandler() {
+    daemon::LinkHub::Handler handler;
     handler.on_up = [this](link::ConnectionId connection,
                            const link::Hello& peer) {
-      OnLinkUp(connection, peer);
+      Handle(agent::LinkUp{connection, peer.process, peer.incarnation});
     };
     handler.on_message = [this](link::ConnectionId connection,
                                 link::Message message) {
-      OnLinkMessage(connection, std::move(message));
-    };
-    handler.on_down = [this](link::ConnectionId connection) {
-      OnLinkDown(connection);
+      if (!std::holds_alternative<link::Heartbeat>(message)) {
+        Handle(agent::LinkMessage{connection, std::move(message)});
+      }
     };
-    handler.on_fault = [](link::ConnectionId connection,
-                          const base::Error& error) {
-      LogFault(connection, error);
+    handler.on_down = [this](link::ConnectionId connection,
+                             const base::ProcessId& /*peer*/) {
+      Handle(agent::LinkDown{connection});
     };
     handler.hello = [this] { return Hello(); };
     handler.heartbeat = [this] { return Heartbeat(); };
-    link::Transport::Builder builder;
-    if (!SetTls(builder)) {
-      return false;
-    }
-    transport_ =
-        builder
-            .Listen(settings_.Text("listen_ip"), settings_.Port("listen_port"))
-            .Handle(std::move(handler))
-            .Build(runtime_);
-    error_ = builder.last_error();
-    return transport_ != nullptr;
+    return handler;
   }
 
-  // False when the TLS files can't be used.
-  bool SetTls(link::Transport::Builder& builder) {
+  bool StartLinks() {
     auto tls = daemon::LinkTlsOf(settings_, &error_);
     if (!tls) {
       return false;
     }
-    tls_ = std::move(*tls);
-    if (tls_.enabled()) {
-      builder.Tls(tls_.certificate, tls_.key, tls_.authority);
-    }
-    return true;
+    const bool started =
+        links_.Start(std::move(*tls), settings_.Text("listen_ip"),
+                     settings_.Port("listen_port"));
+    error_ = links_.last_error();
+    return started;
   }
 
   membership::FleetAgent Self() const {
@@ -277,7 +236,7 @@
     self.incarnation = options_.incarnation;
     self.process = base::ProcessId(settings_.Text("process"));
     self.ip = settings_.Text("listen_ip");
-    self.port = transport_->port();
+    self.port = links_.port();
     self.data_centre = base::DataCentreId(settings_.Text("data_centre"));
     self.joined_at = base::WallNow();
     return self;
@@ -305,46 +264,6 @@
     return heartbeat;
   }
 
-  void OnLinkUp(link::ConnectionId connection, const link::Hello& peer) {
-    peers_[connection] = peer.process;
-    connections_[peer.process] = connection;
-    config_.OnPeerRevision(peer.process, peer.config_revision);
-    Log(EventId::kLinkOpened, {{"link", connection}, {"peer", peer.process}});
-    Handle(agent::LinkUp{connection, peer.process, peer.incarnation});
-  }
-
-  void OnLinkMessage(link::ConnectionId connection, link::Message message) {
-    const auto peer = peers_.find(connection);
-    if (peer == peers_.end()) {
-      return;
-    }
-    if (const auto* pull = std::get_if<link::PullConfig>(&message)) {
-      config_.OnPull(peer->second, *pull);
-    } else if (const auto* push = std::get_if<link::PushConfig>(&message)) {
-      config_.OnPush(*push);
-    } else if (const auto* beat = std::get_if<link::Heartbeat>(&message)) {
-      config_.OnPeerRevision(peer->second, beat->config_revision);
-    } else {
-      Handle(agent::LinkMessage{connection, std::move(message)});
-    }
-  }
-
-  void OnLinkDown(link::ConnectionId connection) {
-    const auto peer = peers_.find(connection);
-    if (peer == peers_.end()) {
-      return;
-    }
-    const base::ProcessId process = peer->second;
-    Log(EventId::kLinkClosed, {{"link", connection}, {"peer", process}});
-    peers_.erase(peer);
-    const auto current = connections_.find(process);
-    if (current != connections_.end() && current->second == connection) {
-      connections_.erase(current);
-      config_.OnPeerGone(process);
-    }
-    Handle(agent::LinkDown{connection});
-  }
-
   void Handle(const agent::AgentEvent& event) {
     for (const agent::AgentCommand& command :
          core_.Step(base::SteadyNow(), event)) {
@@ -357,7 +276,7 @@
       Log(EventId::kRunRefused, {{"attempt", refused->attempt},
                                  {"kind", base::ErrorKindName(refused->kind)}});
     }
-    transport_->Send(command.connection, command.message);
+    links_.Send(command.connection, command.message);
   }
   void Do(const agent::CallBackend& command) {
     Log(EventId::kRunStarted, {{"attempt", command.attempt}});
@@ -405,9 +324,7 @@
 
   void Stop() {
     fleet_.End(kFleetLimit);
-    for (const auto& [connection, process] : peers_) {
-      transport_->Close(connection);
-    }
+    links_.CloseAll();
     runtime::Runtime::SleepFor(kCloseNotice);
     kernel_.Stop();
     runtime_.Stop();
@@ -421,12 +338,9 @@
   platform::Client platform_;
   daemon::LeaseKeeper lease_;
   daemon::ConfigService config_;
+  daemon::LinkHub links_;
   FleetMember fleet_;
   BackendCaller backend_;
-  daemon::LinkTls tls_;
-  std::unique_ptr<link::Transport> transport_;
-  std::map<link::ConnectionId, base::ProcessId> peers_;
-  std::map<base::ProcessId, link::ConnectionId> connections_;
   base::Error error_;
   bool draining_ = false;
   bool drained_ = false;
