--- a/tools/godwit-router/tests/router_process_test.cc
+++ b/tools/godwit-router/tests/router_process_test.cc
@@ -1,5 +1,8 @@
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 #include <string>
 
@@ -34,6 +37,35 @@
   return rest;
 }
 
+// Names of the metrics of a page in the text format.
+std::set<std::string> MetricNames(const std::string& page) {
+  const std::string start = "# TYPE ";
+  std::set<std::string> names;
+  std::istringstream lines(page);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.rfind(start, 0) == 0) {
+      const size_t end = line.find(' ', start.size());
+      names.insert(line.substr(start.size(), end - start.size()));
+    }
+  }
+  return names;
+}
+
+// Names that docs/METRICS.md lists as served by routers.
+std::set<std::string> DocumentedNames() {
+  const std::string start = "- `";
+  const char* source = std::getenv("GODWIT_SOURCE_DIR");
+  std::ifstream page(std::string(source == nullptr ? "." : source) +
+                     "/docs/METRICS.md");
+  std::set<std::string> names;
+  for (std::string line; std::getline(page, line);) {
+    if (line.rfind(start, 0) == 0) {
+      names.insert(line.substr(start.size(), line.size() - start.size() - 1));
+    }
+  }
+  return names;
+}
+
 // The error of an answer; fails the test unless it is a typed error that says
 // that nothing ran.
 json CheckedError(const std::string& answer, const char* name) {
@@ -111,9 +143,11 @@
         "godwit_requests_in_flight{service=\"language\"} 0\n",
         "godwit_links_open 2\n", "godwit_config_revision 1\n",
         "godwit_kv_calls_total{verb=\"write\",outcome=\"ok\"}",
-        "godwit_process_resident_bytes "}) {
+        "godwit_latency_missed_total{service=\"language\",organisation="
+        "\"kiosk-line\",objective=\"first_token\"} 1\n"}) {
     STRCMP_CONTAINS(line, metrics.c_str());
   }
+  CHECK(MetricNames(metrics) == DocumentedNames());
 
   const json status = json::parse(BodyOfAnswer(fleet.Get("/status")));
   CHECK(status.at("ready").get<bool>());
@@ -157,6 +191,7 @@
     return fleet.Get("/status").find(R"("phase":"running")") !=
            std::string::npos;
   }));
+  CHECK(fleet.Grants().value_or(0) > 0);
   fleet.router->Signal(SIGTERM);
   CHECK(Await([&] { return StatusOfAnswer(fleet.Get("/readyz")) == 503; }));
   CHECK_EQUAL(200, StatusOfAnswer(fleet.Send(TicketText())));
@@ -175,6 +210,7 @@
   CHECK_EQUAL(0, fleet.router->Wait());
   CHECK(fleet.Logged("stop_requested"));
   CHECK(fleet.Logged("drained"));
+  CHECK(fleet.Grants() == 0);
 }
 
 TEST(RouterProcess, DrainLimitEndsWhatHangs) {
@@ -202,4 +238,6 @@
   fleet.router->Signal(SIGTERM);
   CHECK_EQUAL(0, fleet.router->Wait());
   CHECK(fleet.Logged("hand_over_late"));
+  fleet.Fault(fleet.platform, R"({"silent":false})");
+  CHECK(fleet.Grants().value_or(0) > 0);
 }
--- a/tools/godwit-router/tests/test_fleet.cc
+++ b/tools/godwit-router/tests/test_fleet.cc
@@ -7,6 +7,10 @@
 #include <thread>
 #include <utility>
 
+#include "http/target.h"
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_record.h"
+#include "ledger/shard.h"
 #include "raw_connection.h"
 #include "tls_connection.h"
 
@@ -27,6 +31,7 @@
     model: fault-scribe
     backend_servers: [engine-1]
     max_output_tokens: 64
+    objective: {first_token_ms: 1, token_gap_ms: 1}
   dispatch:
     kind: plain
     backend_servers: [dispatch-1]
@@ -161,6 +166,20 @@
       .Wait();
 }
 
+std::optional<size_t> TestFleet::Grants() const {
+  const base::BudgetId budget("kiosk-line-main");
+  http::RawConnection connection(platform.port());
+  connection.Send(RequestText(
+      "/kv/" + http::PercentEncode(ledger::ShardKey(ledger::ShardOf(budget))),
+      ""));
+  ledger::LedgerCodec codec;
+  const auto record = codec.Decode(BodyOfAnswer(connection.ReadToEnd()));
+  if (!record || record->budgets.count(budget) == 0) {
+    return std::nullopt;
+  }
+  return record->budgets.at(budget).grants.size();
+}
+
 std::string TestFleet::Log(const std::string& process) const {
   return ReadFile(directory.path() + "/" + process + ".log");
 }
--- a/tools/godwit-router/tests/test_fleet.h
+++ b/tools/godwit-router/tests/test_fleet.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,9 @@
   // Runs godwitctl against the platform; returns its exit code.
   int Control(std::vector<std::string> arguments) const;
 
+  // Grants on the budget in the KV; empty when it can't be read.
+  std::optional<size_t> Grants() const;
+
   uint16_t port() const { return router->port(); }
   std::string Log(const std::string& process = "router-1") const;
   // Whether a log names an event.
