--- a/tools/godwit-router/src/front_door.cc
+++ b/tools/godwit-router/src/front_door.cc
@@ -25,7 +25,7 @@
 
 FrontDoor::FrontDoor(Handler handler) : handler_(std::move(handler)) {}
 
-void FrontDoor::OnExchange(std::shared_ptr<http::Exchange> exchange) {
+void FrontDoor::OnExchange(const std::shared_ptr<http::Exchange>& exchange) {
   if (!AnswerOwnPage(*exchange)) {
     Serve(exchange);
   }
--- a/tools/godwit-router/src/front_door.h
+++ b/tools/godwit-router/src/front_door.h
@@ -42,7 +42,7 @@
   explicit FrontDoor(Handler handler);
 
   // Takes a request from the HTTP server.
-  void OnExchange(std::shared_ptr<http::Exchange> exchange);
+  void OnExchange(const std::shared_ptr<http::Exchange>& exchange);
 
   void Do(const router::AnswerWhole& command);
   void Do(const router::AnswerHead& command);
--- a/tools/godwit-router/src/router_daemon.cc
+++ b/tools/godwit-router/src/router_daemon.cc
@@ -205,8 +205,8 @@
     builder.Address(settings_.Text("listen_ip"), settings_.Port("listen_port"))
         .MaxBodyBytes(static_cast<size_t>(settings_.Integer("max_body_bytes")))
         .ReadTimeout(settings_.Duration("read_limit_ms"))
-        .Handle([this](std::shared_ptr<http::Exchange> exchange) {
-          door_.OnExchange(std::move(exchange));
+        .Handle([this](const std::shared_ptr<http::Exchange>& exchange) {
+          door_.OnExchange(exchange);
         });
     if (caller_tls_.enabled()) {
       builder.Tls(caller_tls_.certificate, caller_tls_.key);
--- a/tools/godwit-router/tests/router_process_test.cc
+++ b/tools/godwit-router/tests/router_process_test.cc
@@ -21,7 +21,6 @@
 using godwit::router_daemon::TestFleet;
 using godwit::router_daemon::TicketText;
 using godwit::telemetry::RequestOutcome;
-using godwit::telemetry::RequestRecord;
 using godwit::telemetry::RequestRecordOf;
 using nlohmann::json;
 
--- a/tools/godwit-router/tests/router_tls_test.cc
+++ b/tools/godwit-router/tests/router_tls_test.cc
@@ -3,14 +3,12 @@
 #include <fstream>
 #include <string>
 
-#include "raw_connection.h"
 #include "support/test_certificate.h"
 #include "test_fleet.h"
 #include "tls_connection.h"
 
 #include <CppUTest/TestHarness.h>
 
-using godwit::http::RawConnection;
 using godwit::http::TlsConnection;
 using godwit::router_daemon::Await;
 using godwit::router_daemon::QuestionText;
--- a/tools/godwit-router/tests/test_fleet.cc
+++ b/tools/godwit-router/tests/test_fleet.cc
@@ -19,6 +19,8 @@
 
 using support::ChildProcess;
 
+// Where an answer's status stands after "HTTP/1.1 ".
+constexpr size_t kStatusAt = 9;
 constexpr std::chrono::seconds kAwaitLimit(20);
 constexpr std::chrono::milliseconds kAwaitPeriod(20);
 
@@ -88,7 +90,6 @@
 }
 
 int StatusOfAnswer(const std::string& answer) {
-  constexpr size_t kStatusAt = 9;
   return answer.size() < kStatusAt ? 0 : std::atoi(answer.c_str() + kStatusAt);
 }
 
