Confirm every refusal of a keyed request at the directory's primary last

Ruled out: trusting the time of registration (the copies answer one after the other, so the first answer may be old). Change: each registration clears the mark; a refusal registers a marker that never runs and asks the primary once more.

--- a/libs/router/src/call.h
+++ b/libs/router/src/call.h
@@ -79,7 +79,6 @@
   base::AttemptId claim_replaces;
   // Attempt of this call that the directory names, if any.
   base::AttemptId registered;
-  base::Millis registered_at;
   // A refusal that waits for the directory to confirm that nothing of the key
   // ran meanwhile.
   std::optional<PendingRefusal> refusal;
--- a/libs/router/src/call_flow.cc
+++ b/libs/router/src/call_flow.cc
@@ -301,8 +301,7 @@
 // taken its place in the directory and run.
 bool CallFlow::MustConfirmRefusal(const Call& call) const noexcept {
   return call.open && call.keyed && call.fresh && !call.may_have_run &&
-         !call.ended && !call.refusal && !call.registered.empty() &&
-         call.registered_at != context_.now;
+         !call.ended && !call.refusal && !call.registered.empty();
 }
 
 void CallFlow::ConfirmRefusal(Call& call,
@@ -310,7 +309,6 @@
                               base::Millis retry_after) {
   DropAttempt(call);
   call.refusal = PendingRefusal{why, retry_after};
-  call.fresh = false;
   call.sent = false;
   call.replaces = call.registered;
   call.agent = base::ProcessId();
--- a/libs/router/src/call_flow_directory.cc
+++ b/libs/router/src/call_flow_directory.cc
@@ -61,7 +61,8 @@
   request.may_have_run = call.may_have_run;
   request.billed = complete ? call.billed : 0;
   request.fleet_version = context_.membership.version();
-  call.registration.emplace(plan, std::move(request));
+  call.fresh = false;
+  call.registration.emplace(plan, std::move(request), call.refusal.has_value());
   EnterPhase(call, complete ? CallPhase::kConfirming : CallPhase::kRegistering,
              context_.options.reply_limit);
   AskDirectory(call);
@@ -167,7 +168,6 @@
     return;
   }
   call.registered = call.attempt;
-  call.registered_at = context_.now;
   call.replaces = base::AttemptId();
   if (call.refusal) {
     Refuse(call, call.refusal->why, call.refusal->retry_after);
@@ -189,6 +189,7 @@
   if (owner.body_digest != call.body_digest) {
     // Another request has the key; this one did not run.
     call.fresh = true;
+    call.registered = base::AttemptId();
     Refuse(call,
            Error(ErrorKind::kKeyReused,
                  "the Idempotency-Key was used for another request",
@@ -197,6 +198,12 @@
     return;
   }
   call.registered = base::AttemptId();
+  if (call.refusal && owner.agent_incarnation.empty() && !owner.may_have_run) {
+    // Another call of the key was refused meanwhile: nothing ran for it.
+    call.fresh = true;
+    Refuse(call, call.refusal->why, call.refusal->retry_after);
+    return;
+  }
   call.refusal.reset();
   if (!call.open) {
     Forget(call);
--- a/libs/router/src/call_flow_start.cc
+++ b/libs/router/src/call_flow_start.cc
@@ -143,6 +143,7 @@
   call->fresh = false;
   if (exists.claim.body_digest != call->body_digest) {
     call->fresh = true;
+    call->registered = base::AttemptId();
     Refuse(*call,
            Error(ErrorKind::kKeyReused,
                  "the Idempotency-Key was used for another request",
--- a/libs/router/src/registration.cc
+++ b/libs/router/src/registration.cc
@@ -5,7 +5,8 @@
 namespace godwit::router {
 
 Registration::Registration(const claims::DirectoryPlan& plan,
-                           link::RegisterKey request)
+                           link::RegisterKey request,
+                           bool ends_at_primary)
     : request_(std::move(request)) {
   for (const auto& copy : {plan.primary, plan.secondary}) {
     if (copy && copy->state != claims::MemberState::kGone) {
@@ -14,6 +15,10 @@
   }
   deciding_ = copies_.size();
   copies_.insert(copies_.end(), plan.shadows.begin(), plan.shadows.end());
+  if (ends_at_primary && deciding_ > 0) {
+    ends_at_primary_ = true;
+    copies_.push_back(copies_.front());
+  }
   request_.shadow = !target_decides();
 }
 
--- a/libs/router/src/registration.h
+++ b/libs/router/src/registration.h
@@ -32,7 +32,11 @@
 // whose answers decide nothing. One thread at a time.
 class Registration {
  public:
-  Registration(const claims::DirectoryPlan& plan, link::RegisterKey request);
+  // With `ends_at_primary`, the primary is asked once more at the end, so that
+  // kDone says that the attempt owned the key a moment ago.
+  Registration(const claims::DirectoryPlan& plan,
+               link::RegisterKey request,
+               bool ends_at_primary = false);
 
   // The copy to ask next, or null when all have answered.
   const claims::DirectoryMember* target() const noexcept;
@@ -53,11 +57,15 @@
   }
 
  private:
-  bool target_decides() const noexcept { return accepted_.size() < deciding_; }
+  bool target_decides() const noexcept {
+    return accepted_.size() < deciding_ ||
+           (ends_at_primary_ && accepted_.size() + 1 == copies_.size());
+  }
 
   std::vector<claims::DirectoryMember> copies_;
   // The first copies decide; the rest are shadows.
   size_t deciding_ = 0;
+  bool ends_at_primary_ = false;
   std::vector<claims::DirectoryMember> accepted_;
   link::RegisterKey request_;
   link::KeyOwner owner_;
--- a/libs/router/tests/registration_test.cc
+++ b/libs/router/tests/registration_test.cc
@@ -99,3 +99,14 @@
   Registration registration(plan, Request());
   CHECK(registration.target()->incarnation == Incarnation("s"));
 }
+
+TEST(Registration, CanEndWithAnotherLookAtThePrimary) {
+  Registration registration(PairWithShadow(), Request(), true);
+  registration.OnReply(Incarnation("p"), Reply("mine"));
+  registration.OnReply(Incarnation("s"), Reply("mine"));
+  CHECK(registration.OnReply(Incarnation("h"), Reply("mine")) ==
+        RegistrationStatus::kContinue);
+  CHECK_FALSE(registration.request().shadow);
+  CHECK(registration.OnReply(Incarnation("p"), Reply("other")) ==
+        RegistrationStatus::kOwned);
+}
