--- a/libs/link/include/link/transport.h
+++ b/libs/link/include/link/transport.h
@@ -18,11 +18,11 @@
 
 namespace godwit::link {
 
-// Links of a process to its peers: websocketpp carrying CBOR, one message a
-// frame. Heartbeats go out at a period in both directions; a link on which
-// nothing arrives for the silence limit is closed, however open its socket
-// looks. All calls on the core thread, within Runtime::Run; destroy it before
-// the runtime.
+// Links of a process to its peers: websocketpp carrying CBOR frames, one a
+// message; frames that wait together share a WebSocket message. Heartbeats go
+// out at a period in both directions; a link on which nothing arrives for the
+// silence limit is closed, however open its socket looks. All calls on the core
+// thread, within Runtime::Run; destroy it before the runtime.
 class Transport {
  public:
   class Builder {
--- a/libs/link/src/endpoint.h
+++ b/libs/link/src/endpoint.h
@@ -21,7 +21,7 @@
 struct EndpointSink {
   std::function<ConnectionId()> next_id;
   std::function<void(ConnectionId)> on_open;
-  std::function<void(ConnectionId, std::string frame)> on_frame;
+  std::function<void(ConnectionId, const std::string& message)> on_message;
   // An incoming connection failed before it was open.
   std::function<void(base::Error reason)> on_reject;
   // Once for each connection; `reason` is kNone for an orderly end.
@@ -46,7 +46,7 @@
                                          uint16_t port,
                                          base::Error& error) = 0;
   virtual void Dial(ConnectionId id, const std::string& ip, uint16_t port) = 0;
-  virtual void Send(ConnectionId id, const std::string& frame) = 0;
+  virtual void Send(ConnectionId id, const std::string& message) = 0;
   // Closes with a closing handshake of bounded time.
   virtual void Close(ConnectionId id) = 0;
   // Closes the socket at once and reports `reason`.
@@ -61,12 +61,12 @@
 };
 
 std::shared_ptr<Endpoint> MakePlainEndpoint(boost::asio::io_context& io,
-                                            size_t max_frame_bytes,
+                                            size_t max_message_bytes,
                                             EndpointSink sink);
 
 // Null with `error` set when a file can't be used.
 std::shared_ptr<Endpoint> MakeTlsEndpoint(boost::asio::io_context& io,
-                                          size_t max_frame_bytes,
+                                          size_t max_message_bytes,
                                           const TlsFiles& files,
                                           EndpointSink sink,
                                           base::Error& error);
--- a/libs/link/src/io_side.cc
+++ b/libs/link/src/io_side.cc
@@ -1,16 +1,21 @@
 #include "io_side.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "base/clocks.h"
+#include "frame_batch.h"
 #include "runtime/runtime.h"
 
 namespace godwit::link {
 namespace {
 
+// Frames that wait together share a WebSocket message up to this size.
+constexpr size_t kBatchBytes = size_t{64} * 1024;
 // Silence is noticed within this fraction of the limit.
 constexpr int64_t kChecksPerLimit = 8;
 
@@ -27,10 +32,11 @@
 bool IoSide::Open(const std::optional<TlsFiles>& tls,
                   size_t max_frame_bytes,
                   base::Error& error) {
+  const size_t limit =
+      std::max(max_frame_bytes, kBatchBytes) + kFrameLengthBytes;
   endpoint_ =
-      tls ? MakeTlsEndpoint(runtime_.io(), max_frame_bytes, *tls, MakeSink(),
-                            error)
-          : MakePlainEndpoint(runtime_.io(), max_frame_bytes, MakeSink());
+      tls ? MakeTlsEndpoint(runtime_.io(), limit, *tls, MakeSink(), error)
+          : MakePlainEndpoint(runtime_.io(), limit, MakeSink());
   return endpoint_ != nullptr;
 }
 
@@ -57,8 +63,8 @@
     watched_[id].last_arrival = base::SteadyNow();
     Report(LinkOpened{id});
   };
-  sink.on_frame = [this](ConnectionId id, const std::string& frame) {
-    OnFrame(id, frame);
+  sink.on_message = [this](ConnectionId id, const std::string& message) {
+    OnMessage(id, message);
   };
   sink.on_reject = [this](base::Error reason) {
     Report(PeerRejected{std::move(reason)});
@@ -123,6 +129,26 @@
   for (const Order& order : orders) {
     std::visit([this](const auto& typed) { CarryOut(typed); }, order);
   }
+  FlushAll();
+}
+
+void IoSide::Flush(ConnectionId id) {
+  const auto found = batches_.find(id);
+  if (found == batches_.end()) {
+    return;
+  }
+  endpoint_->Send(id, found->second);
+  batches_.erase(found);
+  const auto watched = watched_.find(id);
+  if (watched != watched_.end() && watched->second.gauge) {
+    watched->second.gauge->socket = endpoint_->queued_bytes(id);
+  }
+}
+
+void IoSide::FlushAll() {
+  while (!batches_.empty()) {
+    Flush(batches_.begin()->first);
+  }
 }
 
 void IoSide::CarryOut(const DialOrder& order) {
@@ -131,24 +157,40 @@
 }
 
 void IoSide::CarryOut(const SendOrder& order) {
-  endpoint_->Send(order.id, order.frame);
   order.gauge->outbox -= order.frame.size();
-  order.gauge->socket = endpoint_->queued_bytes(order.id);
-  if (const auto found = watched_.find(order.id); found != watched_.end()) {
-    found->second.gauge = order.gauge;
+  const auto found = watched_.find(order.id);
+  if (found == watched_.end()) {
+    return;
+  }
+  found->second.gauge = order.gauge;
+  std::string& batch = batches_[order.id];
+  if (!batch.empty() && batch.size() + order.frame.size() > kBatchBytes) {
+    Flush(order.id);
   }
+  AppendFrame(batches_[order.id], order.frame);
 }
 
 void IoSide::CarryOut(const CloseOrder& order) {
+  Flush(order.id);
   endpoint_->Close(order.id);
 }
 
 void IoSide::Report(IoEvent event) {
+  std::vector<IoEvent> events;
+  events.push_back(std::move(event));
+  Report(std::move(events));
+}
+
+void IoSide::Report(std::vector<IoEvent> events) {
   bool first = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     first = events_.empty();
-    events_.push_back(std::move(event));
+    if (first) {
+      events_.swap(events);
+    } else {
+      std::move(events.begin(), events.end(), std::back_inserter(events_));
+    }
   }
   if (first) {
     runtime_.Post([self = shared_from_this()] { self->ReportAll(); });
@@ -166,18 +208,35 @@
   }
 }
 
-void IoSide::OnFrame(ConnectionId id, const std::string& frame) {
+void IoSide::OnMessage(ConnectionId id, const std::string& batch) {
   const auto found = watched_.find(id);
   if (found == watched_.end()) {
     return;
   }
   found->second.last_arrival = base::SteadyNow();
+  const auto frames = SplitFrames(batch);
+  if (!frames || frames->empty()) {
+    Report(FrameRefused{
+        id, base::Error(base::ErrorKind::kMalformed,
+                        "message is not made of whole frames",
+                        "run the same release of godwitlatch on both "
+                        "processes")});
+    return;
+  }
+  std::vector<IoEvent> events;
+  events.reserve(frames->size());
+  for (const std::string_view frame : *frames) {
+    events.push_back(Decode(id, frame));
+  }
+  Report(std::move(events));
+}
+
+IoEvent IoSide::Decode(ConnectionId id, std::string_view frame) {
   auto message = codec_.Decode(frame);
   if (message) {
-    Report(FrameArrived{id, *std::move(message)});
-  } else {
-    Report(FrameRefused{id, codec_.last_error()});
+    return FrameArrived{id, *std::move(message)};
   }
+  return FrameRefused{id, codec_.last_error()};
 }
 
 void IoSide::ScheduleCheck() {
--- a/libs/link/src/io_side.h
+++ b/libs/link/src/io_side.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -119,13 +120,18 @@
 
   EndpointSink MakeSink();
   void Enqueue(Order order);
+  // Sends the batch of a connection, if any.
+  void Flush(ConnectionId id);
+  void FlushAll();
   void CarryOut(const DialOrder& order);
   void CarryOut(const SendOrder& order);
   void CarryOut(const CloseOrder& order);
   void CarryOutAll();
   void Report(IoEvent event);
+  void Report(std::vector<IoEvent> events);
   void ReportAll();
-  void OnFrame(ConnectionId id, const std::string& frame);
+  void OnMessage(ConnectionId id, const std::string& batch);
+  IoEvent Decode(ConnectionId id, std::string_view frame);
   void ScheduleCheck();
   void CheckSilence();
 
@@ -137,6 +143,7 @@
 
   // I/O thread only.
   std::unordered_map<ConnectionId, Watched> watched_;
+  std::unordered_map<ConnectionId, std::string> batches_;
   boost::asio::steady_timer check_timer_;
   bool shut_down_ = false;
 
--- a/libs/link/src/plain_endpoint.cc
+++ b/libs/link/src/plain_endpoint.cc
@@ -26,10 +26,10 @@
 }  // namespace
 
 std::shared_ptr<Endpoint> MakePlainEndpoint(boost::asio::io_context& io,
-                                            size_t max_frame_bytes,
+                                            size_t max_message_bytes,
                                             EndpointSink sink) {
   return std::make_shared<WebsocketEndpoint<PlainSecurity>>(
-      io, max_frame_bytes, PlainSecurity(), std::move(sink));
+      io, max_message_bytes, PlainSecurity(), std::move(sink));
 }
 
 }  // namespace godwit::link
--- a/libs/link/src/tls_endpoint.cc
+++ b/libs/link/src/tls_endpoint.cc
@@ -98,7 +98,7 @@
 }  // namespace
 
 std::shared_ptr<Endpoint> MakeTlsEndpoint(boost::asio::io_context& io,
-                                          size_t max_frame_bytes,
+                                          size_t max_message_bytes,
                                           const TlsFiles& files,
                                           EndpointSink sink,
                                           base::Error& error) {
@@ -107,7 +107,7 @@
     return nullptr;
   }
   return std::make_shared<WebsocketEndpoint<TlsSecurity>>(
-      io, max_frame_bytes, std::move(security), std::move(sink));
+      io, max_message_bytes, std::move(security), std::move(sink));
 }
 
 }  // namespace godwit::link
--- a/libs/link/src/transport.cc
+++ b/libs/link/src/transport.cc
@@ -158,7 +158,11 @@
       Call(handler_.on_fault, event.id, event.error);
       return;
     }
-    ++counters_.malformed_frames;
+    if (event.error.kind() == base::ErrorKind::kTooLarge) {
+      ++counters_.oversized_frames;
+    } else {
+      ++counters_.malformed_frames;
+    }
     CloseFaulty(event.id, event.error);
   }
 
--- a/libs/link/src/websocket_endpoint.h
+++ b/libs/link/src/websocket_endpoint.h
@@ -24,12 +24,12 @@
       public std::enable_shared_from_this<WebsocketEndpoint<Security>> {
  public:
   WebsocketEndpoint(boost::asio::io_context& io,
-                    size_t max_frame_bytes,
+                    size_t max_message_bytes,
                     Security security,
                     EndpointSink sink)
       : io_(io), security_(std::move(security)), sink_(std::move(sink)) {
-    Prepare(server_, max_frame_bytes);
-    Prepare(client_, max_frame_bytes);
+    Prepare(server_, max_message_bytes);
+    Prepare(client_, max_message_bytes);
     server_.set_reuse_addr(true);
   }
 
@@ -79,9 +79,9 @@
     client_.connect(connection);
   }
 
-  void Send(ConnectionId id, const std::string& frame) override {
-    WithConnection(id, [&frame](auto& connection) {
-      connection.send(frame, websocketpp::frame::opcode::binary);
+  void Send(ConnectionId id, const std::string& message) override {
+    WithConnection(id, [&message](auto& connection) {
+      connection.send(message, websocketpp::frame::opcode::binary);
     });
   }
 
@@ -142,11 +142,11 @@
   static constexpr long kCloseHandshakeMillis = 500;
 
   template <typename Side>
-  void Prepare(Side& side, size_t max_frame_bytes) {
+  void Prepare(Side& side, size_t max_message_bytes) {
     side.clear_access_channels(websocketpp::log::alevel::all);
     side.clear_error_channels(websocketpp::log::elevel::all);
     side.init_asio(&io_);
-    side.set_max_message_size(max_frame_bytes);
+    side.set_max_message_size(max_message_bytes);
     side.set_close_handshake_timeout(kCloseHandshakeMillis);
     security_.Prepare(side);
   }
@@ -200,7 +200,7 @@
           if (connections.count(id) == 0) {
             return;
           }
-          self->sink_.on_frame(id, std::move(message->get_raw_payload()));
+          self->sink_.on_message(id, message->get_payload());
         });
     const auto end = [self, id, &connections](const auto& /*handle*/) {
       const auto found = connections.find(id);
@@ -220,7 +220,7 @@
     if (connection.get_local_close_code() ==
         websocketpp::close::status::message_too_big) {
       return base::Error(base::ErrorKind::kTooLarge,
-                         "frame exceeds the size limit",
+                         "message exceeds the size limit",
                          "lower the body limit of the sender");
     }
     if (connection.get_state() == websocketpp::session::state::closed &&
--- a/libs/link/tests/transport_test.cc
+++ b/libs/link/tests/transport_test.cc
@@ -11,6 +11,7 @@
 
 #include "base/clocks.h"
 #include "endpoint.h"
+#include "frame_batch.h"
 #include "link/codec.h"
 #include "link/link_counters.h"
 #include "link/transport.h"
@@ -26,6 +27,7 @@
 using godwit::base::Millis;
 using godwit::base::Seconds;
 using godwit::link::AddCredit;
+using godwit::link::AppendFrame;
 using godwit::link::Codec;
 using godwit::link::ConnectionId;
 using godwit::link::EndpointSink;
@@ -70,6 +72,14 @@
   return hello;
 }
 
+std::string Batch(const std::vector<std::string>& frames) {
+  std::string batch;
+  for (const std::string& frame : frames) {
+    AppendFrame(batch, frame);
+  }
+  return batch;
+}
+
 // A process with a transport that records what it is told.
 struct Peer {
   std::string fleet = "lantern";
@@ -209,40 +219,31 @@
 TEST(Transport, CountsFaultyFramesAndHarmsNoOtherLink) {
   struct Case {
     const char* name;
-    std::vector<std::string> frames;
+    std::string batch;
     ErrorKind fault;
     int64_t LinkCounters::*counter;
     bool closed;
   };
   RunData large;
   large.bytes.assign(2 * kMaxFrame, 'a');
+  RunData frame_above_limit;
+  frame_above_limit.bytes.assign(kMaxFrame - 30, 'a');
   const std::string hello = Codec::Encode(MakeHello("lantern"));
   const Case cases[] = {
-      {"before Hello",
-       {Codec::Encode(AddCredit{})},
-       ErrorKind::kProtocol,
-       &LinkCounters::misplaced_frames,
-       true},
-      {"second Hello",
-       {hello, hello},
-       ErrorKind::kProtocol,
-       &LinkCounters::misplaced_frames,
-       true},
-      {"unknown type",
-       {hello, "\x81\x18\xc8"},
-       ErrorKind::kProtocol,
-       &LinkCounters::unknown_frames,
-       false},
-      {"malformed",
-       {hello, "GET /"},
-       ErrorKind::kMalformed,
-       &LinkCounters::malformed_frames,
-       true},
-      {"oversized",
-       {hello, Codec::Encode(large)},
-       ErrorKind::kTooLarge,
-       &LinkCounters::oversized_frames,
-       true},
+      {"before Hello", Batch({Codec::Encode(AddCredit{})}),
+       ErrorKind::kProtocol, &LinkCounters::misplaced_frames, true},
+      {"second Hello", Batch({hello, hello}), ErrorKind::kProtocol,
+       &LinkCounters::misplaced_frames, true},
+      {"unknown type", Batch({hello, "\x81\x18\xc8"}), ErrorKind::kProtocol,
+       &LinkCounters::unknown_frames, false},
+      {"malformed", Batch({hello, "GET /"}), ErrorKind::kMalformed,
+       &LinkCounters::malformed_frames, true},
+      {"no batch", "GET /", ErrorKind::kMalformed,
+       &LinkCounters::malformed_frames, true},
+      {"oversized frame", Batch({hello, Codec::Encode(frame_above_limit)}),
+       ErrorKind::kTooLarge, &LinkCounters::oversized_frames, true},
+      {"oversized message", Batch({hello, Codec::Encode(large)}),
+       ErrorKind::kTooLarge, &LinkCounters::oversized_frames, true},
   };
   for (const Case& c : cases) {
     WithPeers([&c](Runtime& runtime, Peer& router, Peer& agent) {
@@ -251,18 +252,15 @@
       std::atomic<bool> closed{false};
       std::shared_ptr<godwit::link::Endpoint> raw;
       EndpointSink sink;
-      sink.on_open = [&](ConnectionId raw_id) {
-        for (const std::string& frame : c.frames) {
-          raw->Send(raw_id, frame);
-        }
-      };
-      sink.on_frame = [](ConnectionId, const std::string&) {};
+      sink.on_open = [&](ConnectionId raw_id) { raw->Send(raw_id, c.batch); };
+      sink.on_message = [](ConnectionId, const std::string&) {};
       sink.on_close = [&](ConnectionId, const Error&) { closed = true; };
       raw = MakePlainEndpoint(runtime.io(), kMaxFrame, std::move(sink));
       boost::asio::post(runtime.io(),
                         [&] { raw->Dial(1, kIp, agent.transport->port()); });
       CHECK_TEXT(Await([&] { return !agent.faults.empty(); }), c.name);
-      CHECK_TEXT(agent.faults.front() == c.fault, c.name);
+      CHECK_EQUAL_TEXT(static_cast<int>(c.fault),
+                       static_cast<int>(agent.faults.front()), c.name);
       CHECK_EQUAL_TEXT(1, agent.transport->counters().*c.counter, c.name);
       if (c.closed) {
         CHECK_TEXT(Await([&] { return closed.load(); }), c.name);
