--- a/libs/cas/include/cas/key_view.h
+++ b/libs/cas/include/cas/key_view.h
@@ -43,6 +43,11 @@
     return operation_->started_at;
   }
 
+  // True while a write is in flight.
+  bool is_writing() const noexcept {
+    return operation_ && operation_->is_write;
+  }
+
   // True while a write may yet take effect.
   bool has_open_writes() const noexcept { return !open_writes_.empty(); }
 
@@ -83,6 +88,11 @@
     if (!done.available || done.version < version_) {
       return Progress::kFailed;
     }
+    if (known_ && done.version == version_) {
+      outdated_ = false;
+      proven_at_ = started_at;
+      return Progress::kAdopted;
+    }
     auto record = Codec().Decode(done.value);
     corrupt_ = !record.has_value();
     if (corrupt_) {
--- a/libs/ledger/src/edit_planner.h
+++ b/libs/ledger/src/edit_planner.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_EDIT_PLANNER_H_
 #define LEDGER_EDIT_PLANNER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 
@@ -24,6 +25,8 @@
     const ShardView& view;
     const std::set<base::Incarnation>& usable;
     const GrantRecovery& recovery;
+    // Routers with a live lease, as far as known.
+    size_t live_routers;
     bool draining;
   };
 
@@ -59,15 +62,19 @@
   bool ListUsable(const Context& context,
                   const LocalBudget& local,
                   LedgerEdit& edit) const;
-  // What other routers lack beyond what is free.
-  base::Tokens UnmetWants(const Budget& budget, bool only_prior) const;
-  base::Tokens OthersWants(const Budget& budget, bool only_prior) const;
+  // What other routers lack.
+  base::Tokens OthersWants(const Budget& budget) const;
+  // What those other routers lack that come before this one.
+  base::Tokens PriorWants(const Budget& budget, const LocalBudget& local) const;
 
   base::Incarnation self_;
   HolderPolicy policy_;
   int64_t next_grant_ = 1;
 };
 
+// Tokens of a budget that are neither billed nor held.
+base::Tokens LeftOf(const Budget& budget);
+
 // Tokens of the budget's grant that can be reserved.
 base::Tokens AvailableIn(const ShardView& view, const LocalBudget& local);
 
--- a/libs/ledger/src/holder_state.h
+++ b/libs/ledger/src/holder_state.h
@@ -69,6 +69,8 @@
   void On(const platform::KvWriteDone& event);
 
   // Reservations.
+  // Some of the budget's reservations ended.
+  void OnFreed(LocalBudget& local);
   LocalBudget& BudgetOf(const base::BudgetId& id);
   // The budget's grant if it is still the one named.
   HeldGrant* GrantOf(const base::BudgetId& budget, const base::GrantId& grant);
@@ -100,6 +102,7 @@
   bool WriteIfDue(Shard& shard);
   bool ReadIsDue(const Shard& shard) const;
   base::Millis PollPeriod(const Shard& shard) const;
+  bool IsNearEnd(const Budget& budget) const;
   void GiveUpOverdue();
   bool KvIsDown(const Shard& shard) const;
   void ReportDrained();
@@ -115,6 +118,7 @@
   std::map<base::GrantId, base::BudgetId> grant_budgets_;
   // Shard of each operation in flight.
   std::map<int64_t, size_t> operations_;
+  size_t live_routers_ = 0;
   bool draining_ = false;
   bool reported_drained_ = false;
   std::optional<base::Millis> kv_failing_since_;
--- a/libs/ledger/tests/ledger_world.cc
+++ b/libs/ledger/tests/ledger_world.cc
@@ -14,7 +14,7 @@
 
 const base::BudgetId kBudget("budget");
 const base::OrganisationId kOrganisation("organisation");
-constexpr Millis kStep(10);
+constexpr Millis kStep(20);
 constexpr Millis kTick(50);
 // Time after which a message to an unreachable process is tried again.
 constexpr Millis kResend(200);
@@ -26,7 +26,7 @@
 HolderPolicy WorldPolicy() {
   HolderPolicy policy;
   policy.shard_count = 2;
-  policy.min_grant = 300;
+  policy.near_end = 3000;
   policy.settle_period = Millis(500);
   policy.scan_period = Millis(2000);
   policy.idle = Millis(10000);
