--- a/libs/telemetry/tests/event_table_test.cc
+++ b/libs/telemetry/tests/event_table_test.cc
@@ -12,6 +12,7 @@
 
 using godwit::telemetry::EventInfo;
 using godwit::telemetry::EventTable;
+using godwit::telemetry::Level;
 using godwit::telemetry::MetricInfo;
 using godwit::telemetry::MetricTable;
 
@@ -72,6 +73,23 @@
   CheckSame(expected, actual);
 }
 
+TEST(Catalogues, AlarmsPageNamesEveryWarningAndError) {
+  std::vector<std::string> expected;
+  for (const EventInfo& info : EventTable()) {
+    if (info.level >= Level::kWarning) {
+      expected.push_back("| " + std::to_string(static_cast<int>(info.id)) +
+                         " `" + std::string(info.name) + "` |");
+    }
+  }
+  std::vector<std::string> actual;
+  for (const std::string& line : PageLines("operators/alarms.md", "| ")) {
+    if (line.find_first_of("0123456789") == 2) {
+      actual.push_back(line.substr(0, line.find('|', 1) + 1));
+    }
+  }
+  CheckSame(expected, actual);
+}
+
 TEST(Catalogues, MetricsAreUniqueAndInOrder) {
   std::set<std::string_view> names;
   size_t position = 0;
