--- a/libs/ledger/include/ledger/holder_event.h
+++ b/libs/ledger/include/ledger/holder_event.h
@@ -6,6 +6,7 @@
 #include "ledger/agent_gone.h"
 #include "ledger/agent_usage_reported.h"
 #include "ledger/agents_changed.h"
+#include "ledger/agents_on_record.h"
 #include "ledger/drain_requested.h"
 #include "ledger/live_holders.h"
 #include "ledger/reserve_requested.h"
@@ -25,6 +26,7 @@
                                  RunReleased,
                                  AgentsChanged,
                                  AgentGone,
+                                 AgentsOnRecord,
                                  AgentUsageReported,
                                  LiveHolders,
                                  DrainRequested,
--- a/libs/ledger/src/grant_recovery.cc
+++ b/libs/ledger/src/grant_recovery.cc
@@ -1,7 +1,35 @@
 #include "grant_recovery.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace godwit::ledger {
 
+std::set<base::Incarnation> GrantRecovery::FindDropped(
+    const std::vector<const LedgerRecord*>& records,
+    const std::set<base::Incarnation>& on_record) {
+  std::set<base::Incarnation> missing;
+  for (const LedgerRecord* record : records) {
+    for (const auto& [budget_id, budget] : record->budgets) {
+      for (const auto& [id, grant] : budget.grants) {
+        const bool awaited =
+            grant.holder == self_ || grant.state == GrantState::kSealed;
+        for (const auto& [agent, account] : grant.agents) {
+          if (awaited && account.state == AccountState::kOpen &&
+              on_record.count(agent) == 0 && !IsGone(agent)) {
+            missing.insert(agent);
+          }
+        }
+      }
+    }
+  }
+  std::set<base::Incarnation> dropped;
+  std::set_intersection(missing.begin(), missing.end(), missing_.begin(),
+                        missing_.end(), std::inserter(dropped, dropped.end()));
+  missing_ = std::move(missing);
+  return dropped;
+}
+
 void GrantRecovery::AddReport(const AgentUsageReported& report) {
   if (report.sealed && report.running == 0) {
     reports_[{report.grant, report.agent}] = report.billed;
--- a/libs/ledger/src/grant_recovery.h
+++ b/libs/ledger/src/grant_recovery.h
@@ -26,6 +26,12 @@
     return gone_.count(agent) != 0;
   }
 
+  // Agents under this router's grants and under sealed ones that the fleet
+  // record did not name this time nor the time before.
+  std::set<base::Incarnation> FindDropped(
+      const std::vector<const LedgerRecord*>& records,
+      const std::set<base::Incarnation>& on_record);
+
   // Keeps a report that is final: sealed with nothing running.
   void AddReport(const AgentUsageReported& report);
 
@@ -62,6 +68,8 @@
   base::Incarnation self_;
   base::Millis seal_retry_;
   std::set<base::Incarnation> gone_;
+  // Missing from the fleet record when last told.
+  std::set<base::Incarnation> missing_;
   std::set<base::GrantId> lost_;
   std::map<ReportKey, base::Tokens> reports_;
   std::map<base::GrantId, base::Millis> requested_at_;
--- a/libs/ledger/src/holder_state.cc
+++ b/libs/ledger/src/holder_state.cc
@@ -126,6 +126,17 @@
   }
 }
 
+void BudgetHolder::State::On(const AgentsOnRecord& event) {
+  std::vector<const LedgerRecord*> records;
+  records.reserve(shards_.size());
+  for (const Shard& shard : shards_) {
+    records.push_back(&shard.view.record());
+  }
+  for (const auto& agent : recovery_.FindDropped(records, event.agents)) {
+    On(AgentGone{agent});
+  }
+}
+
 void BudgetHolder::State::On(const AgentUsageReported& event) {
   recovery_.AddReport(event);
   for (Shard& shard : shards_) {
--- a/libs/ledger/src/holder_state.h
+++ b/libs/ledger/src/holder_state.h
@@ -61,6 +61,7 @@
   void On(const RunReleased& event);
   void On(const AgentsChanged& event);
   void On(const AgentGone& event);
+  void On(const AgentsOnRecord& event);
   void On(const AgentUsageReported& event);
   void On(const LiveHolders& event);
   void On(const DrainRequested& event);
--- /dev/null
+++ b/libs/ledger/tests/dropped_agent_test.cc
@@ -0,0 +1,83 @@
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "ledger/budget_holder.h"
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_edit.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using godwit::base::BudgetId;
+using godwit::base::GrantId;
+using godwit::base::Incarnation;
+using godwit::base::Millis;
+using godwit::ledger::AgentsOnRecord;
+using godwit::ledger::BudgetHolder;
+using godwit::ledger::HolderPolicy;
+using godwit::ledger::LedgerCodec;
+using godwit::ledger::LedgerEdit;
+using godwit::ledger::LedgerRecord;
+using godwit::ledger::Tick;
+using godwit::platform::KvRead;
+using godwit::platform::KvReadDone;
+using godwit::platform::KvWrite;
+
+const BudgetId kBudget("budget");
+const GrantId kGrant("router-1/1");
+const Incarnation kAgent("agent-1");
+
+// A sealed grant of a lost router that waits for one agent.
+std::string SealedRecord() {
+  LedgerEdit edit((LedgerRecord()));
+  edit.CreateBudget(kBudget, godwit::base::OrganisationId("organisation"));
+  edit.TopUp(kBudget, "first", 1000, Millis(0));
+  edit.Draw(kBudget, kGrant, Incarnation("router-1"), 400);
+  edit.ListAgents(kBudget, kGrant, {kAgent});
+  edit.Seal(kBudget, kGrant);
+  return LedgerCodec().Encode(edit.record());
+}
+
+}  // namespace
+
+TEST_GROUP(DroppedAgent){};
+
+TEST(DroppedAgent, IsGoneOnceMissingTwiceInARow) {
+  struct Case {
+    const char* name;
+    std::vector<bool> on_record;
+    bool closes;
+  };
+  const std::vector<Case> cases = {
+      {"named", {true, true}, false},
+      {"missing once", {false}, false},
+      {"missing and back", {false, true, false}, false},
+      {"missing twice", {false, false}, true},
+  };
+  for (const Case& c : cases) {
+    HolderPolicy policy;
+    policy.shard_count = 1;
+    BudgetHolder holder(Incarnation("router-2"), policy);
+    const auto read = holder.Step(Millis(100), Tick{});
+    holder.Step(Millis(110), KvReadDone{std::get<KvRead>(read[0]).operation,
+                                        true, 1, SealedRecord()});
+    bool closed = false;
+    for (const bool named : c.on_record) {
+      AgentsOnRecord event;
+      if (named) {
+        event.agents.insert(kAgent);
+      }
+      for (const auto& command : holder.Step(Millis(200), event)) {
+        const auto* write = std::get_if<KvWrite>(&command);
+        closed = closed || write != nullptr;
+        if (write != nullptr) {
+          const auto record = LedgerCodec().Decode(write->value);
+          CHECK_EQUAL_TEXT(400, record->budgets.at(kBudget).held, c.name);
+        }
+      }
+    }
+    CHECK_EQUAL_TEXT(c.closes, closed, c.name);
+  }
+}
