--- a/libs/membership/src/fleet_codec.cc
+++ b/libs/membership/src/fleet_codec.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cbor/read.h"
+
 namespace godwit::membership {
 
 namespace {
@@ -33,29 +35,15 @@
   }
 
   std::string Text() {
-    const Json* field = Next();
-    if (field == nullptr || !field->is_string()) {
-      ok_ = false;
-      return {};
-    }
-    return field->get<std::string>();
+    std::optional<std::string> text = cbor::Text(Next());
+    ok_ = ok_ && text.has_value();
+    return text.value_or(std::string());
   }
 
   int64_t Integer(int64_t low, int64_t high) {
-    const Json* field = Next();
-    if (field == nullptr || !field->is_number_integer()) {
-      ok_ = false;
-      return 0;
-    }
-    const bool huge =
-        field->is_number_unsigned() &&
-        field->get<uint64_t>() > uint64_t{std::numeric_limits<int64_t>::max()};
-    const int64_t value = huge ? -1 : field->get<int64_t>();
-    if (huge || value < low || value > high) {
-      ok_ = false;
-      return 0;
-    }
-    return value;
+    const std::optional<int64_t> value = cbor::Integer(Next());
+    ok_ = ok_ && value && *value >= low && *value <= high;
+    return ok_ ? *value : low;
   }
 
   bool ok() const { return ok_; }
@@ -124,9 +112,9 @@
   if (bytes.empty()) {
     return FleetRecord();
   }
-  const Json document = Json::from_cbor(bytes, true, false);
+  const std::optional<Json> document = cbor::Read(bytes);
   std::optional<FleetRecord> record =
-      document.is_discarded() ? std::nullopt : RecordFrom(document);
+      document ? RecordFrom(*document) : std::nullopt;
   if (!record) {
     error_ = base::Error(
         base::ErrorKind::kCorrupt,
--- a/libs/membership/tests/fleet_test.cc
+++ b/libs/membership/tests/fleet_test.cc
@@ -115,7 +115,10 @@
 TEST(FleetCodec, RefusesDamagedBytes) {
   FleetCodec codec;
   const std::string good = codec.Encode(FleetRecord({Agent("p", "p1", 10)}));
-  std::vector<std::string> damaged = {"x", "\x80", "\xff\xff", good + "x"};
+  std::vector<std::string> damaged = {
+      "x", "\x80", "\xff\xff", good + "x",
+      // A map of 2^63 members.
+      "\x82\x01\x81\xbb\xbb\xbb\xbb\xbb\xbb\xbb\xbb\xbb"};
   for (size_t length = 1; length < good.size(); ++length) {
     damaged.push_back(good.substr(0, length));
   }
--- a/libs/routing/tests/routing_test.cc
+++ b/libs/routing/tests/routing_test.cc
@@ -252,6 +252,30 @@
   LONGS_EQUAL(0, driver.picker.in_flight(driver.agent(0)));
 }
 
+TEST(Picker, AttemptsOutliveAForgottenAgent) {
+  Driver driver(2);
+  const AttemptId ended = driver.Start(driver.agent(0));
+  const AttemptId failed = driver.Start(driver.agent(0));
+  driver.picker.Forget(driver.agent(0));
+  driver.picker.OnFirstToken(driver.now, ended);
+  driver.picker.OnEnded(driver.now, ended);
+  driver.picker.OnFailed(driver.now, failed);
+  LONGS_EQUAL(0, driver.picker.in_flight(driver.agent(0)));
+  CHECK(std::holds_alternative<PickedAgent>(driver.Choose()));
+}
+
+TEST(Picker, RoutersAgreeOnWhereAnUnseenPrefixGoes) {
+  Driver one(8);
+  Driver other(8);
+  other.picker = Picker(PickerSettings(), std::mt19937_64(99));
+  for (int i = 0; i < 20; ++i) {
+    const PickRequest request = WithPrompt(std::string(8192, 'a' + i));
+    const auto first = std::get<PickedAgent>(one.Choose(request));
+    const auto second = std::get<PickedAgent>(other.Choose(request));
+    CHECK(first.agent == second.agent);
+  }
+}
+
 TEST_GROUP(PrefixBlocks){};
 
 TEST(PrefixBlocks, AgreeUpToTheFirstDifference) {
