End periodic tasks of a stopped runtime that left tasks behind

agent_process_test passed its 5 tests and then did not end (ctest: timeout after 300 s; by hand 1 of 10 runs on a busy machine). A periodic task ended only once the queue was empty as well, and a task that the I/O thread posts after Run has returned is never taken, so the fiber went on for ever and kept the thread from ending. The programs were not affected, as they leave by Runtime::Exit.

--- a/libs/runtime/src/runtime.cc
+++ b/libs/runtime/src/runtime.cc
@@ -49,6 +49,12 @@
     return std::exchange(tasks, {});
   }
 
+  bool Stopping() {
+    const std::lock_guard<boost::fibers::mutex> lock(mutex);
+    return stopping;
+  }
+
+  // True once the tasks posted before the stop have run as well.
   bool Stopped() {
     const std::lock_guard<boost::fibers::mutex> lock(mutex);
     return stopping && tasks.empty();
@@ -101,7 +107,7 @@
   // fibers of another one.
   Launch([state = state_, period, task = std::move(task)] {
     SleepFor(period);
-    while (!state->Stopped()) {
+    while (!state->Stopping()) {
       task();
       SleepFor(period);
     }
