Tell the ledger which agents the fleet record names

Cause: a record drops agents that are long gone; a router that never saw one marked gone would keep a grant that lists it sealed for ever, and its own drain would wait for it. Change: RouterCore gives AgentsOnRecord after each newer record; only agents in the record are picked and listed, since one that has not joined would count as gone. The picker gets an estimate of the prompt (a token for 4 bytes) where it had the reservation's bound.

--- a/libs/router/src/call_flow_start.cc
+++ b/libs/router/src/call_flow_start.cc
@@ -14,6 +14,8 @@
 constexpr int64_t kUnlimitedCredit = int64_t{1} << 40U;
 // Longest wait for budget or a claim.
 constexpr base::Millis kMachineWait = base::Seconds(1);
+// Bytes of text that a token usually stands for; the bound takes one.
+constexpr base::Tokens kBytesPerToken = 4;
 // Time that an answer which has begun has to go on elsewhere.
 constexpr base::Millis kResumeDeadline = base::Seconds(30);
 
@@ -93,13 +95,15 @@
   std::vector<routing::Candidate> candidates;
   for (const membership::AgentView& agent :
        context_.membership.Usable(context_.now, call.service->id)) {
-    candidates.push_back(routing::Candidate{
-        agent.incarnation, agent.data_centre, call.service->max_running});
+    if (agent.joined) {
+      candidates.push_back(routing::Candidate{
+          agent.incarnation, agent.data_centre, call.service->max_running});
+    }
   }
   call.pick.prefix_blocks = call.request.prefix_blocks;
   call.pick.priority = call.traffic_class->priority;
   call.pick.deadline_in = call.deadline - context_.now;
-  call.pick.prompt_tokens = call.request.prompt_tokens_bound;
+  call.pick.prompt_tokens = call.request.prompt_tokens_bound / kBytesPerToken;
   call.pick.exclude = call.excluded;
   call.agent = base::ProcessId();
   call.agent_incarnation = base::Incarnation();
--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -187,12 +187,15 @@
     }
     context_.membership.OnFleetRecord(context_.now, event.record,
                                       event.version);
+    ledger::AgentsOnRecord on_record;
     for (const membership::FleetAgent& agent : event.record.agents()) {
+      on_record.agents.insert(agent.incarnation);
       if (agent.state == membership::AgentState::kGone &&
           known_gone_.insert(agent.incarnation).second) {
         ending_.insert(agent.incarnation);
       }
     }
+    context_.StepHolder(on_record);
     UpdateUsable();
     flow_.OnFleetChanged();
     EndLives();
@@ -275,7 +278,10 @@
       for (const config::Service& service : context_.config->services) {
         for (const membership::AgentView& agent :
              context_.membership.Usable(context_.now, service.id)) {
-          usable.insert(agent.incarnation);
+          // The ledger takes an agent that the record lacks for gone.
+          if (agent.joined) {
+            usable.insert(agent.incarnation);
+          }
         }
       }
     }
