Dial a few agents before the first configuration

A router that starts while the KV is down knows no service, so its subset was empty and it dialled nobody; no peer could then give it the configuration. Until a configuration is in force it links to three agents of the fleet record or the VM list. The stand-in's VM list can outlive an outage of the KV (keep_vms).

--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -31,7 +31,8 @@
  public:
   explicit Membership(MembershipSettings settings);
 
-  // The services of the configuration in force, replacing earlier ones.
+  // The services of the configuration in force, replacing earlier ones. Before
+  // the first, a few agents are dialled, from which it can be pulled.
   void SetServices(std::vector<ServiceAgents> services);
 
   // A version of the fleet record was read. Older versions than the newest
@@ -122,6 +123,7 @@
   bool IsHeard(base::Millis now, const base::ProcessId& process) const;
   bool IsLeaving(const base::ProcessId& process) const;
   void RebuildSubsets();
+  void WantFirstLinks();
   void ForgetEndedLives();
 
   MembershipSettings settings_;
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -7,6 +7,12 @@
 #include "subset.h"
 
 namespace godwit::membership {
+namespace {
+
+// Agents that a router without a configuration links to.
+constexpr size_t kFirstLinks = 3;
+
+}  // namespace
 
 Membership::Membership(MembershipSettings settings)
     : settings_(std::move(settings)) {}
@@ -358,6 +364,30 @@
     subset_union_.insert(subset.begin(), subset.end());
     subsets_[service.service] = std::move(subset);
   }
+  if (services_.empty()) {
+    WantFirstLinks();
+  }
+}
+
+// Without a configuration no service names agents, yet the configuration may
+// have to come from one.
+void Membership::WantFirstLinks() {
+  std::set<base::ProcessId> known;
+  for (const FleetAgent& agent : record_.agents()) {
+    known.insert(agent.process);
+  }
+  for (const auto& [process, vm] : vms_) {
+    known.insert(process);
+  }
+  std::vector<SubsetMember> members;
+  for (const base::ProcessId& process : known) {
+    std::optional<base::DataCentreId> place = PlaceOf(process);
+    if (place && !IsLeaving(process)) {
+      members.push_back(SubsetMember{process, *std::move(place)});
+    }
+  }
+  const auto subset = ChooseSubset(settings_.self, members, kFirstLinks);
+  subset_union_.insert(subset.begin(), subset.end());
 }
 
 void Membership::ForgetEndedLives() {
--- a/libs/membership/tests/membership_test.cc
+++ b/libs/membership/tests/membership_test.cc
@@ -211,6 +211,23 @@
       (membership.UnwantedLinks(Millis(6010)) == std::vector<ConnectionId>{1}));
 }
 
+TEST(Membership, DialsAFewAgentsBeforeTheFirstConfiguration) {
+  MembershipSettings settings;
+  settings.self = ProcessId("router-1");
+  Membership membership(settings);
+  CHECK(membership.TakeDials(Millis(0)).empty());
+  std::vector<Vm> vms;
+  for (int i = 0; i < kAgents; ++i) {
+    const FleetAgent agent = Agent(i);
+    vms.push_back(Vm{agent.process, agent.ip, agent.port, "agent",
+                     agent.data_centre, false});
+  }
+  membership.OnVmList(Millis(0), vms);
+  LONGS_EQUAL(3, membership.TakeDials(Millis(0)).size());
+  membership.SetServices({{kChat, {ProcessId(Name(0))}}});
+  LONGS_EQUAL(1, membership.TakeDials(Seconds(10)).size());
+}
+
 TEST(Membership, KeepsLinksOutsideTheSubsetForAWhile) {
   Membership membership = Router("router-1", 0);
   membership.OnFleetRecord(Millis(0), Fleet(1), 1);
--- a/standins/platform/src/platform_service.cc
+++ b/standins/platform/src/platform_service.cc
@@ -83,6 +83,10 @@
     Answer(*exchange, Refusal(400, ErrorKind::kMalformed, "bad target"));
     return;
   }
+  if (target->path == "/vms" && faults_.keep_vms) {
+    exchange->Respond(Vms(request));
+    return;
+  }
   if (target->path == "/fault") {
     exchange->Respond(SetFaults(request));
     return;
@@ -244,6 +248,7 @@
   faults_.outage = MemberOr(faults, "outage", faults_.outage);
   faults_.silent = MemberOr(faults, "silent", faults_.silent);
   faults_.keep_leases = MemberOr(faults, "keep_leases", faults_.keep_leases);
+  faults_.keep_vms = MemberOr(faults, "keep_vms", faults_.keep_vms);
   faults_.delay =
       base::Millis(MemberOr(faults, "delay_ms", faults_.delay.count()));
   faults_.lose_answers = MemberOr(faults, "lose_answers", faults_.lose_answers);
--- a/standins/platform/src/platform_service.h
+++ b/standins/platform/src/platform_service.h
@@ -46,6 +46,8 @@
     bool silent = false;
     // Leases get their whole time again when the outage ends.
     bool keep_leases = false;
+    // Outage and silence are the KV's only; the VM list goes on.
+    bool keep_vms = false;
     base::Millis delay;
     // Number of writes whose answers are still to be lost.
     int64_t lose_answers = 0;
