Advertise an address of the agent's own in the fleet record

advertise_ip and advertise_port stand in the record where routers reach the agent by another address than it listens on. Child processes of tests inherit no sockets, which would keep connections open that the test closes.

--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <climits>
 #include <cstdio>
 #include <cstdlib>
 
@@ -31,6 +32,8 @@
   if (error_output >= 0) {
     dup2(error_output, STDERR_FILENO);
   }
+  // A socket of the test that a child held open would never look closed.
+  close_range(STDERR_FILENO + 1, UINT_MAX, 0);
   execv(path.c_str(), argv.data());
   _exit(127);
 }
--- a/tools/godwit-agent/src/agent_daemon.cc
+++ b/tools/godwit-agent/src/agent_daemon.cc
@@ -77,6 +77,12 @@
       .Default("127.0.0.1")
       .Port("listen_port", "port that routers dial; 0 for a free one")
       .Default("0")
+      .Ip("advertise_ip",
+          "IP number that the fleet record gives routers, if not listen_ip")
+      .Optional()
+      .Port("advertise_port",
+            "port that the fleet record gives routers, if not listen_port")
+      .Optional()
       .Address("platform", "IP:PORT of the platform's KV")
       .Address("backend", "IP:PORT of the backend server")
       .Choice("kind", "what the backend server is", {kModelPool, kPlain})
@@ -235,8 +241,11 @@
     membership::FleetAgent self;
     self.incarnation = options_.incarnation;
     self.process = base::ProcessId(settings_.Text("process"));
-    self.ip = settings_.Text("listen_ip");
-    self.port = links_.port();
+    self.ip = settings_.Text(settings_.Has("advertise_ip") ? "advertise_ip"
+                                                           : "listen_ip");
+    self.port = settings_.Has("advertise_port")
+                    ? settings_.Port("advertise_port")
+                    : links_.port();
     self.data_centre = base::DataCentreId(settings_.Text("data_centre"));
     self.joined_at = base::WallNow();
     return self;
