Test the proofs' labels end to end through separate processes

One CppUTest binary for each label starts routers, agents and stand-ins of its own, with relays that cut or silence links, and waits on conditions only.

--- /dev/null
+++ b/tests/process/config_test.cc
@@ -0,0 +1,131 @@
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "process_fleet.h"
+#include "runtime/runtime.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::process::Await;
+using godwit::process::ProcessFleet;
+using godwit::process::RunOnCore;
+using godwit::runtime::Runtime;
+
+namespace {
+
+constexpr int64_t kLimit = 50'000;
+
+// Applies a configuration over `expected`; its revision, or 0.
+int64_t Apply(const ProcessFleet& fleet,
+              int64_t max_running,
+              int64_t expected) {
+  const auto output =
+      fleet.RunTool("--json config apply " + fleet.ConfigFile(max_running) +
+                    " --expect " + std::to_string(expected));
+  const auto json = nlohmann::json::parse(output.text, nullptr, false);
+  return output.exit_code == 0 ? json.value("revision", int64_t{0}) : 0;
+}
+
+int64_t RevisionAt(ProcessFleet& fleet, size_t router) {
+  return fleet.Status(router).value("config_revision", int64_t{0});
+}
+
+// Follows the revisions in force at routers. Core thread.
+class RevisionWatch {
+ public:
+  explicit RevisionWatch(ProcessFleet& fleet) : fleet_(fleet) {}
+
+  // Waits until the router has this revision; false if it went back.
+  bool AwaitRevision(size_t router, int64_t revision) {
+    const bool reached = Await([&] {
+      Look();
+      return highest_[router] >= revision;
+    });
+    return reached && !went_back_ && highest_[router] == revision;
+  }
+
+ private:
+  void Look() {
+    for (size_t router = 0; router < highest_.size(); ++router) {
+      const int64_t seen = RevisionAt(fleet_, router);
+      went_back_ = went_back_ || (seen > 0 && seen < highest_[router]);
+      highest_[router] = std::max(highest_[router], seen);
+    }
+  }
+
+  ProcessFleet& fleet_;
+  std::vector<int64_t> highest_ = {0, 0};
+  bool went_back_ = false;
+};
+
+}  // namespace
+
+TEST_GROUP(Config){};
+
+TEST(Config, ReachesRoutersThatArePausedOrCutFromTheKv) {
+  RunOnCore([](Runtime& runtime) {
+    ProcessFleet fleet(runtime, kLimit);
+    CHECK(fleet.AwaitReady());
+    RevisionWatch watch(fleet);
+    const int64_t first = RevisionAt(fleet, 0);
+    fleet.router(1).platform->Cut();
+    const int64_t second = Apply(fleet, 31, first);
+    CHECK(second > first);
+    CHECK(watch.AwaitRevision(0, second));
+    CHECK(watch.AwaitRevision(1, second));
+    fleet.router(0).process->Signal(SIGSTOP);
+    const int64_t third = Apply(fleet, 30, second);
+    CHECK(third > second);
+    CHECK(Await([&] { return RevisionAt(fleet, 1) == third; }));
+    fleet.SetFault(fleet.platform_port(),
+                   R"({"outage":true,"keep_leases":true})");
+    fleet.router(0).process->Signal(SIGCONT);
+    CHECK(watch.AwaitRevision(0, third));
+    CHECK(watch.AwaitRevision(1, third));
+  });
+}
+
+TEST(Config, ReachesANewRouterWhileTheKvIsDown) {
+  RunOnCore([](Runtime& runtime) {
+    ProcessFleet fleet(runtime, kLimit);
+    CHECK(fleet.AwaitReady());
+    const int64_t revision = Apply(fleet, 31, RevisionAt(fleet, 0));
+    CHECK(Await([&] { return RevisionAt(fleet, 0) == revision; }));
+    fleet.PublishVms();
+    fleet.SetFault(fleet.platform_port(),
+                   R"({"outage":true,"keep_leases":true,"keep_vms":true})");
+    fleet.StartRouter(2);
+    CHECK(Await([&] { return RevisionAt(fleet, 2) == revision; }));
+  });
+}
+
+TEST(Config, OneOfRacingAppliesWins) {
+  RunOnCore([](Runtime& runtime) {
+    ProcessFleet fleet(runtime, kLimit);
+    CHECK(fleet.AwaitReady());
+    RevisionWatch watch(fleet);
+    const std::string expect =
+        " --expect " + std::to_string(RevisionAt(fleet, 0));
+    fleet.SetFault(fleet.platform_port(), R"({"lose_answers":1})");
+    const auto outputs =
+        fleet.RunTools({"config apply " + fleet.ConfigFile(8) + expect,
+                        "config apply " + fleet.ConfigFile(9) + expect});
+    const bool first_won = outputs[0].exit_code == 0;
+    const auto& loser = outputs[first_won ? 1 : 0];
+    CHECK_EQUAL(0, outputs[first_won ? 0 : 1].exit_code);
+    CHECK_EQUAL(1, loser.exit_code);
+    STRCMP_CONTAINS(first_won ? "services.dispatch.max_running: 8 -> 9"
+                              : "services.dispatch.max_running: 9 -> 8",
+                    loser.text.c_str());
+    const auto shown = nlohmann::json::parse(
+        fleet.RunTool("--json config show").text, nullptr, false);
+    STRCMP_CONTAINS(first_won ? "max_running: 8" : "max_running: 9",
+                    shown.value("text", "").c_str());
+    const auto revision = shown.value("revision", int64_t{0});
+    CHECK(watch.AwaitRevision(0, revision));
+    CHECK(watch.AwaitRevision(1, revision));
+  });
+}
--- /dev/null
+++ b/tests/process/fleet_process.h
@@ -0,0 +1,28 @@
+#ifndef PROCESS_FLEET_PROCESS_H_
+#define PROCESS_FLEET_PROCESS_H_
+
+#include <memory>
+#include <string>
+
+#include "relay.h"
+#include "support/child_process.h"
+
+namespace godwit::process {
+
+// A router or an agent with the relays round it.
+struct FleetProcess {
+  std::string name;
+  std::string data_centre;
+  std::string settings_file;
+  // Between it and the platform.
+  std::unique_ptr<Relay> platform;
+  // Agents: between the routers and it.
+  std::unique_ptr<Relay> links;
+  // Agents: its backend server.
+  std::unique_ptr<support::ChildProcess> backend;
+  std::unique_ptr<support::ChildProcess> process;
+};
+
+}  // namespace godwit::process
+
+#endif  // PROCESS_FLEET_PROCESS_H_
--- /dev/null
+++ b/tests/process/leaving_test.cc
@@ -0,0 +1,66 @@
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/millis.h"
+#include "call.h"
+#include "open_streams.h"
+#include "process_fleet.h"
+#include "runtime/runtime.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Millis;
+using godwit::process::Call;
+using godwit::process::FleetProcess;
+using godwit::process::OpenStreams;
+using godwit::process::ProcessFleet;
+using godwit::process::Question;
+using godwit::process::RunOnCore;
+using godwit::runtime::Runtime;
+
+namespace {
+
+constexpr int64_t kLimit = 50'000;
+constexpr size_t kStreams = 8;
+constexpr size_t kLaterQuestions = 24;
+// Bound after which a leaving agent gets nothing more.
+constexpr Millis kLeavingBound = godwit::base::Seconds(3);
+
+int64_t ExecutionsAt(ProcessFleet& fleet, const FleetProcess& agent) {
+  return fleet.Ask(agent.backend->port(), "GET", "/stats")
+      .value("executions", int64_t{-1});
+}
+
+}  // namespace
+
+TEST_GROUP(Leaving){};
+
+TEST(Leaving, NoNewWorkAlthoughTheVmListLags) {
+  RunOnCore([](Runtime& runtime) {
+    ProcessFleet fleet(runtime, kLimit);
+    // The list shows the agent as live to the end.
+    fleet.PublishVms();
+    CHECK(fleet.AwaitReady());
+    OpenStreams streams(fleet, 0, "open", kStreams);
+    CHECK(streams.AwaitMidStream());
+    const int64_t before = ExecutionsAt(fleet, fleet.engine(0));
+    CHECK(before > 0);
+    CHECK(before < static_cast<int64_t>(kStreams));
+    fleet.engine(0).process->Signal(SIGTERM);
+    Runtime::SleepFor(kLeavingBound);
+    const int64_t at_bound = ExecutionsAt(fleet, fleet.engine(0));
+    // The leaving agent still has streams, so that it is there to be asked.
+    fleet.SetFault(fleet.engine(1).backend->port(), R"({"speed":1.0})");
+    for (size_t index = 0; index < kLaterQuestions; ++index) {
+      Call call = Question("later " + std::to_string(index), "");
+      CHECK(fleet.Perform(index % 2, call));
+    }
+    CHECK_EQUAL(at_bound, ExecutionsAt(fleet, fleet.engine(0)));
+    streams.Hurry();
+    CHECK(streams.AwaitEnded());
+    CHECK(streams.AllInFull());
+    CHECK_EQUAL(0, fleet.engine(0).process->Wait());
+  });
+}
--- /dev/null
+++ b/tests/process/overspend_test.cc
@@ -0,0 +1,111 @@
+#include <algorithm>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "call.h"
+#include "process_fleet.h"
+#include "runtime/runtime.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::process::Await;
+using godwit::process::Call;
+using godwit::process::ProcessFleet;
+using godwit::process::Question;
+using godwit::process::RunOnCore;
+using godwit::runtime::Runtime;
+
+namespace {
+
+constexpr int64_t kLimit = 2000;
+// Together they ask for more than twice the limit.
+constexpr size_t kCalls = 100;
+constexpr size_t kFirstAnswers = 5;
+
+bool IsExhausted(const Call& call) {
+  return call.error_kind() == "budget_exhausted" && call.not_run();
+}
+
+bool IsOver(const Call& call) {
+  return call.answered() || IsExhausted(call);
+}
+
+int64_t TotalUsage(const std::vector<Call>& calls) {
+  int64_t sum = 0;
+  for (const Call& call : calls) {
+    sum += call.answered() ? call.usage() : 0;
+  }
+  return sum;
+}
+
+std::vector<Call> ManyQuestions() {
+  std::vector<Call> calls;
+  for (size_t index = 0; index < kCalls; ++index) {
+    const std::string key = "question-" + std::to_string(index);
+    calls.push_back(Question(key, key));
+  }
+  return calls;
+}
+
+bool WithinLimit(const nlohmann::json& budget) {
+  const int64_t spent =
+      budget.at("billed").get<int64_t>() + budget.at("held").get<int64_t>();
+  return spent <= kLimit && budget.at("free").get<int64_t>() >= 0;
+}
+
+// Grants of a router in the budget's record.
+int64_t GrantsOf(const nlohmann::json& budget, const std::string& router) {
+  const auto& grants = budget.at("grants");
+  return std::count_if(
+      grants.begin(), grants.end(), [&](const nlohmann::json& grant) {
+        return grant.at("holder").get<std::string>().rfind(router, 0) == 0;
+      });
+}
+
+}  // namespace
+
+TEST_GROUP(Overspend){};
+
+TEST(Overspend, NeverWithRoutersKilledAndPausedAndTheKvDown) {
+  RunOnCore([](Runtime& runtime) {
+    ProcessFleet fleet(runtime, kLimit);
+    CHECK(fleet.AwaitReady());
+    std::vector<Call> calls = ManyQuestions();
+    bool is_late = false;
+    const auto is_final = [&is_late](const Call& call) {
+      return IsExhausted(call) || (is_late && call.not_run());
+    };
+    for (size_t index = 0; index < kCalls; ++index) {
+      fleet.BeginRetry(index % 2, calls[index], is_final);
+    }
+    CHECK(Await([&] {
+      return std::count_if(calls.begin(), calls.end(), IsOver) >=
+             static_cast<int64_t>(kFirstAnswers);
+    }));
+    fleet.SetFault(fleet.platform_port(), R"({"outage":true})");
+    fleet.router(0).process->Signal(SIGKILL);
+    fleet.router(1).process->Signal(SIGSTOP);
+    fleet.SetFault(fleet.platform_port(), R"({"outage":false})");
+    CHECK(WithinLimit(fleet.Budget()));
+    fleet.StartRouter(2);
+    // The new router closes what the others held.
+    CHECK(Await([&] {
+      const auto budget = fleet.Budget();
+      return GrantsOf(budget, "router-0") + GrantsOf(budget, "router-1") == 0;
+    }));
+    CHECK(WithinLimit(fleet.Budget()));
+    fleet.router(1).process->Signal(SIGCONT);
+    CHECK(Await([&] { return TotalUsage(calls) > kLimit / 2; }));
+    is_late = true;
+    CHECK(Await([&] {
+      return std::all_of(calls.begin(), calls.end(), [](const Call& call) {
+        return call.answered() || call.not_run();
+      });
+    }));
+    CHECK(WithinLimit(fleet.Budget()));
+    CHECK(TotalUsage(calls) <= kLimit);
+    CHECK(fleet.AwaitBilled(TotalUsage(calls)));
+  });
+}
