Run tests with real sockets one by one

Cause: platform_test failed once beside ten fleet proofs on 12 cores (a read of 1 MB took longer than the client's 2 s); 72 runs by themselves pass. Ruled out: a longer limit, which would only move the load at which it fails. Change: tests with the label path or marked SERIAL run alone in ctest.

--- a/cmake/godwit.cmake
+++ b/cmake/godwit.cmake
@@ -27,10 +27,12 @@
 endfunction()
 
 # godwit_test(NAME [SOURCES file...] [DEPS target...] [LABELS label...] [ARGS arg...]
-#             [ENVIRONMENT var=value...])
-# Builds a CppUTest binary and registers it with ctest.
+#             [ENVIRONMENT var=value...] [SERIAL])
+# Builds a CppUTest binary and registers it with ctest. SERIAL, and the label
+# path, are for tests with real sockets and processes, whose limits need a
+# machine that nothing else keeps busy: they run one by one.
 function(godwit_test name)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPS;LABELS;ARGS;ENVIRONMENT" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SOURCES;DEPS;LABELS;ARGS;ENVIRONMENT" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 300)
   endif()
@@ -40,6 +42,9 @@
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} ${CPPUTEST_LIBRARY} ${RAPIDCHECK_LIBRARY})
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
   add_test(NAME ${name} COMMAND ${name} ${ARG_ARGS})
+  if(ARG_SERIAL OR "path" IN_LIST ARG_LABELS)
+    set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE)
+  endif()
   set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}"
                        ENVIRONMENT "${ARG_ENVIRONMENT};GODWIT_BIN_DIR=${CMAKE_BINARY_DIR}/bin")
 endfunction()
