Go on over a link that replaces a silent one

Ruled out: the relay of the test and the credit of the readers (the agent's log shows the new link up and no attach on it). Change: a link that opens while another one of the same agent life is up counts as its loss first.

--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -57,6 +57,7 @@
 
   void On(const LinkOpened& event) {
     const base::Incarnation life = event.peer.incarnation;
+    const bool replaces = IsLinked(life);
     lives_[event.connection] = life;
     context_.membership.OnLinkUp(context_.now, event.connection, event.peer);
     const auto view = context_.membership.Find(context_.now, life);
@@ -64,9 +65,18 @@
       return;
     }
     UpdateUsable();
+    if (replaces) {
+      // What was under way on the silent link goes on over this one.
+      flow_.OnAgentUnlinked(life);
+    }
     flow_.OnAgentLinked(life);
   }
 
+  bool IsLinked(const base::Incarnation& life) const {
+    return std::any_of(lives_.begin(), lives_.end(),
+                       [&](const auto& entry) { return entry.second == life; });
+  }
+
   void On(const LinkClosed& event) {
     const auto position = lives_.find(event.connection);
     context_.membership.OnLinkDown(context_.now, event.connection);
--- a/tests/fleet/fleet_network.cc
+++ b/tests/fleet/fleet_network.cc
@@ -13,6 +13,9 @@
 
 constexpr base::Millis kSilenceLimit = base::Seconds(2);
 constexpr base::Millis kHeartbeatPeriod(500);
+// Time after which a silent link is closed, from when it counts as silent: a
+// router may open another link before.
+constexpr base::Millis kCloseLag(150);
 constexpr base::Millis kHandshake(10);
 constexpr uint64_t kMostLatency = 30;
 // Longest pause between two pieces of an answer, in milliseconds.
@@ -139,7 +142,7 @@
     const bool quiet = now_ - connection.router_heard_at >= kSilenceLimit ||
                        now_ - connection.agent_heard_at >= kSilenceLimit;
     if (connection.up && !connection.closing && (quiet || life_ended)) {
-      CloseConnection(connection, base::Millis());
+      CloseConnection(connection, life_ended ? base::Millis() : kCloseLag);
     }
     if (connection.closing && now_ >= connection.closed_at) {
       connection.done = true;
