Share the daemons' main and one path for KV outcomes

Cause: router and agent each had the same 40 lines of main(), and RouterCore the same switch for reads and writes.

--- /dev/null
+++ b/libs/daemon/include/daemon/serve.h
@@ -0,0 +1,47 @@
+#ifndef DAEMON_SERVE_H_
+#define DAEMON_SERVE_H_
+
+#include <csignal>
+#include <cstdio>
+
+#include "base/error.h"
+#include "config/settings.h"
+#include "daemon/log_settings.h"
+#include "daemon/on_signal.h"
+#include "runtime/runtime.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
+
+namespace godwit::daemon {
+
+// Runs a daemon until it has stopped, and ends the process: with 0 when it
+// stopped in order, else with 1 after printing why. Daemon has Start, Drain,
+// ReloadCertificates and last_error; SIGTERM and SIGINT drain it, SIGHUP
+// reloads.
+template <typename Daemon>
+[[noreturn]] void Serve(const config::Settings& settings) {
+  telemetry::StartLogging(LogOptionsOf(settings));
+  runtime::Runtime runtime;
+  Daemon daemon(runtime, settings);
+  OnSignal on_terminate(runtime, {SIGTERM, SIGINT},
+                        [&daemon] { daemon.Drain(); });
+  OnSignal on_hangup(runtime, {SIGHUP},
+                     [&daemon] { daemon.ReloadCertificates(); });
+  runtime.Run([&] {
+    if (!daemon.Start()) {
+      runtime.Stop();
+    }
+  });
+  const base::Error& error = daemon.last_error();
+  const bool in_order = error.kind() == base::ErrorKind::kNone;
+  if (!in_order) {
+    std::fprintf(stderr, "%s\n", error.ToString().c_str());
+  }
+  telemetry::Log(telemetry::EventId::kProcessStopped);
+  telemetry::StopLogging();
+  runtime::Runtime::Exit(in_order ? 0 : 1);
+}
+
+}  // namespace godwit::daemon
+
+#endif  // DAEMON_SERVE_H_
--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <type_traits>
 #include <utility>
 
 #include "call_flow.h"
@@ -173,49 +174,42 @@
     UpdateUsable();
   }
 
-  void On(const platform::KvReadDone& event) {
-    const auto origin = context_.kv.Unwrap(event.operation);
+  void On(const platform::KvReadDone& event) { OnKvDone(event); }
+  void On(const platform::KvWriteDone& event) { OnKvDone(event); }
+
+  // Hands an outcome to the machine that asked, under its own number.
+  template <typename Done>
+  void OnKvDone(Done done) {
+    const auto origin = context_.kv.Unwrap(done.operation);
     if (!origin) {
       return;
     }
-    platform::KvReadDone inner = event;
-    inner.operation = origin->operation;
+    done.operation = origin->operation;
     switch (origin->user) {
       case KvUser::kHolder:
-        context_.StepHolder(inner);
+        context_.StepHolder(done);
         return;
       case KvUser::kClaims:
-        context_.StepClaims(inner);
+        context_.StepClaims(done);
         return;
       case KvUser::kFleetEditor:
-        EmitFleet(context_.editor.OnReadDone(context_.now, inner));
+        EmitFleet(EditorStep(done));
         return;
       case KvUser::kFleetRefresh:
-        OnFleetRead(inner);
+        if constexpr (std::is_same_v<Done, platform::KvReadDone>) {
+          OnFleetRead(done);
+        }
         return;
     }
   }
 
-  void On(const platform::KvWriteDone& event) {
-    const auto origin = context_.kv.Unwrap(event.operation);
-    if (!origin) {
-      return;
-    }
-    platform::KvWriteDone inner = event;
-    inner.operation = origin->operation;
-    switch (origin->user) {
-      case KvUser::kHolder:
-        context_.StepHolder(inner);
-        return;
-      case KvUser::kClaims:
-        context_.StepClaims(inner);
-        return;
-      case KvUser::kFleetEditor:
-        EmitFleet(context_.editor.OnWriteDone(context_.now, inner));
-        return;
-      case KvUser::kFleetRefresh:
-        return;
-    }
+  std::vector<membership::FleetCommand> EditorStep(
+      const platform::KvReadDone& done) {
+    return context_.editor.OnReadDone(context_.now, done);
+  }
+  std::vector<membership::FleetCommand> EditorStep(
+      const platform::KvWriteDone& done) {
+    return context_.editor.OnWriteDone(context_.now, done);
   }
 
   void OnFleetRead(const platform::KvReadDone& done) {
