--- a/libs/router/src/call_flow.h
+++ b/libs/router/src/call_flow.h
@@ -112,6 +112,7 @@
   void Deliver(Call& call);
   void OnConsentLost(Call& call);
 
+  // call_flow_end.cc
   // Final answers. Refuse says "not run" only when that is certain, and
   // otherwise that the outcome is unknown.
   void Refuse(Call& call, const base::Error& why, base::Millis retry_after);
--- a/tests/fleet/fleet_world.cc
+++ b/tests/fleet/fleet_world.cc
@@ -20,9 +20,6 @@
 constexpr base::Millis kLeasePeriod = base::Seconds(3);
 // Steps once no more faults come.
 constexpr base::Millis kFinishStep(50);
-// A key whose copies were all lost is undecided for ten minutes.
-constexpr base::Millis kFinishLimit = base::Seconds(900);
-constexpr base::Millis kAnswerLimit = base::Seconds(30);
 // A wall clock that differs from the monotonic one.
 constexpr base::Millis kWallOffset = base::Seconds(1'000'000);
 // How long an agent stays at least after it began to leave, as godwit-agent
@@ -55,12 +52,6 @@
   return ledger::ShardKey(ledger::ShardOf(base::BudgetId(kBudget)));
 }
 
-ledger::LedgerRecord LedgerIn(const support::FakeKv& kv) {
-  const auto position = kv.stored().find(LedgerKey());
-  ledger::LedgerCodec codec;
-  return codec.Decode(position->second.value).value_or(ledger::LedgerRecord());
-}
-
 }  // namespace
 
 FleetWorld::FleetWorld(uint64_t seed, Planted planted, base::Tokens limit)
@@ -234,7 +225,7 @@
 }
 
 void FleetWorld::TopUp(base::Tokens amount) {
-  ledger::LedgerEdit edit(LedgerIn(kv_));
+  ledger::LedgerEdit edit(StoredLedger());
   if (edit.TopUp(base::BudgetId(kBudget), std::to_string(next_life_++), amount,
                  base::Millis(1))) {
     limit_ += amount;
@@ -301,13 +292,19 @@
       });
 }
 
+ledger::LedgerRecord FleetWorld::StoredLedger() const {
+  ledger::LedgerCodec codec;
+  return codec.Decode(kv_.stored().at(LedgerKey()).value)
+      .value_or(ledger::LedgerRecord());
+}
+
 void FleetWorld::CheckLedger() {
   const int64_t version = kv_.stored().at(LedgerKey()).version;
   if (version == checked_version_) {
     return;
   }
   checked_version_ = version;
-  if (LedgerIn(kv_).CheckInvariant()) {
+  if (StoredLedger().CheckInvariant()) {
     Violate("the stored ledger breaks its invariant");
   }
 }
@@ -374,123 +371,6 @@
   return seen;
 }
 
-bool FleetWorld::Finish() {
-  finishing_ = true;
-  kv_.faults() = support::FakeKv::Faults();
-  kv_.faults().ignores_versions = planted_ == Planted::kKvIgnoresVersions;
-  cut_links_.clear();
-  for (size_t i = 0; i < routers_.size(); ++i) {
-    routers_[i].paused = false;
-    routers_[i].cut_from_kv = false;
-  }
-  for (AgentProcess& process : agents_) {
-    process.paused = false;
-    process.failures = 0;
-  }
-  Advance(kAnswerLimit);
-  for (size_t i = 0; i < routers_.size(); ++i) {
-    if (!routers_[i].dead) {
-      routers_[i].inbox.emplace_back(router::DrainRequested());
-    }
-  }
-  const base::Millis limit = now_ + kFinishLimit;
-  while (now_ < limit && violation_.empty()) {
-    Advance(base::Seconds(1));
-    const bool drained =
-        std::all_of(routers_.begin(), routers_.end(),
-                    [](const auto& r) { return r.dead || r.drained; });
-    if (drained) {
-      break;
-    }
-  }
-  StartRouter();
-  while (now_ < limit && violation_.empty()) {
-    Advance(base::Seconds(1));
-    const auto& budgets = LedgerIn(kv_).budgets;
-    if (budgets.begin()->second.grants.empty()) {
-      return true;
-    }
-  }
-  return !violation_.empty();
-}
-
-std::string FleetWorld::CheckEnd() const {
-  const ledger::LedgerRecord record = LedgerIn(kv_);
-  const ledger::Budget& budget = record.budgets.begin()->second;
-  if (budget.billed + budget.held > limit_) {
-    return "more was spent than prepaid";
-  }
-  base::Tokens left = budget.billed / BackendModel::kSmallest;
-  for (size_t i = 0; i < requests_.size(); ++i) {
-    const Request& request = requests_[i];
-    const int64_t times = left % 4;
-    left /= 4;
-    const std::string name = "request " + request.body;
-    if (times > 1) {
-      return name + " was billed " + std::to_string(times) + " times";
-    }
-    if (request.answered && times == 0 && budget.held == 0) {
-      return name + " was answered and not billed";
-    }
-    const int64_t executions = backend_.executions(request.body);
-    if (times > 0 && executions == 0) {
-      return name + " was billed and never ran";
-    }
-    if (!request.kind.repeatable && executions > 1) {
-      return name + " ran " + std::to_string(executions) + " times";
-    }
-    if (request.last_not_run && executions > 0) {
-      return name + " ran after its caller was told that it did not";
-    }
-  }
-  return left == 0 ? "" : "more was billed than was asked for";
-}
-
-std::string FleetWorld::Describe() const {
-  const ledger::LedgerRecord record = LedgerIn(kv_);
-  const ledger::Budget& budget = record.budgets.begin()->second;
-  std::string text = "limit " + std::to_string(budget.limit) + " billed " +
-                     std::to_string(budget.billed) + " held " +
-                     std::to_string(budget.held) + "\n";
-  for (const auto& [id, grant] : budget.grants) {
-    text += "grant " + id.value() + " of " + grant.holder.value() + " amount " +
-            std::to_string(grant.amount) +
-            (grant.state == ledger::GrantState::kSealed ? " sealed" : "") +
-            "\n";
-    for (const auto& [agent, account] : grant.agents) {
-      text += "  " + agent.value() + " billed " +
-              std::to_string(account.billed) + " state " +
-              std::to_string(static_cast<int>(account.state)) + "\n";
-    }
-  }
-  for (const RouterProcess& process : routers_) {
-    text +=
-        process.incarnation.value() + (process.dead ? " dead" : "") +
-        (process.drained ? " drained" : "") +
-        (process.dead ? ""
-                      : " open " + std::to_string(process.core->open_calls())) +
-        "\n";
-  }
-  for (const RouterProcess& process : routers_) {
-    for (const auto& call : process.dead ? std::vector<router::OpenCall>()
-                                         : process.core->OpenCalls()) {
-      text += "  " + call.attempt.value() + " at " + call.agent.value() + " " +
-              std::string(call.phase) + "\n";
-    }
-  }
-  for (const AgentProcess& process : agents_) {
-    text += process.incarnation.value() +
-            (process.core->leaving() ? " leaving" : "") + "\n";
-  }
-  for (size_t i = 0; i < requests_.size(); ++i) {
-    text += "request " + requests_[i].body +
-            (requests_[i].answered ? " answered" : "") + " executions " +
-            std::to_string(backend_.executions(requests_[i].body)) + " open " +
-            std::to_string(requests_[i].open.size()) + "\n";
-  }
-  return text;
-}
-
 size_t FleetWorld::answered() const {
   return static_cast<size_t>(
       std::count_if(requests_.begin(), requests_.end(),
--- a/tests/fleet/fleet_world.h
+++ b/tests/fleet/fleet_world.h
@@ -18,6 +18,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "config/config.h"
+#include "ledger/ledger_record.h"
 #include "link/message.h"
 #include "membership/fleet_record.h"
 #include "planted.h"
@@ -149,6 +150,7 @@
   void EditFleet(const membership::FleetEdit& edit);
   void Step();
   void StepProcesses();
+  ledger::LedgerRecord StoredLedger() const;
   void CheckLedger();
   bool IsFlushed(size_t agent) const;
   void RenewLeases();
