--- a/libs/agent/src/run_flow.cc
+++ b/libs/agent/src/run_flow.cc
@@ -1,13 +1,13 @@
 #include "run_flow.h"
 
 #include <algorithm>
-#include <limits>
 #include <string>
 #include <utility>
 
 #include "agent/engine_answer.h"
 #include "link/run_accepted.h"
 #include "link/run_state.h"
+#include "run_limits.h"
 #include "stream/answer_buffer.h"
 
 namespace godwit::agent {
@@ -16,26 +16,12 @@
 using base::Error;
 using base::ErrorKind;
 
-// Refusals for load name at least this.
-constexpr base::Millis kMinRetryAfter = base::Seconds(1);
-// Larger reservations are refused as not valid.
-constexpr base::Tokens kMaxReserved = int64_t{1} << 40U;
-// Lowest HTTP status of a request that was not served.
-constexpr int64_t kErrorStatus = 400;
-// Lowest HTTP status with which a server reports its own failure.
-constexpr int64_t kServerErrorStatus = 500;
-
 bool IsValid(const link::StartRun& start) noexcept {
   return !start.attempt.empty() && !start.grant.empty() &&
          start.reserved >= 0 && start.reserved <= kMaxReserved &&
          start.output_cap >= 0 && start.resume_tokens >= 0 && start.credit >= 0;
 }
 
-int64_t SaturatingAdd(int64_t a, int64_t b) noexcept {
-  constexpr int64_t k_max = std::numeric_limits<int64_t>::max();
-  return a > k_max - b ? k_max : a + b;
-}
-
 // The point `span` after `now`, or the end of time. Wire values can be huge.
 base::Millis After(base::Millis now, base::Millis span) noexcept {
   if (span <= base::Millis()) {
@@ -419,142 +405,4 @@
   estimate_.OnRunTook(now - run.started_at);
 }
 
-base::Tokens RunFlow::BillFor(const Run& run, const BackendEnd& event) const {
-  if (options_.kind == config::ServiceKind::kPlain) {
-    return run.head->status < kServerErrorStatus ? run.start.reserved : 0;
-  }
-  if (run.head->status >= kErrorStatus) {
-    return 0;
-  }
-  const base::Tokens prompt = std::max<base::Tokens>(event.prompt_tokens, 0);
-  const base::Tokens completion =
-      std::max<base::Tokens>(event.completion_tokens, 0);
-  return std::min(SaturatingAdd(prompt, completion), run.start.reserved);
-}
-
-void RunFlow::Complete(base::Millis now, Run& run, base::Tokens billed) {
-  const stream::AnswerBuffer& answer =
-      delivery_.answers().Open(run.start.attempt);
-  link::RunEnd end;
-  end.key = run.start.key;
-  end.attempt = run.start.attempt;
-  end.length = answer.length();
-  end.digest = answer.digest();
-  end.grant = run.start.grant;
-  end.billed = billed;
-  run.end = std::move(end);
-  Settle(now, run, RunStage::kComplete, billed);
-}
-
-void RunFlow::Fail(base::Millis now,
-                   Run& run,
-                   base::Error error,
-                   base::Tokens billed) {
-  run.error = std::move(error);
-  delivery_.answers().Drop(run.start.attempt);
-  Settle(now, run, RunStage::kFailed, billed);
-}
-
-void RunFlow::Refuse(base::Millis now, Run& run, Refusal refusal) {
-  queue_.Remove(run.start.attempt);
-  run.error = std::move(refusal.error);
-  run.retry_after = refusal.retry_after;
-  delivery_.answers().Drop(run.start.attempt);
-  Settle(now, run, RunStage::kRefused, 0);
-}
-
-void RunFlow::Settle(base::Millis now,
-                     Run& run,
-                     RunStage stage,
-                     base::Tokens billed) {
-  run.stage = stage;
-  run.ended_at = now;
-  run.billed = billed;
-  run.start.body.clear();
-  run.start.answer_prefix.clear();
-  accounts_.Settle(run.start.grant, run.start.reserved, billed);
-  ended_.emplace_back(now, run.start.attempt);
-  delivery_.AnnounceEnd(run);
-}
-
-void RunFlow::Stop(Run& run) {
-  run.backend_paused = false;
-  commands_.emplace_back(CancelBackend{run.start.attempt});
-}
-
-void RunFlow::RefuseLate(base::Millis now) {
-  for (const auto& [attempt, run] : active_) {
-    if (run->stage == RunStage::kQueued && run->deadline <= now) {
-      Refuse(now, *run,
-             Refusal{Error(ErrorKind::kDeadlineExceeded,
-                           "the deadline passed before the run could start",
-                           "send the request again with more time"),
-                     kMinRetryAfter});
-    }
-  }
-}
-
-void RunFlow::GiveUpDetached(base::Millis now) {
-  const Error given_up(ErrorKind::kCancelled,
-                       "no router attached to the run in time",
-                       "send the request again");
-  for (const auto& [attempt, run] : active_) {
-    const bool due = !run->ended() && run->readers.empty() &&
-                     run->detached_at + options_.attach_grace <= now;
-    if (!due) {
-      continue;
-    }
-    if (run->stage == RunStage::kQueued) {
-      Refuse(now, *run, Refusal{given_up, base::Millis()});
-    } else if (run->start.repeatable) {
-      Stop(*run);
-      Fail(now, *run, given_up, 0);
-    }
-  }
-}
-
-bool RunFlow::IsHandedOver(base::Millis now, const Run& run) const noexcept {
-  if (!run.ended()) {
-    return false;
-  }
-  if (run.stage != RunStage::kComplete) {
-    return true;
-  }
-  if (!run.readers.empty()) {
-    return std::all_of(run.readers.begin(), run.readers.end(),
-                       [](const auto& entry) { return entry.second.end_sent; });
-  }
-  const base::Millis since = std::max(run.detached_at, run.ended_at);
-  return run.delivered || since + options_.attach_grace <= now;
-}
-
-// Ended runs whose answer is handed over only wait for retries.
-void RunFlow::Retire(base::Millis now) {
-  for (auto at = active_.begin(); at != active_.end();) {
-    const Run& run = *at->second;
-    if (!IsHandedOver(now, run)) {
-      ++at;
-      continue;
-    }
-    if (run.stage == RunStage::kComplete) {
-      delivery_.answers().End(now, run.start.attempt);
-    }
-    at = active_.erase(at);
-  }
-}
-
-void RunFlow::Expire(base::Millis now) {
-  delivery_.answers().DropExpired(now);
-  while (!ended_.empty() && ended_.front().first + options_.retention <= now) {
-    const base::AttemptId attempt = ended_.front().second;
-    ended_.pop_front();
-    if (active_.count(attempt) != 0) {
-      ended_.emplace_back(now, attempt);
-      continue;
-    }
-    delivery_.answers().Drop(attempt);
-    runs_.erase(attempt);
-  }
-}
-
 }  // namespace godwit::agent
--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -9,6 +9,7 @@
 #include "call_flow.h"
 #include "context.h"
 #include "membership/fleet_codec.h"
+#include "recoveries.h"
 
 namespace godwit::router {
 namespace {
@@ -109,7 +110,7 @@
       return;
     }
     if (const auto* end = std::get_if<link::RunEnd>(&event.message)) {
-      OnRunEnd(life, *end);
+      recoveries_.OnRunEnd(life, *end);
     }
     if (const auto* refused = std::get_if<link::RunRefused>(&event.message);
         refused != nullptr && refused->kind == base::ErrorKind::kLeaving) {
@@ -119,46 +120,12 @@
     flow_.OnMessage(life, event.message);
   }
 
-  // Whole answers under a grant that is being recovered are billed only if the
-  // directory allows it: another attempt may have taken their key since.
-  void OnRunEnd(const base::Incarnation& life, const link::RunEnd& end) {
-    const auto grant = recoveries_.find(end.grant);
-    if (grant == recoveries_.end()) {
-      return;
-    }
-    grant->second[life][end.attempt] = end;
-    flow_.ConfirmForeign(life, end);
-  }
-
   void OnGrantUsage(const link::GrantUsage& usage) {
-    base::Tokens billed = usage.billed;
-    const auto grant = recoveries_.find(usage.grant);
-    if (grant != recoveries_.end()) {
-      for (const auto& [attempt, end] : grant->second[usage.incarnation]) {
-        const auto allowed = flow_.VerdictOf(attempt);
-        if (!allowed) {
-          // The ledger asks again.
-          flow_.ConfirmForeign(usage.incarnation, end);
-          return;
-        }
-        billed -= *allowed ? 0 : end.billed;
-      }
-    }
-    context_.StepHolder(ledger::AgentUsageReported{
-        usage.grant, usage.incarnation, billed, usage.running, usage.sealed});
-  }
-
-  void EndRecovery(const base::GrantId& grant) {
-    const auto position = recoveries_.find(grant);
-    if (position == recoveries_.end()) {
-      return;
-    }
-    for (const auto& [life, runs] : position->second) {
-      for (const auto& [attempt, end] : runs) {
-        flow_.ForgetVerdict(attempt);
-      }
+    if (const auto billed = recoveries_.Billable(usage)) {
+      context_.StepHolder(
+          ledger::AgentUsageReported{usage.grant, usage.incarnation, *billed,
+                                     usage.running, usage.sealed});
     }
-    recoveries_.erase(position);
   }
 
   void OnHeartbeat(link::ConnectionId connection,
@@ -373,11 +340,11 @@
     flow_.OnReserveRefused(command);
   }
   void Do(const ledger::SendSealGrant& command) {
-    recoveries_[command.grant];
+    recoveries_.Begin(command.grant);
     SendToLife(command.agent, link::SealGrant{command.grant});
   }
   void Do(const ledger::SendForgetGrant& command) {
-    EndRecovery(command.grant);
+    recoveries_.End(command.grant);
     SendToLife(command.agent, link::ForgetGrant{command.grant});
   }
   void Do(const ledger::Drained&) { context_.Emit(Drained()); }
@@ -411,13 +378,10 @@
 
   Context context_;
   CallFlow flow_;
+  Recoveries recoveries_{flow_};
   std::map<link::ConnectionId, base::Incarnation> lives_;
   std::set<base::Incarnation> usable_;
   std::set<base::Incarnation> known_gone_;
-  // Whole answers by grant that is being recovered and agent life.
-  std::map<base::GrantId,
-           std::map<base::Incarnation, std::map<base::AttemptId, link::RunEnd>>>
-      recoveries_;
   // Gone lives that the ledger does not know to be gone yet.
   std::set<base::Incarnation> ending_;
   base::Millis wall_offset_;
