--- a/tools/godwit-load/src/sample_records.cc
+++ b/tools/godwit-load/src/sample_records.cc
@@ -79,8 +79,10 @@
   for (size_t i = 0; i < organisations; ++i) {
     const std::string number = std::to_string(i);
     const std::string digest = base::Digest::Of(number).ToHex();
-    text += "  organisation-" + number + ":\n    api_key_hashes: [" + digest +
-            digest + "]\n    budget: organisation-" + number + "-main\n";
+    text.append("  organisation-").append(number);
+    text.append(":\n    api_key_hashes: [").append(digest).append(digest);
+    text.append("]\n    budget: organisation-").append(number);
+    text.append("-main\n");
   }
   return text;
 }
