--- a/libs/router/src/chat_body.cc
+++ b/libs/router/src/chat_body.cc
@@ -2,17 +2,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/digester.h"
-
 namespace godwit::router {
 namespace {
 
 using nlohmann::json;
 
 constexpr int64_t kMostTokens = 1'000'000;
-// Text of one message is hashed in blocks so that prompts which share a long
-// beginning share digests.
-constexpr size_t kPrefixBlockBytes = 2048;
 
 base::Error Malformed(std::string message, std::string remedy) {
   return base::Error(base::ErrorKind::kMalformed, std::move(message),
@@ -25,28 +20,15 @@
          message["content"].is_string();
 }
 
-void AppendBlocks(const std::string& text,
-                  base::Digester* digester,
-                  std::vector<base::Digest>* blocks) {
-  for (size_t at = 0; at < text.size(); at += kPrefixBlockBytes) {
-    const std::string_view block =
-        std::string_view(text).substr(at, kPrefixBlockBytes);
-    digester->Update(block);
-    blocks->push_back(digester->Value());
-  }
-}
-
-std::vector<base::Digest> PrefixBlocks(const std::string& model,
-                                       const json& messages) {
-  base::Digester digester;
-  digester.Update(model);
-  std::vector<base::Digest> blocks;
+std::string PromptOf(const json& messages) {
+  std::string prompt;
   for (const json& message : messages) {
-    digester.Update(message["role"].get_ref<const std::string&>());
-    AppendBlocks(message["content"].get_ref<const std::string&>(), &digester,
-                 &blocks);
+    prompt += message["role"].get_ref<const std::string&>();
+    prompt += '\n';
+    prompt += message["content"].get_ref<const std::string&>();
+    prompt += '\n';
   }
-  return blocks;
+  return prompt;
 }
 
 // The first thing wrong with a body, or an error of kind kNone.
@@ -99,7 +81,7 @@
   result.model = parsed["model"].get<std::string>();
   result.stream = parsed.value("stream", false);
   result.max_tokens = parsed.value("max_tokens", int64_t{0});
-  result.prefix_blocks = PrefixBlocks(result.model, parsed["messages"]);
+  result.prompt = PromptOf(parsed["messages"]);
   return result;
 }
 
--- a/libs/router/src/chat_body.h
+++ b/libs/router/src/chat_body.h
@@ -4,9 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
-#include "base/digest.h"
 #include "base/error.h"
 
 namespace godwit::router {
@@ -17,8 +15,8 @@
   bool stream = false;
   // 0 when the caller set no limit.
   int64_t max_tokens = 0;
-  // Digests of the growing list of messages, longest last.
-  std::vector<base::Digest> prefix_blocks;
+  // Roles and texts of all messages, in their order.
+  std::string prompt;
 };
 
 // Reads a chat completion body. One thread at a time.
--- a/libs/router/src/request_parser.cc
+++ b/libs/router/src/request_parser.cc
@@ -4,10 +4,12 @@
 #include <string_view>
 #include <utility>
 
+#include "admission/prompt_estimate.h"
 #include "chat_body.h"
 #include "config/config.h"
 #include "config/lookup.h"
 #include "http/request.h"
+#include "routing/prefix_blocks.h"
 
 namespace godwit::router {
 namespace {
@@ -16,8 +18,6 @@
 constexpr std::string_view kPlainPrefix = "/services/";
 constexpr std::string_view kBearer = "Bearer ";
 constexpr size_t kMaxKeyBytes = 256;
-// Room for the markers that an engine's chat template puts round messages.
-constexpr base::Tokens kTemplateTokens = 64;
 
 std::string_view HeaderOf(const http::Request& request, std::string_view name) {
   const auto position = request.headers.find(name);
@@ -114,10 +114,8 @@
       body->max_tokens == 0
           ? service->max_output_tokens
           : std::min(body->max_tokens, service->max_output_tokens);
-  // A token is at least one byte of the prompt.
-  result.prompt_tokens_bound =
-      static_cast<base::Tokens>(request.body.size()) + kTemplateTokens;
-  result.prefix_blocks = body->prefix_blocks;
+  result.prompt_tokens_bound = admission::UpperBoundTokens(request.body.size());
+  result.prefix_blocks = routing::PrefixBlocks(service->id, body->prompt);
   result.path = kChatPath;
   if (!MayCall(caller, service->id) ||
       !ReadCommonHeaders(config, request, &result)) {
