--- a/build.sh
+++ b/build.sh
@@ -68,7 +68,7 @@
   if [ -n "$1" ]; then
     common+=(-L "^$1\$")
   fi
-  if ! ctest "${common[@]}" -N | grep -q 'Test *#'; then
+  if ! ctest "${common[@]}" -N | grep -c 'Test *#' > /dev/null; then
     echo "no test has the label $1" >&2
     return 2
   fi
