--- a/libs/router/src/call_flow.h
+++ b/libs/router/src/call_flow.h
@@ -70,6 +70,7 @@
  private:
   // call_flow_directory.cc
   void Register(Call& call, bool complete);
+  const std::vector<claims::DirectoryMember>& Members();
   void OnNoDirectory(Call& call, bool complete, base::Millis wait);
   void AskDirectory(Call& call);
   void OnKeyOwner(const base::Incarnation& from, const link::KeyOwner& reply);
@@ -108,6 +109,8 @@
   void OnEnd(Call& call, const link::RunEnd& frame);
   void OnFailed(Call& call, const link::RunFailed& frame);
   void Relay(Call& call, std::string bytes);
+  // Answer bytes that an agent may send before more credit.
+  int64_t CreditFor(const Call& call) const noexcept;
   void Confirm(Call& call);
   void Deliver(Call& call);
   void OnConsentLost(Call& call);
@@ -140,6 +143,9 @@
   // Calls by the attempt that they wait for.
   std::multimap<base::AttemptId, ExchangeId> by_attempt_;
   std::vector<ExchangeId> forgotten_;
+  // The fleet record as the directory needs it, and the version it is of.
+  std::vector<claims::DirectoryMember> members_;
+  int64_t members_version_ = 0;
   // Whether whole answers of lost routers may be billed.
   std::map<base::AttemptId, bool> verdicts_;
   // Exchange numbers of calls without a caller go down from here.
--- a/libs/router/src/call_flow_answer.cc
+++ b/libs/router/src/call_flow_answer.cc
@@ -11,6 +11,8 @@
 using base::ErrorKind;
 
 constexpr base::Millis kAskAgain = base::Seconds(1);
+// Credit of a call whose answer is collected whole before it is sent.
+constexpr int64_t kUnlimitedCredit = int64_t{1} << 40U;
 
 }  // namespace
 
@@ -108,6 +110,11 @@
   OnAttemptLost(call);
 }
 
+int64_t CallFlow::CreditFor(const Call& call) const noexcept {
+  return call.request.stream ? context_.options.stream_window_bytes
+                             : kUnlimitedCredit;
+}
+
 void CallFlow::Confirm(Call& call) {
   call.ended = true;
   if (call.keyed) {
--- a/libs/router/src/call_flow_directory.cc
+++ b/libs/router/src/call_flow_directory.cc
@@ -41,9 +41,18 @@
 
 }  // namespace
 
+const std::vector<claims::DirectoryMember>& CallFlow::Members() {
+  const int64_t version = context_.membership.version();
+  if (version != members_version_) {
+    members_version_ = version;
+    members_ = MembersOf(context_.membership.record());
+  }
+  return members_;
+}
+
 void CallFlow::Register(Call& call, bool complete) {
-  const claims::DirectoryPlan plan = claims::PlanDirectory(
-      MembersOf(context_.membership.record()), call.key, context_.wall);
+  const claims::DirectoryPlan plan =
+      claims::PlanDirectory(Members(), call.key, context_.wall);
   if (!plan.primary || plan.blind) {
     const base::Millis wait =
         plan.blind ? plan.blind_until - context_.wall : kAskAgain;
--- a/libs/router/src/call_flow_probe.cc
+++ b/libs/router/src/call_flow_probe.cc
@@ -9,8 +9,6 @@
 using base::Error;
 using base::ErrorKind;
 
-constexpr int64_t kUnlimitedCredit = int64_t{1} << 40U;
-
 Error Unknown() {
   return Error(ErrorKind::kOutcomeUnknown,
                "the request was started, and its outcome is not known",
@@ -79,8 +77,7 @@
   attach.key = call.key;
   attach.attempt = call.attempt;
   attach.offset = call.assembler->offset();
-  attach.credit = call.request.stream ? context_.options.stream_window_bytes
-                                      : kUnlimitedCredit;
+  attach.credit = CreditFor(call);
   context_.SendTo(call.agent_incarnation, std::move(attach));
 }
 
--- a/libs/router/src/call_flow_start.cc
+++ b/libs/router/src/call_flow_start.cc
@@ -10,8 +10,6 @@
 using base::ErrorKind;
 
 constexpr base::Millis kAskAgain = base::Seconds(1);
-// Credit of a call whose answer is collected whole before it is sent.
-constexpr int64_t kUnlimitedCredit = int64_t{1} << 40U;
 // Longest wait for budget or a claim.
 constexpr base::Millis kMachineWait = base::Seconds(1);
 // Bytes of text that a token usually stands for; the bound takes one.
@@ -215,8 +213,7 @@
   start.content_type = call.request.content_type;
   start.body = call.request.body;
   start.output_cap = call.request.output_cap;
-  start.credit = call.request.stream ? context_.options.stream_window_bytes
-                                     : kUnlimitedCredit;
+  start.credit = CreditFor(call);
   const base::Tokens resumed = call.assembler ? call.assembler->tokens() : 0;
   call.assembler.emplace(call.key, call.attempt);
   if (call.request.stream && !call.answer.empty()) {
--- a/tests/process/call.cc
+++ b/tests/process/call.cc
@@ -54,4 +54,29 @@
   return call;
 }
 
+std::vector<Call> ManyQuestions(size_t count) {
+  std::vector<Call> calls;
+  for (size_t index = 0; index < count; ++index) {
+    const std::string key = "question-" + std::to_string(index);
+    calls.push_back(Question(key, key));
+  }
+  return calls;
+}
+
+bool IsExhausted(const Call& call) {
+  return call.error_kind() == "budget_exhausted" && call.not_run();
+}
+
+bool IsOver(const Call& call) {
+  return call.answered() || IsExhausted(call);
+}
+
+int64_t TotalUsage(const std::vector<Call>& calls) {
+  int64_t sum = 0;
+  for (const Call& call : calls) {
+    sum += call.answered() ? call.usage() : 0;
+  }
+  return sum;
+}
+
 }  // namespace godwit::process
--- a/tests/process/call.h
+++ b/tests/process/call.h
@@ -1,8 +1,10 @@
 #ifndef PROCESS_CALL_H_
 #define PROCESS_CALL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace godwit::process {
 
@@ -36,6 +38,15 @@
 Call Question(const std::string& question, const std::string& key);
 // A call to the plain service that may not be repeated.
 Call Ticket(const std::string& key);
+// Questions with a key of their own each.
+std::vector<Call> ManyQuestions(size_t count);
+
+// Refused as not run, since the budget is exhausted.
+bool IsExhausted(const Call& call);
+// Answered, or refused since the budget is exhausted.
+bool IsOver(const Call& call);
+// Tokens that the answers' usage states.
+int64_t TotalUsage(const std::vector<Call>& calls);
 
 }  // namespace godwit::process
 
--- a/tests/process/near_limit_test.cc
+++ b/tests/process/near_limit_test.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <string>
 #include <vector>
 
 #include "call.h"
@@ -10,9 +9,12 @@
 
 using godwit::process::Await;
 using godwit::process::Call;
+using godwit::process::IsExhausted;
+using godwit::process::IsOver;
+using godwit::process::ManyQuestions;
 using godwit::process::ProcessFleet;
-using godwit::process::Question;
 using godwit::process::RunOnCore;
+using godwit::process::TotalUsage;
 using godwit::runtime::Runtime;
 
 namespace {
@@ -21,31 +23,6 @@
 // Together they ask for more than twice the limit.
 constexpr size_t kCalls = 100;
 
-bool IsExhausted(const Call& call) {
-  return call.error_kind() == "budget_exhausted" && call.not_run();
-}
-
-bool IsOver(const Call& call) {
-  return call.answered() || IsExhausted(call);
-}
-
-int64_t TotalUsage(const std::vector<Call>& calls) {
-  int64_t sum = 0;
-  for (const Call& call : calls) {
-    sum += call.answered() ? call.usage() : 0;
-  }
-  return sum;
-}
-
-std::vector<Call> ManyQuestions() {
-  std::vector<Call> calls;
-  for (size_t index = 0; index < kCalls; ++index) {
-    const std::string key = "question-" + std::to_string(index);
-    calls.push_back(Question(key, key));
-  }
-  return calls;
-}
-
 }  // namespace
 
 TEST_GROUP(NearLimit){};
@@ -55,7 +32,7 @@
   RunOnCore([](Runtime& runtime) {
     ProcessFleet fleet(runtime, kLimit);
     CHECK(fleet.AwaitReady());
-    std::vector<Call> calls = ManyQuestions();
+    std::vector<Call> calls = ManyQuestions(kCalls);
     for (size_t index = 0; index < kCalls; ++index) {
       fleet.BeginRetry(index % 2, calls[index], IsExhausted);
     }
--- a/tests/process/overspend_test.cc
+++ b/tests/process/overspend_test.cc
@@ -12,9 +12,12 @@
 
 using godwit::process::Await;
 using godwit::process::Call;
+using godwit::process::IsExhausted;
+using godwit::process::IsOver;
+using godwit::process::ManyQuestions;
 using godwit::process::ProcessFleet;
-using godwit::process::Question;
 using godwit::process::RunOnCore;
+using godwit::process::TotalUsage;
 using godwit::runtime::Runtime;
 
 namespace {
@@ -24,31 +27,6 @@
 constexpr size_t kCalls = 100;
 constexpr size_t kFirstAnswers = 5;
 
-bool IsExhausted(const Call& call) {
-  return call.error_kind() == "budget_exhausted" && call.not_run();
-}
-
-bool IsOver(const Call& call) {
-  return call.answered() || IsExhausted(call);
-}
-
-int64_t TotalUsage(const std::vector<Call>& calls) {
-  int64_t sum = 0;
-  for (const Call& call : calls) {
-    sum += call.answered() ? call.usage() : 0;
-  }
-  return sum;
-}
-
-std::vector<Call> ManyQuestions() {
-  std::vector<Call> calls;
-  for (size_t index = 0; index < kCalls; ++index) {
-    const std::string key = "question-" + std::to_string(index);
-    calls.push_back(Question(key, key));
-  }
-  return calls;
-}
-
 bool WithinLimit(const nlohmann::json& budget) {
   const int64_t spent =
       budget.at("billed").get<int64_t>() + budget.at("held").get<int64_t>();
@@ -64,6 +42,29 @@
       });
 }
 
+// Once some calls are over: the KV is down for a moment, router 0 is killed and
+// router 1 paused until a third router has closed what both held.
+void KillOnePauseOneAndStopTheKv(ProcessFleet& fleet,
+                                 const std::vector<Call>& calls) {
+  CHECK(Await([&] {
+    return std::count_if(calls.begin(), calls.end(), IsOver) >=
+           static_cast<int64_t>(kFirstAnswers);
+  }));
+  fleet.SetFault(fleet.platform_port(), R"({"outage":true})");
+  fleet.router(0).process->Signal(SIGKILL);
+  fleet.router(1).process->Signal(SIGSTOP);
+  fleet.SetFault(fleet.platform_port(), R"({"outage":false})");
+  CHECK(WithinLimit(fleet.Budget()));
+  fleet.StartRouter(2);
+  // The new router closes what the others held.
+  CHECK(Await([&] {
+    const auto budget = fleet.Budget();
+    return GrantsOf(budget, "router-0") + GrantsOf(budget, "router-1") == 0;
+  }));
+  CHECK(WithinLimit(fleet.Budget()));
+  fleet.router(1).process->Signal(SIGCONT);
+}
+
 }  // namespace
 
 TEST_GROUP(Overspend){};
@@ -72,7 +73,7 @@
   RunOnCore([](Runtime& runtime) {
     ProcessFleet fleet(runtime, kLimit);
     CHECK(fleet.AwaitReady());
-    std::vector<Call> calls = ManyQuestions();
+    std::vector<Call> calls = ManyQuestions(kCalls);
     bool is_late = false;
     const auto is_final = [&is_late](const Call& call) {
       return IsExhausted(call) || (is_late && call.not_run());
@@ -80,23 +81,7 @@
     for (size_t index = 0; index < kCalls; ++index) {
       fleet.BeginRetry(index % 2, calls[index], is_final);
     }
-    CHECK(Await([&] {
-      return std::count_if(calls.begin(), calls.end(), IsOver) >=
-             static_cast<int64_t>(kFirstAnswers);
-    }));
-    fleet.SetFault(fleet.platform_port(), R"({"outage":true})");
-    fleet.router(0).process->Signal(SIGKILL);
-    fleet.router(1).process->Signal(SIGSTOP);
-    fleet.SetFault(fleet.platform_port(), R"({"outage":false})");
-    CHECK(WithinLimit(fleet.Budget()));
-    fleet.StartRouter(2);
-    // The new router closes what the others held.
-    CHECK(Await([&] {
-      const auto budget = fleet.Budget();
-      return GrantsOf(budget, "router-0") + GrantsOf(budget, "router-1") == 0;
-    }));
-    CHECK(WithinLimit(fleet.Budget()));
-    fleet.router(1).process->Signal(SIGCONT);
+    KillOnePauseOneAndStopTheKv(fleet, calls);
     CHECK(Await([&] { return TotalUsage(calls) > kLimit / 2; }));
     is_late = true;
     CHECK(Await([&] {
@@ -109,3 +94,21 @@
     CHECK(fleet.AwaitBilled(TotalUsage(calls)));
   });
 }
+
+TEST_GROUP(OverspendStrict){};
+
+// No call ends before the budget does.
+TEST(OverspendStrict, EachCallIsAnsweredOrFindsTheBudgetExhausted) {
+  RunOnCore([](Runtime& runtime) {
+    ProcessFleet fleet(runtime, kLimit);
+    CHECK(fleet.AwaitReady());
+    std::vector<Call> calls = ManyQuestions(kCalls);
+    for (size_t index = 0; index < kCalls; ++index) {
+      fleet.BeginRetry(index % 2, calls[index], IsExhausted);
+    }
+    KillOnePauseOneAndStopTheKv(fleet, calls);
+    CHECK(
+        Await([&] { return std::all_of(calls.begin(), calls.end(), IsOver); }));
+    CHECK(fleet.AwaitBilled(TotalUsage(calls)));
+  });
+}
--- a/tools/godwit-agent/src/fleet_member.cc
+++ b/tools/godwit-agent/src/fleet_member.cc
@@ -6,7 +6,7 @@
 
 #include "base/clocks.h"
 #include "daemon/new_incarnation.h"
-#include "membership/fleet_codec.h"
+#include "daemon/watch_fleet.h"
 #include "membership/fleet_record.h"
 #include "platform/client.h"
 #include "runtime/runtime.h"
@@ -74,27 +74,12 @@
 }
 
 void FleetMember::Watch() {
-  int64_t version = 0;
-  for (;;) {
-    const platform::KvReadDone done =
-        client_.Watch(membership::kFleetKey, version, kWatchWait);
-    if (!done.available) {
-      runtime::Runtime::SleepFor(kRetry);
-      continue;
-    }
-    if (done.version == version) {
-      continue;
-    }
-    membership::FleetCodec codec;
-    const auto record = codec.Decode(done.value);
-    if (!record) {
-      runtime::Runtime::SleepFor(kRetry);
-      continue;
-    }
-    version = done.version;
-    handler_.on_version(version);
-    Look(*record);
-  }
+  daemon::WatchFleet(
+      client_, kWatchWait, kRetry,
+      [this](const membership::FleetRecord& record, int64_t version) {
+        handler_.on_version(version);
+        Look(record);
+      });
 }
 
 void FleetMember::Look(const membership::FleetRecord& record) {
--- a/tools/godwit-router/src/platform_watch.cc
+++ b/tools/godwit-router/src/platform_watch.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "membership/fleet_codec.h"
+#include "daemon/watch_fleet.h"
 #include "platform/client.h"
 #include "runtime/runtime.h"
 
@@ -31,26 +31,11 @@
 }
 
 void PlatformWatch::WatchFleet() {
-  int64_t version = 0;
-  for (;;) {
-    const platform::KvReadDone done =
-        client_.Watch(membership::kFleetKey, version, kWatchWait);
-    if (!done.available) {
-      runtime::Runtime::SleepFor(kRetry);
-      continue;
-    }
-    if (done.version == version) {
-      continue;
-    }
-    membership::FleetCodec codec;
-    const auto record = codec.Decode(done.value);
-    if (!record) {
-      runtime::Runtime::SleepFor(kRetry);
-      continue;
-    }
-    version = done.version;
-    on_event_(router::FleetSeen{*record, version});
-  }
+  daemon::WatchFleet(
+      client_, kWatchWait, kRetry,
+      [this](const membership::FleetRecord& record, int64_t version) {
+        on_event_(router::FleetSeen{record, version});
+      });
 }
 
 void PlatformWatch::PollVms() {
