--- a/libs/base/include/base/clocks.h
+++ b/libs/base/include/base/clocks.h
@@ -5,7 +5,8 @@
 
 namespace godwit::base {
 
-// Milliseconds of the machine's monotonic clock. Any thread.
+// Milliseconds of the machine's monotonic clock, which counts the time that
+// the machine was suspended: a deadline passes meanwhile. Any thread.
 Millis SteadyNow() noexcept;
 
 // Milliseconds since the Unix epoch. Any thread. May step backwards.
--- a/libs/config/include/config/endpoint.h
+++ b/libs/base/include/base/endpoint.h
@@ -1,5 +1,5 @@
-#ifndef CONFIG_ENDPOINT_H_
-#define CONFIG_ENDPOINT_H_
+#ifndef BASE_ENDPOINT_H_
+#define BASE_ENDPOINT_H_
 
 #include <cstdint>
 #include <optional>
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <tuple>
 
-namespace godwit::config {
+namespace godwit::base {
 
 // Where a server listens: an IP number and a port.
 struct Endpoint {
@@ -28,11 +28,14 @@
   friend bool operator!=(const Endpoint& a, const Endpoint& b) {
     return !(a == b);
   }
+  friend bool operator<(const Endpoint& a, const Endpoint& b) {
+    return std::tie(a.ip, a.port) < std::tie(b.ip, b.port);
+  }
 };
 
 // True for an IPv4 or IPv6 number.
 bool IsIpNumber(std::string_view text);
 
-}  // namespace godwit::config
+}  // namespace godwit::base
 
-#endif  // CONFIG_ENDPOINT_H_
+#endif  // BASE_ENDPOINT_H_
--- a/libs/base/src/clocks.cc
+++ b/libs/base/src/clocks.cc
@@ -1,25 +1,27 @@
 #include "base/clocks.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace godwit::base {
 namespace {
 
-template <typename Clock>
-Millis Read() noexcept {
-  const auto elapsed = Clock::now().time_since_epoch();
-  return Millis(
-      std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
+constexpr int64_t kMillisPerSecond = 1000;
+constexpr int64_t kNanosPerMilli = 1'000'000;
+
+Millis Read(clockid_t clock) noexcept {
+  timespec time{};
+  clock_gettime(clock, &time);
+  return Millis(time.tv_sec * kMillisPerSecond + time.tv_nsec / kNanosPerMilli);
 }
 
 }  // namespace
 
 Millis SteadyNow() noexcept {
-  return Read<std::chrono::steady_clock>();
+  return Read(CLOCK_BOOTTIME);
 }
 
 Millis WallNow() noexcept {
-  return Read<std::chrono::system_clock>();
+  return Read(CLOCK_REALTIME);
 }
 
 }  // namespace godwit::base
--- a/libs/config/src/endpoint.cc
+++ b/libs/base/src/endpoint.cc
@@ -1,10 +1,10 @@
-#include "config/endpoint.h"
+#include "base/endpoint.h"
 
 #include <arpa/inet.h>
 
 #include <charconv>
 
-namespace godwit::config {
+namespace godwit::base {
 namespace {
 
 bool ParsesAs(int family, const std::string& text) {
@@ -51,4 +51,4 @@
   return (six ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
 }
 
-}  // namespace godwit::config
+}  // namespace godwit::base
--- a/libs/config/include/config/settings.h
+++ b/libs/config/include/config/settings.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/millis.h"
-#include "config/endpoint.h"
+#include "base/endpoint.h"
 
 namespace godwit::config {
 
@@ -28,12 +28,14 @@
   uint16_t Port(std::string_view key) const;
   // Keys declared by Duration.
   base::Millis Duration(std::string_view key) const;
+  // Keys declared by Real; 0 when left out.
+  double Real(std::string_view key) const;
   // Keys declared by Flag; false when left out.
   bool Flag(std::string_view key) const;
   // Keys declared by Address.
-  const Endpoint& Address(std::string_view key) const;
+  const base::Endpoint& Address(std::string_view key) const;
   // Keys declared by Addresses.
-  const std::vector<Endpoint>& Addresses(std::string_view key) const;
+  const std::vector<base::Endpoint>& Addresses(std::string_view key) const;
   // Keys declared by Names.
   const std::vector<std::string>& Names(std::string_view key) const;
 
@@ -43,8 +45,9 @@
     bool given = false;
     std::string text;
     int64_t integer = 0;
+    double real = 0;
     std::vector<std::string> names;
-    std::vector<Endpoint> endpoints;
+    std::vector<base::Endpoint> endpoints;
   };
 
   const Value& At(std::string_view key) const;
--- a/libs/config/include/config/settings_reader.h
+++ b/libs/config/include/config/settings_reader.h
@@ -47,6 +47,11 @@
                            std::string help,
                            int64_t min_ms,
                            int64_t max_ms);
+  // A number that need not be whole.
+  SettingsReader& Real(std::string key,
+                       std::string help,
+                       int64_t min,
+                       int64_t max);
   // true or false.
   SettingsReader& Flag(std::string key, std::string help);
   // One of the given words.
--- a/libs/config/src/settings.cc
+++ b/libs/config/src/settings.cc
@@ -25,17 +25,21 @@
   return base::Millis(At(key).integer);
 }
 
+double Settings::Real(std::string_view key) const {
+  return At(key).real;
+}
+
 bool Settings::Flag(std::string_view key) const {
   return At(key).integer != 0;
 }
 
-const Endpoint& Settings::Address(std::string_view key) const {
-  static const Endpoint none;
+const base::Endpoint& Settings::Address(std::string_view key) const {
+  static const base::Endpoint none;
   const auto& endpoints = At(key).endpoints;
   return endpoints.empty() ? none : endpoints.front();
 }
 
-const std::vector<Endpoint>& Settings::Addresses(std::string_view key) const {
+const std::vector<base::Endpoint>& Settings::Addresses(std::string_view key) const {
   return At(key).endpoints;
 }
 
--- a/libs/config/src/settings_reader.cc
+++ b/libs/config/src/settings_reader.cc
@@ -25,6 +25,7 @@
   kPort,
   kInteger,
   kDuration,
+  kReal,
   kFlag,
   kChoice,
   kAddress,
@@ -54,10 +55,10 @@
 }
 
 // Reads an item of an address list.
-std::optional<Endpoint> ReadEndpoint(MapReader& reader,
+std::optional<base::Endpoint> ReadEndpoint(MapReader& reader,
                                      const std::string& key,
                                      const YamlNode& node) {
-  auto endpoint = Endpoint::FromText(node.scalar);
+  auto endpoint = base::Endpoint::FromText(node.scalar);
   if (!endpoint) {
     reader.FailAt(node, key, "\"" + node.scalar + "\" is not an address",
                   kAddressRemedy);
@@ -65,8 +66,8 @@
   return endpoint;
 }
 
-std::vector<Endpoint> ReadEndpoints(MapReader& reader, const std::string& key) {
-  std::vector<Endpoint> endpoints;
+std::vector<base::Endpoint> ReadEndpoints(MapReader& reader, const std::string& key) {
+  std::vector<base::Endpoint> endpoints;
   const YamlNode* list = reader.Find(key);
   if (list->kind != YamlNode::Kind::kSequence) {
     reader.FailAt(*list, key, "is not a list",
@@ -97,7 +98,7 @@
 
 std::string ReadIp(MapReader& reader, const std::string& key) {
   std::string text = reader.Text(key);
-  if (!reader.failed() && !IsIpNumber(text)) {
+  if (!reader.failed() && !base::IsIpNumber(text)) {
     reader.FailAt(*reader.Find(key), key,
                   "\"" + text + "\" is not an IP number",
                   "write an IPv4 or IPv6 number, not a host name");
@@ -131,6 +132,8 @@
         return Range(min, max);
       case Type::kDuration:
         return Range(min, max) + " ms";
+      case Type::kReal:
+        return "number, " + Range(min, max);
       case Type::kFlag:
         return "true or false";
       case Type::kChoice:
@@ -167,6 +170,10 @@
     case Type::kDuration:
       value.integer = reader.Integer(name, 0, min, max);
       break;
+    case Type::kReal:
+      value.real = reader.Number(name, 0, static_cast<double>(min),
+                                 static_cast<double>(max));
+      break;
     case Type::kFlag:
       value.integer = ReadWord(reader, name, {"true", "false"}) == "true";
       break;
@@ -228,6 +235,13 @@
       {Type::kDuration, std::move(key), std::move(help), min_ms, max_ms});
 }
 
+SettingsReader& SettingsReader::Real(std::string key,
+                                     std::string help,
+                                     int64_t min,
+                                     int64_t max) {
+  return Declare({Type::kReal, std::move(key), std::move(help), min, max});
+}
+
 SettingsReader& SettingsReader::Flag(std::string key, std::string help) {
   return Declare({Type::kFlag, std::move(key), std::move(help)});
 }
--- a/libs/config/tests/settings_reader_test.cc
+++ b/libs/config/tests/settings_reader_test.cc
@@ -3,13 +3,13 @@
 #include <string>
 #include <vector>
 
-#include "config/endpoint.h"
+#include "base/endpoint.h"
 #include "config/settings.h"
 
 #include <CppUTest/TestHarness.h>
 
 using godwit::base::Millis;
-using godwit::config::Endpoint;
+using godwit::base::Endpoint;
 using godwit::config::SettingsReader;
 
 namespace {
--- a/tools/godwit-router/src/stop_plan.h
+++ b/libs/daemon/include/daemon/stop_plan.h
@@ -1,5 +1,5 @@
-#ifndef GODWIT_ROUTER_STOP_PLAN_H_
-#define GODWIT_ROUTER_STOP_PLAN_H_
+#ifndef DAEMON_STOP_PLAN_H_
+#define DAEMON_STOP_PLAN_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -7,7 +7,7 @@
 
 #include "base/millis.h"
 
-namespace godwit::router_daemon {
+namespace godwit::daemon {
 
 // Order of a router's stop: unready at once, requests refused after a grace,
 // those in progress finished, budgets handed back. Decides by times that come
@@ -58,6 +58,6 @@
   bool ended_ = false;
 };
 
-}  // namespace godwit::router_daemon
+}  // namespace godwit::daemon
 
-#endif  // GODWIT_ROUTER_STOP_PLAN_H_
+#endif  // DAEMON_STOP_PLAN_H_
--- a/tools/godwit-router/src/stop_plan.cc
+++ b/libs/daemon/src/stop_plan.cc
@@ -1,6 +1,6 @@
-#include "stop_plan.h"
+#include "daemon/stop_plan.h"
 
-namespace godwit::router_daemon {
+namespace godwit::daemon {
 
 void StopPlan::Begin(base::Millis now) noexcept {
   if (!begun_at_) {
@@ -39,4 +39,4 @@
   return action;
 }
 
-}  // namespace godwit::router_daemon
+}  // namespace godwit::daemon
--- a/tools/godwit-router/tests/stop_plan_test.cc
+++ b/libs/daemon/tests/stop_plan_test.cc
@@ -1,11 +1,11 @@
-#include "stop_plan.h"
+#include "daemon/stop_plan.h"
 
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 using godwit::base::Millis;
-using godwit::router_daemon::StopPlan;
+using godwit::daemon::StopPlan;
 using Action = StopPlan::Action;
 
 namespace {
--- /dev/null
+++ b/libs/dispatch/include/dispatch/attempt_answered.h
@@ -0,0 +1,22 @@
+#ifndef DISPATCH_ATTEMPT_ANSWERED_H_
+#define DISPATCH_ATTEMPT_ANSWERED_H_
+
+#include <cstdint>
+
+#include "dispatch/call_id.h"
+#include "dispatch/reply.h"
+
+namespace godwit::dispatch {
+
+// Event: a backend server began its answer.
+struct AttemptAnswered {
+  CallId call = 0;
+  int64_t attempt = 0;
+  Reply reply;
+  // The whole body is at hand; otherwise the first event or piece is.
+  bool whole = false;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_ATTEMPT_ANSWERED_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/call_ended.h
@@ -0,0 +1,35 @@
+#ifndef DISPATCH_CALL_ENDED_H_
+#define DISPATCH_CALL_ENDED_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "dispatch/call_id.h"
+
+namespace godwit::dispatch {
+
+// Command: record how a call ended, for logs and metrics.
+struct CallEnded {
+  CallId call = 0;
+  std::string request_id;
+  std::string route;
+  base::ServiceId service;
+  base::OrganisationId organisation;
+  std::string outcome;
+  std::string reason;
+  // Instance of the last attempt; empty when none.
+  std::string backend;
+  int64_t attempts = 0;
+  int64_t events = 0;
+  base::Tokens tokens = 0;
+  base::Millis waited;
+  base::Millis first_byte;
+  base::Millis total;
+  int64_t config_version = 0;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_CALL_ENDED_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/call_id.h
@@ -0,0 +1,13 @@
+#ifndef DISPATCH_CALL_ID_H_
+#define DISPATCH_CALL_ID_H_
+
+#include <cstdint>
+
+namespace godwit::dispatch {
+
+// A caller's request in this process.
+using CallId = int64_t;
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_CALL_ID_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/caller_limits.h
@@ -0,0 +1,29 @@
+#ifndef DISPATCH_CALLER_LIMITS_H_
+#define DISPATCH_CALLER_LIMITS_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "base/millis.h"
+
+namespace godwit::dispatch {
+
+// What callers may send and how long they may take.
+struct CallerLimits {
+  int64_t header_bytes = 16384;
+  int64_t body_bytes = int64_t{8} * 1024 * 1024;
+  // From the first byte of a request to its last.
+  base::Millis request_time{10000};
+  // Between requests on one connection.
+  base::Millis idle_time{15000};
+
+  friend bool operator==(const CallerLimits& a, const CallerLimits& b) {
+    return std::tie(a.header_bytes, a.body_bytes, a.request_time, a.idle_time) ==
+           std::tie(b.header_bytes, b.body_bytes, b.request_time, b.idle_time);
+  }
+  friend bool operator!=(const CallerLimits& a, const CallerLimits& b) { return !(a == b); }
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_CALLER_LIMITS_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -0,0 +1,33 @@
+#ifndef DISPATCH_DISPATCH_COMMAND_H_
+#define DISPATCH_DISPATCH_COMMAND_H_
+
+#include <variant>
+
+#include "dispatch/abort_call.h"
+#include "dispatch/attempt_abandoned.h"
+#include "dispatch/belief_changed.h"
+#include "dispatch/call_ended.h"
+#include "dispatch/cancel_attempt.h"
+#include "dispatch/refuse_call.h"
+#include "dispatch/relay_answer.h"
+#include "dispatch/start_attempt.h"
+#include "platform/kv_read.h"
+#include "platform/kv_write.h"
+
+namespace godwit::dispatch {
+
+// What a Dispatcher wants done or recorded.
+using DispatchCommand = std::variant<StartAttempt,
+                                     CancelAttempt,
+                                     RelayAnswer,
+                                     RefuseCall,
+                                     AbortCall,
+                                     AttemptAbandoned,
+                                     CallEnded,
+                                     BeliefChanged,
+                                     platform::KvRead,
+                                     platform::KvWrite>;
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_DISPATCH_COMMAND_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -0,0 +1,45 @@
+#ifndef DISPATCH_DISPATCH_EVENT_H_
+#define DISPATCH_DISPATCH_EVENT_H_
+
+#include <variant>
+
+#include "dispatch/attempt_answered.h"
+#include "dispatch/attempt_ended.h"
+#include "dispatch/attempt_failed.h"
+#include "dispatch/attempt_progressed.h"
+#include "dispatch/backend_removed.h"
+#include "dispatch/backend_seen.h"
+#include "dispatch/backends_listed.h"
+#include "dispatch/call_arrived.h"
+#include "dispatch/caller_gone.h"
+#include "dispatch/drain_requested.h"
+#include "dispatch/routers_counted.h"
+#include "dispatch/store_reached.h"
+#include "dispatch/table_seen.h"
+#include "dispatch/tick.h"
+#include "platform/kv_read_done.h"
+#include "platform/kv_write_done.h"
+
+namespace godwit::dispatch {
+
+// What happens to a Dispatcher.
+using DispatchEvent = std::variant<CallArrived,
+                                   CallerGone,
+                                   AttemptAnswered,
+                                   AttemptProgressed,
+                                   AttemptEnded,
+                                   AttemptFailed,
+                                   TableSeen,
+                                   BackendsListed,
+                                   BackendSeen,
+                                   BackendRemoved,
+                                   StoreReached,
+                                   RoutersCounted,
+                                   DrainRequested,
+                                   platform::KvReadDone,
+                                   platform::KvWriteDone,
+                                   Tick>;
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_DISPATCH_EVENT_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/drain_requested.h
@@ -0,0 +1,11 @@
+#ifndef DISPATCH_DRAIN_REQUESTED_H_
+#define DISPATCH_DRAIN_REQUESTED_H_
+
+namespace godwit::dispatch {
+
+// Event: refuse new requests and hand budgets back.
+struct DrainRequested {};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_DRAIN_REQUESTED_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/prompt.h
@@ -0,0 +1,30 @@
+#ifndef DISPATCH_PROMPT_H_
+#define DISPATCH_PROMPT_H_
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "base/ids.h"
+#include "dispatch/prompt_part.h"
+
+namespace godwit::dispatch {
+
+// What a caller states of a generation.
+struct Prompt {
+  std::string model;
+  base::Tokens input_tokens = 0;
+  base::Tokens max_output_tokens = 0;
+  // In order; the last one belongs to the request or its session.
+  std::vector<PromptPart> parts;
+
+  friend bool operator==(const Prompt& a, const Prompt& b) {
+    return std::tie(a.model, a.input_tokens, a.max_output_tokens, a.parts) ==
+           std::tie(b.model, b.input_tokens, b.max_output_tokens, b.parts);
+  }
+  friend bool operator!=(const Prompt& a, const Prompt& b) { return !(a == b); }
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_PROMPT_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -0,0 +1,31 @@
+#ifndef DISPATCH_REPLY_H_
+#define DISPATCH_REPLY_H_
+
+#include <optional>
+#include <tuple>
+
+#include "dispatch/load_report.h"
+
+namespace godwit::dispatch {
+
+// What an answer of a backend server says beside its body.
+struct Reply {
+  int status = 0;
+  // The server states that it did not run the request.
+  bool not_run = false;
+  // The server at this address is another one than expected.
+  bool wrong_instance = false;
+  // Signed by the server; a success without it is not the server's.
+  bool sealed = false;
+  std::optional<LoadReport> load;
+
+  friend bool operator==(const Reply& a, const Reply& b) {
+    return std::tie(a.status, a.not_run, a.wrong_instance, a.sealed, a.load) ==
+           std::tie(b.status, b.not_run, b.wrong_instance, b.sealed, b.load);
+  }
+  friend bool operator!=(const Reply& a, const Reply& b) { return !(a == b); }
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_REPLY_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/request.h
@@ -0,0 +1,39 @@
+#ifndef DISPATCH_REQUEST_H_
+#define DISPATCH_REQUEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "base/millis.h"
+#include "dispatch/prompt.h"
+
+namespace godwit::dispatch {
+
+// A caller's request, decoded.
+struct Request {
+  // Names this try of the caller in logs and at backend servers.
+  std::string id;
+  std::string host;
+  // Without the query.
+  std::string path;
+  // Key that the caller presented; empty when none.
+  std::string api_key;
+  // How long the caller waits from its arrival; empty when it does not say.
+  std::optional<base::Millis> deadline;
+  // Set for generations.
+  std::optional<Prompt> prompt;
+  // Last event that the caller has of an interrupted stream.
+  std::optional<int64_t> resume_after;
+
+  friend bool operator==(const Request& a, const Request& b) {
+    return std::tie(a.id, a.host, a.path, a.api_key, a.deadline, a.prompt, a.resume_after) ==
+           std::tie(b.id, b.host, b.path, b.api_key, b.deadline, b.prompt, b.resume_after);
+  }
+  friend bool operator!=(const Request& a, const Request& b) { return !(a == b); }
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_REQUEST_H_
--- /dev/null
+++ b/libs/dispatch/include/dispatch/routing_table.h
@@ -0,0 +1,72 @@
+#ifndef DISPATCH_ROUTING_TABLE_H_
+#define DISPATCH_ROUTING_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "dispatch/caller_limits.h"
+#include "dispatch/organisation.h"
+#include "dispatch/route.h"
+#include "dispatch/service_profile.h"
+
+namespace godwit::dispatch {
+
+// One version of the operator's configuration, as the direct router uses it.
+// Immutable; any thread.
+class RoutingTable {
+ public:
+  struct Contents {
+    // Grows with each version.
+    int64_t version = 0;
+    // Revision of the stored value that it was read from.
+    int64_t revision = 0;
+    std::vector<Route> routes;
+    std::vector<ServiceProfile> services;
+    std::vector<Organisation> organisations;
+    // False when requests need no API key at all.
+    bool needs_key = false;
+    CallerLimits limits;
+  };
+
+  explicit RoutingTable(Contents contents);
+
+  int64_t version() const noexcept { return contents_.version; }
+  int64_t revision() const noexcept { return contents_.revision; }
+  const CallerLimits& limits() const noexcept { return contents_.limits; }
+  bool needs_key() const noexcept { return contents_.needs_key; }
+  const std::vector<Route>& routes() const noexcept { return contents_.routes; }
+  const std::vector<Organisation>& organisations() const noexcept {
+    return contents_.organisations;
+  }
+
+  // The route of that host whose prefix is the longest that begins the path;
+  // null when none does. A port in `host` is ignored.
+  const Route* Match(std::string_view host, std::string_view path) const;
+  // Who holds an API key; null when nobody does.
+  const Organisation* HolderOf(const std::string& api_key) const;
+  // Null when the service is not described.
+  const ServiceProfile* Find(const base::ServiceId& service) const;
+
+  // Urgency of a request at backend servers, 0 (first) to 9: the
+  // organisation's priority goes before the route's. `organisation` may be
+  // null.
+  int64_t UrgencyOf(const Route& route, const Organisation* organisation) const;
+
+ private:
+  Contents contents_;
+  // By host, a zero byte and prefix.
+  std::unordered_map<std::string, size_t> route_index_;
+  std::unordered_map<std::string, size_t> key_index_;
+  std::map<base::ServiceId, size_t> service_index_;
+  // Pairs of priorities that occur, most urgent first.
+  std::vector<std::pair<int64_t, int64_t>> ranks_;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_ROUTING_TABLE_H_
--- /dev/null
+++ b/libs/dispatch/src/call_admission.cc
@@ -0,0 +1,215 @@
+#include <algorithm>
+#include <string_view>
+
+#include "base/digest.h"
+#include "dispatcher_state.h"
+
+namespace godwit::dispatch {
+namespace {
+
+using Verdict = ledger::MeteredHolder::Verdict;
+
+// When a caller should come back that was refused: before the first
+// configuration, while another router takes over, while the KV is away, and
+// without a usable server.
+constexpr base::Millis kNoConfigRetry(500);
+constexpr base::Millis kLeavingRetry(100);
+constexpr base::Millis kBudgetRetry(600);
+constexpr base::Millis kNoBackendRetry(500);
+constexpr base::Millis kLeastRoomRetry(200);
+// Callers give a stream up that shows nothing for this long, or for these
+// multiples of its objectives, whichever is longest.
+constexpr base::Millis kStreamPatience(2000);
+constexpr int64_t kObjectivePatience = 4;
+constexpr int64_t kGapPatience = 8;
+// Calls placed in one step while a line is pumped: bounds the step.
+constexpr size_t kMostPlacedAtOnce = 64;
+
+// The same caller's request always goes to the same target of a split.
+const base::ServiceId& TargetOf(const Route& route, const std::string& id) {
+  int64_t total = 0;
+  for (const RouteTarget& target : route.targets) {
+    total += std::max<int64_t>(0, target.weight);
+  }
+  if (total > 0) {
+    auto point = static_cast<int64_t>(base::Digest::Of(id).low() %
+                                      static_cast<uint64_t>(total));
+    for (const RouteTarget& target : route.targets) {
+      point -= std::max<int64_t>(0, target.weight);
+      if (point < 0) {
+        return target.service;
+      }
+    }
+  }
+  return route.targets.front().service;
+}
+
+base::Millis PatienceOf(const Route& route) {
+  if (!route.is_stream) {
+    return route.timeout;
+  }
+  return std::max({kStreamPatience,
+                   route.latency_objective * kObjectivePatience,
+                   route.event_gap_objective * kGapPatience});
+}
+
+}  // namespace
+
+bool Dispatcher::State::Admit(Call& call) {
+  if (refusing_) {
+    Refuse(call, base::ErrorKind::kLeaving, "this router stops", kLeavingRetry);
+    return false;
+  }
+  if (table_ == nullptr || !directory_.known()) {
+    Refuse(call, base::ErrorKind::kUnavailable, "no configuration yet",
+           kNoConfigRetry);
+    return false;
+  }
+  call.table = table_;
+  call.route = table_->Match(call.request.host, call.request.path);
+  if (call.route == nullptr || call.route->targets.empty()) {
+    Refuse(call, base::ErrorKind::kNotFound, "no route", base::Millis());
+    return false;
+  }
+  const Route& route = *call.route;
+  const Organisation* organisation = nullptr;
+  if (!route.anonymous && table_->needs_key()) {
+    organisation = table_->HolderOf(call.request.api_key);
+    if (organisation == nullptr) {
+      Refuse(call, base::ErrorKind::kUnauthenticated, "unknown API key",
+             base::Millis());
+      return false;
+    }
+    call.organisation = organisation->id;
+  }
+  call.service = TargetOf(route, call.request.id);
+  call.urgency = table_->UrgencyOf(route, organisation);
+  call.ends_at = now_ + std::min(route.timeout,
+                                 call.request.deadline.value_or(route.timeout));
+  call.patience_ends_at = std::min(call.ends_at, now_ + PatienceOf(route));
+  call.has_budget = organisation != nullptr && organisation->prepaid &&
+                    call.request.prompt.has_value();
+  return true;
+}
+
+void Dispatcher::State::TryBudget(Call& call) {
+  if (!call.has_budget) {
+    TryPlace(call);
+    return;
+  }
+  const Prompt& prompt = *call.request.prompt;
+  const base::Tokens most = prompt.input_tokens + prompt.max_output_tokens;
+  const base::BudgetId budget(call.organisation.value());
+  switch (budgets_.Reserve(now_, budget, most, call.arrived_at)) {
+    case Verdict::kReserved:
+      call.reserved = most;
+      TryPlace(call);
+      return;
+    case Verdict::kWait:
+      return;
+    case Verdict::kExhausted:
+      Refuse(call, base::ErrorKind::kBudgetExhausted,
+             "the budget does not cover " + std::to_string(most) + " tokens",
+             base::Millis());
+      return;
+    case Verdict::kUnavailable:
+      Refuse(call, base::ErrorKind::kBudgetUnavailable,
+             "no tokens of the budget can be set aside now", kBudgetRetry);
+      return;
+  }
+}
+
+void Dispatcher::State::TryPlace(Call& call) {
+  line_.Remove(call.id);
+  const Choice choice = placement_.Choose(now_, WorkOf(call),
+                                          directory_.Usable(call.service));
+  switch (choice.kind) {
+    case Choice::Kind::kPlaced:
+      Start(call, choice);
+      return;
+    case Choice::Kind::kNoRoom:
+      Wait(call);
+      return;
+    case Choice::Kind::kNoBackend:
+      if (call.exclude.empty()) {
+        Refuse(call, base::ErrorKind::kUnavailable,
+               "no backend server of the service can be used",
+               kNoBackendRetry);
+        return;
+      }
+      Wait(call);
+      return;
+  }
+}
+
+base::Millis Dispatcher::State::ExpectedWait(const Call& call) const {
+  int64_t running = 0;
+  for (const Backend* backend : directory_.Usable(call.service)) {
+    running += placement_.in_flight(*backend);
+  }
+  const auto ahead = static_cast<int64_t>(
+      line_.Ahead(call.service, call.urgency, call.arrived_at));
+  const base::Millis run = placement_.UsualRun(call.service);
+  return base::Millis(run.count() * (ahead + 1) /
+                      std::max<int64_t>(1, running));
+}
+
+bool Dispatcher::State::IsHopeless(const Call& call) const {
+  return now_ + ExpectedWait(call) + placement_.UsualFirstByte(call.service) >
+         call.patience_ends_at;
+}
+
+void Dispatcher::State::Wait(Call& call) {
+  if (IsHopeless(call)) {
+    Refuse(call, base::ErrorKind::kOverloaded,
+           "the wait for a place would outlast the deadline",
+           std::max(kLeastRoomRetry, ExpectedWait(call)));
+    return;
+  }
+  // Servers that refused it may have room again.
+  call.exclude.clear();
+  call.phase = Call::Phase::kAwaitsPlace;
+  line_.Add(call.service, call.urgency, call.arrived_at, call.id);
+}
+
+void Dispatcher::State::PumpBudgets() {
+  for (auto& command : budgets_.Tick(now_)) {
+    commands_.emplace_back(std::visit(
+        [](auto& c) { return DispatchCommand(std::move(c)); }, command));
+  }
+  std::vector<CallId> waiting;
+  for (const auto& [id, call] : calls_) {
+    if (call->phase == Call::Phase::kAwaitsBudget) {
+      waiting.push_back(id);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end());
+  for (const CallId id : waiting) {
+    TryBudget(*calls_.at(id));
+  }
+}
+
+void Dispatcher::State::PumpLines() {
+  for (const base::ServiceId& service : line_.Services()) {
+    size_t placed = 0;
+    for (const CallId id : line_.InOrder(service)) {
+      Call& call = *calls_.at(id);
+      const Choice choice = placement_.Choose(now_, WorkOf(call),
+                                              directory_.Usable(service));
+      if (choice.kind != Choice::Kind::kPlaced ||
+          placed == kMostPlacedAtOnce) {
+        break;
+      }
+      ++placed;
+      line_.Remove(id);
+      if (call.sends > 0 && !RetriesOf(service).TryRetry()) {
+        Refuse(call, base::ErrorKind::kOverloaded,
+               "no retries are left for the service", kLeastRoomRetry);
+        continue;
+      }
+      Start(call, choice);
+    }
+  }
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/src/call_end.cc
@@ -0,0 +1,75 @@
+#include <algorithm>
+
+#include "dispatcher_state.h"
+
+namespace godwit::dispatch {
+namespace {
+
+// Events that a server may have made beyond those that were handed on, when an
+// answer ends early.
+constexpr int64_t kEventsOnTheWay = 4;
+
+}  // namespace
+
+base::Tokens Dispatcher::State::UsedTokens(const Call& call,
+                                           bool whole) const {
+  if (call.reserved == 0 ||
+      (!call.may_have_run && call.events == 0 && !whole)) {
+    return 0;
+  }
+  const Prompt& prompt = *call.request.prompt;
+  const ServiceProfile* const service = call.table->Find(call.service);
+  const int64_t per_event = service == nullptr || !service->engine
+                                ? 1
+                                : service->engine->tokens_per_event;
+  const int64_t events = call.events + (whole ? 0 : kEventsOnTheWay);
+  return std::min(call.reserved, prompt.input_tokens + events * per_event);
+}
+
+void Dispatcher::State::Refuse(Call& call,
+                               base::ErrorKind kind,
+                               std::string reason,
+                               base::Millis retry_after) {
+  RefuseCall refusal;
+  refusal.call = call.id;
+  refusal.kind = kind;
+  refusal.reason = reason;
+  refusal.retry_after = retry_after;
+  Emit(std::move(refusal));
+  End(call, std::string(base::ErrorKindName(kind)), std::move(reason));
+}
+
+// `call` is gone afterwards.
+void Dispatcher::State::End(Call& call,
+                            std::string outcome,
+                            std::string reason) {
+  const base::Tokens used = UsedTokens(call, outcome == "answered");
+  if (call.has_budget && call.reserved > 0) {
+    budgets_.Settle(now_, base::BudgetId(call.organisation.value()),
+                    call.reserved, used);
+  }
+  CallEnded ended;
+  ended.call = call.id;
+  ended.request_id = call.request.id;
+  ended.route = call.route == nullptr ? "" : call.route->name;
+  ended.service = call.service;
+  ended.organisation = call.organisation;
+  ended.outcome = std::move(outcome);
+  ended.reason = std::move(reason);
+  ended.backend = call.backend.instance;
+  ended.attempts = call.sends;
+  ended.events = call.events;
+  ended.tokens = used;
+  ended.waited =
+      call.sends > 0 ? call.placed_at - call.arrived_at : now_ - call.arrived_at;
+  ended.first_byte = call.first_byte_at == base::Millis()
+                         ? base::Millis()
+                         : call.first_byte_at - call.arrived_at;
+  ended.total = now_ - call.arrived_at;
+  ended.config_version = call.table == nullptr ? 0 : call.table->version();
+  Emit(std::move(ended));
+  line_.Remove(call.id);
+  calls_.erase(call.id);
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/src/dispatcher.cc
@@ -0,0 +1,40 @@
+#include "dispatch/dispatcher.h"
+
+#include <utility>
+
+#include "dispatcher_state.h"
+
+namespace godwit::dispatch {
+
+Dispatcher::Dispatcher(DispatcherOptions options)
+    : state_(std::make_unique<State>(std::move(options))) {}
+
+Dispatcher::~Dispatcher() = default;
+
+std::vector<DispatchCommand> Dispatcher::Step(base::Millis now,
+                                              const DispatchEvent& event) {
+  return state_->Step(now, event);
+}
+
+bool Dispatcher::ready() const {
+  return state_->table_ != nullptr && state_->directory_.known() &&
+         !state_->refusing_;
+}
+
+size_t Dispatcher::open_calls() const {
+  return state_->calls_.size();
+}
+
+size_t Dispatcher::waiting_calls() const {
+  return state_->line_.size();
+}
+
+bool Dispatcher::drained() const {
+  return state_->calls_.empty() && state_->budgets_.drained();
+}
+
+int64_t Dispatcher::config_version() const {
+  return state_->table_ == nullptr ? 0 : state_->table_->version();
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -0,0 +1,308 @@
+#include "dispatcher_state.h"
+
+#include <algorithm>
+
+namespace godwit::dispatch {
+namespace {
+
+using Outcome = Placement::Outcome;
+
+// A gap between ticks from which on this process must have stood still.
+constexpr base::Millis kStoodStill(400);
+// Statuses from which on an answer tells of a failure of its server.
+constexpr int kServerError = 500;
+constexpr int kTooMany = 429;
+constexpr int kSuccess = 200;
+constexpr int kRedirect = 300;
+
+// What an answer is worth to its caller.
+enum class Quality : uint8_t { kGood, kFailed, kNotRun, kWrongServer, kUnsound };
+
+Quality QualityOf(const Reply& reply) {
+  if (reply.wrong_instance) {
+    return Quality::kWrongServer;
+  }
+  // A request that the server calls wrong is wrong at any server.
+  if (reply.not_run && (reply.status == kTooMany || reply.status >= kServerError)) {
+    return Quality::kNotRun;
+  }
+  const bool is_success = reply.status >= kSuccess && reply.status < kRedirect;
+  if (is_success && !reply.sealed) {
+    return Quality::kUnsound;
+  }
+  return reply.status >= kServerError ? Quality::kFailed : Quality::kGood;
+}
+
+const char* TextOf(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kNotSent:
+      return "no connection";
+    case AttemptFailure::kLost:
+      return "connection lost";
+    case AttemptFailure::kDamaged:
+      return "damaged answer";
+  }
+  return "";
+}
+
+}  // namespace
+
+Dispatcher::State::State(DispatcherOptions options)
+    : options_(std::move(options)),
+      placement_(options_.placement),
+      budgets_(options_.process, options_.incarnation, options_.budgets),
+      routers_(options_.assumed_routers) {
+  budgets_.SetRouters(routers_);
+}
+
+std::vector<DispatchCommand> Dispatcher::State::Step(
+    base::Millis now,
+    const DispatchEvent& event) {
+  now_ = now;
+  std::visit([this](const auto& e) { On(e); }, event);
+  Emit(placement_.TakeChanges());
+  return std::exchange(commands_, {});
+}
+
+void Dispatcher::State::On(const CallArrived& event) {
+  auto owned = std::make_unique<Call>();
+  Call& call = *owned;
+  call.id = event.call;
+  call.request = event.request;
+  call.arrived_at = now_;
+  calls_[call.id] = std::move(owned);
+  if (!Admit(call)) {
+    return;
+  }
+  RetriesOf(call.service).OnRequest();
+  TryBudget(call);
+  PumpBudgets();
+}
+
+void Dispatcher::State::On(const CallerGone& event) {
+  const auto found = calls_.find(event.call);
+  if (found == calls_.end()) {
+    return;
+  }
+  Call& call = *found->second;
+  if (call.attempt != 0) {
+    Emit(CancelAttempt{call.id, call.attempt});
+    placement_.Ended(now_, call.attempt, Outcome::kCancelled);
+    call.may_have_run = true;
+  }
+  End(call, "caller_gone", "the caller closed its connection");
+  PumpLines();
+}
+
+void Dispatcher::State::On(const AttemptAnswered& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.Answered(now_, call->attempt, event.reply.load);
+  const Quality quality = QualityOf(event.reply);
+  const std::string status = "status " + std::to_string(event.reply.status);
+  const bool is_resumed = call->phase == Call::Phase::kRelaying;
+  switch (quality) {
+    case Quality::kWrongServer:
+      Emit(directory_.SeenReplaced(call->backend.instance));
+      Drop(*call, Outcome::kRefused, Fate::kNotRun, "wrong server, " + status);
+      return;
+    case Quality::kNotRun:
+      Drop(*call, Outcome::kRefused, Fate::kNotRun, "not run, " + status);
+      return;
+    case Quality::kUnsound:
+      Drop(*call, Outcome::kFailed, Fate::kMayHaveRun, "unsigned, " + status);
+      return;
+    case Quality::kFailed:
+      if (is_resumed) {
+        Drop(*call, Outcome::kFailed, Fate::kMayHaveRun, "failed, " + status);
+        return;
+      }
+      if (const auto next = NextServer(*call, Fate::kMayHaveRun)) {
+        Emit(CancelAttempt{call->id, call->attempt});
+        placement_.Ended(now_, call->attempt, Outcome::kFailed);
+        CountEnd(*call, Fate::kMayHaveRun);
+        Replace(*call, *next, "failed, " + status);
+        return;
+      }
+      break;
+    case Quality::kGood:
+      break;
+  }
+  if (!is_resumed) {
+    call->first_byte_at = now_;
+  }
+  call->phase = Call::Phase::kRelaying;
+  Emit(RelayAnswer{call->id, call->attempt});
+  if (event.whole) {
+    placement_.Ended(now_, call->attempt,
+                     quality == Quality::kGood ? Outcome::kServed
+                                               : Outcome::kFailed);
+    End(*call, quality == Quality::kGood ? "answered" : "failed",
+        "status " + status);
+    PumpLines();
+  }
+}
+
+void Dispatcher::State::Drop(Call& call,
+                             Outcome outcome,
+                             Fate fate,
+                             const std::string& reason) {
+  Emit(CancelAttempt{call.id, call.attempt});
+  placement_.Ended(now_, call.attempt, outcome);
+  Abandon(call, fate, reason);
+}
+
+void Dispatcher::State::On(const AttemptProgressed& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.Progressed(now_, call->attempt);
+  call->events = event.events;
+  call->last_event = event.last_event;
+}
+
+void Dispatcher::State::On(const AttemptEnded& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.Ended(now_, call->attempt, Outcome::kServed);
+  End(*call, "answered", "whole");
+  PumpLines();
+}
+
+void Dispatcher::State::On(const AttemptFailed& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  const bool not_sent = event.failure == AttemptFailure::kNotSent;
+  placement_.Ended(now_, call->attempt,
+                   not_sent ? Outcome::kUnreachable : Outcome::kFailed);
+  Abandon(*call, not_sent ? Fate::kNotArrived : Fate::kMayHaveRun,
+          TextOf(event.failure));
+  PumpLines();
+}
+
+void Dispatcher::State::On(const TableSeen& event) {
+  // A store that answers from the past never takes a version back.
+  if (table_ != nullptr && event.table->version() <= table_->version()) {
+    return;
+  }
+  table_ = event.table;
+  std::vector<ledger::BudgetLimit> limits;
+  for (const Organisation& organisation : table_->organisations()) {
+    if (organisation.prepaid) {
+      limits.push_back({base::BudgetId(organisation.id.value()),
+                        organisation.id, *organisation.prepaid});
+    }
+  }
+  budgets_.SetLimits(limits, {options_.configuration_key, table_->revision()});
+  PumpBudgets();
+}
+
+void Dispatcher::State::On(const BackendsListed& event) {
+  Emit(directory_.Listed(now_, event.backends));
+  PumpLines();
+}
+
+void Dispatcher::State::On(const BackendSeen& event) {
+  Emit(directory_.Changed(now_, event.backend));
+  PumpLines();
+}
+
+void Dispatcher::State::On(const BackendRemoved& event) {
+  Emit(directory_.Removed(now_, event.instance));
+}
+
+void Dispatcher::State::On(const StoreReached& event) {
+  if (event.reached) {
+    directory_.StoreFound(now_);
+  } else {
+    directory_.StoreLost(now_);
+  }
+}
+
+void Dispatcher::State::On(const RoutersCounted& event) {
+  // Fewer routers than before may be a view that is not whole; with a share
+  // that is too large, all together would exceed the budget of retries.
+  const size_t count =
+      counted_ ? std::max(routers_, event.count) : event.count;
+  counted_ = true;
+  if (count != routers_) {
+    routers_ = count;
+    budgets_.SetRouters(routers_);
+    retries_.clear();
+  }
+}
+
+void Dispatcher::State::On(const DrainRequested& /*event*/) {
+  refusing_ = true;
+  budgets_.Drain();
+  PumpBudgets();
+}
+
+void Dispatcher::State::On(const platform::KvReadDone& event) {
+  for (auto& command : budgets_.On(now_, event)) {
+    commands_.emplace_back(std::visit(
+        [](auto& c) { return DispatchCommand(std::move(c)); }, command));
+  }
+  PumpBudgets();
+}
+
+void Dispatcher::State::On(const platform::KvWriteDone& event) {
+  for (auto& command : budgets_.On(now_, event)) {
+    commands_.emplace_back(std::visit(
+        [](auto& c) { return DispatchCommand(std::move(c)); }, command));
+  }
+  PumpBudgets();
+}
+
+void Dispatcher::State::On(const Tick& /*event*/) {
+  const base::Millis gap = now_ - last_tick_;
+  if (last_tick_ != base::Millis() && gap > kStoodStill) {
+    placement_.Excuse(gap);
+  }
+  last_tick_ = now_;
+  Emit(directory_.Tick(now_));
+  std::vector<CallId> ids;
+  ids.reserve(calls_.size());
+  for (const auto& [id, call] : calls_) {
+    ids.push_back(id);
+  }
+  for (const CallId id : ids) {
+    const auto found = calls_.find(id);
+    if (found != calls_.end()) {
+      CheckTime(*found->second);
+    }
+  }
+  PumpBudgets();
+  PumpLines();
+}
+
+Call* Dispatcher::State::FindAttempt(CallId id, int64_t attempt) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second->attempt != attempt) {
+    return nullptr;
+  }
+  return found->second.get();
+}
+
+routing::RetryBudget& Dispatcher::State::RetriesOf(
+    const base::ServiceId& service) {
+  const double share =
+      std::max(1.0, options_.retry_slack / static_cast<double>(routers_));
+  return retries_.try_emplace(service, options_.retry_ratio, share)
+      .first->second;
+}
+
+void Dispatcher::State::Emit(std::vector<BeliefChanged> changes) {
+  for (BeliefChanged& change : changes) {
+    commands_.emplace_back(std::move(change));
+  }
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -0,0 +1,124 @@
+#ifndef DISPATCH_DISPATCHER_STATE_H_
+#define DISPATCH_DISPATCHER_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/error_kind.h"
+#include "call.h"
+#include "dispatch/backend_directory.h"
+#include "dispatch/choice.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/placement.h"
+#include "dispatch/routing_table.h"
+#include "dispatch/waiting_line.h"
+#include "dispatch/work.h"
+#include "ledger/metered_holder.h"
+#include "routing/retry_budget.h"
+
+namespace godwit::dispatch {
+
+// The state machine behind Dispatcher.
+struct Dispatcher::State {
+ public:
+  explicit State(DispatcherOptions options);
+
+  std::vector<DispatchCommand> Step(base::Millis now,
+                                    const DispatchEvent& event);
+
+  // Events; dispatcher_state.cc.
+  void On(const CallArrived& event);
+  void On(const CallerGone& event);
+  void On(const AttemptAnswered& event);
+  void On(const AttemptProgressed& event);
+  void On(const AttemptEnded& event);
+  void On(const AttemptFailed& event);
+  void On(const TableSeen& event);
+  void On(const BackendsListed& event);
+  void On(const BackendSeen& event);
+  void On(const BackendRemoved& event);
+  void On(const StoreReached& event);
+  void On(const RoutersCounted& event);
+  void On(const DrainRequested& event);
+  void On(const platform::KvReadDone& event);
+  void On(const platform::KvWriteDone& event);
+  void On(const Tick& event);
+
+  // Admission; call_admission.cc.
+  // Fills in what the configuration says of the call. False when it was
+  // refused.
+  bool Admit(Call& call);
+  void TryBudget(Call& call);
+  void TryPlace(Call& call);
+  void Wait(Call& call);
+  bool IsHopeless(const Call& call) const;
+  base::Millis ExpectedWait(const Call& call) const;
+  void PumpBudgets();
+  void PumpLines();
+
+  // Attempts; call_attempts.cc.
+  Work WorkOf(const Call& call) const;
+  void Start(Call& call, const Choice& choice);
+  // The attempt in progress ended without an answer for the caller.
+  enum class Fate : uint8_t { kNotArrived, kNotRun, kMayHaveRun };
+  void Abandon(Call& call, Fate fate, const std::string& reason);
+  // As Abandon, for an attempt whose answer is not wanted.
+  void Drop(Call& call,
+            Placement::Outcome outcome,
+            Fate fate,
+            const std::string& reason);
+  bool MayRunAgain(const Call& call) const;
+  bool MaySendAgain(const Call& call) const;
+  // Where the request is tried next; empty when it must not or can't be. Draws
+  // on the budget of retries.
+  std::optional<Choice> NextServer(Call& call, Fate fate);
+  void CountEnd(Call& call, Fate fate);
+  void Record(const Call& call, const std::string& reason, const char* next);
+  void Replace(Call& call, const Choice& next, const std::string& reason);
+  void Finish(Call& call, Fate fate, const std::string& reason);
+  Call* FindAttempt(CallId call, int64_t attempt);
+  void CheckSilence(Call& call);
+  void CheckTime(Call& call);
+  routing::RetryBudget& RetriesOf(const base::ServiceId& service);
+
+  // Ends; call_end.cc.
+  void Refuse(Call& call,
+              base::ErrorKind kind,
+              std::string reason,
+              base::Millis retry_after);
+  void End(Call& call, std::string outcome, std::string reason);
+  base::Tokens UsedTokens(const Call& call, bool whole) const;
+
+  void Emit(std::vector<BeliefChanged> changes);
+  template <typename Command>
+  void Emit(Command command) {
+    commands_.emplace_back(std::move(command));
+  }
+
+  const DispatcherOptions options_;
+  std::shared_ptr<const RoutingTable> table_;
+  BackendDirectory directory_;
+  Placement placement_;
+  WaitingLine line_;
+  ledger::MeteredHolder budgets_;
+  std::map<base::ServiceId, routing::RetryBudget> retries_;
+  std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
+  size_t routers_;
+  bool counted_ = false;
+  int64_t next_attempt_ = 1;
+  bool refusing_ = false;
+  // Of the step in progress.
+  base::Millis now_;
+  std::vector<DispatchCommand> commands_;
+  base::Millis last_tick_;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_DISPATCHER_STATE_H_
--- /dev/null
+++ b/libs/dispatch/src/placement.cc
@@ -0,0 +1,208 @@
+#include "dispatch/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "placement_state.h"
+
+namespace godwit::dispatch {
+namespace {
+
+// Weight of an observation in what is usual for a service, and in the failures
+// of a server.
+constexpr double kUsualWeight = 0.05;
+constexpr double kFailureWeight = 0.2;
+// One observation moves the scale of a service by no more than this ratio.
+constexpr double kMostScaleStep = 3;
+
+double Blend(double mean, double value, double weight) {
+  return mean == 0 ? value : mean + weight * (value - mean);
+}
+
+double Count(base::Millis span) {
+  return static_cast<double>(span.count());
+}
+
+}  // namespace
+
+Placement::Placement(PlacementOptions options)
+    : state_(std::make_unique<State>(std::move(options))) {}
+
+Placement::~Placement() = default;
+
+Choice Placement::Choose(base::Millis now,
+                         const Work& work,
+                         const std::vector<const Backend*>& candidates) {
+  const auto options = state_->Options(now, work, candidates);
+  Choice choice;
+  if (options.empty()) {
+    return choice;
+  }
+  const State::Option* best = nullptr;
+  for (const State::Option& option : options) {
+    if (option.has_room && (best == nullptr || option.cost < best->cost)) {
+      best = &option;
+    }
+  }
+  if (best == nullptr) {
+    choice.kind = Choice::Kind::kNoRoom;
+    return choice;
+  }
+  choice.kind = Choice::Kind::kPlaced;
+  choice.backend = *best->backend;
+  choice.expected = base::Millis(static_cast<int64_t>(best->expected_ms));
+  choice.uncached = best->uncached;
+  return choice;
+}
+
+void Placement::Started(base::Millis now,
+                        int64_t attempt,
+                        const Backend& backend,
+                        const Work& work) {
+  ServerLoad& load = state_->LoadOf(backend);
+  State::Attempt started;
+  started.server = backend.key();
+  started.service = backend.service;
+  started.started_at = now;
+  if (work.prompt != nullptr) {
+    const base::Tokens cached =
+        state_->prompts.Cached(now, started.server, *work.prompt);
+    started.unread =
+        std::max<base::Tokens>(0, work.prompt->input_tokens - cached);
+    state_->prompts.Remember(now, started.server, *work.prompt);
+  }
+  started.usual_ms = state_->UsualMs(work, load.unread + started.unread);
+  if (load.in_flight == 0) {
+    load.heard_at = now;
+  }
+  ++load.in_flight;
+  ++load.unanswered;
+  load.unread += started.unread;
+  state_->attempts[attempt] = std::move(started);
+}
+
+void Placement::Answered(base::Millis now,
+                         int64_t attempt,
+                         const std::optional<LoadReport>& report) {
+  const auto found = state_->attempts.find(attempt);
+  if (found == state_->attempts.end()) {
+    return;
+  }
+  State::Attempt& answered = found->second;
+  ServerLoad& load = state_->loads[answered.server];
+  load.heard_at = now;
+  if (report) {
+    load.Report(now, *report);
+  }
+  if (answered.answered) {
+    return;
+  }
+  answered.answered = true;
+  --load.unanswered;
+  load.unread -= answered.unread;
+  const double latency = std::max(1.0, Count(now - answered.started_at));
+  const double ratio = latency / std::max(1.0, answered.usual_ms);
+  load.Judge(now, ratio);
+  State::Usual& usual = state_->usual[answered.service];
+  usual.first_byte_ms = Blend(usual.first_byte_ms, latency, kUsualWeight);
+  usual.scale *= 1 + kUsualWeight * (std::clamp(ratio, 1 / kMostScaleStep,
+                                                kMostScaleStep) -
+                                     1);
+}
+
+void Placement::Progressed(base::Millis now, int64_t attempt) {
+  const auto found = state_->attempts.find(attempt);
+  if (found != state_->attempts.end()) {
+    state_->loads[found->second.server].heard_at = now;
+  }
+}
+
+void Placement::Ended(base::Millis now, int64_t attempt, Outcome outcome) {
+  const auto found = state_->attempts.find(attempt);
+  if (found == state_->attempts.end()) {
+    return;
+  }
+  const State::Attempt ended = std::move(found->second);
+  state_->attempts.erase(found);
+  ServerLoad& load = state_->loads[ended.server];
+  --load.in_flight;
+  if (!ended.answered) {
+    --load.unanswered;
+    load.unread -= ended.unread;
+  }
+  switch (outcome) {
+    case Outcome::kServed: {
+      State::Usual& usual = state_->usual[ended.service];
+      usual.run_ms =
+          Blend(usual.run_ms, Count(now - ended.started_at), kUsualWeight);
+      load.failures -= kFailureWeight * load.failures;
+      ++load.samples;
+      load.heard_at = now;
+      load.ejections = 0;
+      if (load.on_trial) {
+        load.on_trial = false;
+        load.ejected_until = base::Millis();
+        BeliefChanged change;
+        change.belief = BeliefChanged::Belief::kReadmitted;
+        change.instance = load.instance;
+        change.service = load.service;
+        change.reason = "served a request";
+        state_->changes.push_back(std::move(change));
+      }
+      return;
+    }
+    case Outcome::kFailed:
+      load.failures += kFailureWeight * (1 - load.failures);
+      ++load.samples;
+      state_->JudgeFailures(now, load);
+      return;
+    case Outcome::kUnreachable:
+      if (!load.IsEjected(now)) {
+        state_->Eject(now, load, "can't be reached");
+      }
+      return;
+    case Outcome::kRefused:
+    case Outcome::kCancelled:
+      return;
+  }
+}
+
+bool Placement::IsSilent(base::Millis now, int64_t attempt) const {
+  const auto found = state_->attempts.find(attempt);
+  if (found == state_->attempts.end()) {
+    return false;
+  }
+  const auto load = state_->loads.find(found->second.server);
+  return load != state_->loads.end() && state_->IsSilent(now, load->second);
+}
+
+void Placement::Excuse(base::Millis span) {
+  for (auto& [key, load] : state_->loads) {
+    load.heard_at = load.heard_at + span;
+  }
+}
+
+base::Millis Placement::UsualRun(const base::ServiceId& service) const {
+  const auto found = state_->usual.find(service);
+  return base::Millis(found == state_->usual.end()
+                          ? 0
+                          : static_cast<int64_t>(found->second.run_ms));
+}
+
+base::Millis Placement::UsualFirstByte(const base::ServiceId& service) const {
+  const auto found = state_->usual.find(service);
+  return base::Millis(found == state_->usual.end()
+                          ? 0
+                          : static_cast<int64_t>(found->second.first_byte_ms));
+}
+
+int64_t Placement::in_flight(const Backend& backend) const {
+  const auto found = state_->loads.find(backend.key());
+  return found == state_->loads.end() ? 0 : found->second.in_flight;
+}
+
+std::vector<BeliefChanged> Placement::TakeChanges() {
+  return std::exchange(state_->changes, {});
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/src/server_load.cc
@@ -0,0 +1,65 @@
+#include "server_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace godwit::dispatch {
+namespace {
+
+// Weight of a new load report, and of a new time to the first byte.
+constexpr double kReportWeight = 0.4;
+constexpr double kSlownessWeight = 0.25;
+// One observation is never taken for more than this.
+constexpr double kMostSlowness = 30;
+constexpr double kLeastSlowness = 0.2;
+// Half of a slowness is forgotten in this time without an observation, so that
+// a server that has recovered is tried again.
+constexpr base::Millis kSlownessHalfLife(2500);
+constexpr int64_t kMostDoublings = 6;
+
+double Ratio(base::Millis a, base::Millis b) {
+  return static_cast<double>(a.count()) / static_cast<double>(b.count());
+}
+
+}  // namespace
+
+void ServerLoad::Report(base::Millis now, const LoadReport& load) {
+  const double others = std::max<double>(
+      0, static_cast<double>(load.running + load.waiting - in_flight));
+  foreign = reported ? foreign + kReportWeight * (others - foreign) : others;
+  reported = true;
+  reported_at = now;
+}
+
+double ServerLoad::Runs(base::Millis now, base::Millis report_lifetime) const {
+  const auto own = static_cast<double>(in_flight);
+  if (!reported) {
+    return own;
+  }
+  const double age = Ratio(now - reported_at, report_lifetime);
+  return own + foreign * std::clamp(2 - age, 0.0, 1.0);
+}
+
+double ServerLoad::SlownessAt(base::Millis now) const {
+  const double faded = std::exp2(-Ratio(now - judged_at, kSlownessHalfLife));
+  return 1 + (slowness - 1) * faded;
+}
+
+void ServerLoad::Judge(base::Millis now, double ratio) {
+  const double seen = std::clamp(ratio, kLeastSlowness, kMostSlowness);
+  const double before = SlownessAt(now);
+  slowness = before + kSlownessWeight * (seen - before);
+  judged_at = now;
+}
+
+void ServerLoad::Eject(base::Millis now,
+                       base::Millis shortest,
+                       base::Millis longest) {
+  const int64_t doublings = std::min(ejections, kMostDoublings);
+  ejected_until =
+      now + std::min(longest, shortest * (int64_t{1} << doublings));
+  ++ejections;
+  on_trial = true;
+}
+
+}  // namespace godwit::dispatch
--- a/libs/http/src/client_call.cc
+++ b/libs/http/src/client_call.cc
@@ -16,8 +16,8 @@
 }  // namespace
 
 struct ClientCall::State {
-  // Handles one event. True when it ends the call.
-  bool Handle(CallEvent event) {
+  // Handles one event, which is used up. True when it ends the call.
+  bool Handle(CallEvent& event) {
     return std::visit([this](auto& value) { return On(value); }, event);
   }
 
@@ -114,7 +114,7 @@
   while (!ended) {
     bool resume = false;
     CallEvent event = events->Pop(&resume);
-    ended = state->Handle(std::move(event));
+    ended = state->Handle(event);
     if (resume && !ended) {
       state->operation->Resume();
     }
--- a/libs/ledger/include/ledger/ledger_edit.h
+++ b/libs/ledger/include/ledger/ledger_edit.h
@@ -36,6 +36,13 @@
              base::Tokens amount,
              base::Millis wall_now);
 
+  // Makes `limit` >= 0 the limit of a budget whose limit is kept elsewhere, in
+  // place of its top-ups. What is billed, held or set aside stays covered: the
+  // limit never falls below their sum.
+  bool SetLimit(const base::BudgetId& budget,
+                base::Tokens limit,
+                base::Millis wall_now);
+
   // Sets `amount` >= 0 more aside for a holder's grant, which begins if it does
   // not exist. kBudgetExhausted when less is free; kStale when sealed.
   bool Draw(const base::BudgetId& budget,
--- /dev/null
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -0,0 +1,97 @@
+#ifndef LEDGER_METERED_HOLDER_H_
+#define LEDGER_METERED_HOLDER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "ledger/budget_limit.h"
+#include "ledger/metered_policy.h"
+#include "platform/kv_condition.h"
+#include "platform/kv_read.h"
+#include "platform/kv_read_done.h"
+#include "platform/kv_write.h"
+#include "platform/kv_write_done.h"
+
+namespace godwit::ledger {
+
+// Spends budgets in a router that meters usage itself, from grants set aside
+// in the KV before use. No clock or lease decides who may spend, so a budget
+// holds over kills, pauses and cuts; a grant that is lost with its router
+// counts as spent. Limits come from the configuration, and each write names
+// the configuration that it relies on, so that a router which does not know a
+// lowered limit yet can't set tokens aside above it. No I/O. One thread at a
+// time.
+class MeteredHolder {
+ public:
+  using KvCommand = std::variant<platform::KvRead, platform::KvWrite>;
+
+  enum class Verdict : uint8_t {
+    kReserved,
+    // Ask again after the next Step.
+    kWait,
+    // What is left of the budget is known not to cover the amount.
+    kExhausted,
+    // The KV can't be asked, or other routers hold what is left.
+    kUnavailable,
+  };
+
+  // `process` prefixes the incarnations of this router's earlier lives, whose
+  // grants are closed: they can't be spending.
+  MeteredHolder(base::ProcessId process,
+                base::Incarnation self,
+                MeteredPolicy policy);
+  ~MeteredHolder();
+  MeteredHolder(const MeteredHolder&) = delete;
+  MeteredHolder& operator=(const MeteredHolder&) = delete;
+
+  // Limits of all budgets, and the stored configuration that states them.
+  void SetLimits(const std::vector<BudgetLimit>& limits,
+                 platform::KvCondition configuration);
+  // Routers that share the budgets, this one included.
+  void SetRouters(size_t count);
+
+  // Sets `amount` of a budget aside for a request that waits since `since`. A
+  // budget without a limit is never short.
+  Verdict Reserve(base::Millis now,
+                  const base::BudgetId& budget,
+                  base::Tokens amount,
+                  base::Millis since);
+  // Ends a reservation of `reserved` of which `used` <= `reserved` was used.
+  void Settle(base::Millis now,
+              const base::BudgetId& budget,
+              base::Tokens reserved,
+              base::Tokens used);
+
+  // Gives back what is not reserved, now and as reservations end.
+  void Drain();
+  // True once nothing more is to be given back.
+  bool drained() const;
+
+  // Each returns what to ask of the KV.
+  std::vector<KvCommand> Tick(base::Millis now);
+  std::vector<KvCommand> On(base::Millis now,
+                            const platform::KvReadDone& done);
+  std::vector<KvCommand> On(base::Millis now,
+                            const platform::KvWriteDone& done);
+
+  // Tokens that may be reserved now.
+  base::Tokens available(const base::BudgetId& budget) const;
+  // When the record behind `available` was surely the stored one.
+  base::Millis proven_at(const base::BudgetId& budget) const;
+  // True when the last operation on the KV brought an answer.
+  bool kv_answers() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_METERED_HOLDER_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -0,0 +1,46 @@
+#ifndef LEDGER_METERED_POLICY_H_
+#define LEDGER_METERED_POLICY_H_
+
+#include <cstdint>
+
+#include "base/millis.h"
+
+namespace godwit::ledger {
+
+// Settings of a MeteredHolder.
+struct MeteredPolicy {
+  // Ledger keys of the fleet.
+  int shard_count = 1;
+  // Length of a cut from the KV that a holding should outlast at the present
+  // burn rate. What is held when all routers are killed at once is lost, so it
+  // is no longer than the cuts that happen.
+  base::Millis cover = base::Millis(10'000);
+  // Half-life of the average that estimates the burn rate.
+  base::Millis burn_half_life = base::Millis(3'000);
+  // Before anything is burnt, all routers together hold one part in this many
+  // of a budget.
+  int64_t first_part = 16;
+  // A holding is filled up once it is below this share of its target, in
+  // percent, and at once when it is below the second.
+  int64_t refill_percent = 70;
+  int64_t urgent_percent = 30;
+  // A holding above this share of its target is given back down to it.
+  int64_t surplus_percent = 200;
+  // Least time between writes that are not urgent, and between any two.
+  base::Millis lazy_spacing = base::Millis(700);
+  base::Millis write_spacing = base::Millis(15);
+  // Age up to which a record read proves what is left of a budget.
+  base::Millis fresh = base::Millis(250);
+  // Longest that a reservation waits for the KV or for what others give back.
+  base::Millis max_wait = base::Millis(500);
+  // Pause after an operation that got no useful answer, and after a lost race
+  // for each time in a row.
+  base::Millis failure_pause = base::Millis(150);
+  base::Millis race_pause = base::Millis(20);
+  // An operation without an outcome is given up after this.
+  base::Millis operation_limit = base::Millis(2'000);
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_METERED_POLICY_H_
--- a/libs/ledger/src/ledger_edit.cc
+++ b/libs/ledger/src/ledger_edit.cc
@@ -10,6 +10,8 @@
 using base::ErrorKind;
 using base::Tokens;
 
+// Operation id of the one top-up that stands for a limit set by SetLimit.
+constexpr char kLimitKeptElsewhere[] = "limit";
 constexpr Tokens kMaxTokens = std::numeric_limits<Tokens>::max();
 
 }  // namespace
@@ -137,6 +139,31 @@
   return true;
 }
 
+bool LedgerEdit::SetLimit(const base::BudgetId& budget,
+                          Tokens limit,
+                          base::Millis wall_now) {
+  Budget* const found = FindBudget(budget);
+  if (found == nullptr) {
+    return false;
+  }
+  if (limit < 0) {
+    return Fail(ErrorKind::kInvalidArgument, "a limit can't be negative",
+                "give a number of tokens");
+  }
+  const Tokens committed = found->limit - found->free();
+  const Tokens covered = std::max(limit, committed);
+  if (covered == found->limit) {
+    return true;
+  }
+  found->top_ups.clear();
+  if (covered > 0) {
+    found->top_ups[kLimitKeptElsewhere] = ledger::TopUp{covered, wall_now};
+  }
+  found->limit = covered;
+  changed_ = true;
+  return true;
+}
+
 bool LedgerEdit::Draw(const base::BudgetId& budget,
                       const base::GrantId& grant,
                       const base::Incarnation& holder,
--- /dev/null
+++ b/libs/ledger/src/metered_budget.h
@@ -0,0 +1,31 @@
+#ifndef LEDGER_METERED_BUDGET_H_
+#define LEDGER_METERED_BUDGET_H_
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "burn_rate.h"
+#include "ledger/budget_limit.h"
+
+namespace godwit::ledger {
+
+// What a MeteredHolder keeps of one budget.
+struct MeteredBudget {
+  MeteredBudget(BudgetLimit stated, base::Millis half_life)
+      : limit(std::move(stated)), burn(half_life) {}
+
+  BudgetLimit limit;
+  // Used under the own grant since it began, and reserved beside it.
+  base::Tokens spent = 0;
+  base::Tokens reserved = 0;
+  // Largest amount that waits for tokens; zero when none does.
+  base::Tokens need = 0;
+  // Size of large reservations; falls slowly.
+  base::Tokens largest = 0;
+  BurnRate burn;
+  // The configuration no longer states a limit.
+  bool dropped = false;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_METERED_BUDGET_H_
--- /dev/null
+++ b/libs/ledger/src/metered_holder.cc
@@ -0,0 +1,132 @@
+#include "ledger/metered_holder.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "metered_state.h"
+
+namespace godwit::ledger {
+
+MeteredHolder::MeteredHolder(base::ProcessId process,
+                             base::Incarnation self,
+                             MeteredPolicy policy)
+    : state_(std::make_unique<State>(std::move(process),
+                                     std::move(self),
+                                     policy)) {}
+
+MeteredHolder::~MeteredHolder() = default;
+
+void MeteredHolder::SetLimits(const std::vector<BudgetLimit>& limits,
+                              platform::KvCondition configuration) {
+  State& state = *state_;
+  state.configuration_ = std::move(configuration);
+  for (auto& [id, budget] : state.budgets_) {
+    budget.dropped = true;
+  }
+  for (const BudgetLimit& limit : limits) {
+    const auto [entry, is_new] = state.budgets_.try_emplace(
+        limit.budget, limit, state.policy_.burn_half_life);
+    entry->second.limit = limit;
+    entry->second.dropped = false;
+  }
+}
+
+void MeteredHolder::SetRouters(size_t count) {
+  state_->routers_ = std::max<size_t>(1, count);
+}
+
+MeteredHolder::Verdict MeteredHolder::Reserve(base::Millis now,
+                                              const base::BudgetId& budget,
+                                              base::Tokens amount,
+                                              base::Millis since) {
+  State& state = *state_;
+  MeteredBudget* const local = state.Find(budget);
+  if (local == nullptr || local->dropped) {
+    return Verdict::kReserved;
+  }
+  if (state.Available(budget) >= amount) {
+    local->reserved += amount;
+    local->need = 0;
+    // Falls by a fiftieth with each smaller reservation.
+    local->largest = std::max(amount, local->largest - local->largest / 50);
+    return Verdict::kReserved;
+  }
+  local->need = std::max(local->need, amount);
+  const State::Shard& shard = state.ShardOfBudget(budget);
+  const bool is_fresh =
+      shard.view.known() &&
+      shard.view.proven_at() + state.policy_.fresh >= std::min(now, since);
+  if (is_fresh && amount > state.MostLeft(*local)) {
+    local->need = 0;
+    return Verdict::kExhausted;
+  }
+  if (now - since >= state.policy_.max_wait) {
+    local->need = 0;
+    return Verdict::kUnavailable;
+  }
+  return Verdict::kWait;
+}
+
+void MeteredHolder::Settle(base::Millis now,
+                           const base::BudgetId& budget,
+                           base::Tokens reserved,
+                           base::Tokens used) {
+  MeteredBudget* const local = state_->Find(budget);
+  if (local == nullptr) {
+    return;
+  }
+  local->reserved -= std::min(reserved, local->reserved);
+  local->spent += used;
+  local->burn.Add(now, used);
+}
+
+void MeteredHolder::Drain() {
+  state_->draining_ = true;
+}
+
+bool MeteredHolder::drained() const {
+  if (!state_->draining_) {
+    return false;
+  }
+  for (const auto& [id, budget] : state_->budgets_) {
+    const State::Shard& shard = state_->ShardOfBudget(id);
+    if (budget.reserved > 0 || shard.view.busy_since() ||
+        state_->OwnGrant(shard.view.record(), id) != nullptr) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<MeteredHolder::KvCommand> MeteredHolder::Tick(base::Millis now) {
+  return state_->Pump(now);
+}
+
+std::vector<MeteredHolder::KvCommand> MeteredHolder::On(
+    base::Millis now,
+    const platform::KvReadDone& done) {
+  state_->OnDone(now, done);
+  return state_->Pump(now);
+}
+
+std::vector<MeteredHolder::KvCommand> MeteredHolder::On(
+    base::Millis now,
+    const platform::KvWriteDone& done) {
+  state_->OnDone(now, done);
+  return state_->Pump(now);
+}
+
+base::Tokens MeteredHolder::available(const base::BudgetId& budget) const {
+  return state_->Available(budget);
+}
+
+base::Millis MeteredHolder::proven_at(const base::BudgetId& budget) const {
+  return state_->ShardOfBudget(budget).view.proven_at();
+}
+
+bool MeteredHolder::kv_answers() const {
+  return std::all_of(state_->shards_.begin(), state_->shards_.end(),
+                     [](const State::Shard& shard) { return shard.answers; });
+}
+
+}  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/src/metered_state.cc
@@ -0,0 +1,335 @@
+#include "metered_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cas/progress.h"
+#include "ledger/shard.h"
+
+namespace godwit::ledger {
+namespace {
+
+using base::Tokens;
+
+constexpr int64_t kPercent = 100;
+// The pause after a lost race grows up to this many in a row.
+constexpr int kMostRacesCounted = 10;
+
+const Budget* BudgetIn(const LedgerRecord& record, const base::BudgetId& id) {
+  const auto found = record.budgets.find(id);
+  return found == record.budgets.end() ? nullptr : &found->second;
+}
+
+Tokens Committed(const Budget& budget) {
+  return budget.limit - budget.free();
+}
+
+}  // namespace
+
+MeteredHolder::State::State(base::ProcessId process,
+                            base::Incarnation self,
+                            MeteredPolicy policy)
+    : process_(std::move(process)), self_(std::move(self)), policy_(policy) {
+  for (int i = 0; i < policy_.shard_count; ++i) {
+    shards_.emplace_back(ShardKey(i));
+  }
+}
+
+MeteredHolder::State::Shard& MeteredHolder::State::ShardOfBudget(
+    const base::BudgetId& budget) {
+  return shards_[static_cast<size_t>(ShardOf(budget, policy_.shard_count))];
+}
+
+const MeteredHolder::State::Shard& MeteredHolder::State::ShardOfBudget(
+    const base::BudgetId& budget) const {
+  return shards_[static_cast<size_t>(ShardOf(budget, policy_.shard_count))];
+}
+
+MeteredBudget* MeteredHolder::State::Find(const base::BudgetId& budget) {
+  const auto found = budgets_.find(budget);
+  return found == budgets_.end() ? nullptr : &found->second;
+}
+
+const MeteredBudget* MeteredHolder::State::Find(
+    const base::BudgetId& budget) const {
+  const auto found = budgets_.find(budget);
+  return found == budgets_.end() ? nullptr : &found->second;
+}
+
+base::GrantId MeteredHolder::State::GrantOf(
+    const base::BudgetId& budget) const {
+  return base::GrantId(self_.value() + "/" + budget.value());
+}
+
+const Grant* MeteredHolder::State::OwnGrant(
+    const LedgerRecord& record,
+    const base::BudgetId& budget) const {
+  const Budget* const stored = BudgetIn(record, budget);
+  if (stored == nullptr) {
+    return nullptr;
+  }
+  const auto found = stored->grants.find(GrantOf(budget));
+  return found == stored->grants.end() ? nullptr : &found->second;
+}
+
+Tokens MeteredHolder::State::Granted(const base::BudgetId& budget) const {
+  const View& view = ShardOfBudget(budget).view;
+  if (!view.known()) {
+    return 0;
+  }
+  std::optional<Tokens> least;
+  view.HoldsInAll([&](const LedgerRecord& record) {
+    const Grant* const grant = OwnGrant(record, budget);
+    const Tokens amount = grant == nullptr ? 0 : grant->amount;
+    least = std::min(least.value_or(amount), amount);
+    return true;
+  });
+  return *least;
+}
+
+Tokens MeteredHolder::State::Available(const base::BudgetId& budget) const {
+  const MeteredBudget* const local = Find(budget);
+  if (local == nullptr || IsOverCommitted(*local)) {
+    return 0;
+  }
+  return std::max<Tokens>(0,
+                          Granted(budget) - local->spent - local->reserved);
+}
+
+bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
+  const Budget* const stored =
+      BudgetIn(ShardOfBudget(budget.limit.budget).view.record(),
+               budget.limit.budget);
+  return stored != nullptr && Committed(*stored) > budget.limit.limit;
+}
+
+Tokens MeteredHolder::State::MostLeft(const MeteredBudget& budget) const {
+  const base::BudgetId& id = budget.limit.budget;
+  const Budget* const stored = BudgetIn(ShardOfBudget(id).view.record(), id);
+  if (stored == nullptr) {
+    return budget.limit.limit - budget.spent;
+  }
+  Tokens used = stored->total_billed();
+  if (const Grant* const own = OwnGrant(ShardOfBudget(id).view.record(), id)) {
+    used += std::max<Tokens>(0, budget.spent - own->billed());
+  }
+  return budget.limit.limit - used;
+}
+
+Tokens MeteredHolder::State::Target(base::Millis now,
+                                    const MeteredBudget& budget) const {
+  if (draining_ || budget.dropped || IsOverCommitted(budget)) {
+    return 0;
+  }
+  const base::BudgetId& id = budget.limit.budget;
+  const auto routers = static_cast<Tokens>(routers_);
+  const Tokens first = budget.limit.limit / (policy_.first_part * routers);
+  const Tokens cover =
+      budget.burn.Over(now, policy_.cover) + budget.largest;
+  const Budget* const stored = BudgetIn(ShardOfBudget(id).view.record(), id);
+  const Tokens free =
+      stored == nullptr
+          ? budget.limit.limit
+          : std::max<Tokens>(0, budget.limit.limit - Committed(*stored));
+  // As a budget nears its end each router keeps to its share of what is left.
+  const Tokens share = (free + Available(id)) / std::max<Tokens>(2, routers);
+  return std::max(budget.need, std::min(std::max(first, cover), share));
+}
+
+MeteredHolder::State::Urgency MeteredHolder::State::UrgencyOf(
+    base::Millis now,
+    const MeteredBudget& budget) const {
+  const base::BudgetId& id = budget.limit.budget;
+  const LedgerRecord& record = ShardOfBudget(id).view.record();
+  const bool has_grant = OwnGrant(record, id) != nullptr;
+  const bool holds_free =
+      has_grant && Granted(id) > budget.spent + budget.reserved;
+  if (draining_) {
+    return has_grant && budget.reserved == 0 ? Urgency::kNow : Urgency::kNone;
+  }
+  if (budget.dropped) {
+    return holds_free ? Urgency::kLazy : Urgency::kNone;
+  }
+  const Budget* const stored = BudgetIn(record, id);
+  const Tokens limit = budget.limit.limit;
+  if (stored == nullptr || stored->limit != std::max(limit, Committed(*stored))) {
+    return Urgency::kNow;
+  }
+  const Tokens available = Available(id);
+  if (IsOverCommitted(budget)) {
+    return holds_free ? Urgency::kNow : Urgency::kNone;
+  }
+  const Tokens target = Target(now, budget);
+  const Tokens free = limit - Committed(*stored);
+  if (free > 0 && available < target) {
+    if (budget.need > available ||
+        available * kPercent < target * policy_.urgent_percent) {
+      return Urgency::kNow;
+    }
+    if (available * kPercent < target * policy_.refill_percent) {
+      return Urgency::kLazy;
+    }
+  }
+  return available * kPercent > target * policy_.surplus_percent
+             ? Urgency::kLazy
+             : Urgency::kNone;
+}
+
+MeteredHolder::State::Urgency MeteredHolder::State::UrgencyOf(
+    base::Millis now,
+    const Shard& shard) const {
+  Urgency most = Urgency::kNone;
+  for (const auto& [id, budget] : budgets_) {
+    if (&ShardOfBudget(id) == &shard) {
+      most = std::max(most, UrgencyOf(now, budget));
+    }
+  }
+  return most;
+}
+
+bool MeteredHolder::State::IsAwaited(const Shard& shard) const {
+  return std::any_of(budgets_.begin(), budgets_.end(), [&](const auto& entry) {
+    return entry.second.need > 0 && &ShardOfBudget(entry.first) == &shard;
+  });
+}
+
+std::vector<MeteredHolder::KvCommand> MeteredHolder::State::Pump(
+    base::Millis now) {
+  std::vector<KvCommand> commands;
+  if (!configuration_) {
+    return commands;
+  }
+  for (Shard& shard : shards_) {
+    if (auto command = PumpShard(now, shard)) {
+      commands.push_back(std::move(*command));
+    }
+  }
+  return commands;
+}
+
+std::optional<MeteredHolder::KvCommand> MeteredHolder::State::PumpShard(
+    base::Millis now,
+    Shard& shard) {
+  if (const auto busy = shard.view.busy_since()) {
+    if (now - *busy < policy_.operation_limit) {
+      return std::nullopt;
+    }
+    shard.view.GiveUp();
+    shard.answers = false;
+  }
+  if (now < shard.retry_at) {
+    return std::nullopt;
+  }
+  if (!shard.view.known() || shard.view.outdated() || shard.view.corrupt()) {
+    return shard.view.StartRead(now, next_operation_++);
+  }
+  const Urgency urgency = UrgencyOf(now, shard);
+  const base::Millis spacing = urgency == Urgency::kNow
+                                   ? policy_.write_spacing
+                                   : policy_.lazy_spacing;
+  if (urgency != Urgency::kNone && now >= shard.last_write_at + spacing) {
+    shard.last_write_at = now;
+    platform::KvWrite write = shard.view.StartWrite(now, next_operation_++,
+                                                    NextRecord(now, shard));
+    write.conditions.push_back(*configuration_);
+    return write;
+  }
+  // What others gave back shows only in a newer record.
+  if (IsAwaited(shard) && now >= shard.view.proven_at() + policy_.fresh) {
+    return shard.view.StartRead(now, next_operation_++);
+  }
+  return std::nullopt;
+}
+
+LedgerRecord MeteredHolder::State::NextRecord(base::Millis now,
+                                              const Shard& shard) {
+  LedgerEdit edit(shard.view.record());
+  for (const auto& [id, budget] : budgets_) {
+    if (&ShardOfBudget(id) == &shard) {
+      Edit(now, edit, budget);
+    }
+  }
+  return edit.record();
+}
+
+// Each step leaves the record valid, and a step that can't be done leaves it
+// as it was: the next write tries again from a newer record.
+void MeteredHolder::State::Edit(base::Millis now,
+                                LedgerEdit& edit,
+                                const MeteredBudget& budget) {
+  const base::BudgetId& id = budget.limit.budget;
+  const base::GrantId grant = GrantOf(id);
+  edit.CreateBudget(id, budget.limit.organisation);
+  CloseEarlierGrants(edit, id);
+  const Tokens target = Target(now, budget);
+  const Tokens available = std::max<Tokens>(
+      0, Granted(id) - budget.spent - budget.reserved);
+  if (OwnGrant(edit.record(), id) != nullptr) {
+    edit.Settle(id, grant, self_, budget.spent);
+    if (draining_ && budget.reserved == 0) {
+      edit.ReturnGrant(id, grant);
+    } else if (available > target) {
+      edit.Shrink(id, grant, available - target);
+    }
+  }
+  edit.SetLimit(id, budget.limit.limit, now);
+  const Budget* const stored = BudgetIn(edit.record(), id);
+  const Tokens draw =
+      stored == nullptr || target == 0
+          ? 0
+          : std::min(target - available, std::max<Tokens>(0, stored->free()));
+  if (draw > 0 && edit.Draw(id, grant, self_, draw)) {
+    edit.ListAgents(id, grant, {self_});
+  }
+}
+
+void MeteredHolder::State::CloseEarlierGrants(LedgerEdit& edit,
+                                              const base::BudgetId& budget) {
+  const Budget* const stored = BudgetIn(edit.record(), budget);
+  if (stored == nullptr) {
+    return;
+  }
+  const std::string prefix = process_.value() + ".";
+  const auto grants = stored->grants;
+  for (const auto& [id, grant] : grants) {
+    if (grant.holder == self_ ||
+        grant.holder.value().compare(0, prefix.size(), prefix) != 0) {
+      continue;
+    }
+    edit.Seal(budget, id);
+    for (const auto& [agent, account] : grant.agents) {
+      edit.LoseAgent(budget, id, agent);
+    }
+    edit.Close(budget, id);
+  }
+}
+
+template <typename Done>
+void MeteredHolder::State::OnDone(base::Millis now, const Done& done) {
+  for (Shard& shard : shards_) {
+    const bool was_write = shard.view.is_writing();
+    const cas::Progress progress = shard.view.Finish(done);
+    if (progress == cas::Progress::kForeign) {
+      continue;
+    }
+    shard.answers = progress != cas::Progress::kFailed;
+    if (progress == cas::Progress::kFailed) {
+      shard.retry_at = now + policy_.failure_pause;
+    } else if (progress == cas::Progress::kLost) {
+      // The first race is run again at once; a configuration that this router
+      // does not know yet makes it lose each one until it does.
+      shard.retry_at = now + policy_.race_pause * shard.lost_races;
+      shard.lost_races = std::min(shard.lost_races + 1, kMostRacesCounted);
+    } else if (was_write) {
+      shard.lost_races = 0;
+    }
+    return;
+  }
+}
+
+template void MeteredHolder::State::OnDone(base::Millis,
+                                           const platform::KvReadDone&);
+template void MeteredHolder::State::OnDone(base::Millis,
+                                           const platform::KvWriteDone&);
+
+}  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/src/metered_state.h
@@ -0,0 +1,82 @@
+#ifndef LEDGER_METERED_STATE_H_
+#define LEDGER_METERED_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ledger/ledger_codec.h"
+#include "ledger/ledger_edit.h"
+#include "ledger/ledger_record.h"
+#include "ledger/metered_holder.h"
+#include "metered_budget.h"
+
+#include "cas/key_view.h"
+
+namespace godwit::ledger {
+
+// The state machine behind MeteredHolder.
+struct MeteredHolder::State {
+ public:
+  State(base::ProcessId process, base::Incarnation self, MeteredPolicy policy);
+
+  using View = cas::KeyView<LedgerRecord, LedgerCodec>;
+
+  // One key of the ledger and the times that steer its reads and writes.
+  struct Shard {
+    explicit Shard(std::string key) : view(std::move(key)) {}
+    View view;
+    base::Millis retry_at;
+    base::Millis last_write_at;
+    int lost_races = 0;
+    bool answers = true;
+  };
+
+  Shard& ShardOfBudget(const base::BudgetId& budget);
+  const Shard& ShardOfBudget(const base::BudgetId& budget) const;
+  MeteredBudget* Find(const base::BudgetId& budget);
+  const MeteredBudget* Find(const base::BudgetId& budget) const;
+
+  base::GrantId GrantOf(const base::BudgetId& budget) const;
+  // The own grant of a budget in a record; null when there is none.
+  const Grant* OwnGrant(const LedgerRecord& record,
+                        const base::BudgetId& budget) const;
+  // Tokens of the own grant in every version of the record that may be stored.
+  base::Tokens Granted(const base::BudgetId& budget) const;
+  base::Tokens Available(const base::BudgetId& budget) const;
+  // True when more is set aside than the limit allows since it was lowered.
+  bool IsOverCommitted(const MeteredBudget& budget) const;
+  // Most that can be left of a budget, from what is known to be used.
+  base::Tokens MostLeft(const MeteredBudget& budget) const;
+  // Holding to aim at.
+  base::Tokens Target(base::Millis now, const MeteredBudget& budget) const;
+
+  std::vector<KvCommand> Pump(base::Millis now);
+  std::optional<KvCommand> PumpShard(base::Millis now, Shard& shard);
+  enum class Urgency : uint8_t { kNone, kLazy, kNow };
+  Urgency UrgencyOf(base::Millis now, const MeteredBudget& budget) const;
+  Urgency UrgencyOf(base::Millis now, const Shard& shard) const;
+  // True while a reservation waits for a newer record of the shard.
+  bool IsAwaited(const Shard& shard) const;
+  LedgerRecord NextRecord(base::Millis now, const Shard& shard);
+  void Edit(base::Millis now, LedgerEdit& edit, const MeteredBudget& budget);
+  void CloseEarlierGrants(LedgerEdit& edit, const base::BudgetId& budget);
+  template <typename Done>
+  void OnDone(base::Millis now, const Done& done);
+
+  base::ProcessId process_;
+  base::Incarnation self_;
+  MeteredPolicy policy_;
+  size_t routers_ = 1;
+  std::optional<platform::KvCondition> configuration_;
+  std::map<base::BudgetId, MeteredBudget> budgets_;
+  std::vector<Shard> shards_;
+  int64_t next_operation_ = 1;
+  bool draining_ = false;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_METERED_STATE_H_
--- /dev/null
+++ b/libs/platform/include/platform/kv_change.h
@@ -0,0 +1,20 @@
+#ifndef PLATFORM_KV_CHANGE_H_
+#define PLATFORM_KV_CHANGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace godwit::platform {
+
+// A change of a key that a watch saw.
+struct KvChange {
+  std::string key;
+  // The new value; empty when the key was removed.
+  std::optional<std::string> value;
+  int64_t version = 0;
+};
+
+}  // namespace godwit::platform
+
+#endif  // PLATFORM_KV_CHANGE_H_
--- /dev/null
+++ b/libs/platform/include/platform/kv_list_done.h
@@ -0,0 +1,17 @@
+#ifndef PLATFORM_KV_LIST_DONE_H_
+#define PLATFORM_KV_LIST_DONE_H_
+
+#include <optional>
+
+#include "platform/kv_page.h"
+
+namespace godwit::platform {
+
+// Event: outcome of listing keys; empty when the KV could not be asked.
+struct KvListDone {
+  std::optional<KvPage> page;
+};
+
+}  // namespace godwit::platform
+
+#endif  // PLATFORM_KV_LIST_DONE_H_
--- /dev/null
+++ b/libs/platform/include/platform/kv_page.h
@@ -0,0 +1,22 @@
+#ifndef PLATFORM_KV_PAGE_H_
+#define PLATFORM_KV_PAGE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "platform/kv_item.h"
+
+namespace godwit::platform {
+
+// A part of the keys with a prefix, in order.
+struct KvPage {
+  std::vector<KvItem> items;
+  // More keys follow the last one.
+  bool truncated = false;
+  // Revision of the KV when the page was read.
+  int64_t revision = 0;
+};
+
+}  // namespace godwit::platform
+
+#endif  // PLATFORM_KV_PAGE_H_
--- a/libs/platform/include/platform/kv_write.h
+++ b/libs/platform/include/platform/kv_write.h
@@ -3,6 +3,9 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
+
+#include "platform/kv_condition.h"
 
 namespace godwit::platform {
 
@@ -18,6 +21,9 @@
   std::string value;
   // Lease that removes the key when it lapses; empty for a lasting key.
   std::string lease;
+  // What must hold beside it. Only clients of a KV with transactions take
+  // conditions.
+  std::vector<KvCondition> conditions = {};
 };
 
 }  // namespace godwit::platform
--- /dev/null
+++ b/libs/platform/include/platform/prefix_follower.h
@@ -0,0 +1,70 @@
+#ifndef PLATFORM_PREFIX_FOLLOWER_H_
+#define PLATFORM_PREFIX_FOLLOWER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/millis.h"
+#include "platform/kv_change.h"
+#include "platform/kv_item.h"
+#include "platform/kv_list_done.h"
+#include "platform/kv_watch_done.h"
+
+namespace godwit::platform {
+
+// Keeps up with the keys under a prefix: lists them, then waits for changes
+// from there, and lists them again once the KV has forgotten where it was. A
+// wait that is cut goes on where it ended. No I/O. One thread at a time.
+class PrefixFollower {
+ public:
+  // To be asked of the KV; one at a time.
+  struct List {
+    std::string start_after;
+  };
+  struct Watch {
+    int64_t after_revision = 0;
+  };
+  using Ask = std::variant<List, Watch>;
+
+  // What was learned.
+  struct Listed {
+    std::vector<KvItem> items;
+  };
+  struct Changed {
+    KvChange change;
+  };
+  // The KV can't be asked, and can again.
+  struct Lost {};
+  struct Found {};
+  using News = std::variant<Listed, Changed, Lost, Found>;
+
+  // What to ask now, if anything. Due after each outcome and on every tick.
+  std::optional<Ask> Next(base::Millis now);
+
+  // Outcomes of what was asked.
+  std::vector<News> On(base::Millis now, const KvListDone& done);
+  std::vector<News> On(base::Millis now, const KvWatchDone& done);
+
+ private:
+  void Succeed(std::vector<News>& news);
+  void Fail(base::Millis now, std::vector<News>& news);
+
+  bool asking_ = false;
+  bool listed_ = false;
+  bool lost_ = false;
+  int failures_ = 0;
+  base::Millis retry_at_;
+  // Of the list being read.
+  std::vector<KvItem> items_;
+  std::string start_after_;
+  std::optional<int64_t> first_revision_;
+  // Where to wait on.
+  int64_t revision_ = 0;
+};
+
+}  // namespace godwit::platform
+
+#endif  // PLATFORM_PREFIX_FOLLOWER_H_
--- /dev/null
+++ b/libs/relay/include/relay/answer_head.h
@@ -0,0 +1,21 @@
+#ifndef RELAY_ANSWER_HEAD_H_
+#define RELAY_ANSWER_HEAD_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "relay/header_list.h"
+
+namespace godwit::relay {
+
+// Status and headers of a backend server's answer.
+struct AnswerHead {
+  int status = 0;
+  HeaderList headers;
+  // Body bytes, where the answer declares them.
+  std::optional<uint64_t> content_length;
+};
+
+}  // namespace godwit::relay
+
+#endif  // RELAY_ANSWER_HEAD_H_
--- /dev/null
+++ b/libs/relay/include/relay/caller_server.h
@@ -0,0 +1,81 @@
+#ifndef RELAY_CALLER_SERVER_H_
+#define RELAY_CALLER_SERVER_H_
+
+#include <cstddef>
+#include <memory>
+#include <unordered_set>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "base/millis.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace godwit::relay {
+
+class CallerHandler;
+class CallerSession;
+
+// Accepts callers' HTTP/1.1 connections. The thread of `io` only.
+class CallerServer {
+ public:
+  // What a caller may send, and how long it may take.
+  struct Limits {
+    size_t header_bytes = size_t{16} * 1024;
+    size_t body_bytes = size_t{8} * 1024 * 1024;
+    // From the first byte of a request to its last.
+    base::Millis request_time{10000};
+    // Between requests on one connection.
+    base::Millis idle_time{15000};
+    // Connections above this are closed as they come.
+    size_t connections = 10'000;
+  };
+
+  CallerServer(boost::asio::io_context& io, CallerHandler& handler);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  CallerServer& operator=(const CallerServer&) = delete;
+
+  // Starts to accept. False when the address can't be used; see last_error().
+  bool Listen(const base::Endpoint& address);
+  const base::Error& last_error() const noexcept { return error_; }
+
+  // In force for requests that begin from now on.
+  void SetLimits(const Limits& limits) { limits_ = limits; }
+  const Limits& limits() const noexcept { return limits_; }
+
+  // Ends each connection after its next answer. New ones are still accepted.
+  void Drain() noexcept { draining_ = true; }
+  bool draining() const noexcept { return draining_; }
+
+  // Accepts no more and closes the connections that wait for no answer.
+  void Close();
+
+  // Closes what is over its time. Due every few tens of milliseconds.
+  void Tick();
+
+  size_t connections() const noexcept { return sessions_.size(); }
+  // Connections with a request whose answer is not sent whole.
+  size_t unanswered() const noexcept;
+
+ private:
+  friend class CallerSession;
+  struct Acceptor;
+
+  void Accept();
+  void Remove(const std::shared_ptr<CallerSession>& session);
+
+  boost::asio::io_context& io_;
+  CallerHandler& handler_;
+  Limits limits_;
+  bool draining_ = false;
+  base::Error error_;
+  std::shared_ptr<Acceptor> acceptor_;
+  std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
+};
+
+}  // namespace godwit::relay
+
+#endif  // RELAY_CALLER_SERVER_H_
--- /dev/null
+++ b/libs/relay/include/relay/header_list.h
@@ -0,0 +1,54 @@
+#ifndef RELAY_HEADER_LIST_H_
+#define RELAY_HEADER_LIST_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "relay/header_field.h"
+
+namespace godwit::relay {
+
+// Header lines in the order received. Names compare without regard to case.
+class HeaderList {
+ public:
+  void Add(std::string_view name, std::string_view value);
+
+  // Value of the first line with that name.
+  std::optional<std::string_view> Find(std::string_view name) const;
+  // Lines with that name.
+  size_t Count(std::string_view name) const;
+  // True when a line with that name lists the word `token`, such as "close" in
+  // "Connection: keep-alive, close".
+  bool HasToken(std::string_view name, std::string_view token) const;
+
+  const std::vector<HeaderField>& fields() const noexcept { return fields_; }
+
+  friend bool operator==(const HeaderList& a, const HeaderList& b) {
+    return a.fields_ == b.fields_;
+  }
+  friend bool operator!=(const HeaderList& a, const HeaderList& b) {
+    return !(a == b);
+  }
+
+ private:
+  std::vector<HeaderField> fields_;
+};
+
+// True when two header names or tokens are the same but for case.
+bool SameName(std::string_view a, std::string_view b);
+
+// Appends "name: value\r\n" to a header block.
+void AppendHeader(std::string& block,
+                  std::string_view name,
+                  std::string_view value);
+
+// True for a header that concerns one connection only and is not passed on:
+// the standard ones and those that `headers` names in Connection.
+bool IsHopByHop(const HeaderList& headers, std::string_view name);
+
+}  // namespace godwit::relay
+
+#endif  // RELAY_HEADER_LIST_H_
--- /dev/null
+++ b/libs/relay/include/relay/received_request.h
@@ -0,0 +1,23 @@
+#ifndef RELAY_RECEIVED_REQUEST_H_
+#define RELAY_RECEIVED_REQUEST_H_
+
+#include <memory>
+#include <string>
+
+#include "base/millis.h"
+#include "relay/request_head.h"
+
+namespace godwit::relay {
+
+// A whole request of a caller.
+struct ReceivedRequest {
+  RequestHead head;
+  // Without its transfer coding; never null.
+  std::shared_ptr<const std::string> body;
+  // When its last byte was read, on base::SteadyNow.
+  base::Millis received_at;
+};
+
+}  // namespace godwit::relay
+
+#endif  // RELAY_RECEIVED_REQUEST_H_
--- /dev/null
+++ b/libs/relay/src/answer_reader.cc
@@ -0,0 +1,176 @@
+#include "relay/answer_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/optional.hpp>
+#include <limits>
+#include <utility>
+
+namespace godwit::relay {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+// Largest header block that an answer may have.
+constexpr uint32_t kHeaderBytes = 64 * 1024;
+constexpr int kFirstFinalStatus = 200;
+
+std::string_view View(string_view text) {
+  return {text.data(), text.size()};
+}
+
+class Parser : public http::basic_parser<false> {
+ public:
+  explicit Parser(const AnswerReader::Handler& handler) : handler_(handler) {
+    header_limit(kHeaderBytes);
+    body_limit(std::numeric_limits<uint64_t>::max());
+    eager(true);
+  }
+
+  bool interim() const noexcept { return head_.status < kFirstFinalStatus; }
+
+ private:
+  void on_request_impl(http::verb /*verb*/,
+                       string_view /*method*/,
+                       string_view /*target*/,
+                       int /*version*/,
+                       error_code& /*ec*/) override {}
+
+  void on_response_impl(int code,
+                        string_view /*reason*/,
+                        int /*version*/,
+                        error_code& /*ec*/) override {
+    head_.status = code;
+  }
+
+  void on_field_impl(http::field /*field*/,
+                     string_view name,
+                     string_view value,
+                     error_code& /*ec*/) override {
+    if (!in_body_) {
+      head_.headers.Add(View(name), View(value));
+    }
+  }
+
+  void on_header_impl(error_code& ec) override {
+    in_body_ = true;
+    const size_t codings = head_.headers.Count("transfer-encoding");
+    const size_t lengths = head_.headers.Count("content-length");
+    const bool other_coding =
+        codings > 0 &&
+        !SameName(*head_.headers.Find("transfer-encoding"), "chunked");
+    if (codings + lengths > 1 || other_coding) {
+      ec = http::error::bad_transfer_encoding;
+      return;
+    }
+    if (const auto length = content_length()) {
+      head_.content_length = *length;
+    }
+    if (!interim()) {
+      handler_.on_head(head_);
+    }
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         error_code& /*ec*/) override {}
+
+  std::size_t on_body_impl(string_view bytes, error_code& /*ec*/) override {
+    handler_.on_body(View(bytes));
+    return bytes.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            string_view /*extensions*/,
+                            error_code& /*ec*/) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*left*/,
+                                 string_view bytes,
+                                 error_code& /*ec*/) override {
+    handler_.on_body(View(bytes));
+    return bytes.size();
+  }
+
+  void on_finish_impl(error_code& /*ec*/) override {}
+
+  const AnswerReader::Handler& handler_;
+  AnswerHead head_;
+  bool in_body_ = false;
+};
+
+}  // namespace
+
+struct AnswerReader::State {
+  State(Handler h, bool head_only) : handler(std::move(h)), is_head(head_only) {
+    Restart();
+  }
+
+  void Restart() {
+    parser = std::make_unique<Parser>(handler);
+    parser->skip(is_head);
+  }
+
+  Handler handler;
+  bool is_head;
+  std::unique_ptr<Parser> parser;
+  bool damaged = false;
+};
+
+AnswerReader::AnswerReader(Handler handler, bool is_head)
+    : state_(std::make_unique<State>(std::move(handler), is_head)) {}
+AnswerReader::~AnswerReader() = default;
+AnswerReader::AnswerReader(AnswerReader&&) noexcept = default;
+AnswerReader& AnswerReader::operator=(AnswerReader&&) noexcept = default;
+
+size_t AnswerReader::Feed(std::string_view bytes) {
+  State& state = *state_;
+  size_t taken = 0;
+  while (taken < bytes.size() && !state.damaged) {
+    if (state.parser->is_done()) {
+      if (!state.parser->interim()) {
+        break;
+      }
+      state.Restart();
+    }
+    error_code error;
+    taken += state.parser->put(
+        boost::asio::const_buffer(bytes.data() + taken, bytes.size() - taken),
+        error);
+    if (error == http::error::need_more) {
+      break;
+    }
+    state.damaged = static_cast<bool>(error);
+  }
+  return taken;
+}
+
+void AnswerReader::FeedEnd() {
+  State& state = *state_;
+  if (state.damaged || complete()) {
+    return;
+  }
+  error_code error;
+  if (!state.parser->got_some()) {
+    state.damaged = true;
+    return;
+  }
+  state.parser->put_eof(error);
+  state.damaged = static_cast<bool>(error) || !state.parser->is_done();
+}
+
+bool AnswerReader::complete() const noexcept {
+  return !state_->damaged && state_->parser->is_done() &&
+         !state_->parser->interim();
+}
+
+bool AnswerReader::damaged() const noexcept {
+  return state_->damaged;
+}
+
+bool AnswerReader::keeps_alive() const noexcept {
+  return complete() && state_->parser->keep_alive();
+}
+
+}  // namespace godwit::relay
--- /dev/null
+++ b/libs/relay/src/caller_io.h
@@ -0,0 +1,31 @@
+#ifndef RELAY_CALLER_IO_H_
+#define RELAY_CALLER_IO_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+#include "relay/caller_session.h"
+#include "relay/request_reader.h"
+
+namespace godwit::relay {
+
+// Socket and buffers of a CallerSession.
+struct CallerSession::Io {
+  // A prompt of the usual size arrives in two reads.
+  static constexpr size_t kReadBytes = 16 * 1024;
+
+  Io(boost::asio::ip::tcp::socket connection, RequestReader::Limits limits)
+      : socket(std::move(connection)), reader(limits) {}
+
+  boost::asio::ip::tcp::socket socket;
+  RequestReader reader;
+  std::array<char, kReadBytes> buffer;
+  std::string inbox;
+  std::string outbox;
+  size_t sent = 0;
+};
+
+}  // namespace godwit::relay
+
+#endif  // RELAY_CALLER_IO_H_
--- /dev/null
+++ b/libs/relay/src/caller_server.cc
@@ -0,0 +1,135 @@
+#include "relay/caller_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <utility>
+#include <vector>
+
+#include "base/clocks.h"
+#include "caller_io.h"
+#include "relay/caller_handler.h"
+#include "relay/caller_session.h"
+#include "socket_options.h"
+
+namespace godwit::relay {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// Connections that wait to be accepted. The kernel drops more, and their
+// callers try again only after a second.
+constexpr int kBacklog = 4096;
+// A caller that acknowledges nothing for this long is gone.
+constexpr base::Millis kCallerSilence(5000);
+
+}  // namespace
+
+struct CallerServer::Acceptor {
+  explicit Acceptor(asio::io_context& io) : acceptor(io) {}
+  asio::ip::tcp::acceptor acceptor;
+};
+
+CallerServer::CallerServer(asio::io_context& io, CallerHandler& handler)
+    : io_(io), handler_(handler) {}
+
+CallerServer::~CallerServer() {
+  for (const auto& session : std::exchange(sessions_, {})) {
+    session->Close();
+  }
+}
+
+bool CallerServer::Listen(const base::Endpoint& address) {
+  acceptor_ = std::make_shared<Acceptor>(io_);
+  asio::ip::tcp::acceptor& acceptor = acceptor_->acceptor;
+  error_code error;
+  const asio::ip::tcp::endpoint endpoint(
+      asio::ip::make_address(address.ip, error), address.port);
+  const auto fails = [&](const char* step) {
+    if (error) {
+      error_ = base::Error(base::ErrorKind::kUnavailable,
+                           std::string("can't ") + step + " " +
+                               address.ToText() + ": " + error.message(),
+                           "free the address or set another one");
+      acceptor_.reset();
+    }
+    return static_cast<bool>(error);
+  };
+  if (fails("read")) {
+    return false;
+  }
+  acceptor.open(endpoint.protocol(), error);
+  if (fails("open")) {
+    return false;
+  }
+  acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor.bind(endpoint, error);
+  if (fails("bind")) {
+    return false;
+  }
+  acceptor.listen(kBacklog, error);
+  if (fails("listen on")) {
+    return false;
+  }
+  Accept();
+  return true;
+}
+
+void CallerServer::Accept() {
+  acceptor_->acceptor.async_accept(
+      [this, keep = acceptor_](const error_code& error,
+                               asio::ip::tcp::socket socket) {
+        if (acceptor_ == nullptr) {
+          return;
+        }
+        if (!error && sessions_.size() < limits_.connections) {
+          error_code ignored;
+          socket.non_blocking(true, ignored);
+          SetSocketOptions(socket, kCallerSilence);
+          const RequestReader::Limits limits{limits_.header_bytes,
+                                             limits_.body_bytes};
+          auto session = std::make_shared<CallerSession>(
+              *this,
+              std::make_unique<CallerSession::Io>(std::move(socket), limits));
+          sessions_.insert(session);
+          session->Start();
+        }
+        Accept();
+      });
+}
+
+void CallerServer::Remove(const std::shared_ptr<CallerSession>& session) {
+  sessions_.erase(session);
+}
+
+void CallerServer::Close() {
+  acceptor_.reset();
+  const auto all = sessions_;
+  for (const auto& session : all) {
+    if (!session->awaits_answer() && session->queued_bytes() == 0) {
+      session->Close();
+    }
+  }
+}
+
+void CallerServer::Tick() {
+  const base::Millis now = base::SteadyNow();
+  const std::vector<std::shared_ptr<CallerSession>> all(sessions_.begin(),
+                                                        sessions_.end());
+  for (const auto& session : all) {
+    session->Tick(now);
+  }
+}
+
+size_t CallerServer::unanswered() const noexcept {
+  size_t count = 0;
+  for (const auto& session : sessions_) {
+    if (session->awaits_answer() || session->queued_bytes() > 0) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+}  // namespace godwit::relay
--- /dev/null
+++ b/libs/relay/src/caller_session.cc
@@ -0,0 +1,314 @@
+#include "relay/caller_session.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+#include <utility>
+
+#include "base/clocks.h"
+#include "caller_io.h"
+#include "relay/caller_handler.h"
+#include "relay/caller_server.h"
+#include "relay/header_list.h"
+
+namespace godwit::relay {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr int kRequestTimeout = 408;
+// Bytes of a next request that may wait behind the one being answered.
+constexpr size_t kMostPipelinedBytes = size_t{64} * 1024;
+// OnCallerReady is called once the queue is below this.
+constexpr size_t kReadyBytes = size_t{16} * 1024;
+// Longest time in which a caller may close its side after its last answer.
+constexpr base::Millis kLingerLimit(1000);
+// Room for the size of a chunk in hex digits.
+constexpr size_t kHexDigits = 16;
+
+void AppendStatusLine(std::string& out, int status) {
+  const auto reason = boost::beast::http::obsolete_reason(
+      boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+  out += "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(reason.data(), reason.size());
+  out += "\r\n";
+}
+
+void AppendChunkHead(std::string& out, size_t size) {
+  std::array<char, kHexDigits> digits;
+  const auto [end, error] =
+      std::to_chars(digits.data(), digits.data() + digits.size(), size, 16);
+  out.append(digits.data(), static_cast<size_t>(end - digits.data()));
+  out += "\r\n";
+}
+
+}  // namespace
+
+CallerSession::CallerSession(CallerServer& server, std::unique_ptr<Io> io)
+    : server_(server), io_(std::move(io)), since_(base::SteadyNow()) {}
+
+CallerSession::~CallerSession() = default;
+
+void CallerSession::Start() {
+  Read();
+}
+
+void CallerSession::Read() {
+  if (closed_ || reading_) {
+    return;
+  }
+  reading_ = true;
+  io_->socket.async_read_some(
+      asio::buffer(io_->buffer),
+      [self = shared_from_this()](const error_code& error, size_t size) {
+        self->reading_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->Gone();
+          return;
+        }
+        self->OnRead(size);
+      });
+}
+
+void CallerSession::OnRead(size_t size) {
+  if (lingering_) {
+    Read();
+    return;
+  }
+  io_->inbox.append(io_->buffer.data(), size);
+  if (state_ == State::kAnswering && io_->inbox.size() > kMostPipelinedBytes) {
+    // Reading on would let one caller fill the memory; not reading would hide
+    // that it leaves.
+    Gone();
+    return;
+  }
+  Consume();
+  Read();
+}
+
+void CallerSession::Consume() {
+  if (closed_ || close_after_ || state_ == State::kAnswering ||
+      io_->inbox.empty()) {
+    return;
+  }
+  if (!in_request_) {
+    in_request_ = true;
+    since_ = base::SteadyNow();
+    const CallerServer::Limits& limits = server_.limits();
+    io_->reader = RequestReader({limits.header_bytes, limits.body_bytes});
+  }
+  const bool had_head = io_->reader.has_head();
+  const size_t taken = io_->reader.Feed(io_->inbox);
+  io_->inbox.erase(0, taken);
+  if (io_->reader.refusal_status() != 0) {
+    Refuse(io_->reader.refusal_status(), io_->reader.refusal_reason());
+    return;
+  }
+  if (io_->reader.complete()) {
+    OnWhole();
+    return;
+  }
+  if (!had_head && io_->reader.has_head() &&
+      io_->reader.head().headers.HasToken("expect", "100-continue")) {
+    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+    Flush();
+  }
+}
+
+void CallerSession::OnWhole() {
+  in_request_ = false;
+  state_ = State::kAnswering;
+  ReceivedRequest request;
+  request.head = io_->reader.head();
+  request.body =
+      std::make_shared<const std::string>(io_->reader.TakeBody());
+  request.received_at = base::SteadyNow();
+  is_head_ = request.head.method == "HEAD";
+  close_after_ = request.head.headers.HasToken("connection", "close");
+  server_.handler_.OnRequest(shared_from_this(), std::move(request));
+}
+
+void CallerSession::Refuse(int status, const std::string& reason) {
+  server_.handler_.OnUnreadable(status, reason);
+  state_ = State::kAnswering;
+  is_head_ = false;
+  // Where the next request begins is in doubt.
+  close_after_ = true;
+  Respond(status, "Content-Type: text/plain\r\n", reason + "\n");
+}
+
+void CallerSession::Respond(int status,
+                            std::string_view headers,
+                            std::string_view body) {
+  if (closed_ || state_ != State::kAnswering) {
+    return;
+  }
+  std::string lines(headers);
+  AppendHeader(lines, "Content-Length", std::to_string(body.size()));
+  Begin(status, lines, true);
+  Write(body);
+  End();
+}
+
+void CallerSession::Begin(int status,
+                          std::string_view headers,
+                          bool has_length) {
+  if (closed_) {
+    return;
+  }
+  close_after_ = close_after_ || server_.draining();
+  chunked_ = !has_length && !is_head_;
+  std::string& out = io_->outbox;
+  AppendStatusLine(out, status);
+  out.append(headers);
+  if (chunked_) {
+    out += "Transfer-Encoding: chunked\r\n";
+  }
+  if (close_after_) {
+    out += "Connection: close\r\n";
+  }
+  out += "\r\n";
+}
+
+void CallerSession::Write(std::string_view bytes) {
+  if (closed_ || bytes.empty() || is_head_) {
+    return;
+  }
+  if (chunked_) {
+    AppendChunkHead(io_->outbox, bytes.size());
+  }
+  Queue(bytes);
+  if (chunked_) {
+    Queue("\r\n");
+  }
+  Flush();
+}
+
+void CallerSession::End() {
+  if (closed_) {
+    return;
+  }
+  if (chunked_) {
+    Queue("0\r\n\r\n");
+  }
+  chunked_ = false;
+  FinishAnswer();
+}
+
+void CallerSession::FinishAnswer() {
+  state_ = State::kReading;
+  since_ = base::SteadyNow();
+  Flush();
+  if (!closed_ && !io_->inbox.empty()) {
+    asio::post(io_->socket.get_executor(),
+               [self = shared_from_this()] { self->Consume(); });
+  }
+}
+
+void CallerSession::Queue(std::string_view bytes) {
+  io_->outbox.append(bytes);
+}
+
+void CallerSession::Flush() {
+  Io& io = *io_;
+  while (!closed_ && !waits_to_write_ && io.sent < io.outbox.size()) {
+    error_code error;
+    io.sent += io.socket.write_some(asio::buffer(io.outbox) + io.sent, error);
+    if (error == asio::error::would_block) {
+      waits_to_write_ = true;
+      io.socket.async_wait(
+          asio::ip::tcp::socket::wait_write,
+          [self = shared_from_this()](const error_code& failed) {
+            self->waits_to_write_ = false;
+            if (!failed) {
+              self->OnWritable();
+            }
+          });
+      break;
+    }
+    if (error) {
+      // Reading tells that the caller is gone.
+      return;
+    }
+  }
+  if (closed_) {
+    return;
+  }
+  if (io.sent == io.outbox.size()) {
+    io.outbox.clear();
+    io.sent = 0;
+    if (close_after_ && state_ == State::kReading && !lingering_) {
+      Linger();
+    }
+  }
+}
+
+void CallerSession::OnWritable() {
+  Flush();
+  if (!closed_ && awaits_answer() && queued_bytes() < kReadyBytes) {
+    server_.handler_.OnCallerReady(shared_from_this());
+  }
+}
+
+// Closing at once with bytes of the caller unread would reset the connection,
+// and the caller could lose the end of its answer.
+void CallerSession::Linger() {
+  lingering_ = true;
+  since_ = base::SteadyNow();
+  error_code ignored;
+  io_->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+size_t CallerSession::queued_bytes() const noexcept {
+  return io_->outbox.size() - io_->sent;
+}
+
+void CallerSession::Abort() {
+  Close();
+}
+
+void CallerSession::Gone() {
+  const auto self = shared_from_this();
+  const bool awaited = awaits_answer();
+  Close();
+  if (awaited) {
+    server_.handler_.OnCallerGone(self);
+  }
+}
+
+void CallerSession::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  error_code ignored;
+  io_->socket.close(ignored);
+  server_.Remove(shared_from_this());
+}
+
+void CallerSession::Tick(base::Millis now) {
+  if (closed_ || state_ == State::kAnswering) {
+    return;
+  }
+  const CallerServer::Limits& limits = server_.limits();
+  if (lingering_) {
+    if (now - since_ > kLingerLimit) {
+      Close();
+    }
+    return;
+  }
+  if (in_request_ && now - since_ > limits.request_time) {
+    in_request_ = false;
+    Refuse(kRequestTimeout, "the request took too long to arrive");
+  } else if (!in_request_ && now - since_ > limits.idle_time) {
+    Close();
+  }
+}
+
+}  // namespace godwit::relay
--- /dev/null
+++ b/libs/relay/src/event_framer.cc
@@ -0,0 +1,74 @@
+#include "relay/event_framer.h"
+
+#include <charconv>
+
+namespace godwit::relay {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+// The numeric id of an event, from a line "id: N".
+std::optional<int64_t> IdOf(std::string_view event) {
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.substr(0, kIdField.size()) == kIdField) {
+      line.remove_prefix(kIdField.size());
+      if (!line.empty() && line.front() == ' ') {
+        line.remove_prefix(1);
+      }
+      int64_t id = 0;
+      const auto [stop, error] =
+          std::from_chars(line.data(), line.data() + line.size(), id);
+      if (error == std::errc()) {
+        return id;
+      }
+      return std::nullopt;
+    }
+    if (end == std::string_view::npos) {
+      break;
+    }
+    event.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view EventFramer::Feed(std::string_view bytes) {
+  ready_.clear();
+  if (!pending_.empty()) {
+    pending_.append(bytes);
+    bytes = pending_;
+  }
+  size_t taken = 0;
+  for (size_t end = bytes.find(kEventEnd); end != std::string_view::npos;
+       end = bytes.find(kEventEnd, taken)) {
+    const size_t after = end + kEventEnd.size();
+    TakeEvent(bytes.substr(taken, after - taken));
+    taken = after;
+  }
+  // `bytes` may be a view of pending_.
+  pending_ = std::string(bytes.substr(taken));
+  return ready_;
+}
+
+void EventFramer::TakeEvent(std::string_view event) {
+  const std::optional<int64_t> id = IdOf(event);
+  if (id && resumed_after_ && *id <= *resumed_after_) {
+    return;
+  }
+  if (id) {
+    last_id_ = id;
+  }
+  ++events_;
+  ready_.append(event);
+}
+
+void EventFramer::Restart() {
+  pending_.clear();
+  resumed_after_ = last_id_;
+}
+
+}  // namespace godwit::relay
--- /dev/null
+++ b/libs/relay/src/request_reader.cc
@@ -0,0 +1,209 @@
+#include "relay/request_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/optional.hpp>
+#include <utility>
+
+namespace godwit::relay {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+constexpr int kBadRequest = 400;
+constexpr int kTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kVersionNotSupported = 505;
+constexpr int kHttp11 = 11;
+
+std::string_view View(string_view text) {
+  return {text.data(), text.size()};
+}
+
+// True when a header line is continued on the next one.
+bool HasFoldedLine(std::string_view bytes) {
+  const size_t end = bytes.find("\r\n\r\n");
+  const std::string_view block = bytes.substr(0, end);
+  return block.find("\r\n ") != std::string_view::npos ||
+         block.find("\r\n\t") != std::string_view::npos;
+}
+
+class Parser : public http::basic_parser<true> {
+ public:
+  RequestHead head;
+  std::string body;
+  std::string reason;
+  int version = 0;
+
+ private:
+  void Refuse(error_code& ec, std::string why) {
+    reason = std::move(why);
+    ec = http::error::bad_field;
+  }
+
+  void on_request_impl(http::verb /*verb*/,
+                       string_view method,
+                       string_view target,
+                       int http_version,
+                       error_code& /*ec*/) override {
+    head.method = std::string(View(method));
+    head.target = std::string(View(target));
+    version = http_version;
+  }
+
+  void on_response_impl(int /*code*/,
+                        string_view /*reason*/,
+                        int /*version*/,
+                        error_code& /*ec*/) override {}
+
+  void on_field_impl(http::field /*field*/,
+                     string_view name,
+                     string_view value,
+                     error_code& /*ec*/) override {
+    // Trailers concern one connection only.
+    if (!in_body_) {
+      head.headers.Add(View(name), View(value));
+    }
+  }
+
+  void on_header_impl(error_code& ec) override {
+    in_body_ = true;
+    const HeaderList& headers = head.headers;
+    const size_t codings = headers.Count("transfer-encoding");
+    const size_t lengths = headers.Count("content-length");
+    if (codings > 1 ||
+        (codings == 1 &&
+         !SameName(*headers.Find("transfer-encoding"), "chunked"))) {
+      return Refuse(ec, "transfer coding other than chunked");
+    }
+    if (lengths > 1 || (lengths == 1 && codings == 1)) {
+      return Refuse(ec, "the length of the body is given twice");
+    }
+    if (headers.Count("host") != 1) {
+      return Refuse(ec, "a request needs one Host header");
+    }
+  }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         error_code& /*ec*/) override {}
+
+  std::size_t on_body_impl(string_view bytes, error_code& /*ec*/) override {
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            string_view /*extensions*/,
+                            error_code& /*ec*/) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*left*/,
+                                 string_view bytes,
+                                 error_code& /*ec*/) override {
+    body.append(bytes.data(), bytes.size());
+    return bytes.size();
+  }
+
+  void on_finish_impl(error_code& /*ec*/) override {}
+
+  bool in_body_ = false;
+};
+
+int StatusOf(const error_code& error) {
+  if (error == http::error::header_limit) {
+    return kHeaderTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return kTooLarge;
+  }
+  if (error == http::error::bad_version) {
+    return kVersionNotSupported;
+  }
+  return kBadRequest;
+}
+
+}  // namespace
+
+struct RequestReader::State {
+  explicit State(Limits limits) : header_bytes(limits.header_bytes) {
+    parser.header_limit(static_cast<uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    parser.eager(true);
+  }
+
+  void Fail(int code, std::string why) {
+    status = code;
+    reason = std::move(why);
+  }
+
+  Parser parser;
+  size_t header_bytes;
+  int status = 0;
+  std::string reason;
+};
+
+RequestReader::RequestReader(Limits limits)
+    : state_(std::make_unique<State>(limits)) {}
+RequestReader::~RequestReader() = default;
+RequestReader::RequestReader(RequestReader&&) noexcept = default;
+RequestReader& RequestReader::operator=(RequestReader&&) noexcept = default;
+
+size_t RequestReader::Feed(std::string_view bytes) {
+  State& state = *state_;
+  size_t taken = 0;
+  while (taken < bytes.size() && state.status == 0 &&
+         !state.parser.is_done()) {
+    const std::string_view rest = bytes.substr(taken);
+    if (!state.parser.is_header_done() && HasFoldedLine(rest)) {
+      state.Fail(kBadRequest, "a header line is folded");
+      break;
+    }
+    error_code error;
+    taken += state.parser.put(
+        boost::asio::const_buffer(rest.data(), rest.size()), error);
+    if (error == http::error::need_more) {
+      if (!state.parser.is_header_done() &&
+          bytes.size() - taken > state.header_bytes) {
+        state.Fail(kHeaderTooLarge, "the header is too large");
+      }
+      break;
+    }
+    if (error) {
+      state.Fail(StatusOf(error), state.parser.reason.empty()
+                                      ? error.message()
+                                      : state.parser.reason);
+    } else if (state.parser.is_header_done() &&
+               state.parser.version != kHttp11) {
+      state.Fail(kVersionNotSupported, "only HTTP/1.1 is served");
+    }
+  }
+  return taken;
+}
+
+bool RequestReader::has_head() const noexcept {
+  return state_->parser.is_header_done();
+}
+
+bool RequestReader::complete() const noexcept {
+  return state_->status == 0 && state_->parser.is_done();
+}
+
+int RequestReader::refusal_status() const noexcept {
+  return state_->status;
+}
+
+const std::string& RequestReader::refusal_reason() const noexcept {
+  return state_->reason;
+}
+
+const RequestHead& RequestReader::head() const noexcept {
+  return state_->parser.head;
+}
+
+std::string RequestReader::TakeBody() {
+  return std::move(state_->parser.body);
+}
+
+}  // namespace godwit::relay
--- /dev/null
+++ b/libs/relay/src/socket_options.cc
@@ -0,0 +1,35 @@
+#include "socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace godwit::relay {
+namespace {
+
+// Probes go out after a second of quiet, a second apart, and two without an
+// answer end the connection: with the kernel's own defaults it takes hours.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbePeriodSeconds = 1;
+constexpr int kProbesLost = 2;
+
+void Set(int socket, int level, int option, int value) {
+  // A kernel without the option leaves the connection usable.
+  static_cast<void>(
+      setsockopt(socket, level, option, &value, sizeof(value)));
+}
+
+}  // namespace
+
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket,
+                      base::Millis silence_limit) {
+  const int fd = socket.native_handle();
+  Set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  Set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+  Set(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbePeriodSeconds);
+  Set(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbesLost);
+  Set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+      static_cast<int>(silence_limit.count()));
+}
+
+}  // namespace godwit::relay
--- /dev/null
+++ b/libs/relay/src/upstream_connection.cc
@@ -0,0 +1,290 @@
+#include "upstream_connection.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <utility>
+
+#include "base/clocks.h"
+#include "socket_options.h"
+
+namespace godwit::relay {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Failure = AnswerHandler::Failure;
+
+// Taken off the idle limit that a server states: its clock runs since it sent
+// its answer.
+constexpr base::Millis kIdleMargin(500);
+constexpr int64_t kMillisPerSecond = 1000;
+
+// Seconds in "Keep-Alive: timeout=N".
+std::optional<base::Millis> StatedIdleLimit(const AnswerHead& head) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto value = head.headers.Find("keep-alive");
+  const size_t start = value ? value->find(kTimeout) : std::string_view::npos;
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int64_t seconds = 0;
+  const char* const first = value->data() + start + kTimeout.size();
+  const auto [stop, error] =
+      std::from_chars(first, value->data() + value->size(), seconds);
+  if (error != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::max(base::Millis(0),
+                  base::Millis(seconds * kMillisPerSecond) - kIdleMargin);
+}
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(UpstreamPool& pool,
+                                       base::Endpoint server)
+    : pool_(pool), server_(std::move(server)), socket_(pool.io_) {}
+
+void UpstreamConnection::Open(base::Millis now) {
+  opened_at_ = now;
+  error_code error;
+  const auto address = asio::ip::make_address(server_.ip, error);
+  const asio::ip::tcp::endpoint endpoint(address, server_.port);
+  if (!error) {
+    socket_.open(endpoint.protocol(), error);
+  }
+  if (error) {
+    // Reported from the loop: the caller of Send does not expect it yet.
+    asio::post(pool_.io_, [self = shared_from_this()] {
+      self->Fail(Failure::kNotSent);
+    });
+    return;
+  }
+  socket_.non_blocking(true, error);
+  SetSocketOptions(socket_, pool_.options_.silence_limit);
+  socket_.async_connect(endpoint, [self = shared_from_this()](
+                                      const error_code& failed) {
+    self->OnConnected(failed);
+  });
+}
+
+void UpstreamConnection::OnConnected(const error_code& error) {
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Fail(Failure::kNotSent);
+    return;
+  }
+  open_ = true;
+  Write();
+  Read();
+}
+
+void UpstreamConnection::Start(int64_t id,
+                               OutgoingRequest request,
+                               AnswerHandler& handler) {
+  request_id_ = id;
+  request_ = std::move(request);
+  handler_ = &handler;
+  head_sent_ = 0;
+  body_sent_ = 0;
+  paused_ = false;
+  BeginAnswer();
+  if (open_) {
+    Write();
+  }
+}
+
+void UpstreamConnection::BeginAnswer() {
+  skips_ = false;
+  AnswerReader::Handler handler;
+  handler.on_head = [this](const AnswerHead& head) { skips_ = !OnHead(head); };
+  handler.on_body = [this](std::string_view bytes) { OnBody(bytes); };
+  reader_.emplace(std::move(handler), request_.is_head);
+}
+
+void UpstreamConnection::Write() {
+  static const std::string none;
+  while (!closed_) {
+    const std::string& body = request_.body ? *request_.body : none;
+    const std::array<asio::const_buffer, 2> rest = {
+        asio::buffer(request_.head) + head_sent_,
+        asio::buffer(body) + body_sent_};
+    if (rest[0].size() + rest[1].size() == 0) {
+      return;
+    }
+    error_code error;
+    const size_t sent = socket_.write_some(rest, error);
+    if (error == asio::error::would_block) {
+      break;
+    }
+    if (error) {
+      // An answer may be on the way, or read already; reading tells.
+      return;
+    }
+    const size_t of_head = std::min(sent, rest[0].size());
+    head_sent_ += of_head;
+    body_sent_ += sent - of_head;
+  }
+  if (closed_ || waits_to_write_) {
+    return;
+  }
+  waits_to_write_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                     [self = shared_from_this()](const error_code& error) {
+                       self->waits_to_write_ = false;
+                       if (!error) {
+                         self->Write();
+                       }
+                     });
+}
+
+void UpstreamConnection::Read() {
+  if (closed_ || reading_ || paused_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](const error_code& error, size_t size) {
+        self->reading_ = false;
+        self->OnRead(error, size);
+      });
+}
+
+void UpstreamConnection::OnRead(const error_code& error, size_t size) {
+  if (closed_) {
+    return;
+  }
+  if (handler_ == nullptr) {
+    // Nothing is due on an idle connection.
+    Close();
+    return;
+  }
+  if (error == asio::error::eof) {
+    reader_->FeedEnd();
+    if (reader_->complete() && !skips_) {
+      FinishAnswer();
+    } else {
+      Fail(Failure::kLost);
+    }
+    return;
+  }
+  if (error) {
+    Fail(Failure::kLost);
+    return;
+  }
+  inbox_.append(buffer_.data(), size);
+  Consume();
+  Read();
+}
+
+void UpstreamConnection::Consume() {
+  // Handlers may cancel the request.
+  const auto self = shared_from_this();
+  while (handler_ != nullptr && !inbox_.empty()) {
+    const int64_t id = request_id_;
+    const size_t taken = reader_->Feed(inbox_);
+    if (closed_ || request_id_ != id) {
+      return;
+    }
+    inbox_.erase(0, taken);
+    if (reader_->damaged()) {
+      Fail(Failure::kDamaged);
+      return;
+    }
+    if (!reader_->complete()) {
+      return;
+    }
+    if (skips_) {
+      BeginAnswer();
+      continue;
+    }
+    FinishAnswer();
+  }
+}
+
+bool UpstreamConnection::OnHead(const AnswerHead& head) {
+  if (handler_ == nullptr) {
+    return false;
+  }
+  server_idle_limit_ = StatedIdleLimit(head);
+  return handler_->OnHead(head);
+}
+
+void UpstreamConnection::OnBody(std::string_view bytes) {
+  if (!skips_ && handler_ != nullptr) {
+    handler_->OnBody(bytes);
+  }
+}
+
+void UpstreamConnection::FinishAnswer() {
+  const auto self = shared_from_this();
+  AnswerHandler* const handler = std::exchange(handler_, nullptr);
+  const size_t body_size = request_.body ? request_.body->size() : 0;
+  const bool sent_whole =
+      head_sent_ == request_.head.size() && body_sent_ == body_size;
+  // Bytes behind the answer belong to no request.
+  if (!reader_->keeps_alive() || !sent_whole || !inbox_.empty()) {
+    Close();
+  }
+  pool_.Release(self);
+  handler->OnEnd();
+}
+
+void UpstreamConnection::Fail(Failure failure) {
+  const auto self = shared_from_this();
+  AnswerHandler* const handler = std::exchange(handler_, nullptr);
+  if (failure != Failure::kNotSent && head_sent_ == 0 && body_sent_ == 0) {
+    failure = Failure::kNotSent;
+  }
+  Close();
+  pool_.Release(self);
+  if (handler != nullptr) {
+    handler->OnFailure(failure);
+  }
+}
+
+void UpstreamConnection::CheckConnect(base::Millis now, base::Millis timeout) {
+  if (!open_ && !closed_ && now - opened_at_ > timeout) {
+    Fail(Failure::kNotSent);
+  }
+}
+
+void UpstreamConnection::BecomeIdle(base::Millis now, base::Millis idle_limit) {
+  request_id_ = 0;
+  request_ = OutgoingRequest();
+  idle_until_ =
+      now + std::min(idle_limit, server_idle_limit_.value_or(idle_limit));
+  Resume();
+}
+
+void UpstreamConnection::Drop() {
+  handler_ = nullptr;
+  Close();
+}
+
+void UpstreamConnection::Pause() {
+  paused_ = true;
+}
+
+void UpstreamConnection::Resume() {
+  paused_ = false;
+  if (open_) {
+    Read();
+  }
+}
+
+void UpstreamConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace godwit::relay
--- /dev/null
+++ b/libs/relay/src/upstream_connection.h
@@ -0,0 +1,89 @@
+#ifndef RELAY_UPSTREAM_CONNECTION_H_
+#define RELAY_UPSTREAM_CONNECTION_H_
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/millis.h"
+#include "relay/answer_handler.h"
+#include "relay/answer_reader.h"
+#include "relay/outgoing_request.h"
+#include "relay/upstream_pool.h"
+
+namespace godwit::relay {
+
+// One connection of an UpstreamPool: serves one request at a time.
+class UpstreamConnection
+    : public std::enable_shared_from_this<UpstreamConnection> {
+ public:
+  UpstreamConnection(UpstreamPool& pool, base::Endpoint server);
+
+  // Begins to open the connection and sends the request once it is open.
+  void Open(base::Millis now);
+  // Gives an idle or new connection its request.
+  void Start(int64_t id, OutgoingRequest request, AnswerHandler& handler);
+
+  // Closes without telling the handler.
+  void Drop();
+  void Pause();
+  void Resume();
+
+  // Fails the request if the connection is not open by now.
+  void CheckConnect(base::Millis now, base::Millis timeout);
+
+  const base::Endpoint& server() const noexcept { return server_; }
+  int64_t request_id() const noexcept { return request_id_; }
+  bool closed() const noexcept { return closed_; }
+  // Time after which the idle connection must not be used.
+  base::Millis idle_until() const noexcept { return idle_until_; }
+  void BecomeIdle(base::Millis now, base::Millis idle_limit);
+
+ private:
+  // Stack of one read: an event is far smaller, a prompt's answer fits too.
+  static constexpr size_t kReadBytes = 8 * 1024;
+
+  void OnConnected(const boost::system::error_code& error);
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error, size_t size);
+  void Consume();
+  void BeginAnswer();
+  bool OnHead(const AnswerHead& head);
+  void OnBody(std::string_view bytes);
+  void FinishAnswer();
+  void Fail(AnswerHandler::Failure failure);
+  void Close();
+
+  UpstreamPool& pool_;
+  const base::Endpoint server_;
+  boost::asio::ip::tcp::socket socket_;
+  std::array<char, kReadBytes> buffer_;
+  std::string inbox_;
+
+  int64_t request_id_ = 0;
+  OutgoingRequest request_;
+  AnswerHandler* handler_ = nullptr;
+  std::optional<AnswerReader> reader_;
+  // The answer being read belongs to another request.
+  bool skips_ = false;
+  size_t head_sent_ = 0;
+  size_t body_sent_ = 0;
+  bool open_ = false;
+  bool closed_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool waits_to_write_ = false;
+  base::Millis opened_at_;
+  base::Millis idle_until_;
+  // What the server says of its own idle limit.
+  std::optional<base::Millis> server_idle_limit_;
+};
+
+}  // namespace godwit::relay
+
+#endif  // RELAY_UPSTREAM_CONNECTION_H_
--- /dev/null
+++ b/libs/relay/src/upstream_pool.cc
@@ -0,0 +1,144 @@
+#include "relay/upstream_pool.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <utility>
+
+#include "base/clocks.h"
+#include "relay/answer_handler.h"
+#include "relay/outgoing_request.h"
+#include "upstream_connection.h"
+
+namespace godwit::relay {
+
+UpstreamPool::UpstreamPool(boost::asio::io_context& io, Options options)
+    : io_(io), options_(options) {}
+
+UpstreamPool::~UpstreamPool() {
+  for (auto& [id, connection] : busy_) {
+    connection->Drop();
+  }
+  for (auto& [server, connections] : idle_) {
+    for (auto& connection : connections) {
+      connection->Drop();
+    }
+  }
+}
+
+int64_t UpstreamPool::Send(const base::Endpoint& server,
+                           OutgoingRequest request,
+                           AnswerHandler& handler) {
+  const int64_t id = next_request_++;
+  auto connection = TakeIdle(server);
+  const bool is_new = connection == nullptr;
+  if (is_new) {
+    connection = std::make_shared<UpstreamConnection>(*this, server);
+    ++opened_;
+  }
+  busy_[id] = connection;
+  connection->Start(id, std::move(request), handler);
+  if (is_new) {
+    connection->Open(base::SteadyNow());
+  }
+  return id;
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
+    const base::Endpoint& server) {
+  const auto found = idle_.find(server);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  auto& connections = found->second;
+  const base::Millis now = base::SteadyNow();
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    if (!connection->closed() && now < connection->idle_until()) {
+      return connection;
+    }
+    connection->Drop();
+  }
+  return nullptr;
+}
+
+void UpstreamPool::Release(
+    const std::shared_ptr<UpstreamConnection>& connection) {
+  busy_.erase(connection->request_id());
+  if (!connection->closed()) {
+    connection->BecomeIdle(base::SteadyNow(), options_.idle_limit);
+    idle_[connection->server()].push_back(connection);
+  }
+}
+
+void UpstreamPool::Cancel(int64_t request) {
+  const auto found = busy_.find(request);
+  if (found == busy_.end()) {
+    return;
+  }
+  const auto connection = std::move(found->second);
+  busy_.erase(found);
+  connection->Drop();
+}
+
+void UpstreamPool::PauseReading(int64_t request) {
+  const auto found = busy_.find(request);
+  if (found != busy_.end()) {
+    found->second->Pause();
+  }
+}
+
+void UpstreamPool::ResumeReading(int64_t request) {
+  const auto found = busy_.find(request);
+  if (found != busy_.end()) {
+    found->second->Resume();
+  }
+}
+
+void UpstreamPool::Forget(const base::Endpoint& server) {
+  const auto found = idle_.find(server);
+  if (found == idle_.end()) {
+    return;
+  }
+  for (auto& connection : found->second) {
+    connection->Drop();
+  }
+  idle_.erase(found);
+}
+
+void UpstreamPool::Tick() {
+  const base::Millis now = base::SteadyNow();
+  // A failed request may be sent again by its handler, which changes busy_.
+  std::vector<std::shared_ptr<UpstreamConnection>> checked;
+  checked.reserve(busy_.size());
+  for (const auto& [id, connection] : busy_) {
+    checked.push_back(connection);
+  }
+  for (const auto& connection : checked) {
+    connection->CheckConnect(now, options_.connect_timeout);
+  }
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    auto& connections = entry->second;
+    const auto over =
+        std::remove_if(connections.begin(), connections.end(),
+                       [now](const std::shared_ptr<UpstreamConnection>& c) {
+                         if (c->closed() || now >= c->idle_until()) {
+                           c->Drop();
+                           return true;
+                         }
+                         return false;
+                       });
+    connections.erase(over, connections.end());
+    entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+size_t UpstreamPool::open() const noexcept {
+  size_t count = busy_.size();
+  for (const auto& [server, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
+}  // namespace godwit::relay
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -16,6 +16,7 @@
   kDrainBoundReached = 105,
   kProcessStopped = 106,
   kSettingsRefused = 107,
+  kSettingsReloaded = 108,
   // Configuration.
   kConfigInForce = 201,
   kConfigRejected = 202,
@@ -44,6 +45,8 @@
   kRunEnded = 507,
   kRunRefused = 508,
   kRequestRetried = 509,
+  kRequestPlaced = 510,
+  kRequestFinished = 511,
   // Budgets and claims.
   kGrantDrawn = 601,
   kGrantReturned = 602,
@@ -56,6 +59,7 @@
   kUsageHandedOver = 609,
   kClaimsWritten = 610,
   kHandOverLate = 611,
+  kLedgerWritten = 612,
   // Backend servers.
   kBackendDown = 701,
   kBackendUp = 702,
@@ -63,6 +67,9 @@
   kBackendReadmitted = 704,
   kEngineOrderDone = 705,
   kEngineOrderRefused = 706,
+  kBackendRegistered = 707,
+  kBackendLeaving = 708,
+  kBackendGone = 709,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/include/telemetry/log.h
+++ b/libs/telemetry/include/telemetry/log.h
@@ -11,7 +11,7 @@
 
 struct LogOptions;
 
-// Starts logging to stderr. Lines are written by a thread of their own; when
+// Starts logging. Lines are written by a thread of their own; when
 // it falls behind, lines are dropped. Call once, before threads start; events
 // logged earlier are lost.
 void StartLogging(const LogOptions& options);
--- a/libs/telemetry/include/telemetry/log_options.h
+++ b/libs/telemetry/include/telemetry/log_options.h
@@ -15,6 +15,8 @@
   LogFormat format = LogFormat::kText;
   // Lines below it are left out.
   Level level = Level::kInfo;
+  // Lines go to standard output instead of standard error.
+  bool to_stdout = false;
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -23,6 +23,9 @@
        "The process ends."},
       {EventId::kSettingsRefused, Level::kError, "settings_refused",
        "The settings are not valid; the process exits with code 2."},
+      {EventId::kSettingsReloaded, Level::kInfo, "settings_reloaded",
+       "The settings file was read again; fields name the settings that "
+       "take effect only after a restart."},
       {EventId::kConfigInForce, Level::kInfo, "config_in_force",
        "A configuration came into force; fields name its revision."},
       {EventId::kConfigRejected, Level::kError, "config_rejected",
@@ -77,6 +80,13 @@
        "An agent refused a start as not run; fields name the kind."},
       {EventId::kRequestRetried, Level::kInfo, "request_retried",
        "A request that did not run is tried at another backend server."},
+      {EventId::kRequestPlaced, Level::kInfo, "request_placed",
+       "A request was sent to a backend server; fields give what the "
+       "choice was based on."},
+      {EventId::kRequestFinished, Level::kInfo, "request_finished",
+       "A request got its final answer from a router that calls backend "
+       "servers directly; fields give the outcome, its reason and the time "
+       "spent."},
       {EventId::kGrantDrawn, Level::kDebug, "grant_drawn",
        "A router drew a grant on a budget."},
       {EventId::kGrantReturned, Level::kDebug, "grant_returned",
@@ -103,6 +113,8 @@
       {EventId::kHandOverLate, Level::kWarning, "hand_over_late",
        "A stopping router could not give its budgets back in time; other "
        "routers recover them once its lease lapses."},
+      {EventId::kLedgerWritten, Level::kInfo, "ledger_written",
+       "A write of budgets to the KV ended; fields name its outcome."},
       {EventId::kBackendDown, Level::kWarning, "backend_down",
        "A backend server does not answer its agent."},
       {EventId::kBackendUp, Level::kInfo, "backend_up",
@@ -116,6 +128,12 @@
       {EventId::kEngineOrderRefused, Level::kWarning, "engine_order_refused",
        "An order to an engine was refused: its fencing number is old, or the "
        "engine failed."},
+      {EventId::kBackendRegistered, Level::kInfo, "backend_registered",
+       "A backend server is registered and may be given work."},
+      {EventId::kBackendLeaving, Level::kInfo, "backend_leaving",
+       "A backend server registered that it drains; it gets no new work."},
+      {EventId::kBackendGone, Level::kInfo, "backend_gone",
+       "A backend server is not used any more; fields name the reason."},
       {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
        "The platform's KV does not answer; what needs a write is refused as "
        "not run."},
--- a/tools/godwit-agent/src/backend_caller.h
+++ b/tools/godwit-agent/src/backend_caller.h
@@ -13,7 +13,7 @@
 #include "agent/send_order.h"
 #include "base/ids.h"
 #include "base/millis.h"
-#include "config/endpoint.h"
+#include "base/endpoint.h"
 #include "config/service_kind.h"
 #include "http/client_pool.h"
 
@@ -32,7 +32,7 @@
 class BackendCaller {
  public:
   struct Settings {
-    config::Endpoint backend;
+    base::Endpoint backend;
     config::ServiceKind kind = config::ServiceKind::kPlain;
     // Longest time without progress of an answer.
     base::Millis idle_limit;
--- /dev/null
+++ b/tools/godwit-edge/src/attempt_relay.h
@@ -0,0 +1,58 @@
+#ifndef GODWIT_EDGE_ATTEMPT_RELAY_H_
+#define GODWIT_EDGE_ATTEMPT_RELAY_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "relay/answer_handler.h"
+#include "relay/answer_head.h"
+
+namespace godwit::edge {
+
+class Exchange;
+
+// Takes the answer to one attempt. A short answer is held until it is whole,
+// and a stream until its first event, so that the dispatcher may still choose
+// another backend server.
+class AttemptRelay : public relay::AnswerHandler,
+                     public std::enable_shared_from_this<AttemptRelay> {
+ public:
+  AttemptRelay(Exchange& exchange, int64_t attempt, bool is_stream);
+
+  // The exchange wants nothing more of it.
+  void Detach() { exchange_ = nullptr; }
+  // Hands on what is held, and from then on what arrives.
+  void Relay();
+
+  int64_t attempt() const noexcept { return attempt_; }
+  // Request of the pool, for cancelling.
+  int64_t upstream = 0;
+
+  bool OnHead(const relay::AnswerHead& head) override;
+  void OnBody(std::string_view bytes) override;
+  void OnEnd() override;
+  void OnFailure(Failure failure) override;
+
+ private:
+  void OnStreamBody(std::string_view bytes);
+  // Tells the dispatcher that there is an answer. False when it did not want
+  // it.
+  bool Announce(bool whole);
+  bool IsEventStream() const;
+
+  Exchange* exchange_;
+  const int64_t attempt_;
+  const bool is_stream_;
+  std::optional<relay::AnswerHead> head_;
+  std::string held_;
+  bool announced_ = false;
+  bool relaying_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace godwit::edge
+
+#endif  // GODWIT_EDGE_ATTEMPT_RELAY_H_
--- /dev/null
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -0,0 +1,372 @@
+#include "edge_daemon.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include "adapter/messages.h"
+#include "adapter/store_client.h"
+#include "base/clocks.h"
+#include "config/settings.h"
+#include "daemon/process_metrics.h"
+#include "daemon/stop_plan.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/routing_table.h"
+#include "edge_log.h"
+#include "edge_settings.h"
+#include "exchange.h"
+#include "page_server.h"
+#include "relay/caller_handler.h"
+#include "relay/caller_server.h"
+#include "relay/caller_session.h"
+#include "relay/upstream_pool.h"
+#include "store_feed.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
+#include "telemetry/metric_id.h"
+#include "telemetry/metrics.h"
+
+namespace godwit::edge {
+namespace {
+
+using telemetry::EventId;
+using telemetry::Log;
+using telemetry::MetricId;
+
+// Deadlines are kept to within this.
+constexpr base::Millis kTickPeriod(25);
+// Longest wait at the end for callers to take the last bytes of their answers.
+constexpr base::Millis kFlushLimit(250);
+constexpr base::Millis kMetricsWindow(60'000);
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+std::string_view OutcomeName(platform::WriteOutcome outcome) {
+  switch (outcome) {
+    case platform::WriteOutcome::kWon:
+      return "won";
+    case platform::WriteOutcome::kLost:
+      return "lost";
+    case platform::WriteOutcome::kNotSent:
+      return "not_sent";
+    case platform::WriteOutcome::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+class EdgeDaemon::Impl : public relay::CallerHandler, public Exchange::Events {
+ public:
+  Impl(boost::asio::io_context& io, const config::Settings& settings)
+      : io_(io),
+        settings_(settings),
+        options_(OptionsOf(settings)),
+        dispatcher_(options_),
+        stop_plan_(StopLimitsOf(settings)),
+        timer_(io),
+        servers_(io, relay::UpstreamPool::Options()),
+        store_(io, settings.Address("platform")),
+        feed_(store_,
+              options_.process,
+              [this](const dispatch::DispatchEvent& event) { Take(event); }),
+        callers_(io, *this),
+        readiness_(io, [this](const std::string&) { return ReadyPage(); }),
+        pages_(io, [this](const std::string& target) {
+          return OperatorPage(target);
+        }) {
+    store_.OnCall([this](const platform::CallSeen& call) { OnCall(call); });
+  }
+
+  bool Start() {
+    Log(EventId::kProcessStarting,
+        {{"incarnation", options_.incarnation},
+         {"data_centre", options_.placement.data_centre},
+         {"callers", settings_.Address("callers").ToText()},
+         {"platform", settings_.Address("platform").ToText()}});
+    relay::CallerServer::Limits limits;
+    limits.connections = MostCallersOf(settings_);
+    callers_.SetLimits(limits);
+    if (!callers_.Listen(settings_.Address("callers"))) {
+      error_ = callers_.last_error();
+      return false;
+    }
+    if (!readiness_.Listen(settings_.Address("readiness"))) {
+      error_ = readiness_.last_error();
+      return false;
+    }
+    if (settings_.Has("metrics") &&
+        !pages_.Listen(settings_.Address("metrics"))) {
+      error_ = pages_.last_error();
+      return false;
+    }
+    Tick();
+    return true;
+  }
+
+  void Drain() {
+    if (stop_plan_.begun()) {
+      return;
+    }
+    stop_plan_.Begin(base::SteadyNow());
+    callers_.Drain();
+    Log(EventId::kStopRequested,
+        {{"open_requests", dispatcher_.open_calls()},
+         {"connections", callers_.connections()}});
+  }
+
+  const base::Error& last_error() const noexcept { return error_; }
+
+  void OnRequest(const std::shared_ptr<relay::CallerSession>& session,
+                 relay::ReceivedRequest request) override {
+    std::string reason;
+    auto decoded = adapter::DecodeRequest(request.head, &reason);
+    if (!decoded) {
+      Log(EventId::kRequestMalformed, {{"reason", reason}});
+      session->Respond(400, "Content-Type: text/plain\r\n", reason + "\n");
+      return;
+    }
+    const dispatch::CallId id = next_call_++;
+    calls_by_session_[session.get()] = id;
+    exchanges_.try_emplace(id, id, decoded->id, session, std::move(request),
+                           servers_, *this);
+    request_ids_[id] = decoded->id;
+    Raise(dispatch::CallArrived{id, std::move(*decoded)});
+  }
+
+  void OnCallerGone(
+      const std::shared_ptr<relay::CallerSession>& session) override {
+    const auto found = calls_by_session_.find(session.get());
+    if (found != calls_by_session_.end()) {
+      Raise(dispatch::CallerGone{found->second});
+    }
+  }
+
+  void OnCallerReady(
+      const std::shared_ptr<relay::CallerSession>& session) override {
+    const auto found = calls_by_session_.find(session.get());
+    const auto exchange = found == calls_by_session_.end()
+                              ? exchanges_.end()
+                              : exchanges_.find(found->second);
+    if (exchange != exchanges_.end()) {
+      exchange->second.Resume();
+    }
+  }
+
+  void OnUnreadable(int status, const std::string& reason) override {
+    Log(EventId::kRequestMalformed, {{"status", status}, {"reason", reason}});
+  }
+
+  void Raise(const dispatch::DispatchEvent& event) override {
+    for (const dispatch::DispatchCommand& command :
+         dispatcher_.Step(base::SteadyNow(), event)) {
+      std::visit([this](const auto& c) { Do(c); }, command);
+    }
+  }
+
+ private:
+  // An event of the store.
+  void Take(const dispatch::DispatchEvent& event) {
+    if (const auto* seen = std::get_if<dispatch::TableSeen>(&event)) {
+      SetLimits(seen->table->limits());
+    }
+    Raise(event);
+  }
+
+  void SetLimits(const dispatch::CallerLimits& limits) {
+    relay::CallerServer::Limits set = callers_.limits();
+    set.header_bytes = static_cast<size_t>(limits.header_bytes);
+    set.body_bytes = static_cast<size_t>(limits.body_bytes);
+    set.request_time = limits.request_time;
+    set.idle_time = limits.idle_time;
+    callers_.SetLimits(set);
+  }
+
+  Exchange* Find(dispatch::CallId call) {
+    const auto found = exchanges_.find(call);
+    return found == exchanges_.end() ? nullptr : &found->second;
+  }
+
+  void Do(const dispatch::StartAttempt& command) {
+    if (Exchange* exchange = Find(command.call)) {
+      LogPlaced(request_ids_[command.call], command);
+      exchange->Start(command);
+    }
+  }
+  void Do(const dispatch::CancelAttempt& command) {
+    if (Exchange* exchange = Find(command.call)) {
+      exchange->Cancel(command.attempt);
+    }
+  }
+  void Do(const dispatch::RelayAnswer& command) {
+    if (Exchange* exchange = Find(command.call)) {
+      exchange->Relay(command.attempt);
+    }
+  }
+  void Do(const dispatch::RefuseCall& command) {
+    if (Exchange* exchange = Find(command.call)) {
+      exchange->Refuse(command);
+    }
+  }
+  void Do(const dispatch::AbortCall& command) {
+    if (Exchange* exchange = Find(command.call)) {
+      exchange->Abort();
+    }
+  }
+  void Do(const dispatch::AttemptAbandoned& command) { LogAbandoned(command); }
+  void Do(const dispatch::BeliefChanged& command) { LogBelief(command); }
+  void Do(const dispatch::CallEnded& command) {
+    LogEnded(command);
+    CountEnded(metrics_, command);
+    const auto found = exchanges_.find(command.call);
+    if (found != exchanges_.end()) {
+      calls_by_session_.erase(found->second.session());
+      exchanges_.erase(found);
+    }
+    request_ids_.erase(command.call);
+  }
+  void Do(const platform::KvRead& command) {
+    store_.Read(command,
+                [this](const platform::KvReadDone& done) { Raise(done); });
+  }
+  void Do(const platform::KvWrite& command) {
+    store_.Write(command, [this, key = command.key](
+                              const platform::KvWriteDone& done) {
+      Log(EventId::kLedgerWritten, {{"key", key},
+                                    {"outcome", OutcomeName(done.outcome)},
+                                    {"revision", done.version}});
+      Raise(done);
+    });
+  }
+
+  void OnCall(const platform::CallSeen& call) {
+    metrics_.Add(MetricId::kKvCallsTotal,
+                 {std::string(call.verb), std::string(call.outcome)});
+    // Waits may be cut at any time; they tell nothing here.
+    if (call.verb != "watch") {
+      feed_.OnCall(call.served());
+    }
+  }
+
+  PageServer::Page ReadyPage() const {
+    const bool ready = dispatcher_.ready() && !stop_plan_.begun();
+    return {ready ? kOk : kUnavailable, "text/plain",
+            ready ? "ready\n" : "not ready\n"};
+  }
+
+  PageServer::Page OperatorPage(const std::string& target) {
+    if (target != "/metrics") {
+      return {kNotFound, "text/plain", "no such page\n"};
+    }
+    metrics_.Set(MetricId::kConfigRevision, {},
+                 static_cast<double>(dispatcher_.config_version()));
+    metrics_.Set(MetricId::kLogLinesDroppedTotal, {},
+                 static_cast<double>(telemetry::DroppedLogLines()));
+    daemon::SetProcessMetrics(metrics_);
+    return {kOk, "text/plain; version=0.0.4", metrics_.Render()};
+  }
+
+  void Tick() {
+    const base::Millis now = base::SteadyNow();
+    feed_.Tick(now);
+    store_.Tick();
+    servers_.Tick();
+    callers_.Tick();
+    readiness_.Tick();
+    pages_.Tick();
+    Raise(dispatch::Tick());
+    if (!announced_ && dispatcher_.ready()) {
+      announced_ = true;
+      Log(EventId::kProcessReady,
+          {{"config_version", dispatcher_.config_version()}});
+    }
+    if (now >= window_ends_at_) {
+      metrics_.CloseWindow();
+      window_ends_at_ = now + kMetricsWindow;
+    }
+    Follow(stop_plan_.Step(now, dispatcher_.open_calls(),
+                           dispatcher_.drained()));
+    if (stop_at_ && (now >= *stop_at_ || callers_.unanswered() == 0)) {
+      io_.stop();
+      return;
+    }
+    timer_.expires_after(std::chrono::milliseconds(kTickPeriod.count()));
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        Tick();
+      }
+    });
+  }
+
+  void Follow(daemon::StopPlan::Action action) {
+    switch (action) {
+      case daemon::StopPlan::Action::kNone:
+        return;
+      case daemon::StopPlan::Action::kRefuse:
+        Raise(dispatch::DrainRequested());
+        return;
+      case daemon::StopPlan::Action::kEnd:
+        Log(EventId::kDrained);
+        break;
+      case daemon::StopPlan::Action::kEndLate:
+        Log(EventId::kHandOverLate);
+        break;
+      case daemon::StopPlan::Action::kEndCut:
+        Log(EventId::kDrainBoundReached,
+            {{"open_requests", dispatcher_.open_calls()}});
+        break;
+    }
+    callers_.Close();
+    readiness_.Close();
+    stop_at_ = base::SteadyNow() + kFlushLimit;
+  }
+
+  boost::asio::io_context& io_;
+  const config::Settings settings_;
+  const dispatch::DispatcherOptions options_;
+  dispatch::Dispatcher dispatcher_;
+  daemon::StopPlan stop_plan_;
+  telemetry::Metrics metrics_;
+  boost::asio::steady_timer timer_;
+  relay::UpstreamPool servers_;
+  adapter::StoreClient store_;
+  StoreFeed feed_;
+  relay::CallerServer callers_;
+  PageServer readiness_;
+  PageServer pages_;
+  std::unordered_map<dispatch::CallId, Exchange> exchanges_;
+  std::unordered_map<dispatch::CallId, std::string> request_ids_;
+  std::unordered_map<const relay::CallerSession*, dispatch::CallId>
+      calls_by_session_;
+  dispatch::CallId next_call_ = 1;
+  base::Error error_;
+  bool announced_ = false;
+  base::Millis window_ends_at_;
+  std::optional<base::Millis> stop_at_;
+};
+
+EdgeDaemon::EdgeDaemon(boost::asio::io_context& io,
+                       const config::Settings& settings)
+    : impl_(std::make_unique<Impl>(io, settings)) {}
+
+EdgeDaemon::~EdgeDaemon() = default;
+
+bool EdgeDaemon::Start() {
+  return impl_->Start();
+}
+
+void EdgeDaemon::Drain() {
+  impl_->Drain();
+}
+
+const base::Error& EdgeDaemon::last_error() const noexcept {
+  return impl_->last_error();
+}
+
+}  // namespace godwit::edge
--- /dev/null
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -0,0 +1,111 @@
+#include "edge_log.h"
+
+#include "dispatch/attempt_abandoned.h"
+#include "dispatch/belief_changed.h"
+#include "dispatch/call_ended.h"
+#include "dispatch/start_attempt.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
+#include "telemetry/metric_id.h"
+#include "telemetry/metrics.h"
+
+namespace godwit::edge {
+namespace {
+
+using dispatch::BeliefChanged;
+using telemetry::EventId;
+using telemetry::Log;
+using telemetry::MetricId;
+
+constexpr double kSecondsPerMilli = 0.001;
+constexpr char kAnswered[] = "answered";
+
+EventId EventOf(BeliefChanged::Belief belief) {
+  switch (belief) {
+    case BeliefChanged::Belief::kAdded:
+      return EventId::kBackendRegistered;
+    case BeliefChanged::Belief::kDraining:
+      return EventId::kBackendLeaving;
+    case BeliefChanged::Belief::kGone:
+      return EventId::kBackendGone;
+    case BeliefChanged::Belief::kEjected:
+      return EventId::kBackendEjected;
+    case BeliefChanged::Belief::kReadmitted:
+      break;
+  }
+  return EventId::kBackendReadmitted;
+}
+
+}  // namespace
+
+void LogPlaced(const std::string& request_id,
+               const dispatch::StartAttempt& attempt) {
+  Log(EventId::kRequestPlaced,
+      {{"request", request_id},
+       {"attempt", attempt.attempt},
+       {"backend", attempt.backend.instance},
+       {"service", attempt.backend.service},
+       {"expected_ms", attempt.expected},
+       {"uncached_tokens", attempt.uncached},
+       {"urgency", attempt.urgency},
+       {"time_left_ms", attempt.time_left},
+       {"resume_after", attempt.resume_after.value_or(-1)}});
+}
+
+void LogAbandoned(const dispatch::AttemptAbandoned& record) {
+  Log(EventId::kRequestRetried, {{"request", record.request_id},
+                                 {"backend", record.backend},
+                                 {"reason", record.reason},
+                                 {"next", record.next},
+                                 {"since_start_ms", record.since_start}});
+}
+
+void LogBelief(const BeliefChanged& change) {
+  Log(EventOf(change.belief), {{"backend", change.instance},
+                               {"service", change.service},
+                               {"reason", change.reason}});
+}
+
+void LogEnded(const dispatch::CallEnded& ended) {
+  Log(EventId::kRequestFinished, {{"request", ended.request_id},
+                                  {"route", ended.route},
+                                  {"service", ended.service},
+                                  {"organisation", ended.organisation},
+                                  {"outcome", ended.outcome},
+                                  {"reason", ended.reason},
+                                  {"backend", ended.backend},
+                                  {"attempts", ended.attempts},
+                                  {"events", ended.events},
+                                  {"tokens", ended.tokens},
+                                  {"waited_ms", ended.waited},
+                                  {"first_byte_ms", ended.first_byte},
+                                  {"total_ms", ended.total},
+                                  {"config_version", ended.config_version}});
+}
+
+void CountEnded(telemetry::Metrics& metrics,
+                const dispatch::CallEnded& ended) {
+  const std::string& service = ended.service.value();
+  const std::string& organisation = ended.organisation.value();
+  const telemetry::Metrics::Labels labels = {service, organisation};
+  const bool answered = ended.outcome == kAnswered;
+  metrics.Add(MetricId::kRequestsTotal,
+              {service, organisation, answered ? "answer" : "no_answer",
+               answered ? "none" : ended.outcome});
+  if (ended.attempts > 1) {
+    metrics.Add(MetricId::kRetriesTotal, {service},
+                static_cast<double>(ended.attempts - 1));
+  }
+  metrics.Add(MetricId::kTokensBilledTotal, labels,
+              static_cast<double>(ended.tokens));
+  if (!answered) {
+    return;
+  }
+  metrics.Observe(
+      MetricId::kFirstTokenSeconds, labels,
+      static_cast<double>(ended.first_byte.count()) * kSecondsPerMilli);
+  metrics.Observe(MetricId::kRequestSeconds, labels,
+                  static_cast<double>(ended.total.count()) * kSecondsPerMilli);
+}
+
+}  // namespace godwit::edge
--- /dev/null
+++ b/tools/godwit-edge/src/edge_log.h
@@ -0,0 +1,31 @@
+#ifndef GODWIT_EDGE_EDGE_LOG_H_
+#define GODWIT_EDGE_EDGE_LOG_H_
+
+#include <string>
+
+namespace godwit::dispatch {
+struct AttemptAbandoned;
+struct BeliefChanged;
+struct CallEnded;
+struct StartAttempt;
+}  // namespace godwit::dispatch
+
+namespace godwit::telemetry {
+class Metrics;
+}
+
+namespace godwit::edge {
+
+// Log lines and metrics of what the dispatcher decided.
+void LogPlaced(const std::string& request_id,
+               const dispatch::StartAttempt& attempt);
+void LogAbandoned(const dispatch::AttemptAbandoned& record);
+void LogBelief(const dispatch::BeliefChanged& change);
+void LogEnded(const dispatch::CallEnded& ended);
+
+void CountEnded(telemetry::Metrics& metrics,
+                const dispatch::CallEnded& ended);
+
+}  // namespace godwit::edge
+
+#endif  // GODWIT_EDGE_EDGE_LOG_H_
--- /dev/null
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -0,0 +1,90 @@
+#include "edge_settings.h"
+
+#include <algorithm>
+
+#include "adapter/configuration.h"
+#include "config/settings.h"
+#include "config/settings_reader.h"
+#include "daemon/log_settings.h"
+#include "daemon/new_incarnation.h"
+
+namespace godwit::edge {
+namespace {
+
+constexpr int64_t kMostStopMillis = 3'600'000;
+constexpr int64_t kMostDescriptors = 1'000'000;
+constexpr int64_t kMostRetries = 1'000'000;
+constexpr int64_t kMostCostMillis = 60'000;
+
+// The balancer asks every second and turns away after two misses; a request
+// that it sent before that is still to be served.
+constexpr base::Millis kLongestGrace(3'000);
+// Left at the end of the stop for the hand-over of budgets and the last bytes.
+constexpr base::Millis kHandOver(500);
+constexpr base::Millis kStopMargin(400);
+// Descriptors that are not for connections.
+constexpr int64_t kOwnDescriptors = 250;
+
+}  // namespace
+
+void DeclareSettings(config::SettingsReader& reader) {
+  reader.Name("process", "name of this router, stable over restarts")
+      .Name("data_centre", "where this router runs")
+      .Address("platform", "IP:PORT of the platform's store")
+      .Address("callers", "IP:PORT that callers connect to")
+      .Address("readiness",
+               "IP:PORT that answers 200 while callers may be sent here")
+      .Address("metrics", "IP:PORT that serves /metrics and /status")
+      .Optional()
+      .Duration("stop_limit_ms",
+                "time from SIGTERM within which the router ends", 1000,
+                kMostStopMillis)
+      .Default("8000")
+      .Real("retry_ratio",
+            "retries to a service as a share of its requests, all routers", 0,
+            1)
+      .Default("0.2")
+      .Real("retry_slack", "retries to a service beyond that share", 0,
+            kMostRetries)
+      .Default("10")
+      .Duration("other_data_centre_cost_ms",
+                "how much sooner a backend server of another data centre must "
+                "answer to be chosen",
+                0, kMostCostMillis)
+      .Default("40")
+      .Integer("descriptors", "file descriptors that this process may use",
+               kOwnDescriptors * 2, kMostDescriptors)
+      .Default("4096");
+  daemon::DeclareLogSettings(reader);
+}
+
+dispatch::DispatcherOptions OptionsOf(const config::Settings& settings) {
+  dispatch::DispatcherOptions options;
+  options.process = base::ProcessId(settings.Text("process"));
+  options.incarnation = daemon::NewIncarnation(options.process);
+  options.placement.data_centre =
+      base::DataCentreId(settings.Text("data_centre"));
+  options.placement.other_data_centre_cost =
+      settings.Duration("other_data_centre_cost_ms");
+  options.retry_ratio = settings.Real("retry_ratio");
+  options.retry_slack = settings.Real("retry_slack");
+  options.configuration_key = std::string(adapter::ConfigurationKey());
+  return options;
+}
+
+daemon::StopPlan::Limits StopLimitsOf(const config::Settings& settings) {
+  const base::Millis limit = settings.Duration("stop_limit_ms");
+  daemon::StopPlan::Limits limits;
+  limits.grace = std::min(kLongestGrace, base::Millis(limit.count() * 3 / 8));
+  limits.drain = std::max(base::Millis(0),
+                          limit - limits.grace - kHandOver - kStopMargin);
+  limits.hand_over = kHandOver;
+  return limits;
+}
+
+size_t MostCallersOf(const config::Settings& settings) {
+  return static_cast<size_t>(
+      (settings.Integer("descriptors") - kOwnDescriptors) / 2);
+}
+
+}  // namespace godwit::edge
--- /dev/null
+++ b/tools/godwit-edge/src/exchange.cc
@@ -0,0 +1,114 @@
+#include "exchange.h"
+
+#include <cstdio>
+#include <utility>
+
+#include "adapter/messages.h"
+#include "attempt_relay.h"
+#include "base/error.h"
+#include "http/error_response.h"
+#include "http/status_of.h"
+#include "relay/caller_session.h"
+#include "relay/outgoing_request.h"
+#include "relay/upstream_pool.h"
+
+namespace godwit::edge {
+namespace {
+
+// An answer whose caller has this much untaken is not read further.
+constexpr size_t kMostQueuedBytes = size_t{256} * 1024;
+constexpr double kMillisPerSecond = 1000;
+
+// True for the refusals that promise that the request has not run.
+bool IsNotRun(base::ErrorKind kind) {
+  return kind != base::ErrorKind::kOutcomeUnknown &&
+         kind != base::ErrorKind::kDeadlineExceeded;
+}
+
+}  // namespace
+
+Exchange::Exchange(dispatch::CallId call,
+                   std::string request_id,
+                   std::shared_ptr<relay::CallerSession> session,
+                   relay::ReceivedRequest request,
+                   relay::UpstreamPool& servers,
+                   Events& events)
+    : call_(call),
+      request_id_(std::move(request_id)),
+      session_(std::move(session)),
+      request_(std::move(request)),
+      servers_(servers),
+      events_(events) {}
+
+Exchange::~Exchange() {
+  if (attempt_ != nullptr) {
+    attempt_->Detach();
+    servers_.Cancel(attempt_->upstream);
+  }
+}
+
+void Exchange::Start(const dispatch::StartAttempt& attempt) {
+  if (attempt_ != nullptr) {
+    attempt_->Detach();
+    servers_.Cancel(attempt_->upstream);
+  }
+  framer_.Restart();
+  attempt_ = std::make_shared<AttemptRelay>(*this, attempt.attempt,
+                                            attempt.is_stream);
+  relay::OutgoingRequest request;
+  request.head = adapter::EncodeRequest(request_.head, attempt,
+                                        request_.body->size());
+  request.body = request_.body;
+  request.is_head = request_.head.method == "HEAD";
+  attempt_->upstream =
+      servers_.Send(attempt.backend.address, std::move(request), *attempt_);
+}
+
+void Exchange::Cancel(int64_t attempt) {
+  if (attempt_ != nullptr && attempt_->attempt() == attempt) {
+    attempt_->Detach();
+    servers_.Cancel(attempt_->upstream);
+    attempt_.reset();
+  }
+}
+
+void Exchange::Relay(int64_t attempt) {
+  if (attempt_ != nullptr && attempt_->attempt() == attempt) {
+    attempt_->Relay();
+  }
+}
+
+void Exchange::HandOn(std::string_view bytes) {
+  session_->Write(bytes);
+  if (session_->queued_bytes() > kMostQueuedBytes) {
+    servers_.PauseReading(attempt_->upstream);
+  }
+}
+
+void Exchange::Resume() {
+  if (attempt_ != nullptr) {
+    servers_.ResumeReading(attempt_->upstream);
+  }
+}
+
+void Exchange::Refuse(const dispatch::RefuseCall& refusal) {
+  const http::Response page = http::ErrorResponse(
+      http::StatusOf(refusal.kind),
+      base::Error(refusal.kind, refusal.reason, "see docs/OPERATIONS.md"),
+      IsNotRun(refusal.kind));
+  std::string lines = "Content-Type: application/json\r\n";
+  if (refusal.retry_after > base::Millis()) {
+    char seconds[32];
+    std::snprintf(
+        seconds, sizeof(seconds), "%.2f",
+        static_cast<double>(refusal.retry_after.count()) / kMillisPerSecond);
+    relay::AppendHeader(lines, "Retry-After", seconds);
+  }
+  session_->Respond(page.status, lines, page.body);
+}
+
+void Exchange::Abort() {
+  session_->Abort();
+}
+
+}  // namespace godwit::edge
--- /dev/null
+++ b/tools/godwit-edge/src/exchange.h
@@ -0,0 +1,78 @@
+#ifndef GODWIT_EDGE_EXCHANGE_H_
+#define GODWIT_EDGE_EXCHANGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "dispatch/call_id.h"
+#include "dispatch/dispatch_event.h"
+#include "dispatch/refuse_call.h"
+#include "dispatch/start_attempt.h"
+#include "relay/event_framer.h"
+#include "relay/received_request.h"
+
+namespace godwit::relay {
+class CallerSession;
+class UpstreamPool;
+}  // namespace godwit::relay
+
+namespace godwit::edge {
+
+class AttemptRelay;
+
+// One request of a caller with its connection, and the attempt in progress at
+// a backend server. Carries out what the dispatcher decided for it.
+class Exchange {
+ public:
+  // Takes the events that the exchange raises.
+  class Events {
+   public:
+    virtual ~Events() = default;
+    virtual void Raise(const dispatch::DispatchEvent& event) = 0;
+  };
+
+  Exchange(dispatch::CallId call,
+           std::string request_id,
+           std::shared_ptr<relay::CallerSession> session,
+           relay::ReceivedRequest request,
+           relay::UpstreamPool& servers,
+           Events& events);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  void Start(const dispatch::StartAttempt& attempt);
+  void Cancel(int64_t attempt);
+  // Hands the attempt's answer to the caller.
+  void Relay(int64_t attempt);
+  void Refuse(const dispatch::RefuseCall& refusal);
+  void Abort();
+  // The caller takes bytes again.
+  void Resume();
+
+  const relay::CallerSession* session() const noexcept {
+    return session_.get();
+  }
+
+ private:
+  friend class AttemptRelay;
+
+  void HandOn(std::string_view bytes);
+
+  const dispatch::CallId call_;
+  const std::string request_id_;
+  const std::shared_ptr<relay::CallerSession> session_;
+  const relay::ReceivedRequest request_;
+  relay::UpstreamPool& servers_;
+  Events& events_;
+  std::shared_ptr<AttemptRelay> attempt_;
+  // Events that the caller has, over all attempts.
+  relay::EventFramer framer_;
+  // The head of an answer went to the caller.
+  bool begun_ = false;
+};
+
+}  // namespace godwit::edge
+
+#endif  // GODWIT_EDGE_EXCHANGE_H_
--- /dev/null
+++ b/tools/godwit-edge/src/page_server.h
@@ -0,0 +1,50 @@
+#ifndef GODWIT_EDGE_PAGE_SERVER_H_
+#define GODWIT_EDGE_PAGE_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "relay/caller_handler.h"
+#include "relay/caller_server.h"
+
+namespace godwit::edge {
+
+// A listener that answers each request at once with a page.
+class PageServer : public relay::CallerHandler {
+ public:
+  struct Page {
+    int status = 200;
+    std::string type = "text/plain";
+    std::string body;
+  };
+  // The page for a request target.
+  using Answer = std::function<Page(const std::string& target)>;
+
+  PageServer(boost::asio::io_context& io, Answer answer);
+
+  bool Listen(const base::Endpoint& address);
+  const base::Error& last_error() const noexcept {
+    return server_.last_error();
+  }
+  void Tick() { server_.Tick(); }
+  void Close() { server_.Close(); }
+
+  void OnRequest(const std::shared_ptr<relay::CallerSession>& session,
+                 relay::ReceivedRequest request) override;
+  void OnCallerGone(
+      const std::shared_ptr<relay::CallerSession>& session) override;
+  void OnCallerReady(
+      const std::shared_ptr<relay::CallerSession>& session) override;
+  void OnUnreadable(int status, const std::string& reason) override;
+
+ private:
+  Answer answer_;
+  relay::CallerServer server_;
+};
+
+}  // namespace godwit::edge
+
+#endif  // GODWIT_EDGE_PAGE_SERVER_H_
--- /dev/null
+++ b/tools/godwit-edge/src/store_feed.cc
@@ -0,0 +1,222 @@
+#include "store_feed.h"
+
+#include <utility>
+
+#include "adapter/configuration.h"
+#include "base/clocks.h"
+#include "dispatch/routing_table.h"
+#include "platform/kv_write.h"
+#include "telemetry/event_id.h"
+#include "telemetry/log.h"
+
+namespace godwit::edge {
+namespace {
+
+using telemetry::EventId;
+using telemetry::Log;
+
+// Keys under which the routers of a fleet register.
+constexpr char kRouterPrefix[] = "routers/";
+// Longest wait for a change. The store counts each wait as a call; keep-alive
+// probes find a silent connection sooner.
+constexpr base::Millis kWatchWait(10'000);
+// A router that is gone counts for at most this long, and renews its lease
+// three times in it.
+constexpr base::Millis kLeaseTtl(9'000);
+constexpr base::Millis kLeasePeriod(3'000);
+constexpr base::Millis kLeaseRetry(500);
+// Calls without an answer in a row after which the store counts as away.
+constexpr int kUnansweredToLose = 2;
+
+}  // namespace
+
+StoreFeed::StoreFeed(adapter::StoreClient& store,
+                     base::ProcessId process,
+                     std::function<void(const dispatch::DispatchEvent&)> raise)
+    : store_(store), process_(std::move(process)), raise_(std::move(raise)) {
+  configuration_.prefix = adapter::ConfigurationKey();
+  configuration_.on_listed = &StoreFeed::OnConfigurations;
+  configuration_.on_changed = &StoreFeed::OnConfiguration;
+  backends_.prefix = adapter::BackendPrefix();
+  backends_.on_listed = &StoreFeed::OnBackends;
+  backends_.on_changed = &StoreFeed::OnBackend;
+  routers_.prefix = kRouterPrefix;
+  routers_.on_listed = &StoreFeed::OnRouters;
+  routers_.on_changed = &StoreFeed::OnRouter;
+}
+
+void StoreFeed::Tick(base::Millis now) {
+  Ask(configuration_, now);
+  Ask(backends_, now);
+  Ask(routers_, now);
+  KeepLease(now);
+}
+
+void StoreFeed::Ask(Feed& feed, base::Millis now) {
+  const auto ask = feed.follower.Next(now);
+  if (!ask) {
+    return;
+  }
+  const auto done = [this, &feed](const auto& outcome) {
+    const base::Millis at = base::SteadyNow();
+    Take(feed, feed.follower.On(at, outcome));
+    Ask(feed, at);
+  };
+  if (const auto* list = std::get_if<Follower::List>(&*ask)) {
+    store_.List(feed.prefix, list->start_after, done);
+  } else {
+    store_.Watch(feed.prefix, std::get<Follower::Watch>(*ask).after_revision,
+                 kWatchWait, done);
+  }
+}
+
+void StoreFeed::Take(Feed& feed, const std::vector<Follower::News>& news) {
+  for (const Follower::News& item : news) {
+    if (std::holds_alternative<Follower::Lost>(item)) {
+      feed.lost = true;
+      ReportReach();
+    } else if (std::holds_alternative<Follower::Found>(item)) {
+      feed.lost = false;
+      unanswered_ = 0;
+      ReportReach();
+    } else if (const auto* listed = std::get_if<Follower::Listed>(&item)) {
+      (this->*feed.on_listed)(listed->items);
+    } else {
+      (this->*feed.on_changed)(std::get<Follower::Changed>(item).change);
+    }
+  }
+}
+
+void StoreFeed::OnCall(bool answered) {
+  unanswered_ = answered ? 0 : unanswered_ + 1;
+  ReportReach();
+}
+
+void StoreFeed::ReportReach() {
+  const bool reached = !configuration_.lost && !backends_.lost &&
+                       unanswered_ < kUnansweredToLose;
+  if (reached != reached_) {
+    reached_ = reached;
+    Log(reached ? EventId::kKvAvailable : EventId::kKvUnavailable,
+        {{"unanswered_calls", unanswered_},
+         {"configuration_followed", !configuration_.lost},
+         {"backends_followed", !backends_.lost}});
+    raise_(dispatch::StoreReached{reached});
+  }
+}
+
+void StoreFeed::OnConfigurations(const std::vector<platform::KvItem>& items) {
+  for (const platform::KvItem& item : items) {
+    if (item.key == adapter::ConfigurationKey()) {
+      TakeConfiguration(item.value, item.version);
+    }
+  }
+}
+
+void StoreFeed::OnConfiguration(const platform::KvChange& change) {
+  if (change.key == adapter::ConfigurationKey() && change.value) {
+    TakeConfiguration(*change.value, change.version);
+  }
+}
+
+void StoreFeed::TakeConfiguration(const std::string& bytes, int64_t revision) {
+  std::string reason;
+  auto table = adapter::DecodeConfiguration(bytes, revision, &reason);
+  if (table == nullptr) {
+    Log(EventId::kConfigRejected, {{"revision", revision}, {"reason", reason}});
+    return;
+  }
+  Log(EventId::kConfigInForce, {{"revision", revision},
+                                {"version", table->version()},
+                                {"routes", table->routes().size()},
+                                {"bytes", bytes.size()}});
+  raise_(dispatch::TableSeen{std::move(table)});
+}
+
+void StoreFeed::OnBackends(const std::vector<platform::KvItem>& items) {
+  dispatch::BackendsListed listed;
+  for (const platform::KvItem& item : items) {
+    if (auto backend = adapter::DecodeBackend(item.key, item.value)) {
+      listed.backends.push_back(std::move(*backend));
+    }
+  }
+  raise_(listed);
+}
+
+void StoreFeed::OnBackend(const platform::KvChange& change) {
+  auto backend = change.value
+                     ? adapter::DecodeBackend(change.key, *change.value)
+                     : std::nullopt;
+  if (backend) {
+    raise_(dispatch::BackendSeen{std::move(*backend)});
+  } else {
+    raise_(dispatch::BackendRemoved{adapter::InstanceOf(change.key)});
+  }
+}
+
+void StoreFeed::OnRouters(const std::vector<platform::KvItem>& items) {
+  router_names_.clear();
+  for (const platform::KvItem& item : items) {
+    router_names_[item.key] = true;
+  }
+  CountRouters();
+}
+
+void StoreFeed::OnRouter(const platform::KvChange& change) {
+  if (change.value) {
+    router_names_[change.key] = true;
+  } else {
+    router_names_.erase(change.key);
+  }
+  CountRouters();
+}
+
+void StoreFeed::CountRouters() {
+  router_names_[kRouterPrefix + process_.value()] = true;
+  raise_(dispatch::RoutersCounted{router_names_.size()});
+}
+
+void StoreFeed::KeepLease(base::Millis now) {
+  if (lease_busy_ || now < lease_at_) {
+    return;
+  }
+  lease_busy_ = true;
+  if (!lease_) {
+    store_.GrantLease(kLeaseTtl, [this](std::optional<std::string> lease) {
+      lease_busy_ = false;
+      lease_ = std::move(lease);
+      lease_at_ = base::SteadyNow() + (lease_ ? kLeasePeriod : kLeaseRetry);
+      if (lease_) {
+        Register();
+      }
+    });
+    return;
+  }
+  store_.RenewLease(*lease_, [this](std::optional<bool> kept) {
+    lease_busy_ = false;
+    lease_at_ = base::SteadyNow() + (kept ? kLeasePeriod : kLeaseRetry);
+    if (kept && !*kept) {
+      Log(EventId::kLeaseLapsed);
+      lease_.reset();
+      registered_ = false;
+      lease_at_ = base::Millis();
+    } else if (kept && !registered_) {
+      Register();
+    }
+  });
+}
+
+void StoreFeed::Register() {
+  platform::KvWrite write;
+  write.key = kRouterPrefix + process_.value();
+  write.value = process_.value();
+  write.lease = *lease_;
+  store_.Write(write, [this](const platform::KvWriteDone& done) {
+    // The name is taken until the lease of an earlier life lapses; that entry
+    // counts just as well meanwhile.
+    registered_ = done.outcome == platform::WriteOutcome::kWon;
+    Log(EventId::kLeaseGranted, {{"registered", registered_}});
+  });
+}
+
+}  // namespace godwit::edge
--- /dev/null
+++ b/tools/godwit-edge/src/store_feed.h
@@ -0,0 +1,76 @@
+#ifndef GODWIT_EDGE_STORE_FEED_H_
+#define GODWIT_EDGE_STORE_FEED_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "adapter/store_client.h"
+#include "base/ids.h"
+#include "base/millis.h"
+#include "dispatch/dispatch_event.h"
+#include "platform/prefix_follower.h"
+
+namespace godwit::edge {
+
+// What the router learns from the platform's store: the configuration, the
+// registered backend servers, and the routers of the fleet, among which it
+// registers itself under a lease.
+class StoreFeed {
+ public:
+  StoreFeed(adapter::StoreClient& store,
+            base::ProcessId process,
+            std::function<void(const dispatch::DispatchEvent&)> raise);
+
+  // Due every few tens of milliseconds.
+  void Tick(base::Millis now);
+  // Other calls to the store tell whether it can be reached, too.
+  void OnCall(bool answered);
+
+ private:
+  using Follower = platform::PrefixFollower;
+
+  struct Feed {
+    std::string prefix;
+    Follower follower;
+    void (StoreFeed::*on_listed)(const std::vector<platform::KvItem>&) =
+        nullptr;
+    void (StoreFeed::*on_changed)(const platform::KvChange&) = nullptr;
+    bool lost = false;
+  };
+
+  void Ask(Feed& feed, base::Millis now);
+  void Take(Feed& feed, const std::vector<Follower::News>& news);
+  void ReportReach();
+
+  void OnConfigurations(const std::vector<platform::KvItem>& items);
+  void OnConfiguration(const platform::KvChange& change);
+  void TakeConfiguration(const std::string& bytes, int64_t revision);
+  void OnBackends(const std::vector<platform::KvItem>& items);
+  void OnBackend(const platform::KvChange& change);
+  void OnRouters(const std::vector<platform::KvItem>& items);
+  void OnRouter(const platform::KvChange& change);
+  void CountRouters();
+
+  void KeepLease(base::Millis now);
+  void Register();
+
+  adapter::StoreClient& store_;
+  const base::ProcessId process_;
+  const std::function<void(const dispatch::DispatchEvent&)> raise_;
+  Feed configuration_;
+  Feed backends_;
+  Feed routers_;
+  std::map<std::string, bool> router_names_;
+  std::optional<std::string> lease_;
+  bool lease_busy_ = false;
+  bool registered_ = false;
+  base::Millis lease_at_;
+  int unanswered_ = 0;
+  bool reached_ = true;
+};
+
+}  // namespace godwit::edge
+
+#endif  // GODWIT_EDGE_STORE_FEED_H_
--- a/tools/godwit-report/src/main.cc
+++ b/tools/godwit-report/src/main.cc
@@ -13,7 +13,7 @@
 #include "cli/command_line.h"
 #include "collector.h"
 #include "config/config.h"
-#include "config/endpoint.h"
+#include "base/endpoint.h"
 #include "config/parser.h"
 #include "http/client_call.h"
 #include "http/client_pool.h"
@@ -95,7 +95,7 @@
 SourceStatus ReadUrl(const std::string& url, SourceReader& reader) {
   const std::string rest = url.substr(sizeof(kUrlStart) - 1);
   const size_t slash = std::min(rest.find('/'), rest.size());
-  const auto endpoint = config::Endpoint::FromText(rest.substr(0, slash));
+  const auto endpoint = base::Endpoint::FromText(rest.substr(0, slash));
   if (!endpoint) {
     return Missing(url, "not an address", "write http://IP:PORT/metrics");
   }
--- a/tools/godwit-router/src/error_page.h
+++ b/tools/godwit-router/src/error_page.h
@@ -1,15 +1,11 @@
 #ifndef GODWIT_ROUTER_ERROR_PAGE_H_
 #define GODWIT_ROUTER_ERROR_PAGE_H_
 
-#include "base/error_kind.h"
 #include "http/response.h"
 #include "router/caller_error.h"
 
 namespace godwit::router_daemon {
 
-// HTTP status of an error of that kind.
-int StatusOf(base::ErrorKind kind);
-
 // The JSON error that a caller sees, with its HTTP status and, where there is
 // a use in coming back, Retry-After.
 http::Response ErrorPage(const router::CallerError& error);
--- a/tools/godwit-router/src/request_recorder.cc
+++ b/tools/godwit-router/src/request_recorder.cc
@@ -5,7 +5,7 @@
 #include "base/clocks.h"
 #include "config/config.h"
 #include "config/lookup.h"
-#include "error_page.h"
+#include "http/status_of.h"
 #include "router/request_ended.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
@@ -37,7 +37,7 @@
   record.traffic_class = ended.traffic_class;
   record.outcome = OutcomeOf(ended.outcome);
   record.kind = std::string(base::ErrorKindName(ended.kind));
-  record.status = ended.status != 0 ? ended.status : StatusOf(ended.kind);
+  record.status = ended.status != 0 ? ended.status : http::StatusOf(ended.kind);
   if (ended.first_byte > base::Millis()) {
     record.first_token = ended.first_byte;
   }
--- a/tools/godwit-router/src/router_daemon.cc
+++ b/tools/godwit-router/src/router_daemon.cc
@@ -15,6 +15,7 @@
 #include "daemon/lease_keeper.h"
 #include "daemon/link_hub.h"
 #include "daemon/link_tls.h"
+#include "daemon/stop_plan.h"
 #include "front_door.h"
 #include "http/server.h"
 #include "kernel/kernel.h"
@@ -25,7 +26,7 @@
 #include "router/router_core.h"
 #include "router_settings.h"
 #include "runtime/runtime.h"
-#include "stop_plan.h"
+
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
 #include "telemetry/metrics.h"
@@ -285,21 +286,21 @@
   }
   void Do(const router::Drained& /*command*/) { drained_ = true; }
 
-  void Follow(StopPlan::Action action) {
+  void Follow(daemon::StopPlan::Action action) {
     switch (action) {
-      case StopPlan::Action::kNone:
+      case daemon::StopPlan::Action::kNone:
         return;
-      case StopPlan::Action::kRefuse:
+      case daemon::StopPlan::Action::kRefuse:
         Handle(router::DrainRequested());
         return;
-      case StopPlan::Action::kEnd:
+      case daemon::StopPlan::Action::kEnd:
         Log(EventId::kDrained);
         break;
-      case StopPlan::Action::kEndLate:
+      case daemon::StopPlan::Action::kEndLate:
         Log(EventId::kHandOverLate,
             {{"handback_limit_ms", settings_.Duration("handback_limit_ms")}});
         break;
-      case StopPlan::Action::kEndCut:
+      case daemon::StopPlan::Action::kEndCut:
         NameWhatIsCut();
         break;
     }
@@ -338,7 +339,7 @@
   const config::Settings settings_;
   const router::RouterOptions options_;
   kernel::Kernel kernel_;
-  StopPlan stop_plan_;
+  daemon::StopPlan stop_plan_;
   router::RouterCore core_;
   telemetry::Metrics metrics_;
   daemon::KvHealth kv_health_;
--- a/tools/godwit-router/src/router_settings.cc
+++ b/tools/godwit-router/src/router_settings.cc
@@ -77,7 +77,7 @@
   return options;
 }
 
-StopPlan::Limits StopLimitsOf(const config::Settings& settings) {
+daemon::StopPlan::Limits StopLimitsOf(const config::Settings& settings) {
   return {settings.Duration("drain_grace_ms"),
           settings.Duration("drain_limit_ms"),
           settings.Duration("handback_limit_ms")};
--- a/tools/godwit-router/src/router_settings.h
+++ b/tools/godwit-router/src/router_settings.h
@@ -6,7 +6,7 @@
 
 #include "base/error.h"
 #include "router/router_options.h"
-#include "stop_plan.h"
+#include "daemon/stop_plan.h"
 
 namespace godwit::config {
 class Settings;
@@ -31,7 +31,7 @@
 // Identity of this life of the router, with a new incarnation and seed.
 router::RouterOptions OptionsOf(const config::Settings& settings);
 
-StopPlan::Limits StopLimitsOf(const config::Settings& settings);
+daemon::StopPlan::Limits StopLimitsOf(const config::Settings& settings);
 
 // Empty, with `error` set, when only one file is set or the certificate can't
 // be shown.
--- a/tools/godwitctl/src/config_commands.cc
+++ b/tools/godwitctl/src/config_commands.cc
@@ -77,7 +77,7 @@
 
 // The revision that a router states to be in force.
 std::optional<int64_t> ReadRevision(Session& session,
-                                    const config::Endpoint& router) {
+                                    const base::Endpoint& router) {
   http::ClientPool pool(session.runtime, router.ip, router.port);
   http::ClientCall call(pool, {"GET", "/status", {}, ""});
   call.TotalTimeout(kStatusTimeout);
@@ -194,7 +194,7 @@
       "\n";
   json["routers"] = ordered_json::array();
   bool all_same = done.available;
-  for (const config::Endpoint& router : session.options.routers) {
+  for (const base::Endpoint& router : session.options.routers) {
     const auto revision = ReadRevision(session, router);
     const std::string address = router.ToText();
     all_same = all_same && revision == done.version;
--- a/tools/godwitctl/src/main.cc
+++ b/tools/godwitctl/src/main.cc
@@ -10,7 +10,7 @@
 
 #include "cli/command_line.h"
 #include "commands.h"
-#include "config/endpoint.h"
+#include "base/endpoint.h"
 #include "options.h"
 #include "platform/client.h"
 #include "runtime/runtime.h"
@@ -59,25 +59,25 @@
     return number;
   }
 
-  std::optional<config::Endpoint> Platform() {
+  std::optional<base::Endpoint> Platform() {
     const char* variable = std::getenv(kPlatformVariable);
     const std::string text = !FLAGS_platform.empty() || variable == nullptr
                                  ? FLAGS_platform
                                  : std::string(variable);
-    auto endpoint = config::Endpoint::FromText(text);
+    auto endpoint = base::Endpoint::FromText(text);
     if (!text.empty() && !endpoint) {
       Refuse("platform", text, "write IP:PORT");
     }
     return endpoint;
   }
 
-  std::vector<config::Endpoint> Addresses(const std::string& list) {
-    std::vector<config::Endpoint> endpoints;
+  std::vector<base::Endpoint> Addresses(const std::string& list) {
+    std::vector<base::Endpoint> endpoints;
     size_t begin = 0;
     while (begin < list.size()) {
       const size_t end = std::min(list.find(',', begin), list.size());
       const std::string text = list.substr(begin, end - begin);
-      const auto endpoint = config::Endpoint::FromText(text);
+      const auto endpoint = base::Endpoint::FromText(text);
       if (!endpoint) {
         Refuse("routers", text, "write IP:PORT,IP:PORT");
         return endpoints;
--- a/tools/godwitctl/src/options.h
+++ b/tools/godwitctl/src/options.h
@@ -6,19 +6,19 @@
 #include <string>
 #include <vector>
 
-#include "config/endpoint.h"
+#include "base/endpoint.h"
 
 namespace godwit::ctl {
 
 // What the flags say; empty where a flag is not given.
 struct Options {
-  std::optional<config::Endpoint> platform;
+  std::optional<base::Endpoint> platform;
   std::optional<int64_t> expect;
   std::optional<int64_t> limit;
   std::optional<int64_t> expect_held;
   std::string operation;
   std::string organisation;
-  std::vector<config::Endpoint> routers;
+  std::vector<base::Endpoint> routers;
   bool bill = false;
   bool json = false;
 };
