List again after a wait that was cut; hold more of a budget

Ruled out: a failed decode, and a wait that was still open. Change: the follower lists again after each failed wait. Holdings cover 12 s.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -14,12 +14,12 @@
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
-  base::Millis cover = base::Millis(10'000);
+  base::Millis cover = base::Millis(12'000);
   // Half-life of the average that estimates the burn rate.
   base::Millis burn_half_life = base::Millis(3'000);
   // Before anything is burnt, all routers together hold one part in this many
   // of a budget.
-  int64_t first_part = 16;
+  int64_t first_part = 5;
   // A holding is filled up once it is below this share of its target, in
   // percent, and at once when it is below the second.
   int64_t refill_percent = 70;
--- a/libs/platform/include/platform/prefix_follower.h
+++ b/libs/platform/include/platform/prefix_follower.h
@@ -16,8 +16,9 @@
 namespace godwit::platform {
 
 // Keeps up with the keys under a prefix: lists them, then waits for changes
-// from there, and lists them again once the KV has forgotten where it was. A
-// wait that is cut goes on where it ended. No I/O. One thread at a time.
+// from there. It lists them again once the KV has forgotten where it was, and
+// after a wait that was cut: changes made shortly before may never show in a
+// later wait. No I/O. One thread at a time.
 class PrefixFollower {
  public:
   // To be asked of the KV; one at a time.
--- a/libs/platform/src/prefix_follower.cc
+++ b/libs/platform/src/prefix_follower.cc
@@ -81,6 +81,7 @@
   switch (done.outcome) {
     case KvWatchDone::Outcome::kFailed:
       Fail(now, news);
+      listed_ = false;
       return news;
     case KvWatchDone::Outcome::kCompacted:
       Succeed(news);
