Share what is left of a budget by use; refuse at once while the store is away

Cause: a router that serves most of an organisation got the same fifth of what was left as the others and ran dry in a cut (745,227 granted, target 70,900). Change: shares follow use; an unanswered call ends the wait for a budget.

--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -109,12 +109,15 @@
       return;
     case Verdict::kExhausted:
       Refuse(call, base::ErrorKind::kBudgetExhausted,
-             "the budget does not cover " + std::to_string(most) + " tokens",
+             "the budget does not cover " + std::to_string(most) +
+                 " tokens: " + budgets_.Describe(now_, budget),
              base::Millis());
       return;
     case Verdict::kUnavailable:
       Refuse(call, base::ErrorKind::kBudgetUnavailable,
-             "no tokens of the budget can be set aside now", kBudgetRetry);
+             "can't set " + std::to_string(most) +
+                 " tokens aside: " + budgets_.Describe(now_, budget),
+             kBudgetRetry);
       return;
   }
 }
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -84,6 +84,8 @@
   base::Tokens available(const base::BudgetId& budget) const;
   // When the record behind `available` was surely the stored one.
   base::Millis proven_at(const base::BudgetId& budget) const;
+  // What a verdict on the budget is based on, for logs.
+  std::string Describe(base::Millis now, const base::BudgetId& budget) const;
   // True when the last operation on the KV brought an answer.
   bool kv_answers() const;
 
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -14,12 +14,17 @@
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
-  base::Millis cover = base::Millis(12'000);
-  // Half-life of the average that estimates the burn rate.
+  base::Millis cover = base::Millis(10'000);
+  // Half-lives of the two averages of which the higher estimates the burn rate:
+  // one follows a surge, the other bridges a lull.
   base::Millis burn_half_life = base::Millis(3'000);
+  base::Millis usual_half_life = base::Millis(12'000);
   // Before anything is burnt, all routers together hold one part in this many
   // of a budget.
   int64_t first_part = 5;
+  // Part of what is left of a budget that routers together set aside, in
+  // percent. Each takes the part that is its own of what all have used.
+  int64_t share_percent = 80;
   // A holding is filled up once it is below this share of its target, in
   // percent, and at once when it is below the second.
   int64_t refill_percent = 70;
@@ -32,7 +37,10 @@
   // Age up to which a record read proves what is left of a budget.
   base::Millis fresh = base::Millis(250);
   // Longest that a reservation waits for the KV or for what others give back.
-  base::Millis max_wait = base::Millis(500);
+  base::Millis max_wait = base::Millis(400);
+  // An operation that takes longer than this shows that the KV can't be asked
+  // now; a slow KV answers within a quarter of a second.
+  base::Millis usual_answer = base::Millis(300);
   // Pause after an operation that got no useful answer, and after a lost race
   // for each time in a row.
   base::Millis failure_pause = base::Millis(150);
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -5,13 +5,16 @@
 #include "base/millis.h"
 #include "burn_rate.h"
 #include "ledger/budget_limit.h"
+#include "ledger/metered_policy.h"
 
 namespace godwit::ledger {
 
 // What a MeteredHolder keeps of one budget.
 struct MeteredBudget {
-  MeteredBudget(BudgetLimit stated, base::Millis half_life)
-      : limit(std::move(stated)), burn(half_life) {}
+  MeteredBudget(BudgetLimit stated, const MeteredPolicy& policy)
+      : limit(std::move(stated)),
+        burn(policy.burn_half_life),
+        usual_burn(policy.usual_half_life) {}
 
   BudgetLimit limit;
   // Used under the own grant since it began, and reserved beside it.
@@ -22,6 +25,7 @@
   // Size of large reservations; falls slowly.
   base::Tokens largest = 0;
   BurnRate burn;
+  BurnRate usual_burn;
   // The configuration no longer states a limit.
   bool dropped = false;
 };
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -24,8 +24,8 @@
     budget.dropped = true;
   }
   for (const BudgetLimit& limit : limits) {
-    const auto [entry, is_new] = state.budgets_.try_emplace(
-        limit.budget, limit, state.policy_.burn_half_life);
+    const auto [entry, is_new] =
+        state.budgets_.try_emplace(limit.budget, limit, state.policy_);
     entry->second.limit = limit;
     entry->second.dropped = false;
   }
@@ -60,7 +60,7 @@
     local->need = 0;
     return Verdict::kExhausted;
   }
-  if (now - since >= state.policy_.max_wait) {
+  if (now - since >= state.policy_.max_wait || state.IsAway(now, shard)) {
     local->need = 0;
     return Verdict::kUnavailable;
   }
@@ -78,6 +78,7 @@
   local->reserved -= std::min(reserved, local->reserved);
   local->spent += used;
   local->burn.Add(now, used);
+  local->usual_burn.Add(now, used);
 }
 
 void MeteredHolder::Drain() {
@@ -124,6 +125,26 @@
   return state_->ShardOfBudget(budget).view.proven_at();
 }
 
+std::string MeteredHolder::Describe(base::Millis now,
+                                    const base::BudgetId& budget) const {
+  const MeteredBudget* const local = state_->Find(budget);
+  if (local == nullptr) {
+    return "no limit";
+  }
+  const State::Shard& shard = state_->ShardOfBudget(budget);
+  const auto stored = shard.view.record().budgets.find(budget);
+  const base::Tokens free = stored == shard.view.record().budgets.end()
+                                ? 0
+                                : stored->second.free();
+  return "limit " + std::to_string(local->limit.limit) + ", granted " +
+         std::to_string(state_->Granted(budget)) + ", spent " +
+         std::to_string(local->spent) + ", reserved " +
+         std::to_string(local->reserved) + ", target " +
+         std::to_string(state_->Target(now, *local)) + ", free " +
+         std::to_string(free) + ", record age " +
+         std::to_string((now - shard.view.proven_at()).count()) + " ms";
+}
+
 bool MeteredHolder::kv_answers() const {
   return std::all_of(state_->shards_.begin(), state_->shards_.end(),
                      [](const State::Shard& shard) { return shard.answers; });
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -12,6 +12,9 @@
 using base::Tokens;
 
 constexpr int64_t kPercent = 100;
+// A router counts as having used its even part of this part of a limit before
+// it used anything.
+constexpr Tokens kPriorPart = 20;
 // The pause after a lost race grows up to this many in a row.
 constexpr int kMostRacesCounted = 10;
 
@@ -121,19 +124,41 @@
   if (draining_ || budget.dropped || IsOverCommitted(budget)) {
     return 0;
   }
-  const base::BudgetId& id = budget.limit.budget;
   const auto routers = static_cast<Tokens>(routers_);
   const Tokens first = budget.limit.limit / (policy_.first_part * routers);
-  const Tokens cover =
-      budget.burn.Over(now, policy_.cover) + budget.largest;
+  const Tokens cover = std::max(budget.burn.Over(now, policy_.cover),
+                                budget.usual_burn.Over(now, policy_.cover)) +
+                       budget.largest;
+  return std::max(budget.need,
+                  std::min(std::max(first, cover), Share(budget)));
+}
+
+// As a budget nears its end each router keeps to its share of what is left.
+Tokens MeteredHolder::State::Share(const MeteredBudget& budget) const {
+  const base::BudgetId& id = budget.limit.budget;
   const Budget* const stored = BudgetIn(ShardOfBudget(id).view.record(), id);
+  const auto routers = static_cast<double>(routers_);
+  if (stored == nullptr) {
+    return budget.limit.limit / static_cast<Tokens>(routers_);
+  }
   const Tokens free =
-      stored == nullptr
-          ? budget.limit.limit
-          : std::max<Tokens>(0, budget.limit.limit - Committed(*stored));
-  // As a budget nears its end each router keeps to its share of what is left.
-  const Tokens share = (free + Available(id)) / std::max<Tokens>(2, routers);
-  return std::max(budget.need, std::min(std::max(first, cover), share));
+      std::max<Tokens>(0, budget.limit.limit - Committed(*stored));
+  const Grant* const own = OwnGrant(ShardOfBudget(id).view.record(), id);
+  const Tokens told = own == nullptr ? 0 : own->billed();
+  const auto spent = static_cast<double>(budget.spent);
+  const double all =
+      static_cast<double>(stored->total_billed() - told) + spent;
+  // Until much is used, usage says little on who will use the rest.
+  const auto prior = static_cast<double>(budget.limit.limit / kPriorPart);
+  const double part = (spent + prior / routers) / (all + prior);
+  return static_cast<Tokens>(static_cast<double>(free + Available(id)) * part *
+                             static_cast<double>(policy_.share_percent) /
+                             static_cast<double>(kPercent));
+}
+
+bool MeteredHolder::State::IsAway(base::Millis now, const Shard& shard) const {
+  const auto busy = shard.view.busy_since();
+  return !shard.answers || (busy && now - *busy > policy_.usual_answer);
 }
 
 MeteredHolder::State::Urgency MeteredHolder::State::UrgencyOf(
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -50,6 +50,10 @@
   bool IsOverCommitted(const MeteredBudget& budget) const;
   // Most that can be left of a budget, from what is known to be used.
   base::Tokens MostLeft(const MeteredBudget& budget) const;
+  // Part of what is left of a budget that this router may hold.
+  base::Tokens Share(const MeteredBudget& budget) const;
+  // True while the KV can't be asked for the shard.
+  bool IsAway(base::Millis now, const Shard& shard) const;
   // Holding to aim at.
   base::Tokens Target(base::Millis now, const MeteredBudget& budget) const;
 
