Give long shared prompts one home over all data centres

Ruled out: forgetting (memory was half empty). Change: prompts whose shared parts take longer to read than another data centre costs have one home for all routers.

--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -14,7 +14,7 @@
 constexpr double kMsPerRun = 0.4;
 // Share of the shared tokens that a prompt's home is taken to have cached when
 // this router does not know.
-constexpr double kHomeCached = 0.5;
+constexpr double kHomeCached = 0.9;
 // Work beyond its batch that a server may have waiting, as a share of the
 // batch: enough for the next place to be filled at once.
 constexpr double kPlainQueue = 0.34;
@@ -86,17 +86,26 @@
                     (!load.on_trial || load.in_flight == 0);
 }
 
+// Reading the shared parts again costs more than another data centre does,
+// once they are long: then all routers share one home for them.
+bool Placement::State::HomesEverywhere(const Prompt& prompt) const {
+  const double reading =
+      kMsPerToken * static_cast<double>(PromptMemory::SharedTokens(prompt));
+  return reading > static_cast<double>(options.other_data_centre_cost.count());
+}
+
 const Backend* Placement::State::HomeOf(
     const Work& work,
     const std::vector<Option>& all) const {
   const auto is_near = [this](const Option& option) {
     return option.backend->data_centre == options.data_centre;
   };
-  const bool any_near = std::any_of(all.begin(), all.end(), is_near);
+  const bool only_near = !HomesEverywhere(*work.prompt) &&
+                         std::any_of(all.begin(), all.end(), is_near);
   const Backend* home = nullptr;
   uint64_t highest = 0;
   for (const Option& option : all) {
-    if (any_near && !is_near(option)) {
+    if (only_near && !is_near(option)) {
       continue;
     }
     const uint64_t weight =
@@ -131,11 +140,11 @@
   if (work.prompt != nullptr && !usable.empty()) {
     const Backend* const home = HomeOf(work, usable);
     for (Option& option : usable) {
-      if (option.backend == home &&
-          option.uncached == work.prompt->input_tokens) {
+      const base::Tokens shared = PromptMemory::SharedTokens(*work.prompt);
+      const base::Tokens known = work.prompt->input_tokens - option.uncached;
+      if (option.backend == home && known < shared) {
         option.cost -=
-            kHomeCached * kMsPerToken *
-            static_cast<double>(PromptMemory::SharedTokens(*work.prompt));
+            kHomeCached * kMsPerToken * static_cast<double>(shared - known);
       }
     }
   }
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -53,6 +53,7 @@
   void Estimate(base::Millis now, const Work& work, Option& option);
   // Time to the first byte at a server of usual speed.
   double UsualMs(const Work& work, base::Tokens unread) const;
+  bool HomesEverywhere(const Prompt& prompt) const;
   const Backend* HomeOf(const Work& work,
                         const std::vector<Option>& options) const;
   void JudgeFailures(base::Millis now, ServerLoad& load);
