Correct burn rates for a short past; refill holdings earlier; read long prompts at a part of the engines

Cause: holdings were sized by averages that had seen 5 s and so lagged the first cut; long prompts stalled the streams beside them.

--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/digest.h"
+
 namespace godwit::dispatch {
 namespace {
 
@@ -12,6 +14,12 @@
 constexpr double kMsPerToken = 0.025;
 // Each run beside it slows a server a little.
 constexpr double kMsPerRun = 0.4;
+// A prompt that takes this long to read stalls the streams beside it. Such
+// prompts are read at a part of the servers first, and other streams keep away
+// from there while the rest has room.
+constexpr double kLongPromptMs = 60;
+constexpr double kLongPromptLane = 0.34;
+constexpr double kLaneCostMs = 60;
 // Share of the shared tokens that a prompt's home is taken to have cached when
 // this router does not know.
 constexpr double kHomeCached = 0.9;
@@ -86,6 +94,30 @@
                     (!load.on_trial || load.in_flight == 0);
 }
 
+bool Placement::State::IsLong(const Prompt& prompt) const {
+  return kMsPerToken * static_cast<double>(prompt.input_tokens) >
+         kLongPromptMs;
+}
+
+// The servers that long prompts are read at, the same for all routers. Empty
+// when there are too few to part.
+std::set<std::string> Placement::State::LongPromptLane(
+    const std::vector<Option>& all) const {
+  const auto size =
+      static_cast<size_t>(kLongPromptLane * static_cast<double>(all.size()));
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  for (const Option& option : all) {
+    const std::string key = option.backend->key();
+    ranked.emplace_back(base::Digest::Of(key).high(), key);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::set<std::string> lane;
+  for (size_t i = 0; i < size; ++i) {
+    lane.insert(ranked[i].second);
+  }
+  return lane;
+}
+
 // Reading the shared parts again costs more than another data centre does,
 // once they are long: then all routers share one home for them.
 bool Placement::State::HomesEverywhere(const Prompt& prompt) const {
@@ -96,16 +128,19 @@
 
 const Backend* Placement::State::HomeOf(
     const Work& work,
-    const std::vector<Option>& all) const {
+    const std::vector<Option>& all,
+    const std::set<std::string>& lane) const {
   const auto is_near = [this](const Option& option) {
     return option.backend->data_centre == options.data_centre;
   };
+  const bool only_lane = !lane.empty() && IsLong(*work.prompt);
   const bool only_near = !HomesEverywhere(*work.prompt) &&
                          std::any_of(all.begin(), all.end(), is_near);
   const Backend* home = nullptr;
   uint64_t highest = 0;
   for (const Option& option : all) {
-    if (only_near && !is_near(option)) {
+    if ((only_near && !is_near(option)) ||
+        (only_lane && lane.count(option.backend->key()) == 0)) {
       continue;
     }
     const uint64_t weight =
@@ -138,8 +173,13 @@
   // With nobody else left, a server that failed is better than none.
   std::vector<Option> usable = sound.empty() ? ejected : sound;
   if (work.prompt != nullptr && !usable.empty()) {
-    const Backend* const home = HomeOf(work, usable);
+    const auto lane = LongPromptLane(usable);
+    const Backend* const home = HomeOf(work, usable, lane);
+    const bool is_long = IsLong(*work.prompt);
     for (Option& option : usable) {
+      if (!is_long && lane.count(option.backend->key()) > 0) {
+        option.cost += kLaneCostMs;
+      }
       const base::Tokens shared = PromptMemory::SharedTokens(*work.prompt);
       const base::Tokens known = work.prompt->input_tokens - option.uncached;
       if (option.backend == home && known < shared) {
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,8 +55,11 @@
   // Time to the first byte at a server of usual speed.
   double UsualMs(const Work& work, base::Tokens unread) const;
   bool HomesEverywhere(const Prompt& prompt) const;
+  bool IsLong(const Prompt& prompt) const;
+  std::set<std::string> LongPromptLane(const std::vector<Option>& all) const;
   const Backend* HomeOf(const Work& work,
-                        const std::vector<Option>& options) const;
+                        const std::vector<Option>& all,
+                        const std::set<std::string>& lane) const;
   void JudgeFailures(base::Millis now, ServerLoad& load);
   void Eject(base::Millis now, ServerLoad& load, const char* reason);
   void CheckSilence(base::Millis now, ServerLoad& load);
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -27,12 +27,12 @@
   int64_t share_percent = 80;
   // A holding is filled up once it is below this share of its target, in
   // percent, and at once when it is below the second.
-  int64_t refill_percent = 70;
-  int64_t urgent_percent = 30;
+  int64_t refill_percent = 85;
+  int64_t urgent_percent = 50;
   // A holding above this share of its target is given back down to it.
   int64_t surplus_percent = 200;
   // Least time between writes that are not urgent, and between any two.
-  base::Millis lazy_spacing = base::Millis(700);
+  base::Millis lazy_spacing = base::Millis(500);
   base::Millis write_spacing = base::Millis(15);
   // Age up to which a record read proves what is left of a budget.
   base::Millis fresh = base::Millis(250);
--- /dev/null
+++ b/libs/ledger/src/metered_budget.cc
@@ -0,0 +1,38 @@
+#include "metered_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace godwit::ledger {
+namespace {
+
+// What an average that began `age` ago has missed of a steady rate, at most
+// this much.
+constexpr double kMostCorrection = 4;
+
+base::Tokens Corrected(base::Tokens tokens,
+                       base::Millis age,
+                       base::Millis half_life) {
+  const double seen =
+      1 - std::exp2(-static_cast<double>(age.count()) /
+                    static_cast<double>(half_life.count()));
+  const double factor = seen > 0 ? 1 / seen : kMostCorrection;
+  return static_cast<base::Tokens>(static_cast<double>(tokens) *
+                                   std::min(factor, kMostCorrection));
+}
+
+}  // namespace
+
+base::Tokens MeteredBudget::BurnOver(base::Millis now,
+                                     base::Millis span,
+                                     const MeteredPolicy& policy) const {
+  if (!first_use) {
+    return 0;
+  }
+  const base::Millis age = now - *first_use;
+  return std::max(
+      Corrected(burn.Over(now, span), age, policy.burn_half_life),
+      Corrected(usual_burn.Over(now, span), age, policy.usual_half_life));
+}
+
+}  // namespace godwit::ledger
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -1,6 +1,8 @@
 #ifndef LEDGER_METERED_BUDGET_H_
 #define LEDGER_METERED_BUDGET_H_
 
+#include <optional>
+
 #include "base/ids.h"
 #include "base/millis.h"
 #include "burn_rate.h"
@@ -26,6 +28,13 @@
   base::Tokens largest = 0;
   BurnRate burn;
   BurnRate usual_burn;
+  // When something was first used; the averages know little before.
+  std::optional<base::Millis> first_use;
+
+  // Tokens that `span` would take at the present rate.
+  base::Tokens BurnOver(base::Millis now,
+                        base::Millis span,
+                        const MeteredPolicy& policy) const;
   // The configuration no longer states a limit.
   bool dropped = false;
 };
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -77,6 +77,7 @@
   }
   local->reserved -= std::min(reserved, local->reserved);
   local->spent += used;
+  local->first_use = local->first_use.value_or(now);
   local->burn.Add(now, used);
   local->usual_burn.Add(now, used);
 }
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -126,9 +126,8 @@
   }
   const auto routers = static_cast<Tokens>(routers_);
   const Tokens first = budget.limit.limit / (policy_.first_part * routers);
-  const Tokens cover = std::max(budget.burn.Over(now, policy_.cover),
-                                budget.usual_burn.Over(now, policy_.cover)) +
-                       budget.largest;
+  const Tokens cover =
+      budget.BurnOver(now, policy_.cover, policy_) + 2 * budget.largest;
   return std::max(budget.need,
                   std::min(std::max(first, cover), Share(budget)));
 }
