--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -87,6 +87,7 @@
   bool Start() {
     Log(EventId::kProcessStarting,
         {{"incarnation", options_.incarnation},
+         {"clock_ms", base::SteadyNow()},
          {"data_centre", options_.placement.data_centre},
          {"callers", settings_.Address("callers").ToText()},
          {"platform", settings_.Address("platform").ToText()}});
