Keep long prompts away from servers with many streams

Ruled out: slow engines, memory. Change: placement counts the streams that a long prompt would make late.

--- a/libs/dispatch/include/dispatch/call_ended.h
+++ b/libs/dispatch/include/dispatch/call_ended.h
@@ -26,6 +26,7 @@
   base::Tokens tokens = 0;
   base::Millis waited;
   base::Millis first_byte;
+  base::Millis longest_gap;
   base::Millis total;
   int64_t config_version = 0;
 };
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -60,6 +60,9 @@
 
   base::Millis placed_at;
   base::Millis first_byte_at;
+  // When events last arrived, and the longest pause between them.
+  base::Millis event_at;
+  base::Millis longest_gap;
   int64_t events = 0;
   std::optional<int64_t> last_event;
 };
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -23,6 +23,7 @@
   Work work;
   work.service = call.service;
   work.prompt = call.request.prompt ? &*call.request.prompt : nullptr;
+  work.event_gap_objective = call.route->event_gap_objective;
   work.exclude = call.exclude;
   return work;
 }
--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -65,6 +65,7 @@
   ended.first_byte = call.first_byte_at == base::Millis()
                          ? base::Millis()
                          : call.first_byte_at - call.arrived_at;
+  ended.longest_gap = call.longest_gap;
   ended.total = now_ - call.arrived_at;
   ended.config_version = call.table == nullptr ? 0 : call.table->version();
   Emit(std::move(ended));
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -160,6 +160,10 @@
     return;
   }
   placement_.Progressed(now_, call->attempt);
+  if (call->events > 0) {
+    call->longest_gap = std::max(call->longest_gap, now_ - call->event_at);
+  }
+  call->event_at = now_;
   call->events = event.events;
   call->last_event = event.last_event;
 }
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -20,6 +20,12 @@
 constexpr double kLongPromptMs = 60;
 constexpr double kLongPromptLane = 0.34;
 constexpr double kLaneCostMs = 60;
+// Reading a prompt makes the streams beside it late once it takes more than
+// the first share of the pause that they may see, and all of them at the
+// second. Each late stream costs as much as this wait.
+constexpr double kHarmlessShare = 0.35;
+constexpr double kHarmfulShare = 1;
+constexpr double kLateStreamMs = 25;
 // Share of the shared tokens that a prompt's home is taken to have cached when
 // this router does not know.
 constexpr double kHomeCached = 0.9;
@@ -61,6 +67,18 @@
   return ms * scale;
 }
 
+// What the streams that run at a server lose while it reads a prompt.
+double Placement::State::HarmMs(const Work& work,
+                                base::Tokens unread,
+                                double runs) const {
+  const double pause = kMsPerToken * static_cast<double>(unread) /
+                       static_cast<double>(std::max<int64_t>(
+                           1, work.event_gap_objective.count()));
+  const double late = std::clamp(
+      (pause - kHarmlessShare) / (kHarmfulShare - kHarmlessShare), 0.0, 1.0);
+  return late * runs * kLateStreamMs;
+}
+
 void Placement::State::Estimate(base::Millis now,
                                 const Work& work,
                                 Option& option) {
@@ -88,7 +106,8 @@
   option.cost =
       option.expected_ms +
       (is_near ? 0
-               : static_cast<double>(options.other_data_centre_cost.count()));
+               : static_cast<double>(options.other_data_centre_cost.count())) +
+      (is_plain ? 0 : HarmMs(work, option.uncached, runs));
   const double queue = is_plain ? kPlainQueue : kPromptQueue;
   option.has_room = runs < slots + std::max(1.0, slots * queue) &&
                     (!load.on_trial || load.in_flight == 0);
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -52,6 +52,7 @@
                               const Work& work,
                               const std::vector<const Backend*>& candidates);
   void Estimate(base::Millis now, const Work& work, Option& option);
+  double HarmMs(const Work& work, base::Tokens unread, double runs) const;
   // Time to the first byte at a server of usual speed.
   double UsualMs(const Work& work, base::Tokens unread) const;
   bool HomesEverywhere(const Prompt& prompt) const;
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -79,6 +79,7 @@
                                   {"tokens", ended.tokens},
                                   {"waited_ms", ended.waited},
                                   {"first_byte_ms", ended.first_byte},
+                                  {"longest_gap_ms", ended.longest_gap},
                                   {"total_ms", ended.total},
                                   {"config_version", ended.config_version}});
 }
