--- a/libs/config/include/config/settings.h
+++ b/libs/config/include/config/settings.h
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
-#include "base/millis.h"
 #include "base/endpoint.h"
+#include "base/millis.h"
 
 namespace godwit::config {
 
--- a/libs/config/src/settings.cc
+++ b/libs/config/src/settings.cc
@@ -39,7 +39,8 @@
   return endpoints.empty() ? none : endpoints.front();
 }
 
-const std::vector<base::Endpoint>& Settings::Addresses(std::string_view key) const {
+const std::vector<base::Endpoint>& Settings::Addresses(
+    std::string_view key) const {
   return At(key).endpoints;
 }
 
--- a/libs/config/src/settings_reader.cc
+++ b/libs/config/src/settings_reader.cc
@@ -56,8 +56,8 @@
 
 // Reads an item of an address list.
 std::optional<base::Endpoint> ReadEndpoint(MapReader& reader,
-                                     const std::string& key,
-                                     const YamlNode& node) {
+                                           const std::string& key,
+                                           const YamlNode& node) {
   auto endpoint = base::Endpoint::FromText(node.scalar);
   if (!endpoint) {
     reader.FailAt(node, key, "\"" + node.scalar + "\" is not an address",
@@ -66,7 +66,8 @@
   return endpoint;
 }
 
-std::vector<base::Endpoint> ReadEndpoints(MapReader& reader, const std::string& key) {
+std::vector<base::Endpoint> ReadEndpoints(MapReader& reader,
+                                          const std::string& key) {
   std::vector<base::Endpoint> endpoints;
   const YamlNode* list = reader.Find(key);
   if (list->kind != YamlNode::Kind::kSequence) {
--- a/libs/config/tests/settings_reader_test.cc
+++ b/libs/config/tests/settings_reader_test.cc
@@ -8,8 +8,8 @@
 
 #include <CppUTest/TestHarness.h>
 
-using godwit::base::Millis;
 using godwit::base::Endpoint;
+using godwit::base::Millis;
 using godwit::config::SettingsReader;
 
 namespace {
--- a/libs/dispatch/include/dispatch/backend.h
+++ b/libs/dispatch/include/dispatch/backend.h
@@ -34,10 +34,14 @@
   }
 
   friend bool operator==(const Backend& a, const Backend& b) {
-    return std::tie(a.instance, a.started_at_ms, a.service, a.address, a.data_centre, a.slots, a.draining, a.warm_up) ==
-           std::tie(b.instance, b.started_at_ms, b.service, b.address, b.data_centre, b.slots, b.draining, b.warm_up);
+    return std::tie(a.instance, a.started_at_ms, a.service, a.address,
+                    a.data_centre, a.slots, a.draining, a.warm_up) ==
+           std::tie(b.instance, b.started_at_ms, b.service, b.address,
+                    b.data_centre, b.slots, b.draining, b.warm_up);
+  }
+  friend bool operator!=(const Backend& a, const Backend& b) {
+    return !(a == b);
   }
-  friend bool operator!=(const Backend& a, const Backend& b) { return !(a == b); }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/belief_changed.h
+++ b/libs/dispatch/include/dispatch/belief_changed.h
@@ -11,7 +11,13 @@
 // Command: record that the router changed what it believes of a backend
 // server, for logs.
 struct BeliefChanged {
-  enum class Belief : uint8_t { kAdded, kDraining, kGone, kEjected, kReadmitted };
+  enum class Belief : uint8_t {
+    kAdded,
+    kDraining,
+    kGone,
+    kEjected,
+    kReadmitted
+  };
 
   Belief belief = Belief::kAdded;
   std::string instance;
--- a/libs/dispatch/include/dispatch/caller_limits.h
+++ b/libs/dispatch/include/dispatch/caller_limits.h
@@ -18,10 +18,13 @@
   base::Millis idle_time{15000};
 
   friend bool operator==(const CallerLimits& a, const CallerLimits& b) {
-    return std::tie(a.header_bytes, a.body_bytes, a.request_time, a.idle_time) ==
+    return std::tie(a.header_bytes, a.body_bytes, a.request_time,
+                    a.idle_time) ==
            std::tie(b.header_bytes, b.body_bytes, b.request_time, b.idle_time);
   }
-  friend bool operator!=(const CallerLimits& a, const CallerLimits& b) { return !(a == b); }
+  friend bool operator!=(const CallerLimits& a, const CallerLimits& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/engine_profile.h
+++ b/libs/dispatch/include/dispatch/engine_profile.h
@@ -21,7 +21,9 @@
     return std::tie(a.slots, a.kv_capacity, a.tokens_per_event) ==
            std::tie(b.slots, b.kv_capacity, b.tokens_per_event);
   }
-  friend bool operator!=(const EngineProfile& a, const EngineProfile& b) { return !(a == b); }
+  friend bool operator!=(const EngineProfile& a, const EngineProfile& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/load_report.h
+++ b/libs/dispatch/include/dispatch/load_report.h
@@ -16,7 +16,9 @@
     return std::tie(a.running, a.waiting, a.slots) ==
            std::tie(b.running, b.waiting, b.slots);
   }
-  friend bool operator!=(const LoadReport& a, const LoadReport& b) { return !(a == b); }
+  friend bool operator!=(const LoadReport& a, const LoadReport& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/organisation.h
+++ b/libs/dispatch/include/dispatch/organisation.h
@@ -24,7 +24,9 @@
     return std::tie(a.id, a.api_keys, a.priority, a.prepaid) ==
            std::tie(b.id, b.api_keys, b.priority, b.prepaid);
   }
-  friend bool operator!=(const Organisation& a, const Organisation& b) { return !(a == b); }
+  friend bool operator!=(const Organisation& a, const Organisation& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/prompt_part.h
+++ b/libs/dispatch/include/dispatch/prompt_part.h
@@ -14,10 +14,11 @@
   base::Tokens tokens = 0;
 
   friend bool operator==(const PromptPart& a, const PromptPart& b) {
-    return std::tie(a.id, a.tokens) ==
-           std::tie(b.id, b.tokens);
+    return std::tie(a.id, a.tokens) == std::tie(b.id, b.tokens);
+  }
+  friend bool operator!=(const PromptPart& a, const PromptPart& b) {
+    return !(a == b);
   }
-  friend bool operator!=(const PromptPart& a, const PromptPart& b) { return !(a == b); }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/request.h
+++ b/libs/dispatch/include/dispatch/request.h
@@ -28,10 +28,14 @@
   std::optional<int64_t> resume_after;
 
   friend bool operator==(const Request& a, const Request& b) {
-    return std::tie(a.id, a.host, a.path, a.api_key, a.deadline, a.prompt, a.resume_after) ==
-           std::tie(b.id, b.host, b.path, b.api_key, b.deadline, b.prompt, b.resume_after);
+    return std::tie(a.id, a.host, a.path, a.api_key, a.deadline, a.prompt,
+                    a.resume_after) == std::tie(b.id, b.host, b.path, b.api_key,
+                                                b.deadline, b.prompt,
+                                                b.resume_after);
+  }
+  friend bool operator!=(const Request& a, const Request& b) {
+    return !(a == b);
   }
-  friend bool operator!=(const Request& a, const Request& b) { return !(a == b); }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/route.h
+++ b/libs/dispatch/include/dispatch/route.h
@@ -36,8 +36,12 @@
   bool anonymous = false;
 
   friend bool operator==(const Route& a, const Route& b) {
-    return std::tie(a.name, a.host, a.prefix, a.repeat, a.is_stream, a.timeout, a.latency_objective, a.event_gap_objective, a.priority, a.targets, a.max_attempts, a.anonymous) ==
-           std::tie(b.name, b.host, b.prefix, b.repeat, b.is_stream, b.timeout, b.latency_objective, b.event_gap_objective, b.priority, b.targets, b.max_attempts, b.anonymous);
+    return std::tie(a.name, a.host, a.prefix, a.repeat, a.is_stream, a.timeout,
+                    a.latency_objective, a.event_gap_objective, a.priority,
+                    a.targets, a.max_attempts, a.anonymous) ==
+           std::tie(b.name, b.host, b.prefix, b.repeat, b.is_stream, b.timeout,
+                    b.latency_objective, b.event_gap_objective, b.priority,
+                    b.targets, b.max_attempts, b.anonymous);
   }
   friend bool operator!=(const Route& a, const Route& b) { return !(a == b); }
 };
--- a/libs/dispatch/include/dispatch/route_target.h
+++ b/libs/dispatch/include/dispatch/route_target.h
@@ -15,10 +15,11 @@
   int64_t weight = 1;
 
   friend bool operator==(const RouteTarget& a, const RouteTarget& b) {
-    return std::tie(a.service, a.weight) ==
-           std::tie(b.service, b.weight);
+    return std::tie(a.service, a.weight) == std::tie(b.service, b.weight);
+  }
+  friend bool operator!=(const RouteTarget& a, const RouteTarget& b) {
+    return !(a == b);
   }
-  friend bool operator!=(const RouteTarget& a, const RouteTarget& b) { return !(a == b); }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/service_profile.h
+++ b/libs/dispatch/include/dispatch/service_profile.h
@@ -23,7 +23,9 @@
     return std::tie(a.id, a.max_connections, a.engine) ==
            std::tie(b.id, b.max_connections, b.engine);
   }
-  friend bool operator!=(const ServiceProfile& a, const ServiceProfile& b) { return !(a == b); }
+  friend bool operator!=(const ServiceProfile& a, const ServiceProfile& b) {
+    return !(a == b);
+  }
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -67,9 +67,9 @@
   const auto found = entries_.find(backend.instance);
   if (found == entries_.end()) {
     entries_[backend.instance].backend = backend;
-    changes.push_back(ChangeOf(
-        backend, backend.draining ? Belief::kDraining : Belief::kAdded,
-        "registered"));
+    changes.push_back(
+        ChangeOf(backend, backend.draining ? Belief::kDraining : Belief::kAdded,
+                 "registered"));
     return changes;
   }
   Entry& entry = found->second;
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -124,8 +124,8 @@
 
 void Dispatcher::State::TryPlace(Call& call) {
   line_.Remove(call.id);
-  const Choice choice = placement_.Choose(now_, WorkOf(call),
-                                          directory_.Usable(call.service));
+  const Choice choice =
+      placement_.Choose(now_, WorkOf(call), directory_.Usable(call.service));
   switch (choice.kind) {
     case Choice::Kind::kPlaced:
       Start(call, choice);
@@ -136,8 +136,7 @@
     case Choice::Kind::kNoBackend:
       if (call.exclude.empty()) {
         Refuse(call, base::ErrorKind::kUnavailable,
-               "no backend server of the service can be used",
-               kNoBackendRetry);
+               "no backend server of the service can be used", kNoBackendRetry);
         return;
       }
       Wait(call);
@@ -197,10 +196,9 @@
     size_t placed = 0;
     for (const CallId id : line_.InOrder(service)) {
       Call& call = *calls_.at(id);
-      const Choice choice = placement_.Choose(now_, WorkOf(call),
-                                              directory_.Usable(service));
-      if (choice.kind != Choice::Kind::kPlaced ||
-          placed == kMostPlacedAtOnce) {
+      const Choice choice =
+          placement_.Choose(now_, WorkOf(call), directory_.Usable(service));
+      if (choice.kind != Choice::Kind::kPlaced || placed == kMostPlacedAtOnce) {
         break;
       }
       ++placed;
--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -11,8 +11,7 @@
 
 }  // namespace
 
-base::Tokens Dispatcher::State::UsedTokens(const Call& call,
-                                           bool whole) const {
+base::Tokens Dispatcher::State::UsedTokens(const Call& call, bool whole) const {
   if (call.reserved == 0 ||
       (!call.may_have_run && call.events == 0 && !whole)) {
     return 0;
@@ -60,8 +59,8 @@
   ended.attempts = call.sends;
   ended.events = call.events;
   ended.tokens = used;
-  ended.waited =
-      call.sends > 0 ? call.placed_at - call.arrived_at : now_ - call.arrived_at;
+  ended.waited = call.sends > 0 ? call.placed_at - call.arrived_at
+                                : now_ - call.arrived_at;
   ended.first_byte = call.first_byte_at == base::Millis()
                          ? base::Millis()
                          : call.first_byte_at - call.arrived_at;
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -16,14 +16,21 @@
 constexpr int kRedirect = 300;
 
 // What an answer is worth to its caller.
-enum class Quality : uint8_t { kGood, kFailed, kNotRun, kWrongServer, kUnsound };
+enum class Quality : uint8_t {
+  kGood,
+  kFailed,
+  kNotRun,
+  kWrongServer,
+  kUnsound
+};
 
 Quality QualityOf(const Reply& reply) {
   if (reply.wrong_instance) {
     return Quality::kWrongServer;
   }
   // A request that the server calls wrong is wrong at any server.
-  if (reply.not_run && (reply.status == kTooMany || reply.status >= kServerError)) {
+  if (reply.not_run &&
+      (reply.status == kTooMany || reply.status >= kServerError)) {
     return Quality::kNotRun;
   }
   const bool is_success = reply.status >= kSuccess && reply.status < kRedirect;
@@ -136,9 +143,9 @@
   call->phase = Call::Phase::kRelaying;
   Emit(RelayAnswer{call->id, call->attempt});
   if (event.whole) {
-    placement_.Ended(now_, call->attempt,
-                     quality == Quality::kGood ? Outcome::kServed
-                                               : Outcome::kFailed);
+    placement_.Ended(
+        now_, call->attempt,
+        quality == Quality::kGood ? Outcome::kServed : Outcome::kFailed);
     End(*call, quality == Quality::kGood ? "answered" : "failed",
         "status " + status);
     PumpLines();
@@ -233,8 +240,7 @@
 void Dispatcher::State::On(const RoutersCounted& event) {
   // Fewer routers than before may be a view that is not whole; with a share
   // that is too large, all together would exceed the budget of retries.
-  const size_t count =
-      counted_ ? std::max(routers_, event.count) : event.count;
+  const size_t count = counted_ ? std::max(routers_, event.count) : event.count;
   counted_ = true;
   if (count != routers_) {
     routers_ = count;
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -105,9 +105,9 @@
   load.Judge(now, ratio);
   State::Usual& usual = state_->usual[answered.service];
   usual.first_byte_ms = Blend(usual.first_byte_ms, latency, kUsualWeight);
-  usual.scale *= 1 + kUsualWeight * (std::clamp(ratio, 1 / kMostScaleStep,
-                                                kMostScaleStep) -
-                                     1);
+  usual.scale *=
+      1 + kUsualWeight *
+              (std::clamp(ratio, 1 / kMostScaleStep, kMostScaleStep) - 1);
 }
 
 void Placement::Progressed(base::Millis now, int64_t attempt) {
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -60,10 +60,9 @@
 double Placement::State::UsualMs(const Work& work, base::Tokens unread) const {
   const auto known = usual.find(work.service);
   const double scale = known == usual.end() ? 1 : known->second.scale;
-  const double ms =
-      work.prompt == nullptr
-          ? kPlainMs
-          : kPromptMs + kMsPerToken * static_cast<double>(unread);
+  const double ms = work.prompt == nullptr
+                        ? kPlainMs
+                        : kPromptMs + kMsPerToken * static_cast<double>(unread);
   return ms * scale;
 }
 
@@ -98,10 +97,9 @@
   const double waiting = std::max(0.0, runs + 1 - slots);
   const double queue_ms = waiting * run_ms / slots;
   const double slowness = load.SlownessAt(now);
-  option.expected_ms =
-      (UsualMs(work, load.unread + option.uncached) + queue_ms +
-       runs * kMsPerRun) *
-      slowness;
+  option.expected_ms = (UsualMs(work, load.unread + option.uncached) +
+                        queue_ms + runs * kMsPerRun) *
+                       slowness;
   const bool is_near = option.backend->data_centre == options.data_centre;
   option.cost =
       option.expected_ms +
@@ -114,8 +112,7 @@
 }
 
 bool Placement::State::IsLong(const Prompt& prompt) const {
-  return kMsPerToken * static_cast<double>(prompt.input_tokens) >
-         kLongPromptMs;
+  return kMsPerToken * static_cast<double>(prompt.input_tokens) > kLongPromptMs;
 }
 
 // The servers that long prompts are read at, the same for all routers. Empty
--- a/libs/dispatch/src/prompt_memory.cc
+++ b/libs/dispatch/src/prompt_memory.cc
@@ -49,7 +49,7 @@
   if (seen_.size() > kMostEntries) {
     for (auto entry = seen_.begin(); entry != seen_.end();) {
       entry = now - entry->second > kRemembered ? seen_.erase(entry)
-                                                    : std::next(entry);
+                                                : std::next(entry);
     }
     if (seen_.size() > kMostEntries) {
       seen_.clear();
--- a/libs/dispatch/src/server_load.cc
+++ b/libs/dispatch/src/server_load.cc
@@ -56,8 +56,7 @@
                        base::Millis shortest,
                        base::Millis longest) {
   const int64_t doublings = std::min(ejections, kMostDoublings);
-  ejected_until =
-      now + std::min(longest, shortest * (int64_t{1} << doublings));
+  ejected_until = now + std::min(longest, shortest * (int64_t{1} << doublings));
   ++ejections;
   on_trial = true;
 }
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -75,8 +75,7 @@
 
   // Each returns what to ask of the KV.
   std::vector<KvCommand> Tick(base::Millis now);
-  std::vector<KvCommand> On(base::Millis now,
-                            const platform::KvReadDone& done);
+  std::vector<KvCommand> On(base::Millis now, const platform::KvReadDone& done);
   std::vector<KvCommand> On(base::Millis now,
                             const platform::KvWriteDone& done);
 
--- a/libs/ledger/src/metered_budget.cc
+++ b/libs/ledger/src/metered_budget.cc
@@ -13,9 +13,8 @@
 base::Tokens Corrected(base::Tokens tokens,
                        base::Millis age,
                        base::Millis half_life) {
-  const double seen =
-      1 - std::exp2(-static_cast<double>(age.count()) /
-                    static_cast<double>(half_life.count()));
+  const double seen = 1 - std::exp2(-static_cast<double>(age.count()) /
+                                    static_cast<double>(half_life.count()));
   const double factor = seen > 0 ? 1 / seen : kMostCorrection;
   return static_cast<base::Tokens>(static_cast<double>(tokens) *
                                    std::min(factor, kMostCorrection));
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -134,9 +134,8 @@
   }
   const State::Shard& shard = state_->ShardOfBudget(budget);
   const auto stored = shard.view.record().budgets.find(budget);
-  const base::Tokens free = stored == shard.view.record().budgets.end()
-                                ? 0
-                                : stored->second.free();
+  const base::Tokens free =
+      stored == shard.view.record().budgets.end() ? 0 : stored->second.free();
   return "limit " + std::to_string(local->limit.limit) + ", granted " +
          std::to_string(state_->Granted(budget)) + ", spent " +
          std::to_string(local->spent) + ", reserved " +
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -95,14 +95,12 @@
   if (local == nullptr || IsOverCommitted(*local)) {
     return 0;
   }
-  return std::max<Tokens>(0,
-                          Granted(budget) - local->spent - local->reserved);
+  return std::max<Tokens>(0, Granted(budget) - local->spent - local->reserved);
 }
 
 bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
-  const Budget* const stored =
-      BudgetIn(ShardOfBudget(budget.limit.budget).view.record(),
-               budget.limit.budget);
+  const Budget* const stored = BudgetIn(
+      ShardOfBudget(budget.limit.budget).view.record(), budget.limit.budget);
   return stored != nullptr && Committed(*stored) > budget.limit.limit;
 }
 
@@ -128,8 +126,7 @@
   const Tokens first = budget.limit.limit / (policy_.first_part * routers);
   const Tokens cover =
       budget.BurnOver(now, policy_.cover, policy_) + 2 * budget.largest;
-  return std::max(budget.need,
-                  std::min(std::max(first, cover), Share(budget)));
+  return std::max(budget.need, std::min(std::max(first, cover), Share(budget)));
 }
 
 // As a budget nears its end each router keeps to its share of what is left.
@@ -145,8 +142,7 @@
   const Grant* const own = OwnGrant(ShardOfBudget(id).view.record(), id);
   const Tokens told = own == nullptr ? 0 : own->billed();
   const auto spent = static_cast<double>(budget.spent);
-  const double all =
-      static_cast<double>(stored->total_billed() - told) + spent;
+  const double all = static_cast<double>(stored->total_billed() - told) + spent;
   // Until much is used, usage says little on who will use the rest.
   const auto prior = static_cast<double>(budget.limit.limit / kPriorPart);
   const double part = (spent + prior / routers) / (all + prior);
@@ -180,7 +176,8 @@
   }
   const Budget* const stored = BudgetIn(record, id);
   const Tokens limit = budget.limit.limit;
-  if (stored == nullptr || stored->limit != std::max(limit, Committed(*stored))) {
+  if (stored == nullptr ||
+      stored->limit != std::max(limit, Committed(*stored))) {
     return Urgency::kNow;
   }
   const Tokens available = Available(id);
@@ -252,13 +249,12 @@
     return shard.view.StartRead(now, next_operation_++);
   }
   const Urgency urgency = UrgencyOf(now, shard);
-  const base::Millis spacing = urgency == Urgency::kNow
-                                   ? policy_.write_spacing
-                                   : policy_.lazy_spacing;
+  const base::Millis spacing =
+      urgency == Urgency::kNow ? policy_.write_spacing : policy_.lazy_spacing;
   if (urgency != Urgency::kNone && now >= shard.last_write_at + spacing) {
     shard.last_write_at = now;
-    platform::KvWrite write = shard.view.StartWrite(now, next_operation_++,
-                                                    NextRecord(now, shard));
+    platform::KvWrite write =
+        shard.view.StartWrite(now, next_operation_++, NextRecord(now, shard));
     write.conditions.push_back(*configuration_);
     return write;
   }
@@ -290,8 +286,8 @@
   edit.CreateBudget(id, budget.limit.organisation);
   CloseEarlierGrants(edit, id);
   const Tokens target = Target(now, budget);
-  const Tokens available = std::max<Tokens>(
-      0, Granted(id) - budget.spent - budget.reserved);
+  const Tokens available =
+      std::max<Tokens>(0, Granted(id) - budget.spent - budget.reserved);
   if (OwnGrant(edit.record(), id) != nullptr) {
     edit.Settle(id, grant, self_, budget.spent);
     if (draining_ && budget.reserved == 0) {
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -126,8 +126,7 @@
   state_ = State::kAnswering;
   ReceivedRequest request;
   request.head = io_->reader.head();
-  request.body =
-      std::make_shared<const std::string>(io_->reader.TakeBody());
+  request.body = std::make_shared<const std::string>(io_->reader.TakeBody());
   request.received_at = base::SteadyNow();
   is_head_ = request.head.method == "HEAD";
   close_after_ = request.head.headers.HasToken("connection", "close");
--- a/libs/relay/src/header_list.cc
+++ b/libs/relay/src/header_list.cc
@@ -63,11 +63,10 @@
 }
 
 bool HeaderList::HasToken(std::string_view name, std::string_view token) const {
-  return std::any_of(fields_.begin(), fields_.end(),
-                     [&](const HeaderField& field) {
-                       return SameName(field.name, name) &&
-                              ListHasToken(field.value, token);
-                     });
+  return std::any_of(
+      fields_.begin(), fields_.end(), [&](const HeaderField& field) {
+        return SameName(field.name, name) && ListHasToken(field.value, token);
+      });
 }
 
 void AppendHeader(std::string& block,
--- a/libs/relay/src/request_reader.cc
+++ b/libs/relay/src/request_reader.cc
@@ -153,8 +153,7 @@
 size_t RequestReader::Feed(std::string_view bytes) {
   State& state = *state_;
   size_t taken = 0;
-  while (taken < bytes.size() && state.status == 0 &&
-         !state.parser.is_done()) {
+  while (taken < bytes.size() && state.status == 0 && !state.parser.is_done()) {
     const std::string_view rest = bytes.substr(taken);
     if (!state.parser.is_header_done() && HasFoldedLine(rest)) {
       state.Fail(kBadRequest, "a header line is folded");
--- a/libs/relay/src/socket_options.cc
+++ b/libs/relay/src/socket_options.cc
@@ -14,8 +14,7 @@
 
 void Set(int socket, int level, int option, int value) {
   // A kernel without the option leaves the connection usable.
-  static_cast<void>(
-      setsockopt(socket, level, option, &value, sizeof(value)));
+  static_cast<void>(setsockopt(socket, level, option, &value, sizeof(value)));
 }
 
 }  // namespace
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -57,17 +57,16 @@
   }
   if (error) {
     // Reported from the loop: the caller of Send does not expect it yet.
-    asio::post(pool_.io_, [self = shared_from_this()] {
-      self->Fail(Failure::kNotSent);
-    });
+    asio::post(pool_.io_,
+               [self = shared_from_this()] { self->Fail(Failure::kNotSent); });
     return;
   }
   socket_.non_blocking(true, error);
   SetSocketOptions(socket_, pool_.options_.silence_limit);
-  socket_.async_connect(endpoint, [self = shared_from_this()](
-                                      const error_code& failed) {
-    self->OnConnected(failed);
-  });
+  socket_.async_connect(endpoint,
+                        [self = shared_from_this()](const error_code& failed) {
+                          self->OnConnected(failed);
+                        });
 }
 
 void UpstreamConnection::OnConnected(const error_code& error) {
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -59,10 +59,8 @@
 
 void StartLogging(const LogOptions& options) {
   auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-  backend->add_stream(
-      boost::shared_ptr<std::ostream>(options.to_stdout ? &std::cout
-                                                        : &std::cerr,
-                                      boost::null_deleter()));
+  backend->add_stream(boost::shared_ptr<std::ostream>(
+      options.to_stdout ? &std::cout : &std::cerr, boost::null_deleter()));
   backend->auto_flush(true);
   auto state = std::make_unique<Logging>();
   state->options = options;
--- a/tools/godwit-agent/src/backend_caller.h
+++ b/tools/godwit-agent/src/backend_caller.h
@@ -11,9 +11,9 @@
 #include "agent/call_backend.h"
 #include "agent/engine_answer.h"
 #include "agent/send_order.h"
+#include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/millis.h"
-#include "base/endpoint.h"
 #include "config/service_kind.h"
 #include "http/client_pool.h"
 
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -132,15 +132,14 @@
   if (relaying_) {
     exchange_->session_->End();
   }
-  exchange_->events_.Raise(
-      dispatch::AttemptEnded{exchange_->call_, attempt_});
+  exchange_->events_.Raise(dispatch::AttemptEnded{exchange_->call_, attempt_});
 }
 
 void AttemptRelay::OnFailure(Failure failure) {
   const auto self = shared_from_this();
   if (exchange_ != nullptr) {
-    exchange_->events_.Raise(dispatch::AttemptFailed{
-        exchange_->call_, attempt_, FailureOf(failure)});
+    exchange_->events_.Raise(dispatch::AttemptFailed{exchange_->call_, attempt_,
+                                                     FailureOf(failure)});
   }
 }
 
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -117,9 +117,8 @@
     }
     stop_plan_.Begin(base::SteadyNow());
     callers_.Drain();
-    Log(EventId::kStopRequested,
-        {{"open_requests", dispatcher_.open_calls()},
-         {"connections", callers_.connections()}});
+    Log(EventId::kStopRequested, {{"open_requests", dispatcher_.open_calls()},
+                                  {"connections", callers_.connections()}});
   }
 
   const base::Error& last_error() const noexcept { return error_; }
@@ -237,13 +236,13 @@
                 [this](const platform::KvReadDone& done) { Raise(done); });
   }
   void Do(const platform::KvWrite& command) {
-    store_.Write(command, [this, key = command.key](
-                              const platform::KvWriteDone& done) {
-      Log(EventId::kLedgerWritten, {{"key", key},
-                                    {"outcome", OutcomeName(done.outcome)},
-                                    {"revision", done.version}});
-      Raise(done);
-    });
+    store_.Write(
+        command, [this, key = command.key](const platform::KvWriteDone& done) {
+          Log(EventId::kLedgerWritten, {{"key", key},
+                                        {"outcome", OutcomeName(done.outcome)},
+                                        {"revision", done.version}});
+          Raise(done);
+        });
   }
 
   void OnCall(const platform::CallSeen& call) {
@@ -291,8 +290,8 @@
       metrics_.CloseWindow();
       window_ends_at_ = now + kMetricsWindow;
     }
-    Follow(stop_plan_.Step(now, dispatcher_.open_calls(),
-                           dispatcher_.drained()));
+    Follow(
+        stop_plan_.Step(now, dispatcher_.open_calls(), dispatcher_.drained()));
     if (stop_at_ && (now >= *stop_at_ || callers_.unanswered() == 0)) {
       io_.stop();
       return;
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -84,8 +84,7 @@
                                   {"config_version", ended.config_version}});
 }
 
-void CountEnded(telemetry::Metrics& metrics,
-                const dispatch::CallEnded& ended) {
+void CountEnded(telemetry::Metrics& metrics, const dispatch::CallEnded& ended) {
   const std::string& service = ended.service.value();
   const std::string& organisation = ended.organisation.value();
   const telemetry::Metrics::Labels labels = {service, organisation};
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -23,8 +23,7 @@
 void LogBelief(const dispatch::BeliefChanged& change);
 void LogEnded(const dispatch::CallEnded& ended);
 
-void CountEnded(telemetry::Metrics& metrics,
-                const dispatch::CallEnded& ended);
+void CountEnded(telemetry::Metrics& metrics, const dispatch::CallEnded& ended);
 
 }  // namespace godwit::edge
 
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -76,8 +76,8 @@
   const base::Millis limit = settings.Duration("stop_limit_ms");
   daemon::StopPlan::Limits limits;
   limits.grace = std::min(kLongestGrace, base::Millis(limit.count() * 3 / 8));
-  limits.drain = std::max(base::Millis(0),
-                          limit - limits.grace - kHandOver - kStopMargin);
+  limits.drain =
+      std::max(base::Millis(0), limit - limits.grace - kHandOver - kStopMargin);
   limits.hand_over = kHandOver;
   return limits;
 }
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -53,11 +53,11 @@
     servers_.Cancel(attempt_->upstream);
   }
   framer_.Restart();
-  attempt_ = std::make_shared<AttemptRelay>(*this, attempt.attempt,
-                                            attempt.is_stream);
+  attempt_ =
+      std::make_shared<AttemptRelay>(*this, attempt.attempt, attempt.is_stream);
   relay::OutgoingRequest request;
-  request.head = adapter::EncodeRequest(request_.head, attempt,
-                                        request_.body->size());
+  request.head =
+      adapter::EncodeRequest(request_.head, attempt, request_.body->size());
   request.body = request_.body;
   request.is_head = request_.head.method == "HEAD";
   attempt_->upstream =
--- a/tools/godwit-edge/src/main.cc
+++ b/tools/godwit-edge/src/main.cc
@@ -41,8 +41,8 @@
   if (reader.ReadFile(FLAGS_settings)) {
     Log(EventId::kSettingsReloaded, {{"file", FLAGS_settings}});
   } else {
-    Log(EventId::kSettingsRefused, {{"file", FLAGS_settings},
-                                    {"reason", reader.last_error().ToString()}});
+    Log(EventId::kSettingsRefused,
+        {{"file", FLAGS_settings}, {"reason", reader.last_error().ToString()}});
   }
 }
 
--- a/tools/godwit-edge/src/page_server.cc
+++ b/tools/godwit-edge/src/page_server.cc
@@ -14,9 +14,8 @@
   return server_.Listen(address);
 }
 
-void PageServer::OnRequest(
-    const std::shared_ptr<relay::CallerSession>& session,
-    relay::ReceivedRequest request) {
+void PageServer::OnRequest(const std::shared_ptr<relay::CallerSession>& session,
+                           relay::ReceivedRequest request) {
   const Page page = answer_(request.head.target);
   std::string lines;
   relay::AppendHeader(lines, "Content-Type", page.type);
--- a/tools/godwit-report/src/main.cc
+++ b/tools/godwit-report/src/main.cc
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
+#include "base/endpoint.h"
 #include "cli/command_line.h"
 #include "collector.h"
 #include "config/config.h"
-#include "base/endpoint.h"
 #include "config/parser.h"
 #include "http/client_call.h"
 #include "http/client_pool.h"
--- a/tools/godwit-router/src/router_settings.h
+++ b/tools/godwit-router/src/router_settings.h
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "base/error.h"
-#include "router/router_options.h"
 #include "daemon/stop_plan.h"
+#include "router/router_options.h"
 
 namespace godwit::config {
 class Settings;
--- a/tools/godwitctl/src/main.cc
+++ b/tools/godwitctl/src/main.cc
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "base/endpoint.h"
 #include "cli/command_line.h"
 #include "commands.h"
-#include "base/endpoint.h"
 #include "options.h"
 #include "platform/client.h"
 #include "runtime/runtime.h"
