Test the relay and budgets that a router meters itself; guard the last chunk

Found by the tests: a body whose last chunk arrives byte by byte ran into an assertion of the parser and ended the process; routers that used nothing kept their first part of a budget that had run out elsewhere (78,000 of 100,000 tokens reached the router that needed them); a budget whose limit was not known yet counted as unlimited.

--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -101,6 +101,9 @@
     commands_.emplace_back(std::move(command));
   }
 
+ private:
+  friend class Dispatcher;
+
   const DispatcherOptions options_;
   std::shared_ptr<const RoutingTable> table_;
   BackendDirectory directory_;
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -57,7 +57,8 @@
   void SetRouters(size_t count);
 
   // Sets `amount` of a budget aside for a request that waits since `since`. A
-  // budget without a limit is never short.
+  // budget that no longer has a limit is never short, and one that never had
+  // one is unavailable.
   Verdict Reserve(base::Millis now,
                   const base::BudgetId& budget,
                   base::Tokens amount,
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -40,6 +40,9 @@
   base::Millis write_spacing = base::Millis(15);
   // Age up to which a record read proves what is left of a budget.
   base::Millis fresh = base::Millis(250);
+  // A record that was not read or written for this long is read, to see
+  // whether others lack what is held here.
+  base::Millis recall_poll = base::Millis(2'000);
   // Longest that a reservation waits for the KV or for what others give back.
   base::Millis max_wait = base::Millis(400);
   // An operation that takes longer than this shows that the KV can't be asked
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -41,7 +41,11 @@
                                               base::Millis since) {
   State& state = *state_;
   MeteredBudget* const local = state.Find(budget);
-  if (local == nullptr || local->dropped) {
+  if (local == nullptr) {
+    // Its limit is not known.
+    return Verdict::kUnavailable;
+  }
+  if (local->dropped) {
     return Verdict::kReserved;
   }
   if (state.Available(budget) >= amount) {
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -12,9 +12,10 @@
 using base::Tokens;
 
 constexpr int64_t kPercent = 100;
+constexpr double kPercentReal = 100;
 // A router counts as having used its even part of this part of a limit before
 // it used anything.
-constexpr Tokens kPriorPart = 20;
+constexpr double kPriorPart = 20;
 // The pause after a lost race grows up to this many in a row.
 constexpr int kMostRacesCounted = 10;
 
@@ -144,13 +145,13 @@
   const auto spent = static_cast<double>(budget.spent);
   const double all = static_cast<double>(stored->total_billed() - told) + spent;
   // Until much is used, usage says little on who will use the rest.
-  const auto prior = static_cast<double>(budget.limit.limit / kPriorPart);
+  const auto prior = static_cast<double>(budget.limit.limit) / kPriorPart;
   const double part = (spent + prior / routers) / (all + prior);
   const double left =
       1 - all / static_cast<double>(std::max<Tokens>(1, budget.limit.limit));
   const double together = std::clamp(
-      left, static_cast<double>(policy_.least_share_percent) / kPercent,
-      static_cast<double>(policy_.most_share_percent) / kPercent);
+      left, static_cast<double>(policy_.least_share_percent) / kPercentReal,
+      static_cast<double>(policy_.most_share_percent) / kPercentReal);
   return static_cast<Tokens>(static_cast<double>(free + Available(id)) * part *
                              together);
 }
@@ -258,8 +259,10 @@
     write.conditions.push_back(*configuration_);
     return write;
   }
-  // What others gave back shows only in a newer record.
-  if (IsAwaited(shard) && now >= shard.view.proven_at() + policy_.fresh) {
+  // What others gave back or lack shows only in a newer record.
+  const base::Millis lifetime =
+      IsAwaited(shard) ? policy_.fresh : policy_.recall_poll;
+  if (now >= shard.view.proven_at() + lifetime) {
     return shard.view.StartRead(now, next_operation_++);
   }
   return std::nullopt;
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -70,6 +70,9 @@
   template <typename Done>
   void OnDone(base::Millis now, const Done& done);
 
+ private:
+  friend class MeteredHolder;
+
   base::ProcessId process_;
   base::Incarnation self_;
   MeteredPolicy policy_;
--- /dev/null
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -0,0 +1,150 @@
+#include "ledger/metered_holder.h"
+
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include "metered_world.h"
+#include "support/planted.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Millis;
+using godwit::base::Tokens;
+using godwit::ledger::MeteredWorld;
+
+namespace {
+
+constexpr Tokens kLimit = 100'000;
+constexpr size_t kRouters = 4;
+
+// A random schedule of requests, ends, kills, cuts, outages and changes of the
+// limit. False when more was used than any limit allowed.
+void RunSchedule(bool planted) {
+  MeteredWorld world(*rc::gen::arbitrary<uint64_t>(), kRouters, kLimit);
+  world.faults().ignores_versions = planted;
+  const int steps = *rc::gen::inRange(10, 60);
+  for (int i = 0; i < steps; ++i) {
+    const auto router = *rc::gen::inRange<size_t>(0, kRouters);
+    switch (*rc::gen::inRange(0, 10)) {
+      case 0:
+        world.Kill(router);
+        break;
+      case 1:
+        world.Cut(router, *rc::gen::arbitrary<bool>());
+        break;
+      case 2:
+        world.faults().down = *rc::gen::arbitrary<bool>();
+        break;
+      case 3:
+        world.faults().lost_answer_percent = *rc::gen::inRange(0, 40);
+        world.faults().late_write_percent = *rc::gen::inRange(0, 40);
+        break;
+      case 4:
+        world.SetLimit(*rc::gen::inRange<Tokens>(kLimit / 2, kLimit * 2));
+        break;
+      case 5:
+      case 6:
+        for (int n = 0; n < 6; ++n) {
+          world.Finish(router, *rc::gen::inRange(0, 101));
+        }
+        break;
+      default:
+        for (int n = 0; n < 8; ++n) {
+          world.Request(router, *rc::gen::inRange<Tokens>(1, 4000));
+        }
+        break;
+    }
+    world.Advance(Millis(*rc::gen::inRange<int64_t>(0, 600)));
+    RC_ASSERT(world.Used() <= world.highest_limit());
+  }
+}
+
+}  // namespace
+
+TEST_GROUP(MeteredHolder){};
+
+TEST(MeteredHolder, NeverSpendsAboveTheLimit) {
+  CHECK(rc::check([] { RunSchedule(false); }));
+}
+
+TEST(MeteredHolder, TheProofFindsAKvThatIgnoresVersions) {
+  CHECK(godwit::support::IsFalsified([] { RunSchedule(true); }));
+}
+
+TEST(MeteredHolder, ServesOnThroughACutFromTheKv) {
+  MeteredWorld world(1, kRouters, 1'000'000);
+  const auto load = [&world](int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      for (size_t router = 0; router < kRouters; ++router) {
+        world.Request(router, 1000);
+        world.Finish(router, 80);
+      }
+      world.Advance(Millis(100));
+    }
+  };
+  load(40);
+  for (size_t router = 0; router < kRouters; ++router) {
+    world.Cut(router, true);
+  }
+  const int64_t refused = world.refused();
+  // The policy of the world covers two seconds of use.
+  load(15);
+  CHECK_EQUAL(refused, world.refused());
+}
+
+TEST(MeteredHolder, RefusesAtOnceWhileTheKvIsAway) {
+  MeteredWorld world(1, 1, 10'000);
+  world.Advance(Millis(200));
+  world.Cut(0, true);
+  // More than can be held; the first wait shows that the KV does not answer.
+  world.Request(0, 9'900);
+  world.Advance(Millis(450));
+  CHECK_EQUAL(1, world.refused());
+  world.Request(0, 9'900);
+  world.Advance(Millis(5));
+  CHECK_EQUAL(2, world.refused());
+}
+
+TEST(MeteredHolder, SaysExhaustedOnlyWhenNothingIsLeft) {
+  MeteredWorld world(1, 2, 10'000);
+  world.Advance(Millis(200));
+  for (int i = 0; i < 100; ++i) {
+    world.Request(0, 1000);
+    world.Advance(Millis(50));
+    world.Finish(0, 100);
+  }
+  CHECK_EQUAL(10, world.served());
+  CHECK_EQUAL(10'000, world.Used());
+  CHECK(world.exhausted() > 0);
+}
+
+TEST(MeteredHolder, GetsAllOfABudgetToWhoeverNeedsIt) {
+  MeteredWorld world(1, kRouters, 100'000);
+  world.Advance(Millis(300));
+  for (int i = 0; i < 200; ++i) {
+    world.Request(0, 500);
+    world.Advance(Millis(50));
+    world.Finish(0, 100);
+  }
+  // What the idle routers hold flows back as the budget nears its end.
+  CHECK_TEXT(world.Used() >= 97'000, std::to_string(world.Used()).c_str());
+}
+
+TEST(MeteredHolder, GivesBackWhatItHoldsWhenItStops) {
+  MeteredWorld world(1, 2, 100'000);
+  for (int i = 0; i < 20; ++i) {
+    world.Request(1, 2000);
+    world.Advance(Millis(50));
+    world.Finish(1, 50);
+  }
+  world.Drain(1);
+  world.Advance(Millis(500));
+  for (int i = 0; i < 90; ++i) {
+    world.Request(0, 1000);
+    world.Advance(Millis(50));
+    world.Finish(0, 100);
+  }
+  CHECK_TEXT(world.Used() >= 97'000, std::to_string(world.Used()).c_str());
+}
--- /dev/null
+++ b/libs/ledger/tests/metered_world.cc
@@ -0,0 +1,183 @@
+#include "metered_world.h"
+
+#include <deque>
+#include <utility>
+#include <variant>
+
+namespace godwit::ledger {
+namespace {
+
+constexpr char kConfigKey[] = "configuration";
+constexpr base::Millis kStep(5);
+const base::BudgetId kBudget("kiosks");
+
+}  // namespace
+
+struct MeteredWorld::Router {
+  struct Waiting {
+    base::Tokens amount;
+    base::Millis since;
+  };
+
+  std::string name;
+  int life = 0;
+  std::unique_ptr<MeteredHolder> holder;
+  std::deque<Waiting> waiting;
+  std::deque<base::Tokens> running;
+  base::Tokens used = 0;
+  bool cut = false;
+  int64_t seen_config = 0;
+};
+
+MeteredWorld::MeteredWorld(uint64_t seed, size_t routers, base::Tokens limit)
+    : kv_(seed), limit_(limit), highest_limit_(limit) {
+  kv_.Put(kConfigKey, "1");
+  for (size_t i = 0; i < routers; ++i) {
+    routers_.push_back(std::make_unique<Router>());
+    routers_[i]->name = "router-" + std::to_string(i);
+    Kill(i);
+  }
+}
+
+MeteredWorld::~MeteredWorld() = default;
+
+void MeteredWorld::Kill(size_t index) {
+  Router& router = *routers_[index];
+  used_by_dead_ += router.used;
+  for (const base::Tokens amount : router.running) {
+    used_by_dead_ += amount;
+  }
+  router.running.clear();
+  router.waiting.clear();
+  router.used = 0;
+  router.seen_config = 0;
+  router.life = static_cast<int>(++lives_);
+  MeteredPolicy policy;
+  policy.cover = base::Millis(2000);
+  router.holder = std::make_unique<MeteredHolder>(
+      base::ProcessId(router.name),
+      base::Incarnation(router.name + "." + std::to_string(router.life)),
+      policy);
+  router.holder->SetRouters(routers_.size());
+  if (router.cut) {
+    kv_.faults().cut_clients.insert(router.life);
+  }
+}
+
+void MeteredWorld::Cut(size_t index, bool cut) {
+  Router& router = *routers_[index];
+  router.cut = cut;
+  auto& clients = kv_.faults().cut_clients;
+  if (cut) {
+    clients.insert(router.life);
+  } else {
+    clients.erase(router.life);
+  }
+}
+
+void MeteredWorld::SetLimit(base::Tokens limit) {
+  limit_ = limit;
+  highest_limit_ = std::max(highest_limit_, limit);
+  ++config_version_;
+  kv_.Put(kConfigKey, std::to_string(config_version_));
+}
+
+void MeteredWorld::Request(size_t index, base::Tokens amount) {
+  Router& router = *routers_[index];
+  router.waiting.push_back({amount, now_});
+  Try(router);
+}
+
+void MeteredWorld::Try(Router& router) {
+  std::deque<Router::Waiting> still;
+  for (const Router::Waiting& waiting : router.waiting) {
+    switch (
+        router.holder->Reserve(now_, kBudget, waiting.amount, waiting.since)) {
+      case MeteredHolder::Verdict::kReserved:
+        router.running.push_back(waiting.amount);
+        ++served_;
+        break;
+      case MeteredHolder::Verdict::kWait:
+        still.push_back(waiting);
+        break;
+      case MeteredHolder::Verdict::kExhausted:
+        ++exhausted_;
+        break;
+      case MeteredHolder::Verdict::kUnavailable:
+        ++refused_;
+        break;
+    }
+  }
+  router.waiting = std::move(still);
+}
+
+void MeteredWorld::Finish(size_t index, int used_percent) {
+  Router& router = *routers_[index];
+  if (router.running.empty()) {
+    return;
+  }
+  const base::Tokens amount = router.running.front();
+  router.running.pop_front();
+  const base::Tokens used = amount * used_percent / 100;
+  router.used += used;
+  router.holder->Settle(now_, kBudget, amount, used);
+}
+
+void MeteredWorld::Drain(size_t index) {
+  routers_[index]->holder->Drain();
+}
+
+void MeteredWorld::Submit(size_t index,
+                          std::vector<MeteredHolder::KvCommand> commands) {
+  for (const auto& command : commands) {
+    std::visit(
+        [&](const auto& c) { kv_.Submit(now_, routers_[index]->life, c); },
+        command);
+  }
+}
+
+void MeteredWorld::Pump() {
+  for (const auto& answer : kv_.Advance(now_)) {
+    for (size_t i = 0; i < routers_.size(); ++i) {
+      if (routers_[i]->life == answer.client) {
+        std::visit(
+            [&](const auto& done) {
+              Submit(i, routers_[i]->holder->On(now_, done));
+            },
+            answer.done);
+      }
+    }
+  }
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    Router& router = *routers_[i];
+    if (!router.cut && router.seen_config != config_version_) {
+      router.seen_config = config_version_;
+      router.holder->SetLimits(
+          {{kBudget, base::OrganisationId("lantern-line"), limit_}},
+          {kConfigKey, config_version_});
+    }
+    Submit(i, router.holder->Tick(now_));
+    Try(router);
+  }
+}
+
+void MeteredWorld::Advance(base::Millis span) {
+  const base::Millis end = now_ + span;
+  while (now_ < end) {
+    now_ = now_ + kStep;
+    Pump();
+  }
+}
+
+base::Tokens MeteredWorld::Used() const {
+  base::Tokens used = used_by_dead_;
+  for (const auto& router : routers_) {
+    used += router->used;
+    for (const base::Tokens amount : router->running) {
+      used += amount;
+    }
+  }
+  return used;
+}
+
+}  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/tests/metered_world.h
@@ -0,0 +1,66 @@
+#ifndef LEDGER_TESTS_METERED_WORLD_H_
+#define LEDGER_TESTS_METERED_WORLD_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "ledger/metered_holder.h"
+#include "support/fake_kv.h"
+
+namespace godwit::ledger {
+
+// Routers that spend one budget through MeteredHolders over a faulty KV, in
+// virtual time. Counts what each of their lives used.
+class MeteredWorld {
+ public:
+  MeteredWorld(uint64_t seed, size_t routers, base::Tokens limit);
+  ~MeteredWorld();
+
+  // A request at a router; it waits for tokens as long as it may.
+  void Request(size_t router, base::Tokens amount);
+  // The oldest request that runs at a router ends, having used this share.
+  void Finish(size_t router, int used_percent);
+  // The router dies with all it knows, and another life of it begins. What ran
+  // there counts as used whole.
+  void Kill(size_t router);
+  void Cut(size_t router, bool cut);
+  void Drain(size_t router);
+  // A new version of the configuration. Routers that are cut off don't see it.
+  void SetLimit(base::Tokens limit);
+  void Advance(base::Millis span);
+
+  support::FakeKv::Faults& faults() { return kv_.faults(); }
+  // Used by all lives, running requests included.
+  base::Tokens Used() const;
+  base::Tokens highest_limit() const { return highest_limit_; }
+  int64_t refused() const { return refused_; }
+  int64_t served() const { return served_; }
+  int64_t exhausted() const { return exhausted_; }
+
+ private:
+  struct Router;
+
+  void Pump();
+  void Try(Router& router);
+  void Submit(size_t router, std::vector<MeteredHolder::KvCommand> commands);
+
+  support::FakeKv kv_;
+  std::vector<std::unique_ptr<Router>> routers_;
+  base::Millis now_{1000};
+  base::Tokens limit_;
+  base::Tokens highest_limit_;
+  int64_t config_version_ = 1;
+  base::Tokens used_by_dead_ = 0;
+  int64_t served_ = 0;
+  int64_t refused_ = 0;
+  int64_t exhausted_ = 0;
+  int64_t lives_ = 0;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_TESTS_METERED_WORLD_H_
--- a/libs/relay/src/answer_reader.cc
+++ b/libs/relay/src/answer_reader.cc
@@ -7,6 +7,8 @@
 #include <limits>
 #include <utility>
 
+#include "chunk_bytes.h"
+
 namespace godwit::relay {
 namespace {
 
@@ -134,6 +136,10 @@
       }
       state.Restart();
     }
+    if (state.parser->is_header_done() && state.parser->chunked() &&
+        bytes.size() - taken < kLeastChunkBytes) {
+      break;
+    }
     error_code error;
     taken += state.parser->put(
         boost::asio::const_buffer(bytes.data() + taken, bytes.size() - taken),
--- a/libs/relay/src/header_list.cc
+++ b/libs/relay/src/header_list.cc
@@ -11,12 +11,13 @@
     "proxy-authorization", "te",         "trailer",
     "transfer-encoding",   "upgrade",    "proxy-connection"};
 
+constexpr std::string_view kBlank = " \t";
+
 char Lower(char c) {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
 std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlank = " \t";
   const size_t first = text.find_first_not_of(kBlank);
   if (first == std::string_view::npos) {
     return {};
--- a/libs/relay/src/request_reader.cc
+++ b/libs/relay/src/request_reader.cc
@@ -6,6 +6,8 @@
 #include <boost/optional.hpp>
 #include <utility>
 
+#include "chunk_bytes.h"
+
 namespace godwit::relay {
 namespace {
 
@@ -155,6 +157,10 @@
   size_t taken = 0;
   while (taken < bytes.size() && state.status == 0 && !state.parser.is_done()) {
     const std::string_view rest = bytes.substr(taken);
+    if (state.parser.is_header_done() && state.parser.chunked() &&
+        rest.size() < kLeastChunkBytes) {
+      break;
+    }
     if (!state.parser.is_header_done() && HasFoldedLine(rest)) {
       state.Fail(kBadRequest, "a header line is folded");
       break;
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -21,10 +21,10 @@
 // its answer.
 constexpr base::Millis kIdleMargin(500);
 constexpr int64_t kMillisPerSecond = 1000;
+constexpr std::string_view kTimeout = "timeout=";
 
 // Seconds in "Keep-Alive: timeout=N".
 std::optional<base::Millis> StatedIdleLimit(const AnswerHead& head) {
-  constexpr std::string_view kTimeout = "timeout=";
   const auto value = head.headers.Find("keep-alive");
   const size_t start = value ? value->find(kTimeout) : std::string_view::npos;
   if (start == std::string_view::npos) {
--- /dev/null
+++ b/libs/relay/tests/event_framer_test.cc
@@ -0,0 +1,81 @@
+#include "relay/event_framer.h"
+
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::relay::EventFramer;
+
+namespace {
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) +
+         "\n\n";
+}
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int id = first; id <= last; ++id) {
+    text += Event(id);
+  }
+  return text;
+}
+
+}  // namespace
+
+TEST_GROUP(EventFramer){};
+
+TEST(EventFramer, HandsOnWholeEventsOnly) {
+  EventFramer framer;
+  CHECK(framer.Feed("id: 1\nda").empty());
+  CHECK_EQUAL(8, framer.held_bytes());
+  CHECK(framer.Feed("ta: a\n\nid: 2\n") == "id: 1\ndata: a\n\n");
+  CHECK_EQUAL(1, framer.events());
+  CHECK(framer.last_id() == 1);
+}
+
+TEST(EventFramer, GoesOnWhereAnotherServerTakesOver) {
+  struct Case {
+    const char* name;
+    std::string first;
+    std::string second;
+    std::string expected;
+  };
+  const std::vector<Case> cases = {
+      {"at once", Events(1, 3), Events(4, 5), Events(1, 5)},
+      {"within an event", Events(1, 3) + "id: 4\nda", Events(4, 5),
+       Events(1, 5)},
+      {"with repeats", Events(1, 3), Events(2, 5), Events(1, 5)},
+      {"from the start", Events(1, 3), Events(1, 5), Events(1, 5)},
+      {"before the first event", "id: 1", Events(1, 2), Events(1, 2)},
+  };
+  for (const Case& c : cases) {
+    EventFramer framer;
+    std::string out(framer.Feed(c.first));
+    framer.Restart();
+    out += framer.Feed(c.second);
+    STRCMP_EQUAL_TEXT(c.expected.c_str(), out.c_str(), c.name);
+    CHECK_EQUAL_TEXT(0, framer.held_bytes(), c.name);
+  }
+}
+
+TEST(EventFramer, GivesTheSameHoweverBytesArrive) {
+  const bool holds = rc::check([] {
+    const int count = *rc::gen::inRange(1, 12);
+    const std::string whole = Events(1, count);
+    EventFramer framer;
+    std::string out;
+    for (size_t at = 0; at < whole.size();) {
+      const auto size = *rc::gen::inRange<size_t>(1, 40);
+      out += framer.Feed(std::string_view(whole).substr(at, size));
+      at += size;
+    }
+    RC_ASSERT(out == whole);
+    RC_ASSERT(framer.events() == count);
+    RC_ASSERT(framer.held_bytes() == 0);
+  });
+  CHECK(holds);
+}
--- /dev/null
+++ b/libs/relay/tests/relay_io_test.cc
@@ -0,0 +1,284 @@
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/clocks.h"
+#include "raw_connection.h"
+#include "raw_server.h"
+#include "relay/answer_handler.h"
+#include "relay/answer_head.h"
+#include "relay/caller_handler.h"
+#include "relay/caller_server.h"
+#include "relay/caller_session.h"
+#include "relay/outgoing_request.h"
+#include "relay/upstream_pool.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Endpoint;
+using godwit::base::Millis;
+using godwit::http::RawConnection;
+using godwit::http::RawServer;
+using godwit::relay::AnswerHandler;
+using godwit::relay::AnswerHead;
+using godwit::relay::CallerHandler;
+using godwit::relay::CallerServer;
+using godwit::relay::CallerSession;
+using godwit::relay::OutgoingRequest;
+using godwit::relay::ReceivedRequest;
+using godwit::relay::UpstreamPool;
+
+namespace {
+
+// Longest wait for anything that a test expects.
+constexpr Millis kPatience(5000);
+
+// Runs the context until `done` holds.
+bool RunUntil(boost::asio::io_context& io, const std::function<bool()>& done) {
+  const Millis limit = godwit::base::SteadyNow() + kPatience;
+  while (!done() && godwit::base::SteadyNow() < limit) {
+    io.restart();
+    io.run_for(std::chrono::milliseconds(5));
+  }
+  return done();
+}
+
+class Answer : public AnswerHandler {
+ public:
+  bool OnHead(const AnswerHead& head) override {
+    const auto id = head.headers.Find("X-Id");
+    if (id && *id != wanted_id) {
+      return false;
+    }
+    status = head.status;
+    return true;
+  }
+  void OnBody(std::string_view bytes) override { body.append(bytes); }
+  void OnEnd() override { ended = true; }
+  void OnFailure(Failure kind) override {
+    failure = kind;
+    failed = true;
+  }
+  bool over() const { return ended || failed; }
+
+  std::string wanted_id = "1";
+  int status = 0;
+  std::string body;
+  bool ended = false;
+  bool failed = false;
+  Failure failure = Failure::kLost;
+};
+
+OutgoingRequest Get() {
+  OutgoingRequest request;
+  request.head = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  return request;
+}
+
+Endpoint Local(uint16_t port) {
+  return {"127.0.0.1", port};
+}
+
+}  // namespace
+
+TEST_GROUP(UpstreamPool) {
+  boost::asio::io_context io{1};
+  UpstreamPool pool{io, UpstreamPool::Options()};
+};
+
+TEST(UpstreamPool, JudgesWhatServersSend) {
+  struct Case {
+    const char* name;
+    std::string bytes;
+    bool ended;
+    AnswerHandler::Failure failure;
+    const char* body;
+  };
+  using Failure = AnswerHandler::Failure;
+  const std::vector<Case> cases = {
+      {"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true,
+       Failure::kLost, "ab"},
+      {"not an answer", "nonsense\r\n\r\n", false, Failure::kDamaged, ""},
+      {"answer to another request first",
+       "HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 3\r\n\r\nxyz"
+       "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nab",
+       true, Failure::kLost, "ab"},
+  };
+  for (const Case& c : cases) {
+    RawServer server([&](int, const std::string&) { return c.bytes; });
+    Answer answer;
+    pool.Send(Local(server.port()), Get(), answer);
+    CHECK_TEXT(RunUntil(io, [&] { return answer.over(); }), c.name);
+    CHECK_EQUAL_TEXT(c.ended, answer.ended, c.name);
+    STRCMP_EQUAL_TEXT(c.body, answer.body.c_str(), c.name);
+    if (!c.ended) {
+      CHECK_EQUAL_TEXT(static_cast<int>(c.failure),
+                       static_cast<int>(answer.failure), c.name);
+    }
+  }
+}
+
+TEST(UpstreamPool, UsesAConnectionAgainUnlessBytesFollowTheAnswer) {
+  const std::string plain = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  for (const bool extra : {false, true}) {
+    RawServer server([&](int, const std::string&) {
+      return plain + (extra ? "HTTP/1.1 200 OK\r\n" : "");
+    });
+    const int64_t before = pool.opened();
+    for (int i = 0; i < 3; ++i) {
+      Answer answer;
+      pool.Send(Local(server.port()), Get(), answer);
+      CHECK(RunUntil(io, [&] { return answer.over(); }));
+      CHECK(answer.ended);
+    }
+    CHECK_EQUAL(extra ? 3 : 1, pool.opened() - before);
+  }
+}
+
+TEST(UpstreamPool, KnowsThatNothingWasSentWithoutAConnection) {
+  uint16_t unused = 0;
+  {
+    RawServer closed([](int, const std::string&) { return std::string(); });
+    unused = closed.port();
+  }
+  Answer answer;
+  pool.Send(Local(unused), Get(), answer);
+  CHECK(RunUntil(io, [&] { return answer.over(); }));
+  CHECK(answer.failed);
+  CHECK_EQUAL(static_cast<int>(AnswerHandler::Failure::kNotSent),
+              static_cast<int>(answer.failure));
+}
+
+TEST(UpstreamPool, SaysNothingAfterCancel) {
+  RawServer server([](int, const std::string&) { return std::string(); });
+  Answer answer;
+  const int64_t id = pool.Send(Local(server.port()), Get(), answer);
+  RunUntil(io, [&] { return pool.open() == 1; });
+  pool.Cancel(id);
+  io.restart();
+  io.run_for(std::chrono::milliseconds(20));
+  CHECK(!answer.over());
+  CHECK_EQUAL(0, pool.open());
+}
+
+namespace {
+
+class Callers : public CallerHandler {
+ public:
+  void OnRequest(const std::shared_ptr<CallerSession>& session,
+                 ReceivedRequest request) override {
+    targets.push_back(request.head.target);
+    last = session;
+    if (answers) {
+      session->Respond(200, "X: y\r\n", *request.body);
+    }
+  }
+  void OnCallerGone(const std::shared_ptr<CallerSession>&) override { ++gone; }
+  void OnCallerReady(const std::shared_ptr<CallerSession>&) override {}
+  void OnUnreadable(int status, const std::string&) override {
+    refused.push_back(status);
+  }
+
+  bool answers = true;
+  std::vector<std::string> targets;
+  std::vector<int> refused;
+  std::shared_ptr<CallerSession> last;
+  int gone = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(CallerServer) {
+  boost::asio::io_context io{1};
+  Callers callers;
+  CallerServer server{io, callers};
+  uint16_t port = 0;
+
+  void setup() override {
+    // A port that was free a moment ago.
+    RawServer probe([](int, const std::string&) { return std::string(); });
+    port = probe.port();
+  }
+
+  void Listen() {
+    CHECK_TEXT(server.Listen(Local(port)),
+               server.last_error().ToString().c_str());
+  }
+};
+
+TEST(CallerServer, PassesOnNothingHiddenBehindARefusedRequest) {
+  Listen();
+  RawConnection caller(port);
+  caller.Send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n"
+      "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(RunUntil(io, [&] { return !callers.refused.empty(); }));
+  RunUntil(io, [&] { return server.connections() == 0; });
+  CHECK_EQUAL(400, callers.refused[0]);
+  CHECK(callers.targets.empty());
+}
+
+TEST(CallerServer, AnswersRequestsOnOneConnectionInOrder) {
+  Listen();
+  RawConnection caller(port);
+  caller.Send(
+      "GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(RunUntil(io, [&] { return callers.targets.size() == 2; }));
+  STRCMP_EQUAL("/a", callers.targets[0].c_str());
+  STRCMP_EQUAL("/b", callers.targets[1].c_str());
+}
+
+TEST(CallerServer, NoticesThatTheCallerLeaves) {
+  callers.answers = false;
+  Listen();
+  {
+    RawConnection caller(port);
+    caller.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(RunUntil(io, [&] { return !callers.targets.empty(); }));
+  }
+  CHECK(RunUntil(io, [&] { return callers.gone == 1; }));
+}
+
+TEST(CallerServer, EndsAStreamThatIsBrokenOffWithoutItsLastChunk) {
+  callers.answers = false;
+  Listen();
+  RawConnection caller(port);
+  caller.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(RunUntil(io, [&] { return !callers.targets.empty(); }));
+  callers.last->Begin(200, "", false);
+  callers.last->Write("piece");
+  callers.last->Abort();
+  RunUntil(io, [&] { return server.connections() == 0; });
+  const std::string all = caller.ReadToEnd();
+  CHECK(all.find("piece") != std::string::npos);
+  CHECK(all.find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST(CallerServer, RefusesARequestThatDoesNotArrive) {
+  CallerServer::Limits limits;
+  limits.request_time = Millis(50);
+  server.SetLimits(limits);
+  Listen();
+  RawConnection caller(port);
+  caller.Send("GET /a HTTP/1.1\r\nHos");
+  CHECK(RunUntil(io, [&] {
+    server.Tick();
+    return !callers.refused.empty();
+  }));
+  CHECK_EQUAL(408, callers.refused[0]);
+}
+
+TEST(CallerServer, ClosesAfterTheNextAnswerOnceItDrains) {
+  Listen();
+  RawConnection caller(port);
+  server.Drain();
+  caller.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(RunUntil(io, [&] { return !callers.targets.empty(); }));
+  RunUntil(io, [&] { return callers.last->queued_bytes() == 0; });
+  const std::string answer = caller.ReadToEnd();
+  CHECK(answer.find("Connection: close") != std::string::npos);
+}
--- a/tests/support/fake_kv.h
+++ b/tests/support/fake_kv.h
@@ -171,8 +171,11 @@
     }
     const auto& write = std::get<platform::KvWrite>(effect.operation);
     Stored& entry = stored_[write.key];
-    const bool won =
+    bool won =
         faults_.ignores_versions || entry.version == write.expected_version;
+    for (const platform::KvCondition& condition : write.conditions) {
+      won = won && stored_[condition.key].version == condition.version;
+    }
     if (won) {
       ++entry.version;
       entry.value = write.value;
