Test dispatch: tables of outcomes, replayed loads; eject longer what keeps failing

Found by the tests: a server that fails half of its calls still got 66 of 400 (an even spread gives 100), since each success wiped its record.

--- a/libs/dispatch/include/dispatch/placement_options.h
+++ b/libs/dispatch/include/dispatch/placement_options.h
@@ -13,6 +13,12 @@
   // A server in another data centre is chosen only where it answers sooner by
   // this much: bytes between data centres are paid for.
   base::Millis other_data_centre_cost{40};
+  // Share of the servers of a service at which long prompts are read first, and
+  // what another stream's place there costs. 0 parts nothing.
+  double long_prompt_lane = 0.34;
+  base::Millis lane_cost{60};
+  // What a stream that a long prompt makes late costs.
+  base::Millis late_stream_cost{25};
   // A load report counts for this long.
   base::Millis report_lifetime{2000};
   // A server with work that sends nothing for this long takes no new work.
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -12,6 +12,8 @@
 // of a server.
 constexpr double kUsualWeight = 0.05;
 constexpr double kFailureWeight = 0.2;
+// Share of failures below which earlier ejections are forgotten.
+constexpr double kSoundFailures = 0.15;
 // One observation moves the scale of a service by no more than this ratio.
 constexpr double kMostScaleStep = 3;
 
@@ -138,7 +140,9 @@
       load.failures -= kFailureWeight * load.failures;
       ++load.samples;
       load.heard_at = now;
-      load.ejections = 0;
+      if (load.failures < kSoundFailures) {
+        load.ejections = 0;
+      }
       if (load.on_trial) {
         load.on_trial = false;
         load.ejected_until = base::Millis();
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -18,14 +18,11 @@
 // prompts are read at a part of the servers first, and other streams keep away
 // from there while the rest has room.
 constexpr double kLongPromptMs = 60;
-constexpr double kLongPromptLane = 0.34;
-constexpr double kLaneCostMs = 60;
 // Reading a prompt makes the streams beside it late once it takes more than
 // the first share of the pause that they may see, and all of them at the
-// second. Each late stream costs as much as this wait.
+// second.
 constexpr double kHarmlessShare = 0.35;
 constexpr double kHarmfulShare = 1;
-constexpr double kLateStreamMs = 25;
 // Share of the shared tokens that a prompt's home is taken to have cached when
 // this router does not know.
 constexpr double kHomeCached = 0.9;
@@ -75,7 +72,7 @@
                            1, work.event_gap_objective.count()));
   const double late = std::clamp(
       (pause - kHarmlessShare) / (kHarmfulShare - kHarmlessShare), 0.0, 1.0);
-  return late * runs * kLateStreamMs;
+  return late * runs * static_cast<double>(options.late_stream_cost.count());
 }
 
 void Placement::State::Estimate(base::Millis now,
@@ -119,8 +116,8 @@
 // when there are too few to part.
 std::set<std::string> Placement::State::LongPromptLane(
     const std::vector<Option>& all) const {
-  const auto size =
-      static_cast<size_t>(kLongPromptLane * static_cast<double>(all.size()));
+  const auto size = static_cast<size_t>(options.long_prompt_lane *
+                                        static_cast<double>(all.size()));
   std::vector<std::pair<uint64_t, std::string>> ranked;
   for (const Option& option : all) {
     const std::string key = option.backend->key();
@@ -194,7 +191,7 @@
     const bool is_long = IsLong(*work.prompt);
     for (Option& option : usable) {
       if (!is_long && lane.count(option.backend->key()) > 0) {
-        option.cost += kLaneCostMs;
+        option.cost += static_cast<double>(options.lane_cost.count());
       }
       const base::Tokens shared = PromptMemory::SharedTokens(*work.prompt);
       const base::Tokens known = work.prompt->input_tokens - option.uncached;
@@ -241,7 +238,7 @@
   std::nth_element(peers.begin(), middle, peers.end());
   if (load.failures > kPeerMultiple * *middle) {
     Eject(now, load, "fails more often than its peers");
-    load.failures = 0;
+    // What it did before is kept, but more must be seen for the next one.
     load.samples = 0;
   }
 }
--- /dev/null
+++ b/libs/dispatch/tests/dispatch_world.cc
@@ -0,0 +1,297 @@
+#include "dispatch_world.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace godwit::dispatch {
+namespace {
+
+constexpr base::Millis kStep(5);
+constexpr base::Millis kChatObjective(400);
+constexpr base::Millis kDigestObjective(600);
+constexpr base::Millis kGapObjective(300);
+constexpr base::Millis kPlainObjective(300);
+
+Route RouteOf(const std::string& name,
+              const std::string& service,
+              RepeatRule repeat) {
+  Route route;
+  route.name = name;
+  route.host = "h";
+  route.prefix = "/" + name + "/";
+  route.repeat = repeat;
+  route.targets = {{base::ServiceId(service), 1}};
+  return route;
+}
+
+std::vector<Route> Routes() {
+  Route chat = RouteOf("chat", "model", RepeatRule::kAtMostOnce);
+  chat.is_stream = true;
+  chat.timeout = base::Millis(15000);
+  chat.latency_objective = kChatObjective;
+  chat.event_gap_objective = kGapObjective;
+  Route digest = RouteOf("digest", "model", RepeatRule::kResumable);
+  digest.is_stream = true;
+  digest.timeout = base::Millis(6000);
+  digest.latency_objective = kDigestObjective;
+  digest.event_gap_objective = kGapObjective;
+  digest.priority = 1;
+  digest.max_attempts = 2;
+  Route order = RouteOf("order", "plain", RepeatRule::kAtMostOnce);
+  order.timeout = base::Millis(800);
+  order.latency_objective = kPlainObjective;
+  order.priority = 2;
+  Route status = order;
+  status.name = "status";
+  status.prefix = "/status/";
+  status.repeat = RepeatRule::kIdempotent;
+  status.max_attempts = 2;
+  return {chat, digest, order, status};
+}
+
+DispatcherOptions OptionsOf(const DispatchWorld::Options& options) {
+  DispatcherOptions made;
+  made.process = base::ProcessId("router-1");
+  made.incarnation = base::Incarnation("router-1.1");
+  made.placement = options.placement;
+  made.placement.data_centre = base::DataCentreId("a");
+  made.retry_slack = 50;
+  made.assumed_routers = 1;
+  made.configuration_key = "configuration";
+  return made;
+}
+
+}  // namespace
+
+struct DispatchWorld::Running {
+  CallId call = 0;
+  size_t server = 0;
+  bool is_stream = false;
+  bool announced = false;
+};
+
+DispatchWorld::DispatchWorld(Options options,
+                             std::vector<ModelServer::Options> servers)
+    : random_(options.seed), dispatcher_(OptionsOf(options)) {
+  BackendsListed listed;
+  for (size_t i = 0; i < servers.size(); ++i) {
+    const std::string instance = "s" + std::to_string(i);
+    servers_.push_back(std::make_unique<ModelServer>(
+        instance, static_cast<uint16_t>(i + 1), servers[i]));
+    by_instance_[instance] = i;
+    listed.backends.push_back(servers_[i]->Registration());
+  }
+  RoutingTable::Contents contents;
+  contents.version = 1;
+  contents.revision = 1;
+  contents.routes = Routes();
+  contents.organisations = options.organisations;
+  contents.needs_key = options.needs_key;
+  contents.services = {{base::ServiceId("model"), 0, EngineProfile{16, 0, 4}}};
+  Raise(TableSeen{std::make_shared<const RoutingTable>(std::move(contents))});
+  Raise(listed);
+  Raise(RoutersCounted{1});
+}
+
+DispatchWorld::~DispatchWorld() = default;
+
+void DispatchWorld::Raise(const DispatchEvent& event) {
+  for (const DispatchCommand& command : dispatcher_.Step(now_, event)) {
+    std::visit([this](const auto& c) { Do(c); }, command);
+  }
+}
+
+CallId DispatchWorld::Arrive(const std::string& route,
+                             base::Tokens shared,
+                             base::Tokens own,
+                             uint64_t session,
+                             int64_t events) {
+  const CallId call = next_call_++;
+  CallArrived arrived;
+  arrived.call = call;
+  arrived.request.id = "call-" + std::to_string(call);
+  arrived.request.host = "h";
+  arrived.request.path = "/" + route + "/x";
+  arrived.request.api_key = "key";
+  if (own > 0) {
+    Prompt prompt;
+    prompt.input_tokens = shared + own;
+    prompt.max_output_tokens = events * 4;
+    prompt.parts = {{session, shared},
+                    {uint64_t{1} << 40 | static_cast<uint64_t>(call), own}};
+    arrived.request.prompt = prompt;
+    prompts_[call] = prompt;
+  }
+  wanted_events_[call] = events;
+  Outcome& outcome = outcomes_[call];
+  outcome.route = route;
+  outcome.arrived_at = now_;
+  Raise(arrived);
+  return call;
+}
+
+void DispatchWorld::Leave(CallId call) {
+  Raise(CallerGone{call});
+}
+
+void DispatchWorld::Advance(base::Millis span) {
+  const base::Millis end = now_ + span;
+  while (now_ < end) {
+    now_ = now_ + kStep;
+    for (auto& server : servers_) {
+      for (const ModelServer::Event& event : server->Advance(now_, kStep)) {
+        Take(event);
+      }
+    }
+    Raise(Tick());
+  }
+}
+
+void DispatchWorld::Take(const ModelServer::Event& event) {
+  const auto found = running_.find(event.attempt);
+  if (found == running_.end()) {
+    return;
+  }
+  Running& running = found->second;
+  const CallId call = running.call;
+  using Kind = ModelServer::Event::Kind;
+  AttemptAnswered answered;
+  answered.call = call;
+  answered.attempt = event.attempt;
+  answered.reply = {200, false, false, true, event.load};
+  answered.whole = true;
+  switch (event.kind) {
+    case Kind::kEvent: {
+      if (!running.announced) {
+        running.announced = true;
+        answered.whole = false;
+        Raise(answered);
+      }
+      if (running_.count(event.attempt) == 0) {
+        return;
+      }
+      Outcome& outcome = outcomes_[call];
+      if (events_[call] > 0) {
+        outcome.longest_gap =
+            std::max(outcome.longest_gap, now_ - event_at_[call]);
+      } else {
+        outcome.first_byte = now_ - outcome.arrived_at;
+      }
+      event_at_[call] = now_;
+      events_[call] = event.event;
+      Raise(AttemptProgressed{call, event.attempt, event.event, event.event});
+      return;
+    }
+    case Kind::kEnd:
+      if (running.is_stream) {
+        Raise(AttemptEnded{call, event.attempt});
+      } else {
+        outcomes_[call].first_byte = now_ - outcomes_[call].arrived_at;
+        Raise(answered);
+      }
+      break;
+    case Kind::kFailed:
+      answered.reply.status = 500;
+      Raise(answered);
+      break;
+    case Kind::kRefused:
+      answered.reply.status = 503;
+      answered.reply.not_run = true;
+      Raise(answered);
+      break;
+    case Kind::kWrongServer:
+      answered.reply.status = 421;
+      answered.reply.wrong_instance = true;
+      Raise(answered);
+      break;
+    case Kind::kLost:
+      Raise(AttemptFailed{call, event.attempt, AttemptFailure::kLost});
+      break;
+    case Kind::kNotSent:
+      Raise(AttemptFailed{call, event.attempt, AttemptFailure::kNotSent});
+      break;
+  }
+  running_.erase(event.attempt);
+}
+
+void DispatchWorld::Do(const StartAttempt& command) {
+  const size_t index = by_instance_.at(command.backend.instance);
+  Running running;
+  running.call = command.call;
+  running.server = index;
+  running.is_stream = command.is_stream;
+  running_[command.attempt] = running;
+  ++outcomes_[command.call].sends;
+  ModelServer::Work work;
+  work.attempt = command.attempt;
+  const auto prompt = prompts_.find(command.call);
+  if (prompt != prompts_.end()) {
+    for (const PromptPart& part : prompt->second.parts) {
+      work.parts.push_back(part.id);
+      work.part_tokens.push_back(part.tokens);
+    }
+  }
+  work.events = wanted_events_[command.call];
+  work.first_event = command.resume_after.value_or(0) + 1;
+  servers_[index]->Start(now_, std::move(work));
+}
+
+void DispatchWorld::Do(const CancelAttempt& command) {
+  const auto found = running_.find(command.attempt);
+  if (found != running_.end()) {
+    servers_[found->second.server]->Cancel(command.attempt);
+    running_.erase(found);
+  }
+}
+
+void DispatchWorld::Do(const RelayAnswer& /*command*/) {}
+
+void DispatchWorld::Do(const RefuseCall& command) {
+  Outcome& outcome = outcomes_[command.call];
+  outcome.refusal = command.kind;
+  outcome.retry_after = command.retry_after;
+}
+
+void DispatchWorld::Do(const AbortCall& command) {
+  outcomes_[command.call].broken_off = true;
+}
+
+void DispatchWorld::Do(const CallEnded& command) {
+  Outcome& outcome = outcomes_[command.call];
+  outcome.over = true;
+  outcome.ended_at = now_;
+  outcome.answered = command.outcome == "answered";
+}
+
+void DispatchWorld::Do(const AttemptAbandoned& /*command*/) {}
+void DispatchWorld::Do(const BeliefChanged& /*command*/) {}
+void DispatchWorld::Do(const platform::KvRead& /*command*/) {}
+void DispatchWorld::Do(const platform::KvWrite& /*command*/) {}
+
+DispatchWorld::Tally DispatchWorld::TallyOf(const std::string& route) const {
+  Tally tally;
+  for (const auto& [call, outcome] : outcomes_) {
+    if (outcome.route != route) {
+      continue;
+    }
+    ++tally.calls;
+    const base::Millis objective = route == "chat"     ? kChatObjective
+                                   : route == "digest" ? kDigestObjective
+                                                       : kPlainObjective;
+    if (outcome.answered) {
+      const bool on_time = outcome.first_byte <= objective &&
+                           outcome.longest_gap <= kGapObjective;
+      ++(on_time ? tally.on_time : tally.late);
+    } else if (outcome.refusal != base::ErrorKind::kNone) {
+      ++tally.refused;
+      tally.longest_refusal = std::max(tally.longest_refusal,
+                                       outcome.ended_at - outcome.arrived_at);
+    } else {
+      ++tally.failed;
+    }
+  }
+  return tally;
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/tests/dispatch_world.h
@@ -0,0 +1,111 @@
+#ifndef DISPATCH_TESTS_DISPATCH_WORLD_H_
+#define DISPATCH_TESTS_DISPATCH_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/routing_table.h"
+#include "model_server.h"
+
+namespace godwit::dispatch {
+
+// One dispatcher before model servers, in virtual time.
+class DispatchWorld {
+ public:
+  // How a call went.
+  struct Outcome {
+    std::string route;
+    bool over = false;
+    // Set for refusals.
+    base::ErrorKind refusal = base::ErrorKind::kNone;
+    base::Millis arrived_at;
+    base::Millis ended_at;
+    base::Millis retry_after;
+    bool answered = false;
+    bool broken_off = false;
+    base::Millis first_byte;
+    base::Millis longest_gap;
+    int64_t sends = 0;
+  };
+
+  struct Options {
+    PlacementOptions placement;
+    // Routes: "chat" (streams, urgent), "digest" (streams, resumable, long
+    // prompts), "order" (at most once), "status" (idempotent).
+    std::vector<Organisation> organisations;
+    bool needs_key = false;
+    uint64_t seed = 1;
+  };
+
+  DispatchWorld(Options options, std::vector<ModelServer::Options> servers);
+  ~DispatchWorld();
+
+  // A request of a route. Prompts have `shared` tokens of a session and `own`
+  // of their own.
+  CallId Arrive(const std::string& route,
+                base::Tokens shared = 0,
+                base::Tokens own = 0,
+                uint64_t session = 0,
+                int64_t events = 0);
+  void Leave(CallId call);
+  void Advance(base::Millis span);
+  // Applies an event of the store.
+  void Raise(const DispatchEvent& event);
+
+  ModelServer& server(size_t index) { return *servers_[index]; }
+  size_t servers() const { return servers_.size(); }
+  Dispatcher& dispatcher() { return dispatcher_; }
+  const Outcome& outcome(CallId call) const { return outcomes_.at(call); }
+  const std::map<CallId, Outcome>& outcomes() const { return outcomes_; }
+  base::Millis now() const { return now_; }
+
+  // Calls of a route, those on time, and those without an answer.
+  struct Tally {
+    int64_t calls = 0;
+    int64_t on_time = 0;
+    int64_t late = 0;
+    int64_t refused = 0;
+    int64_t failed = 0;
+    base::Millis longest_refusal;
+  };
+  Tally TallyOf(const std::string& route) const;
+
+ private:
+  struct Running;
+
+  void Do(const StartAttempt& command);
+  void Do(const CancelAttempt& command);
+  void Do(const RelayAnswer& command);
+  void Do(const RefuseCall& command);
+  void Do(const AbortCall& command);
+  void Do(const CallEnded& command);
+  void Do(const AttemptAbandoned& command);
+  void Do(const BeliefChanged& command);
+  void Do(const platform::KvRead& command);
+  void Do(const platform::KvWrite& command);
+  void Take(const ModelServer::Event& event);
+
+  base::Millis now_{1000};
+  std::mt19937_64 random_;
+  Dispatcher dispatcher_;
+  std::vector<std::unique_ptr<ModelServer>> servers_;
+  std::map<std::string, size_t> by_instance_;
+  std::map<int64_t, Running> running_;
+  std::map<CallId, Outcome> outcomes_;
+  std::map<CallId, Prompt> prompts_;
+  std::map<CallId, int64_t> wanted_events_;
+  std::map<CallId, int64_t> events_;
+  std::map<CallId, base::Millis> event_at_;
+  CallId next_call_ = 1;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_TESTS_DISPATCH_WORLD_H_
--- /dev/null
+++ b/libs/dispatch/tests/load_replay_test.cc
@@ -0,0 +1,163 @@
+// Replays loads at their worst in virtual time, with the policy and with the
+// part of it that answers the load left out.
+#include <string>
+
+#include "dispatch_world.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Millis;
+using godwit::dispatch::DispatchWorld;
+using godwit::dispatch::ModelServer;
+using godwit::dispatch::PlacementOptions;
+
+namespace {
+
+std::vector<ModelServer::Options> Models(size_t count) {
+  return std::vector<ModelServer::Options>(count, ModelServer::Options());
+}
+
+std::string Describe(const DispatchWorld::Tally& tally) {
+  return std::to_string(tally.calls) + " calls, " +
+         std::to_string(tally.on_time) + " on time, " +
+         std::to_string(tally.late) + " late, " +
+         std::to_string(tally.refused) + " refused, " +
+         std::to_string(tally.failed) + " failed, longest refusal " +
+         std::to_string(tally.longest_refusal.count()) + " ms";
+}
+
+// Short streams at a steady rate beside prompts of which some are very long.
+DispatchWorld::Tally ChatsBesideLongPrompts(const PlacementOptions& placement) {
+  DispatchWorld::Options options;
+  options.placement = placement;
+  DispatchWorld world(options, Models(8));
+  for (int i = 0; i < 400; ++i) {
+    world.Arrive("chat", 100, 500, static_cast<uint64_t>(i % 40), 60);
+    if (i % 5 == 0) {
+      const int64_t own = i % 25 == 0 ? 20'000 : 3'000;
+      world.Arrive("digest", 6'000, own, 1000 + static_cast<uint64_t>(i % 30),
+                   12);
+    }
+    world.Advance(Millis(40));
+  }
+  world.Advance(Millis(5000));
+  return world.TallyOf("chat");
+}
+
+struct Burst {
+  DispatchWorld::Tally urgent;
+  DispatchWorld::Tally other;
+};
+
+// Far more than two servers can do, of two urgencies at once.
+Burst BurstOfTwoKinds() {
+  DispatchWorld world({}, Models(2));
+  for (int i = 0; i < 100; ++i) {
+    for (int n = 0; n < 2; ++n) {
+      world.Arrive("chat", 100, 400, static_cast<uint64_t>(i % 10), 30);
+      world.Arrive("digest", 100, 2000, 500 + static_cast<uint64_t>(i % 10),
+                   30);
+    }
+    world.Advance(Millis(20));
+  }
+  world.Advance(Millis(16000));
+  return {world.TallyOf("chat"), world.TallyOf("digest")};
+}
+
+}  // namespace
+
+TEST_GROUP(LoadReplay){};
+
+TEST(LoadReplay, LongPromptsDoNotMakeShortStreamsLate) {
+  PlacementOptions without;
+  without.long_prompt_lane = 0;
+  without.late_stream_cost = Millis(0);
+  const auto before = ChatsBesideLongPrompts(without);
+  const auto after = ChatsBesideLongPrompts(PlacementOptions());
+  const std::string figures =
+      "without: " + Describe(before) + "; with: " + Describe(after);
+  CHECK_EQUAL_TEXT(400, after.on_time + after.late, figures.c_str());
+  // Nine in ten are to be on time while there is room.
+  CHECK_TEXT(after.on_time >= 360, figures.c_str());
+  CHECK_TEXT(before.on_time < 360, figures.c_str());
+}
+
+TEST(LoadReplay, ABurstServesUrgentCallsFirstAndRefusesTheHopelessSoon) {
+  const Burst burst = BurstOfTwoKinds();
+  const std::string figures =
+      "urgent: " + Describe(burst.urgent) + "; other: " + Describe(burst.other);
+  CHECK_EQUAL_TEXT(0, burst.urgent.failed, figures.c_str());
+  CHECK_TEXT(burst.urgent.on_time + burst.urgent.late >
+                 burst.other.on_time + burst.other.late,
+             figures.c_str());
+  CHECK_TEXT(burst.other.refused > 0, figures.c_str());
+  // A caller gives up after 2.4 s; a refusal must come while it can go
+  // elsewhere.
+  CHECK_TEXT(burst.other.longest_refusal < Millis(2400), figures.c_str());
+  // Less urgent calls are not starved.
+  CHECK_TEXT(burst.other.on_time + burst.other.late > 20, figures.c_str());
+}
+
+TEST(LoadReplay, HalfOfTheServersGone) {
+  DispatchWorld world({}, Models(8));
+  for (int i = 0; i < 300; ++i) {
+    if (i == 100) {
+      for (size_t lost = 0; lost < 4; ++lost) {
+        world.server(lost).Set(ModelServer::Fault::kDown);
+      }
+    }
+    world.Arrive("digest", 1000, 1000, static_cast<uint64_t>(i % 20), 12);
+    world.Advance(Millis(40));
+  }
+  world.Advance(Millis(3000));
+  const auto tally = world.TallyOf("digest");
+  // None of these calls had run when its server turned out to be gone.
+  CHECK_TEXT(tally.on_time >= 290, Describe(tally).c_str());
+}
+
+TEST(LoadReplay, AServerAtAFifthOfItsSpeed) {
+  auto servers = Models(6);
+  servers[0].slowness = 5;
+  DispatchWorld world({}, servers);
+  for (int i = 0; i < 400; ++i) {
+    world.Arrive("chat", 100, 800, static_cast<uint64_t>(i % 60), 20);
+    world.Advance(Millis(20));
+  }
+  world.Advance(Millis(4000));
+  const auto tally = world.TallyOf("chat");
+  CHECK_TEXT(tally.on_time >= 380, Describe(tally).c_str());
+  // Its share of an even spread would be 66.
+  CHECK_TEXT(world.server(0).ran().size() < 40,
+             std::to_string(world.server(0).ran().size()).c_str());
+}
+
+TEST(LoadReplay, AServerThatFailsHalfOfItsCalls) {
+  ModelServer::Options plain;
+  plain.service = "plain";
+  plain.slots = 6;
+  DispatchWorld world({}, std::vector<ModelServer::Options>(4, plain));
+  world.server(0).Set(ModelServer::Fault::kFails);
+  for (int i = 0; i < 400; ++i) {
+    world.Arrive("order");
+    world.Advance(Millis(25));
+  }
+  world.Advance(Millis(1500));
+  const size_t at_failing = world.server(0).ran().size();
+  // An even spread would send it 100.
+  CHECK_TEXT(at_failing < 50, std::to_string(at_failing).c_str());
+}
+
+TEST(LoadReplay, SharedPromptsAreReadOnce) {
+  DispatchWorld world({}, Models(6));
+  for (int i = 0; i < 200; ++i) {
+    world.Arrive("digest", 6'000, 500, static_cast<uint64_t>(i % 10), 8);
+    world.Advance(Millis(50));
+  }
+  world.Advance(Millis(3000));
+  int64_t read = 0;
+  for (size_t i = 0; i < world.servers(); ++i) {
+    read += world.server(i).tokens_read();
+  }
+  // 200 prompts of their own, and ten sessions read at most twice each.
+  CHECK_TEXT(read <= 200 * 500 + 10 * 2 * 6'000, std::to_string(read).c_str());
+}
--- /dev/null
+++ b/libs/dispatch/tests/model_server.cc
@@ -0,0 +1,173 @@
+#include "model_server.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::dispatch {
+namespace {
+
+// Of a usual server: tokens of a prompt read in a millisecond, time between
+// events of a stream, the longest pause that reading puts between two events,
+// and the time of a plain call.
+constexpr double kTokensPerMs = 42;
+constexpr double kEventMs = 25;
+constexpr double kReadingPauseMs = 350;
+constexpr base::Tokens kTokensOfFullPause = 14'000;
+constexpr double kPlainMs = 60;
+
+}  // namespace
+
+ModelServer::ModelServer(std::string instance, uint16_t port, Options options)
+    : instance_(std::move(instance)),
+      port_(port),
+      options_(std::move(options)) {}
+
+Backend ModelServer::Registration() const {
+  Backend backend;
+  backend.instance = instance_;
+  backend.service = base::ServiceId(options_.service);
+  backend.address = {"10.0.0.1", port_};
+  backend.data_centre = base::DataCentreId(options_.data_centre);
+  backend.slots = options_.slots;
+  return backend;
+}
+
+ModelServer::Event ModelServer::Make(Event::Kind kind,
+                                     int64_t attempt,
+                                     int64_t event) const {
+  Event made;
+  made.kind = kind;
+  made.attempt = attempt;
+  made.event = event;
+  made.load = {running(), static_cast<int64_t>(queue_.size()), options_.slots};
+  return made;
+}
+
+void ModelServer::Start(base::Millis /*now*/, Work work) {
+  switch (fault_) {
+    case Fault::kDark:
+      // Swallowed; it never runs.
+      return;
+    case Fault::kDown:
+      due_.push_back(Make(Event::Kind::kNotSent, work.attempt));
+      return;
+    case Fault::kSheds:
+      due_.push_back(Make(Event::Kind::kRefused, work.attempt));
+      return;
+    case Fault::kReplaced:
+      due_.push_back(Make(Event::Kind::kWrongServer, work.attempt));
+      return;
+    case Fault::kFails:
+    case Fault::kNone:
+      break;
+  }
+  queue_.push_back(std::move(work));
+  Admit();
+}
+
+void ModelServer::Admit() {
+  while (!queue_.empty() && running() < options_.slots) {
+    Run run;
+    run.work = std::move(queue_.front());
+    queue_.pop_front();
+    ran_.insert(run.work.attempt);
+    base::Tokens unread = 0;
+    bool cached = true;
+    for (size_t i = 0; i < run.work.parts.size(); ++i) {
+      cached = cached && cache_.count(run.work.parts[i]) > 0;
+      unread += cached ? 0 : run.work.part_tokens[i];
+      cache_.insert(run.work.parts[i]);
+    }
+    run.work.uncached = unread;
+    tokens_read_ += unread;
+    run.reading = unread > 0;
+    run.left_ms =
+        (run.work.events > 0 ? static_cast<double>(unread) / kTokensPerMs
+                             : kPlainMs) *
+        options_.slowness;
+    run.next_event = run.work.first_event;
+    run.last_event = run.work.events;
+    running_[run.work.attempt] = std::move(run);
+  }
+}
+
+void ModelServer::Cancel(int64_t attempt) {
+  running_.erase(attempt);
+  queue_.erase(std::remove_if(queue_.begin(), queue_.end(),
+                              [attempt](const Work& work) {
+                                return work.attempt == attempt;
+                              }),
+               queue_.end());
+  Admit();
+}
+
+std::vector<ModelServer::Event> ModelServer::Crash() {
+  std::vector<Event> events;
+  for (const auto& [attempt, run] : running_) {
+    events.push_back(Make(Event::Kind::kLost, attempt));
+  }
+  for (const Work& work : queue_) {
+    events.push_back(Make(Event::Kind::kLost, work.attempt));
+  }
+  running_.clear();
+  queue_.clear();
+  cache_.clear();
+  fault_ = Fault::kDown;
+  return events;
+}
+
+std::vector<ModelServer::Event> ModelServer::Advance(base::Millis /*now*/,
+                                                     base::Millis step) {
+  std::vector<Event> events = std::exchange(due_, {});
+  if (fault_ == Fault::kDark) {
+    return events;
+  }
+  const auto span = static_cast<double>(step.count());
+  // One prompt is read at a time; the others wait for it.
+  Run* reading = nullptr;
+  for (auto& [attempt, run] : running_) {
+    if (run.reading && reading == nullptr) {
+      reading = &run;
+    }
+  }
+  const double pause =
+      reading == nullptr
+          ? 0
+          : kReadingPauseMs *
+                std::min(1.0, static_cast<double>(reading->work.uncached) /
+                                  kTokensOfFullPause);
+  const double speed = kEventMs / (kEventMs + pause);
+  std::vector<int64_t> ended;
+  for (auto& [attempt, run] : running_) {
+    const bool waits = run.reading && &run != reading;
+    if (waits) {
+      continue;
+    }
+    run.left_ms -= run.reading || run.work.events == 0 ? span : span * speed;
+    if (run.left_ms > 0) {
+      continue;
+    }
+    run.reading = false;
+    if (run.work.events == 0) {
+      const bool fails = fault_ == Fault::kFails && ++failures_ % 2 == 0;
+      events.push_back(
+          Make(fails ? Event::Kind::kFailed : Event::Kind::kEnd, attempt));
+      ended.push_back(attempt);
+      continue;
+    }
+    events.push_back(Make(Event::Kind::kEvent, attempt, run.next_event));
+    ++run.next_event;
+    run.left_ms = kEventMs * options_.slowness;
+    if (run.next_event > run.last_event) {
+      events.push_back(Make(Event::Kind::kEnd, attempt));
+      ended.push_back(attempt);
+    }
+  }
+  for (const int64_t attempt : ended) {
+    running_.erase(attempt);
+  }
+  Admit();
+  return events;
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/tests/model_server.h
@@ -0,0 +1,115 @@
+#ifndef DISPATCH_TESTS_MODEL_SERVER_H_
+#define DISPATCH_TESTS_MODEL_SERVER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "dispatch/backend.h"
+#include "dispatch/load_report.h"
+
+namespace godwit::dispatch {
+
+// A backend server in virtual time: a batch with a queue, prompts read one
+// after the other between the events of running streams, a cache of prompt
+// parts, and faults.
+class ModelServer {
+ public:
+  enum class Fault : uint8_t {
+    kNone,
+    // Accepts nothing and sends nothing.
+    kDark,
+    // Refuses connections.
+    kDown,
+    // Fails each second run after it ran.
+    kFails,
+    // Rejects all as full.
+    kSheds,
+    // Another server has its address.
+    kReplaced,
+  };
+
+  struct Options {
+    std::string service = "model";
+    std::string data_centre = "a";
+    int64_t slots = 16;
+    // Times of a usual server; 1 is usual speed.
+    double slowness = 1;
+  };
+
+  struct Work {
+    int64_t attempt = 0;
+    // 0 for plain calls.
+    base::Tokens uncached = 0;
+    std::vector<uint64_t> parts;
+    std::vector<base::Tokens> part_tokens;
+    // Of a stream; 0 for plain calls.
+    int64_t events = 0;
+    int64_t first_event = 1;
+  };
+
+  struct Event {
+    enum class Kind : uint8_t {
+      kEvent,
+      kEnd,
+      kRefused,
+      kFailed,
+      kLost,
+      kNotSent,
+      kWrongServer
+    };
+    Kind kind = Kind::kEvent;
+    int64_t attempt = 0;
+    int64_t event = 0;
+    LoadReport load;
+  };
+
+  ModelServer(std::string instance, uint16_t port, Options options);
+
+  Backend Registration() const;
+  void Start(base::Millis now, Work work);
+  void Cancel(int64_t attempt);
+  void Set(Fault fault) { fault_ = fault; }
+  // The server dies: what ran there is lost.
+  std::vector<Event> Crash();
+  std::vector<Event> Advance(base::Millis now, base::Millis step);
+
+  // Attempts that began to run here.
+  const std::set<int64_t>& ran() const { return ran_; }
+  int64_t running() const { return static_cast<int64_t>(running_.size()); }
+  base::Tokens tokens_read() const { return tokens_read_; }
+
+ private:
+  struct Run {
+    Work work;
+    // Left until the first event or the answer.
+    double left_ms = 0;
+    bool reading = false;
+    int64_t next_event = 1;
+    int64_t last_event = 0;
+  };
+
+  Event Make(Event::Kind kind, int64_t attempt, int64_t event = 0) const;
+  void Admit();
+
+  const std::string instance_;
+  const uint16_t port_;
+  const Options options_;
+  Fault fault_ = Fault::kNone;
+  std::deque<Work> queue_;
+  std::map<int64_t, Run> running_;
+  std::vector<Event> due_;
+  std::set<int64_t> ran_;
+  std::set<uint64_t> cache_;
+  base::Tokens tokens_read_ = 0;
+  int64_t failures_ = 0;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_TESTS_MODEL_SERVER_H_
--- /dev/null
+++ b/libs/dispatch/tests/parts_test.cc
@@ -0,0 +1,178 @@
+#include <string>
+#include <vector>
+
+#include "dispatch/backend_directory.h"
+#include "dispatch/routing_table.h"
+#include "dispatch/waiting_line.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Millis;
+using godwit::base::OrganisationId;
+using godwit::base::ServiceId;
+using godwit::dispatch::Backend;
+using godwit::dispatch::BackendDirectory;
+using godwit::dispatch::Organisation;
+using godwit::dispatch::Route;
+using godwit::dispatch::RoutingTable;
+using godwit::dispatch::WaitingLine;
+
+namespace {
+
+Route RouteAt(const char* name, const char* prefix, int64_t priority) {
+  Route route;
+  route.name = name;
+  route.host = "a.example";
+  route.prefix = prefix;
+  route.priority = priority;
+  route.targets = {{ServiceId("model"), 1}};
+  return route;
+}
+
+RoutingTable Table() {
+  RoutingTable::Contents contents;
+  contents.version = 3;
+  contents.routes = {RouteAt("root", "/", 2), RouteAt("a", "/a/", 0),
+                     RouteAt("ab", "/a/b/", 1)};
+  contents.organisations = {{OrganisationId("lantern"), {"k1", "k2"}, 1, 100},
+                            {OrganisationId("brennan"), {"k3"}, 0, {}}};
+  return RoutingTable(std::move(contents));
+}
+
+Backend Server(const char* instance, int64_t started_at = 1) {
+  Backend backend;
+  backend.instance = instance;
+  backend.started_at_ms = started_at;
+  backend.service = ServiceId("model");
+  backend.address = {"10.0.0.1", 80};
+  return backend;
+}
+
+}  // namespace
+
+TEST_GROUP(RoutingTable){};
+
+TEST(RoutingTable, MatchesTheLongestPrefix) {
+  struct Case {
+    const char* host;
+    const char* path;
+    const char* route;
+  };
+  const std::vector<Case> cases = {
+      {"a.example", "/a/b/c", "ab"},    {"a.example", "/a/b/", "ab"},
+      {"a.example", "/a/b", "a"},       {"a.example", "/a/x/b/", "a"},
+      {"a.example", "/ab/", "root"},    {"a.example", "/", "root"},
+      {"a.example:80", "/a/b/c", "ab"}, {"b.example", "/a/b/c", nullptr},
+      {"a.example", "a/b", nullptr},    {"a.example", "", nullptr}};
+  const RoutingTable table = Table();
+  for (const Case& c : cases) {
+    const Route* const route = table.Match(c.host, c.path);
+    CHECK_EQUAL_TEXT(c.route == nullptr, route == nullptr, c.path);
+    if (route != nullptr) {
+      STRCMP_EQUAL_TEXT(c.route, route->name.c_str(), c.path);
+    }
+  }
+}
+
+TEST(RoutingTable, KnowsWhoHoldsAKey) {
+  const RoutingTable table = Table();
+  CHECK(table.HolderOf("k2")->id == OrganisationId("lantern"));
+  CHECK(table.HolderOf("k3")->id == OrganisationId("brennan"));
+  CHECK(table.HolderOf("") == nullptr);
+  CHECK(table.HolderOf("k") == nullptr);
+}
+
+TEST(RoutingTable, PutsTheOrganisationBeforeTheRoute) {
+  const RoutingTable table = Table();
+  const Organisation& lantern = table.organisations()[0];
+  const Organisation& brennan = table.organisations()[1];
+  const Route& least = table.routes()[0];
+  const Route& most = table.routes()[1];
+  CHECK(table.UrgencyOf(least, &brennan) < table.UrgencyOf(most, &lantern));
+  CHECK(table.UrgencyOf(most, &lantern) < table.UrgencyOf(least, &lantern));
+  CHECK(table.UrgencyOf(least, &lantern) < table.UrgencyOf(most, nullptr));
+  CHECK(table.UrgencyOf(least, nullptr) <= 9);
+}
+
+TEST_GROUP(WaitingLine){};
+
+TEST(WaitingLine, PutsUrgentCallsFirstButStarvesNone) {
+  WaitingLine line;
+  const ServiceId service("model");
+  line.Add(service, 3, Millis(0), 1);
+  line.Add(service, 0, Millis(500), 2);
+  line.Add(service, 0, Millis(100), 3);
+  // Came long after the first.
+  line.Add(service, 0, Millis(5000), 4);
+  const std::vector<godwit::dispatch::CallId> expected = {3, 2, 1, 4};
+  CHECK(line.InOrder(service) == expected);
+  CHECK_EQUAL(2, line.Ahead(service, 0, Millis(600)));
+  line.Remove(3);
+  line.Remove(3);
+  CHECK_EQUAL(3, line.size());
+}
+
+TEST_GROUP(BackendDirectory){};
+
+TEST(BackendDirectory, FollowsWhatServersRegister) {
+  BackendDirectory directory;
+  directory.Listed(Millis(0), {Server("s1"), Server("s2")});
+  CHECK_EQUAL(2, directory.Usable(ServiceId("model")).size());
+  Backend leaving = Server("s1");
+  leaving.draining = true;
+  directory.Changed(Millis(1), leaving);
+  CHECK_EQUAL(1, directory.Usable(ServiceId("model")).size());
+  directory.Removed(Millis(2), "s2");
+  CHECK_EQUAL(0, directory.Usable(ServiceId("model")).size());
+}
+
+TEST(BackendDirectory, UsesAnAddressAgainOnlyForANewIncarnation) {
+  BackendDirectory directory;
+  directory.Listed(Millis(0), {Server("s1")});
+  directory.SeenReplaced("s1");
+  CHECK(directory.Usable(ServiceId("model")).empty());
+  directory.Changed(Millis(1), Server("s1"));
+  CHECK(directory.Usable(ServiceId("model")).empty());
+  directory.Changed(Millis(2), Server("s1", 2));
+  CHECK_EQUAL(1, directory.Usable(ServiceId("model")).size());
+}
+
+TEST(BackendDirectory, ForgivesLapsesWhileTheStoreWasAway) {
+  struct Case {
+    const char* name;
+    bool store_was_away;
+    bool draining;
+    int64_t after_ms;
+    size_t usable;
+  };
+  const std::vector<Case> cases = {
+      {"gone", false, false, 0, 0},
+      {"lapsed, right after the return", true, false, 500, 1},
+      {"lapsed, too long after the return", true, false, 2500, 0},
+      {"was leaving anyway", true, true, 500, 0}};
+  for (const Case& c : cases) {
+    BackendDirectory directory;
+    Backend server = Server("s1");
+    server.draining = c.draining;
+    directory.Listed(Millis(0), {server});
+    if (c.store_was_away) {
+      directory.StoreLost(Millis(100));
+      directory.StoreFound(Millis(5000));
+    }
+    directory.Listed(Millis(5000), {});
+    directory.Tick(Millis(5000 + c.after_ms));
+    CHECK_EQUAL_TEXT(c.usable, directory.Usable(ServiceId("model")).size(),
+                     c.name);
+  }
+}
+
+TEST(BackendDirectory, KeepsALapsedServerThatRegistersAgain) {
+  BackendDirectory directory;
+  directory.Listed(Millis(0), {Server("s1")});
+  directory.StoreLost(Millis(100));
+  directory.StoreFound(Millis(5000));
+  directory.Listed(Millis(5000), {});
+  directory.Changed(Millis(6000), Server("s1"));
+  directory.Tick(Millis(9000));
+  CHECK_EQUAL(1, directory.Usable(ServiceId("model")).size());
+}
