--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -22,13 +22,15 @@
   // Before anything is burnt, all routers together hold one part in this many
   // of a budget.
   int64_t first_part = 5;
-  // Part of what is left of a budget that routers together set aside, in
-  // percent: as much as is left of the limit, between these. Each takes the
-  // part that is its own of what all have used. Little of a budget that runs
-  // out is set aside: what a cut keeps back can still be used later, and what
-  // a kill loses can't.
-  int64_t most_share_percent = 80;
-  int64_t least_share_percent = 20;
+  // Routers together set aside a part of what is left of a budget: `slope`
+  // times what is left of the limit beyond `scarce`, as shares of the limit and
+  // between the two bounds. Little of a budget that runs out is set aside: what
+  // a cut keeps back can still be used later, what a kill loses can't. Each
+  // router takes the part that is its own of what all have used.
+  double share_slope = 1.6;
+  double share_scarce = 0.12;
+  double most_share = 0.8;
+  double least_share = 0.05;
   // A holding is filled up once it is below this share of its target, in
   // percent, and at once when it is below the second.
   int64_t refill_percent = 85;
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -12,7 +12,6 @@
 using base::Tokens;
 
 constexpr int64_t kPercent = 100;
-constexpr double kPercentReal = 100;
 // A router counts as having used its even part of this part of a limit before
 // it used anything.
 constexpr double kPriorPart = 20;
@@ -149,9 +148,9 @@
   const double part = (spent + prior / routers) / (all + prior);
   const double left =
       1 - all / static_cast<double>(std::max<Tokens>(1, budget.limit.limit));
-  const double together = std::clamp(
-      left, static_cast<double>(policy_.least_share_percent) / kPercentReal,
-      static_cast<double>(policy_.most_share_percent) / kPercentReal);
+  const double together =
+      std::clamp((left - policy_.share_scarce) * policy_.share_slope,
+                 policy_.least_share, policy_.most_share);
   return static_cast<Tokens>(static_cast<double>(free + Available(id)) * part *
                              together);
 }
