Free what an earlier life of a router had promised not to spend

Ruled out: use that is counted too high (answers and ledger agree). Change: a holder writes how much it will have spent at most, keeps to that until two seconds after its last promise, and a process started again on the same VM, by the VM's own clock, frees the rest. The proof covers kills with and without the VM; a holder that breaks its promise overspends in it.

--- a/libs/dispatch/include/dispatch/tick.h
+++ b/libs/dispatch/include/dispatch/tick.h
@@ -1,10 +1,15 @@
 #ifndef DISPATCH_TICK_H_
 #define DISPATCH_TICK_H_
 
+#include "base/millis.h"
+
 namespace godwit::dispatch {
 
 // Event: time passed. Due every few tens of milliseconds.
-struct Tick {};
+struct Tick {
+  // Wall clock less the clock of the step.
+  base::Millis clock_offset;
+};
 
 }  // namespace godwit::dispatch
 
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -271,7 +271,8 @@
   PumpBudgets();
 }
 
-void Dispatcher::State::On(const Tick& /*event*/) {
+void Dispatcher::State::On(const Tick& event) {
+  budgets_.SetClockOffset(event.clock_offset);
   const base::Millis gap = now_ - last_tick_;
   if (last_tick_ != base::Millis() && gap > kStoodStill) {
     placement_.Excuse(gap);
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -21,12 +21,13 @@
 namespace godwit::ledger {
 
 // Spends budgets in a router that meters usage itself, from grants set aside
-// in the KV before use. No clock or lease decides who may spend, so a budget
-// holds over kills, pauses and cuts; a grant that is lost with its router
-// counts as spent. Limits come from the configuration, and each write names
-// the configuration that it relies on, so that a router which does not know a
-// lowered limit yet can't set tokens aside above it. No I/O. One thread at a
-// time.
+// in the KV before use, so a budget holds over kills, pauses and cuts. A grant
+// that is lost with its router counts as spent, except for what the router had
+// promised not to spend yet: a process that is started again on the same VM
+// frees that, going by the VM's monotonic clock. Limits come from the
+// configuration, and each write names the configuration that it relies on, so
+// that a router which does not know a lowered limit yet can't set tokens aside
+// above it. No I/O. One thread at a time.
 class MeteredHolder {
  public:
   using KvCommand = std::variant<platform::KvRead, platform::KvWrite>;
@@ -53,6 +54,8 @@
   // Limits of all budgets, and the stored configuration that states them.
   void SetLimits(const std::vector<BudgetLimit>& limits,
                  platform::KvCondition configuration);
+  // Wall clock less the clock of `now`, as of now.
+  void SetClockOffset(base::Millis offset);
   // Routers that share the budgets, this one included.
   void SetRouters(size_t count);
 
@@ -81,7 +84,7 @@
                             const platform::KvWriteDone& done);
 
   // Tokens that may be reserved now.
-  base::Tokens available(const base::BudgetId& budget) const;
+  base::Tokens available(base::Millis now, const base::BudgetId& budget) const;
   // When the record behind `available` was surely the stored one.
   base::Millis proven_at(const base::BudgetId& budget) const;
   // What a verdict on the budget is based on, for logs.
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -40,6 +40,15 @@
   // Least time between writes that are not urgent, and between any two.
   base::Millis lazy_spacing = base::Millis(500);
   base::Millis write_spacing = base::Millis(15);
+  // A holder that has not reached the KV for this long since its last promise
+  // may spend its whole grant; until then it keeps to what it promised. A
+  // killed process is started again, and reads the record, within less.
+  base::Millis promise_time = base::Millis(2'000);
+  // What is promised ahead of use, as a span of the burn rate in percent of
+  // `promise_time`: use is uneven.
+  int64_t promise_percent = 200;
+  // Difference of two clocks' readings that counts as none.
+  base::Millis clock_jitter = base::Millis(50);
   // Age up to which a record read proves what is left of a budget.
   base::Millis fresh = base::Millis(250);
   // A record that was not read or written for this long is read, to see
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -31,6 +31,10 @@
   }
 }
 
+void MeteredHolder::SetClockOffset(base::Millis offset) {
+  state_->clock_offset_ = offset;
+}
+
 void MeteredHolder::SetRouters(size_t count) {
   state_->routers_ = std::max<size_t>(1, count);
 }
@@ -40,6 +44,7 @@
                                               base::Tokens amount,
                                               base::Millis since) {
   State& state = *state_;
+  state.now_ = now;
   MeteredBudget* const local = state.Find(budget);
   if (local == nullptr) {
     // Its limit is not known.
@@ -64,7 +69,9 @@
     local->need = 0;
     return Verdict::kExhausted;
   }
-  if (now - since >= state.policy_.max_wait || state.IsAway(now, shard)) {
+  // What is held but not promised comes free soon.
+  const bool is_away = state.IsAway(now, shard) && state.Held(budget) < amount;
+  if (now - since >= state.policy_.max_wait || is_away) {
     local->need = 0;
     return Verdict::kUnavailable;
   }
@@ -105,12 +112,14 @@
 }
 
 std::vector<MeteredHolder::KvCommand> MeteredHolder::Tick(base::Millis now) {
+  state_->now_ = now;
   return state_->Pump(now);
 }
 
 std::vector<MeteredHolder::KvCommand> MeteredHolder::On(
     base::Millis now,
     const platform::KvReadDone& done) {
+  state_->now_ = now;
   state_->OnDone(now, done);
   return state_->Pump(now);
 }
@@ -118,11 +127,14 @@
 std::vector<MeteredHolder::KvCommand> MeteredHolder::On(
     base::Millis now,
     const platform::KvWriteDone& done) {
+  state_->now_ = now;
   state_->OnDone(now, done);
   return state_->Pump(now);
 }
 
-base::Tokens MeteredHolder::available(const base::BudgetId& budget) const {
+base::Tokens MeteredHolder::available(base::Millis now,
+                                      const base::BudgetId& budget) const {
+  state_->now_ = now;
   return state_->Available(budget);
 }
 
@@ -141,7 +153,8 @@
   const base::Tokens free =
       stored == shard.view.record().budgets.end() ? 0 : stored->second.free();
   return "limit " + std::to_string(local->limit.limit) + ", granted " +
-         std::to_string(state_->Granted(budget)) + ", spent " +
+         std::to_string(state_->Granted(budget)) + ", promised " +
+         std::to_string(state_->Promised(budget)) + ", spent " +
          std::to_string(local->spent) + ", reserved " +
          std::to_string(local->reserved) + ", target " +
          std::to_string(state_->Target(now, *local)) + ", free " +
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -75,7 +75,9 @@
   return found == stored->grants.end() ? nullptr : &found->second;
 }
 
-Tokens MeteredHolder::State::Granted(const base::BudgetId& budget) const {
+template <typename Amount>
+Tokens MeteredHolder::State::LeastOf(const base::BudgetId& budget,
+                                     Amount amount) const {
   const View& view = ShardOfBudget(budget).view;
   if (!view.known()) {
     return 0;
@@ -83,14 +85,28 @@
   std::optional<Tokens> least;
   view.HoldsInAll([&](const LedgerRecord& record) {
     const Grant* const grant = OwnGrant(record, budget);
-    const Tokens amount = grant == nullptr ? 0 : grant->amount;
-    least = std::min(least.value_or(amount), amount);
+    const Tokens tokens = grant == nullptr ? 0 : amount(*grant);
+    least = std::min(least.value_or(tokens), tokens);
     return true;
   });
   return *least;
 }
 
-Tokens MeteredHolder::State::Available(const base::BudgetId& budget) const {
+Tokens MeteredHolder::State::Granted(const base::BudgetId& budget) const {
+  return LeastOf(budget, [](const Grant& grant) { return grant.amount; });
+}
+
+Tokens MeteredHolder::State::Promised(const base::BudgetId& budget) const {
+  return LeastOf(budget, [](const Grant& grant) {
+    return grant.promise ? std::min(grant.amount, grant.promise->most) : 0;
+  });
+}
+
+bool MeteredHolder::State::IsOnItsOwn(const Shard& shard) const {
+  return now_ - shard.promised_at >= policy_.promise_time;
+}
+
+Tokens MeteredHolder::State::Held(const base::BudgetId& budget) const {
   const MeteredBudget* const local = Find(budget);
   if (local == nullptr || IsOverCommitted(*local)) {
     return 0;
@@ -98,6 +114,22 @@
   return std::max<Tokens>(0, Granted(budget) - local->spent - local->reserved);
 }
 
+Tokens MeteredHolder::State::Available(const base::BudgetId& budget) const {
+  const Tokens held = Held(budget);
+  if (held == 0 || IsOnItsOwn(ShardOfBudget(budget))) {
+    return held;
+  }
+  const MeteredBudget& local = *Find(budget);
+  return std::clamp<Tokens>(Promised(budget) - local.spent - local.reserved, 0,
+                            held);
+}
+
+Tokens MeteredHolder::State::Headroom(base::Millis now,
+                                      const MeteredBudget& budget) const {
+  return budget.need + budget.BurnOver(now, policy_.promise_time, policy_) *
+                           policy_.promise_percent / kPercent;
+}
+
 bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
   const Budget* const stored = BudgetIn(
       ShardOfBudget(budget.limit.budget).view.record(), budget.limit.budget);
@@ -151,7 +183,7 @@
   const double together =
       std::clamp((left - policy_.share_scarce) * policy_.share_slope,
                  policy_.least_share, policy_.most_share);
-  return static_cast<Tokens>(static_cast<double>(free + Available(id)) * part *
+  return static_cast<Tokens>(static_cast<double>(free + Held(id)) * part *
                              together);
 }
 
@@ -180,24 +212,31 @@
       stored->limit != std::max(limit, Committed(*stored))) {
     return Urgency::kNow;
   }
+  const Tokens held = Held(id);
   const Tokens available = Available(id);
   if (IsOverCommitted(budget)) {
     return holds_free ? Urgency::kNow : Urgency::kNone;
   }
   const Tokens target = Target(now, budget);
   const Tokens free = limit - Committed(*stored);
-  if (free > 0 && available < target) {
-    if (budget.need > available ||
-        available * kPercent < target * policy_.urgent_percent) {
+  if (budget.need > available && (free > 0 || held >= budget.need)) {
+    return Urgency::kNow;
+  }
+  if (free > 0 && held < target) {
+    if (held * kPercent < target * policy_.urgent_percent) {
       return Urgency::kNow;
     }
-    if (available * kPercent < target * policy_.refill_percent) {
+    if (held * kPercent < target * policy_.refill_percent) {
       return Urgency::kLazy;
     }
   }
-  return available * kPercent > target * policy_.surplus_percent
-             ? Urgency::kLazy
-             : Urgency::kNone;
+  if (held * kPercent > target * policy_.surplus_percent) {
+    return Urgency::kLazy;
+  }
+  // A promise is renewed while tokens are used.
+  const Grant* const own = OwnGrant(record, id);
+  const bool used_since = own != nullptr && budget.spent != own->billed();
+  return used_since ? Urgency::kLazy : Urgency::kNone;
 }
 
 MeteredHolder::State::Urgency MeteredHolder::State::UrgencyOf(
@@ -267,8 +306,12 @@
   return std::nullopt;
 }
 
-LedgerRecord MeteredHolder::State::NextRecord(base::Millis now,
-                                              const Shard& shard) {
+LedgerRecord MeteredHolder::State::NextRecord(base::Millis now, Shard& shard) {
+  // While the KV does not answer, the time runs since the last write that may
+  // have taken effect.
+  if (shard.answers) {
+    shard.promised_at = now;
+  }
   LedgerEdit edit(shard.view.record());
   for (const auto& [id, budget] : budgets_) {
     if (&ShardOfBudget(id) == &shard) {
@@ -286,16 +329,16 @@
   const base::BudgetId& id = budget.limit.budget;
   const base::GrantId grant = GrantOf(id);
   edit.CreateBudget(id, budget.limit.organisation);
-  CloseEarlierGrants(edit, id);
+  CloseEarlierGrants(now, edit, id);
   const Tokens target = Target(now, budget);
-  const Tokens available =
-      std::max<Tokens>(0, Granted(id) - budget.spent - budget.reserved);
+  const Tokens used = budget.spent + budget.reserved;
+  const Tokens held = std::max<Tokens>(0, Granted(id) - used);
   if (OwnGrant(edit.record(), id) != nullptr) {
     edit.Settle(id, grant, self_, budget.spent);
     if (draining_ && budget.reserved == 0) {
       edit.ReturnGrant(id, grant);
-    } else if (available > target) {
-      edit.Shrink(id, grant, available - target);
+    } else if (held > target) {
+      edit.Shrink(id, grant, held - target);
     }
   }
   edit.SetLimit(id, budget.limit.limit, now);
@@ -303,13 +346,30 @@
   const Tokens draw =
       stored == nullptr || target == 0
           ? 0
-          : std::min(target - available, std::max<Tokens>(0, stored->free()));
+          : std::min(target - held, std::max<Tokens>(0, stored->free()));
   if (draw > 0 && edit.Draw(id, grant, self_, draw)) {
     edit.ListAgents(id, grant, {self_});
   }
+  if (OwnGrant(edit.record(), id) != nullptr) {
+    edit.Promise(id, grant,
+                 {used + Headroom(now, budget), ShardOfBudget(id).promised_at,
+                  clock_offset_});
+  }
+}
+
+bool MeteredHolder::State::StillBinds(base::Millis now,
+                                      const SpendPromise& promise) const {
+  const base::Millis drift = clock_offset_ - promise.clock_offset;
+  return now >= promise.clock && now < promise.clock + policy_.promise_time &&
+         drift < policy_.clock_jitter &&
+         base::Millis(0) - policy_.clock_jitter < drift;
 }
 
-void MeteredHolder::State::CloseEarlierGrants(LedgerEdit& edit,
+// Earlier lives of this process are over: what they used is in the record or,
+// with a promise that still binds, at most what was promised. Otherwise the
+// whole grant may have been used.
+void MeteredHolder::State::CloseEarlierGrants(base::Millis now,
+                                              LedgerEdit& edit,
                                               const base::BudgetId& budget) {
   const Budget* const stored = BudgetIn(edit.record(), budget);
   if (stored == nullptr) {
@@ -323,8 +383,15 @@
       continue;
     }
     edit.Seal(budget, id);
+    const bool is_bound = grant.promise && StillBinds(now, *grant.promise);
     for (const auto& [agent, account] : grant.agents) {
-      edit.LoseAgent(budget, id, agent);
+      if (is_bound) {
+        edit.FinishAgent(budget, id, agent,
+                         std::min(grant.amount, std::max(account.billed,
+                                                         grant.promise->most)));
+      } else {
+        edit.LoseAgent(budget, id, agent);
+      }
     }
     edit.Close(budget, id);
   }
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -31,6 +31,8 @@
     base::Millis retry_at;
     base::Millis last_write_at;
     int lost_races = 0;
+    // Latest clock that a write with a promise may have carried.
+    base::Millis promised_at;
     bool answers = true;
   };
 
@@ -43,9 +45,21 @@
   // The own grant of a budget in a record; null when there is none.
   const Grant* OwnGrant(const LedgerRecord& record,
                         const base::BudgetId& budget) const;
+  // Least `amount(grant)` of the own grant in every version that may be stored.
+  template <typename Amount>
+  base::Tokens LeastOf(const base::BudgetId& budget, Amount amount) const;
   // Tokens of the own grant in every version of the record that may be stored.
   base::Tokens Granted(const base::BudgetId& budget) const;
+  // What the own promise allows in every version that may be stored.
+  base::Tokens Promised(const base::BudgetId& budget) const;
+  // Tokens of the own grant that are neither used nor reserved, and those of
+  // them that may be reserved now.
+  base::Tokens Held(const base::BudgetId& budget) const;
   base::Tokens Available(const base::BudgetId& budget) const;
+  // True while the holder is not bound by its promise.
+  bool IsOnItsOwn(const Shard& shard) const;
+  // What to promise beyond what is used and reserved.
+  base::Tokens Headroom(base::Millis now, const MeteredBudget& budget) const;
   // True when more is set aside than the limit allows since it was lowered.
   bool IsOverCommitted(const MeteredBudget& budget) const;
   // Most that can be left of a budget, from what is known to be used.
@@ -64,9 +78,13 @@
   Urgency UrgencyOf(base::Millis now, const Shard& shard) const;
   // True while a reservation waits for a newer record of the shard.
   bool IsAwaited(const Shard& shard) const;
-  LedgerRecord NextRecord(base::Millis now, const Shard& shard);
+  LedgerRecord NextRecord(base::Millis now, Shard& shard);
   void Edit(base::Millis now, LedgerEdit& edit, const MeteredBudget& budget);
-  void CloseEarlierGrants(LedgerEdit& edit, const base::BudgetId& budget);
+  void CloseEarlierGrants(base::Millis now,
+                          LedgerEdit& edit,
+                          const base::BudgetId& budget);
+  // True when the promise still binds whoever made it.
+  bool StillBinds(base::Millis now, const SpendPromise& promise) const;
   template <typename Done>
   void OnDone(base::Millis now, const Done& done);
 
@@ -77,6 +95,9 @@
   base::Incarnation self_;
   MeteredPolicy policy_;
   size_t routers_ = 1;
+  base::Millis clock_offset_;
+  // Of the call in progress.
+  base::Millis now_;
   std::optional<platform::KvCondition> configuration_;
   std::map<base::BudgetId, MeteredBudget> budgets_;
   std::vector<Shard> shards_;
--- a/libs/ledger/tests/metered_holder_test.cc
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -16,20 +16,21 @@
 
 namespace {
 
-constexpr Tokens kLimit = 100'000;
+constexpr Tokens kLimit = 20'000;
 constexpr size_t kRouters = 4;
 
 // A random schedule of requests, ends, kills, cuts, outages and changes of the
 // limit. False when more was used than any limit allowed.
-void RunSchedule(bool planted) {
+void RunSchedule(bool ignores_versions) {
   MeteredWorld world(*rc::gen::arbitrary<uint64_t>(), kRouters, kLimit);
-  world.faults().ignores_versions = planted;
+  world.faults().ignores_versions = ignores_versions;
+  const bool may_lower = *rc::gen::inRange(0, 4) == 0;
   const int steps = *rc::gen::inRange(10, 60);
   for (int i = 0; i < steps; ++i) {
     const auto router = *rc::gen::inRange<size_t>(0, kRouters);
     switch (*rc::gen::inRange(0, 10)) {
       case 0:
-        world.Kill(router);
+        world.Kill(router, *rc::gen::arbitrary<bool>());
         break;
       case 1:
         world.Cut(router, *rc::gen::arbitrary<bool>());
@@ -42,7 +43,11 @@
         world.faults().late_write_percent = *rc::gen::inRange(0, 40);
         break;
       case 4:
-        world.SetLimit(*rc::gen::inRange<Tokens>(kLimit / 2, kLimit * 2));
+        // A limit that only grows a little is one that is reached.
+        world.SetLimit(may_lower
+                           ? *rc::gen::inRange<Tokens>(kLimit / 2, kLimit * 2)
+                           : world.highest_limit() +
+                                 *rc::gen::inRange<Tokens>(0, 500));
         break;
       case 5:
       case 6:
@@ -52,7 +57,7 @@
         break;
       default:
         for (int n = 0; n < 8; ++n) {
-          world.Request(router, *rc::gen::inRange<Tokens>(1, 4000));
+          world.Request(router, *rc::gen::inRange<Tokens>(1, 900));
         }
         break;
     }
@@ -73,6 +78,29 @@
   CHECK(godwit::support::IsFalsified([] { RunSchedule(true); }));
 }
 
+TEST(MeteredHolder, ABrokenPromiseOverspends) {
+  for (const bool broken : {false, true}) {
+    MeteredWorld world(1, 1, kLimit);
+    if (broken) {
+      world.BreakPromises();
+    }
+    world.Kill(0);
+    world.Advance(Millis(300));
+    // More than was promised, before the next write.
+    for (int i = 0; i < 30; ++i) {
+      world.Request(0, 100);
+    }
+    world.Kill(0);
+    world.Advance(Millis(300));
+    for (int i = 0; i < 400; ++i) {
+      world.Request(0, 100);
+      world.Advance(Millis(50));
+      world.Finish(0, 100);
+    }
+    CHECK_EQUAL(broken, world.Used() > kLimit);
+  }
+}
+
 TEST(MeteredHolder, ServesOnThroughACutFromTheKv) {
   MeteredWorld world(1, kRouters, 1'000'000);
   const auto load = [&world](int rounds) {
@@ -132,6 +160,41 @@
   CHECK_TEXT(world.Used() >= 97'000, std::to_string(world.Used()).c_str());
 }
 
+TEST(MeteredHolder, FreesWhatAnEarlierLifeHadNotPromised) {
+  struct Case {
+    const char* name;
+    bool with_its_vm;
+    // Time between the last use and the next life.
+    int64_t pause_ms;
+    bool cut;
+    bool frees;
+  };
+  const std::vector<Case> cases = {
+      {"killed and started again", false, 0, false, true},
+      {"with its VM, whose clock tells nothing", true, 0, false, false},
+      {"killed after a long cut", false, 4000, true, false}};
+  for (const Case& c : cases) {
+    MeteredWorld world(1, 1, 100'000);
+    for (int i = 0; i < 40; ++i) {
+      world.Request(0, 200);
+      world.Advance(Millis(100));
+      world.Finish(0, 100);
+    }
+    world.Cut(0, c.cut);
+    world.Advance(Millis(c.pause_ms));
+    world.Cut(0, false);
+    world.Kill(0, c.with_its_vm);
+    world.Advance(Millis(500));
+    for (int i = 0; i < 300; ++i) {
+      world.Request(0, 500);
+      world.Advance(Millis(50));
+      world.Finish(0, 100);
+    }
+    CHECK_EQUAL_TEXT(c.frees, world.Used() > 90'000,
+                     (c.name + std::to_string(world.Used())).c_str());
+  }
+}
+
 TEST(MeteredHolder, GivesBackWhatItHoldsWhenItStops) {
   MeteredWorld world(1, 2, 100'000);
   for (int i = 0; i < 20; ++i) {
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -9,6 +9,7 @@
 
 constexpr char kConfigKey[] = "configuration";
 constexpr base::Millis kStep(5);
+constexpr uint64_t kMostSkew = 20'000;
 const base::BudgetId kBudget("kiosks");
 
 }  // namespace
@@ -26,11 +27,13 @@
   std::deque<base::Tokens> running;
   base::Tokens used = 0;
   bool cut = false;
+  // Of its VM's monotonic clock.
+  base::Millis skew;
   int64_t seen_config = 0;
 };
 
 MeteredWorld::MeteredWorld(uint64_t seed, size_t routers, base::Tokens limit)
-    : kv_(seed), limit_(limit), highest_limit_(limit) {
+    : kv_(seed), random_(seed), limit_(limit), highest_limit_(limit) {
   kv_.Put(kConfigKey, "1");
   for (size_t i = 0; i < routers; ++i) {
     routers_.push_back(std::make_unique<Router>());
@@ -41,8 +44,11 @@
 
 MeteredWorld::~MeteredWorld() = default;
 
-void MeteredWorld::Kill(size_t index) {
+void MeteredWorld::Kill(size_t index, bool with_its_vm) {
   Router& router = *routers_[index];
+  if (with_its_vm) {
+    router.skew = base::Millis(static_cast<int64_t>(random_() % kMostSkew));
+  }
   used_by_dead_ += router.used;
   for (const base::Tokens amount : router.running) {
     used_by_dead_ += amount;
@@ -54,6 +60,10 @@
   router.life = static_cast<int>(++lives_);
   MeteredPolicy policy;
   policy.cover = base::Millis(2000);
+  if (breaks_promises_ && router.life % 2 == 0) {
+    policy.promise_time = base::Millis(0);
+    policy.promise_percent = 0;
+  }
   router.holder = std::make_unique<MeteredHolder>(
       base::ProcessId(router.name),
       base::Incarnation(router.name + "." + std::to_string(router.life)),
@@ -91,8 +101,8 @@
 void MeteredWorld::Try(Router& router) {
   std::deque<Router::Waiting> still;
   for (const Router::Waiting& waiting : router.waiting) {
-    switch (
-        router.holder->Reserve(now_, kBudget, waiting.amount, waiting.since)) {
+    switch (router.holder->Reserve(now_ + router.skew, kBudget, waiting.amount,
+                                   waiting.since + router.skew)) {
       case MeteredHolder::Verdict::kReserved:
         router.running.push_back(waiting.amount);
         ++served_;
@@ -120,7 +130,7 @@
   router.running.pop_front();
   const base::Tokens used = amount * used_percent / 100;
   router.used += used;
-  router.holder->Settle(now_, kBudget, amount, used);
+  router.holder->Settle(now_ + router.skew, kBudget, amount, used);
 }
 
 void MeteredWorld::Drain(size_t index) {
@@ -142,7 +152,8 @@
       if (routers_[i]->life == answer.client) {
         std::visit(
             [&](const auto& done) {
-              Submit(i, routers_[i]->holder->On(now_, done));
+              Submit(i,
+                     routers_[i]->holder->On(now_ + routers_[i]->skew, done));
             },
             answer.done);
       }
@@ -156,7 +167,8 @@
           {{kBudget, base::OrganisationId("lantern-line"), limit_}},
           {kConfigKey, config_version_});
     }
-    Submit(i, router.holder->Tick(now_));
+    router.holder->SetClockOffset(base::Millis(0) - router.skew);
+    Submit(i, router.holder->Tick(now_ + router.skew));
     Try(router);
   }
 }
--- a/libs/ledger/tests/metered_world.h
+++ b/libs/ledger/tests/metered_world.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
 class MeteredWorld {
  public:
   MeteredWorld(uint64_t seed, size_t routers, base::Tokens limit);
+  // Planted fault: every other life spends beyond its promise at once.
+  void BreakPromises() { breaks_promises_ = true; }
   ~MeteredWorld();
 
   // A request at a router; it waits for tokens as long as it may.
@@ -26,7 +29,7 @@
   void Finish(size_t router, int used_percent);
   // The router dies with all it knows, and another life of it begins. What ran
   // there counts as used whole.
-  void Kill(size_t router);
+  void Kill(size_t router, bool with_its_vm = false);
   void Cut(size_t router, bool cut);
   void Drain(size_t router);
   // A new version of the configuration. Routers that are cut off don't see it.
@@ -49,6 +52,7 @@
   void Submit(size_t router, std::vector<MeteredHolder::KvCommand> commands);
 
   support::FakeKv kv_;
+  std::mt19937_64 random_;
   std::vector<std::unique_ptr<Router>> routers_;
   base::Millis now_{1000};
   base::Tokens limit_;
@@ -59,6 +63,7 @@
   int64_t refused_ = 0;
   int64_t exhausted_ = 0;
   int64_t lives_ = 0;
+  bool breaks_promises_ = false;
 };
 
 }  // namespace godwit::ledger
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -280,7 +280,7 @@
     callers_.Tick();
     readiness_.Tick();
     pages_.Tick();
-    Raise(dispatch::Tick());
+    Raise(dispatch::Tick{base::WallNow() - now});
     if (!announced_ && dispatcher_.ready()) {
       announced_ = true;
       Log(EventId::kProcessReady,
