Promise at least a quarter of a holding; set fewer large requests aside

Cause: a router that had just started promised nothing beyond its requests and wrote for each of them (415 ms on a slow VM); two requests of the largest size were most of a small budget.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -31,6 +31,10 @@
   double share_scarce = 0.12;
   double most_share = 0.8;
   double least_share = 0.05;
+  // Large requests in a row that a holding is to serve, as long as they are no
+  // more than one part in `large_part` of the limit for each router.
+  int64_t large_requests = 2;
+  int64_t large_part = 10;
   // A holding is filled up once it is below this share of its target, in
   // percent, and at once when it is below the second.
   int64_t refill_percent = 85;
@@ -43,10 +47,12 @@
   // A holder that has not reached the KV for this long since its last promise
   // may spend its whole grant; until then it keeps to what it promised. A
   // killed process is started again, and reads the record, within less.
-  base::Millis promise_time = base::Millis(2'000);
+  base::Millis promise_time = base::Millis(1'500);
   // What is promised ahead of use, as a span of the burn rate in percent of
   // `promise_time`: use is uneven.
-  int64_t promise_percent = 200;
+  int64_t promise_percent = 250;
+  // At least this part of the target of a holding is promised.
+  int64_t promise_part = 4;
   // Difference of two clocks' readings that counts as none.
   base::Millis clock_jitter = base::Millis(50);
   // Age up to which a record read proves what is left of a budget.
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -126,8 +126,10 @@
 
 Tokens MeteredHolder::State::Headroom(base::Millis now,
                                       const MeteredBudget& budget) const {
-  return budget.need + budget.BurnOver(now, policy_.promise_time, policy_) *
-                           policy_.promise_percent / kPercent;
+  const Tokens soon = budget.BurnOver(now, policy_.promise_time, policy_) *
+                      policy_.promise_percent / kPercent;
+  return budget.need +
+         std::max(soon, Target(now, budget) / policy_.promise_part);
 }
 
 bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
@@ -156,8 +158,10 @@
   }
   const auto routers = static_cast<Tokens>(routers_);
   const Tokens first = budget.limit.limit / (policy_.first_part * routers);
-  const Tokens cover =
-      budget.BurnOver(now, policy_.cover, policy_) + 2 * budget.largest;
+  const Tokens large =
+      std::min(policy_.large_requests * budget.largest,
+               budget.limit.limit / (policy_.large_part * routers));
+  const Tokens cover = budget.BurnOver(now, policy_.cover, policy_) + large;
   return std::max(budget.need, std::min(std::max(first, cover), Share(budget)));
 }
 
