Take the record from a lost race; count a promise from the write that held

Change: a refused write tells the key as it is, which replaces the read; the time of a promise runs from the last write that can have taken effect. The test of a cut from the KV failed first (2 refusals).

--- a/libs/cas/include/cas/key_view.h
+++ b/libs/cas/include/cas/key_view.h
@@ -116,7 +116,7 @@
       }
       case platform::WriteOutcome::kLost:
         open_writes_.pop_back();
-        outdated_ = true;
+        outdated_ = !TakeCurrent(done.current, started_at);
         return Progress::kLost;
       case platform::WriteOutcome::kNotSent:
         open_writes_.pop_back();
@@ -150,6 +150,23 @@
            operation_->is_write == is_write;
   }
 
+  // Takes in the version that won over a write. False when it is not known.
+  bool TakeCurrent(const platform::KvItem& current, base::Millis started_at) {
+    if (!known_ || current.version == 0 || current.version < version_) {
+      return false;
+    }
+    if (current.version == version_) {
+      proven_at_ = started_at;
+      return true;
+    }
+    auto record = Codec().Decode(current.value);
+    if (!record) {
+      return false;
+    }
+    Adopt(current.version, std::move(*record), started_at);
+    return true;
+  }
+
   void Adopt(int64_t version, Record record, base::Millis proven_at) {
     known_ = true;
     outdated_ = false;
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -42,8 +42,8 @@
   // A holding above this share of its target is given back down to it.
   int64_t surplus_percent = 200;
   // Least time between writes that are not urgent, and between any two.
-  base::Millis lazy_spacing = base::Millis(500);
-  base::Millis write_spacing = base::Millis(15);
+  base::Millis lazy_spacing = base::Millis(600);
+  base::Millis write_spacing = base::Millis(50);
   // A holder that has not reached the KV for this long since its last promise
   // may spend its whole grant; until then it keeps to what it promised. A
   // killed process is started again, and reads the record, within less.
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -103,7 +103,9 @@
 }
 
 bool MeteredHolder::State::IsOnItsOwn(const Shard& shard) const {
-  return now_ - shard.promised_at >= policy_.promise_time;
+  const base::Millis latest =
+      shard.view.has_open_writes() ? shard.offered_at : shard.promised_at;
+  return now_ - latest >= policy_.promise_time;
 }
 
 Tokens MeteredHolder::State::Held(const base::BudgetId& budget) const {
@@ -314,7 +316,7 @@
   // While the KV does not answer, the time runs since the last write that may
   // have taken effect.
   if (shard.answers) {
-    shard.promised_at = now;
+    shard.offered_at = now;
   }
   LedgerEdit edit(shard.view.record());
   for (const auto& [id, budget] : budgets_) {
@@ -356,7 +358,7 @@
   }
   if (OwnGrant(edit.record(), id) != nullptr) {
     edit.Promise(id, grant,
-                 {used + Headroom(now, budget), ShardOfBudget(id).promised_at,
+                 {used + Headroom(now, budget), ShardOfBudget(id).offered_at,
                   clock_offset_});
   }
 }
@@ -416,9 +418,15 @@
       // The first race is run again at once; a configuration that this router
       // does not know yet makes it lose each one until it does.
       shard.retry_at = now + policy_.race_pause * shard.lost_races;
+      shard.last_write_at = base::Millis();
       shard.lost_races = std::min(shard.lost_races + 1, kMostRacesCounted);
     } else if (was_write) {
       shard.lost_races = 0;
+      shard.promised_at = shard.offered_at;
+    }
+    if (was_write && shard.view.has_open_writes()) {
+      // It may take effect yet.
+      shard.promised_at = shard.offered_at;
     }
     return;
   }
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -31,7 +31,9 @@
     base::Millis retry_at;
     base::Millis last_write_at;
     int lost_races = 0;
-    // Latest clock that a write with a promise may have carried.
+    // Clock of the promise in the latest write, and of the latest one that may
+    // have taken effect.
+    base::Millis offered_at;
     base::Millis promised_at;
     bool answers = true;
   };
--- a/libs/platform/include/platform/kv_write_done.h
+++ b/libs/platform/include/platform/kv_write_done.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "platform/kv_item.h"
 #include "platform/write_outcome.h"
 
 namespace godwit::platform {
@@ -13,6 +14,8 @@
   WriteOutcome outcome = WriteOutcome::kUnknown;
   // kWon: the new version. Otherwise 0.
   int64_t version = 0;
+  // kLost: the key as it is now, where the KV tells; version 0 otherwise.
+  KvItem current = {};
 };
 
 }  // namespace godwit::platform
--- a/tests/support/fake_kv.h
+++ b/tests/support/fake_kv.h
@@ -131,6 +131,8 @@
   static constexpr base::Millis kTimeout = base::Seconds(2);
   // Latest moment at which a late write lands, in milliseconds.
   static constexpr uint64_t kLatest = 8000;
+  // Chance in percent that a lost write is told the key as it is.
+  static constexpr int kTellsCurrent = 50;
   // Longest way of an operation without slowness, in milliseconds.
   static constexpr uint64_t kLatency = 4;
 
@@ -189,6 +191,9 @@
       done.outcome =
           won ? platform::WriteOutcome::kWon : platform::WriteOutcome::kLost;
       done.version = won ? entry.version : 0;
+      if (!won && Dice() < kTellsCurrent) {
+        done.current = {write.key, entry.value, entry.version};
+      }
       Reply(at + Latency(), effect.client, done);
     }
   }
