Trial: sixteen ledger keys, promises in a key of each router's own

Cause: with one key the router that had won went on winning while the others paused longer after each lost race; holders near the end of a budget drew for each request.

--- a/libs/ledger/include/ledger/grant.h
+++ b/libs/ledger/include/ledger/grant.h
@@ -2,13 +2,11 @@
 #define LEDGER_GRANT_H_
 
 #include <map>
-#include <optional>
 #include <tuple>
 
 #include "base/ids.h"
 #include "ledger/agent_account.h"
 #include "ledger/grant_state.h"
-#include "ledger/spend_promise.h"
 
 namespace godwit::ledger {
 
@@ -22,15 +20,13 @@
   GrantState state = GrantState::kActive;
   // The agent incarnations where it may be spent, and their usage.
   std::map<base::Incarnation, AgentAccount> agents;
-  // Set by holders that meter usage themselves.
-  std::optional<SpendPromise> promise;
 
   // Tokens billed at all agents.
   base::Tokens billed() const noexcept;
 
   friend bool operator==(const Grant& a, const Grant& b) {
-    return std::tie(a.holder, a.amount, a.state, a.agents, a.promise) ==
-           std::tie(b.holder, b.amount, b.state, b.agents, b.promise);
+    return std::tie(a.holder, a.amount, a.state, a.agents) ==
+           std::tie(b.holder, b.amount, b.state, b.agents);
   }
   friend bool operator!=(const Grant& a, const Grant& b) { return !(a == b); }
 };
--- a/libs/ledger/include/ledger/ledger_edit.h
+++ b/libs/ledger/include/ledger/ledger_edit.h
@@ -56,11 +56,6 @@
                   const base::GrantId& grant,
                   const std::vector<base::Incarnation>& agents);
 
-  // Records what the holder of an active grant promises to spend at most.
-  bool Promise(const base::BudgetId& budget,
-               const base::GrantId& grant,
-               const SpendPromise& promise);
-
   // Raises the usage at a listed agent to `billed`; lower values change
   // nothing. kStale when the grant is closed, kConflict beyond its amount.
   bool Settle(const base::BudgetId& budget,
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -10,7 +10,7 @@
 // Settings of a MeteredHolder.
 struct MeteredPolicy {
   // Ledger keys of the fleet.
-  int shard_count = 1;
+  int shard_count = 16;
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
@@ -37,22 +37,24 @@
   int64_t large_part = 10;
   // A holding is filled up once it is below this share of its target, in
   // percent, and at once when it is below the second.
-  int64_t refill_percent = 85;
+  int64_t refill_percent = 70;
   int64_t urgent_percent = 50;
   // A holding above this share of its target is given back down to it.
   int64_t surplus_percent = 200;
   // Least time between writes that are not urgent, and between any two.
   base::Millis lazy_spacing = base::Millis(600);
-  base::Millis write_spacing = base::Millis(50);
+  base::Millis write_spacing = base::Millis(40);
   // A holder that has not reached the KV for this long since its last promise
   // may spend its whole grant; until then it keeps to what it promised. A
   // killed process is started again, and reads the record, within less.
-  base::Millis promise_time = base::Millis(1'500);
+  base::Millis promise_time = base::Millis(2'000);
   // What is promised ahead of use, as a span of the burn rate in percent of
   // `promise_time`: use is uneven.
   int64_t promise_percent = 250;
-  // At least this part of the target of a holding is promised.
-  int64_t promise_part = 4;
+  // At least this part of the target of a holding is promised, and all of a
+  // target that is no more than one in `small_part` of the limit.
+  int64_t promise_part = 2;
+  int64_t small_part = 40;
   // Difference of two clocks' readings that counts as none.
   base::Millis clock_jitter = base::Millis(50);
   // Age up to which a record read proves what is left of a budget.
@@ -65,8 +67,8 @@
   // An operation that takes longer than this shows that the KV can't be asked
   // now; a slow KV answers within a quarter of a second.
   base::Millis usual_answer = base::Millis(300);
-  // Pause after an operation that got no useful answer, and after a lost race
-  // for each time in a row.
+  // Pause after an operation that got no useful answer, and the longest one
+  // after a lost race.
   base::Millis failure_pause = base::Millis(150);
   base::Millis race_pause = base::Millis(20);
   // An operation without an outcome is given up after this.
--- a/libs/ledger/src/ledger_codec.cc
+++ b/libs/ledger/src/ledger_codec.cc
@@ -23,16 +23,10 @@
   for (const auto& [agent, account] : grant.agents) {
     agents[agent.value()] = ToJson(account);
   }
-  Json json = {{"holder", grant.holder.value()},
-               {"amount", grant.amount},
-               {"state", static_cast<int>(grant.state)},
-               {"agents", std::move(agents)}};
-  if (grant.promise) {
-    json["promise"] =
-        Json::array({grant.promise->most, grant.promise->clock.count(),
-                     grant.promise->clock_offset.count()});
-  }
-  return json;
+  return Json{{"holder", grant.holder.value()},
+              {"amount", grant.amount},
+              {"state", static_cast<int>(grant.state)},
+              {"agents", std::move(agents)}};
 }
 
 Json ToJson(const Budget& budget) {
@@ -109,31 +103,11 @@
          ReadEnum(Element(value, 1, 2), AccountState::kLost, into.state);
 }
 
-// Records of holders that promise nothing have no such member.
-bool ReadPromise(const Json* value, std::optional<SpendPromise>& into) {
-  if (value == nullptr) {
-    return true;
-  }
-  SpendPromise promise;
-  int64_t clock = 0;
-  int64_t offset = 0;
-  if (!ReadInteger(Element(*value, 0, 3), promise.most) ||
-      !ReadInteger(Element(*value, 1, 3), clock) ||
-      !ReadInteger(Element(*value, 2, 3), offset)) {
-    return false;
-  }
-  promise.clock = base::Millis(clock);
-  promise.clock_offset = base::Millis(offset);
-  into = promise;
-  return true;
-}
-
 bool ReadGrant(const Json& value, Grant& into) {
   return ReadId(Find(value, "holder"), into.holder) &&
          ReadInteger(Find(value, "amount"), into.amount) &&
          ReadEnum(Find(value, "state"), GrantState::kSealed, into.state) &&
-         ReadMap(Find(value, "agents"), into.agents, ReadAccount) &&
-         ReadPromise(Find(value, "promise"), into.promise);
+         ReadMap(Find(value, "agents"), into.agents, ReadAccount);
 }
 
 bool ReadTopUp(const Json& value, TopUp& into) {
--- a/libs/ledger/src/ledger_edit.cc
+++ b/libs/ledger/src/ledger_edit.cc
@@ -211,18 +211,6 @@
   return true;
 }
 
-bool LedgerEdit::Promise(const base::BudgetId& budget,
-                         const base::GrantId& grant,
-                         const SpendPromise& promise) {
-  Grant* const found = FindActive(budget, grant);
-  if (found == nullptr) {
-    return false;
-  }
-  changed_ |= found->promise != promise;
-  found->promise = promise;
-  return true;
-}
-
 bool LedgerEdit::Settle(const base::BudgetId& budget,
                         const base::GrantId& grant,
                         const base::Incarnation& agent,
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/digest.h"
 #include "cas/progress.h"
 #include "ledger/shard.h"
 
@@ -15,7 +16,7 @@
 // A router counts as having used its even part of this part of a limit before
 // it used anything.
 constexpr double kPriorPart = 20;
-// The pause after a lost race grows up to this many in a row.
+// Lost races in a row after which the pause is that of a failure.
 constexpr int kMostRacesCounted = 10;
 
 const Budget* BudgetIn(const LedgerRecord& record, const base::BudgetId& id) {
@@ -32,7 +33,10 @@
 MeteredHolder::State::State(base::ProcessId process,
                             base::Incarnation self,
                             MeteredPolicy policy)
-    : process_(std::move(process)), self_(std::move(self)), policy_(policy) {
+    : process_(std::move(process)),
+      self_(std::move(self)),
+      policy_(policy),
+      promises_(process_, self_, policy_) {
   for (int i = 0; i < policy_.shard_count; ++i) {
     shards_.emplace_back(ShardKey(i));
   }
@@ -75,9 +79,7 @@
   return found == stored->grants.end() ? nullptr : &found->second;
 }
 
-template <typename Amount>
-Tokens MeteredHolder::State::LeastOf(const base::BudgetId& budget,
-                                     Amount amount) const {
+Tokens MeteredHolder::State::Granted(const base::BudgetId& budget) const {
   const View& view = ShardOfBudget(budget).view;
   if (!view.known()) {
     return 0;
@@ -85,27 +87,19 @@
   std::optional<Tokens> least;
   view.HoldsInAll([&](const LedgerRecord& record) {
     const Grant* const grant = OwnGrant(record, budget);
-    const Tokens tokens = grant == nullptr ? 0 : amount(*grant);
-    least = std::min(least.value_or(tokens), tokens);
+    const Tokens amount = grant == nullptr ? 0 : grant->amount;
+    least = std::min(least.value_or(amount), amount);
     return true;
   });
   return *least;
 }
 
-Tokens MeteredHolder::State::Granted(const base::BudgetId& budget) const {
-  return LeastOf(budget, [](const Grant& grant) { return grant.amount; });
-}
-
 Tokens MeteredHolder::State::Promised(const base::BudgetId& budget) const {
-  return LeastOf(budget, [](const Grant& grant) {
-    return grant.promise ? std::min(grant.amount, grant.promise->most) : 0;
-  });
+  return promises_.Promised(budget);
 }
 
-bool MeteredHolder::State::IsOnItsOwn(const Shard& shard) const {
-  const base::Millis latest =
-      shard.view.has_open_writes() ? shard.offered_at : shard.promised_at;
-  return now_ - latest >= policy_.promise_time;
+bool MeteredHolder::State::IsOnItsOwn() const {
+  return promises_.IsOnItsOwn(now_);
 }
 
 Tokens MeteredHolder::State::Held(const base::BudgetId& budget) const {
@@ -118,7 +112,7 @@
 
 Tokens MeteredHolder::State::Available(const base::BudgetId& budget) const {
   const Tokens held = Held(budget);
-  if (held == 0 || IsOnItsOwn(ShardOfBudget(budget))) {
+  if (held == 0 || IsOnItsOwn()) {
     return held;
   }
   const MeteredBudget& local = *Find(budget);
@@ -130,8 +124,11 @@
                                       const MeteredBudget& budget) const {
   const Tokens soon = budget.BurnOver(now, policy_.promise_time, policy_) *
                       policy_.promise_percent / kPercent;
+  const Tokens target = Target(now, budget);
+  const Tokens small =
+      std::min(target, budget.limit.limit / policy_.small_part);
   return budget.need +
-         std::max(soon, Target(now, budget) / policy_.promise_part);
+         std::max({soon, small, target / policy_.promise_part});
 }
 
 bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
@@ -219,13 +216,12 @@
     return Urgency::kNow;
   }
   const Tokens held = Held(id);
-  const Tokens available = Available(id);
   if (IsOverCommitted(budget)) {
     return holds_free ? Urgency::kNow : Urgency::kNone;
   }
   const Tokens target = Target(now, budget);
   const Tokens free = limit - Committed(*stored);
-  if (budget.need > available && (free > 0 || held >= budget.need)) {
+  if (budget.need > held && free > 0) {
     return Urgency::kNow;
   }
   if (free > 0 && held < target) {
@@ -239,10 +235,7 @@
   if (held * kPercent > target * policy_.surplus_percent) {
     return Urgency::kLazy;
   }
-  // A promise is renewed while tokens are used.
-  const Grant* const own = OwnGrant(record, id);
-  const bool used_since = own != nullptr && budget.spent != own->billed();
-  return used_since ? Urgency::kLazy : Urgency::kNone;
+  return Urgency::kNone;
 }
 
 MeteredHolder::State::Urgency MeteredHolder::State::UrgencyOf(
@@ -269,6 +262,13 @@
   if (!configuration_) {
     return commands;
   }
+  if (auto command = PumpPromise(now)) {
+    commands.push_back(std::move(*command));
+  }
+  // What an earlier life promised must be known before its grants are closed.
+  if (!promises_.known()) {
+    return commands;
+  }
   for (Shard& shard : shards_) {
     if (auto command = PumpShard(now, shard)) {
       commands.push_back(std::move(*command));
@@ -277,6 +277,37 @@
   return commands;
 }
 
+std::optional<MeteredHolder::KvCommand> MeteredHolder::State::PumpPromise(
+    base::Millis now) {
+  if (auto read = promises_.Read(now, next_operation_)) {
+    ++next_operation_;
+    return *read;
+  }
+  SpendPromise promise;
+  promise.clock_offset = clock_offset_;
+  bool is_urgent = false;
+  bool is_due = false;
+  for (const auto& [id, budget] : budgets_) {
+    const Tokens used = budget.spent + budget.reserved;
+    const Tokens headroom = Headroom(now, budget);
+    const Tokens promised = Promised(id);
+    promise.most[id] = std::min(Granted(id), used + headroom);
+    is_due = is_due || promise.most[id] != promised;
+    is_urgent = is_urgent ||
+                (budget.need > Available(id) && promise.most[id] > promised);
+  }
+  if (!is_due || draining_) {
+    return std::nullopt;
+  }
+  auto write =
+      promises_.Write(now, next_operation_, is_urgent, std::move(promise));
+  if (!write) {
+    return std::nullopt;
+  }
+  ++next_operation_;
+  return *write;
+}
+
 std::optional<MeteredHolder::KvCommand> MeteredHolder::State::PumpShard(
     base::Millis now,
     Shard& shard) {
@@ -312,12 +343,8 @@
   return std::nullopt;
 }
 
-LedgerRecord MeteredHolder::State::NextRecord(base::Millis now, Shard& shard) {
-  // While the KV does not answer, the time runs since the last write that may
-  // have taken effect.
-  if (shard.answers) {
-    shard.offered_at = now;
-  }
+LedgerRecord MeteredHolder::State::NextRecord(base::Millis now,
+                                              const Shard& shard) {
   LedgerEdit edit(shard.view.record());
   for (const auto& [id, budget] : budgets_) {
     if (&ShardOfBudget(id) == &shard) {
@@ -356,19 +383,6 @@
   if (draw > 0 && edit.Draw(id, grant, self_, draw)) {
     edit.ListAgents(id, grant, {self_});
   }
-  if (OwnGrant(edit.record(), id) != nullptr) {
-    edit.Promise(id, grant,
-                 {used + Headroom(now, budget), ShardOfBudget(id).offered_at,
-                  clock_offset_});
-  }
-}
-
-bool MeteredHolder::State::StillBinds(base::Millis now,
-                                      const SpendPromise& promise) const {
-  const base::Millis drift = clock_offset_ - promise.clock_offset;
-  return now >= promise.clock && now < promise.clock + policy_.promise_time &&
-         drift < policy_.clock_jitter &&
-         base::Millis(0) - policy_.clock_jitter < drift;
 }
 
 // Earlier lives of this process are over: what they used is in the record or,
@@ -389,12 +403,13 @@
       continue;
     }
     edit.Seal(budget, id);
-    const bool is_bound = grant.promise && StillBinds(now, *grant.promise);
+    const auto most =
+        promises_.MostOf(now, clock_offset_, grant.holder, budget);
     for (const auto& [agent, account] : grant.agents) {
-      if (is_bound) {
-        edit.FinishAgent(budget, id, agent,
-                         std::min(grant.amount, std::max(account.billed,
-                                                         grant.promise->most)));
+      if (most) {
+        edit.FinishAgent(
+            budget, id, agent,
+            std::min(grant.amount, std::max(account.billed, *most)));
       } else {
         edit.LoseAgent(budget, id, agent);
       }
@@ -405,6 +420,9 @@
 
 template <typename Done>
 void MeteredHolder::State::OnDone(base::Millis now, const Done& done) {
+  if (promises_.Finish(now, done)) {
+    return;
+  }
   for (Shard& shard : shards_) {
     const bool was_write = shard.view.is_writing();
     const cas::Progress progress = shard.view.Finish(done);
@@ -415,23 +433,29 @@
     if (progress == cas::Progress::kFailed) {
       shard.retry_at = now + policy_.failure_pause;
     } else if (progress == cas::Progress::kLost) {
-      // The first race is run again at once; a configuration that this router
-      // does not know yet makes it lose each one until it does.
-      shard.retry_at = now + policy_.race_pause * shard.lost_races;
+      // Short and uneven, so that losers meet neither each other nor a winner
+      // that goes on writing. A configuration that this router does not know
+      // yet makes it lose each race until it does.
+      shard.retry_at =
+          now + (shard.lost_races < kMostRacesCounted ? RacePause(shard)
+                                                      : policy_.failure_pause);
       shard.last_write_at = base::Millis();
       shard.lost_races = std::min(shard.lost_races + 1, kMostRacesCounted);
     } else if (was_write) {
       shard.lost_races = 0;
-      shard.promised_at = shard.offered_at;
-    }
-    if (was_write && shard.view.has_open_writes()) {
-      // It may take effect yet.
-      shard.promised_at = shard.offered_at;
     }
     return;
   }
 }
 
+base::Millis MeteredHolder::State::RacePause(const Shard& shard) const {
+  const std::string turn =
+      self_.value() + std::to_string(now_.count() + shard.lost_races);
+  const auto most = static_cast<uint64_t>(policy_.race_pause.count());
+  return base::Millis(
+      static_cast<int64_t>(base::Digest::Of(turn).low() % (most + 1)));
+}
+
 template void MeteredHolder::State::OnDone(base::Millis,
                                            const platform::KvReadDone&);
 template void MeteredHolder::State::OnDone(base::Millis,
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -12,6 +12,7 @@
 #include "ledger/ledger_record.h"
 #include "ledger/metered_holder.h"
 #include "metered_budget.h"
+#include "promise_keeper.h"
 
 #include "cas/key_view.h"
 
@@ -31,10 +32,6 @@
     base::Millis retry_at;
     base::Millis last_write_at;
     int lost_races = 0;
-    // Clock of the promise in the latest write, and of the latest one that may
-    // have taken effect.
-    base::Millis offered_at;
-    base::Millis promised_at;
     bool answers = true;
   };
 
@@ -47,19 +44,16 @@
   // The own grant of a budget in a record; null when there is none.
   const Grant* OwnGrant(const LedgerRecord& record,
                         const base::BudgetId& budget) const;
-  // Least `amount(grant)` of the own grant in every version that may be stored.
-  template <typename Amount>
-  base::Tokens LeastOf(const base::BudgetId& budget, Amount amount) const;
   // Tokens of the own grant in every version of the record that may be stored.
   base::Tokens Granted(const base::BudgetId& budget) const;
-  // What the own promise allows in every version that may be stored.
+  // What the own promise allows.
   base::Tokens Promised(const base::BudgetId& budget) const;
   // Tokens of the own grant that are neither used nor reserved, and those of
   // them that may be reserved now.
   base::Tokens Held(const base::BudgetId& budget) const;
   base::Tokens Available(const base::BudgetId& budget) const;
   // True while the holder is not bound by its promise.
-  bool IsOnItsOwn(const Shard& shard) const;
+  bool IsOnItsOwn() const;
   // What to promise beyond what is used and reserved.
   base::Tokens Headroom(base::Millis now, const MeteredBudget& budget) const;
   // True when more is set aside than the limit allows since it was lowered.
@@ -74,19 +68,20 @@
   base::Tokens Target(base::Millis now, const MeteredBudget& budget) const;
 
   std::vector<KvCommand> Pump(base::Millis now);
+  // Pause after a lost race.
+  base::Millis RacePause(const Shard& shard) const;
+  std::optional<KvCommand> PumpPromise(base::Millis now);
   std::optional<KvCommand> PumpShard(base::Millis now, Shard& shard);
   enum class Urgency : uint8_t { kNone, kLazy, kNow };
   Urgency UrgencyOf(base::Millis now, const MeteredBudget& budget) const;
   Urgency UrgencyOf(base::Millis now, const Shard& shard) const;
   // True while a reservation waits for a newer record of the shard.
   bool IsAwaited(const Shard& shard) const;
-  LedgerRecord NextRecord(base::Millis now, Shard& shard);
+  LedgerRecord NextRecord(base::Millis now, const Shard& shard);
   void Edit(base::Millis now, LedgerEdit& edit, const MeteredBudget& budget);
   void CloseEarlierGrants(base::Millis now,
                           LedgerEdit& edit,
                           const base::BudgetId& budget);
-  // True when the promise still binds whoever made it.
-  bool StillBinds(base::Millis now, const SpendPromise& promise) const;
   template <typename Done>
   void OnDone(base::Millis now, const Done& done);
 
@@ -96,6 +91,7 @@
   base::ProcessId process_;
   base::Incarnation self_;
   MeteredPolicy policy_;
+  PromiseKeeper promises_;
   size_t routers_ = 1;
   base::Millis clock_offset_;
   // Of the call in progress.
--- /dev/null
+++ b/libs/ledger/src/promise_keeper.cc
@@ -0,0 +1,99 @@
+#include "promise_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace godwit::ledger {
+namespace {
+
+// Prefix of the keys in which routers keep their promises.
+constexpr char kPrefix[] = "promises/";
+
+}  // namespace
+
+PromiseKeeper::PromiseKeeper(const base::ProcessId& process,
+                             base::Incarnation self,
+                             const MeteredPolicy& policy)
+    : self_(std::move(self)),
+      policy_(policy),
+      view_(kPrefix + process.value()) {}
+
+base::Tokens PromiseKeeper::Promised(const base::BudgetId& budget) const {
+  if (!view_.known()) {
+    return 0;
+  }
+  std::optional<base::Tokens> least;
+  view_.HoldsInAll([&](const SpendPromise& promise) {
+    const auto found = promise.most.find(budget);
+    const bool is_own = promise.holder == self_;
+    const base::Tokens most =
+        is_own && found != promise.most.end() ? found->second : 0;
+    least = std::min(least.value_or(most), most);
+    return true;
+  });
+  return *least;
+}
+
+bool PromiseKeeper::IsOnItsOwn(base::Millis now) const {
+  const base::Millis latest =
+      view_.has_open_writes() ? offered_at_ : promised_at_;
+  return latest != base::Millis() && now - latest >= policy_.promise_time;
+}
+
+std::optional<base::Tokens> PromiseKeeper::MostOf(
+    base::Millis now,
+    base::Millis clock_offset,
+    const base::Incarnation& holder,
+    const base::BudgetId& budget) const {
+  if (!earlier_ || earlier_->holder != holder) {
+    return std::nullopt;
+  }
+  const base::Millis drift = clock_offset - earlier_->clock_offset;
+  const bool same_clock = drift < policy_.clock_jitter &&
+                          base::Millis(0) - policy_.clock_jitter < drift;
+  const bool still_binds = now >= earlier_->clock &&
+                           now < earlier_->clock + policy_.promise_time;
+  if (!same_clock || !still_binds) {
+    return std::nullopt;
+  }
+  const auto found = earlier_->most.find(budget);
+  return found == earlier_->most.end() ? 0 : found->second;
+}
+
+std::optional<platform::KvRead> PromiseKeeper::Read(base::Millis now,
+                                                    int64_t operation) {
+  if (const auto busy = view_.busy_since()) {
+    if (now - *busy < policy_.operation_limit) {
+      return std::nullopt;
+    }
+    view_.GiveUp();
+    answers_ = false;
+  }
+  if (now < retry_at_ || (view_.known() && !view_.outdated())) {
+    return std::nullopt;
+  }
+  return view_.StartRead(now, operation);
+}
+
+std::optional<platform::KvWrite> PromiseKeeper::Write(base::Millis now,
+                                                      int64_t operation,
+                                                      bool is_urgent,
+                                                      SpendPromise promise) {
+  const base::Millis spacing =
+      is_urgent ? policy_.write_spacing : policy_.lazy_spacing;
+  if (view_.busy_since() || !view_.known() || view_.outdated() ||
+      now < retry_at_ || now < written_at_ + spacing) {
+    return std::nullopt;
+  }
+  written_at_ = now;
+  // While the KV does not answer, the time runs since the last write that may
+  // have taken effect.
+  if (answers_) {
+    offered_at_ = now;
+  }
+  promise.holder = self_;
+  promise.clock = offered_at_;
+  return view_.StartWrite(now, operation, std::move(promise));
+}
+
+}  // namespace godwit::ledger
