--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -10,7 +10,7 @@
 // Settings of a MeteredHolder.
 struct MeteredPolicy {
   // Ledger keys of the fleet.
-  int shard_count = 16;
+  int shard_count = 4;
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
@@ -61,7 +61,7 @@
   base::Millis fresh = base::Millis(250);
   // A record that was not read or written for this long is read, to see
   // whether others lack what is held here.
-  base::Millis recall_poll = base::Millis(2'000);
+  base::Millis recall_poll = base::Millis(4'000);
   // Longest that a reservation waits for the KV or for what others give back.
   base::Millis max_wait = base::Millis(400);
   // An operation that takes longer than this shows that the KV can't be asked
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -127,8 +127,7 @@
   const Tokens target = Target(now, budget);
   const Tokens small =
       std::min(target, budget.limit.limit / policy_.small_part);
-  return budget.need +
-         std::max({soon, small, target / policy_.promise_part});
+  return budget.need + std::max({soon, small, target / policy_.promise_part});
 }
 
 bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
@@ -256,6 +255,12 @@
   });
 }
 
+bool MeteredHolder::State::HoldsAny(const Shard& shard) const {
+  return std::any_of(budgets_.begin(), budgets_.end(), [&](const auto& entry) {
+    return &ShardOfBudget(entry.first) == &shard && Held(entry.first) > 0;
+  });
+}
+
 std::vector<MeteredHolder::KvCommand> MeteredHolder::State::Pump(
     base::Millis now) {
   std::vector<KvCommand> commands;
@@ -335,9 +340,9 @@
     return write;
   }
   // What others gave back or lack shows only in a newer record.
-  const base::Millis lifetime =
-      IsAwaited(shard) ? policy_.fresh : policy_.recall_poll;
-  if (now >= shard.view.proven_at() + lifetime) {
+  const base::Millis age = now - shard.view.proven_at();
+  if ((IsAwaited(shard) && age >= policy_.fresh) ||
+      (HoldsAny(shard) && age >= policy_.recall_poll)) {
     return shard.view.StartRead(now, next_operation_++);
   }
   return std::nullopt;
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -67,6 +67,9 @@
   // Holding to aim at.
   base::Tokens Target(base::Millis now, const MeteredBudget& budget) const;
 
+  // True when something of the shard's budgets is held.
+  bool HoldsAny(const Shard& shard) const;
+
   std::vector<KvCommand> Pump(base::Millis now);
   // Pause after a lost race.
   base::Millis RacePause(const Shard& shard) const;
--- a/libs/ledger/src/promise_keeper.cc
+++ b/libs/ledger/src/promise_keeper.cc
@@ -51,8 +51,8 @@
   const base::Millis drift = clock_offset - earlier_->clock_offset;
   const bool same_clock = drift < policy_.clock_jitter &&
                           base::Millis(0) - policy_.clock_jitter < drift;
-  const bool still_binds = now >= earlier_->clock &&
-                           now < earlier_->clock + policy_.promise_time;
+  const bool still_binds =
+      now >= earlier_->clock && now < earlier_->clock + policy_.promise_time;
   if (!same_clock || !still_binds) {
     return std::nullopt;
   }
--- a/libs/ledger/src/promise_keeper.h
+++ b/libs/ledger/src/promise_keeper.h
@@ -59,8 +59,8 @@
     if (!answers_) {
       retry_at_ = now + policy_.failure_pause;
     }
-    if (was_write && (progress == cas::Progress::kAdopted ||
-                      view_.has_open_writes())) {
+    if (was_write &&
+        (progress == cas::Progress::kAdopted || view_.has_open_writes())) {
       // It took effect, or may yet.
       promised_at_ = offered_at_;
     }
