--- a/libs/ledger/tests/metered_holder_test.cc
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -138,7 +138,8 @@
 TEST(MeteredHolder, SaysExhaustedOnlyWhenNothingIsLeft) {
   MeteredWorld world(1, 2, 10'000);
   world.Advance(Millis(200));
-  for (int i = 0; i < 100; ++i) {
+  // Long enough for the other router to give back what it does not use.
+  for (int i = 0; i < 200; ++i) {
     world.Request(0, 1000);
     world.Advance(Millis(50));
     world.Finish(0, 100);
