--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -10,7 +10,7 @@
 // Settings of a MeteredHolder.
 struct MeteredPolicy {
   // Ledger keys of the fleet.
-  int shard_count = 4;
+  int shard_count = 8;
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
@@ -35,6 +35,11 @@
   // more than one part in `large_part` of the limit for each router.
   int64_t large_requests = 2;
   int64_t large_part = 10;
+  // Once less than one part in `scarce_part` of a limit is left, a request
+  // above the usual size that could take more than one part in `largest_part`
+  // of the rest is refused: many small ones are served for it.
+  int64_t scarce_part = 6;
+  int64_t largest_part = 12;
   // A holding is filled up once it is below this share of its target, in
   // percent, and at once when it is below the second.
   int64_t refill_percent = 70;
@@ -61,7 +66,7 @@
   base::Millis fresh = base::Millis(250);
   // A record that was not read or written for this long is read, to see
   // whether others lack what is held here.
-  base::Millis recall_poll = base::Millis(4'000);
+  base::Millis recall_poll = base::Millis(6'000);
   // Longest that a reservation waits for the KV or for what others give back.
   base::Millis max_wait = base::Millis(400);
   // An operation that takes longer than this shows that the KV can't be asked
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -26,6 +26,8 @@
   base::Tokens need = 0;
   // Size of large reservations; falls slowly.
   base::Tokens largest = 0;
+  // Usual size of a request, a moving mean.
+  base::Tokens usual = 0;
   BurnRate burn;
   BurnRate usual_burn;
   // When something was first used; the averages know little before.
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -6,6 +6,12 @@
 #include "metered_state.h"
 
 namespace godwit::ledger {
+namespace {
+
+// A request moves the usual size by one part in this many.
+constexpr base::Tokens kUsualWeight = 16;
+
+}  // namespace
 
 MeteredHolder::MeteredHolder(base::ProcessId process,
                              base::Incarnation self,
@@ -53,6 +59,12 @@
   if (local->dropped) {
     return Verdict::kReserved;
   }
+  local->usual = local->usual == 0
+                     ? amount
+                     : local->usual + (amount - local->usual) / kUsualWeight;
+  if (state.IsTooLargeForTheRest(*local, amount)) {
+    return Verdict::kUnavailable;
+  }
   if (state.Available(budget) >= amount) {
     local->reserved += amount;
     local->need = 0;
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -16,6 +16,8 @@
 // A router counts as having used its even part of this part of a limit before
 // it used anything.
 constexpr double kPriorPart = 20;
+// A holding below one part in this many of the limit is given back whole.
+constexpr Tokens kCrumbPart = 500;
 // Lost races in a row after which the pause is that of a failure.
 constexpr int kMostRacesCounted = 10;
 
@@ -160,7 +162,18 @@
       std::min(policy_.large_requests * budget.largest,
                budget.limit.limit / (policy_.large_part * routers));
   const Tokens cover = budget.BurnOver(now, policy_.cover, policy_) + large;
-  return std::max(budget.need, std::min(std::max(first, cover), Share(budget)));
+  const Tokens target = std::min(std::max(first, cover), Share(budget));
+  // Crumbs serve nobody here, and are missing elsewhere.
+  const bool is_crumb = target * kCrumbPart < budget.limit.limit;
+  return std::max(budget.need, is_crumb ? 0 : target);
+}
+
+bool MeteredHolder::State::IsTooLargeForTheRest(const MeteredBudget& budget,
+                                                Tokens amount) const {
+  const Tokens left = MostLeft(budget);
+  return amount > budget.usual &&
+         left * policy_.scarce_part < budget.limit.limit &&
+         amount * policy_.largest_part > left;
 }
 
 // As a budget nears its end each router keeps to its share of what is left.
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -60,6 +60,10 @@
   bool IsOverCommitted(const MeteredBudget& budget) const;
   // Most that can be left of a budget, from what is known to be used.
   base::Tokens MostLeft(const MeteredBudget& budget) const;
+  // True when a request would take so much of the little that is left that many
+  // smaller ones could not be served.
+  bool IsTooLargeForTheRest(const MeteredBudget& budget,
+                            base::Tokens amount) const;
   // Part of what is left of a budget that this router may hold.
   base::Tokens Share(const MeteredBudget& budget) const;
   // True while the KV can't be asked for the shard.
