--- a/libs/dispatch/tests/dispatch_world.cc
+++ b/libs/dispatch/tests/dispatch_world.cc
@@ -71,7 +71,7 @@
   bool announced = false;
 };
 
-DispatchWorld::DispatchWorld(Options options,
+DispatchWorld::DispatchWorld(const Options& options,
                              std::vector<ModelServer::Options> servers)
     : random_(options.seed), dispatcher_(OptionsOf(options)) {
   BackendsListed listed;
--- a/libs/dispatch/tests/dispatch_world.h
+++ b/libs/dispatch/tests/dispatch_world.h
@@ -44,7 +44,8 @@
     uint64_t seed = 1;
   };
 
-  DispatchWorld(Options options, std::vector<ModelServer::Options> servers);
+  DispatchWorld(const Options& options,
+                std::vector<ModelServer::Options> servers);
   ~DispatchWorld();
 
   // A request of a route. Prompts have `shared` tokens of a session and `own`
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -13,11 +13,12 @@
 using godwit::dispatch::CallId;
 using godwit::dispatch::DispatchWorld;
 using godwit::dispatch::ModelServer;
-using godwit::dispatch::Organisation;
 using Fault = ModelServer::Fault;
 
 namespace {
 
+constexpr int kCalls = 1000;
+
 std::vector<ModelServer::Options> Plain(size_t count, int64_t slots = 6) {
   ModelServer::Options options;
   options.service = "plain";
@@ -234,7 +235,6 @@
     world.server(i).Set(Fault::kSheds);
   }
   int64_t arrivals = 0;
-  constexpr int kCalls = 1000;
   for (int i = 0; i < kCalls; ++i) {
     world.Arrive("status");
     world.Advance(Millis(5));
