--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -34,7 +34,7 @@
     return Quality::kNotRun;
   }
   const bool is_success = reply.status >= kSuccess && reply.status < kRedirect;
-  if (is_success && !reply.sealed) {
+  if (is_success && !reply.is_signed) {
     return Quality::kUnsound;
   }
   return reply.status >= kServerError ? Quality::kFailed : Quality::kGood;
--- a/libs/dispatch/tests/dispatch_world.cc
+++ b/libs/dispatch/tests/dispatch_world.cc
@@ -9,7 +9,7 @@
 
 constexpr base::Millis kStep(5);
 constexpr base::Millis kChatObjective(400);
-constexpr base::Millis kDigestObjective(600);
+constexpr base::Millis kSummaryObjective(600);
 constexpr base::Millis kGapObjective(300);
 constexpr base::Millis kPlainObjective(300);
 
@@ -31,13 +31,13 @@
   chat.timeout = base::Millis(15000);
   chat.latency_objective = kChatObjective;
   chat.event_gap_objective = kGapObjective;
-  Route digest = RouteOf("digest", "model", RepeatRule::kResumable);
-  digest.is_stream = true;
-  digest.timeout = base::Millis(6000);
-  digest.latency_objective = kDigestObjective;
-  digest.event_gap_objective = kGapObjective;
-  digest.priority = 1;
-  digest.max_attempts = 2;
+  Route summary = RouteOf("summary", "model", RepeatRule::kResumable);
+  summary.is_stream = true;
+  summary.timeout = base::Millis(6000);
+  summary.latency_objective = kSummaryObjective;
+  summary.event_gap_objective = kGapObjective;
+  summary.priority = 1;
+  summary.max_attempts = 2;
   Route order = RouteOf("order", "plain", RepeatRule::kAtMostOnce);
   order.timeout = base::Millis(800);
   order.latency_objective = kPlainObjective;
@@ -47,7 +47,7 @@
   status.prefix = "/status/";
   status.repeat = RepeatRule::kIdempotent;
   status.max_attempts = 2;
-  return {chat, digest, order, status};
+  return {chat, summary, order, status};
 }
 
 DispatcherOptions OptionsOf(const DispatchWorld::Options& options) {
@@ -276,9 +276,9 @@
       continue;
     }
     ++tally.calls;
-    const base::Millis objective = route == "chat"     ? kChatObjective
-                                   : route == "digest" ? kDigestObjective
-                                                       : kPlainObjective;
+    const base::Millis objective = route == "chat"      ? kChatObjective
+                                   : route == "summary" ? kSummaryObjective
+                                                        : kPlainObjective;
     if (outcome.answered) {
       const bool on_time = outcome.first_byte <= objective &&
                            outcome.longest_gap <= kGapObjective;
--- a/libs/dispatch/tests/dispatch_world.h
+++ b/libs/dispatch/tests/dispatch_world.h
@@ -37,7 +37,7 @@
 
   struct Options {
     PlacementOptions placement;
-    // Routes: "chat" (streams, urgent), "digest" (streams, resumable, long
+    // Routes: "chat" (streams, urgent), "summary" (streams, resumable, long
     // prompts), "order" (at most once), "status" (idempotent).
     std::vector<Organisation> organisations;
     bool needs_key = false;
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -164,7 +164,7 @@
     bool broken_off;
   };
   for (const Case& c :
-       {Case{"digest", true, false}, Case{"chat", false, true}}) {
+       {Case{"summary", true, false}, Case{"chat", false, true}}) {
     DispatchWorld world({}, Models(2));
     const CallId call = world.Arrive(c.route, 100, 400, 7, 20);
     world.Advance(Millis(200));
--- a/libs/dispatch/tests/load_replay_test.cc
+++ b/libs/dispatch/tests/load_replay_test.cc
@@ -35,7 +35,7 @@
     world.Arrive("chat", 100, 500, static_cast<uint64_t>(i % 40), 60);
     if (i % 5 == 0) {
       const int64_t own = i % 25 == 0 ? 20'000 : 3'000;
-      world.Arrive("digest", 6'000, own, 1000 + static_cast<uint64_t>(i % 30),
+      world.Arrive("summary", 6'000, own, 1000 + static_cast<uint64_t>(i % 30),
                    12);
     }
     world.Advance(Millis(40));
@@ -55,13 +55,13 @@
   for (int i = 0; i < 100; ++i) {
     for (int n = 0; n < 2; ++n) {
       world.Arrive("chat", 100, 400, static_cast<uint64_t>(i % 10), 30);
-      world.Arrive("digest", 100, 2000, 500 + static_cast<uint64_t>(i % 10),
+      world.Arrive("summary", 100, 2000, 500 + static_cast<uint64_t>(i % 10),
                    30);
     }
     world.Advance(Millis(20));
   }
   world.Advance(Millis(16000));
-  return {world.TallyOf("chat"), world.TallyOf("digest")};
+  return {world.TallyOf("chat"), world.TallyOf("summary")};
 }
 
 }  // namespace
@@ -106,11 +106,11 @@
         world.server(lost).Set(ModelServer::Fault::kDown);
       }
     }
-    world.Arrive("digest", 1000, 1000, static_cast<uint64_t>(i % 20), 12);
+    world.Arrive("summary", 1000, 1000, static_cast<uint64_t>(i % 20), 12);
     world.Advance(Millis(40));
   }
   world.Advance(Millis(3000));
-  const auto tally = world.TallyOf("digest");
+  const auto tally = world.TallyOf("summary");
   // None of these calls had run when its server turned out to be gone.
   CHECK_TEXT(tally.on_time >= 290, Describe(tally).c_str());
 }
@@ -150,7 +150,7 @@
 TEST(LoadReplay, SharedPromptsAreReadOnce) {
   DispatchWorld world({}, Models(6));
   for (int i = 0; i < 200; ++i) {
-    world.Arrive("digest", 6'000, 500, static_cast<uint64_t>(i % 10), 8);
+    world.Arrive("summary", 6'000, 500, static_cast<uint64_t>(i % 10), 8);
     world.Advance(Millis(50));
   }
   world.Advance(Millis(3000));
--- /dev/null
+++ b/libs/ledger/src/metered_pump.cc
@@ -0,0 +1,230 @@
+// What a holder asks of the KV, and when.
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+#include "cas/progress.h"
+#include "metered_state.h"
+
+namespace godwit::ledger {
+namespace {
+
+using base::Tokens;
+
+// Lost races in a row after which the pause is that of a failure.
+constexpr int kMostRacesCounted = 10;
+
+}  // namespace
+
+bool MeteredHolder::State::HoldsAny(const Shard& shard) const {
+  return std::any_of(budgets_.begin(), budgets_.end(), [&](const auto& entry) {
+    return &ShardOfBudget(entry.first) == &shard && Held(entry.first) > 0;
+  });
+}
+
+std::vector<MeteredHolder::KvCommand> MeteredHolder::State::Pump(
+    base::Millis now) {
+  std::vector<KvCommand> commands;
+  if (!configuration_) {
+    return commands;
+  }
+  if (auto command = PumpPromise(now)) {
+    commands.push_back(std::move(*command));
+  }
+  // What an earlier life promised must be known before its grants are closed.
+  if (!promises_.known()) {
+    return commands;
+  }
+  for (Shard& shard : shards_) {
+    if (auto command = PumpShard(now, shard)) {
+      commands.push_back(std::move(*command));
+    }
+  }
+  return commands;
+}
+
+std::optional<MeteredHolder::KvCommand> MeteredHolder::State::PumpPromise(
+    base::Millis now) {
+  if (auto read = promises_.Read(now, next_operation_)) {
+    ++next_operation_;
+    return *read;
+  }
+  SpendPromise promise;
+  promise.clock_offset = clock_offset_;
+  bool is_urgent = false;
+  bool is_due = false;
+  for (const auto& [id, budget] : budgets_) {
+    const Tokens used = budget.spent + budget.reserved;
+    const Tokens headroom = Headroom(now, budget);
+    const Tokens promised = Promised(id);
+    promise.most[id] = std::min(Granted(id), used + headroom);
+    is_due = is_due || promise.most[id] != promised;
+    is_urgent = is_urgent ||
+                (budget.need > Available(id) && promise.most[id] > promised);
+  }
+  if (!is_due || draining_) {
+    return std::nullopt;
+  }
+  auto write =
+      promises_.Write(now, next_operation_, is_urgent, std::move(promise));
+  if (!write) {
+    return std::nullopt;
+  }
+  ++next_operation_;
+  return *write;
+}
+
+std::optional<MeteredHolder::KvCommand> MeteredHolder::State::PumpShard(
+    base::Millis now,
+    Shard& shard) {
+  if (const auto busy = shard.view.busy_since()) {
+    if (now - *busy < policy_.operation_limit) {
+      return std::nullopt;
+    }
+    shard.view.GiveUp();
+    shard.answers = false;
+  }
+  if (now < shard.retry_at) {
+    return std::nullopt;
+  }
+  if (!shard.view.known() || shard.view.outdated() || shard.view.corrupt()) {
+    return shard.view.StartRead(now, next_operation_++);
+  }
+  const Urgency urgency = UrgencyOf(now, shard);
+  const base::Millis spacing =
+      urgency == Urgency::kNow ? policy_.write_spacing : policy_.lazy_spacing;
+  if (urgency != Urgency::kNone && now >= shard.last_write_at + spacing) {
+    shard.last_write_at = now;
+    platform::KvWrite write =
+        shard.view.StartWrite(now, next_operation_++, NextRecord(now, shard));
+    write.conditions.push_back(*configuration_);
+    return write;
+  }
+  // What others gave back or lack shows only in a newer record.
+  const base::Millis age = now - shard.view.proven_at();
+  if ((IsAwaited(shard) && age >= policy_.fresh) ||
+      (HoldsAny(shard) && age >= policy_.recall_poll)) {
+    return shard.view.StartRead(now, next_operation_++);
+  }
+  return std::nullopt;
+}
+
+LedgerRecord MeteredHolder::State::NextRecord(base::Millis now,
+                                              const Shard& shard) {
+  LedgerEdit edit(shard.view.record());
+  for (const auto& [id, budget] : budgets_) {
+    if (&ShardOfBudget(id) == &shard) {
+      Edit(now, edit, budget);
+    }
+  }
+  return edit.record();
+}
+
+// Each step leaves the record valid, and a step that can't be done leaves it
+// as it was: the next write tries again from a newer record.
+void MeteredHolder::State::Edit(base::Millis now,
+                                LedgerEdit& edit,
+                                const MeteredBudget& budget) {
+  const base::BudgetId& id = budget.limit.budget;
+  const base::GrantId grant = GrantOf(id);
+  edit.CreateBudget(id, budget.limit.organisation);
+  CloseEarlierGrants(now, edit, id);
+  const Tokens target = Target(now, budget);
+  const Tokens used = budget.spent + budget.reserved;
+  const Tokens held = std::max<Tokens>(0, Granted(id) - used);
+  if (OwnGrant(edit.record(), id) != nullptr) {
+    edit.Settle(id, grant, self_, budget.spent);
+    if (draining_ && budget.reserved == 0) {
+      edit.ReturnGrant(id, grant);
+    } else if (held > target) {
+      edit.Shrink(id, grant, held - target);
+    }
+  }
+  edit.SetLimit(id, budget.limit.limit, now);
+  const Budget* const stored = BudgetIn(edit.record(), id);
+  const Tokens draw =
+      stored == nullptr || target == 0
+          ? 0
+          : std::min(target - held, std::max<Tokens>(0, stored->free()));
+  if (draw > 0 && edit.Draw(id, grant, self_, draw)) {
+    edit.ListAgents(id, grant, {self_});
+  }
+}
+
+// Earlier lives of this process are over: what they used is in the record or,
+// with a promise that still binds, at most what was promised. Otherwise the
+// whole grant may have been used.
+void MeteredHolder::State::CloseEarlierGrants(base::Millis now,
+                                              LedgerEdit& edit,
+                                              const base::BudgetId& budget) {
+  const Budget* const stored = BudgetIn(edit.record(), budget);
+  if (stored == nullptr) {
+    return;
+  }
+  const std::string prefix = process_.value() + ".";
+  const auto grants = stored->grants;
+  for (const auto& [id, grant] : grants) {
+    if (grant.holder == self_ ||
+        grant.holder.value().compare(0, prefix.size(), prefix) != 0) {
+      continue;
+    }
+    edit.Seal(budget, id);
+    const auto most =
+        promises_.MostOf(now, clock_offset_, grant.holder, budget);
+    for (const auto& [agent, account] : grant.agents) {
+      if (most) {
+        edit.FinishAgent(
+            budget, id, agent,
+            std::min(grant.amount, std::max(account.billed, *most)));
+      } else {
+        edit.LoseAgent(budget, id, agent);
+      }
+    }
+    edit.Close(budget, id);
+  }
+}
+
+template <typename Done>
+void MeteredHolder::State::OnDone(base::Millis now, const Done& done) {
+  if (promises_.Finish(now, done)) {
+    return;
+  }
+  for (Shard& shard : shards_) {
+    const bool was_write = shard.view.is_writing();
+    const cas::Progress progress = shard.view.Finish(done);
+    if (progress == cas::Progress::kForeign) {
+      continue;
+    }
+    shard.answers = progress != cas::Progress::kFailed;
+    if (progress == cas::Progress::kFailed) {
+      shard.retry_at = now + policy_.failure_pause;
+    } else if (progress == cas::Progress::kLost) {
+      // Short and uneven, so that losers meet neither each other nor a winner
+      // that goes on writing. A configuration that this router does not know
+      // yet makes it lose each race until it does.
+      shard.retry_at =
+          now + (shard.lost_races < kMostRacesCounted ? RacePause(shard)
+                                                      : policy_.failure_pause);
+      shard.last_write_at = base::Millis();
+      shard.lost_races = std::min(shard.lost_races + 1, kMostRacesCounted);
+    } else if (was_write) {
+      shard.lost_races = 0;
+    }
+    return;
+  }
+}
+
+base::Millis MeteredHolder::State::RacePause(const Shard& shard) const {
+  const std::string turn =
+      self_.value() + std::to_string(now_.count() + shard.lost_races);
+  const auto most = static_cast<uint64_t>(policy_.race_pause.count());
+  return base::Millis(
+      static_cast<int64_t>(base::Digest::Of(turn).low() % (most + 1)));
+}
+
+template void MeteredHolder::State::OnDone(base::Millis,
+                                           const platform::KvReadDone&);
+template void MeteredHolder::State::OnDone(base::Millis,
+                                           const platform::KvWriteDone&);
+
+}  // namespace godwit::ledger
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -35,6 +35,9 @@
     bool answers = true;
   };
 
+  // Null when the record does not have the budget.
+  static const Budget* BudgetIn(const LedgerRecord& record,
+                                const base::BudgetId& id);
   Shard& ShardOfBudget(const base::BudgetId& budget);
   const Shard& ShardOfBudget(const base::BudgetId& budget) const;
   MeteredBudget* Find(const base::BudgetId& budget);
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -137,8 +137,9 @@
   routers_[index]->holder->Drain();
 }
 
-void MeteredWorld::Submit(size_t index,
-                          std::vector<MeteredHolder::KvCommand> commands) {
+void MeteredWorld::Submit(
+    size_t index,
+    const std::vector<MeteredHolder::KvCommand>& commands) {
   for (const auto& command : commands) {
     std::visit(
         [&](const auto& c) { kv_.Submit(now_, routers_[index]->life, c); },
--- a/libs/ledger/tests/metered_world.h
+++ b/libs/ledger/tests/metered_world.h
@@ -49,7 +49,8 @@
 
   void Pump();
   void Try(Router& router);
-  void Submit(size_t router, std::vector<MeteredHolder::KvCommand> commands);
+  void Submit(size_t router,
+              const std::vector<MeteredHolder::KvCommand>& commands);
 
   support::FakeKv kv_;
   std::mt19937_64 random_;
