--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -61,6 +61,7 @@
                         int64_t attempt,
                         const Backend& backend,
                         const Work& work) {
+  state_->ForgetOld(now);
   ServerLoad& load = state_->LoadOf(backend);
   State::Attempt started;
   started.server = backend.key();
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -32,6 +32,10 @@
 constexpr double kPromptQueue = 0.12;
 // A server that reads prompts may take this many times the usual time.
 constexpr double kReadingAllowance = 2;
+// Servers from which on those that are long gone are forgotten, and how long
+// one is remembered without work.
+constexpr size_t kManyServers = 4096;
+constexpr base::Millis kRememberedServer = base::Seconds(600);
 // Attempts before a server's failures are judged, the share from which they
 // eject it, and how far above its peers they must be.
 constexpr int64_t kMinSamples = 5;
@@ -54,6 +58,18 @@
   return load;
 }
 
+void Placement::State::ForgetOld(base::Millis now) {
+  if (loads.size() < kManyServers) {
+    return;
+  }
+  for (auto entry = loads.begin(); entry != loads.end();) {
+    const ServerLoad& load = entry->second;
+    const bool is_old =
+        load.in_flight == 0 && now - load.heard_at > kRememberedServer;
+    entry = is_old ? loads.erase(entry) : std::next(entry);
+  }
+}
+
 double Placement::State::UsualMs(const Work& work, base::Tokens unread) const {
   const auto known = usual.find(work.service);
   const double scale = known == usual.end() ? 1 : known->second.scale;
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -47,6 +47,8 @@
   };
 
   ServerLoad& LoadOf(const Backend& backend);
+  // Drops servers that were not used for long, once there are many.
+  void ForgetOld(base::Millis now);
   // Servers that may take the work now, with what to expect of each.
   std::vector<Option> Options(base::Millis now,
                               const Work& work,
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -33,6 +33,9 @@
   kLogLinesDroppedTotal,
   kProcessCpuSecondsTotal,
   kProcessResidentBytes,
+  kFirstByteLatency,
+  kAnswerLatency,
+  kPlaceWait,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/include/telemetry/metric_type.h
+++ b/libs/telemetry/include/telemetry/metric_type.h
@@ -14,6 +14,8 @@
   kGauge,
   // Quantiles, sum and count of observations.
   kSummary,
+  // Observations up to each of a few bounds, sum and count.
+  kHistogram,
 };
 
 // Name in the text format of scrapers, such as "counter".
--- a/libs/telemetry/include/telemetry/metrics.h
+++ b/libs/telemetry/include/telemetry/metrics.h
@@ -14,6 +14,7 @@
 
 namespace godwit::telemetry {
 
+struct MetricInfo;
 struct RequestRecord;
 
 // The metrics of one process. One thread at a time.
@@ -31,7 +32,7 @@
   void Add(MetricId id, const Labels& labels = {}, double amount = 1);
   // Sets a gauge, or a counter that is kept elsewhere.
   void Set(MetricId id, const Labels& labels, double value);
-  // Adds an observation to a summary.
+  // Adds an observation to a summary or a histogram.
   void Observe(MetricId id, const Labels& labels, double value);
   // Counts an ended request in every metric that a record tells, with the
   // latency objectives of its service.
@@ -49,6 +50,10 @@
   struct Series;
 
   Series& At(MetricId id, const Labels& labels);
+  static void RenderHistogram(const MetricInfo& info,
+                              const Labels& values,
+                              const Series& series,
+                              std::string& text);
 
   std::map<std::pair<MetricId, Labels>, std::unique_ptr<Series>> series_;
 };
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -165,6 +165,24 @@
        "bytes",
        {},
        "Resident memory of this process."},
+      {MetricId::kFirstByteLatency,
+       MetricType::kHistogram,
+       "godwit_first_byte_latency_seconds",
+       "seconds",
+       {"service"},
+       "Time from arrival to the first answer byte at a direct router."},
+      {MetricId::kAnswerLatency,
+       MetricType::kHistogram,
+       "godwit_answer_latency_seconds",
+       "seconds",
+       {"service"},
+       "Time from arrival to the end of the answer at a direct router."},
+      {MetricId::kPlaceWait,
+       MetricType::kHistogram,
+       "godwit_place_wait_seconds",
+       "seconds",
+       {"service"},
+       "Time from arrival until a request was sent to a backend server."},
   };
   return table;
 }
@@ -181,6 +199,8 @@
       return "gauge";
     case MetricType::kSummary:
       return "summary";
+    case MetricType::kHistogram:
+      return "histogram";
   }
   return "untyped";
 }
--- a/libs/telemetry/src/metrics.cc
+++ b/libs/telemetry/src/metrics.cc
@@ -1,5 +1,6 @@
 #include "telemetry/metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <optional>
@@ -14,6 +15,10 @@
 
 constexpr std::array<double, 3> kProbabilities = {0.5, 0.95, 0.99};
 constexpr double kSecondsPerMilli = 0.001;
+// Upper bounds of histogram buckets, in seconds: around the latency objectives
+// of a few hundred milliseconds, and far beyond.
+constexpr std::array<double, 10> kBounds = {0.025, 0.05, 0.1, 0.2, 0.3,
+                                            0.4,   0.6,  1,   2.5, 10};
 
 Quantiles NewWindow() {
   return Quantiles({kProbabilities.begin(), kProbabilities.end()});
@@ -64,7 +69,9 @@
 struct Metrics::Series {
   // Counters and gauges: the value. Summaries: the sum.
   double value = 0;
-  // Summaries only.
+  // Histograms: observations in each bucket, the last one without a bound.
+  std::array<int64_t, kBounds.size() + 1> buckets{};
+  // Summaries and histograms only.
   int64_t count = 0;
   Quantiles running = NewWindow();
   std::optional<Quantiles> closed;
@@ -85,6 +92,12 @@
   Series& series = At(id, labels);
   series.value += value;
   ++series.count;
+  if (InfoOf(id).type == MetricType::kHistogram) {
+    const auto* const bound =
+        std::lower_bound(kBounds.begin(), kBounds.end(), value);
+    ++series.buckets[static_cast<size_t>(bound - kBounds.begin())];
+    return;
+  }
   series.running.Add(value);
 }
 
@@ -127,6 +140,24 @@
   }
 }
 
+void Metrics::RenderHistogram(const MetricInfo& info,
+                              const Labels& values,
+                              const Series& series,
+                              std::string& text) {
+  const std::string name(info.name);
+  int64_t below = 0;
+  for (size_t i = 0; i < series.buckets.size(); ++i) {
+    below += series.buckets[i];
+    const std::string bound =
+        i < kBounds.size() ? NumberText(kBounds[i]) : "+Inf";
+    text += name + "_bucket" + LabelText(info, values, "le=\"" + bound + "\"") +
+            " " + std::to_string(below) + "\n";
+  }
+  const std::string labels = LabelText(info, values, "");
+  text += name + "_sum" + labels + " " + NumberText(series.value) + "\n";
+  text += name + "_count" + labels + " " + std::to_string(series.count) + "\n";
+}
+
 std::string Metrics::Render() const {
   std::string text;
   const MetricInfo* last = nullptr;
@@ -140,6 +171,10 @@
       last = &info;
     }
     const std::string labels = LabelText(info, key.second, "");
+    if (info.type == MetricType::kHistogram) {
+      RenderHistogram(info, key.second, *series, text);
+      continue;
+    }
     if (info.type != MetricType::kSummary) {
       text += name + labels + " " + NumberText(series->value) + "\n";
       continue;
--- a/libs/telemetry/tests/metrics_test.cc
+++ b/libs/telemetry/tests/metrics_test.cc
@@ -36,6 +36,25 @@
       metrics.Render().c_str());
 }
 
+TEST(Metrics, RendersHistogramsWithCumulativeBuckets) {
+  Metrics metrics;
+  for (const double seconds : {0.02, 0.1, 0.25, 20.0}) {
+    metrics.Observe(MetricId::kPlaceWait, {"s"}, seconds);
+  }
+  const std::string text = metrics.Render();
+  const auto has = [&text](const std::string& line) {
+    return text.find("godwit_place_wait_seconds" + line + "\n") !=
+           std::string::npos;
+  };
+  CHECK(has("_bucket{service=\"s\",le=\"0.025\"} 1"));
+  CHECK(has("_bucket{service=\"s\",le=\"0.1\"} 2"));
+  CHECK(has("_bucket{service=\"s\",le=\"0.3\"} 3"));
+  CHECK(has("_bucket{service=\"s\",le=\"10\"} 3"));
+  CHECK(has("_bucket{service=\"s\",le=\"+Inf\"} 4"));
+  CHECK(has("_sum{service=\"s\"} 20.37"));
+  CHECK(has("_count{service=\"s\"} 4"));
+}
+
 TEST(Metrics, CountsRecordsByServiceAndOrganisation) {
   Metrics metrics;
   RequestRecord record;
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -20,6 +20,10 @@
 constexpr double kSecondsPerMilli = 0.001;
 constexpr char kAnswered[] = "answered";
 
+double Seconds(base::Millis span) {
+  return static_cast<double>(span.count()) * kSecondsPerMilli;
+}
+
 EventId EventOf(BeliefChanged::Belief belief) {
   switch (belief) {
     case BeliefChanged::Belief::kAdded:
@@ -98,14 +102,15 @@
   }
   metrics.Add(MetricId::kTokensBilledTotal, labels,
               static_cast<double>(ended.tokens));
+  if (ended.attempts > 0) {
+    metrics.Observe(MetricId::kPlaceWait, {service}, Seconds(ended.waited));
+  }
   if (!answered) {
     return;
   }
-  metrics.Observe(
-      MetricId::kFirstTokenSeconds, labels,
-      static_cast<double>(ended.first_byte.count()) * kSecondsPerMilli);
-  metrics.Observe(MetricId::kRequestSeconds, labels,
-                  static_cast<double>(ended.total.count()) * kSecondsPerMilli);
+  metrics.Observe(MetricId::kFirstByteLatency, {service},
+                  Seconds(ended.first_byte));
+  metrics.Observe(MetricId::kAnswerLatency, {service}, Seconds(ended.total));
 }
 
 }  // namespace godwit::edge
