Bill a failure that is handed on

A server's own failure counts as a run, so its input tokens are used; the router had given them back. Found by reading; the test asks for it.

--- a/libs/dispatch/include/dispatch/call_ended.h
+++ b/libs/dispatch/include/dispatch/call_ended.h
@@ -24,6 +24,8 @@
   int64_t attempts = 0;
   int64_t events = 0;
   base::Tokens tokens = 0;
+  // A backend server may have run it.
+  bool may_have_run = false;
   base::Millis waited;
   base::Millis first_byte;
   base::Millis longest_gap;
--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -59,6 +59,7 @@
   ended.attempts = call.sends;
   ended.events = call.events;
   ended.tokens = used;
+  ended.may_have_run = call.may_have_run;
   ended.waited = call.sends > 0 ? call.placed_at - call.arrived_at
                                 : now_ - call.arrived_at;
   ended.first_byte = call.first_byte_at == base::Millis()
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -141,6 +141,8 @@
     call->first_byte_at = now_;
   }
   call->phase = Call::Phase::kRelaying;
+  // Also a failure that is handed on was a run, and is billed.
+  call->may_have_run = true;
   Emit(RelayAnswer{call->id, call->attempt});
   if (event.whole) {
     placement_.Ended(
--- a/libs/dispatch/tests/dispatch_world.cc
+++ b/libs/dispatch/tests/dispatch_world.cc
@@ -262,6 +262,7 @@
   outcome.over = true;
   outcome.ended_at = now_;
   outcome.answered = command.outcome == "answered";
+  outcome.may_have_run = command.may_have_run;
 }
 
 void DispatchWorld::Do(const AttemptAbandoned& /*command*/) {}
--- a/libs/dispatch/tests/dispatch_world.h
+++ b/libs/dispatch/tests/dispatch_world.h
@@ -30,6 +30,7 @@
     base::Millis retry_after;
     bool answered = false;
     bool broken_off = false;
+    bool may_have_run = false;
     base::Millis first_byte;
     base::Millis longest_gap;
     int64_t sends = 0;
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -246,3 +246,18 @@
   // A fifth of the requests and a slack of 50, for a single router.
   CHECK(arrivals - kCalls <= kCalls / 5 + 50);
 }
+
+TEST(Dispatcher, BillsAFailureThatIsHandedOn) {
+  DispatchWorld world({}, Models(1));
+  const CallId call = world.Arrive("chat", 100, 400, 7, 5);
+  const auto attempt = *world.server(0).ran().begin();
+  godwit::dispatch::AttemptAnswered answered;
+  answered.call = call;
+  answered.attempt = attempt;
+  answered.reply.status = 500;
+  answered.reply.is_signed = true;
+  answered.whole = true;
+  world.Raise(answered);
+  CHECK(world.outcome(call).over);
+  CHECK(world.outcome(call).may_have_run);
+}
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -81,6 +81,7 @@
                                   {"attempts", ended.attempts},
                                   {"events", ended.events},
                                   {"tokens", ended.tokens},
+                                  {"may_have_run", ended.may_have_run},
                                   {"waited_ms", ended.waited},
                                   {"first_byte_ms", ended.first_byte},
                                   {"longest_gap_ms", ended.longest_gap},
