Take note of a record that a lost race told

Cause: since a refused write may carry the record that won, a holder of the product's own ledger adopted it without looking at what had changed, and grants stayed open at the end. Ruled out: load, the bound of 180 s.

--- a/libs/ledger/src/holder_state.cc
+++ b/libs/ledger/src/holder_state.cc
@@ -225,6 +225,10 @@
       break;
     case cas::Progress::kLost:
       kv_failing_since_.reset();
+      // The KV may have told the record that won.
+      if (!shard.view.outdated()) {
+        Adopted(shard, before);
+      }
       break;
     case cas::Progress::kFailed:
       kv_failing_since_ = kv_failing_since_.value_or(now_);
