One piece of code where the change had written two

Cause: read once more, the direct router's code repeated itself and its neighbours. Cancelling an attempt and running it elsewhere, handing on the ledger's commands, dropping an exchange's attempt, taking in a stored record and reading a whole number stood two to five times each; request ids and router names were kept in maps that could be derived. A log reason said "status" twice, and the help of the metrics address named a page that does not exist. Numbers without a name got one. Removed, as nothing called them: BackendDirectory::IsUsable, UpstreamPool::Forget, unused arguments. Kept apart: the two lease keepers, one on fibers with the product's own KV, one on callbacks with the users' store. Decisions, bounds and assertions stay; the tests of the parts, metered_holder and edge_process pass.

--- /dev/null
+++ b/libs/base/include/base/read_number.h
@@ -0,0 +1,26 @@
+#ifndef BASE_READ_NUMBER_H_
+#define BASE_READ_NUMBER_H_
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <system_error>
+
+namespace godwit::base {
+
+// The whole number that `text` is from its first to its last character, in
+// `radix`. Empty for anything else and for numbers that Number can't hold.
+template <typename Number>
+std::optional<Number> ReadNumber(std::string_view text, int radix = 10) {
+  Number number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, number, radix);
+  if (error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace godwit::base
+
+#endif  // BASE_READ_NUMBER_H_
--- a/libs/base/src/endpoint.cc
+++ b/libs/base/src/endpoint.cc
@@ -2,7 +2,7 @@
 
 #include <arpa/inet.h>
 
-#include <charconv>
+#include "base/read_number.h"
 
 namespace godwit::base {
 namespace {
@@ -12,16 +12,6 @@
   return inet_pton(family, text.c_str(), address) == 1;
 }
 
-std::optional<uint16_t> ReadPort(std::string_view text) {
-  uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, port);
-  if (result.ec != std::errc() || result.ptr != end || port == 0) {
-    return std::nullopt;
-  }
-  return port;
-}
-
 }  // namespace
 
 bool IsIpNumber(std::string_view text) {
@@ -34,13 +24,13 @@
   if (colon == std::string_view::npos) {
     return std::nullopt;
   }
-  const auto port = ReadPort(text.substr(colon + 1));
+  const auto port = ReadNumber<uint16_t>(text.substr(colon + 1));
   std::string ip(text.substr(0, colon));
   const bool bracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
   if (bracketed) {
     ip = ip.substr(1, ip.size() - 2);
   }
-  if (!port || !ParsesAs(bracketed ? AF_INET6 : AF_INET, ip)) {
+  if (!port || *port == 0 || !ParsesAs(bracketed ? AF_INET6 : AF_INET, ip)) {
     return std::nullopt;
   }
   return Endpoint{std::move(ip), *port};
--- a/libs/cas/include/cas/key_view.h
+++ b/libs/cas/include/cas/key_view.h
@@ -88,18 +88,8 @@
     if (!done.available || done.version < version_) {
       return Progress::kFailed;
     }
-    if (known_ && done.version == version_) {
-      outdated_ = false;
-      proven_at_ = started_at;
-      return Progress::kAdopted;
-    }
-    auto record = Codec().Decode(done.value);
-    corrupt_ = !record.has_value();
-    if (corrupt_) {
-      return Progress::kFailed;
-    }
-    Adopt(done.version, std::move(*record), started_at);
-    return Progress::kAdopted;
+    return Take(done.version, done.value, started_at) ? Progress::kAdopted
+                                                      : Progress::kFailed;
   }
 
   Progress Finish(const platform::KvWriteDone& done) {
@@ -116,7 +106,10 @@
       }
       case platform::WriteOutcome::kLost:
         open_writes_.pop_back();
-        outdated_ = !TakeCurrent(done.current, started_at);
+        // The version that won may be told.
+        outdated_ = !known_ || done.current.version == 0 ||
+                    done.current.version < version_ ||
+                    !Take(done.current.version, done.current.value, started_at);
         return Progress::kLost;
       case platform::WriteOutcome::kNotSent:
         open_writes_.pop_back();
@@ -150,20 +143,22 @@
            operation_->is_write == is_write;
   }
 
-  // Takes in the version that won over a write. False when it is not known.
-  bool TakeCurrent(const platform::KvItem& current, base::Millis started_at) {
-    if (!known_ || current.version == 0 || current.version < version_) {
-      return false;
-    }
-    if (current.version == version_) {
+  // Takes in what the KV has, no older than what is known. False when it can't
+  // be read.
+  bool Take(int64_t version,
+            const std::string& value,
+            base::Millis started_at) {
+    if (known_ && version == version_) {
+      outdated_ = false;
       proven_at_ = started_at;
       return true;
     }
-    auto record = Codec().Decode(current.value);
-    if (!record) {
+    auto record = Codec().Decode(value);
+    corrupt_ = !record.has_value();
+    if (corrupt_) {
       return false;
     }
-    Adopt(current.version, std::move(*record), started_at);
+    Adopt(version, std::move(*record), started_at);
     return true;
   }
 
--- a/libs/cli/src/command_line.cc
+++ b/libs/cli/src/command_line.cc
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
+
+#include "base/read_number.h"
 
 namespace godwit::cli {
 namespace {
@@ -82,13 +83,8 @@
 }
 
 std::optional<int64_t> ReadNumber(const std::string& text) {
-  int64_t value = 0;
-  const char* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, value);
-  if (result.ec != std::errc() || result.ptr != end || text[0] == '-') {
-    return std::nullopt;
-  }
-  return value;
+  const auto number = base::ReadNumber<int64_t>(text);
+  return number && text.front() != '-' ? number : std::nullopt;
 }
 
 }  // namespace godwit::cli
--- a/libs/config/src/map_reader.cc
+++ b/libs/config/src/map_reader.cc
@@ -109,26 +109,28 @@
   return entry;
 }
 
-int64_t MapReader::Integer(std::string_view key,
-                           int64_t fallback,
-                           int64_t min,
-                           int64_t max) {
+template <typename Value>
+Value MapReader::Scalar(std::string_view key,
+                        Value fallback,
+                        Value min,
+                        Value max,
+                        const std::string& kind,
+                        const std::string& remedy) {
   const YamlNode* entry = Find(key);
   if (entry == nullptr) {
     return fallback;
   }
-  const std::string remedy = "write a whole number from " +
-                             std::to_string(min) + " to " + std::to_string(max);
   if (entry->kind != YamlNode::Kind::kScalar) {
     FailAt(*entry, key, "is " + TypeName(entry->kind), remedy);
     return fallback;
   }
   const std::string& text = entry->scalar;
-  int64_t value = 0;
+  Value value = 0;
   const auto [end, code] =
       std::from_chars(text.data(), text.data() + text.size(), value);
-  if (code == std::errc::invalid_argument || end != text.data() + text.size()) {
-    FailAt(*entry, key, Quoted(text) + " is not a whole number", remedy);
+  if (code == std::errc::invalid_argument || end != text.data() + text.size() ||
+      std::isnan(static_cast<double>(value))) {
+    FailAt(*entry, key, Quoted(text) + " is not a " + kind, remedy);
     return fallback;
   }
   if (code != std::errc() || value < min || value > max) {
@@ -138,34 +140,21 @@
   return value;
 }
 
+int64_t MapReader::Integer(std::string_view key,
+                           int64_t fallback,
+                           int64_t min,
+                           int64_t max) {
+  return Scalar(key, fallback, min, max, "whole number",
+                "write a whole number from " + std::to_string(min) + " to " +
+                    std::to_string(max));
+}
+
 double MapReader::Number(std::string_view key,
                          double fallback,
                          double min,
                          double max) {
-  const YamlNode* entry = Find(key);
-  if (entry == nullptr) {
-    return fallback;
-  }
-  const std::string remedy =
-      "write a number from " + Trimmed(min) + " to " + Trimmed(max);
-  if (entry->kind != YamlNode::Kind::kScalar) {
-    FailAt(*entry, key, "is " + TypeName(entry->kind), remedy);
-    return fallback;
-  }
-  const std::string& text = entry->scalar;
-  double value = 0;
-  const auto [end, code] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (code == std::errc::invalid_argument || end != text.data() + text.size() ||
-      std::isnan(value)) {
-    FailAt(*entry, key, Quoted(text) + " is not a number", remedy);
-    return fallback;
-  }
-  if (code != std::errc() || value < min || value > max) {
-    FailAt(*entry, key, text + " is out of range", remedy);
-    return fallback;
-  }
-  return value;
+  return Scalar(key, fallback, min, max, "number",
+                "write a number from " + Trimmed(min) + " to " + Trimmed(max));
 }
 
 std::string MapReader::Name(std::string_view key) {
--- a/libs/config/src/map_reader.h
+++ b/libs/config/src/map_reader.h
@@ -58,6 +58,15 @@
   std::string PathOf(std::string_view key) const;
 
  private:
+  // The number under `key`, which a message calls `kind`.
+  template <typename Value>
+  Value Scalar(std::string_view key,
+               Value fallback,
+               Value min,
+               Value max,
+               const std::string& kind,
+               const std::string& remedy);
+
   const YamlNode& node_;
   std::string path_;
   base::Error& error_;
--- a/libs/dispatch/include/dispatch/backend_directory.h
+++ b/libs/dispatch/include/dispatch/backend_directory.h
@@ -23,14 +23,14 @@
   std::vector<BeliefChanged> Listed(base::Millis now,
                                     const std::vector<Backend>& backends);
   // One entry was written or removed.
-  std::vector<BeliefChanged> Changed(base::Millis now, const Backend& backend);
+  std::vector<BeliefChanged> Changed(const Backend& backend);
   std::vector<BeliefChanged> Removed(base::Millis now,
                                      const std::string& instance);
 
   // The store can't be asked, or answers again after that. Registrations may
   // have lapsed meanwhile: servers that are missing right after its return are
   // used until they have had time to register again.
-  void StoreLost(base::Millis now);
+  void StoreLost();
   void StoreFound(base::Millis now);
 
   // Another server answered at the address of this one.
@@ -41,8 +41,6 @@
 
   // Servers that may be given work.
   std::vector<const Backend*> Usable(const base::ServiceId& service) const;
-  // True while this incarnation may be given work.
-  bool IsUsable(const Backend& backend) const;
   // True once the registry was read.
   bool known() const noexcept { return known_; }
   size_t size() const noexcept { return entries_.size(); }
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -14,12 +14,7 @@
 BeliefChanged ChangeOf(const Backend& backend,
                        Belief belief,
                        std::string reason) {
-  BeliefChanged change;
-  change.belief = belief;
-  change.instance = backend.instance;
-  change.service = backend.service;
-  change.reason = std::move(reason);
-  return change;
+  return {belief, backend.instance, backend.service, std::move(reason)};
 }
 
 }  // namespace
@@ -43,7 +38,7 @@
   std::set<std::string> listed;
   for (const Backend& backend : backends) {
     listed.insert(backend.instance);
-    for (BeliefChanged& change : Changed(now, backend)) {
+    for (BeliefChanged& change : Changed(backend)) {
       changes.push_back(std::move(change));
     }
   }
@@ -61,8 +56,7 @@
   return changes;
 }
 
-std::vector<BeliefChanged> BackendDirectory::Changed(base::Millis /*now*/,
-                                                     const Backend& backend) {
+std::vector<BeliefChanged> BackendDirectory::Changed(const Backend& backend) {
   std::vector<BeliefChanged> changes;
   const auto found = entries_.find(backend.instance);
   if (found == entries_.end()) {
@@ -103,7 +97,7 @@
   return changes;
 }
 
-void BackendDirectory::StoreLost(base::Millis /*now*/) {
+void BackendDirectory::StoreLost() {
   store_away_ = true;
 }
 
@@ -153,11 +147,4 @@
   return usable;
 }
 
-bool BackendDirectory::IsUsable(const Backend& backend) const {
-  const auto found = entries_.find(backend.instance);
-  return found != entries_.end() && !found->second.replaced &&
-         !found->second.backend.draining &&
-         found->second.backend.key() == backend.key();
-}
-
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -175,10 +175,7 @@
 }
 
 void Dispatcher::State::PumpBudgets() {
-  for (auto& command : budgets_.Tick(now_)) {
-    commands_.emplace_back(std::visit(
-        [](auto& c) { return DispatchCommand(std::move(c)); }, command));
-  }
+  Emit(budgets_.Tick(now_));
   std::vector<CallId> waiting;
   for (const auto& [id, call] : calls_) {
     if (call->phase == Call::Phase::kAwaitsBudget) {
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -126,6 +126,22 @@
   Start(call, next);
 }
 
+void Dispatcher::State::Cancel(const Call& call, Outcome outcome) {
+  Emit(CancelAttempt{call.id, call.attempt});
+  placement_.Ended(now_, call.attempt, outcome);
+}
+
+bool Dispatcher::State::RunElsewhere(Call& call, const std::string& reason) {
+  const auto next = NextServer(call, Fate::kMayHaveRun);
+  if (!next) {
+    return false;
+  }
+  Cancel(call, Outcome::kFailed);
+  CountEnd(call, Fate::kMayHaveRun);
+  Replace(call, *next, reason);
+  return true;
+}
+
 void Dispatcher::State::Abandon(Call& call,
                                 Fate fate,
                                 const std::string& reason) {
@@ -164,18 +180,9 @@
 }
 
 void Dispatcher::State::CheckSilence(Call& call) {
-  if (call.attempt == 0 || !placement_.IsSilent(now_, call.attempt) ||
-      !MayRunAgain(call)) {
-    return;
+  if (call.attempt != 0 && placement_.IsSilent(now_, call.attempt)) {
+    RunElsewhere(call, "silent");
   }
-  const auto next = NextServer(call, Fate::kMayHaveRun);
-  if (!next) {
-    return;
-  }
-  Emit(CancelAttempt{call.id, call.attempt});
-  placement_.Ended(now_, call.attempt, Outcome::kFailed);
-  CountEnd(call, Fate::kMayHaveRun);
-  Replace(call, *next, "silent");
 }
 
 void Dispatcher::State::CheckTime(Call& call) {
@@ -202,8 +209,7 @@
     CheckSilence(call);
     return;
   }
-  Emit(CancelAttempt{call.id, call.attempt});
-  placement_.Ended(now_, call.attempt, Outcome::kCancelled);
+  Cancel(call, Outcome::kCancelled);
   call.may_have_run = true;
   if (call.phase == Call::Phase::kRelaying) {
     Emit(AbortCall{call.id});
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -93,8 +93,7 @@
   }
   Call& call = *found->second;
   if (call.attempt != 0) {
-    Emit(CancelAttempt{call.id, call.attempt});
-    placement_.Ended(now_, call.attempt, Outcome::kCancelled);
+    Cancel(call, Outcome::kCancelled);
     call.may_have_run = true;
   }
   End(call, "caller_gone", "the caller closed its connection");
@@ -126,11 +125,7 @@
         Drop(*call, Outcome::kFailed, Fate::kMayHaveRun, "failed, " + status);
         return;
       }
-      if (const auto next = NextServer(*call, Fate::kMayHaveRun)) {
-        Emit(CancelAttempt{call->id, call->attempt});
-        placement_.Ended(now_, call->attempt, Outcome::kFailed);
-        CountEnd(*call, Fate::kMayHaveRun);
-        Replace(*call, *next, "failed, " + status);
+      if (RunElsewhere(*call, "failed, " + status)) {
         return;
       }
       break;
@@ -145,11 +140,10 @@
   call->may_have_run = true;
   Emit(RelayAnswer{call->id, call->attempt});
   if (event.whole) {
-    placement_.Ended(
-        now_, call->attempt,
-        quality == Quality::kGood ? Outcome::kServed : Outcome::kFailed);
-    End(*call, quality == Quality::kGood ? "answered" : "failed",
-        "status " + status);
+    const bool is_good = quality == Quality::kGood;
+    placement_.Ended(now_, call->attempt,
+                     is_good ? Outcome::kServed : Outcome::kFailed);
+    End(*call, is_good ? "answered" : "failed", status);
     PumpLines();
   }
 }
@@ -158,8 +152,7 @@
                              Outcome outcome,
                              Fate fate,
                              const std::string& reason) {
-  Emit(CancelAttempt{call.id, call.attempt});
-  placement_.Ended(now_, call.attempt, outcome);
+  Cancel(call, outcome);
   Abandon(call, fate, reason);
 }
 
@@ -223,7 +216,7 @@
 }
 
 void Dispatcher::State::On(const BackendSeen& event) {
-  Emit(directory_.Changed(now_, event.backend));
+  Emit(directory_.Changed(event.backend));
   PumpLines();
 }
 
@@ -235,7 +228,7 @@
   if (event.reached) {
     directory_.StoreFound(now_);
   } else {
-    directory_.StoreLost(now_);
+    directory_.StoreLost();
   }
 }
 
@@ -258,18 +251,12 @@
 }
 
 void Dispatcher::State::On(const platform::KvReadDone& event) {
-  for (auto& command : budgets_.On(now_, event)) {
-    commands_.emplace_back(std::visit(
-        [](auto& c) { return DispatchCommand(std::move(c)); }, command));
-  }
+  Emit(budgets_.On(now_, event));
   PumpBudgets();
 }
 
 void Dispatcher::State::On(const platform::KvWriteDone& event) {
-  for (auto& command : budgets_.On(now_, event)) {
-    commands_.emplace_back(std::visit(
-        [](auto& c) { return DispatchCommand(std::move(c)); }, command));
-  }
+  Emit(budgets_.On(now_, event));
   PumpBudgets();
 }
 
@@ -318,4 +305,12 @@
   }
 }
 
+void Dispatcher::State::Emit(
+    std::vector<ledger::MeteredHolder::KvCommand> commands) {
+  for (auto& command : commands) {
+    std::visit([this](auto& c) { commands_.emplace_back(std::move(c)); },
+               command);
+  }
+}
+
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -73,6 +73,11 @@
             Placement::Outcome outcome,
             Fate fate,
             const std::string& reason);
+  // Stops the attempt in progress at its server.
+  void Cancel(const Call& call, Placement::Outcome outcome);
+  // Gives up the attempt in progress, which may have run, for one at another
+  // server. False, and nothing changed, when there is none to be had.
+  bool RunElsewhere(Call& call, const std::string& reason);
   bool MayRunAgain(const Call& call) const;
   bool MaySendAgain(const Call& call) const;
   // Where the request is tried next; empty when it must not or can't be. Draws
@@ -96,6 +101,7 @@
   base::Tokens UsedTokens(const Call& call, bool whole) const;
 
   void Emit(std::vector<BeliefChanged> changes);
+  void Emit(std::vector<ledger::MeteredHolder::KvCommand> commands);
   template <typename Command>
   void Emit(Command command) {
     commands_.emplace_back(std::move(command));
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -147,12 +147,9 @@
       if (load.on_trial) {
         load.on_trial = false;
         load.ejected_until = base::Millis();
-        BeliefChanged change;
-        change.belief = BeliefChanged::Belief::kReadmitted;
-        change.instance = load.instance;
-        change.service = load.service;
-        change.reason = "served a request";
-        state_->changes.push_back(std::move(change));
+        state_->changes.push_back({BeliefChanged::Belief::kReadmitted,
+                                   load.instance, load.service,
+                                   "served a request"});
       }
       return;
     }
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -205,11 +205,11 @@
     const auto lane = LongPromptLane(usable);
     const Backend* const home = HomeOf(work, usable, lane);
     const bool is_long = IsLong(*work.prompt);
+    const base::Tokens shared = PromptMemory::SharedTokens(*work.prompt);
     for (Option& option : usable) {
       if (!is_long && lane.count(option.backend->key()) > 0) {
         option.cost += static_cast<double>(options.lane_cost.count());
       }
-      const base::Tokens shared = PromptMemory::SharedTokens(*work.prompt);
       const base::Tokens known = work.prompt->input_tokens - option.uncached;
       if (option.backend == home && known < shared) {
         option.cost -=
@@ -263,12 +263,8 @@
                              ServerLoad& load,
                              const char* reason) {
   load.Eject(now, options.shortest_ejection, options.longest_ejection);
-  BeliefChanged change;
-  change.belief = BeliefChanged::Belief::kEjected;
-  change.instance = load.instance;
-  change.service = load.service;
-  change.reason = reason;
-  changes.push_back(std::move(change));
+  changes.push_back(
+      {BeliefChanged::Belief::kEjected, load.instance, load.service, reason});
 }
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/tests/parts_test.cc
+++ b/libs/dispatch/tests/parts_test.cc
@@ -120,7 +120,7 @@
   CHECK_EQUAL(2, directory.Usable(ServiceId("model")).size());
   Backend leaving = Server("s1");
   leaving.draining = true;
-  directory.Changed(Millis(1), leaving);
+  directory.Changed(leaving);
   CHECK_EQUAL(1, directory.Usable(ServiceId("model")).size());
   directory.Removed(Millis(2), "s2");
   CHECK_EQUAL(0, directory.Usable(ServiceId("model")).size());
@@ -131,9 +131,9 @@
   directory.Listed(Millis(0), {Server("s1")});
   directory.SeenReplaced("s1");
   CHECK(directory.Usable(ServiceId("model")).empty());
-  directory.Changed(Millis(1), Server("s1"));
+  directory.Changed(Server("s1"));
   CHECK(directory.Usable(ServiceId("model")).empty());
-  directory.Changed(Millis(2), Server("s1", 2));
+  directory.Changed(Server("s1", 2));
   CHECK_EQUAL(1, directory.Usable(ServiceId("model")).size());
 }
 
@@ -156,7 +156,7 @@
     server.draining = c.draining;
     directory.Listed(Millis(0), {server});
     if (c.store_was_away) {
-      directory.StoreLost(Millis(100));
+      directory.StoreLost();
       directory.StoreFound(Millis(5000));
     }
     directory.Listed(Millis(5000), {});
@@ -169,10 +169,10 @@
 TEST(BackendDirectory, KeepsALapsedServerThatRegistersAgain) {
   BackendDirectory directory;
   directory.Listed(Millis(0), {Server("s1")});
-  directory.StoreLost(Millis(100));
+  directory.StoreLost();
   directory.StoreFound(Millis(5000));
   directory.Listed(Millis(5000), {});
-  directory.Changed(Millis(6000), Server("s1"));
+  directory.Changed(Server("s1"));
   directory.Tick(Millis(9000));
   CHECK_EQUAL(1, directory.Usable(ServiceId("model")).size());
 }
--- a/libs/experiments/src/cas_spender.h
+++ b/libs/experiments/src/cas_spender.h
@@ -2,12 +2,11 @@
 #define EXPERIMENTS_CAS_SPENDER_H_
 
 #include <map>
-#include <set>
 
 #include "base/ids.h"
 #include "base/millis.h"
 #include "cas_queue.h"
-#include "ledger/agent_usage_reported.h"
+#include "naive_spender.h"
 #include "spender_output.h"
 #include "spender_setup.h"
 
@@ -15,7 +14,7 @@
 
 // Naive: each request sets its worst case aside by a compare-and-swap of its
 // own, and settles by another.
-class CasSpender {
+class CasSpender : public NaiveSpender {
  public:
   explicit CasSpender(const SpenderSetup& setup);
 
@@ -24,10 +23,6 @@
                const base::BudgetId& budget,
                base::Tokens amount,
                SpenderOutput& out);
-  void Start(base::Millis,
-             const base::AttemptId&,
-             const base::Incarnation&,
-             SpenderOutput&) {}
   void Settle(base::Millis now,
               const base::AttemptId& attempt,
               const base::Incarnation& agent,
@@ -39,11 +34,6 @@
     queue_.Finish(now, done, out);
     Drain(out);
   }
-  void Report(base::Millis, const ledger::AgentUsageReported&, SpenderOutput&) {
-  }
-  void SeeLive(base::Millis,
-               const std::set<base::Incarnation>&,
-               SpenderOutput&) {}
 
  private:
   // Moves what finished jobs produced to the output.
--- a/libs/experiments/src/grant_spender.h
+++ b/libs/experiments/src/grant_spender.h
@@ -3,12 +3,11 @@
 
 #include <deque>
 #include <map>
-#include <set>
 
 #include "base/ids.h"
 #include "base/millis.h"
 #include "cas_queue.h"
-#include "ledger/agent_usage_reported.h"
+#include "naive_spender.h"
 #include "spender_output.h"
 #include "spender_setup.h"
 
@@ -16,7 +15,7 @@
 
 // Naive: one grant for each budget, of a size that follows no need. It is never
 // given back, and a lost router's grant stays set aside.
-class GrantSpender {
+class GrantSpender : public NaiveSpender {
  public:
   enum class Sizing {
     // The limit divided by the number of routers.
@@ -32,10 +31,6 @@
                const base::BudgetId& budget,
                base::Tokens amount,
                SpenderOutput& out);
-  void Start(base::Millis,
-             const base::AttemptId&,
-             const base::Incarnation&,
-             SpenderOutput&) {}
   void Settle(base::Millis now,
               const base::AttemptId& attempt,
               const base::Incarnation& agent,
@@ -47,11 +42,6 @@
     queue_.Finish(now, done, out);
     ServeAll(now, out);
   }
-  void Report(base::Millis, const ledger::AgentUsageReported&, SpenderOutput&) {
-  }
-  void SeeLive(base::Millis,
-               const std::set<base::Incarnation>&,
-               SpenderOutput&) {}
 
  private:
   struct Waiting {
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -10,6 +10,8 @@
 
 // A request moves the usual size by one part in this many.
 constexpr base::Tokens kUsualWeight = 16;
+// The largest falls by one part in this many with each smaller reservation.
+constexpr base::Tokens kLargestFade = 50;
 
 }  // namespace
 
@@ -68,8 +70,8 @@
   if (state.Available(budget) >= amount) {
     local->reserved += amount;
     local->need = 0;
-    // Falls by a fiftieth with each smaller reservation.
-    local->largest = std::max(amount, local->largest - local->largest / 50);
+    local->largest =
+        std::max(amount, local->largest - local->largest / kLargestFade);
     return Verdict::kReserved;
   }
   local->need = std::max(local->need, amount);
--- a/libs/platform/src/client.cc
+++ b/libs/platform/src/client.cc
@@ -1,11 +1,11 @@
 #include "platform/client.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
 
 #include "base/clocks.h"
+#include "base/read_number.h"
 #include "http/client_call.h"
 #include "http/client_pool.h"
 #include "http/target.h"
@@ -26,24 +26,13 @@
   return status >= 400 && status < 500;
 }
 
-template <typename Number>
-std::optional<Number> ParseNumber(std::string_view text) {
-  Number number = 0;
-  const char* end = text.data() + text.size();
-  const auto [stop, error] = std::from_chars(text.data(), end, number);
-  if (error != std::errc() || stop != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 // Version header of a response; 0 when it is missing or malformed.
 int64_t VersionOf(const http::Response& response) {
   const auto field = response.headers.find("x-version");
   if (field == response.headers.end()) {
     return 0;
   }
-  return ParseNumber<int64_t>(field->second).value_or(0);
+  return base::ReadNumber<int64_t>(field->second).value_or(0);
 }
 
 std::string KeyTarget(const std::string& key) {
@@ -117,8 +106,9 @@
   const size_t colon = address.rfind(':');
   if (colon != std::string::npos) {
     vm.ip = address.substr(0, colon);
-    vm.port = ParseNumber<uint16_t>(std::string_view(address).substr(colon + 1))
-                  .value_or(0);
+    vm.port =
+        base::ReadNumber<uint16_t>(std::string_view(address).substr(colon + 1))
+            .value_or(0);
   }
   vm.process = base::ProcessId(StringMember(entry, "name"));
   vm.role = StringMember(entry, "role");
--- a/libs/relay/include/relay/upstream_pool.h
+++ b/libs/relay/include/relay/upstream_pool.h
@@ -53,9 +53,6 @@
   void PauseReading(int64_t request);
   void ResumeReading(int64_t request);
 
-  // Closes the idle connections to a server that is gone.
-  void Forget(const base::Endpoint& server);
-
   // Closes what is over its time. Due every few tens of milliseconds.
   void Tick();
 
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/upstream_pool.cc
@@ -95,17 +95,6 @@
   }
 }
 
-void UpstreamPool::Forget(const base::Endpoint& server) {
-  const auto found = idle_.find(server);
-  if (found == idle_.end()) {
-    return;
-  }
-  for (auto& connection : found->second) {
-    connection->Drop();
-  }
-  idle_.erase(found);
-}
-
 void UpstreamPool::Tick() {
   const base::Millis now = base::SteadyNow();
   // A failed request may be sent again by its handler, which changes busy_.
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -43,6 +43,7 @@
 constexpr base::Millis kFlushLimit(250);
 constexpr base::Millis kMetricsWindow(60'000);
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -129,14 +130,14 @@
     auto decoded = adapter::DecodeRequest(request.head, &reason);
     if (!decoded) {
       Log(EventId::kRequestMalformed, {{"reason", reason}});
-      session->Respond(400, "Content-Type: text/plain\r\n", reason + "\n");
+      session->Respond(kBadRequest, "Content-Type: text/plain\r\n",
+                       reason + "\n");
       return;
     }
     const dispatch::CallId id = next_call_++;
     calls_by_session_[session.get()] = id;
     exchanges_.try_emplace(id, id, decoded->id, session, std::move(request),
                            servers_, *this);
-    request_ids_[id] = decoded->id;
     Raise(dispatch::CallArrived{id, std::move(*decoded)});
   }
 
@@ -195,7 +196,7 @@
 
   void Do(const dispatch::StartAttempt& command) {
     if (Exchange* exchange = Find(command.call)) {
-      LogPlaced(request_ids_[command.call], command);
+      LogPlaced(exchange->request_id(), command);
       exchange->Start(command);
     }
   }
@@ -229,7 +230,6 @@
       calls_by_session_.erase(found->second.session());
       exchanges_.erase(found);
     }
-    request_ids_.erase(command.call);
   }
   void Do(const platform::KvRead& command) {
     store_.Read(command,
@@ -341,7 +341,6 @@
   PageServer readiness_;
   PageServer pages_;
   std::unordered_map<dispatch::CallId, Exchange> exchanges_;
-  std::unordered_map<dispatch::CallId, std::string> request_ids_;
   std::unordered_map<const relay::CallerSession*, dispatch::CallId>
       calls_by_session_;
   dispatch::CallId next_call_ = 1;
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -11,6 +11,7 @@
 namespace godwit::edge {
 namespace {
 
+constexpr int64_t kLeastStopMillis = 1000;
 constexpr int64_t kMostStopMillis = 3'600'000;
 constexpr int64_t kMostDescriptors = 1'000'000;
 constexpr int64_t kMostRetries = 1'000'000;
@@ -19,6 +20,9 @@
 // The balancer asks every second and turns away after two misses; a request
 // that it sent before that is still to be served.
 constexpr base::Millis kLongestGrace(3'000);
+// Shares of the limit that a short stop gives to that.
+constexpr int64_t kGraceParts = 3;
+constexpr int64_t kLimitParts = 8;
 // Left at the end of the stop for the hand-over of budgets and the last bytes.
 constexpr base::Millis kHandOver(500);
 constexpr base::Millis kStopMargin(400);
@@ -34,11 +38,11 @@
       .Address("callers", "IP:PORT that callers connect to")
       .Address("readiness",
                "IP:PORT that answers 200 while callers may be sent here")
-      .Address("metrics", "IP:PORT that serves /metrics and /status")
+      .Address("metrics", "IP:PORT that serves /metrics")
       .Optional()
       .Duration("stop_limit_ms",
-                "time from SIGTERM within which the router ends", 1000,
-                kMostStopMillis)
+                "time from SIGTERM within which the router ends",
+                kLeastStopMillis, kMostStopMillis)
       .Default("8000")
       .Real("retry_ratio",
             "retries to a service as a share of its requests, all routers", 0,
@@ -75,7 +79,8 @@
 daemon::StopPlan::Limits StopLimitsOf(const config::Settings& settings) {
   const base::Millis limit = settings.Duration("stop_limit_ms");
   daemon::StopPlan::Limits limits;
-  limits.grace = std::min(kLongestGrace, base::Millis(limit.count() * 3 / 8));
+  limits.grace = std::min(
+      kLongestGrace, base::Millis(limit.count() * kGraceParts / kLimitParts));
   limits.drain =
       std::max(base::Millis(0), limit - limits.grace - kHandOver - kStopMargin);
   limits.hand_over = kHandOver;
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -41,17 +41,19 @@
       events_(events) {}
 
 Exchange::~Exchange() {
+  DropAttempt();
+}
+
+void Exchange::DropAttempt() {
   if (attempt_ != nullptr) {
     attempt_->Detach();
     servers_.Cancel(attempt_->upstream);
+    attempt_.reset();
   }
 }
 
 void Exchange::Start(const dispatch::StartAttempt& attempt) {
-  if (attempt_ != nullptr) {
-    attempt_->Detach();
-    servers_.Cancel(attempt_->upstream);
-  }
+  DropAttempt();
   framer_.Restart();
   attempt_ =
       std::make_shared<AttemptRelay>(*this, attempt.attempt, attempt.is_stream);
@@ -66,9 +68,7 @@
 
 void Exchange::Cancel(int64_t attempt) {
   if (attempt_ != nullptr && attempt_->attempt() == attempt) {
-    attempt_->Detach();
-    servers_.Cancel(attempt_->upstream);
-    attempt_.reset();
+    DropAttempt();
   }
 }
 
--- a/tools/godwit-edge/src/exchange.h
+++ b/tools/godwit-edge/src/exchange.h
@@ -51,6 +51,7 @@
   // The caller takes bytes again.
   void Resume();
 
+  const std::string& request_id() const noexcept { return request_id_; }
   const relay::CallerSession* session() const noexcept {
     return session_.get();
   }
@@ -59,6 +60,8 @@
   friend class AttemptRelay;
 
   void HandOn(std::string_view bytes);
+  // Wants nothing more of the attempt in progress.
+  void DropAttempt();
 
   const dispatch::CallId call_;
   const std::string request_id_;
--- a/tools/godwit-edge/src/store_feed.cc
+++ b/tools/godwit-edge/src/store_feed.cc
@@ -157,14 +157,14 @@
 void StoreFeed::OnRouters(const std::vector<platform::KvItem>& items) {
   router_names_.clear();
   for (const platform::KvItem& item : items) {
-    router_names_[item.key] = true;
+    router_names_.insert(item.key);
   }
   CountRouters();
 }
 
 void StoreFeed::OnRouter(const platform::KvChange& change) {
   if (change.value) {
-    router_names_[change.key] = true;
+    router_names_.insert(change.key);
   } else {
     router_names_.erase(change.key);
   }
@@ -172,7 +172,7 @@
 }
 
 void StoreFeed::CountRouters() {
-  router_names_[kRouterPrefix + process_.value()] = true;
+  router_names_.insert(kRouterPrefix + process_.value());
   raise_(dispatch::RoutersCounted{router_names_.size()});
 }
 
--- a/tools/godwit-edge/src/store_feed.h
+++ b/tools/godwit-edge/src/store_feed.h
@@ -2,8 +2,8 @@
 #define GODWIT_EDGE_STORE_FEED_H_
 
 #include <functional>
-#include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "adapter/store_client.h"
@@ -62,7 +62,7 @@
   Feed configuration_;
   Feed backends_;
   Feed routers_;
-  std::map<std::string, bool> router_names_;
+  std::set<std::string> router_names_;
   std::optional<std::string> lease_;
   bool lease_busy_ = false;
   bool registered_ = false;
