--- a/libs/relay/src/answer_reader.cc
+++ b/libs/relay/src/answer_reader.cc
@@ -1,30 +1,24 @@
 #include "relay/answer_reader.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/optional.hpp>
 #include <limits>
 #include <utility>
 
 #include "chunk_bytes.h"
+#include "message_parser.h"
 
 namespace godwit::relay {
 namespace {
 
 namespace http = boost::beast::http;
 using boost::beast::error_code;
-using boost::beast::string_view;
 
 // Largest header block that an answer may have.
 constexpr uint32_t kHeaderBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
 
-std::string_view View(string_view text) {
-  return {text.data(), text.size()};
-}
-
-class Parser : public http::basic_parser<false> {
+class Parser : public MessageParser<false> {
  public:
   explicit Parser(const AnswerReader::Handler& handler) : handler_(handler) {
     header_limit(kHeaderBytes);
@@ -35,30 +29,16 @@
   bool interim() const noexcept { return head_.status < kFirstFinalStatus; }
 
  private:
-  void on_request_impl(http::verb /*verb*/,
-                       string_view /*method*/,
-                       string_view /*target*/,
-                       int /*version*/,
-                       error_code& /*ec*/) override {}
-
   void on_response_impl(int code,
-                        string_view /*reason*/,
+                        Text /*reason*/,
                         int /*version*/,
-                        error_code& /*ec*/) override {
+                        ErrorCode& /*ec*/) override {
     head_.status = code;
   }
 
-  void on_field_impl(http::field /*field*/,
-                     string_view name,
-                     string_view value,
-                     error_code& /*ec*/) override {
-    if (!in_body_) {
-      head_.headers.Add(View(name), View(value));
-    }
-  }
+  HeaderList& headers() override { return head_.headers; }
 
-  void on_header_impl(error_code& ec) override {
-    in_body_ = true;
+  void OnHeader(ErrorCode& ec) override {
     const size_t codings = head_.headers.Count("transfer-encoding");
     const size_t lengths = head_.headers.Count("content-length");
     const bool other_coding =
@@ -76,30 +56,10 @@
     }
   }
 
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
-                         error_code& /*ec*/) override {}
-
-  std::size_t on_body_impl(string_view bytes, error_code& /*ec*/) override {
-    handler_.on_body(View(bytes));
-    return bytes.size();
-  }
-
-  void on_chunk_header_impl(std::uint64_t /*size*/,
-                            string_view /*extensions*/,
-                            error_code& /*ec*/) override {}
-
-  std::size_t on_chunk_body_impl(std::uint64_t /*left*/,
-                                 string_view bytes,
-                                 error_code& /*ec*/) override {
-    handler_.on_body(View(bytes));
-    return bytes.size();
-  }
-
-  void on_finish_impl(error_code& /*ec*/) override {}
+  void OnBody(std::string_view bytes) override { handler_.on_body(bytes); }
 
   const AnswerReader::Handler& handler_;
   AnswerHead head_;
-  bool in_body_ = false;
 };
 
 }  // namespace
--- a/libs/relay/src/request_reader.cc
+++ b/libs/relay/src/request_reader.cc
@@ -1,19 +1,17 @@
 #include "relay/request_reader.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/optional.hpp>
 #include <utility>
 
 #include "chunk_bytes.h"
+#include "message_parser.h"
 
 namespace godwit::relay {
 namespace {
 
 namespace http = boost::beast::http;
 using boost::beast::error_code;
-using boost::beast::string_view;
 
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
@@ -21,10 +19,6 @@
 constexpr int kVersionNotSupported = 505;
 constexpr int kHttp11 = 11;
 
-std::string_view View(string_view text) {
-  return {text.data(), text.size()};
-}
-
 // True when a header line is continued on the next one.
 bool HasFoldedLine(std::string_view bytes) {
   const size_t end = bytes.find("\r\n\r\n");
@@ -33,7 +27,7 @@
          block.find("\r\n\t") != std::string_view::npos;
 }
 
-class Parser : public http::basic_parser<true> {
+class Parser : public MessageParser<true> {
  public:
   RequestHead head;
   std::string body;
@@ -41,76 +35,40 @@
   int version = 0;
 
  private:
-  void Refuse(error_code& ec, std::string why) {
+  void Refuse(ErrorCode& ec, std::string why) {
     reason = std::move(why);
     ec = http::error::bad_field;
   }
 
   void on_request_impl(http::verb /*verb*/,
-                       string_view method,
-                       string_view target,
+                       Text method,
+                       Text target,
                        int http_version,
-                       error_code& /*ec*/) override {
+                       ErrorCode& /*ec*/) override {
     head.method = std::string(View(method));
     head.target = std::string(View(target));
     version = http_version;
   }
 
-  void on_response_impl(int /*code*/,
-                        string_view /*reason*/,
-                        int /*version*/,
-                        error_code& /*ec*/) override {}
-
-  void on_field_impl(http::field /*field*/,
-                     string_view name,
-                     string_view value,
-                     error_code& /*ec*/) override {
-    // Trailers concern one connection only.
-    if (!in_body_) {
-      head.headers.Add(View(name), View(value));
-    }
-  }
+  HeaderList& headers() override { return head.headers; }
 
-  void on_header_impl(error_code& ec) override {
-    in_body_ = true;
-    const HeaderList& headers = head.headers;
-    const size_t codings = headers.Count("transfer-encoding");
-    const size_t lengths = headers.Count("content-length");
+  void OnHeader(ErrorCode& ec) override {
+    const size_t codings = head.headers.Count("transfer-encoding");
+    const size_t lengths = head.headers.Count("content-length");
     if (codings > 1 ||
         (codings == 1 &&
-         !SameName(*headers.Find("transfer-encoding"), "chunked"))) {
+         !SameName(*head.headers.Find("transfer-encoding"), "chunked"))) {
       return Refuse(ec, "transfer coding other than chunked");
     }
     if (lengths > 1 || (lengths == 1 && codings == 1)) {
       return Refuse(ec, "the length of the body is given twice");
     }
-    if (headers.Count("host") != 1) {
+    if (head.headers.Count("host") != 1) {
       return Refuse(ec, "a request needs one Host header");
     }
   }
 
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
-                         error_code& /*ec*/) override {}
-
-  std::size_t on_body_impl(string_view bytes, error_code& /*ec*/) override {
-    body.append(bytes.data(), bytes.size());
-    return bytes.size();
-  }
-
-  void on_chunk_header_impl(std::uint64_t /*size*/,
-                            string_view /*extensions*/,
-                            error_code& /*ec*/) override {}
-
-  std::size_t on_chunk_body_impl(std::uint64_t /*left*/,
-                                 string_view bytes,
-                                 error_code& /*ec*/) override {
-    body.append(bytes.data(), bytes.size());
-    return bytes.size();
-  }
-
-  void on_finish_impl(error_code& /*ec*/) override {}
-
-  bool in_body_ = false;
+  void OnBody(std::string_view bytes) override { body.append(bytes); }
 };
 
 int StatusOf(const error_code& error) {
