--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -11,6 +11,8 @@
 #include "dispatch/refuse_call.h"
 #include "dispatch/relay_answer.h"
 #include "dispatch/start_attempt.h"
+#include "ledger/grant_closed.h"
+#include "ledger/send_to_peer.h"
 #include "platform/kv_read.h"
 #include "platform/kv_write.h"
 
@@ -26,7 +28,9 @@
                                      CallEnded,
                                      BeliefChanged,
                                      platform::KvRead,
-                                     platform::KvWrite>;
+                                     platform::KvWrite,
+                                     ledger::SendToPeer,
+                                     ledger::GrantClosed>;
 
 }  // namespace godwit::dispatch
 
--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -13,7 +13,8 @@
 #include "dispatch/call_arrived.h"
 #include "dispatch/caller_gone.h"
 #include "dispatch/drain_requested.h"
-#include "dispatch/routers_counted.h"
+#include "dispatch/peer_heard.h"
+#include "dispatch/routers_listed.h"
 #include "dispatch/store_reached.h"
 #include "dispatch/table_seen.h"
 #include "dispatch/tick.h"
@@ -34,8 +35,9 @@
                                    BackendSeen,
                                    BackendRemoved,
                                    StoreReached,
-                                   RoutersCounted,
+                                   RoutersListed,
                                    DrainRequested,
+                                   PeerHeard,
                                    platform::KvReadDone,
                                    platform::KvWriteDone,
                                    Tick>;
--- /dev/null
+++ b/libs/dispatch/include/dispatch/peer_heard.h
@@ -0,0 +1,17 @@
+#ifndef DISPATCH_PEER_HEARD_H_
+#define DISPATCH_PEER_HEARD_H_
+
+#include "base/endpoint.h"
+#include "ledger/peer_message.h"
+
+namespace godwit::dispatch {
+
+// Event: another router sent a message.
+struct PeerHeard {
+  base::Endpoint from;
+  ledger::PeerMessage message;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_PEER_HEARD_H_
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -232,16 +232,24 @@
   }
 }
 
-void Dispatcher::State::On(const RoutersCounted& event) {
+void Dispatcher::State::On(const RoutersListed& event) {
   // Fewer routers than before may be a view that is not whole; with a share
   // that is too large, all together would exceed the budget of retries.
-  const size_t count = counted_ ? std::max(routers_, event.count) : event.count;
+  const size_t listed = std::max<size_t>(1, event.routers.size());
+  const size_t count = counted_ ? std::max(routers_, listed) : listed;
   counted_ = true;
   if (count != routers_) {
     routers_ = count;
     budgets_.SetRouters(routers_);
     retries_.clear();
   }
+  budgets_.SetPeers(event.routers);
+  PumpBudgets();
+}
+
+void Dispatcher::State::On(const PeerHeard& event) {
+  Emit(budgets_.On(now_, event.from, event.message));
+  PumpBudgets();
 }
 
 void Dispatcher::State::On(const DrainRequested& /*event*/) {
@@ -306,7 +314,7 @@
 }
 
 void Dispatcher::State::Emit(
-    std::vector<ledger::MeteredHolder::KvCommand> commands) {
+    std::vector<ledger::MeteredHolder::Command> commands) {
   for (auto& command : commands) {
     std::visit([this](auto& c) { commands_.emplace_back(std::move(c)); },
                command);
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -44,7 +44,8 @@
   void On(const BackendSeen& event);
   void On(const BackendRemoved& event);
   void On(const StoreReached& event);
-  void On(const RoutersCounted& event);
+  void On(const RoutersListed& event);
+  void On(const PeerHeard& event);
   void On(const DrainRequested& event);
   void On(const platform::KvReadDone& event);
   void On(const platform::KvWriteDone& event);
@@ -101,7 +102,7 @@
   base::Tokens UsedTokens(const Call& call, bool whole) const;
 
   void Emit(std::vector<BeliefChanged> changes);
-  void Emit(std::vector<ledger::MeteredHolder::KvCommand> commands);
+  void Emit(std::vector<ledger::MeteredHolder::Command> commands);
   template <typename Command>
   void Emit(Command command) {
     commands_.emplace_back(std::move(command));
--- a/libs/dispatch/tests/dispatch_world.h
+++ b/libs/dispatch/tests/dispatch_world.h
@@ -92,6 +92,9 @@
   void Do(const BeliefChanged& command);
   void Do(const platform::KvRead& command);
   void Do(const platform::KvWrite& command);
+  void Do(const ledger::GrantClosed& /*command*/) {}
+  // The only router has nobody to lend to.
+  void Do(const ledger::SendToPeer& /*command*/) {}
   void Take(const ModelServer::Event& event);
 
   base::Millis now_{1000};
--- /dev/null
+++ b/libs/ledger/include/ledger/loan_reply.h
@@ -0,0 +1,40 @@
+#ifndef LEDGER_LOAN_REPLY_H_
+#define LEDGER_LOAN_REPLY_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace godwit::ledger {
+
+// Answer to a LoanAsk.
+struct LoanReply {
+  enum class State : uint8_t {
+    // The least that was asked for is lent.
+    kLent,
+    // The lender draws from the ledger; another reply follows.
+    kPending,
+    // The lender can't lend it now.
+    kRefused,
+  };
+
+  base::Incarnation lender;
+  base::Incarnation borrower;
+  base::BudgetId budget;
+  // Sum of all that was lent; never falls.
+  base::Tokens lent = 0;
+  State state = State::kLent;
+
+  friend bool operator==(const LoanReply& a, const LoanReply& b) {
+    return std::tie(a.lender, a.borrower, a.budget, a.lent, a.state) ==
+           std::tie(b.lender, b.borrower, b.budget, b.lent, b.state);
+  }
+  friend bool operator!=(const LoanReply& a, const LoanReply& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_LOAN_REPLY_H_
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -8,10 +8,15 @@
 #include <variant>
 #include <vector>
 
+#include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/millis.h"
 #include "ledger/budget_limit.h"
+#include "ledger/grant_closed.h"
 #include "ledger/metered_policy.h"
+#include "ledger/peer.h"
+#include "ledger/peer_message.h"
+#include "ledger/send_to_peer.h"
 #include "platform/kv_condition.h"
 #include "platform/kv_read.h"
 #include "platform/kv_read_done.h"
@@ -27,10 +32,17 @@
 // frees that, going by the VM's monotonic clock. Limits come from the
 // configuration, and each write names the configuration that it relies on, so
 // that a router which does not know a lowered limit yet can't set tokens aside
-// above it. No I/O. One thread at a time.
+// above it.
+//
+// Routers that know each other lend tokens: of each part of the ledger one
+// router draws, and the others borrow from it what they use in a few seconds.
+// A loan counts as used at the lender until the borrower reports or returns it,
+// so that a lost message or a killed borrower costs tokens and never creates
+// any. No I/O. One thread at a time.
 class MeteredHolder {
  public:
-  using KvCommand = std::variant<platform::KvRead, platform::KvWrite>;
+  using Command =
+      std::variant<platform::KvRead, platform::KvWrite, SendToPeer, GrantClosed>;
 
   enum class Verdict : uint8_t {
     kReserved,
@@ -56,8 +68,10 @@
                  platform::KvCondition configuration);
   // Wall clock less the clock of `now`, as of now.
   void SetClockOffset(base::Millis offset);
-  // Routers that share the budgets, this one included.
+  // Routers that share the budgets, this one included; of use until SetPeers.
   void SetRouters(size_t count);
+  // All routers of the fleet that lend and borrow, this one included.
+  void SetPeers(std::vector<Peer> peers);
 
   // Sets `amount` of a budget aside for a request that waits since `since`. A
   // budget that no longer has a limit is never short, and one that never had
@@ -77,16 +91,21 @@
   // True once nothing more is to be given back.
   bool drained() const;
 
-  // Each returns what to ask of the KV.
-  std::vector<KvCommand> Tick(base::Millis now);
-  std::vector<KvCommand> On(base::Millis now, const platform::KvReadDone& done);
-  std::vector<KvCommand> On(base::Millis now,
-                            const platform::KvWriteDone& done);
+  // Each returns what to ask of the KV and of other routers.
+  std::vector<Command> Tick(base::Millis now);
+  std::vector<Command> On(base::Millis now, const platform::KvReadDone& done);
+  std::vector<Command> On(base::Millis now, const platform::KvWriteDone& done);
+  // A message of the router at `from`.
+  std::vector<Command> On(base::Millis now,
+                          const base::Endpoint& from,
+                          const PeerMessage& message);
 
   // Tokens that may be reserved now.
   base::Tokens available(base::Millis now, const base::BudgetId& budget) const;
   // When the record behind `available` was surely the stored one.
   base::Millis proven_at(const base::BudgetId& budget) const;
+  // Sum of all that was lent to the borrower of an ask.
+  base::Tokens lent(const LoanAsk& ask) const;
   // What a verdict on the budget is based on, for logs.
   std::string Describe(base::Millis now, const base::BudgetId& budget) const;
   // True when the last operation on the KV brought an answer.
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_METERED_POLICY_H_
 #define LEDGER_METERED_POLICY_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "base/millis.h"
@@ -16,14 +17,14 @@
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
-  base::Millis cover = base::Millis(10'000);
+  base::Millis cover = base::Millis(9'000);
   // Half-lives of the two averages of which the higher estimates the burn rate:
   // one follows a surge, the other bridges a lull.
   base::Millis burn_half_life = base::Millis(3'000);
   base::Millis usual_half_life = base::Millis(12'000);
   // Before anything is burnt, all routers together hold one part in this many
   // of a budget.
-  int64_t first_part = 5;
+  int64_t first_part = 8;
   // Routers together set aside a part of what is left of a budget: `slope`
   // times what is left of the limit beyond `scarce`, as shares of the limit and
   // between the two bounds. Little of a budget that runs out is set aside: what
@@ -47,20 +48,20 @@
   int64_t refill_percent = 70;
   int64_t urgent_percent = 50;
   // A holding above this share of its target is given back down to it.
-  int64_t surplus_percent = 200;
+  int64_t surplus_percent = 130;
   // Least time between writes that are not urgent, and between any two.
   base::Millis lazy_spacing = base::Millis(600);
   base::Millis write_spacing = base::Millis(40);
   // A holder that has not reached the KV for this long since its last promise
   // may spend its whole grant; until then it keeps to what it promised. A
   // killed process is started again, and reads the record, within less.
-  base::Millis promise_time = base::Millis(2'000);
+  base::Millis promise_time = base::Millis(3'000);
   // What is promised ahead of use, as a span of the burn rate in percent of
   // `promise_time`: use is uneven.
-  int64_t promise_percent = 250;
+  int64_t promise_percent = 150;
   // At least this part of the target of a holding is promised, and all of a
   // target that is no more than one in `small_part` of the limit.
-  int64_t promise_part = 2;
+  int64_t promise_part = 4;
   int64_t small_part = 40;
   // Difference of two clocks' readings that counts as none.
   base::Millis clock_jitter = base::Millis(50);
@@ -78,6 +79,29 @@
   // after a lost race.
   base::Millis failure_pause = base::Millis(150);
   base::Millis race_pause = base::Millis(20);
+  // Routers of a budget that may lend of it, the first of them as long as it
+  // answers; the others take its place.
+  size_t most_lenders = 4;
+  // Use that a loan covers: time for a stopped lender to be replaced, several
+  // times over. What a killed borrower had left is lost.
+  base::Millis loan_cover = base::Millis(3'000);
+  // A loan covers no more than one part in this many of the limit, beyond what
+  // waits for it.
+  int64_t loan_part = 20;
+  // A loan is filled up once less than this of its target is left, in percent.
+  int64_t loan_percent = 50;
+  // A message between routers takes milliseconds: one without an answer is sent
+  // again, and then given up.
+  base::Millis ask_again = base::Millis(30);
+  base::Millis ask_limit = base::Millis(100);
+  // Longest that a lender lets an ask wait for the KV.
+  base::Millis pending_limit = base::Millis(300);
+  // A router that did not answer is not asked for this long, and one that had
+  // nothing to lend not for the same budget.
+  base::Millis silent_pause = base::Millis(1'000);
+  base::Millis refused_pause = base::Millis(300);
+  // Use of a loan is reported at least this often.
+  base::Millis report_spacing = base::Millis(1'000);
   // An operation without an outcome is given up after this.
   base::Millis operation_limit = base::Millis(2'000);
 };
--- /dev/null
+++ b/libs/ledger/include/ledger/peer.h
@@ -0,0 +1,28 @@
+#ifndef LEDGER_PEER_H_
+#define LEDGER_PEER_H_
+
+#include <tuple>
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+
+namespace godwit::ledger {
+
+// A router of the fleet that lends tokens to others.
+struct Peer {
+  base::ProcessId process;
+  // Its present life.
+  base::Incarnation incarnation;
+  // Where it takes datagrams of other routers.
+  base::Endpoint address;
+
+  friend bool operator==(const Peer& a, const Peer& b) {
+    return std::tie(a.process, a.incarnation, a.address) ==
+           std::tie(b.process, b.incarnation, b.address);
+  }
+  friend bool operator!=(const Peer& a, const Peer& b) { return !(a == b); }
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_PEER_H_
--- /dev/null
+++ b/libs/ledger/include/ledger/peer_message.h
@@ -0,0 +1,16 @@
+#ifndef LEDGER_PEER_MESSAGE_H_
+#define LEDGER_PEER_MESSAGE_H_
+
+#include <variant>
+
+#include "ledger/loan_ask.h"
+#include "ledger/loan_reply.h"
+
+namespace godwit::ledger {
+
+// What routers of a fleet tell each other, a datagram each.
+using PeerMessage = std::variant<LoanAsk, LoanReply>;
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_PEER_MESSAGE_H_
--- a/libs/ledger/src/metered_budget.cc
+++ b/libs/ledger/src/metered_budget.cc
@@ -22,6 +22,29 @@
 
 }  // namespace
 
+void MeteredBudget::Spend(base::Millis now, base::Tokens tokens) {
+  spent += tokens;
+  first_use = first_use.value_or(now);
+  burn.Add(now, tokens);
+  usual_burn.Add(now, tokens);
+}
+
+base::Tokens MeteredBudget::Need() const {
+  return std::max(need, asked);
+}
+
+base::Tokens MeteredBudget::ReservedOfGrant() const {
+  return std::max<base::Tokens>(0, reserved - borrowed.free());
+}
+
+base::Tokens MeteredBudget::UseOver(base::Millis now,
+                                    base::Millis span,
+                                    const MeteredPolicy& policy) const {
+  return first_use ? Corrected(use.Over(now, span), now - *first_use,
+                               policy.burn_half_life)
+                   : 0;
+}
+
 base::Tokens MeteredBudget::BurnOver(base::Millis now,
                                      base::Millis span,
                                      const MeteredPolicy& policy) const {
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -1,13 +1,16 @@
 #ifndef LEDGER_METERED_BUDGET_H_
 #define LEDGER_METERED_BUDGET_H_
 
+#include <map>
 #include <optional>
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "borrowed.h"
 #include "burn_rate.h"
 #include "ledger/budget_limit.h"
 #include "ledger/metered_policy.h"
+#include "ledger/peer.h"
 
 namespace godwit::ledger {
 
@@ -16,27 +19,60 @@
   MeteredBudget(BudgetLimit stated, const MeteredPolicy& policy)
       : limit(std::move(stated)),
         burn(policy.burn_half_life),
-        usual_burn(policy.usual_half_life) {}
+        usual_burn(policy.usual_half_life),
+        use(policy.burn_half_life) {}
+
+  // An ask for a loan without its answer.
+  struct OpenAsk {
+    Peer lender;
+    base::Millis first_at;
+    base::Millis sent_at;
+    // The lender heard it and draws from the ledger.
+    bool is_pending = false;
+  };
 
   BudgetLimit limit;
-  // Used under the own grant since it began, and reserved beside it.
+  // Used under the own grant since it began, by this router or by borrowers
+  // that reported it.
   base::Tokens spent = 0;
+  // Set aside for requests in progress. What is borrowed is used before what
+  // is held under the own grant.
   base::Tokens reserved = 0;
-  // Largest amount that waits for tokens; zero when none does.
+  // Largest amount that waits for tokens of the own grant, here and at
+  // borrowers, and that waits for a loan; zero when none does.
   base::Tokens need = 0;
+  base::Tokens asked = 0;
+  base::Tokens loan_need = 0;
   // Size of large reservations; falls slowly.
   base::Tokens largest = 0;
   // Usual size of a request, a moving mean.
   base::Tokens usual = 0;
+  // Of what is used under the own grant, and of what this router uses.
   BurnRate burn;
   BurnRate usual_burn;
+  BurnRate use;
   // When something was first used; the averages know little before.
   std::optional<base::Millis> first_use;
 
-  // Tokens that `span` would take at the present rate.
+  Borrowed borrowed;
+  std::optional<OpenAsk> ask;
+  // Lenders that had nothing for this budget, and until when they are spared.
+  std::map<base::ProcessId, base::Millis> refused_until;
+
+  // Counts what was used under the own grant.
+  void Spend(base::Millis now, base::Tokens tokens);
+  // What must be had of the own grant at once.
+  base::Tokens Need() const;
+  // Reserved beyond what is borrowed.
+  base::Tokens ReservedOfGrant() const;
+  // Tokens that `span` would take of the own grant, and of all this router can
+  // use, at the present rate.
   base::Tokens BurnOver(base::Millis now,
                         base::Millis span,
                         const MeteredPolicy& policy) const;
+  base::Tokens UseOver(base::Millis now,
+                       base::Millis span,
+                       const MeteredPolicy& policy) const;
   // The configuration no longer states a limit.
   bool dropped = false;
 };
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -34,7 +34,13 @@
   for (const BudgetLimit& limit : limits) {
     const auto [entry, is_new] =
         state.budgets_.try_emplace(limit.budget, limit, state.policy_);
-    entry->second.limit = limit;
+    MeteredBudget& budget = entry->second;
+    if (limit.limit < budget.limit.limit) {
+      // The lender may not know yet that less may be used.
+      budget.borrowed.Return(
+          std::max<base::Tokens>(0, budget.borrowed.free() - budget.reserved));
+    }
+    budget.limit = limit;
     entry->second.dropped = false;
   }
 }
@@ -43,6 +49,10 @@
   state_->clock_offset_ = offset;
 }
 
+void MeteredHolder::SetPeers(std::vector<Peer> peers) {
+  state_->SetPeers(std::move(peers));
+}
+
 void MeteredHolder::SetRouters(size_t count) {
   state_->routers_ = std::max<size_t>(1, count);
 }
@@ -70,10 +80,17 @@
   if (state.Available(budget) >= amount) {
     local->reserved += amount;
     local->need = 0;
+    local->loan_need = 0;
     local->largest =
         std::max(amount, local->largest - local->largest / kLargestFade);
     return Verdict::kReserved;
   }
+  const bool waited_enough = now - since >= state.policy_.max_wait;
+  if (state.LenderOf(now, *local) != nullptr) {
+    local->loan_need = waited_enough ? 0 : std::max(local->loan_need, amount);
+    return waited_enough ? Verdict::kUnavailable : Verdict::kWait;
+  }
+  local->loan_need = 0;
   local->need = std::max(local->need, amount);
   const State::Shard& shard = state.ShardOfBudget(budget);
   const bool is_fresh =
@@ -85,7 +102,7 @@
   }
   // What is held but not promised comes free soon.
   const bool is_away = state.IsAway(now, shard) && state.Held(budget) < amount;
-  if (now - since >= state.policy_.max_wait || is_away) {
+  if (waited_enough || is_away) {
     local->need = 0;
     return Verdict::kUnavailable;
   }
@@ -101,10 +118,8 @@
     return;
   }
   local->reserved -= std::min(reserved, local->reserved);
-  local->spent += used;
-  local->first_use = local->first_use.value_or(now);
-  local->burn.Add(now, used);
-  local->usual_burn.Add(now, used);
+  local->use.Add(now, used);
+  local->Spend(now, local->borrowed.Use(used));
 }
 
 void MeteredHolder::Drain() {
@@ -117,20 +132,24 @@
   }
   for (const auto& [id, budget] : state_->budgets_) {
     const State::Shard& shard = state_->ShardOfBudget(id);
-    if (budget.reserved > 0 || shard.view.busy_since() ||
-        state_->OwnGrant(shard.view.record(), id) != nullptr) {
+    // What others borrowed stays with the grant, which a later life closes.
+    const bool is_lent = state_->book_.Outstanding(id) > 0;
+    const bool is_settled =
+        state_->OwnGrant(shard.view.record(), id) == nullptr ||
+        (is_lent && state_->Granted(id) <= state_->Taken(budget));
+    if (budget.reserved > 0 || shard.view.busy_since() || !is_settled) {
       return false;
     }
   }
   return true;
 }
 
-std::vector<MeteredHolder::KvCommand> MeteredHolder::Tick(base::Millis now) {
+std::vector<MeteredHolder::Command> MeteredHolder::Tick(base::Millis now) {
   state_->now_ = now;
   return state_->Pump(now);
 }
 
-std::vector<MeteredHolder::KvCommand> MeteredHolder::On(
+std::vector<MeteredHolder::Command> MeteredHolder::On(
     base::Millis now,
     const platform::KvReadDone& done) {
   state_->now_ = now;
@@ -138,7 +157,7 @@
   return state_->Pump(now);
 }
 
-std::vector<MeteredHolder::KvCommand> MeteredHolder::On(
+std::vector<MeteredHolder::Command> MeteredHolder::On(
     base::Millis now,
     const platform::KvWriteDone& done) {
   state_->now_ = now;
@@ -146,6 +165,19 @@
   return state_->Pump(now);
 }
 
+std::vector<MeteredHolder::Command> MeteredHolder::On(
+    base::Millis now,
+    const base::Endpoint& from,
+    const PeerMessage& message) {
+  state_->now_ = now;
+  if (const auto* ask = std::get_if<LoanAsk>(&message)) {
+    state_->On(now, from, *ask);
+  } else {
+    state_->On(now, std::get<LoanReply>(message));
+  }
+  return state_->Pump(now);
+}
+
 base::Tokens MeteredHolder::available(base::Millis now,
                                       const base::BudgetId& budget) const {
   state_->now_ = now;
@@ -156,6 +188,10 @@
   return state_->ShardOfBudget(budget).view.proven_at();
 }
 
+base::Tokens MeteredHolder::lent(const LoanAsk& ask) const {
+  return state_->book_.Lent(ask);
+}
+
 std::string MeteredHolder::Describe(base::Millis now,
                                     const base::BudgetId& budget) const {
   const MeteredBudget* const local = state_->Find(budget);
@@ -170,7 +206,9 @@
          std::to_string(state_->Granted(budget)) + ", promised " +
          std::to_string(state_->Promised(budget)) + ", spent " +
          std::to_string(local->spent) + ", reserved " +
-         std::to_string(local->reserved) + ", target " +
+         std::to_string(local->reserved) + ", lent " +
+         std::to_string(state_->book_.Outstanding(budget)) + ", borrowed " +
+         std::to_string(local->borrowed.free()) + ", target " +
          std::to_string(state_->Target(now, *local)) + ", free " +
          std::to_string(free) + ", record age " +
          std::to_string((now - shard.view.proven_at()).count()) + " ms";
--- /dev/null
+++ b/libs/ledger/src/metered_lending.cc
@@ -0,0 +1,284 @@
+// Tokens that routers lend each other, so that few of them write to the ledger
+// and one that is cut off from the KV is served by the others.
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/digest.h"
+#include "metered_state.h"
+
+namespace godwit::ledger {
+namespace {
+
+using base::Tokens;
+
+constexpr int64_t kPercent = 100;
+
+uint64_t Rank(const std::string& key, const base::ProcessId& process) {
+  return base::Digest::Of(key + "/" + process.value()).low();
+}
+
+}  // namespace
+
+void MeteredHolder::State::SetPeers(std::vector<Peer> peers) {
+  peers_ = std::move(peers);
+  std::set<base::Incarnation> lives;
+  for (const Peer& peer : peers_) {
+    lives.insert(peer.incarnation);
+  }
+  book_.Keep(lives);
+  for (size_t i = 0; i < shards_.size(); ++i) {
+    const std::string key = std::to_string(i);
+    std::vector<Peer> lenders = peers_;
+    std::sort(lenders.begin(), lenders.end(),
+              [&key](const Peer& a, const Peer& b) {
+                return Rank(key, a.process) > Rank(key, b.process);
+              });
+    if (lenders.size() > policy_.most_lenders) {
+      lenders.resize(policy_.most_lenders);
+    }
+    shards_[i].lenders = std::move(lenders);
+  }
+}
+
+bool MeteredHolder::State::IsLender(const Shard& shard) const {
+  return shard.lenders.empty() || shard.lenders.front().process == process_;
+}
+
+const Peer* MeteredHolder::State::PeerOf(
+    const base::Incarnation& incarnation) const {
+  const auto found = std::find_if(
+      peers_.begin(), peers_.end(),
+      [&](const Peer& peer) { return peer.incarnation == incarnation; });
+  return found == peers_.end() ? nullptr : &*found;
+}
+
+const Peer* MeteredHolder::State::LenderOf(base::Millis now,
+                                           const MeteredBudget& budget) const {
+  const Shard& shard = ShardOfBudget(budget.limit.budget);
+  for (const Peer& peer : shard.lenders) {
+    if (peer.process == process_) {
+      if (!IsAway(now, shard)) {
+        return nullptr;
+      }
+      continue;
+    }
+    const auto silent = silent_until_.find(peer.process);
+    const auto refused = budget.refused_until.find(peer.process);
+    const bool is_silent =
+        silent != silent_until_.end() && now < silent->second;
+    const bool has_refused =
+        refused != budget.refused_until.end() && now < refused->second;
+    if (!is_silent && !has_refused) {
+      return &peer;
+    }
+  }
+  return nullptr;
+}
+
+Tokens MeteredHolder::State::LoanTarget(base::Millis now,
+                                        const MeteredBudget& budget) const {
+  if (draining_ || budget.dropped ||
+      IsLender(ShardOfBudget(budget.limit.budget))) {
+    return 0;
+  }
+  const Tokens soon = budget.UseOver(now, policy_.loan_cover, policy_);
+  return std::min(soon + (soon > 0 ? budget.largest : 0),
+                  budget.limit.limit / policy_.loan_part);
+}
+
+void MeteredHolder::State::On(base::Millis now,
+                              const base::Endpoint& from,
+                              const LoanAsk& ask) {
+  MeteredBudget* const local = Find(ask.budget);
+  if (ask.lender != self_ || local == nullptr) {
+    return;
+  }
+  const auto used = book_.Report(ask);
+  if (!used) {
+    return;
+  }
+  if (*used > 0) {
+    local->Spend(now, *used);
+  }
+  if (ask.wished == 0) {
+    return;
+  }
+  if (!Answer(now, {ask, from, now})) {
+    book_.Wait(ask, from, now);
+    Reply(from, ask, LoanReply::State::kPending);
+  }
+}
+
+// Lends what is asked for, or refuses when there is no prospect of it. False
+// while it may come free.
+bool MeteredHolder::State::Answer(base::Millis now,
+                                  const LoanBook::Waiting& waiting) {
+  const LoanAsk& ask = waiting.ask;
+  const MeteredBudget& local = *Find(ask.budget);
+  const Shard& shard = ShardOfBudget(ask.budget);
+  const Tokens lent = book_.Lent(ask);
+  const Tokens least = std::max<Tokens>(0, ask.least - lent);
+  const Tokens wished = std::max(least, ask.wished - lent);
+  if (wished == 0) {
+    // It was lent before; the reply went missing.
+    Reply(waiting.from, ask, LoanReply::State::kLent);
+    return true;
+  }
+  const Tokens own = draining_ ? 0 : OwnAvailable(ask.budget);
+  const bool is_too_large = least > 0 && IsTooLargeForTheRest(local, least);
+  if (own >= least && own > 0 && !is_too_large) {
+    // The last of a holding is kept for those that have to wait without it.
+    book_.Lend(ask, std::max(least, std::min(wished, own / 2)));
+    Reply(waiting.from, ask, LoanReply::State::kLent);
+    return true;
+  }
+  const Budget* const stored = BudgetIn(shard.view.record(), ask.budget);
+  const bool has_prospect =
+      least > 0 && !is_too_large && !draining_ && !local.dropped &&
+      now - waiting.since < policy_.pending_limit &&
+      (Held(ask.budget) >= least ||
+       (shard.answers && (stored == nullptr || stored->free() > 0)));
+  if (!has_prospect) {
+    Reply(waiting.from, ask, LoanReply::State::kRefused);
+  }
+  return !has_prospect;
+}
+
+void MeteredHolder::State::Reply(const base::Endpoint& to,
+                                 const LoanAsk& ask,
+                                 LoanReply::State state) {
+  outbox_.emplace_back(SendToPeer{
+      to, LoanReply{self_, ask.borrower, ask.budget, book_.Lent(ask), state}});
+}
+
+void MeteredHolder::State::On(base::Millis now, const LoanReply& reply) {
+  MeteredBudget* const local = Find(reply.budget);
+  if (reply.borrower != self_ || local == nullptr ||
+      local->borrowed.loans().count(reply.lender) == 0) {
+    return;
+  }
+  local->borrowed.Lent(reply.lender, reply.lent);
+  if (!local->ask || local->ask->lender.incarnation != reply.lender) {
+    return;
+  }
+  switch (reply.state) {
+    case LoanReply::State::kLent:
+      local->ask.reset();
+      return;
+    case LoanReply::State::kPending:
+      local->ask->is_pending = true;
+      return;
+    case LoanReply::State::kRefused:
+      local->refused_until[local->ask->lender.process] =
+          now + policy_.refused_pause;
+      local->ask.reset();
+      return;
+  }
+}
+
+void MeteredHolder::State::PumpLoans(base::Millis now) {
+  book_.Serve([this, now](const LoanBook::Waiting& waiting) {
+    return Answer(now, waiting);
+  });
+  for (auto& [id, budget] : budgets_) {
+    budget.asked = book_.Awaited(id);
+    ReturnSurplus(now, budget);
+    WatchAsk(now, budget);
+    if (!budget.ask) {
+      Borrow(now, budget);
+    }
+    Report(now, budget);
+  }
+}
+
+void MeteredHolder::State::ReturnSurplus(base::Millis now,
+                                         MeteredBudget& budget) {
+  const Tokens spare = budget.borrowed.free() - budget.reserved;
+  const Tokens target = LoanTarget(now, budget);
+  if (spare > 0 && spare * kPercent > target * policy_.surplus_percent &&
+      !budget.ask && budget.loan_need == 0) {
+    budget.borrowed.Return(spare - target);
+  }
+}
+
+void MeteredHolder::State::WatchAsk(base::Millis now, MeteredBudget& budget) {
+  if (!budget.ask) {
+    return;
+  }
+  const MeteredBudget::OpenAsk ask = *budget.ask;
+  const base::Millis limit =
+      ask.is_pending ? policy_.pending_limit : policy_.ask_limit;
+  if (now - ask.first_at >= limit) {
+    if (!ask.is_pending) {
+      silent_until_[ask.lender.process] = now + policy_.silent_pause;
+    }
+    budget.refused_until[ask.lender.process] = now + policy_.refused_pause;
+    budget.ask.reset();
+    return;
+  }
+  if (!ask.is_pending && now - ask.sent_at >= policy_.ask_again) {
+    budget.ask->sent_at = now;
+    SendAsk(now, budget, ask.lender, true);
+  }
+}
+
+void MeteredHolder::State::Borrow(base::Millis now, MeteredBudget& budget) {
+  const base::BudgetId& id = budget.limit.budget;
+  const bool is_waited_for = budget.loan_need > Available(id);
+  const Tokens target = LoanTarget(now, budget);
+  const Tokens spare = budget.borrowed.free() - budget.reserved;
+  const bool is_low =
+      target > 0 && spare * kPercent < target * policy_.loan_percent;
+  if (draining_ || (!is_waited_for && !is_low)) {
+    return;
+  }
+  const Peer* const lender = LenderOf(now, budget);
+  if (lender == nullptr) {
+    return;
+  }
+  budget.ask = MeteredBudget::OpenAsk{*lender, now, now, false};
+  SendAsk(now, budget, *lender, true);
+}
+
+// Tells a lender what was used; with `asks`, asks for what lacks.
+void MeteredHolder::State::SendAsk(base::Millis now,
+                                   MeteredBudget& budget,
+                                   const Peer& lender,
+                                   bool asks) {
+  const base::BudgetId& id = budget.limit.budget;
+  Borrowed::Loan& loan = budget.borrowed.LoanOf(lender.incarnation);
+  LoanAsk ask;
+  ask.borrower = self_;
+  ask.lender = lender.incarnation;
+  ask.budget = id;
+  ask.used = loan.used;
+  ask.returned = loan.returned;
+  if (asks) {
+    const Tokens lacking =
+        std::max<Tokens>(0, budget.loan_need - Available(id));
+    const Tokens spare =
+        std::max<Tokens>(0, budget.borrowed.free() - budget.reserved);
+    const Tokens wished =
+        std::max({lacking, LoanTarget(now, budget) - spare, Tokens{1}});
+    ask.least = lacking == 0 ? 0 : loan.lent + lacking;
+    ask.wished = loan.lent + wished;
+  }
+  loan.told = loan.used + loan.returned;
+  loan.told_at = now;
+  outbox_.emplace_back(SendToPeer{lender.address, std::move(ask)});
+}
+
+void MeteredHolder::State::Report(base::Millis now, MeteredBudget& budget) {
+  for (const auto& [incarnation, loan] : budget.borrowed.loans()) {
+    const bool is_due =
+        draining_ || now - loan.told_at >= policy_.report_spacing;
+    const Peer* const lender =
+        loan.has_news() && is_due ? PeerOf(incarnation) : nullptr;
+    if (lender != nullptr) {
+      SendAsk(now, budget, *lender, false);
+    }
+  }
+}
+
+}  // namespace godwit::ledger
--- a/libs/ledger/src/metered_pump.cc
+++ b/libs/ledger/src/metered_pump.cc
@@ -22,12 +22,14 @@
   });
 }
 
-std::vector<MeteredHolder::KvCommand> MeteredHolder::State::Pump(
+std::vector<MeteredHolder::Command> MeteredHolder::State::Pump(
     base::Millis now) {
-  std::vector<KvCommand> commands;
+  std::vector<Command> commands;
   if (!configuration_) {
     return commands;
   }
+  PumpLoans(now);
+  std::swap(commands, outbox_);
   if (auto command = PumpPromise(now)) {
     commands.push_back(std::move(*command));
   }
@@ -43,7 +45,7 @@
   return commands;
 }
 
-std::optional<MeteredHolder::KvCommand> MeteredHolder::State::PumpPromise(
+std::optional<MeteredHolder::Command> MeteredHolder::State::PumpPromise(
     base::Millis now) {
   if (auto read = promises_.Read(now, next_operation_)) {
     ++next_operation_;
@@ -54,13 +56,12 @@
   bool is_urgent = false;
   bool is_due = false;
   for (const auto& [id, budget] : budgets_) {
-    const Tokens used = budget.spent + budget.reserved;
     const Tokens headroom = Headroom(now, budget);
     const Tokens promised = Promised(id);
-    promise.most[id] = std::min(Granted(id), used + headroom);
+    promise.most[id] = std::min(Granted(id), Taken(budget) + headroom);
     is_due = is_due || promise.most[id] != promised;
     is_urgent = is_urgent ||
-                (budget.need > Available(id) && promise.most[id] > promised);
+                (budget.Need() > Available(id) && promise.most[id] > promised);
   }
   if (!is_due || draining_) {
     return std::nullopt;
@@ -74,7 +75,7 @@
   return *write;
 }
 
-std::optional<MeteredHolder::KvCommand> MeteredHolder::State::PumpShard(
+std::optional<MeteredHolder::Command> MeteredHolder::State::PumpShard(
     base::Millis now,
     Shard& shard) {
   if (const auto busy = shard.view.busy_since()) {
@@ -109,11 +110,14 @@
   return std::nullopt;
 }
 
-LedgerRecord MeteredHolder::State::NextRecord(base::Millis now,
-                                              const Shard& shard) {
+LedgerRecord MeteredHolder::State::NextRecord(base::Millis now, Shard& shard) {
   LedgerEdit edit(shard.view.record());
+  shard.closing.clear();
   for (const auto& [id, budget] : budgets_) {
     if (&ShardOfBudget(id) == &shard) {
+      edit.CreateBudget(id, budget.limit.organisation);
+      const auto closed = CloseEarlierGrants(now, edit, id);
+      shard.closing.insert(shard.closing.end(), closed.begin(), closed.end());
       Edit(now, edit, budget);
     }
   }
@@ -127,14 +131,11 @@
                                 const MeteredBudget& budget) {
   const base::BudgetId& id = budget.limit.budget;
   const base::GrantId grant = GrantOf(id);
-  edit.CreateBudget(id, budget.limit.organisation);
-  CloseEarlierGrants(now, edit, id);
   const Tokens target = Target(now, budget);
-  const Tokens used = budget.spent + budget.reserved;
-  const Tokens held = std::max<Tokens>(0, Granted(id) - used);
+  const Tokens held = std::max<Tokens>(0, Granted(id) - Taken(budget));
   if (OwnGrant(edit.record(), id) != nullptr) {
     edit.Settle(id, grant, self_, budget.spent);
-    if (draining_ && budget.reserved == 0) {
+    if (draining_ && budget.reserved == 0 && book_.Outstanding(id) == 0) {
       edit.ReturnGrant(id, grant);
     } else if (held > target) {
       edit.Shrink(id, grant, held - target);
@@ -154,34 +155,51 @@
 // Earlier lives of this process are over: what they used is in the record or,
 // with a promise that still binds, at most what was promised. Otherwise the
 // whole grant may have been used.
-void MeteredHolder::State::CloseEarlierGrants(base::Millis now,
-                                              LedgerEdit& edit,
-                                              const base::BudgetId& budget) {
+std::vector<GrantClosed> MeteredHolder::State::CloseEarlierGrants(
+    base::Millis now,
+    LedgerEdit& edit,
+    const base::BudgetId& budget) {
+  std::vector<GrantClosed> closed;
   const Budget* const stored = BudgetIn(edit.record(), budget);
   if (stored == nullptr) {
-    return;
+    return closed;
   }
-  const std::string prefix = process_.value() + ".";
   const auto grants = stored->grants;
   for (const auto& [id, grant] : grants) {
-    if (grant.holder == self_ ||
-        grant.holder.value().compare(0, prefix.size(), prefix) != 0) {
+    if (!IsEarlierLife(grant.holder)) {
       continue;
     }
     edit.Seal(budget, id);
     const auto most =
         promises_.MostOf(now, clock_offset_, grant.holder, budget);
+    const Tokens counted =
+        most ? std::min(grant.amount, std::max(grant.billed(), *most))
+             : grant.amount;
     for (const auto& [agent, account] : grant.agents) {
       if (most) {
-        edit.FinishAgent(
-            budget, id, agent,
-            std::min(grant.amount, std::max(account.billed, *most)));
+        edit.FinishAgent(budget, id, agent, counted);
       } else {
         edit.LoseAgent(budget, id, agent);
       }
     }
     edit.Close(budget, id);
+    closed.push_back({budget, grant.holder, grant.amount, grant.billed(),
+                      counted, most.has_value()});
   }
+  return closed;
+}
+
+bool MeteredHolder::State::IsEarlierLife(
+    const base::Incarnation& holder) const {
+  const std::string prefix = process_.value() + ".";
+  return holder != self_ &&
+         holder.value().compare(0, prefix.size(), prefix) == 0;
+}
+
+bool MeteredHolder::State::HasEarlierGrant(const Budget& stored) const {
+  return std::any_of(
+      stored.grants.begin(), stored.grants.end(),
+      [this](const auto& entry) { return IsEarlierLife(entry.second.holder); });
 }
 
 template <typename Done>
@@ -209,6 +227,10 @@
       shard.lost_races = std::min(shard.lost_races + 1, kMostRacesCounted);
     } else if (was_write) {
       shard.lost_races = 0;
+      for (GrantClosed& closed : shard.closing) {
+        outbox_.push_back(std::move(closed));
+      }
+      shard.closing.clear();
     }
     return;
   }
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -101,22 +101,34 @@
   return promises_.IsOnItsOwn(now_);
 }
 
+Tokens MeteredHolder::State::Taken(const MeteredBudget& budget) const {
+  return budget.spent + budget.ReservedOfGrant() +
+         book_.Outstanding(budget.limit.budget);
+}
+
 Tokens MeteredHolder::State::Held(const base::BudgetId& budget) const {
   const MeteredBudget* const local = Find(budget);
   if (local == nullptr || IsOverCommitted(*local)) {
     return 0;
   }
-  return std::max<Tokens>(0, Granted(budget) - local->spent - local->reserved);
+  return std::max<Tokens>(0, Granted(budget) - Taken(*local));
 }
 
-Tokens MeteredHolder::State::Available(const base::BudgetId& budget) const {
+Tokens MeteredHolder::State::OwnAvailable(const base::BudgetId& budget) const {
   const Tokens held = Held(budget);
   if (held == 0 || IsOnItsOwn()) {
     return held;
   }
-  const MeteredBudget& local = *Find(budget);
-  return std::clamp<Tokens>(Promised(budget) - local.spent - local.reserved, 0,
-                            held);
+  return std::clamp<Tokens>(Promised(budget) - Taken(*Find(budget)), 0, held);
+}
+
+Tokens MeteredHolder::State::Available(const base::BudgetId& budget) const {
+  const MeteredBudget* const local = Find(budget);
+  if (local == nullptr) {
+    return 0;
+  }
+  return OwnAvailable(budget) +
+         std::max<Tokens>(0, local->borrowed.free() - local->reserved);
 }
 
 Tokens MeteredHolder::State::Headroom(base::Millis now,
@@ -126,7 +138,7 @@
   const Tokens target = Target(now, budget);
   const Tokens small =
       std::min(target, budget.limit.limit / policy_.small_part);
-  return budget.need + std::max({soon, small, target / policy_.promise_part});
+  return budget.Need() + std::max({soon, small, target / policy_.promise_part});
 }
 
 bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
@@ -153,16 +165,22 @@
   if (draining_ || budget.dropped || IsOverCommitted(budget)) {
     return 0;
   }
-  const auto routers = static_cast<Tokens>(routers_);
-  const Tokens first = budget.limit.limit / (policy_.first_part * routers);
+  const bool is_lender = IsLender(ShardOfBudget(budget.limit.budget));
+  const Tokens burn = budget.BurnOver(now, policy_.cover, policy_);
+  if (!is_lender && burn == 0) {
+    return budget.Need();
+  }
+  const auto holders = static_cast<Tokens>(peers_.empty() ? routers_ : 1);
+  const Tokens first =
+      is_lender ? budget.limit.limit / (policy_.first_part * holders) : 0;
   const Tokens large =
       std::min(policy_.large_requests * budget.largest,
-               budget.limit.limit / (policy_.large_part * routers));
-  const Tokens cover = budget.BurnOver(now, policy_.cover, policy_) + large;
-  const Tokens target = std::min(std::max(first, cover), Share(budget));
+               budget.limit.limit / (policy_.large_part * holders));
+  const Tokens target =
+      std::min(std::max(first, burn + large), Share(budget));
   // Crumbs serve nobody here, and are missing elsewhere.
   const bool is_crumb = target * kCrumbPart < budget.limit.limit;
-  return std::max(budget.need, is_crumb ? 0 : target);
+  return std::max(budget.Need(), is_crumb ? 0 : target);
 }
 
 bool MeteredHolder::State::IsTooLargeForTheRest(const MeteredBudget& budget,
@@ -189,7 +207,9 @@
   const double all = static_cast<double>(stored->total_billed() - told) + spent;
   // Until much is used, usage says little on who will use the rest.
   const auto prior = static_cast<double>(budget.limit.limit) / kPriorPart;
-  const double part = (spent + prior / routers) / (all + prior);
+  const bool is_sole = !peers_.empty() && IsLender(ShardOfBudget(id));
+  const double part =
+      is_sole ? 1 : (spent + prior / routers) / (all + prior);
   const double left =
       1 - all / static_cast<double>(std::max<Tokens>(1, budget.limit.limit));
   const double together =
@@ -210,18 +230,24 @@
   const base::BudgetId& id = budget.limit.budget;
   const LedgerRecord& record = ShardOfBudget(id).view.record();
   const bool has_grant = OwnGrant(record, id) != nullptr;
-  const bool holds_free =
-      has_grant && Granted(id) > budget.spent + budget.reserved;
+  const bool holds_free = has_grant && Granted(id) > Taken(budget);
   if (draining_) {
-    return has_grant && budget.reserved == 0 ? Urgency::kNow : Urgency::kNone;
+    const bool may_close =
+        budget.reserved == 0 && (holds_free || book_.Outstanding(id) == 0);
+    return has_grant && may_close ? Urgency::kNow : Urgency::kNone;
   }
   if (budget.dropped) {
     return holds_free ? Urgency::kLazy : Urgency::kNone;
   }
   const Budget* const stored = BudgetIn(record, id);
   const Tokens limit = budget.limit.limit;
+  const bool takes_part =
+      has_grant || budget.Need() > 0 || IsLender(ShardOfBudget(id));
   if (stored == nullptr ||
       stored->limit != std::max(limit, Committed(*stored))) {
+    return takes_part ? Urgency::kNow : Urgency::kNone;
+  }
+  if (HasEarlierGrant(*stored)) {
     return Urgency::kNow;
   }
   const Tokens held = Held(id);
@@ -230,7 +256,7 @@
   }
   const Tokens target = Target(now, budget);
   const Tokens free = limit - Committed(*stored);
-  if (budget.need > held && free > 0) {
+  if (budget.Need() > held && free > 0) {
     return Urgency::kNow;
   }
   if (free > 0 && held < target) {
@@ -261,7 +287,7 @@
 
 bool MeteredHolder::State::IsAwaited(const Shard& shard) const {
   return std::any_of(budgets_.begin(), budgets_.end(), [&](const auto& entry) {
-    return entry.second.need > 0 && &ShardOfBudget(entry.first) == &shard;
+    return entry.second.Need() > 0 && &ShardOfBudget(entry.first) == &shard;
   });
 }
 
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -10,7 +10,12 @@
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_edit.h"
 #include "ledger/ledger_record.h"
+#include "ledger/loan_ask.h"
+#include "ledger/loan_reply.h"
 #include "ledger/metered_holder.h"
+#include "ledger/peer.h"
+#include "ledger/send_to_peer.h"
+#include "loan_book.h"
 #include "metered_budget.h"
 #include "promise_keeper.h"
 
@@ -32,7 +37,12 @@
     base::Millis retry_at;
     base::Millis last_write_at;
     int lost_races = 0;
+    // What the write in flight closes.
+    std::vector<GrantClosed> closing;
     bool answers = true;
+    // Routers that lend of its budgets, the first choice first; empty while the
+    // fleet is not known.
+    std::vector<Peer> lenders;
   };
 
   // Null when the record does not have the budget.
@@ -51,9 +61,13 @@
   base::Tokens Granted(const base::BudgetId& budget) const;
   // What the own promise allows.
   base::Tokens Promised(const base::BudgetId& budget) const;
-  // Tokens of the own grant that are neither used nor reserved, and those of
-  // them that may be reserved now.
+  // Tokens of the own grant that are used, reserved or lent.
+  base::Tokens Taken(const MeteredBudget& budget) const;
+  // Tokens of the own grant that are not, and those of them that may be
+  // reserved or lent now.
   base::Tokens Held(const base::BudgetId& budget) const;
+  base::Tokens OwnAvailable(const base::BudgetId& budget) const;
+  // Tokens that may be reserved now, borrowed ones included.
   base::Tokens Available(const base::BudgetId& budget) const;
   // True while the holder is not bound by its promise.
   bool IsOnItsOwn() const;
@@ -77,21 +91,51 @@
   // True when something of the shard's budgets is held.
   bool HoldsAny(const Shard& shard) const;
 
-  std::vector<KvCommand> Pump(base::Millis now);
+  void SetPeers(std::vector<Peer> peers);
+  // True when this router is the first choice to draw from a shard and lend.
+  bool IsLender(const Shard& shard) const;
+  // Null when it is not in the fleet.
+  const Peer* PeerOf(const base::Incarnation& incarnation) const;
+  // The router to ask for tokens; null when this one draws them itself.
+  const Peer* LenderOf(base::Millis now, const MeteredBudget& budget) const;
+  // Loan to aim at.
+  base::Tokens LoanTarget(base::Millis now, const MeteredBudget& budget) const;
+  void On(base::Millis now, const base::Endpoint& from, const LoanAsk& ask);
+  void On(base::Millis now, const LoanReply& reply);
+  bool Answer(base::Millis now, const LoanBook::Waiting& waiting);
+  void Reply(const base::Endpoint& to,
+             const LoanAsk& ask,
+             LoanReply::State state);
+  void PumpLoans(base::Millis now);
+  void ReturnSurplus(base::Millis now, MeteredBudget& budget);
+  // Repeats an ask that goes without an answer, and gives it up.
+  void WatchAsk(base::Millis now, MeteredBudget& budget);
+  void Borrow(base::Millis now, MeteredBudget& budget);
+  void SendAsk(base::Millis now,
+               MeteredBudget& budget,
+               const Peer& lender,
+               bool asks);
+  void Report(base::Millis now, MeteredBudget& budget);
+
+  std::vector<Command> Pump(base::Millis now);
   // Pause after a lost race.
   base::Millis RacePause(const Shard& shard) const;
-  std::optional<KvCommand> PumpPromise(base::Millis now);
-  std::optional<KvCommand> PumpShard(base::Millis now, Shard& shard);
+  std::optional<Command> PumpPromise(base::Millis now);
+  std::optional<Command> PumpShard(base::Millis now, Shard& shard);
   enum class Urgency : uint8_t { kNone, kLazy, kNow };
   Urgency UrgencyOf(base::Millis now, const MeteredBudget& budget) const;
   Urgency UrgencyOf(base::Millis now, const Shard& shard) const;
   // True while a reservation waits for a newer record of the shard.
   bool IsAwaited(const Shard& shard) const;
-  LedgerRecord NextRecord(base::Millis now, const Shard& shard);
+  // True for a life of this process before this one.
+  bool IsEarlierLife(const base::Incarnation& holder) const;
+  // True when the record has a grant of an earlier life of this process.
+  bool HasEarlierGrant(const Budget& stored) const;
+  LedgerRecord NextRecord(base::Millis now, Shard& shard);
   void Edit(base::Millis now, LedgerEdit& edit, const MeteredBudget& budget);
-  void CloseEarlierGrants(base::Millis now,
-                          LedgerEdit& edit,
-                          const base::BudgetId& budget);
+  std::vector<GrantClosed> CloseEarlierGrants(base::Millis now,
+                                              LedgerEdit& edit,
+                                              const base::BudgetId& budget);
   template <typename Done>
   void OnDone(base::Millis now, const Done& done);
 
@@ -109,6 +153,10 @@
   std::optional<platform::KvCondition> configuration_;
   std::map<base::BudgetId, MeteredBudget> budgets_;
   std::vector<Shard> shards_;
+  std::vector<Peer> peers_;
+  LoanBook book_;
+  std::map<base::ProcessId, base::Millis> silent_until_;
+  std::vector<Command> outbox_;
   int64_t next_operation_ = 1;
   bool draining_ = false;
 };
--- /dev/null
+++ b/libs/ledger/src/peer_codec.cc
@@ -0,0 +1,130 @@
+#include "ledger/peer_codec.h"
+
+#include <cstdint>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "cbor/read.h"
+
+namespace godwit::ledger {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kAsk[] = "ask";
+constexpr char kReply[] = "reply";
+
+std::string Bytes(const Json& document) {
+  std::string bytes;
+  Json::to_cbor(document, bytes);
+  return bytes;
+}
+
+Json ToJson(const LoanAsk& ask) {
+  return {{"type", kAsk},
+          {"borrower", ask.borrower.value()},
+          {"lender", ask.lender.value()},
+          {"budget", ask.budget.value()},
+          {"used", ask.used},
+          {"returned", ask.returned},
+          {"least", ask.least},
+          {"wished", ask.wished}};
+}
+
+Json ToJson(const LoanReply& reply) {
+  return {{"type", kReply},
+          {"lender", reply.lender.value()},
+          {"borrower", reply.borrower.value()},
+          {"budget", reply.budget.value()},
+          {"lent", reply.lent},
+          {"state", static_cast<int64_t>(reply.state)}};
+}
+
+// Empty unless it is an amount of tokens.
+std::optional<base::Tokens> Amount(const Json& document, const char* name) {
+  const auto value = cbor::Integer(cbor::Find(document, name));
+  return value && *value >= 0 ? value : std::nullopt;
+}
+
+std::optional<LoanReply::State> StateOf(int64_t value) {
+  switch (value) {
+    case static_cast<int64_t>(LoanReply::State::kLent):
+      return LoanReply::State::kLent;
+    case static_cast<int64_t>(LoanReply::State::kPending):
+      return LoanReply::State::kPending;
+    case static_cast<int64_t>(LoanReply::State::kRefused):
+      return LoanReply::State::kRefused;
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  return std::visit([](const auto& m) { return Bytes(ToJson(m)); }, message);
+}
+
+std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes) {
+  const auto document = cbor::Read(bytes);
+  if (!document) {
+    return std::nullopt;
+  }
+  const auto type = cbor::Text(cbor::Find(*document, "type"));
+  const auto lender = cbor::Text(cbor::Find(*document, "lender"));
+  const auto borrower = cbor::Text(cbor::Find(*document, "borrower"));
+  const auto budget = cbor::Text(cbor::Find(*document, "budget"));
+  if (!type || !lender || !borrower || !budget) {
+    return std::nullopt;
+  }
+  if (*type == kAsk) {
+    const auto used = Amount(*document, "used");
+    const auto returned = Amount(*document, "returned");
+    const auto least = Amount(*document, "least");
+    const auto wished = Amount(*document, "wished");
+    if (!used || !returned || !least || !wished) {
+      return std::nullopt;
+    }
+    return LoanAsk{base::Incarnation(*borrower),
+                   base::Incarnation(*lender),
+                   base::BudgetId(*budget),
+                   *used,
+                   *returned,
+                   *least,
+                   *wished};
+  }
+  const auto lent = Amount(*document, "lent");
+  const auto code = Amount(*document, "state");
+  const auto state = code ? StateOf(*code) : std::nullopt;
+  if (*type != kReply || !lent || !state) {
+    return std::nullopt;
+  }
+  return LoanReply{base::Incarnation(*lender), base::Incarnation(*borrower),
+                   base::BudgetId(*budget), *lent, *state};
+}
+
+std::string EncodePeer(const Peer& peer) {
+  return Bytes({{"process", peer.process.value()},
+                {"incarnation", peer.incarnation.value()},
+                {"address", peer.address.ToText()}});
+}
+
+std::optional<Peer> DecodePeer(std::string_view bytes) {
+  const auto document = cbor::Read(bytes);
+  if (!document) {
+    return std::nullopt;
+  }
+  const auto process = cbor::Text(cbor::Find(*document, "process"));
+  const auto incarnation = cbor::Text(cbor::Find(*document, "incarnation"));
+  const auto address = cbor::Text(cbor::Find(*document, "address"));
+  const auto endpoint =
+      address ? base::Endpoint::FromText(*address) : std::nullopt;
+  if (!process || !incarnation || !endpoint) {
+    return std::nullopt;
+  }
+  return Peer{base::ProcessId(*process), base::Incarnation(*incarnation),
+              *endpoint};
+}
+
+}  // namespace godwit::ledger
--- a/libs/ledger/tests/metered_holder_test.cc
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -19,16 +19,29 @@
 constexpr Tokens kLimit = 20'000;
 constexpr size_t kRouters = 4;
 
+struct Schedule {
+  bool lends = false;
+  // Planted faults.
+  bool ignores_versions = false;
+  bool forgets_loans = false;
+};
+
 // A random schedule of requests, ends, kills, cuts, outages and changes of the
 // limit. False when more was used than any limit allowed.
-void RunSchedule(bool ignores_versions) {
+void RunSchedule(const Schedule& schedule) {
   MeteredWorld world(*rc::gen::arbitrary<uint64_t>(), kRouters, kLimit);
-  world.faults().ignores_versions = ignores_versions;
+  world.faults().ignores_versions = schedule.ignores_versions;
+  if (schedule.lends) {
+    world.Connect(*rc::gen::inRange(0, 30));
+  }
+  if (schedule.forgets_loans) {
+    world.ForgetLoans();
+  }
   const bool may_lower = *rc::gen::inRange(0, 4) == 0;
   const int steps = *rc::gen::inRange(10, 60);
   for (int i = 0; i < steps; ++i) {
     const auto router = *rc::gen::inRange<size_t>(0, kRouters);
-    switch (*rc::gen::inRange(0, 10)) {
+    switch (*rc::gen::inRange(0, 11)) {
       case 0:
         world.Kill(router, *rc::gen::arbitrary<bool>());
         break;
@@ -50,7 +63,10 @@
                                  *rc::gen::inRange<Tokens>(0, 500));
         break;
       case 5:
+        world.Isolate(router, *rc::gen::arbitrary<bool>());
+        break;
       case 6:
+      case 7:
         for (int n = 0; n < 6; ++n) {
           world.Finish(router, *rc::gen::inRange(0, 101));
         }
@@ -71,11 +87,32 @@
 TEST_GROUP(MeteredHolder){};
 
 TEST(MeteredHolder, NeverSpendsAboveTheLimit) {
-  CHECK(rc::check([] { RunSchedule(false); }));
+  CHECK(rc::check([] { RunSchedule({}); }));
+}
+
+TEST(MeteredHolder, NeverSpendsAboveTheLimitWhenRoutersLend) {
+  CHECK(rc::check([] {
+    Schedule schedule;
+    schedule.lends = true;
+    RunSchedule(schedule);
+  }));
+}
+
+TEST(MeteredHolder, TheProofFindsALenderThatForgets) {
+  CHECK(godwit::support::IsFalsified([] {
+    Schedule schedule;
+    schedule.lends = true;
+    schedule.forgets_loans = true;
+    RunSchedule(schedule);
+  }));
 }
 
 TEST(MeteredHolder, TheProofFindsAKvThatIgnoresVersions) {
-  CHECK(godwit::support::IsFalsified([] { RunSchedule(true); }));
+  CHECK(godwit::support::IsFalsified([] {
+    Schedule schedule;
+    schedule.ignores_versions = true;
+    RunSchedule(schedule);
+  }));
 }
 
 TEST(MeteredHolder, ABrokenPromiseOverspends) {
@@ -212,3 +249,89 @@
   }
   CHECK_TEXT(world.Used() >= 97'000, std::to_string(world.Used()).c_str());
 }
+
+TEST(MeteredHolder, ARouterCutFromTheKvBorrows) {
+  struct Case {
+    const char* name;
+    bool lends;
+    bool all_served;
+  };
+  // One router of four is cut off for longer than its holding covers, as most
+  // of the budget is free.
+  for (const Case& c : {Case{"each on its own", false, false},
+                        Case{"lending", true, true}}) {
+    MeteredWorld world(1, kRouters, 1'000'000);
+    if (c.lends) {
+      world.Connect();
+    }
+    const auto load = [&world](int rounds) {
+      for (int i = 0; i < rounds; ++i) {
+        for (size_t router = 0; router < kRouters; ++router) {
+          world.Request(router, 2000);
+          world.Finish(router, 80);
+        }
+        world.Advance(Millis(100));
+      }
+    };
+    load(40);
+    world.Cut(0, true);
+    const int64_t refused = world.refused();
+    load(80);
+    CHECK_EQUAL_TEXT(c.all_served, refused == world.refused(), c.name);
+  }
+}
+
+TEST(MeteredHolder, ASilentLenderIsReplaced) {
+  for (size_t silent = 0; silent < kRouters; ++silent) {
+    MeteredWorld world(1, kRouters, 1'000'000);
+    world.Connect();
+    world.Advance(Millis(300));
+    world.Isolate(silent, true);
+    for (int i = 0; i < 40; ++i) {
+      for (size_t router = 0; router < kRouters; ++router) {
+        world.Request(router, 1000);
+        world.Finish(router, 80);
+      }
+      world.Advance(Millis(100));
+    }
+    CHECK_EQUAL(0, world.refused());
+  }
+}
+
+TEST(MeteredHolder, ManyRoutersShareOneWriter) {
+  // Calls to the KV for the same load, by 30 routers.
+  const auto calls = [](bool lends) {
+    MeteredWorld world(1, 30, 10'000'000);
+    if (lends) {
+      world.Connect();
+    }
+    world.Advance(Millis(1000));
+    const int64_t before = world.kv_operations();
+    for (int i = 0; i < 100; ++i) {
+      for (size_t router = 0; router < 30; ++router) {
+        world.Request(router, 1000);
+        world.Finish(router, 80);
+      }
+      world.Advance(Millis(100));
+    }
+    CHECK_EQUAL(0, world.refused());
+    return world.kv_operations() - before;
+  };
+  const int64_t alone = calls(false);
+  const int64_t lending = calls(true);
+  CHECK_TEXT(lending * 5 < alone, (std::to_string(lending) + " of " +
+                                   std::to_string(alone))
+                                      .c_str());
+}
+
+TEST(MeteredHolder, LendingGetsAllOfABudgetToWhoeverNeedsIt) {
+  MeteredWorld world(1, kRouters, 100'000);
+  world.Connect();
+  world.Advance(Millis(300));
+  for (int i = 0; i < 200; ++i) {
+    world.Request(static_cast<size_t>(i) % 2, 500);
+    world.Advance(Millis(50));
+    world.Finish(static_cast<size_t>(i) % 2, 100);
+  }
+  CHECK_TEXT(world.Used() >= 97'000, std::to_string(world.Used()).c_str());
+}
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -1,5 +1,6 @@
 #include "metered_world.h"
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 #include <variant>
@@ -10,6 +11,8 @@
 constexpr char kConfigKey[] = "configuration";
 constexpr base::Millis kStep(5);
 constexpr uint64_t kMostSkew = 20'000;
+constexpr uint64_t kMostDelay = 12;
+constexpr uint64_t kPercent = 100;
 const base::BudgetId kBudget("kiosks");
 
 }  // namespace
@@ -27,6 +30,7 @@
   std::deque<base::Tokens> running;
   base::Tokens used = 0;
   bool cut = false;
+  bool isolated = false;
   // Of its VM's monotonic clock.
   base::Millis skew;
   int64_t seen_config = 0;
@@ -72,6 +76,78 @@
   if (router.cut) {
     kv_.faults().cut_clients.insert(router.life);
   }
+  TellPeers();
+}
+
+void MeteredWorld::Connect(int lost_percent) {
+  connected_ = true;
+  lost_percent_ = lost_percent;
+  TellPeers();
+}
+
+void MeteredWorld::Isolate(size_t index, bool isolated) {
+  routers_[index]->isolated = isolated;
+}
+
+// A peer's port is its index in the world plus one.
+void MeteredWorld::TellPeers() {
+  if (!connected_) {
+    return;
+  }
+  std::vector<Peer> peers;
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    const Router& router = *routers_[i];
+    peers.push_back(
+        {base::ProcessId(router.name),
+         base::Incarnation(router.name + "." + std::to_string(router.life)),
+         base::Endpoint{"127.0.0.1", static_cast<uint16_t>(i + 1)}});
+  }
+  for (const auto& router : routers_) {
+    router->holder->SetPeers(peers);
+  }
+}
+
+void MeteredWorld::Send(size_t index, const SendToPeer& message) {
+  if (routers_[index]->isolated) {
+    return;
+  }
+  const auto due = [this] {
+    return now_ +
+           base::Millis(static_cast<int64_t>(1 + random_() % kMostDelay));
+  };
+  const auto from = static_cast<uint16_t>(index + 1);
+  const auto percent = static_cast<uint64_t>(lost_percent_);
+  if (random_() % kPercent >= percent) {
+    datagrams_.push_back({due(), from, message});
+  }
+  if (random_() % kPercent < percent) {
+    datagrams_.push_back({due(), from, message});
+  }
+}
+
+void MeteredWorld::Deliver() {
+  std::vector<Datagram> due;
+  for (size_t i = 0; i < datagrams_.size();) {
+    if (datagrams_[i].due <= now_) {
+      due.push_back(datagrams_[i]);
+      datagrams_.erase(datagrams_.begin() + static_cast<int64_t>(i));
+    } else {
+      ++i;
+    }
+  }
+  for (Datagram& datagram : due) {
+    const size_t index = datagram.sent.to.port - size_t{1};
+    Router& router = *routers_[index];
+    auto* const ask = std::get_if<LoanAsk>(&datagram.sent.message);
+    if (ask != nullptr && forgets_loans_) {
+      ask->returned = router.holder->lent(*ask) - ask->used;
+    }
+    if (!router.isolated) {
+      Submit(index, router.holder->On(now_ + router.skew,
+                                      {"127.0.0.1", datagram.from},
+                                      datagram.sent.message));
+    }
+  }
 }
 
 void MeteredWorld::Cut(size_t index, bool cut) {
@@ -139,15 +215,26 @@
 
 void MeteredWorld::Submit(
     size_t index,
-    const std::vector<MeteredHolder::KvCommand>& commands) {
+    const std::vector<MeteredHolder::Command>& commands) {
   for (const auto& command : commands) {
-    std::visit(
-        [&](const auto& c) { kv_.Submit(now_, routers_[index]->life, c); },
-        command);
+    if (std::holds_alternative<GrantClosed>(command)) {
+      continue;
+    }
+    if (const auto* message = std::get_if<SendToPeer>(&command)) {
+      Send(index, *message);
+    } else if (const auto* read = std::get_if<platform::KvRead>(&command)) {
+      ++kv_operations_;
+      kv_.Submit(now_, routers_[index]->life, *read);
+    } else {
+      ++kv_operations_;
+      kv_.Submit(now_, routers_[index]->life,
+                 std::get<platform::KvWrite>(command));
+    }
   }
 }
 
 void MeteredWorld::Pump() {
+  Deliver();
   for (const auto& answer : kv_.Advance(now_)) {
     for (size_t i = 0; i < routers_.size(); ++i) {
       if (routers_[i]->life == answer.client) {
--- a/libs/ledger/tests/metered_world.h
+++ b/libs/ledger/tests/metered_world.h
@@ -2,6 +2,7 @@
 #define LEDGER_TESTS_METERED_WORLD_H_
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <random>
 #include <string>
@@ -19,6 +20,13 @@
 class MeteredWorld {
  public:
   MeteredWorld(uint64_t seed, size_t routers, base::Tokens limit);
+  // The routers know each other, and lend. Messages take a few milliseconds;
+  // a share of them in percent is lost, and as many come twice.
+  void Connect(int lost_percent = 0);
+  // Datagrams of a router go nowhere.
+  void Isolate(size_t router, bool isolated);
+  // Planted fault: lenders forget what they lent, as if all of it came back.
+  void ForgetLoans() { forgets_loans_ = true; }
   // Planted fault: every other life spends beyond its promise at once.
   void BreakPromises() { breaks_promises_ = true; }
   ~MeteredWorld();
@@ -43,14 +51,24 @@
   int64_t refused() const { return refused_; }
   int64_t served() const { return served_; }
   int64_t exhausted() const { return exhausted_; }
+  // Reads and writes of the ledger and of promises.
+  int64_t kv_operations() const { return kv_operations_; }
 
  private:
   struct Router;
+  struct Datagram {
+    base::Millis due;
+    uint16_t from;
+    SendToPeer sent;
+  };
 
   void Pump();
   void Try(Router& router);
   void Submit(size_t router,
-              const std::vector<MeteredHolder::KvCommand>& commands);
+              const std::vector<MeteredHolder::Command>& commands);
+  void Send(size_t router, const SendToPeer& message);
+  void Deliver();
+  void TellPeers();
 
   support::FakeKv kv_;
   std::mt19937_64 random_;
@@ -65,6 +83,11 @@
   int64_t exhausted_ = 0;
   int64_t lives_ = 0;
   bool breaks_promises_ = false;
+  bool forgets_loans_ = false;
+  bool connected_ = false;
+  int lost_percent_ = 0;
+  std::deque<Datagram> datagrams_;
+  int64_t kv_operations_ = 0;
 };
 
 }  // namespace godwit::ledger
--- /dev/null
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -0,0 +1,79 @@
+#include "ledger/peer_codec.h"
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::BudgetId;
+using godwit::base::Incarnation;
+using godwit::base::ProcessId;
+using godwit::ledger::DecodePeer;
+using godwit::ledger::DecodePeerMessage;
+using godwit::ledger::EncodePeer;
+using godwit::ledger::EncodePeerMessage;
+using godwit::ledger::LoanAsk;
+using godwit::ledger::LoanReply;
+using godwit::ledger::Peer;
+using godwit::ledger::PeerMessage;
+
+namespace {
+
+const LoanAsk kAsk{Incarnation("edge-1.7"), Incarnation("edge-2.9"),
+                   BudgetId("kiosks"),      900,
+                   100,                     1500,
+                   4000};
+const LoanReply kReply{Incarnation("edge-2.9"), Incarnation("edge-1.7"),
+                       BudgetId("kiosks"), 4000, LoanReply::State::kPending};
+
+std::string Cbor(const nlohmann::json& document) {
+  std::string bytes;
+  nlohmann::json::to_cbor(document, bytes);
+  return bytes;
+}
+
+}  // namespace
+
+TEST_GROUP(PeerCodec){};
+
+TEST(PeerCodec, MessagesSurviveAndAreWholeOrNothing) {
+  for (const PeerMessage& message : {PeerMessage(kAsk), PeerMessage(kReply)}) {
+    const std::string bytes = EncodePeerMessage(message);
+    CHECK(DecodePeerMessage(bytes) == message);
+    for (size_t size = 0; size < bytes.size(); ++size) {
+      CHECK(!DecodePeerMessage(bytes.substr(0, size)));
+    }
+  }
+}
+
+TEST(PeerCodec, RefusesWhatNoRouterSends) {
+  const nlohmann::json reply = nlohmann::json::from_cbor(
+      EncodePeerMessage(kReply));
+  struct Case {
+    const char* name;
+    const char* field;
+    nlohmann::json value;
+  };
+  const std::vector<Case> cases = {{"another type", "type", "gift"},
+                                   {"a negative amount", "lent", -1},
+                                   {"a text for an amount", "lent", "4000"},
+                                   {"a state that is none", "state", 9},
+                                   {"no lender", "lender", 4}};
+  for (const Case& c : cases) {
+    nlohmann::json changed = reply;
+    changed[c.field] = c.value;
+    CHECK_TEXT(!DecodePeerMessage(Cbor(changed)), c.name);
+  }
+}
+
+TEST(PeerCodec, PeersSurvive) {
+  const Peer peer{ProcessId("edge-1"), Incarnation("edge-1.7"),
+                  {"10.1.0.19", 7200}};
+  CHECK(DecodePeer(EncodePeer(peer)) == peer);
+  CHECK(!DecodePeer("edge-1"));
+  CHECK(!DecodePeer(Cbor({{"process", "edge-1"},
+                          {"incarnation", "edge-1.7"},
+                          {"address", "somewhere"}})));
+}
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -60,6 +60,7 @@
   kClaimsWritten = 610,
   kHandOverLate = 611,
   kLedgerWritten = 612,
+  kLoanAnswered = 613,
   // Backend servers.
   kBackendDown = 701,
   kBackendUp = 702,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -96,7 +96,8 @@
       {EventId::kGrantSealed, Level::kInfo, "grant_sealed",
        "A grant was sealed; nothing may be spent under it."},
       {EventId::kGrantRecovered, Level::kInfo, "grant_recovered",
-       "A sealed grant was settled, and its rest is free."},
+       "The grant of an ended life was settled; `counted` of it counts as used, "
+       "and its rest is free."},
       {EventId::kUsageHeld, Level::kWarning, "usage_held",
        "Usage under a sealed grant can't be known; its bound stays held until "
        "an operator writes it off."},
@@ -115,6 +116,9 @@
        "routers recover them once its lease lapses."},
       {EventId::kLedgerWritten, Level::kInfo, "ledger_written",
        "A write of budgets to the KV ended; fields name its outcome."},
+      {EventId::kLoanAnswered, Level::kInfo, "loan_answered",
+       "A router lent tokens of a budget to another, or refused to; `lent` is "
+       "the sum of all it lent to that router."},
       {EventId::kBackendDown, Level::kWarning, "backend_down",
        "A backend server does not answer its agent."},
       {EventId::kBackendUp, Level::kInfo, "backend_up",
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -19,7 +19,9 @@
 #include "edge_log.h"
 #include "edge_settings.h"
 #include "exchange.h"
+#include "ledger/peer_codec.h"
 #include "page_server.h"
+#include "peer_socket.h"
 #include "relay/caller_handler.h"
 #include "relay/caller_server.h"
 #include "relay/caller_session.h"
@@ -75,8 +77,13 @@
         servers_(io, relay::UpstreamPool::Options()),
         store_(io, settings.Address("platform")),
         feed_(store_,
-              options_.process,
+              {options_.process, options_.incarnation,
+               settings.Address("routers")},
               [this](const dispatch::DispatchEvent& event) { Take(event); }),
+        peers_(io,
+               [this](const base::Endpoint& from, std::string_view bytes) {
+                 OnPeer(from, bytes);
+               }),
         callers_(io, *this),
         readiness_(io, [this](const std::string&) { return ReadyPage(); }),
         pages_(io, [this](const std::string& target) {
@@ -99,6 +106,10 @@
       error_ = callers_.last_error();
       return false;
     }
+    if (!peers_.Listen(settings_.Address("routers"))) {
+      error_ = peers_.last_error();
+      return false;
+    }
     if (!readiness_.Listen(settings_.Address("readiness"))) {
       error_ = readiness_.last_error();
       return false;
@@ -118,6 +129,7 @@
     }
     stop_plan_.Begin(base::SteadyNow());
     callers_.Drain();
+    feed_.Leave();
     Log(EventId::kStopRequested, {{"open_requests", dispatcher_.open_calls()},
                                   {"connections", callers_.connections()}});
   }
@@ -245,6 +257,25 @@
         });
   }
 
+  void Do(const ledger::GrantClosed& command) { LogClosed(command); }
+  void Do(const ledger::SendToPeer& command) {
+    const std::string bytes = ledger::EncodePeerMessage(command.message);
+    metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
+    if (const auto* reply = std::get_if<ledger::LoanReply>(&command.message)) {
+      LogLoan(*reply);
+    }
+    peers_.Send(command.to, bytes);
+  }
+
+  void OnPeer(const base::Endpoint& from, std::string_view bytes) {
+    const auto message = ledger::DecodePeerMessage(bytes);
+    metrics_.Add(MetricId::kPeerMessagesTotal,
+                 {message ? "received" : "unreadable"});
+    if (message) {
+      Raise(dispatch::PeerHeard{from, *message});
+    }
+  }
+
   void OnCall(const platform::CallSeen& call) {
     metrics_.Add(MetricId::kKvCallsTotal,
                  {std::string(call.verb), std::string(call.outcome)});
@@ -337,6 +368,7 @@
   relay::UpstreamPool servers_;
   adapter::StoreClient store_;
   StoreFeed feed_;
+  PeerSocket peers_;
   relay::CallerServer callers_;
   PageServer readiness_;
   PageServer pages_;
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -4,6 +4,8 @@
 #include "dispatch/belief_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/start_attempt.h"
+#include "ledger/grant_closed.h"
+#include "ledger/loan_reply.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
 #include "telemetry/metric_id.h"
@@ -64,6 +66,27 @@
                                  {"since_start_ms", record.since_start}});
 }
 
+void LogClosed(const ledger::GrantClosed& closed) {
+  Log(EventId::kGrantRecovered, {{"budget", closed.budget},
+                                 {"holder", closed.holder},
+                                 {"amount", closed.amount},
+                                 {"billed", closed.billed},
+                                 {"counted", closed.counted},
+                                 {"by_promise", closed.by_promise}});
+}
+
+void LogLoan(const ledger::LoanReply& reply) {
+  // The reply to an ask that waits is logged once it is decided.
+  if (reply.state == ledger::LoanReply::State::kPending) {
+    return;
+  }
+  const bool is_lent = reply.state == ledger::LoanReply::State::kLent;
+  Log(EventId::kLoanAnswered, {{"borrower", reply.borrower},
+                               {"budget", reply.budget},
+                               {"lent", reply.lent},
+                               {"outcome", is_lent ? "lent" : "refused"}});
+}
+
 void LogBelief(const BeliefChanged& change) {
   Log(EventOf(change.belief), {{"backend", change.instance},
                                {"service", change.service},
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -10,6 +10,11 @@
 struct StartAttempt;
 }  // namespace godwit::dispatch
 
+namespace godwit::ledger {
+struct GrantClosed;
+struct LoanReply;
+}
+
 namespace godwit::telemetry {
 class Metrics;
 }
@@ -20,6 +25,8 @@
 void LogPlaced(const std::string& request_id,
                const dispatch::StartAttempt& attempt);
 void LogAbandoned(const dispatch::AttemptAbandoned& record);
+void LogClosed(const ledger::GrantClosed& closed);
+void LogLoan(const ledger::LoanReply& reply);
 void LogBelief(const dispatch::BeliefChanged& change);
 void LogEnded(const dispatch::CallEnded& ended);
 
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -38,6 +38,7 @@
       .Address("callers", "IP:PORT that callers connect to")
       .Address("readiness",
                "IP:PORT that answers 200 while callers may be sent here")
+      .Address("routers", "IP:PORT for datagrams of the fleet's other routers")
       .Address("metrics", "IP:PORT that serves /metrics")
       .Optional()
       .Duration("stop_limit_ms",
--- /dev/null
+++ b/tools/godwit-edge/src/peer_socket.h
@@ -0,0 +1,49 @@
+#ifndef GODWIT_EDGE_PEER_SOCKET_H_
+#define GODWIT_EDGE_PEER_SOCKET_H_
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace godwit::edge {
+
+// Datagrams to and from other routers. Any may be lost. The thread of the
+// context only.
+class PeerSocket {
+ public:
+  using Received =
+      std::function<void(const base::Endpoint& from, std::string_view bytes)>;
+
+  PeerSocket(boost::asio::io_context& io, Received received);
+
+  // False when the address can't be used; see last_error().
+  bool Listen(const base::Endpoint& address);
+  // Never waits: a datagram for which there is no room is dropped.
+  void Send(const base::Endpoint& to, const std::string& bytes);
+  const base::Error& last_error() const noexcept { return error_; }
+
+ private:
+  void Receive();
+
+  // Messages are a few hundred bytes.
+  static constexpr size_t kMostBytes = 2048;
+
+  boost::asio::ip::udp::socket socket_;
+  const Received received_;
+  std::array<char, kMostBytes> buffer_;
+  boost::asio::ip::udp::endpoint from_;
+  base::Error error_;
+};
+
+}  // namespace godwit::edge
+
+#endif  // GODWIT_EDGE_PEER_SOCKET_H_
--- a/tools/godwit-edge/src/store_feed.cc
+++ b/tools/godwit-edge/src/store_feed.cc
@@ -5,6 +5,7 @@
 #include "adapter/configuration.h"
 #include "base/clocks.h"
 #include "dispatch/routing_table.h"
+#include "ledger/peer_codec.h"
 #include "platform/kv_write.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
@@ -31,9 +32,9 @@
 }  // namespace
 
 StoreFeed::StoreFeed(adapter::StoreClient& store,
-                     base::ProcessId process,
+                     ledger::Peer self,
                      std::function<void(const dispatch::DispatchEvent&)> raise)
-    : store_(store), process_(std::move(process)), raise_(std::move(raise)) {
+    : store_(store), self_(std::move(self)), raise_(std::move(raise)) {
   configuration_.prefix = adapter::ConfigurationKey();
   configuration_.on_listed = &StoreFeed::OnConfigurations;
   configuration_.on_changed = &StoreFeed::OnConfiguration;
@@ -155,45 +156,69 @@
 }
 
 void StoreFeed::OnRouters(const std::vector<platform::KvItem>& items) {
-  router_names_.clear();
+  listed_routers_.clear();
   for (const platform::KvItem& item : items) {
-    router_names_.insert(item.key);
+    if (const auto peer = ledger::DecodePeer(item.value)) {
+      listed_routers_[item.key] = *peer;
+    }
   }
-  CountRouters();
+  ListRouters();
 }
 
 void StoreFeed::OnRouter(const platform::KvChange& change) {
-  if (change.value) {
-    router_names_.insert(change.key);
+  const auto peer =
+      change.value ? ledger::DecodePeer(*change.value) : std::nullopt;
+  if (peer) {
+    listed_routers_[change.key] = *peer;
   } else {
-    router_names_.erase(change.key);
+    listed_routers_.erase(change.key);
   }
-  CountRouters();
+  ListRouters();
 }
 
-void StoreFeed::CountRouters() {
-  router_names_.insert(kRouterPrefix + process_.value());
-  raise_(dispatch::RoutersCounted{router_names_.size()});
+void StoreFeed::ListRouters() {
+  // An entry of an earlier life of this process is about to be replaced.
+  listed_routers_[kRouterPrefix + self_.process.value()] = self_;
+  dispatch::RoutersListed listed;
+  for (const auto& [key, peer] : listed_routers_) {
+    listed.routers.push_back(peer);
+  }
+  raise_(listed);
+}
+
+void StoreFeed::Leave() {
+  leaving_ = true;
+  if (lease_) {
+    store_.EndLease(*lease_);
+    lease_.reset();
+  }
 }
 
 void StoreFeed::KeepLease(base::Millis now) {
-  if (lease_busy_ || now < lease_at_) {
+  if (leaving_ || lease_busy_ || now < lease_at_) {
     return;
   }
   lease_busy_ = true;
   if (!lease_) {
     store_.GrantLease(kLeaseTtl, [this](std::optional<std::string> lease) {
       lease_busy_ = false;
+      if (leaving_) {
+        // Without a renewal it lapses by itself.
+        return;
+      }
       lease_ = std::move(lease);
       lease_at_ = base::SteadyNow() + (lease_ ? kLeasePeriod : kLeaseRetry);
       if (lease_) {
-        Register();
+        Register(0);
       }
     });
     return;
   }
   store_.RenewLease(*lease_, [this](std::optional<bool> kept) {
     lease_busy_ = false;
+    if (leaving_) {
+      return;
+    }
     lease_at_ = base::SteadyNow() + (kept ? kLeasePeriod : kLeaseRetry);
     if (kept && !*kept) {
       Log(EventId::kLeaseLapsed);
@@ -201,19 +226,25 @@
       registered_ = false;
       lease_at_ = base::Millis();
     } else if (kept && !registered_) {
-      Register();
+      Register(0);
     }
   });
 }
 
-void StoreFeed::Register() {
+void StoreFeed::Register(int64_t expected_version) {
   platform::KvWrite write;
-  write.key = kRouterPrefix + process_.value();
-  write.value = process_.value();
+  write.key = kRouterPrefix + self_.process.value();
+  write.expected_version = expected_version;
+  write.value = ledger::EncodePeer(self_);
   write.lease = *lease_;
-  store_.Write(write, [this](const platform::KvWriteDone& done) {
-    // The name is taken until the lease of an earlier life lapses; that entry
-    // counts just as well meanwhile.
+  store_.Write(write, [this, expected_version](
+                          const platform::KvWriteDone& done) {
+    if (done.outcome == platform::WriteOutcome::kLost &&
+        expected_version == 0 && done.current.version > 0 && lease_) {
+      // The entry of an earlier life, or a write whose answer was lost.
+      Register(done.current.version);
+      return;
+    }
     registered_ = done.outcome == platform::WriteOutcome::kWon;
     Log(EventId::kLeaseGranted, {{"registered", registered_}});
   });
--- a/tools/godwit-edge/src/store_feed.h
+++ b/tools/godwit-edge/src/store_feed.h
@@ -3,13 +3,14 @@
 
 #include <functional>
 #include <optional>
-#include <set>
+#include <map>
 #include <string>
 
 #include "adapter/store_client.h"
 #include "base/ids.h"
 #include "base/millis.h"
 #include "dispatch/dispatch_event.h"
+#include "ledger/peer.h"
 #include "platform/prefix_follower.h"
 
 namespace godwit::edge {
@@ -20,11 +21,13 @@
 class StoreFeed {
  public:
   StoreFeed(adapter::StoreClient& store,
-            base::ProcessId process,
+            ledger::Peer self,
             std::function<void(const dispatch::DispatchEvent&)> raise);
 
   // Due every few tens of milliseconds.
   void Tick(base::Millis now);
+  // This router stops: others should not rely on it any more.
+  void Leave();
   // Other calls to the store tell whether it can be reached, too.
   void OnCall(bool answered);
 
@@ -51,21 +54,24 @@
   void OnBackend(const platform::KvChange& change);
   void OnRouters(const std::vector<platform::KvItem>& items);
   void OnRouter(const platform::KvChange& change);
-  void CountRouters();
+  void ListRouters();
 
   void KeepLease(base::Millis now);
-  void Register();
+  // Expects the entry to be of this version: zero when there is none.
+  void Register(int64_t expected_version);
 
   adapter::StoreClient& store_;
-  const base::ProcessId process_;
+  const ledger::Peer self_;
   const std::function<void(const dispatch::DispatchEvent&)> raise_;
   Feed configuration_;
   Feed backends_;
   Feed routers_;
-  std::set<std::string> router_names_;
+  // By key.
+  std::map<std::string, ledger::Peer> listed_routers_;
   std::optional<std::string> lease_;
   bool lease_busy_ = false;
   bool registered_ = false;
+  bool leaving_ = false;
   base::Millis lease_at_;
   int unanswered_ = 0;
   bool reached_ = true;
