--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -17,7 +17,7 @@
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
-  base::Millis cover = base::Millis(9'000);
+  base::Millis cover = base::Millis(8'000);
   // Half-lives of the two averages of which the higher estimates the burn rate:
   // one follows a surge, the other bridges a lull.
   base::Millis burn_half_life = base::Millis(3'000);
@@ -30,14 +30,14 @@
   // between the two bounds. Little of a budget that runs out is set aside: what
   // a cut keeps back can still be used later, what a kill loses can't. Each
   // router takes the part that is its own of what all have used.
-  double share_slope = 1.6;
+  double share_slope = 0.9;
   double share_scarce = 0.12;
   double most_share = 0.8;
   double least_share = 0.05;
   // Large requests in a row that a holding is to serve, as long as they are no
   // more than one part in `large_part` of the limit for each router.
-  int64_t large_requests = 2;
-  int64_t large_part = 10;
+  int64_t large_requests = 1;
+  int64_t large_part = 40;
   // Once less than one part in `scarce_part` of a limit is left, a request
   // above the usual size that could take more than one part in `largest_part`
   // of the rest is refused: many small ones are served for it.
@@ -84,7 +84,7 @@
   size_t most_lenders = 4;
   // Use that a loan covers: time for a stopped lender to be replaced, several
   // times over. What a killed borrower had left is lost.
-  base::Millis loan_cover = base::Millis(3'000);
+  base::Millis loan_cover = base::Millis(2'000);
   // A loan covers no more than one part in this many of the limit, beyond what
   // waits for it.
   int64_t loan_part = 20;
--- a/libs/ledger/src/metered_budget.cc
+++ b/libs/ledger/src/metered_budget.cc
@@ -52,9 +52,9 @@
     return 0;
   }
   const base::Millis age = now - *first_use;
-  return std::max(
-      Corrected(burn.Over(now, span), age, policy.burn_half_life),
-      Corrected(usual_burn.Over(now, span), age, policy.usual_half_life));
+  return (Corrected(burn.Over(now, span), age, policy.burn_half_life) +
+          Corrected(usual_burn.Over(now, span), age, policy.usual_half_life)) /
+         2;
 }
 
 }  // namespace godwit::ledger
