Loans are sized by use alone

Cause: each router held a loan of its largest request beside what it uses; with 30 routers this was a large part of a budget, lost when all lost power.

--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -150,8 +150,7 @@
       IsLender(ShardOfBudget(budget.limit.budget))) {
     return 0;
   }
-  const Tokens soon = budget.UseOver(now, policy_.loan_cover, policy_);
-  return std::min(soon + (soon > 0 ? budget.largest : 0),
+  return std::min(budget.UseOver(now, policy_.loan_cover, policy_),
                   budget.limit.limit / policy_.loan_part);
 }
 
