--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -11,18 +11,24 @@
 
 }  // namespace
 
-base::Tokens Dispatcher::State::UsedTokens(const Call& call, bool whole) const {
+ledger::Usage Dispatcher::State::UsageOf(const Call& call, bool whole) const {
   if (call.reserved == 0 ||
       (!call.may_have_run && call.events == 0 && !whole)) {
-    return 0;
+    return {};
   }
   const Prompt& prompt = *call.request.prompt;
   const ServiceProfile* const service = call.table->Find(call.service);
   const int64_t per_event = service == nullptr || !service->engine
                                 ? 1
                                 : service->engine->tokens_per_event;
-  const int64_t events = call.events + (whole ? 0 : kEventsOnTheWay);
-  return std::min(call.reserved, prompt.input_tokens + events * per_event);
+  const base::Tokens seen = std::min(
+      call.reserved, prompt.input_tokens + call.events * per_event);
+  if (whole) {
+    return {seen, 0};
+  }
+  const base::Tokens most =
+      std::min(call.reserved, seen + kEventsOnTheWay * per_event);
+  return {most, call.events > 0 ? most - seen : most};
 }
 
 void Dispatcher::State::Refuse(Call& call,
@@ -42,7 +48,7 @@
 void Dispatcher::State::End(Call& call,
                             std::string outcome,
                             std::string reason) {
-  const base::Tokens used = UsedTokens(call, outcome == "answered");
+  const ledger::Usage used = UsageOf(call, outcome == "answered");
   if (call.has_budget && call.reserved > 0) {
     budgets_.Settle(now_, base::BudgetId(call.organisation.value()),
                     call.reserved, used);
@@ -58,7 +64,7 @@
   ended.backend = call.backend.instance;
   ended.attempts = call.sends;
   ended.events = call.events;
-  ended.tokens = used;
+  ended.tokens = used.tokens;
   ended.may_have_run = call.may_have_run;
   ended.waited = call.sends > 0 ? call.placed_at - call.arrived_at
                                 : now_ - call.arrived_at;
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -99,7 +99,7 @@
               std::string reason,
               base::Millis retry_after);
   void End(Call& call, std::string outcome, std::string reason);
-  base::Tokens UsedTokens(const Call& call, bool whole) const;
+  ledger::Usage UsageOf(const Call& call, bool whole) const;
 
   void Emit(std::vector<BeliefChanged> changes);
   void Emit(std::vector<ledger::MeteredHolder::Command> commands);
--- a/libs/ledger/include/ledger/loan_ask.h
+++ b/libs/ledger/include/ledger/loan_ask.h
@@ -14,8 +14,10 @@
   base::Incarnation borrower;
   base::Incarnation lender;
   base::BudgetId budget;
-  // Of what was lent: used, and given back unused.
+  // Of what was lent: used, the part of that which may not have been used
+  // after all, and given back unused.
   base::Tokens used = 0;
+  base::Tokens unproven = 0;
   base::Tokens returned = 0;
   // Sum that must be lent in all to serve what waits, and the sum wished for.
   // Zero asks for nothing.
@@ -23,10 +25,10 @@
   base::Tokens wished = 0;
 
   friend bool operator==(const LoanAsk& a, const LoanAsk& b) {
-    return std::tie(a.borrower, a.lender, a.budget, a.used, a.returned, a.least,
-                    a.wished) == std::tie(b.borrower, b.lender, b.budget,
-                                          b.used, b.returned, b.least,
-                                          b.wished);
+    return std::tie(a.borrower, a.lender, a.budget, a.used, a.unproven,
+                    a.returned, a.least, a.wished) ==
+           std::tie(b.borrower, b.lender, b.budget, b.used, b.unproven,
+                    b.returned, b.least, b.wished);
   }
   friend bool operator!=(const LoanAsk& a, const LoanAsk& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -17,6 +17,7 @@
 #include "ledger/peer.h"
 #include "ledger/peer_message.h"
 #include "ledger/send_to_peer.h"
+#include "ledger/usage.h"
 #include "platform/kv_condition.h"
 #include "platform/kv_read.h"
 #include "platform/kv_read_done.h"
@@ -50,7 +51,8 @@
     kWait,
     // What is left of the budget is known not to cover the amount.
     kExhausted,
-    // The KV can't be asked, or other routers hold what is left.
+    // The KV can't be asked, other routers hold what is left, or it is not
+    // known whether it was used.
     kUnavailable,
   };
 
@@ -81,11 +83,11 @@
                   const base::BudgetId& budget,
                   base::Tokens amount,
                   base::Millis since);
-  // Ends a reservation of `reserved` of which `used` <= `reserved` was used.
+  // Ends a reservation of `reserved` of which no more was used.
   void Settle(base::Millis now,
               const base::BudgetId& budget,
               base::Tokens reserved,
-              base::Tokens used);
+              Usage used);
 
   // Gives back what is not reserved, now and as reservations end.
   void Drain();
--- a/libs/ledger/src/borrowed.cc
+++ b/libs/ledger/src/borrowed.cc
@@ -14,14 +14,17 @@
   }
 }
 
-Tokens Borrowed::Use(Tokens amount) {
+Usage Borrowed::Use(Usage usage) {
   for (auto& [lender, loan] : loans_) {
-    const Tokens part = std::min(amount, loan.free());
+    const Tokens part = std::min(usage.tokens, loan.free());
+    const Tokens unproven = std::min(usage.unproven, part);
     loan.used += part;
+    loan.unproven += unproven;
     free_ -= part;
-    amount -= part;
+    usage.tokens -= part;
+    usage.unproven -= unproven;
   }
-  return amount;
+  return usage;
 }
 
 void Borrowed::Return(Tokens amount) {
--- a/libs/ledger/src/borrowed.h
+++ b/libs/ledger/src/borrowed.h
@@ -5,6 +5,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "ledger/usage.h"
 
 namespace godwit::ledger {
 
@@ -14,6 +15,7 @@
   struct Loan {
     base::Tokens lent = 0;
     base::Tokens used = 0;
+    base::Tokens unproven = 0;
     base::Tokens returned = 0;
     // Part of used and returned that the lender was told last.
     base::Tokens told = 0;
@@ -33,7 +35,7 @@
   // The lender says how much it lent in all.
   void Lent(const base::Incarnation& lender, base::Tokens lent);
   // Charges what was used. The rest, which exceeds what is borrowed.
-  base::Tokens Use(base::Tokens amount);
+  Usage Use(Usage usage);
   // Gives so much back of what is free.
   void Return(base::Tokens amount);
 
--- a/libs/ledger/src/loan_book.cc
+++ b/libs/ledger/src/loan_book.cc
@@ -6,22 +6,25 @@
 
 using base::Tokens;
 
-std::optional<Tokens> LoanBook::Report(const LoanAsk& ask) {
+std::optional<Usage> LoanBook::Report(const LoanAsk& ask) {
   const auto found = loans_.find(KeyOf(ask));
   const Tokens lent = found == loans_.end() ? 0 : found->second.lent;
-  if (ask.used > lent || ask.returned > lent - ask.used) {
+  if (ask.used > lent || ask.returned > lent - ask.used ||
+      ask.unproven > ask.used) {
     return std::nullopt;
   }
   if (found == loans_.end()) {
-    return 0;
+    return Usage();
   }
   Loan& loan = found->second;
   // An older report may arrive later.
   const Tokens used = std::max(loan.used, ask.used);
   const Tokens returned = std::max(loan.returned, ask.returned);
-  const Tokens newly_used = used - loan.used;
-  outstanding_[ask.budget] -= newly_used + returned - loan.returned;
+  const Tokens unproven = std::max(loan.unproven, ask.unproven);
+  const Usage newly_used = {used - loan.used, unproven - loan.unproven};
+  outstanding_[ask.budget] -= newly_used.tokens + returned - loan.returned;
   loan.used = used;
+  loan.unproven = unproven;
   loan.returned = returned;
   return newly_used;
 }
--- a/libs/ledger/src/loan_book.h
+++ b/libs/ledger/src/loan_book.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "ledger/loan_ask.h"
+#include "ledger/usage.h"
 
 namespace godwit::ledger {
 
@@ -30,7 +31,7 @@
   // Takes note of what an ask reports. The tokens that are newly known to be
   // used; empty when it reports more than was lent, so that it is not of this
   // life.
-  std::optional<base::Tokens> Report(const LoanAsk& ask);
+  std::optional<Usage> Report(const LoanAsk& ask);
   // Lends so much more. The sum lent.
   base::Tokens Lend(const LoanAsk& ask, base::Tokens more);
   base::Tokens Lent(const LoanAsk& ask) const;
@@ -50,6 +51,7 @@
   struct Loan {
     base::Tokens lent = 0;
     base::Tokens used = 0;
+    base::Tokens unproven = 0;
     base::Tokens returned = 0;
     base::Tokens outstanding() const { return lent - used - returned; }
   };
--- a/libs/ledger/src/metered_budget.cc
+++ b/libs/ledger/src/metered_budget.cc
@@ -22,11 +22,12 @@
 
 }  // namespace
 
-void MeteredBudget::Spend(base::Millis now, base::Tokens tokens) {
-  spent += tokens;
+void MeteredBudget::Spend(base::Millis now, Usage usage) {
+  spent += usage.tokens;
+  unproven += usage.unproven;
   first_use = first_use.value_or(now);
-  burn.Add(now, tokens);
-  usual_burn.Add(now, tokens);
+  burn.Add(now, usage.tokens);
+  usual_burn.Add(now, usage.tokens);
 }
 
 base::Tokens MeteredBudget::Need() const {
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -35,6 +35,8 @@
   // Used under the own grant since it began, by this router or by borrowers
   // that reported it.
   base::Tokens spent = 0;
+  // Part of `spent` that may not have been used.
+  base::Tokens unproven = 0;
   // Set aside for requests in progress. What is borrowed is used before what
   // is held under the own grant.
   base::Tokens reserved = 0;
@@ -66,7 +68,7 @@
   base::Tokens told_left = 0;
 
   // Counts what was used under the own grant.
-  void Spend(base::Millis now, base::Tokens tokens);
+  void Spend(base::Millis now, Usage usage);
   // What must be had of the own grant at once.
   base::Tokens Need() const;
   // Reserved beyond what is borrowed.
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -117,13 +117,13 @@
 void MeteredHolder::Settle(base::Millis now,
                            const base::BudgetId& budget,
                            base::Tokens reserved,
-                           base::Tokens used) {
+                           Usage used) {
   MeteredBudget* const local = state_->Find(budget);
   if (local == nullptr) {
     return;
   }
   local->reserved -= std::min(reserved, local->reserved);
-  local->use.Add(now, used);
+  local->use.Add(now, used.tokens);
   local->Spend(now, local->borrowed.Use(used));
 }
 
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -169,7 +169,7 @@
   if (!used) {
     return;
   }
-  if (*used > 0) {
+  if (used->tokens > 0) {
     local->Spend(now, *used);
   }
   if (ask.wished == 0) {
@@ -344,6 +344,7 @@
   ask.lender = lender.incarnation;
   ask.budget = id;
   ask.used = loan.used;
+  ask.unproven = loan.unproven;
   ask.returned = loan.returned;
   if (asks) {
     const Tokens lacking =
--- a/libs/ledger/src/metered_pump.cc
+++ b/libs/ledger/src/metered_pump.cc
@@ -134,9 +134,9 @@
   const Tokens target = Target(now, budget);
   const Tokens held = std::max<Tokens>(0, Granted(id) - Taken(budget));
   if (OwnGrant(edit.record(), id) != nullptr) {
-    edit.Settle(id, grant, self_, budget.spent);
+    edit.Settle(id, grant, self_, budget.spent - budget.unproven);
     if (draining_ && budget.reserved == 0 && book_.Outstanding(id) == 0) {
-      edit.ReturnGrant(id, grant);
+      CloseGrant(edit, id, grant, Taken(budget));
     } else if (held > target) {
       edit.Shrink(id, grant, held - target);
     }
@@ -169,26 +169,33 @@
     if (!IsEarlierLife(grant.holder)) {
       continue;
     }
-    edit.Seal(budget, id);
     const auto most =
         promises_.MostOf(now, clock_offset_, grant.holder, budget);
     const Tokens counted =
         most ? std::min(grant.amount, std::max(grant.billed(), *most))
              : grant.amount;
-    for (const auto& [agent, account] : grant.agents) {
-      if (most) {
-        edit.FinishAgent(budget, id, agent, counted);
-      } else {
-        edit.LoseAgent(budget, id, agent);
-      }
-    }
-    edit.Close(budget, id);
+    CloseGrant(edit, budget, id, counted);
     closed.push_back({budget, grant.holder, grant.amount, grant.billed(),
                       counted, most.has_value()});
   }
   return closed;
 }
 
+// Frees a grant but for `kept`. What of that is not billed may or may not have
+// been used: it is neither free nor does it count as used.
+void MeteredHolder::State::CloseGrant(LedgerEdit& edit,
+                                      const base::BudgetId& budget,
+                                      const base::GrantId& id,
+                                      Tokens kept) {
+  const Grant grant = BudgetIn(edit.record(), budget)->grants.at(id);
+  edit.Shrink(budget, id, grant.amount - kept);
+  edit.Seal(budget, id);
+  for (const auto& [agent, account] : grant.agents) {
+    edit.LoseAgent(budget, id, agent);
+  }
+  edit.Close(budget, id);
+}
+
 bool MeteredHolder::State::IsEarlierLife(
     const base::Incarnation& holder) const {
   const std::string prefix = process_.value() + ".";
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -151,11 +151,12 @@
   const base::BudgetId& id = budget.limit.budget;
   const Budget* const stored = BudgetIn(ShardOfBudget(id).view.record(), id);
   if (stored == nullptr) {
-    return budget.limit.limit - budget.spent;
+    return budget.limit.limit - (budget.spent - budget.unproven);
   }
   Tokens used = stored->total_billed();
   if (const Grant* const own = OwnGrant(ShardOfBudget(id).view.record(), id)) {
-    used += std::max<Tokens>(0, budget.spent - own->billed());
+    used += std::max<Tokens>(
+        0, budget.spent - budget.unproven - own->billed());
   }
   return budget.limit.limit - used;
 }
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -150,6 +150,10 @@
   std::vector<GrantClosed> CloseEarlierGrants(base::Millis now,
                                               LedgerEdit& edit,
                                               const base::BudgetId& budget);
+  void CloseGrant(LedgerEdit& edit,
+                  const base::BudgetId& budget,
+                  const base::GrantId& id,
+                  base::Tokens kept);
   template <typename Done>
   void OnDone(base::Millis now, const Done& done);
 
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -28,6 +28,7 @@
           {"lender", ask.lender.value()},
           {"budget", ask.budget.value()},
           {"used", ask.used},
+          {"unproven", ask.unproven},
           {"returned", ask.returned},
           {"least", ask.least},
           {"wished", ask.wished}};
@@ -114,16 +115,18 @@
   }
   if (*type == kAsk) {
     const auto used = Amount(*document, "used");
+    const auto unproven = Amount(*document, "unproven");
     const auto returned = Amount(*document, "returned");
     const auto least = Amount(*document, "least");
     const auto wished = Amount(*document, "wished");
-    if (!used || !returned || !least || !wished) {
+    if (!used || !unproven || !returned || !least || !wished) {
       return std::nullopt;
     }
     return LoanAsk{base::Incarnation(*borrower),
                    base::Incarnation(*lender),
                    base::BudgetId(*budget),
                    *used,
+                   *unproven,
                    *returned,
                    *least,
                    *wished};
--- a/libs/ledger/tests/metered_holder_test.cc
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -79,6 +79,7 @@
     }
     world.Advance(Millis(*rc::gen::inRange<int64_t>(0, 600)));
     RC_ASSERT(world.Used() <= world.highest_limit());
+    RC_ASSERT(world.falsely_exhausted() == 0);
   }
 }
 
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -35,6 +35,7 @@
   // Of its VM's monotonic clock.
   base::Millis skew;
   int64_t seen_config = 0;
+  base::Tokens seen_limit = 0;
 };
 
 MeteredWorld::MeteredWorld(uint64_t seed, size_t routers, base::Tokens limit)
@@ -194,6 +195,9 @@
         break;
       case MeteredHolder::Verdict::kExhausted:
         ++exhausted_;
+        if (Used() + waiting.amount <= router.seen_limit) {
+          ++falsely_exhausted_;
+        }
         break;
       case MeteredHolder::Verdict::kUnavailable:
         ++refused_;
@@ -212,7 +216,7 @@
   router.running.pop_front();
   const base::Tokens used = amount * used_percent / 100;
   router.used += used;
-  router.holder->Settle(now_ + router.skew, kBudget, amount, used);
+  router.holder->Settle(now_ + router.skew, kBudget, amount, {used, 0});
 }
 
 void MeteredWorld::Drain(size_t index) {
@@ -257,6 +261,7 @@
     Router& router = *routers_[i];
     if (!router.cut && router.seen_config != config_version_) {
       router.seen_config = config_version_;
+      router.seen_limit = limit_;
       router.holder->SetLimits(
           {{kBudget, base::OrganisationId("lantern-line"), limit_}},
           {kConfigKey, config_version_});
--- a/libs/ledger/tests/metered_world.h
+++ b/libs/ledger/tests/metered_world.h
@@ -51,6 +51,9 @@
   int64_t refused() const { return refused_; }
   int64_t served() const { return served_; }
   int64_t exhausted() const { return exhausted_; }
+  // Requests refused as exhausted although even all that may have been used
+  // left enough for them.
+  int64_t falsely_exhausted() const { return falsely_exhausted_; }
   // Reads and writes of the ledger and of promises.
   int64_t kv_operations() const { return kv_operations_; }
 
@@ -81,6 +84,7 @@
   int64_t served_ = 0;
   int64_t refused_ = 0;
   int64_t exhausted_ = 0;
+  int64_t falsely_exhausted_ = 0;
   int64_t lives_ = 0;
   bool breaks_promises_ = false;
   bool forgets_loans_ = false;
--- a/libs/ledger/tests/peer_codec_test.cc
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -24,8 +24,8 @@
 
 const LoanAsk kAsk{Incarnation("edge-1.7"), Incarnation("edge-2.9"),
                    BudgetId("kiosks"),      900,
-                   100,                     1500,
-                   4000};
+                   50,                      100,
+                   1500,                    4000};
 const LoanReply kReply{Incarnation("edge-2.9"), Incarnation("edge-1.7"),
                        BudgetId("kiosks"), 4000, LoanReply::State::kPending, 70};
 const Peer kPeer{ProcessId("edge-1"), Incarnation("edge-1.7"),
