The stored layout of the ledger is checked; a write that was given up binds

A promise whose write was given up by a pause of the process, and that took effect, bound a later life for longer than the one that wrote it: promise_keeper_test failed before.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -10,9 +10,9 @@
 
 // Settings of a MeteredHolder.
 struct MeteredPolicy {
-  // Ledger keys of the fleet. Part of what is stored: routers with another
-  // value read other keys, so that they don't see what was spent. A change
-  // needs a fleet that is stopped and budgets that begin anew.
+  // Ledger keys of the fleet. Part of what is stored: a router with another
+  // value finds so in the stored layout and spends nothing. A change needs
+  // budgets that begin anew.
   int shard_count = 8;
   // Length of a cut from the KV that a holding should outlast at the present
   // burn rate. What is held when all routers are killed at once is lost, so it
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -40,6 +40,10 @@
       budget.borrowed.Return(
           std::max<base::Tokens>(0, budget.borrowed.free() - budget.reserved));
     }
+    if (limit.limit != budget.limit.limit) {
+      // What was said of the earlier limit is no news of this one.
+      budget.nothing_free_until = base::Millis();
+    }
     budget.limit = limit;
     entry->second.dropped = false;
   }
@@ -61,54 +65,61 @@
                                               const base::BudgetId& budget,
                                               base::Tokens amount,
                                               base::Millis since) {
-  State& state = *state_;
-  state.now_ = now;
-  MeteredBudget* const local = state.Find(budget);
+  state_->now_ = now;
+  MeteredBudget* const local = state_->Find(budget);
   if (local == nullptr) {
     // Its limit is not known.
     return Verdict::kUnavailable;
   }
-  if (local->dropped) {
+  return state_->Reserve(now, *local, amount, since);
+}
+
+MeteredHolder::Verdict MeteredHolder::State::Reserve(base::Millis now,
+                                                     MeteredBudget& budget,
+                                                     base::Tokens amount,
+                                                     base::Millis since) {
+  const base::BudgetId& id = budget.limit.budget;
+  if (budget.dropped) {
     return Verdict::kReserved;
   }
-  local->usual = local->usual == 0
+  budget.usual = budget.usual == 0
                      ? amount
-                     : local->usual + (amount - local->usual) / kUsualWeight;
-  if (state.IsTooLargeForTheRest(*local, amount)) {
+                     : budget.usual + (amount - budget.usual) / kUsualWeight;
+  if (IsTooLargeForTheRest(budget, amount)) {
     return Verdict::kUnavailable;
   }
-  if (state.Available(budget) >= amount) {
-    local->reserved += amount;
-    local->need = 0;
-    local->loan_need = 0;
-    local->largest =
-        std::max(amount, local->largest - local->largest / kLargestFade);
+  if (Available(id) >= amount) {
+    budget.reserved += amount;
+    budget.need = 0;
+    budget.loan_need = 0;
+    budget.largest =
+        std::max(amount, budget.largest - budget.largest / kLargestFade);
     return Verdict::kReserved;
   }
-  if (now < local->nothing_free_until) {
-    local->loan_need = 0;
-    return amount > local->told_left ? Verdict::kExhausted
+  if (now < budget.nothing_free_until) {
+    budget.loan_need = 0;
+    return amount > budget.told_left ? Verdict::kExhausted
                                      : Verdict::kUnavailable;
   }
-  const bool waited_enough = now - since >= state.policy_.max_wait;
-  if (state.LenderOf(now, *local) != nullptr) {
-    local->loan_need = waited_enough ? 0 : std::max(local->loan_need, amount);
+  const bool waited_enough = now - since >= policy_.max_wait;
+  if (LenderOf(now, budget) != nullptr) {
+    budget.loan_need = waited_enough ? 0 : std::max(budget.loan_need, amount);
     return waited_enough ? Verdict::kUnavailable : Verdict::kWait;
   }
-  local->loan_need = 0;
-  local->need = std::max(local->need, amount);
-  const State::Shard& shard = state.ShardOfBudget(budget);
+  budget.loan_need = 0;
+  budget.need = std::max(budget.need, amount);
+  const Shard& shard = ShardOfBudget(id);
   const bool is_fresh =
       shard.view.known() &&
-      shard.view.proven_at() + state.policy_.fresh >= std::min(now, since);
-  if (is_fresh && amount > state.MostLeft(*local)) {
-    local->need = 0;
+      shard.view.proven_at() + policy_.fresh >= std::min(now, since);
+  if (is_fresh && amount > MostLeft(budget)) {
+    budget.need = 0;
     return Verdict::kExhausted;
   }
   // What is held but not promised comes free soon.
-  const bool is_away = state.IsAway(now, shard) && state.Held(budget) < amount;
+  const bool is_away = IsAway(now, shard) && Held(id) < amount;
   if (waited_enough || is_away) {
-    local->need = 0;
+    budget.need = 0;
     return Verdict::kUnavailable;
   }
   return Verdict::kWait;
@@ -205,6 +216,10 @@
   if (local == nullptr) {
     return "no limit";
   }
+  if (state_->layout_.known() && !state_->KnowsLayout()) {
+    return "the ledger is stored under " +
+           std::to_string(state_->layout_.record().keys) + " keys";
+  }
   const State::Shard& shard = state_->ShardOfBudget(budget);
   const auto stored = shard.view.record().budgets.find(budget);
   const base::Tokens free =
--- a/libs/ledger/src/metered_pump.cc
+++ b/libs/ledger/src/metered_pump.cc
@@ -33,6 +33,12 @@
   if (auto command = PumpPromise(now)) {
     commands.push_back(std::move(*command));
   }
+  if (!KnowsLayout()) {
+    if (auto command = PumpLayout(now)) {
+      commands.push_back(std::move(*command));
+    }
+    return commands;
+  }
   // What an earlier life promised must be known before its grants are closed.
   if (!promises_.known()) {
     return commands;
@@ -45,6 +51,32 @@
   return commands;
 }
 
+bool MeteredHolder::State::KnowsLayout() const {
+  return layout_.known() && !layout_.has_open_writes() &&
+         layout_.record().keys == policy_.shard_count;
+}
+
+std::optional<MeteredHolder::Command> MeteredHolder::State::PumpLayout(
+    base::Millis now) {
+  if (const auto busy = layout_.busy_since()) {
+    if (now - *busy < policy_.operation_limit) {
+      return std::nullopt;
+    }
+    layout_.GiveUp();
+  }
+  if (now < layout_retry_at_) {
+    return std::nullopt;
+  }
+  if (!layout_.known() || layout_.outdated() || layout_.has_open_writes()) {
+    return layout_.StartRead(now, next_operation_++);
+  }
+  if (layout_.record().keys == 0) {
+    return layout_.StartWrite(now, next_operation_++,
+                              LedgerLayout{policy_.shard_count});
+  }
+  return std::nullopt;
+}
+
 std::optional<MeteredHolder::Command> MeteredHolder::State::PumpPromise(
     base::Millis now) {
   if (auto read = promises_.Read(now, next_operation_)) {
@@ -214,6 +246,13 @@
   if (promises_.Finish(now, done)) {
     return;
   }
+  const cas::Progress layout = layout_.Finish(done);
+  if (layout != cas::Progress::kForeign) {
+    if (layout == cas::Progress::kFailed) {
+      layout_retry_at_ = now + policy_.failure_pause;
+    }
+    return;
+  }
   for (Shard& shard : shards_) {
     const bool was_write = shard.view.is_writing();
     const cas::Progress progress = shard.view.Finish(done);
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -17,6 +17,9 @@
 // A holding below one part in this many of the limit is given back whole.
 constexpr Tokens kCrumbPart = 500;
 
+// The ledger's own keys are numbers.
+constexpr char kLayoutKey[] = "ledger/layout";
+
 Tokens Committed(const Budget& budget) {
   return budget.limit - budget.free();
 }
@@ -29,7 +32,8 @@
     : process_(std::move(process)),
       self_(std::move(self)),
       policy_(policy),
-      promises_(process_, self_, policy_) {
+      promises_(process_, self_, policy_),
+      layout_(kLayoutKey) {
   for (int i = 0; i < policy_.shard_count; ++i) {
     shards_.emplace_back(ShardKey(i));
   }
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -16,6 +16,7 @@
 #include "ledger/peer.h"
 #include "ledger/peer_hello.h"
 #include "ledger/send_to_peer.h"
+#include "ledger_layout.h"
 #include "loan_book.h"
 #include "metered_budget.h"
 #include "promise_keeper.h"
@@ -69,6 +70,10 @@
   base::Tokens Granted(const base::BudgetId& budget) const;
   // What the own promise allows.
   base::Tokens Promised(const base::BudgetId& budget) const;
+  Verdict Reserve(base::Millis now,
+                  MeteredBudget& budget,
+                  base::Tokens amount,
+                  base::Millis since);
   // Tokens of the own grant that are used, reserved or lent.
   base::Tokens Taken(const MeteredBudget& budget) const;
   // Tokens of the own grant that are not, and those of them that may be
@@ -134,6 +139,10 @@
   std::vector<Command> Pump(base::Millis now);
   // Pause after a lost race.
   base::Millis RacePause(const Shard& shard) const;
+  // Reads or writes the layout until it is known. Empty while nothing is due.
+  std::optional<Command> PumpLayout(base::Millis now);
+  // True when the ledger is stored as this router stores it.
+  bool KnowsLayout() const;
   std::optional<Command> PumpPromise(base::Millis now);
   std::optional<Command> PumpShard(base::Millis now, Shard& shard);
   enum class Urgency : uint8_t { kNone, kLazy, kNow };
@@ -164,6 +173,8 @@
   base::Incarnation self_;
   MeteredPolicy policy_;
   PromiseKeeper promises_;
+  cas::KeyView<LedgerLayout, LayoutCodec> layout_;
+  base::Millis layout_retry_at_;
   size_t routers_ = 1;
   base::Millis clock_offset_;
   // Of the call in progress.
--- a/libs/ledger/src/promise_keeper.cc
+++ b/libs/ledger/src/promise_keeper.cc
@@ -66,6 +66,10 @@
     if (now - *busy < policy_.operation_limit) {
       return std::nullopt;
     }
+    if (view_.is_writing()) {
+      // It may have taken effect, whatever is heard of it.
+      promised_at_ = offered_at_;
+    }
     view_.GiveUp();
     answers_ = false;
   }
--- a/libs/ledger/tests/metered_holder_test.cc
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -337,3 +337,24 @@
   }
   CHECK_TEXT(world.Used() >= 97'000, std::to_string(world.Used()).c_str());
 }
+
+TEST(MeteredHolder, AnotherNumberOfKeysSpendsNothing) {
+  // A new version that divides the ledger otherwise knows nothing of what was
+  // spent.
+  MeteredWorld world(1, 1, 10'000);
+  for (int i = 0; i < 18; ++i) {
+    world.Request(0, 500);
+    world.Advance(Millis(50));
+    world.Finish(0, 100);
+  }
+  const Tokens used = world.Used();
+  CHECK(used >= 8'000);
+  world.SetKeys(3);
+  world.Kill(0);
+  for (int i = 0; i < 18; ++i) {
+    world.Request(0, 500);
+    world.Advance(Millis(50));
+    world.Finish(0, 100);
+  }
+  CHECK_EQUAL(used, world.Used());
+}
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -67,6 +67,7 @@
   router.life = static_cast<int>(++lives_);
   MeteredPolicy policy;
   policy.cover = base::Millis(2000);
+  policy.shard_count = keys_;
   if (breaks_promises_ && router.life % 2 == 0) {
     policy.promise_time = base::Millis(0);
     policy.promise_percent = 0;
--- a/libs/ledger/tests/metered_world.h
+++ b/libs/ledger/tests/metered_world.h
@@ -27,6 +27,8 @@
   void Isolate(size_t router, bool isolated);
   // Planted fault: lenders forget what they lent, as if all of it came back.
   void ForgetLoans() { forgets_loans_ = true; }
+  // Lives that begin from now on divide the ledger among so many keys.
+  void SetKeys(int count) { keys_ = count; }
   // Planted fault: every other life spends beyond its promise at once.
   void BreakPromises() { breaks_promises_ = true; }
   ~MeteredWorld();
@@ -86,6 +88,7 @@
   int64_t exhausted_ = 0;
   int64_t falsely_exhausted_ = 0;
   int64_t lives_ = 0;
+  int keys_ = MeteredPolicy().shard_count;
   bool breaks_promises_ = false;
   bool forgets_loans_ = false;
   bool connected_ = false;
