--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -21,8 +21,8 @@
   const int64_t per_event = service == nullptr || !service->engine
                                 ? 1
                                 : service->engine->tokens_per_event;
-  const base::Tokens seen = std::min(
-      call.reserved, prompt.input_tokens + call.events * per_event);
+  const base::Tokens seen =
+      std::min(call.reserved, prompt.input_tokens + call.events * per_event);
   if (whole) {
     return {seen, 0};
   }
--- a/libs/dispatch/tests/dispatch_world.cc
+++ b/libs/dispatch/tests/dispatch_world.cc
@@ -91,9 +91,9 @@
   contents.services = {{base::ServiceId("model"), 0, EngineProfile{16, 0, 4}}};
   Raise(TableSeen{std::make_shared<const RoutingTable>(std::move(contents))});
   Raise(listed);
-  Raise(RoutersListed{{{base::ProcessId("router-1"),
-                        base::Incarnation("router-1.1"),
-                        base::Endpoint{"127.0.0.1", 1}}}});
+  Raise(RoutersListed{
+      {{base::ProcessId("router-1"), base::Incarnation("router-1.1"),
+        base::Endpoint{"127.0.0.1", 1}}}});
 }
 
 DispatchWorld::~DispatchWorld() = default;
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -42,8 +42,8 @@
 // any. No I/O. One thread at a time.
 class MeteredHolder {
  public:
-  using Command =
-      std::variant<platform::KvRead, platform::KvWrite, SendToPeer, GrantClosed>;
+  using Command = std::
+      variant<platform::KvRead, platform::KvWrite, SendToPeer, GrantClosed>;
 
   enum class Verdict : uint8_t {
     kReserved,
--- a/libs/ledger/src/ledger_layout.cc
+++ b/libs/ledger/src/ledger_layout.cc
@@ -17,8 +17,8 @@
     return LedgerLayout();
   }
   const auto document = cbor::Read(bytes);
-  const auto keys = document ? cbor::Integer(cbor::Find(*document, "keys"))
-                             : std::nullopt;
+  const auto keys =
+      document ? cbor::Integer(cbor::Find(*document, "keys")) : std::nullopt;
   if (!keys || *keys <= 0) {
     return std::nullopt;
   }
--- a/libs/ledger/src/loan_book.cc
+++ b/libs/ledger/src/loan_book.cc
@@ -76,8 +76,8 @@
 
 void LoanBook::Keep(const std::set<base::Incarnation>& borrowers) {
   for (auto it = loans_.begin(); it != loans_.end();) {
-    const bool is_over = it->second.outstanding() == 0 &&
-                         borrowers.count(it->first.second) == 0;
+    const bool is_over =
+        it->second.outstanding() == 0 && borrowers.count(it->first.second) == 0;
     it = is_over ? loans_.erase(it) : std::next(it);
   }
 }
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -95,10 +95,9 @@
   }
   known_peers_[process] = {hello.peer, now, now};
   silent_until_.erase(process);
-  const auto found =
-      std::find_if(peers_.begin(), peers_.end(), [&process](const Peer& peer) {
-        return peer.process == process;
-      });
+  const auto found = std::find_if(
+      peers_.begin(), peers_.end(),
+      [&process](const Peer& peer) { return peer.process == process; });
   if (found == peers_.end()) {
     peers_.push_back(hello.peer);
   } else if (*found != hello.peer) {
@@ -205,10 +204,10 @@
     return true;
   }
   const Budget* const stored = BudgetIn(shard.view.record(), ask.budget);
-  const bool is_fresh = shard.view.known() &&
-                        now - shard.view.proven_at() <= policy_.fresh;
-  const bool is_free = Held(ask.budget) >= least || stored == nullptr ||
-                       stored->free() > 0;
+  const bool is_fresh =
+      shard.view.known() && now - shard.view.proven_at() <= policy_.fresh;
+  const bool is_free =
+      Held(ask.budget) >= least || stored == nullptr || stored->free() > 0;
   const bool may_come_back =
       book_.Outstanding(ask.budget) + local.ReservedOfGrant() >= least;
   const bool is_over = now - waiting.since >= policy_.pending_limit;
@@ -231,9 +230,8 @@
                                  const LoanAsk& ask,
                                  LoanReply::State state) {
   const Tokens left = std::max<Tokens>(0, MostLeft(*Find(ask.budget)));
-  outbox_.emplace_back(
-      SendToPeer{to, LoanReply{self_, ask.borrower, ask.budget, book_.Lent(ask),
-                               state, left}});
+  outbox_.emplace_back(SendToPeer{to, LoanReply{self_, ask.borrower, ask.budget,
+                                                book_.Lent(ask), state, left}});
 }
 
 void MeteredHolder::State::On(base::Millis now, const LoanReply& reply) {
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -159,8 +159,7 @@
   }
   Tokens used = stored->total_billed();
   if (const Grant* const own = OwnGrant(ShardOfBudget(id).view.record(), id)) {
-    used += std::max<Tokens>(
-        0, budget.spent - budget.unproven - own->billed());
+    used += std::max<Tokens>(0, budget.spent - budget.unproven - own->billed());
   }
   return budget.limit.limit - used;
 }
@@ -181,8 +180,7 @@
   const Tokens large =
       std::min(policy_.large_requests * budget.largest,
                budget.limit.limit / (policy_.large_part * holders));
-  const Tokens target =
-      std::min(std::max(first, burn + large), Share(budget));
+  const Tokens target = std::min(std::max(first, burn + large), Share(budget));
   // Crumbs serve nobody here, and are missing elsewhere.
   const bool is_crumb = target * kCrumbPart < budget.limit.limit;
   return std::max(budget.Need(), is_crumb ? 0 : target);
@@ -213,8 +211,7 @@
   // Until much is used, usage says little on who will use the rest.
   const auto prior = static_cast<double>(budget.limit.limit) / kPriorPart;
   const bool is_sole = !peers_.empty() && IsLender(ShardOfBudget(id));
-  const double part =
-      is_sole ? 1 : (spent + prior / routers) / (all + prior);
+  const double part = is_sole ? 1 : (spent + prior / routers) / (all + prior);
   const double left =
       1 - all / static_cast<double>(std::max<Tokens>(1, budget.limit.limit));
   const double together =
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -138,8 +138,12 @@
   if (*type != kReply || !lent || !left || !state) {
     return std::nullopt;
   }
-  return LoanReply{base::Incarnation(*lender), base::Incarnation(*borrower),
-                   base::BudgetId(*budget), *lent, *state, *left};
+  return LoanReply{base::Incarnation(*lender),
+                   base::Incarnation(*borrower),
+                   base::BudgetId(*budget),
+                   *lent,
+                   *state,
+                   *left};
 }
 
 std::string EncodePeer(const Peer& peer) {
--- a/libs/ledger/tests/metered_holder_test.cc
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -259,8 +259,8 @@
   };
   // One router of four is cut off for longer than its holding covers, as most
   // of the budget is free.
-  for (const Case& c : {Case{"each on its own", false, false},
-                        Case{"lending", true, true}}) {
+  for (const Case& c :
+       {Case{"each on its own", false, false}, Case{"lending", true, true}}) {
     MeteredWorld world(1, kRouters, 1'000'000);
     if (c.lends) {
       world.Connect();
@@ -320,9 +320,9 @@
   };
   const int64_t alone = calls(false);
   const int64_t lending = calls(true);
-  CHECK_TEXT(lending * 5 < alone, (std::to_string(lending) + " of " +
-                                   std::to_string(alone))
-                                      .c_str());
+  CHECK_TEXT(
+      lending * 5 < alone,
+      (std::to_string(lending) + " of " + std::to_string(alone)).c_str());
 }
 
 TEST(MeteredHolder, LendingGetsAllOfABudgetToWhoeverNeedsIt) {
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -151,9 +151,9 @@
       ask->returned = router.holder->lent(*ask) - ask->used;
     }
     if (!router.isolated) {
-      Submit(index, router.holder->On(now_ + router.skew,
-                                      {"127.0.0.1", datagram.from},
-                                      datagram.sent.message));
+      Submit(index,
+             router.holder->On(now_ + router.skew, {"127.0.0.1", datagram.from},
+                               datagram.sent.message));
     }
   }
 }
@@ -224,9 +224,8 @@
   routers_[index]->holder->Drain();
 }
 
-void MeteredWorld::Submit(
-    size_t index,
-    const std::vector<MeteredHolder::Command>& commands) {
+void MeteredWorld::Submit(size_t index,
+                          const std::vector<MeteredHolder::Command>& commands) {
   for (const auto& command : commands) {
     if (std::holds_alternative<GrantClosed>(command)) {
       continue;
--- a/libs/ledger/tests/peer_codec_test.cc
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -22,13 +22,19 @@
 
 namespace {
 
-const LoanAsk kAsk{Incarnation("edge-1.7"), Incarnation("edge-2.9"),
-                   BudgetId("kiosks"),      900,
-                   50,                      100,
-                   1500,                    4000};
-const LoanReply kReply{Incarnation("edge-2.9"), Incarnation("edge-1.7"),
-                       BudgetId("kiosks"), 4000, LoanReply::State::kPending, 70};
-const Peer kPeer{ProcessId("edge-1"), Incarnation("edge-1.7"),
+const LoanAsk kAsk{Incarnation("edge-1.7"),
+                   Incarnation("edge-2.9"),
+                   BudgetId("kiosks"),
+                   900,
+                   50,
+                   100,
+                   1500,
+                   4000};
+const LoanReply kReply{Incarnation("edge-2.9"),    Incarnation("edge-1.7"),
+                       BudgetId("kiosks"),         4000,
+                       LoanReply::State::kPending, 70};
+const Peer kPeer{ProcessId("edge-1"),
+                 Incarnation("edge-1.7"),
                  {"10.1.0.19", 7200}};
 
 std::string Cbor(const nlohmann::json& document) {
@@ -43,7 +49,7 @@
 
 TEST(PeerCodec, MessagesSurviveAndAreWholeOrNothing) {
   for (const PeerMessage& message : {PeerMessage(kAsk), PeerMessage(kReply),
-                                    PeerMessage(PeerHello{kPeer})}) {
+                                     PeerMessage(PeerHello{kPeer})}) {
     const std::string bytes = EncodePeerMessage(message);
     CHECK(DecodePeerMessage(bytes) == message);
     for (size_t size = 0; size < bytes.size(); ++size) {
@@ -53,8 +59,8 @@
 }
 
 TEST(PeerCodec, RefusesWhatNoRouterSends) {
-  const nlohmann::json reply = nlohmann::json::from_cbor(
-      EncodePeerMessage(kReply));
+  const nlohmann::json reply =
+      nlohmann::json::from_cbor(EncodePeerMessage(kReply));
   struct Case {
     const char* name;
     const char* field;
--- a/libs/ledger/tests/promise_keeper_test.cc
+++ b/libs/ledger/tests/promise_keeper_test.cc
@@ -12,7 +12,6 @@
 using godwit::ledger::PromiseKeeper;
 using godwit::ledger::SpendPromise;
 using godwit::platform::KvReadDone;
-using godwit::platform::KvWrite;
 using godwit::platform::KvWriteDone;
 using godwit::platform::WriteOutcome;
 
@@ -40,7 +39,7 @@
 }  // namespace
 
 TEST_GROUP(PromiseKeeper) {
-  const MeteredPolicy policy;
+  const MeteredPolicy policy{};
   PromiseKeeper keeper{kProcess, kSelf, policy};
   const Millis first{10'000};
 
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -96,7 +96,8 @@
       {EventId::kGrantSealed, Level::kInfo, "grant_sealed",
        "A grant was sealed; nothing may be spent under it."},
       {EventId::kGrantRecovered, Level::kInfo, "grant_recovered",
-       "The grant of an ended life was settled; `counted` of it counts as used, "
+       "The grant of an ended life was settled; `counted` of it counts as "
+       "used, "
        "and its rest is free."},
       {EventId::kUsageHeld, Level::kWarning, "usage_held",
        "Usage under a sealed grant can't be known; its bound stays held until "
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -13,7 +13,7 @@
 namespace godwit::ledger {
 struct GrantClosed;
 struct LoanReply;
-}
+}  // namespace godwit::ledger
 
 namespace godwit::telemetry {
 class Metrics;
--- a/tools/godwit-edge/src/store_feed.cc
+++ b/tools/godwit-edge/src/store_feed.cc
@@ -244,22 +244,22 @@
   write.expected_version = expected_version;
   write.value = ledger::EncodePeer(self_);
   write.lease = *lease_;
-  store_.Write(write, [this, expected_version](
-                          const platform::KvWriteDone& done) {
-    if (done.outcome == platform::WriteOutcome::kLost &&
-        expected_version == 0 && done.current.version > 0 && lease_) {
-      // The entry of an earlier life, or a write whose answer was lost.
-      Register(done.current.version);
-      return;
-    }
-    registered_ = done.outcome == platform::WriteOutcome::kWon;
-    if (registered_) {
-      // Of two routers that start together, one sees the other now.
-      list_afresh_ = true;
-      list_at_ = base::Millis();
-    }
-    Log(EventId::kLeaseGranted, {{"registered", registered_}});
-  });
+  store_.Write(
+      write, [this, expected_version](const platform::KvWriteDone& done) {
+        if (done.outcome == platform::WriteOutcome::kLost &&
+            expected_version == 0 && done.current.version > 0 && lease_) {
+          // The entry of an earlier life, or a write whose answer was lost.
+          Register(done.current.version);
+          return;
+        }
+        registered_ = done.outcome == platform::WriteOutcome::kWon;
+        if (registered_) {
+          // Of two routers that start together, one sees the other now.
+          list_afresh_ = true;
+          list_at_ = base::Millis();
+        }
+        Log(EventId::kLeaseGranted, {{"registered", registered_}});
+      });
 }
 
 }  // namespace godwit::edge
