Silent routers are logged; connections that servers forget are learnt

A request on a connection that its server forgot while it rested is lost, and may not be sent again when it may run once only. After such a loss connections that rested for more than half as long are not used for a minute (rest_limit_test).

--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -12,6 +12,7 @@
 #include "dispatch/relay_answer.h"
 #include "dispatch/start_attempt.h"
 #include "ledger/grant_closed.h"
+#include "ledger/peer_silent.h"
 #include "ledger/send_to_peer.h"
 #include "platform/kv_read.h"
 #include "platform/kv_write.h"
@@ -30,7 +31,8 @@
                                      platform::KvRead,
                                      platform::KvWrite,
                                      ledger::SendToPeer,
-                                     ledger::GrantClosed>;
+                                     ledger::GrantClosed,
+                                     ledger::PeerSilent>;
 
 }  // namespace godwit::dispatch
 
--- a/libs/dispatch/tests/dispatch_world.h
+++ b/libs/dispatch/tests/dispatch_world.h
@@ -93,6 +93,7 @@
   void Do(const platform::KvRead& command);
   void Do(const platform::KvWrite& command);
   void Do(const ledger::GrantClosed& /*command*/) {}
+  void Do(const ledger::PeerSilent& /*command*/) {}
   // The only router has nobody to lend to.
   void Do(const ledger::SendToPeer& /*command*/) {}
   void Take(const ModelServer::Event& event);
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -16,6 +16,7 @@
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
 #include "ledger/peer_message.h"
+#include "ledger/peer_silent.h"
 #include "ledger/send_to_peer.h"
 #include "ledger/usage.h"
 #include "platform/kv_condition.h"
@@ -42,8 +43,11 @@
 // any. No I/O. One thread at a time.
 class MeteredHolder {
  public:
-  using Command = std::
-      variant<platform::KvRead, platform::KvWrite, SendToPeer, GrantClosed>;
+  using Command = std::variant<platform::KvRead,
+                               platform::KvWrite,
+                               SendToPeer,
+                               GrantClosed,
+                               PeerSilent>;
 
   enum class Verdict : uint8_t {
     kReserved,
--- /dev/null
+++ b/libs/ledger/include/ledger/peer_silent.h
@@ -0,0 +1,21 @@
+#ifndef LEDGER_PEER_SILENT_H_
+#define LEDGER_PEER_SILENT_H_
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "ledger/peer.h"
+
+namespace godwit::ledger {
+
+// Record: a router did not answer an ask for a loan, and is not asked for a
+// while.
+struct PeerSilent {
+  Peer peer;
+  base::BudgetId budget;
+  // Time without an answer.
+  base::Millis waited;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_PEER_SILENT_H_
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -299,6 +299,8 @@
   if (now - ask.first_at >= limit) {
     if (!ask.is_pending) {
       silent_until_[ask.lender.process] = now + policy_.silent_pause;
+      outbox_.emplace_back(
+          PeerSilent{ask.lender, budget.limit.budget, now - ask.first_at});
     }
     budget.refused_until[ask.lender.process] = now + policy_.refused_pause;
     budget.ask.reset();
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -227,7 +227,8 @@
 void MeteredWorld::Submit(size_t index,
                           const std::vector<MeteredHolder::Command>& commands) {
   for (const auto& command : commands) {
-    if (std::holds_alternative<GrantClosed>(command)) {
+    if (std::holds_alternative<GrantClosed>(command) ||
+        std::holds_alternative<PeerSilent>(command)) {
       continue;
     }
     if (const auto* message = std::get_if<SendToPeer>(&command)) {
--- a/libs/relay/include/relay/upstream_pool.h
+++ b/libs/relay/include/relay/upstream_pool.h
@@ -17,6 +17,7 @@
 namespace godwit::relay {
 
 class AnswerHandler;
+class RestLimit;
 class UpstreamConnection;
 struct OutgoingRequest;
 
@@ -65,10 +66,12 @@
 
   // A connection ended its request, and is idle again if it can serve more.
   void Release(const std::shared_ptr<UpstreamConnection>& connection);
-  std::shared_ptr<UpstreamConnection> TakeIdle(const base::Endpoint& server);
+  std::shared_ptr<UpstreamConnection> TakeIdle(base::Millis now,
+                                               const base::Endpoint& server);
 
   boost::asio::io_context& io_;
   const Options options_;
+  const std::unique_ptr<RestLimit> rest_limit_;
   std::map<base::Endpoint, std::vector<std::shared_ptr<UpstreamConnection>>>
       idle_;
   std::map<int64_t, std::shared_ptr<UpstreamConnection>> busy_;
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/clocks.h"
+#include "rest_limit.h"
 #include "socket_options.h"
 
 namespace godwit::relay {
@@ -82,10 +83,16 @@
   Read();
 }
 
-void UpstreamConnection::Start(int64_t id,
+void UpstreamConnection::Start(base::Millis now,
+                               int64_t id,
                                OutgoingRequest request,
                                AnswerHandler& handler) {
   request_id_ = id;
+  started_at_ = now;
+  heard_ = false;
+  if (open_) {
+    rested_ = now - idle_since_;
+  }
   request_ = std::move(request);
   handler_ = &handler;
   head_sent_ = 0;
@@ -158,6 +165,7 @@
   if (closed_) {
     return;
   }
+  heard_ = heard_ || size > 0;
   if (handler_ == nullptr) {
     // Nothing is due on an idle connection.
     Close();
@@ -240,6 +248,10 @@
   if (failure != Failure::kNotSent && head_sent_ == 0 && body_sent_ == 0) {
     failure = Failure::kNotSent;
   }
+  if (failure == Failure::kLost && rested_ && !heard_) {
+    const base::Millis now = base::SteadyNow();
+    pool_.rest_limit_->OnLost(now, *rested_, now - started_at_);
+  }
   Close();
   pool_.Release(self);
   if (handler != nullptr) {
@@ -256,6 +268,7 @@
 void UpstreamConnection::BecomeIdle(base::Millis now, base::Millis idle_limit) {
   request_id_ = 0;
   request_ = OutgoingRequest();
+  idle_since_ = now;
   idle_until_ =
       now + std::min(idle_limit, server_idle_limit_.value_or(idle_limit));
   Resume();
--- a/libs/relay/src/upstream_connection.h
+++ b/libs/relay/src/upstream_connection.h
@@ -26,7 +26,10 @@
   // Begins to open the connection and sends the request once it is open.
   void Open(base::Millis now);
   // Gives an idle or new connection its request.
-  void Start(int64_t id, OutgoingRequest request, AnswerHandler& handler);
+  void Start(base::Millis now,
+             int64_t id,
+             OutgoingRequest request,
+             AnswerHandler& handler);
 
   // Closes without telling the handler.
   void Drop();
@@ -41,6 +44,8 @@
   bool closed() const noexcept { return closed_; }
   // Time after which the idle connection must not be used.
   base::Millis idle_until() const noexcept { return idle_until_; }
+  // When it became idle.
+  base::Millis idle_since() const noexcept { return idle_since_; }
   void BecomeIdle(base::Millis now, base::Millis idle_limit);
 
  private:
@@ -80,6 +85,12 @@
   bool waits_to_write_ = false;
   base::Millis opened_at_;
   base::Millis idle_until_;
+  base::Millis idle_since_;
+  base::Millis started_at_;
+  // How long the connection had rested before its request; empty when new.
+  std::optional<base::Millis> rested_;
+  // Bytes have come since the request was sent.
+  bool heard_ = false;
   // What the server says of its own idle limit.
   std::optional<base::Millis> server_idle_limit_;
 };
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/upstream_pool.cc
@@ -7,12 +7,13 @@
 #include "base/clocks.h"
 #include "relay/answer_handler.h"
 #include "relay/outgoing_request.h"
+#include "rest_limit.h"
 #include "upstream_connection.h"
 
 namespace godwit::relay {
 
 UpstreamPool::UpstreamPool(boost::asio::io_context& io, Options options)
-    : io_(io), options_(options) {}
+    : io_(io), options_(options), rest_limit_(std::make_unique<RestLimit>()) {}
 
 UpstreamPool::~UpstreamPool() {
   for (auto& [id, connection] : busy_) {
@@ -29,32 +30,34 @@
                            OutgoingRequest request,
                            AnswerHandler& handler) {
   const int64_t id = next_request_++;
-  auto connection = TakeIdle(server);
+  const base::Millis now = base::SteadyNow();
+  auto connection = TakeIdle(now, server);
   const bool is_new = connection == nullptr;
   if (is_new) {
     connection = std::make_shared<UpstreamConnection>(*this, server);
     ++opened_;
   }
   busy_[id] = connection;
-  connection->Start(id, std::move(request), handler);
+  connection->Start(now, id, std::move(request), handler);
   if (is_new) {
-    connection->Open(base::SteadyNow());
+    connection->Open(now);
   }
   return id;
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
+    base::Millis now,
     const base::Endpoint& server) {
   const auto found = idle_.find(server);
   if (found == idle_.end()) {
     return nullptr;
   }
   auto& connections = found->second;
-  const base::Millis now = base::SteadyNow();
   while (!connections.empty()) {
     auto connection = std::move(connections.back());
     connections.pop_back();
-    if (!connection->closed() && now < connection->idle_until()) {
+    if (!connection->closed() && now < connection->idle_until() &&
+        rest_limit_->Allows(now, now - connection->idle_since())) {
       return connection;
     }
     connection->Drop();
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -77,6 +77,7 @@
   kKvAnswerLost = 803,
   kLeaseGranted = 804,
   kLeaseLapsed = 805,
+  kPeerSilent = 806,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -150,6 +150,9 @@
        "The process holds a lease at the KV."},
       {EventId::kLeaseLapsed, Level::kWarning, "lease_lapsed",
        "The lease of this process lapsed; its grants may be sealed."},
+      {EventId::kPeerSilent, Level::kWarning, "peer_silent",
+       "Another router did not answer an ask for a loan; others are asked "
+       "meanwhile."},
   };
   return table;
 }
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -6,6 +6,7 @@
 #include "dispatch/start_attempt.h"
 #include "ledger/grant_closed.h"
 #include "ledger/loan_reply.h"
+#include "ledger/peer_silent.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
 #include "telemetry/metric_id.h"
@@ -75,6 +76,13 @@
                                  {"by_promise", closed.by_promise}});
 }
 
+void LogSilent(const ledger::PeerSilent& silent) {
+  Log(EventId::kPeerSilent, {{"peer", silent.peer.incarnation},
+                             {"address", silent.peer.address.ToText()},
+                             {"budget", silent.budget},
+                             {"waited_ms", silent.waited}});
+}
+
 void LogLoan(const ledger::LoanReply& reply) {
   // The reply to an ask that waits is logged once it is decided.
   if (reply.state == ledger::LoanReply::State::kPending) {
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -13,6 +13,7 @@
 namespace godwit::ledger {
 struct GrantClosed;
 struct LoanReply;
+struct PeerSilent;
 }  // namespace godwit::ledger
 
 namespace godwit::telemetry {
@@ -26,6 +27,7 @@
                const dispatch::StartAttempt& attempt);
 void LogAbandoned(const dispatch::AttemptAbandoned& record);
 void LogClosed(const ledger::GrantClosed& closed);
+void LogSilent(const ledger::PeerSilent& silent);
 void LogLoan(const ledger::LoanReply& reply);
 void LogBelief(const dispatch::BeliefChanged& change);
 void LogEnded(const dispatch::CallEnded& ended);
