--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -18,8 +18,8 @@
   // burn rate. What is held when all routers are killed at once is lost, so it
   // is no longer than the cuts that happen.
   base::Millis cover = base::Millis(8'000);
-  // Half-lives of the two averages of which the higher estimates the burn rate:
-  // one follows a surge, the other bridges a lull.
+  // Half-lives of the two averages whose mean estimates the burn rate: one
+  // follows a surge, the other bridges a lull.
   base::Millis burn_half_life = base::Millis(3'000);
   base::Millis usual_half_life = base::Millis(12'000);
   // Before anything is burnt, all routers together hold one part in this many
@@ -28,14 +28,15 @@
   // Routers together set aside a part of what is left of a budget: `slope`
   // times what is left of the limit beyond `scarce`, as shares of the limit and
   // between the two bounds. Little of a budget that runs out is set aside: what
-  // a cut keeps back can still be used later, what a kill loses can't. Each
-  // router takes the part that is its own of what all have used.
+  // a cut keeps back can still be used later, what a kill loses can't. The
+  // lender of a budget takes it all; a router that stands in for it, the part
+  // that is its own of what all have used.
   double share_slope = 0.9;
   double share_scarce = 0.12;
   double most_share = 0.8;
   double least_share = 0.05;
-  // Large requests in a row that a holding is to serve, as long as they are no
-  // more than one part in `large_part` of the limit for each router.
+  // Large requests in a row that a holding is to serve beside the burn rate, as
+  // long as they are no more than one part in `large_part` of the limit.
   int64_t large_requests = 1;
   int64_t large_part = 40;
   // Once less than one part in `scarce_part` of a limit is left, a request
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -166,6 +166,8 @@
   }
   const auto used = book_.Report(ask);
   if (!used) {
+    // Its loan was forgotten while it was out of the fleet. What it has stays
+    // its own; without an answer it asks others.
     return;
   }
   if (used->tokens > 0) {
--- a/tests/fuzz/ledger/ledger_fuzzer.cc
+++ b/tests/fuzz/ledger/ledger_fuzzer.cc
@@ -5,6 +5,7 @@
 
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_edit.h"
+#include "ledger/peer_codec.h"
 
 namespace {
 
@@ -33,13 +34,28 @@
   Require(!edit.record().CheckInvariant());
 }
 
+// What is read as a message of another router reads the same again.
+void ReadAsMessage(const std::string& bytes) {
+  const auto message = godwit::ledger::DecodePeerMessage(bytes);
+  if (message) {
+    Require(godwit::ledger::DecodePeerMessage(
+                godwit::ledger::EncodePeerMessage(*message)) == message);
+  }
+  const auto peer = godwit::ledger::DecodePeer(bytes);
+  if (peer) {
+    Require(godwit::ledger::DecodePeer(godwit::ledger::EncodePeer(*peer)) ==
+            peer);
+  }
+}
+
 }  // namespace
 
-// Feeds arbitrary bytes to the decoder of ledger records: it must either refuse
-// them with message and remedy, or give a sound record that reads the same
-// again.
+// Feeds arbitrary bytes to the decoders of ledger records and of messages
+// between routers: a record is refused with message and remedy, or is sound and
+// reads the same again.
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
   const std::string bytes(reinterpret_cast<const char*>(data), size);
+  ReadAsMessage(bytes);
   LedgerCodec codec;
   const auto record = codec.Decode(bytes);
   if (!record) {
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -49,20 +49,6 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-std::string_view OutcomeName(platform::WriteOutcome outcome) {
-  switch (outcome) {
-    case platform::WriteOutcome::kWon:
-      return "won";
-    case platform::WriteOutcome::kLost:
-      return "lost";
-    case platform::WriteOutcome::kNotSent:
-      return "not_sent";
-    case platform::WriteOutcome::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 class EdgeDaemon::Impl : public relay::CallerHandler, public Exchange::Events {
@@ -248,13 +234,11 @@
                 [this](const platform::KvReadDone& done) { Raise(done); });
   }
   void Do(const platform::KvWrite& command) {
-    store_.Write(
-        command, [this, key = command.key](const platform::KvWriteDone& done) {
-          Log(EventId::kLedgerWritten, {{"key", key},
-                                        {"outcome", OutcomeName(done.outcome)},
-                                        {"revision", done.version}});
-          Raise(done);
-        });
+    store_.Write(command,
+                 [this, key = command.key](const platform::KvWriteDone& done) {
+                   LogLedgerWrite(key, done);
+                   Raise(done);
+                 });
   }
 
   void Do(const ledger::GrantClosed& command) { LogClosed(command); }
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -7,6 +7,7 @@
 #include "ledger/grant_closed.h"
 #include "ledger/loan_reply.h"
 #include "ledger/peer_silent.h"
+#include "platform/kv_write_done.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
 #include "telemetry/metric_id.h"
@@ -43,6 +44,34 @@
   return EventId::kBackendReadmitted;
 }
 
+std::string_view OutcomeName(platform::WriteOutcome outcome) {
+  switch (outcome) {
+    case platform::WriteOutcome::kWon:
+      return "won";
+    case platform::WriteOutcome::kLost:
+      return "lost";
+    case platform::WriteOutcome::kNotSent:
+      return "not_sent";
+    case platform::WriteOutcome::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+std::string_view OutcomeName(ledger::LoanReply::State state) {
+  switch (state) {
+    case ledger::LoanReply::State::kLent:
+      return "lent";
+    case ledger::LoanReply::State::kPending:
+      return "pending";
+    case ledger::LoanReply::State::kNothingFree:
+      return "nothing_free";
+    case ledger::LoanReply::State::kRefused:
+      break;
+  }
+  return "refused";
+}
+
 }  // namespace
 
 void LogPlaced(const std::string& request_id,
@@ -67,6 +96,12 @@
                                  {"since_start_ms", record.since_start}});
 }
 
+void LogLedgerWrite(const std::string& key, const platform::KvWriteDone& done) {
+  Log(EventId::kLedgerWritten, {{"key", key},
+                                {"outcome", OutcomeName(done.outcome)},
+                                {"revision", done.version}});
+}
+
 void LogClosed(const ledger::GrantClosed& closed) {
   Log(EventId::kGrantRecovered, {{"budget", closed.budget},
                                  {"holder", closed.holder},
@@ -85,14 +120,13 @@
 
 void LogLoan(const ledger::LoanReply& reply) {
   // The reply to an ask that waits is logged once it is decided.
-  if (reply.state == ledger::LoanReply::State::kPending) {
-    return;
+  if (reply.state != ledger::LoanReply::State::kPending) {
+    Log(EventId::kLoanAnswered, {{"borrower", reply.borrower},
+                                 {"budget", reply.budget},
+                                 {"lent", reply.lent},
+                                 {"left", reply.left},
+                                 {"outcome", OutcomeName(reply.state)}});
   }
-  const bool is_lent = reply.state == ledger::LoanReply::State::kLent;
-  Log(EventId::kLoanAnswered, {{"borrower", reply.borrower},
-                               {"budget", reply.budget},
-                               {"lent", reply.lent},
-                               {"outcome", is_lent ? "lent" : "refused"}});
 }
 
 void LogBelief(const BeliefChanged& change) {
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -16,6 +16,10 @@
 struct PeerSilent;
 }  // namespace godwit::ledger
 
+namespace godwit::platform {
+struct KvWriteDone;
+}
+
 namespace godwit::telemetry {
 class Metrics;
 }
@@ -26,6 +30,7 @@
 void LogPlaced(const std::string& request_id,
                const dispatch::StartAttempt& attempt);
 void LogAbandoned(const dispatch::AttemptAbandoned& record);
+void LogLedgerWrite(const std::string& key, const platform::KvWriteDone& done);
 void LogClosed(const ledger::GrantClosed& closed);
 void LogSilent(const ledger::PeerSilent& silent);
 void LogLoan(const ledger::LoanReply& reply);
