Write the ledger's layout again when its write was lost

Found while reading: a write of the layout that went unanswered and never took effect left the router reading it for ever, without budgets. The test failed before.

--- a/libs/ledger/src/metered_pump.cc
+++ b/libs/ledger/src/metered_pump.cc
@@ -52,8 +52,7 @@
 }
 
 bool MeteredHolder::State::KnowsLayout() const {
-  return layout_.known() && !layout_.has_open_writes() &&
-         layout_.record().keys == policy_.shard_count;
+  return layout_.known() && layout_.record().keys == policy_.shard_count;
 }
 
 std::optional<MeteredHolder::Command> MeteredHolder::State::PumpLayout(
@@ -67,7 +66,7 @@
   if (now < layout_retry_at_) {
     return std::nullopt;
   }
-  if (!layout_.known() || layout_.outdated() || layout_.has_open_writes()) {
+  if (!layout_.known() || layout_.outdated()) {
     return layout_.StartRead(now, next_operation_++);
   }
   if (layout_.record().keys == 0) {
--- a/libs/ledger/tests/metered_holder_test.cc
+++ b/libs/ledger/tests/metered_holder_test.cc
@@ -358,3 +358,16 @@
   }
   CHECK_EQUAL(used, world.Used());
 }
+
+TEST(MeteredHolder, WritesTheLayoutAgainWhenItsWriteWasLost) {
+  MeteredWorld world(1, 1, 10'000);
+  world.faults().lost_write_percent = 100;
+  world.Advance(Millis(500));
+  world.faults().lost_write_percent = 0;
+  world.Advance(Millis(1500));
+  const int64_t operations = world.kv_operations();
+  CHECK_TEXT(operations < 100, std::to_string(operations).c_str());
+  world.Request(0, 100);
+  world.Advance(Millis(300));
+  CHECK_EQUAL(1, world.served());
+}
