--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -176,6 +176,10 @@
 
 void Dispatcher::State::PumpBudgets() {
   Emit(budgets_.Tick(now_));
+  RetryBudgets();
+}
+
+void Dispatcher::State::RetryBudgets() {
   std::vector<CallId> waiting;
   for (const auto& [id, call] : calls_) {
     if (call->phase == Call::Phase::kAwaitsBudget) {
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -249,7 +249,7 @@
 
 void Dispatcher::State::On(const PeerHeard& event) {
   Emit(budgets_.On(now_, event.from, event.message));
-  PumpBudgets();
+  RetryBudgets();
 }
 
 void Dispatcher::State::On(const DrainRequested& /*event*/) {
@@ -260,12 +260,12 @@
 
 void Dispatcher::State::On(const platform::KvReadDone& event) {
   Emit(budgets_.On(now_, event));
-  PumpBudgets();
+  RetryBudgets();
 }
 
 void Dispatcher::State::On(const platform::KvWriteDone& event) {
   Emit(budgets_.On(now_, event));
-  PumpBudgets();
+  RetryBudgets();
 }
 
 void Dispatcher::State::On(const Tick& event) {
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -60,7 +60,10 @@
   void Wait(Call& call);
   bool IsHopeless(const Call& call) const;
   base::Millis ExpectedWait(const Call& call) const;
+  // Lets the budgets do what is due, and then asks again for calls that wait
+  // for them.
   void PumpBudgets();
+  void RetryBudgets();
   void PumpLines();
 
   // Attempts; call_attempts.cc.
--- a/libs/ledger/include/ledger/metered_holder.h
+++ b/libs/ledger/include/ledger/metered_holder.h
@@ -107,16 +107,8 @@
                           const base::Endpoint& from,
                           const PeerMessage& message);
 
-  // Tokens that may be reserved now.
-  base::Tokens available(base::Millis now, const base::BudgetId& budget) const;
-  // When the record behind `available` was surely the stored one.
-  base::Millis proven_at(const base::BudgetId& budget) const;
-  // Sum of all that was lent to the borrower of an ask.
-  base::Tokens lent(const LoanAsk& ask) const;
   // What a verdict on the budget is based on, for logs.
   std::string Describe(base::Millis now, const base::BudgetId& budget) const;
-  // True when the last operation on the KV brought an answer.
-  bool kv_answers() const;
 
  private:
   struct State;
--- a/libs/ledger/src/loan_book.cc
+++ b/libs/ledger/src/loan_book.cc
@@ -29,11 +29,9 @@
   return newly_used;
 }
 
-Tokens LoanBook::Lend(const LoanAsk& ask, Tokens more) {
-  Loan& loan = loans_[KeyOf(ask)];
-  loan.lent += more;
+void LoanBook::Lend(const LoanAsk& ask, Tokens more) {
+  loans_[KeyOf(ask)].lent += more;
   outstanding_[ask.budget] += more;
-  return loan.lent;
 }
 
 Tokens LoanBook::Lent(const LoanAsk& ask) const {
--- a/libs/ledger/src/loan_book.h
+++ b/libs/ledger/src/loan_book.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <utility>
-#include <vector>
 
 #include "base/endpoint.h"
 #include "base/ids.h"
@@ -32,8 +31,8 @@
   // used; empty when it reports more than was lent, so that it is not of this
   // life.
   std::optional<Usage> Report(const LoanAsk& ask);
-  // Lends so much more. The sum lent.
-  base::Tokens Lend(const LoanAsk& ask, base::Tokens more);
+  // Lends so much more.
+  void Lend(const LoanAsk& ask, base::Tokens more);
   base::Tokens Lent(const LoanAsk& ask) const;
   // Lent of a budget, and neither reported as used nor given back.
   base::Tokens Outstanding(const base::BudgetId& budget) const;
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_METERED_BUDGET_H_
 #define LEDGER_METERED_BUDGET_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 
@@ -11,6 +12,7 @@
 #include "ledger/budget_limit.h"
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
+#include "ledger/shard.h"
 
 namespace godwit::ledger {
 
@@ -18,6 +20,7 @@
 struct MeteredBudget {
   MeteredBudget(BudgetLimit stated, const MeteredPolicy& policy)
       : limit(std::move(stated)),
+        shard(static_cast<size_t>(ShardOf(limit.budget, policy.shard_count))),
         burn(policy.burn_half_life),
         usual_burn(policy.usual_half_life),
         use(policy.burn_half_life) {}
@@ -32,6 +35,8 @@
   };
 
   BudgetLimit limit;
+  // Index of its ledger key.
+  const size_t shard;
   // Used under the own grant since it began, by this router or by borrowers
   // that reported it.
   base::Tokens spent = 0;
--- a/libs/ledger/src/metered_holder.cc
+++ b/libs/ledger/src/metered_holder.cc
@@ -35,6 +35,9 @@
     const auto [entry, is_new] =
         state.budgets_.try_emplace(limit.budget, limit, state.policy_);
     MeteredBudget& budget = entry->second;
+    if (is_new) {
+      state.shards_[budget.shard].budgets.push_back(&budget);
+    }
     if (limit.limit < budget.limit.limit) {
       // The lender may not know yet that less may be used.
       budget.borrowed.Return(
@@ -45,7 +48,7 @@
       budget.nothing_free_until = base::Millis();
     }
     budget.limit = limit;
-    entry->second.dropped = false;
+    budget.dropped = false;
   }
 }
 
@@ -78,7 +81,6 @@
                                                      MeteredBudget& budget,
                                                      base::Tokens amount,
                                                      base::Millis since) {
-  const base::BudgetId& id = budget.limit.budget;
   if (budget.dropped) {
     return Verdict::kReserved;
   }
@@ -88,7 +90,7 @@
   if (IsTooLargeForTheRest(budget, amount)) {
     return Verdict::kUnavailable;
   }
-  if (Available(id) >= amount) {
+  if (Available(budget) >= amount) {
     budget.reserved += amount;
     budget.need = 0;
     budget.loan_need = 0;
@@ -108,7 +110,7 @@
   }
   budget.loan_need = 0;
   budget.need = std::max(budget.need, amount);
-  const Shard& shard = ShardOfBudget(id);
+  const Shard& shard = ShardOfBudget(budget);
   const bool is_fresh =
       shard.view.known() &&
       shard.view.proven_at() + policy_.fresh >= std::min(now, since);
@@ -117,7 +119,7 @@
     return Verdict::kExhausted;
   }
   // What is held but not promised comes free soon.
-  const bool is_away = IsAway(now, shard) && Held(id) < amount;
+  const bool is_away = IsAway(now, shard) && Held(budget) < amount;
   if (waited_enough || is_away) {
     budget.need = 0;
     return Verdict::kUnavailable;
@@ -147,12 +149,12 @@
     return false;
   }
   for (const auto& [id, budget] : state_->budgets_) {
-    const State::Shard& shard = state_->ShardOfBudget(id);
+    const State::Shard& shard = state_->ShardOfBudget(budget);
     // What others borrowed stays with the grant, which a later life closes.
     const bool is_lent = state_->book_.Outstanding(id) > 0;
     const bool is_settled =
         state_->OwnGrant(shard.view.record(), id) == nullptr ||
-        (is_lent && state_->Granted(id) <= state_->Taken(budget));
+        (is_lent && state_->Granted(budget) <= state_->Taken(budget));
     if (budget.reserved > 0 || shard.view.busy_since() || !is_settled) {
       return false;
     }
@@ -196,20 +198,6 @@
   return state_->Pump(now);
 }
 
-base::Tokens MeteredHolder::available(base::Millis now,
-                                      const base::BudgetId& budget) const {
-  state_->now_ = now;
-  return state_->Available(budget);
-}
-
-base::Millis MeteredHolder::proven_at(const base::BudgetId& budget) const {
-  return state_->ShardOfBudget(budget).view.proven_at();
-}
-
-base::Tokens MeteredHolder::lent(const LoanAsk& ask) const {
-  return state_->book_.Lent(ask);
-}
-
 std::string MeteredHolder::Describe(base::Millis now,
                                     const base::BudgetId& budget) const {
   const MeteredBudget* const local = state_->Find(budget);
@@ -220,13 +208,13 @@
     return "the ledger is stored under " +
            std::to_string(state_->layout_.record().keys) + " keys";
   }
-  const State::Shard& shard = state_->ShardOfBudget(budget);
+  const State::Shard& shard = state_->ShardOfBudget(*local);
   const auto stored = shard.view.record().budgets.find(budget);
   const base::Tokens free =
       stored == shard.view.record().budgets.end() ? 0 : stored->second.free();
   return "limit " + std::to_string(local->limit.limit) + ", granted " +
-         std::to_string(state_->Granted(budget)) + ", promised " +
-         std::to_string(state_->Promised(budget)) + ", spent " +
+         std::to_string(state_->Granted(*local)) + ", promised " +
+         std::to_string(state_->Promised(*local)) + ", spent " +
          std::to_string(local->spent) + ", reserved " +
          std::to_string(local->reserved) + ", lent " +
          std::to_string(state_->book_.Outstanding(budget)) + ", borrowed " +
@@ -236,9 +224,4 @@
          std::to_string((now - shard.view.proven_at()).count()) + " ms";
 }
 
-bool MeteredHolder::kv_answers() const {
-  return std::all_of(state_->shards_.begin(), state_->shards_.end(),
-                     [](const State::Shard& shard) { return shard.answers; });
-}
-
 }  // namespace godwit::ledger
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -14,10 +14,6 @@
 
 constexpr int64_t kPercent = 100;
 
-uint64_t Rank(const std::string& key, const base::ProcessId& process) {
-  return base::Digest::Of(key + "/" + process.value()).low();
-}
-
 }  // namespace
 
 void MeteredHolder::State::SetPeers(base::Millis now,
@@ -67,17 +63,23 @@
 }
 
 void MeteredHolder::State::RankLenders() {
+  const size_t count = std::min(peers_.size(), policy_.most_lenders);
+  std::vector<std::pair<uint64_t, const Peer*>> ranked(peers_.size());
   for (size_t i = 0; i < shards_.size(); ++i) {
-    const std::string key = std::to_string(i);
-    std::vector<Peer> lenders = peers_;
-    std::sort(lenders.begin(), lenders.end(),
-              [&key](const Peer& a, const Peer& b) {
-                return Rank(key, a.process) > Rank(key, b.process);
-              });
-    if (lenders.size() > policy_.most_lenders) {
-      lenders.resize(policy_.most_lenders);
+    const std::string key = std::to_string(i) + "/";
+    std::transform(
+        peers_.begin(), peers_.end(), ranked.begin(), [&key](const Peer& peer) {
+          return std::make_pair(
+              base::Digest::Of(key + peer.process.value()).low(), &peer);
+        });
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<int64_t>(count),
+        ranked.end(),
+        [](const auto& a, const auto& b) { return a.first > b.first; });
+    shards_[i].lenders.clear();
+    for (size_t j = 0; j < count; ++j) {
+      shards_[i].lenders.push_back(*ranked[j].second);
     }
-    shards_[i].lenders = std::move(lenders);
   }
 }
 
@@ -122,7 +124,7 @@
 
 const Peer* MeteredHolder::State::LenderOf(base::Millis now,
                                            const MeteredBudget& budget) const {
-  const Shard& shard = ShardOfBudget(budget.limit.budget);
+  const Shard& shard = ShardOfBudget(budget);
   for (const Peer& peer : shard.lenders) {
     if (peer.process == process_) {
       if (!IsAway(now, shard)) {
@@ -145,8 +147,7 @@
 
 Tokens MeteredHolder::State::LoanTarget(base::Millis now,
                                         const MeteredBudget& budget) const {
-  if (draining_ || budget.dropped ||
-      IsLender(ShardOfBudget(budget.limit.budget))) {
+  if (draining_ || budget.dropped || IsLender(ShardOfBudget(budget))) {
     return 0;
   }
   return std::min(budget.UseOver(now, policy_.loan_cover, policy_),
@@ -188,7 +189,7 @@
                                   const LoanBook::Waiting& waiting) {
   const LoanAsk& ask = waiting.ask;
   const MeteredBudget& local = *Find(ask.budget);
-  const Shard& shard = ShardOfBudget(ask.budget);
+  const Shard& shard = ShardOfBudget(local);
   const Tokens lent = book_.Lent(ask);
   const Tokens least = std::max<Tokens>(0, ask.least - lent);
   const Tokens wished = std::max(least, ask.wished - lent);
@@ -197,7 +198,7 @@
     Reply(waiting.from, ask, LoanReply::State::kLent);
     return true;
   }
-  const Tokens own = draining_ ? 0 : OwnAvailable(ask.budget);
+  const Tokens own = draining_ ? 0 : OwnAvailable(local);
   const bool is_too_large = least > 0 && IsTooLargeForTheRest(local, least);
   if (own >= least && own > 0 && !is_too_large) {
     // The last of a holding is kept for those that have to wait without it.
@@ -209,7 +210,7 @@
   const bool is_fresh =
       shard.view.known() && now - shard.view.proven_at() <= policy_.fresh;
   const bool is_free =
-      Held(ask.budget) >= least || stored == nullptr || stored->free() > 0;
+      Held(local) >= least || stored == nullptr || stored->free() > 0;
   const bool may_come_back =
       book_.Outstanding(ask.budget) + local.ReservedOfGrant() >= least;
   const bool is_over = now - waiting.since >= policy_.pending_limit;
@@ -221,7 +222,7 @@
     return true;
   }
   const bool has_prospect = is_serving && !is_too_large && !is_over &&
-                            (Held(ask.budget) >= least || shard.answers);
+                            (Held(local) >= least || shard.answers);
   if (!has_prospect) {
     Reply(waiting.from, ask, LoanReply::State::kRefused);
   }
@@ -315,8 +316,7 @@
 }
 
 void MeteredHolder::State::Borrow(base::Millis now, MeteredBudget& budget) {
-  const base::BudgetId& id = budget.limit.budget;
-  const bool is_waited_for = budget.loan_need > Available(id);
+  const bool is_waited_for = budget.loan_need > Available(budget);
   const Tokens target = LoanTarget(now, budget);
   const Tokens spare = budget.borrowed.free() - budget.reserved;
   const bool is_low =
@@ -339,18 +339,17 @@
                                    MeteredBudget& budget,
                                    const Peer& lender,
                                    bool asks) {
-  const base::BudgetId& id = budget.limit.budget;
   Borrowed::Loan& loan = budget.borrowed.LoanOf(lender.incarnation);
   LoanAsk ask;
   ask.borrower = self_;
   ask.lender = lender.incarnation;
-  ask.budget = id;
+  ask.budget = budget.limit.budget;
   ask.used = loan.used;
   ask.unproven = loan.unproven;
   ask.returned = loan.returned;
   if (asks) {
     const Tokens lacking =
-        std::max<Tokens>(0, budget.loan_need - Available(id));
+        std::max<Tokens>(0, budget.loan_need - Available(budget));
     const Tokens spare =
         std::max<Tokens>(0, budget.borrowed.free() - budget.reserved);
     const Tokens wished =
--- a/libs/ledger/src/metered_pump.cc
+++ b/libs/ledger/src/metered_pump.cc
@@ -17,9 +17,9 @@
 }  // namespace
 
 bool MeteredHolder::State::HoldsAny(const Shard& shard) const {
-  return std::any_of(budgets_.begin(), budgets_.end(), [&](const auto& entry) {
-    return &ShardOfBudget(entry.first) == &shard && Held(entry.first) > 0;
-  });
+  return std::any_of(
+      shard.budgets.begin(), shard.budgets.end(),
+      [this](const MeteredBudget* budget) { return Held(*budget) > 0; });
 }
 
 std::vector<MeteredHolder::Command> MeteredHolder::State::Pump(
@@ -88,11 +88,11 @@
   bool is_due = false;
   for (const auto& [id, budget] : budgets_) {
     const Tokens headroom = Headroom(now, budget);
-    const Tokens promised = Promised(id);
-    promise.most[id] = std::min(Granted(id), Taken(budget) + headroom);
+    const Tokens promised = Promised(budget);
+    promise.most[id] = std::min(Granted(budget), Taken(budget) + headroom);
     is_due = is_due || promise.most[id] != promised;
-    is_urgent = is_urgent ||
-                (budget.Need() > Available(id) && promise.most[id] > promised);
+    is_urgent = is_urgent || (budget.Need() > Available(budget) &&
+                              promise.most[id] > promised);
   }
   if (!is_due || draining_) {
     return std::nullopt;
@@ -144,13 +144,12 @@
 LedgerRecord MeteredHolder::State::NextRecord(base::Millis now, Shard& shard) {
   LedgerEdit edit(shard.view.record());
   shard.closing.clear();
-  for (const auto& [id, budget] : budgets_) {
-    if (&ShardOfBudget(id) == &shard) {
-      edit.CreateBudget(id, budget.limit.organisation);
-      const auto closed = CloseEarlierGrants(now, edit, id);
-      shard.closing.insert(shard.closing.end(), closed.begin(), closed.end());
-      Edit(now, edit, budget);
-    }
+  for (const MeteredBudget* budget : shard.budgets) {
+    const base::BudgetId& id = budget->limit.budget;
+    edit.CreateBudget(id, budget->limit.organisation);
+    const auto closed = CloseEarlierGrants(now, edit, id);
+    shard.closing.insert(shard.closing.end(), closed.begin(), closed.end());
+    Edit(now, edit, *budget);
   }
   return edit.record();
 }
@@ -163,7 +162,7 @@
   const base::BudgetId& id = budget.limit.budget;
   const base::GrantId grant = GrantOf(id);
   const Tokens target = Target(now, budget);
-  const Tokens held = std::max<Tokens>(0, Granted(id) - Taken(budget));
+  const Tokens held = std::max<Tokens>(0, Granted(budget) - Taken(budget));
   if (OwnGrant(edit.record(), id) != nullptr) {
     edit.Settle(id, grant, self_, budget.spent - budget.unproven);
     if (draining_ && budget.reserved == 0 && book_.Outstanding(id) == 0) {
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -45,14 +45,9 @@
   return found == record.budgets.end() ? nullptr : &found->second;
 }
 
-MeteredHolder::State::Shard& MeteredHolder::State::ShardOfBudget(
-    const base::BudgetId& budget) {
-  return shards_[static_cast<size_t>(ShardOf(budget, policy_.shard_count))];
-}
-
 const MeteredHolder::State::Shard& MeteredHolder::State::ShardOfBudget(
-    const base::BudgetId& budget) const {
-  return shards_[static_cast<size_t>(ShardOf(budget, policy_.shard_count))];
+    const MeteredBudget& budget) const {
+  return shards_[budget.shard];
 }
 
 MeteredBudget* MeteredHolder::State::Find(const base::BudgetId& budget) {
@@ -82,14 +77,14 @@
   return found == stored->grants.end() ? nullptr : &found->second;
 }
 
-Tokens MeteredHolder::State::Granted(const base::BudgetId& budget) const {
+Tokens MeteredHolder::State::Granted(const MeteredBudget& budget) const {
   const View& view = ShardOfBudget(budget).view;
   if (!view.known()) {
     return 0;
   }
   std::optional<Tokens> least;
   view.HoldsInAll([&](const LedgerRecord& record) {
-    const Grant* const grant = OwnGrant(record, budget);
+    const Grant* const grant = OwnGrant(record, budget.limit.budget);
     const Tokens amount = grant == nullptr ? 0 : grant->amount;
     least = std::min(least.value_or(amount), amount);
     return true;
@@ -97,8 +92,8 @@
   return *least;
 }
 
-Tokens MeteredHolder::State::Promised(const base::BudgetId& budget) const {
-  return promises_.Promised(budget);
+Tokens MeteredHolder::State::Promised(const MeteredBudget& budget) const {
+  return promises_.Promised(budget.limit.budget);
 }
 
 bool MeteredHolder::State::IsOnItsOwn() const {
@@ -110,29 +105,24 @@
          book_.Outstanding(budget.limit.budget);
 }
 
-Tokens MeteredHolder::State::Held(const base::BudgetId& budget) const {
-  const MeteredBudget* const local = Find(budget);
-  if (local == nullptr || IsOverCommitted(*local)) {
+Tokens MeteredHolder::State::Held(const MeteredBudget& budget) const {
+  if (IsOverCommitted(budget)) {
     return 0;
   }
-  return std::max<Tokens>(0, Granted(budget) - Taken(*local));
+  return std::max<Tokens>(0, Granted(budget) - Taken(budget));
 }
 
-Tokens MeteredHolder::State::OwnAvailable(const base::BudgetId& budget) const {
+Tokens MeteredHolder::State::OwnAvailable(const MeteredBudget& budget) const {
   const Tokens held = Held(budget);
   if (held == 0 || IsOnItsOwn()) {
     return held;
   }
-  return std::clamp<Tokens>(Promised(budget) - Taken(*Find(budget)), 0, held);
+  return std::clamp<Tokens>(Promised(budget) - Taken(budget), 0, held);
 }
 
-Tokens MeteredHolder::State::Available(const base::BudgetId& budget) const {
-  const MeteredBudget* const local = Find(budget);
-  if (local == nullptr) {
-    return 0;
-  }
+Tokens MeteredHolder::State::Available(const MeteredBudget& budget) const {
   return OwnAvailable(budget) +
-         std::max<Tokens>(0, local->borrowed.free() - local->reserved);
+         std::max<Tokens>(0, budget.borrowed.free() - budget.reserved);
 }
 
 Tokens MeteredHolder::State::Headroom(base::Millis now,
@@ -146,19 +136,21 @@
 }
 
 bool MeteredHolder::State::IsOverCommitted(const MeteredBudget& budget) const {
-  const Budget* const stored = BudgetIn(
-      ShardOfBudget(budget.limit.budget).view.record(), budget.limit.budget);
+  const Budget* const stored =
+      BudgetIn(ShardOfBudget(budget).view.record(), budget.limit.budget);
   return stored != nullptr && Committed(*stored) > budget.limit.limit;
 }
 
 Tokens MeteredHolder::State::MostLeft(const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
-  const Budget* const stored = BudgetIn(ShardOfBudget(id).view.record(), id);
+  const Budget* const stored =
+      BudgetIn(ShardOfBudget(budget).view.record(), id);
   if (stored == nullptr) {
     return budget.limit.limit - (budget.spent - budget.unproven);
   }
   Tokens used = stored->total_billed();
-  if (const Grant* const own = OwnGrant(ShardOfBudget(id).view.record(), id)) {
+  if (const Grant* const own =
+          OwnGrant(ShardOfBudget(budget).view.record(), id)) {
     used += std::max<Tokens>(0, budget.spent - budget.unproven - own->billed());
   }
   return budget.limit.limit - used;
@@ -169,7 +161,7 @@
   if (draining_ || budget.dropped || IsOverCommitted(budget)) {
     return 0;
   }
-  const bool is_lender = IsLender(ShardOfBudget(budget.limit.budget));
+  const bool is_lender = IsLender(ShardOfBudget(budget));
   const Tokens burn = budget.BurnOver(now, policy_.cover, policy_);
   if (!is_lender && burn == 0) {
     return budget.Need();
@@ -197,27 +189,28 @@
 // As a budget nears its end each router keeps to its share of what is left.
 Tokens MeteredHolder::State::Share(const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
-  const Budget* const stored = BudgetIn(ShardOfBudget(id).view.record(), id);
+  const Budget* const stored =
+      BudgetIn(ShardOfBudget(budget).view.record(), id);
   const auto routers = static_cast<double>(routers_);
   if (stored == nullptr) {
     return budget.limit.limit / static_cast<Tokens>(routers_);
   }
   const Tokens free =
       std::max<Tokens>(0, budget.limit.limit - Committed(*stored));
-  const Grant* const own = OwnGrant(ShardOfBudget(id).view.record(), id);
+  const Grant* const own = OwnGrant(ShardOfBudget(budget).view.record(), id);
   const Tokens told = own == nullptr ? 0 : own->billed();
   const auto spent = static_cast<double>(budget.spent);
   const double all = static_cast<double>(stored->total_billed() - told) + spent;
   // Until much is used, usage says little on who will use the rest.
   const auto prior = static_cast<double>(budget.limit.limit) / kPriorPart;
-  const bool is_sole = !peers_.empty() && IsLender(ShardOfBudget(id));
+  const bool is_sole = !peers_.empty() && IsLender(ShardOfBudget(budget));
   const double part = is_sole ? 1 : (spent + prior / routers) / (all + prior);
   const double left =
       1 - all / static_cast<double>(std::max<Tokens>(1, budget.limit.limit));
   const double together =
       std::clamp((left - policy_.share_scarce) * policy_.share_slope,
                  policy_.least_share, policy_.most_share);
-  return static_cast<Tokens>(static_cast<double>(free + Held(id)) * part *
+  return static_cast<Tokens>(static_cast<double>(free + Held(budget)) * part *
                              together);
 }
 
@@ -230,9 +223,9 @@
     base::Millis now,
     const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
-  const LedgerRecord& record = ShardOfBudget(id).view.record();
+  const LedgerRecord& record = ShardOfBudget(budget).view.record();
   const bool has_grant = OwnGrant(record, id) != nullptr;
-  const bool holds_free = has_grant && Granted(id) > Taken(budget);
+  const bool holds_free = has_grant && Granted(budget) > Taken(budget);
   if (draining_) {
     const bool may_close =
         budget.reserved == 0 && (holds_free || book_.Outstanding(id) == 0);
@@ -244,7 +237,7 @@
   const Budget* const stored = BudgetIn(record, id);
   const Tokens limit = budget.limit.limit;
   const bool takes_part =
-      has_grant || budget.Need() > 0 || IsLender(ShardOfBudget(id));
+      has_grant || budget.Need() > 0 || IsLender(ShardOfBudget(budget));
   if (stored == nullptr ||
       stored->limit != std::max(limit, Committed(*stored))) {
     return takes_part ? Urgency::kNow : Urgency::kNone;
@@ -252,7 +245,7 @@
   if (HasEarlierGrant(*stored)) {
     return Urgency::kNow;
   }
-  const Tokens held = Held(id);
+  const Tokens held = Held(budget);
   if (IsOverCommitted(budget)) {
     return holds_free ? Urgency::kNow : Urgency::kNone;
   }
@@ -279,18 +272,16 @@
     base::Millis now,
     const Shard& shard) const {
   Urgency most = Urgency::kNone;
-  for (const auto& [id, budget] : budgets_) {
-    if (&ShardOfBudget(id) == &shard) {
-      most = std::max(most, UrgencyOf(now, budget));
-    }
+  for (const MeteredBudget* budget : shard.budgets) {
+    most = std::max(most, UrgencyOf(now, *budget));
   }
   return most;
 }
 
 bool MeteredHolder::State::IsAwaited(const Shard& shard) const {
-  return std::any_of(budgets_.begin(), budgets_.end(), [&](const auto& entry) {
-    return entry.second.Need() > 0 && &ShardOfBudget(entry.first) == &shard;
-  });
+  return std::any_of(
+      shard.budgets.begin(), shard.budgets.end(),
+      [](const MeteredBudget* budget) { return budget->Need() > 0; });
 }
 
 }  // namespace godwit::ledger
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -36,6 +36,8 @@
   struct Shard {
     explicit Shard(std::string key) : view(std::move(key)) {}
     View view;
+    // Those that are stored there; owned by the state.
+    std::vector<MeteredBudget*> budgets;
     base::Millis retry_at;
     base::Millis last_write_at;
     int lost_races = 0;
@@ -57,8 +59,7 @@
   // Null when the record does not have the budget.
   static const Budget* BudgetIn(const LedgerRecord& record,
                                 const base::BudgetId& id);
-  Shard& ShardOfBudget(const base::BudgetId& budget);
-  const Shard& ShardOfBudget(const base::BudgetId& budget) const;
+  const Shard& ShardOfBudget(const MeteredBudget& budget) const;
   MeteredBudget* Find(const base::BudgetId& budget);
   const MeteredBudget* Find(const base::BudgetId& budget) const;
 
@@ -67,9 +68,9 @@
   const Grant* OwnGrant(const LedgerRecord& record,
                         const base::BudgetId& budget) const;
   // Tokens of the own grant in every version of the record that may be stored.
-  base::Tokens Granted(const base::BudgetId& budget) const;
+  base::Tokens Granted(const MeteredBudget& budget) const;
   // What the own promise allows.
-  base::Tokens Promised(const base::BudgetId& budget) const;
+  base::Tokens Promised(const MeteredBudget& budget) const;
   Verdict Reserve(base::Millis now,
                   MeteredBudget& budget,
                   base::Tokens amount,
@@ -78,10 +79,10 @@
   base::Tokens Taken(const MeteredBudget& budget) const;
   // Tokens of the own grant that are not, and those of them that may be
   // reserved or lent now.
-  base::Tokens Held(const base::BudgetId& budget) const;
-  base::Tokens OwnAvailable(const base::BudgetId& budget) const;
+  base::Tokens Held(const MeteredBudget& budget) const;
+  base::Tokens OwnAvailable(const MeteredBudget& budget) const;
   // Tokens that may be reserved now, borrowed ones included.
-  base::Tokens Available(const base::BudgetId& budget) const;
+  base::Tokens Available(const MeteredBudget& budget) const;
   // True while the holder is not bound by its promise.
   bool IsOnItsOwn() const;
   // What to promise beyond what is used and reserved.
--- a/libs/ledger/tests/metered_world.cc
+++ b/libs/ledger/tests/metered_world.cc
@@ -116,6 +116,9 @@
 }
 
 void MeteredWorld::Send(size_t index, const SendToPeer& message) {
+  if (const auto* reply = std::get_if<LoanReply>(&message.message)) {
+    lent_[{reply->lender, reply->borrower}] = reply->lent;
+  }
   if (routers_[index]->isolated) {
     return;
   }
@@ -148,7 +151,7 @@
     Router& router = *routers_[index];
     auto* const ask = std::get_if<LoanAsk>(&datagram.sent.message);
     if (ask != nullptr && forgets_loans_) {
-      ask->returned = router.holder->lent(*ask) - ask->used;
+      ask->returned = lent_[{ask->lender, ask->borrower}] - ask->used;
     }
     if (!router.isolated) {
       Submit(index,
--- a/libs/ledger/tests/metered_world.h
+++ b/libs/ledger/tests/metered_world.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -94,6 +96,8 @@
   bool connected_ = false;
   int lost_percent_ = 0;
   std::deque<Datagram> datagrams_;
+  // Sums lent, by lender and borrower.
+  std::map<std::pair<base::Incarnation, base::Incarnation>, base::Tokens> lent_;
   int64_t kv_operations_ = 0;
 };
 
--- a/libs/platform/include/platform/prefix_follower.h
+++ b/libs/platform/include/platform/prefix_follower.h
@@ -12,6 +12,7 @@
 #include "platform/kv_item.h"
 #include "platform/kv_list_done.h"
 #include "platform/kv_watch_done.h"
+#include "platform/list_reader.h"
 
 namespace godwit::platform {
 
@@ -58,10 +59,7 @@
   bool lost_ = false;
   int failures_ = 0;
   base::Millis retry_at_;
-  // Of the list being read.
-  std::vector<KvItem> items_;
-  std::string start_after_;
-  std::optional<int64_t> first_revision_;
+  ListReader reader_;
   // Where to wait on.
   int64_t revision_ = 0;
 };
--- a/libs/platform/src/prefix_follower.cc
+++ b/libs/platform/src/prefix_follower.cc
@@ -21,7 +21,7 @@
   }
   asking_ = true;
   if (!listed_) {
-    return List{start_after_};
+    return List{reader_.start_after()};
   }
   return Watch{revision_};
 }
@@ -57,21 +57,12 @@
     return news;
   }
   Succeed(news);
-  const KvPage& page = *done.page;
-  // Pages are read one after the other; changes since the first are seen by
-  // waiting from its revision.
-  if (!first_revision_) {
-    first_revision_ = page.revision;
+  // Changes since the first page are seen by waiting from its revision.
+  if (auto list = reader_.Add(*done.page)) {
+    listed_ = true;
+    revision_ = list->revision;
+    news.emplace_back(Listed{std::move(list->items)});
   }
-  items_.insert(items_.end(), page.items.begin(), page.items.end());
-  if (page.truncated && !page.items.empty()) {
-    start_after_ = page.items.back().key;
-    return news;
-  }
-  listed_ = true;
-  revision_ = *std::exchange(first_revision_, std::nullopt);
-  start_after_.clear();
-  news.emplace_back(Listed{std::exchange(items_, {})});
   return news;
 }
 
--- a/tools/godwit-edge/src/store_feed.cc
+++ b/tools/godwit-edge/src/store_feed.cc
@@ -159,7 +159,7 @@
     return;
   }
   listing_ = true;
-  store_.List(kRouterPrefix, list_after_, !list_afresh_,
+  store_.List(kRouterPrefix, routers_.start_after(), !list_afresh_,
               [this](const platform::KvListDone& done) {
                 listing_ = false;
                 OnRouters(base::SteadyNow(), done);
@@ -169,26 +169,22 @@
 void StoreFeed::OnRouters(base::Millis now, const platform::KvListDone& done) {
   list_at_ = now + kRouterListPeriod;
   if (!done.page) {
-    list_after_.clear();
-    listed_.clear();
     return;
   }
-  for (const platform::KvItem& item : done.page->items) {
-    // An entry of an earlier life of this process is about to be replaced.
-    const auto peer = ledger::DecodePeer(item.value);
-    if (peer && peer->process != self_.process) {
-      listed_.push_back(*peer);
-    }
-  }
-  if (done.page->truncated && !done.page->items.empty()) {
-    list_after_ = done.page->items.back().key;
+  const auto list = routers_.Add(*done.page);
+  if (!list) {
     list_at_ = now;
     return;
   }
   list_afresh_ = false;
-  list_after_.clear();
   dispatch::RoutersListed listed;
-  std::swap(listed.routers, listed_);
+  for (const platform::KvItem& item : list->items) {
+    // An entry of an earlier life of this process is about to be replaced.
+    const auto peer = ledger::DecodePeer(item.value);
+    if (peer && peer->process != self_.process) {
+      listed.routers.push_back(*peer);
+    }
+  }
   listed.routers.push_back(self_);
   raise_(listed);
 }
--- a/tools/godwit-edge/src/store_feed.h
+++ b/tools/godwit-edge/src/store_feed.h
@@ -11,6 +11,7 @@
 #include "base/millis.h"
 #include "dispatch/dispatch_event.h"
 #include "ledger/peer.h"
+#include "platform/list_reader.h"
 #include "platform/prefix_follower.h"
 
 namespace godwit::edge {
@@ -64,9 +65,7 @@
   const std::function<void(const dispatch::DispatchEvent&)> raise_;
   Feed configuration_;
   Feed backends_;
-  // The list of routers in progress, which comes in pages.
-  std::vector<ledger::Peer> listed_;
-  std::string list_after_;
+  platform::ListReader routers_;
   base::Millis list_at_;
   bool listing_ = false;
   // The next list must show what is registered by now.
