--- /dev/null
+++ b/libs/dispatch/include/dispatch/configuration_tracking.h
@@ -0,0 +1,27 @@
+#ifndef DISPATCH_CONFIGURATION_TRACKING_H_
+#define DISPATCH_CONFIGURATION_TRACKING_H_
+
+#include <tuple>
+
+namespace godwit::dispatch {
+
+// Event: whether this router learns of changes of the configuration, and
+// whether the platform's store answers its other calls.
+struct ConfigurationTracking {
+  bool is_followed = true;
+  bool store_answers = true;
+
+  friend bool operator==(const ConfigurationTracking& a,
+                         const ConfigurationTracking& b) {
+    return std::tie(a.is_followed, a.store_answers) ==
+           std::tie(b.is_followed, b.store_answers);
+  }
+  friend bool operator!=(const ConfigurationTracking& a,
+                         const ConfigurationTracking& b) {
+    return !(a == b);
+  }
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_CONFIGURATION_TRACKING_H_
--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -12,6 +12,7 @@
 #include "dispatch/backends_listed.h"
 #include "dispatch/call_arrived.h"
 #include "dispatch/caller_disconnected.h"
+#include "dispatch/configuration_tracking.h"
 #include "dispatch/drain_requested.h"
 #include "dispatch/peer_message_received.h"
 #include "dispatch/routers_listed.h"
@@ -35,6 +36,7 @@
                                    BackendRegistered,
                                    BackendRemoved,
                                    StoreAvailabilityChanged,
+                                   ConfigurationTracking,
                                    RoutersListed,
                                    DrainRequested,
                                    PeerMessageReceived,
--- a/libs/dispatch/include/dispatch/dispatcher.h
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -31,7 +31,9 @@
                                     const DispatchEvent& event);
 
   // True when requests can be served: a configuration is in force, the registry
-  // of backend servers was read, and no drain was requested.
+  // of backend servers was read, and no drain was requested. False while the
+  // store answers but the configuration is not followed for longer than
+  // DispatcherOptions::configuration_lag: other routers know a newer one.
   bool ready() const;
   // Number of calls without a final answer.
   size_t open_calls() const;
--- a/libs/dispatch/include/dispatch/dispatcher_options.h
+++ b/libs/dispatch/include/dispatch/dispatcher_options.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/ids.h"
+#include "base/millis.h"
 #include "dispatch/placement_options.h"
 #include "ledger/metered_policy.h"
 
@@ -23,6 +24,9 @@
   // Number of routers assumed to share budgets and retries until the list of
   // routers is read.
   size_t assumed_routers = 8;
+  // Time without following the configuration after which it may be outdated, so
+  // that routes and keys that it does not have may exist.
+  base::Millis configuration_lag{2000};
   // Key of the stored configuration, which writes to the ledger depend on.
   std::string configuration_key;
 };
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <string>
 #include <string_view>
 
 #include "base/digest.h"
@@ -9,10 +10,10 @@
 
 using ReserveResult = ledger::MeteredBudgetManager::ReserveResult;
 
-// Delays after which a refused caller may retry: without a configuration, while
-// this router drains and another takes over, without a budget reservation
-// because the KV is unavailable, without a usable server, and the minimum when
-// all servers are at capacity.
+// Delays after which a refused caller may retry: without a configuration or
+// with one that may be outdated, while this router drains and another takes
+// over, without a budget reservation because the KV is unavailable, without a
+// usable server, and the minimum when all servers are at capacity.
 constexpr base::Millis kNoConfigRetryAfter(500);
 constexpr base::Millis kLeavingRetryAfter(100);
 constexpr base::Millis kBudgetRetryAfter(600);
@@ -70,7 +71,7 @@
   call.table = table_;
   call.route = table_->Match(call.request.host, call.request.path);
   if (call.route == nullptr || call.route->targets.empty()) {
-    Refuse(call, base::ErrorKind::kNotFound, "no route", base::Millis());
+    RefuseUnknown(call, base::ErrorKind::kNotFound, "no route");
     return false;
   }
   const Route& route = *call.route;
@@ -78,8 +79,7 @@
   if (!route.anonymous && table_->requires_api_key()) {
     organisation = table_->FindOrganisation(call.request.api_key);
     if (organisation == nullptr) {
-      Refuse(call, base::ErrorKind::kUnauthenticated, "unknown API key",
-             base::Millis());
+      RefuseUnknown(call, base::ErrorKind::kUnauthenticated, "unknown API key");
       return false;
     }
     call.organisation = organisation->id;
@@ -96,6 +96,23 @@
   return true;
 }
 
+bool Dispatcher::State::MayConfigurationBeOutdated() const {
+  return unfollowed_since_ &&
+         now_ - *unfollowed_since_ >= options_.configuration_lag;
+}
+
+void Dispatcher::State::RefuseUnknown(Call& call,
+                                      base::ErrorKind kind,
+                                      const char* reason) {
+  if (MayConfigurationBeOutdated()) {
+    Refuse(call, base::ErrorKind::kUnavailable,
+           std::string(reason) + " in a configuration that may be outdated",
+           kNoConfigRetryAfter);
+    return;
+  }
+  Refuse(call, kind, reason, base::Millis());
+}
+
 void Dispatcher::State::TryBudget(Call& call) {
   if (!call.has_budget) {
     TryStartAttempt(call);
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -18,7 +18,8 @@
 
 bool Dispatcher::ready() const {
   return state_->table_ != nullptr && state_->directory_.loaded() &&
-         !state_->draining_;
+         !state_->draining_ &&
+         !(state_->MayConfigurationBeOutdated() && state_->store_answers_);
 }
 
 size_t Dispatcher::open_calls() const {
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -201,8 +201,11 @@
 }
 
 void Dispatcher::State::On(const RoutingTableUpdated& event) {
-  // A stale read of the store must not roll back to an older version.
-  if (table_ != nullptr && event.table->version() <= table_->version()) {
+  // A stale read of the store must not roll back to an older version. The same
+  // version may be written again; conditional writes name its revision.
+  if (table_ != nullptr &&
+      std::make_pair(event.table->version(), event.table->revision()) <=
+          std::make_pair(table_->version(), table_->revision())) {
     return;
   }
   table_ = event.table;
@@ -239,6 +242,15 @@
   }
 }
 
+void Dispatcher::State::On(const ConfigurationTracking& event) {
+  store_answers_ = event.store_answers;
+  if (event.is_followed) {
+    unfollowed_since_.reset();
+  } else if (!unfollowed_since_) {
+    unfollowed_since_ = now_;
+  }
+}
+
 void Dispatcher::State::On(const RoutersListed& event) {
   // A shorter list than before may be incomplete. Shares that are too large
   // would let all routers together exceed the retry budget, so the count does
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -44,6 +44,7 @@
   void On(const BackendRegistered& event);
   void On(const BackendRemoved& event);
   void On(const StoreAvailabilityChanged& event);
+  void On(const ConfigurationTracking& event);
   void On(const RoutersListed& event);
   void On(const PeerMessageReceived& event);
   void On(const DrainRequested& event);
@@ -55,6 +56,11 @@
   // Resolves route, organisation, service and deadlines from the
   // configuration. Returns false if the call was refused.
   bool Admit(Call& call);
+  // True if the configuration was not followed for so long that routes and API
+  // keys that it does not have may exist.
+  bool MayConfigurationBeOutdated() const;
+  // Refuses a call for a route or API key that the configuration does not have.
+  void RefuseUnknown(Call& call, base::ErrorKind kind, const char* reason);
   void TryBudget(Call& call);
   void TryStartAttempt(Call& call);
   void Enqueue(Call& call);
@@ -128,6 +134,9 @@
   ledger::MeteredBudgetManager budgets_;
   std::map<base::ServiceId, routing::RetryBudget> retries_;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
+  // When the configuration was no longer followed; empty while it is.
+  std::optional<base::Millis> unfollowed_since_;
+  bool store_answers_ = true;
   size_t routers_;
   bool routers_listed_ = false;
   int64_t next_attempt_ = 1;
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -267,3 +267,38 @@
   CHECK(simulation.outcome(call).ended);
   CHECK(simulation.outcome(call).may_have_run);
 }
+
+TEST(Dispatcher, AnOutdatedConfigurationNeverDeniesARoute) {
+  struct Case {
+    const char* name;
+    bool is_followed;
+    bool store_answers;
+    int64_t elapsed_ms;
+    ErrorKind refusal;
+    bool ready;
+  };
+  for (const Case& c :
+       {Case{"followed", true, true, 5000, ErrorKind::kNotFound, true},
+        Case{"just interrupted", false, true, 500, ErrorKind::kNotFound, true},
+        Case{"the store answers, the configuration is late", false, true, 2500,
+             ErrorKind::kUnavailable, false},
+        // Every router of the fleet may be partitioned from the store; those
+        // that serve what they know are ready.
+        Case{"partitioned from the store", false, false, 2500,
+             ErrorKind::kUnavailable, true}}) {
+    DispatchSimulation simulation({}, Plain(1));
+    simulation.Raise(godwit::dispatch::ConfigurationTracking{c.is_followed,
+                                                             c.store_answers});
+    simulation.Advance(Millis(c.elapsed_ms));
+    const CallId unknown = simulation.Arrive("none");
+    const CallId known = simulation.Arrive("order");
+    simulation.Advance(Millis(500));
+    CHECK_EQUAL_TEXT(static_cast<int>(c.refusal),
+                     static_cast<int>(simulation.outcome(unknown).refusal),
+                     c.name);
+    CHECK_TEXT(simulation.outcome(known).answered, c.name);
+    CHECK_EQUAL_TEXT(c.ready, simulation.dispatcher().ready(), c.name);
+    simulation.Raise(godwit::dispatch::ConfigurationTracking{true, true});
+    CHECK_TEXT(simulation.dispatcher().ready(), c.name);
+  }
+}
--- a/libs/platform/include/platform/prefix_watcher.h
+++ b/libs/platform/include/platform/prefix_watcher.h
@@ -43,6 +43,10 @@
   struct Available {};
   using Update = std::variant<Listed, Changed, Unavailable, Available>;
 
+  // True when changes of the keys are reported: they were listed, and no watch
+  // failed since.
+  bool is_following() const noexcept { return listed_; }
+
   // The next request to the KV, if one is due. Call after each outcome and on
   // every tick.
   std::optional<Request> Next(base::Millis now);
--- a/tools/godwit-edge/src/store_watcher.cc
+++ b/tools/godwit-edge/src/store_watcher.cc
@@ -1,5 +1,6 @@
 #include "store_watcher.h"
 
+#include <string>
 #include <utility>
 
 #include "adapter/configuration.h"
@@ -64,6 +65,7 @@
   const auto done = [this, &subscription](const auto& outcome) {
     const base::Millis at = base::SteadyNow();
     HandleUpdates(subscription, subscription.watcher.On(at, outcome));
+    ReportTracking();
     SendNextRequest(subscription, at);
   };
   if (const auto* list = std::get_if<Watcher::List>(&*request)) {
@@ -97,6 +99,7 @@
 void StoreWatcher::RecordCall(bool answered) {
   unanswered_calls_ = answered ? 0 : unanswered_calls_ + 1;
   ReportAvailability();
+  ReportTracking();
 }
 
 void StoreWatcher::ReportAvailability() {
@@ -113,6 +116,17 @@
   }
 }
 
+void StoreWatcher::ReportTracking() {
+  dispatch::ConfigurationTracking tracking;
+  tracking.store_answers = unanswered_calls_ < kMaxUnansweredCalls;
+  tracking.is_followed =
+      tracking.store_answers && configuration_.watcher.is_following();
+  if (tracking != tracking_) {
+    tracking_ = tracking;
+    raise_(tracking);
+  }
+}
+
 void StoreWatcher::OnConfigurationListed(
     const std::vector<platform::KvItem>& items) {
   for (const platform::KvItem& item : items) {
@@ -132,10 +146,25 @@
                                       int64_t revision) {
   std::string reason;
   auto table = adapter::DecodeConfiguration(bytes, revision, &reason);
+  if (table != nullptr && table->version() < config_version_) {
+    reason = "version " + std::to_string(table->version()) +
+             " is older than the one in force";
+    table = nullptr;
+  }
   if (table == nullptr) {
-    Log(EventId::kConfigRejected, {{"revision", revision}, {"reason", reason}});
+    Log(EventId::kConfigRejected, {{"revision", revision},
+                                   {"reason", reason},
+                                   {"bytes", bytes.size()},
+                                   {"version_in_force", config_version_},
+                                   {"revision_in_force", config_revision_}});
+    return;
+  }
+  if (revision == config_revision_) {
+    // The keys were listed again.
     return;
   }
+  config_version_ = table->version();
+  config_revision_ = revision;
   Log(EventId::kConfigInForce, {{"revision", revision},
                                 {"version", table->version()},
                                 {"routes", table->routes().size()},
--- a/tools/godwit-edge/src/store_watcher.h
+++ b/tools/godwit-edge/src/store_watcher.h
@@ -50,6 +50,7 @@
   void HandleUpdates(Subscription& subscription,
                      const std::vector<Watcher::Update>& updates);
   void ReportAvailability();
+  void ReportTracking();
 
   void OnConfigurationListed(const std::vector<platform::KvItem>& items);
   void OnConfigurationChanged(const platform::KvChange& change);
@@ -81,6 +82,11 @@
   base::Millis next_lease_call_at_;
   int unanswered_calls_ = 0;
   bool available_ = true;
+  // As last reported.
+  dispatch::ConfigurationTracking tracking_;
+  // Of the newest configuration read, in force; zero before the first.
+  int64_t config_version_ = 0;
+  int64_t config_revision_ = 0;
 };
 
 }  // namespace godwit::edge
