Bound what a power loss costs by promises that grow with time

Cause: a router had promised what it spends for three seconds after its last promise, by the monotonic clock of its VM. A restart of the VM proved nothing, so all that was set aside, nine seconds of the fleet's use and more, counted as used.

Ruled out: proofs from the store. A power loss right after a promise and one after an outage of the store that began right after it leave the same records; leases may pause meanwhile. So at least the use of the time off is lost, or outages aren't served.

Change: a promise is an allowance that grows at the burn rate and always binds. A restarted VM counts what it had grown to by its start, in fleet time: the median of the wall clocks that routers send with their datagrams. Fewer than three clocks, or times out of order, free nothing. Loans cover one second instead of two, holdings nine instead of eight. New: calls to the store are counted by subject.

--- a/libs/ledger/include/ledger/loan_reply.h
+++ b/libs/ledger/include/ledger/loan_reply.h
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "base/ids.h"
+#include "base/millis.h"
 
 namespace godwit::ledger {
 
@@ -29,10 +30,14 @@
   State state = State::kLent;
   // Maximum that can remain of the budget, given the usage that is known.
   base::Tokens left = 0;
+  // Wall clock of the sender; zero if it is not known.
+  base::Millis wall_time;
 
   friend bool operator==(const LoanReply& a, const LoanReply& b) {
-    return std::tie(a.lender, a.borrower, a.budget, a.lent, a.state, a.left) ==
-           std::tie(b.lender, b.borrower, b.budget, b.lent, b.state, b.left);
+    return std::tie(a.lender, a.borrower, a.budget, a.lent, a.state, a.left,
+                    a.wall_time) == std::tie(b.lender, b.borrower, b.budget,
+                                             b.lent, b.state, b.left,
+                                             b.wall_time);
   }
   friend bool operator!=(const LoanReply& a, const LoanReply& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/loan_request.h
+++ b/libs/ledger/include/ledger/loan_request.h
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "base/ids.h"
+#include "base/millis.h"
 
 namespace godwit::ledger {
 
@@ -23,12 +24,14 @@
   // that is requested. Zero requests nothing.
   base::Tokens least = 0;
   base::Tokens wished = 0;
+  // Wall clock of the sender; zero if it is not known.
+  base::Millis wall_time;
 
   friend bool operator==(const LoanRequest& a, const LoanRequest& b) {
     return std::tie(a.borrower, a.lender, a.budget, a.used, a.unproven,
-                    a.returned, a.least, a.wished) ==
+                    a.returned, a.least, a.wished, a.wall_time) ==
            std::tie(b.borrower, b.lender, b.budget, b.used, b.unproven,
-                    b.returned, b.least, b.wished);
+                    b.returned, b.least, b.wished, b.wall_time);
   }
   friend bool operator!=(const LoanRequest& a, const LoanRequest& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -17,7 +17,7 @@
   // Duration of a partition from the KV that a holding should cover at the
   // current burn rate. What is held when all routers fail at once is lost, so
   // this is no longer than the partitions that occur.
-  base::Millis outage_cover = base::Millis(8'000);
+  base::Millis outage_cover = base::Millis(9'000);
   // Half-lives of the two averages whose mean estimates the burn rate: the
   // short one follows a surge, the long one bridges a lull.
   base::Millis burn_half_life = base::Millis(3'000);
@@ -57,19 +57,32 @@
   // writes.
   base::Millis deferred_write_interval = base::Millis(600);
   base::Millis min_write_interval = base::Millis(40);
-  // A router that has not reached the KV for this long since its last promise
-  // may spend its full grant; until then it keeps to its promise. A killed
-  // process is restarted, and reads the record, in less time.
-  base::Millis promise_duration = base::Millis(3'000);
-  // Tokens promised in advance, as the usage during this percentage of
-  // `promise_duration` at the burn rate. More than 100 because usage is uneven.
-  int64_t promise_percent = 150;
-  // At least this fraction of a holding's target is promised, and the full
-  // target if it is not above the fraction `small_target_divisor` of the limit.
-  int64_t promise_divisor = 4;
-  int64_t small_target_divisor = 40;
-  // Differences between two clock readings below this value are ignored.
+  // A router keeps to its promise, which allows it the tokens in use, those of
+  // this period at the burn rate in advance, and more as time passes: the burn
+  // rate in percent, first slowly and then faster, or the target of its holding
+  // within the given period if that is more. What is allowed and not used is
+  // lost when the VM restarts.
+  base::Millis promise_cover = base::Millis(750);
+  int64_t promise_rate_percent = 110;
+  int64_t promise_later_percent = 300;
+  base::Millis promise_opening = base::Millis(16'000);
+  // At least this fraction of the limit is allowed in advance, if the target is
+  // as large.
+  int64_t small_target_divisor = 200;
+  // A promise is written again once less than this share of what it should
+  // allow in advance remains, in percent, and, while tokens are used, at least
+  // at the given interval.
+  int64_t promise_refill_percent = 50;
+  base::Millis promise_refresh_interval = base::Millis(1'500);
+  // Differences between two clock readings of one VM below this value are
+  // ignored.
   base::Millis clock_jitter = base::Millis(50);
+  // Upper bound of the difference between fleet time as two routers know it,
+  // from clocks that don't jump.
+  base::Millis clock_skew = base::Millis(300);
+  // Maximum time that a restarted router waits for the clocks of others before
+  // it closes the grants of its earlier incarnations.
+  base::Millis fleet_clock_wait = base::Millis(3'000);
   // Maximum age of a record that proves what remains of a budget.
   base::Millis max_record_age = base::Millis(250);
   // A record that was not read or written for this long is read, to find out
@@ -90,7 +103,7 @@
   size_t max_lenders = 4;
   // Period of usage that a loan covers: several times what it takes to replace
   // a stopped lender. What a failed borrower had not used is lost.
-  base::Millis loan_cover = base::Millis(2'000);
+  base::Millis loan_cover = base::Millis(1'000);
   // A loan covers at most this fraction of the limit, in addition to what waits
   // for it.
   int64_t loan_divisor = 20;
--- /dev/null
+++ b/libs/ledger/src/fleet_clock.cc
@@ -0,0 +1,54 @@
+#include "fleet_clock.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+#include <vector>
+
+namespace godwit::ledger {
+namespace {
+
+// Age after which a reading is not used any more: the clock may have jumped.
+constexpr base::Millis kMaxReadingAge(10'000);
+// Number of clocks of which one may jump.
+constexpr size_t kMinClocks = 3;
+
+}  // namespace
+
+void FleetClock::Record(base::Millis now,
+                        const base::ProcessId& router,
+                        base::Millis wall_time) {
+  if (router != self_ && wall_time != base::Millis()) {
+    readings_[router] = {wall_time - now, now};
+  }
+}
+
+std::optional<base::Millis> FleetClock::Earliest(base::Millis now) const {
+  return Median(now, false);
+}
+
+std::optional<base::Millis> FleetClock::Latest(base::Millis now) const {
+  return Median(now, true);
+}
+
+std::optional<base::Millis> FleetClock::Median(base::Millis now,
+                                               bool latest) const {
+  std::vector<base::Millis> offsets;
+  if (own_) {
+    offsets.push_back(*own_);
+  }
+  for (const auto& [router, reading] : readings_) {
+    if (now - reading.recorded_at < kMaxReadingAge) {
+      offsets.push_back(reading.offset);
+    }
+  }
+  if (offsets.size() < kMinClocks) {
+    return std::nullopt;
+  }
+  const size_t middle = (latest ? offsets.size() : offsets.size() - 1) / 2;
+  const auto at = offsets.begin() + static_cast<std::ptrdiff_t>(middle);
+  std::nth_element(offsets.begin(), at, offsets.end());
+  return *at;
+}
+
+}  // namespace godwit::ledger
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -55,10 +55,12 @@
 
 void MeteredBudgetManager::SetClockOffset(base::Millis offset) {
   state_->clock_offset_ = offset;
+  state_->fleet_clock_.SetOwn(offset);
 }
 
 void MeteredBudgetManager::SetPeers(base::Millis now,
                                     const std::vector<Peer>& peers) {
+  state_->Begin(now);
   state_->SetPeers(now, peers);
 }
 
@@ -71,7 +73,7 @@
     const base::BudgetId& budget,
     base::Tokens amount,
     base::Millis since) {
-  state_->now_ = now;
+  state_->Begin(now);
   MeteredBudget* const local = state_->Find(budget);
   if (local == nullptr) {
     // The budget's limit is not known.
@@ -172,14 +174,14 @@
 
 std::vector<MeteredBudgetManager::Command> MeteredBudgetManager::Tick(
     base::Millis now) {
-  state_->now_ = now;
+  state_->Begin(now);
   return state_->Process(now);
 }
 
 std::vector<MeteredBudgetManager::Command> MeteredBudgetManager::On(
     base::Millis now,
     const platform::KvReadDone& done) {
-  state_->now_ = now;
+  state_->Begin(now);
   state_->OnDone(now, done);
   return state_->Process(now);
 }
@@ -187,7 +189,7 @@
 std::vector<MeteredBudgetManager::Command> MeteredBudgetManager::On(
     base::Millis now,
     const platform::KvWriteDone& done) {
-  state_->now_ = now;
+  state_->Begin(now);
   state_->OnDone(now, done);
   return state_->Process(now);
 }
@@ -196,7 +198,8 @@
     base::Millis now,
     const base::Endpoint& from,
     const PeerMessage& message) {
-  state_->now_ = now;
+  state_->Begin(now);
+  state_->RecordClock(message);
   if (const auto* request = std::get_if<LoanRequest>(&message)) {
     state_->On(now, from, *request);
   } else if (const auto* reply = std::get_if<LoanReply>(&message)) {
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -13,6 +13,7 @@
 
 // Number of consecutive lost races after which the pause is that of a failure.
 constexpr int kMaxCountedRaces = 10;
+constexpr int64_t kPercent = 100;
 
 }  // namespace
 
@@ -83,23 +84,27 @@
     ++next_operation_;
     return *read;
   }
-  SpendPromise promise;
-  promise.clock_offset = clock_offset_;
-  bool is_urgent = false;
-  bool is_due = false;
+  std::optional<base::Millis> spacing;
   for (const auto& [id, budget] : budgets_) {
-    const Tokens headroom = Headroom(now, budget);
-    const Tokens promised = Promised(budget);
-    promise.most[id] = std::min(Granted(budget), Allocated(budget) + headroom);
-    is_due = is_due || promise.most[id] != promised;
-    is_urgent = is_urgent || (budget.Need() > Available(budget) &&
-                              promise.most[id] > promised);
+    if (const auto needed = PromiseSpacing(now, budget)) {
+      spacing = std::min(spacing.value_or(*needed), *needed);
+    }
   }
-  if (!is_due || draining_) {
+  if (!spacing || draining_ || !clock_offset_) {
     return std::nullopt;
   }
+  SpendPromise promise;
+  promise.clock_offset = *clock_offset_;
+  if (const auto fleet_offset = fleet_clock_.Earliest(now)) {
+    promise.fleet_time = now + *fleet_offset;
+  }
+  for (const auto& [id, budget] : budgets_) {
+    if (Granted(budget) > 0) {
+      promise.allowances[id] = NextAllowance(now, budget);
+    }
+  }
   auto write =
-      promises_.Write(now, next_operation_, is_urgent, std::move(promise));
+      promises_.Write(now, next_operation_, *spacing, std::move(promise));
   if (!write) {
     return std::nullopt;
   }
@@ -107,6 +112,31 @@
   return *write;
 }
 
+std::optional<base::Millis> MeteredBudgetManager::State::PromiseSpacing(
+    base::Millis now,
+    const MeteredBudget& budget) const {
+  const Tokens granted = Granted(budget);
+  const Tokens allocated = Allocated(budget);
+  const Tokens promised = std::min(granted, Promised(budget));
+  const Tokens wanted = std::min(granted, allocated + Headroom(now, budget));
+  const Tokens advance = wanted - allocated;
+  if (promised < wanted) {
+    if (budget.Need() > Available(budget)) {
+      return policy_.min_write_interval;
+    }
+    if ((promised - allocated) * kPercent <
+        advance * policy_.promise_refill_percent) {
+      return policy_.deferred_write_interval;
+    }
+  }
+  // What a promise allows and is not used grows with its age.
+  if (budget.BurnOver(now, policy_.promise_refresh_interval, policy_) > 0 &&
+      (granted > 0 || promised > 0)) {
+    return policy_.promise_refresh_interval;
+  }
+  return std::nullopt;
+}
+
 std::optional<MeteredBudgetManager::Command>
 MeteredBudgetManager::State::NextShardCommand(base::Millis now, Shard& shard) {
   if (const auto busy = shard.view.busy_since()) {
@@ -147,11 +177,14 @@
                                                      Shard& shard) {
   LedgerEdit edit(shard.view.record());
   shard.closing.clear();
+  const bool may_close = EarlierLifetime(now).is_decided;
   for (const MeteredBudget* budget : shard.budgets) {
     const base::BudgetId& id = budget->limit.budget;
     edit.CreateBudget(id, budget->limit.organisation);
-    const auto closed = CloseEarlierGrants(now, edit, id);
-    shard.closing.insert(shard.closing.end(), closed.begin(), closed.end());
+    if (may_close) {
+      const auto closed = CloseEarlierGrants(now, edit, id);
+      shard.closing.insert(shard.closing.end(), closed.begin(), closed.end());
+    }
     EditBudget(now, edit, *budget);
   }
   return edit.record();
@@ -187,8 +220,8 @@
 }
 
 // Earlier incarnations of this process have terminated. Their usage is in the
-// record or, with a promise that is still in force, at most the promised
-// amount. Otherwise the full grant may have been used.
+// record or, if it is known how long they can have lived, at most what they had
+// promised for that time. Otherwise the full grant may have been used.
 std::vector<GrantClosed> MeteredBudgetManager::State::CloseEarlierGrants(
     base::Millis now,
     LedgerEdit& edit,
@@ -198,13 +231,15 @@
   if (stored == nullptr) {
     return closed;
   }
+  const auto lifetime = EarlierLifetime(now).at_most;
   const auto grants = stored->grants;
   for (const auto& [id, grant] : grants) {
     if (!IsEarlierIncarnation(grant.holder)) {
       continue;
     }
     const auto most =
-        promises_.MaxSpentBy(now, clock_offset_, grant.holder, budget);
+        lifetime ? promises_.MaxSpentBy(grant.holder, budget, *lifetime)
+                 : std::nullopt;
     const Tokens counted =
         most ? std::min(grant.amount, std::max(grant.billed(), *most))
              : grant.amount;
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -87,7 +87,7 @@
 void MeteredBudgetManager::State::SendHello(const base::Endpoint& to) {
   const Peer* const self = PeerOf(self_);
   if (self != nullptr) {
-    outbox_.emplace_back(SendToPeer{to, PeerHello{*self}});
+    outbox_.emplace_back(SendToPeer{to, PeerHello{*self, WallTime()}});
   }
 }
 
@@ -241,7 +241,7 @@
   const Tokens left = std::max<Tokens>(0, MaxRemaining(*Find(request.budget)));
   outbox_.emplace_back(
       SendToPeer{to, LoanReply{self_, request.borrower, request.budget,
-                               loans_.Lent(request), state, left}});
+                               loans_.Lent(request), state, left, WallTime()}});
 }
 
 void MeteredBudgetManager::State::On(base::Millis now, const LoanReply& reply) {
@@ -356,6 +356,7 @@
                                                   bool requests_tokens) {
   BorrowedLoans::Loan& loan = budget.borrowed.LoanOf(lender.incarnation);
   LoanRequest request;
+  request.wall_time = WallTime();
   request.borrower = self_;
   request.lender = lender.incarnation;
   request.budget = budget.limit.budget;
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -34,7 +34,8 @@
       self_(std::move(self)),
       policy_(policy),
       promises_(process_, self_, policy_),
-      layout_(kLayoutKey) {
+      layout_(kLayoutKey),
+      fleet_clock_(process_) {
   for (int i = 0; i < policy_.shard_count; ++i) {
     shards_.emplace_back(ShardKey(i));
   }
@@ -95,11 +96,7 @@
 
 Tokens MeteredBudgetManager::State::Promised(
     const MeteredBudget& budget) const {
-  return promises_.Promised(budget.limit.budget);
-}
-
-bool MeteredBudgetManager::State::IsPromiseExpired() const {
-  return promises_.IsExpired(now_);
+  return promises_.Promised(now_, budget.limit.budget);
 }
 
 Tokens MeteredBudgetManager::State::Allocated(
@@ -119,9 +116,6 @@
 Tokens MeteredBudgetManager::State::OwnAvailable(
     const MeteredBudget& budget) const {
   const Tokens unallocated = Unallocated(budget);
-  if (unallocated == 0 || IsPromiseExpired()) {
-    return unallocated;
-  }
   return std::clamp<Tokens>(Promised(budget) - Allocated(budget), 0,
                             unallocated);
 }
@@ -136,13 +130,25 @@
     base::Millis now,
     const MeteredBudget& budget) const {
   const Tokens predicted =
-      budget.BurnOver(now, policy_.promise_duration, policy_) *
-      policy_.promise_percent / kPercent;
+      budget.BurnOver(now, policy_.promise_cover, policy_) *
+      policy_.promise_rate_percent / kPercent;
   const Tokens target = Target(now, budget);
-  const Tokens small =
+  const Tokens small = std::min({target, budget.largest_reservation,
+                                 budget.limit.limit / policy_.large_divisor});
+  const Tokens least =
       std::min(target, budget.limit.limit / policy_.small_target_divisor);
-  return budget.Need() +
-         std::max({predicted, small, target / policy_.promise_divisor});
+  return budget.Need() + std::max({predicted, small, least});
+}
+
+SpendAllowance MeteredBudgetManager::State::NextAllowance(
+    base::Millis now,
+    const MeteredBudget& budget) const {
+  const Tokens burn = budget.BurnOver(now, base::Seconds(1), policy_);
+  const Tokens opening = Target(now, budget) * base::Seconds(1).count() /
+                         policy_.promise_opening.count();
+  return {std::min(Granted(budget), Allocated(budget) + Headroom(now, budget)),
+          std::max(burn * policy_.promise_rate_percent / kPercent, opening),
+          std::max(burn * policy_.promise_later_percent / kPercent, opening)};
 }
 
 bool MeteredBudgetManager::State::IsOverCommitted(
@@ -259,7 +265,7 @@
       stored->limit != std::max(limit, Committed(*stored))) {
     return takes_part ? Urgency::kNow : Urgency::kNone;
   }
-  if (HasEarlierGrant(*stored)) {
+  if (HasEarlierGrant(*stored) && EarlierLifetime(now).is_decided) {
     return Urgency::kNow;
   }
   const Tokens unallocated = Unallocated(budget);
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet_clock.h"
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_edit.h"
 #include "ledger/ledger_record.h"
@@ -85,10 +86,11 @@
   base::Tokens OwnAvailable(const MeteredBudget& budget) const;
   // Returns the tokens that may be reserved now, including borrowed ones.
   base::Tokens Available(const MeteredBudget& budget) const;
-  // True while this router is not bound by its promise.
-  bool IsPromiseExpired() const;
-  // Returns what to promise beyond the tokens that are used and reserved.
+  // Returns the tokens to allow in advance, beyond those that are used and
+  // reserved, and the allowance to promise with them.
   base::Tokens Headroom(base::Millis now, const MeteredBudget& budget) const;
+  SpendAllowance NextAllowance(base::Millis now,
+                               const MeteredBudget& budget) const;
   // True if more is set aside than the limit allows because the limit was
   // lowered.
   bool IsOverCommitted(const MeteredBudget& budget) const;
@@ -156,6 +158,10 @@
   // True if the stored layout matches this router's.
   bool KnowsLayout() const;
   std::optional<Command> NextPromiseCommand(base::Millis now);
+  // Returns the minimum interval between the last promise and one that changes
+  // the allowance of a budget; no value if that is not needed.
+  std::optional<base::Millis> PromiseSpacing(base::Millis now,
+                                             const MeteredBudget& budget) const;
   std::optional<Command> NextShardCommand(base::Millis now, Shard& shard);
   enum class Urgency : uint8_t { kNone, kDeferred, kNow };
   Urgency UrgencyOf(base::Millis now, const MeteredBudget& budget) const;
@@ -166,6 +172,9 @@
   bool IsEarlierIncarnation(const base::Incarnation& holder) const;
   // True if the record has a grant of an earlier incarnation of this process.
   bool HasEarlierGrant(const Budget& stored) const;
+  // Returns how long the earlier incarnation can have lived after it wrote its
+  // promise. Undecided while other routers may still tell the time.
+  PromiseManager::Lifetime EarlierLifetime(base::Millis now) const;
   LedgerRecord NextRecord(base::Millis now, Shard& shard);
   void EditBudget(base::Millis now,
                   LedgerEdit& edit,
@@ -179,6 +188,12 @@
                   base::Tokens kept);
   template <typename Done>
   void OnDone(base::Millis now, const Done& done);
+  // Starts to handle a call at `now`.
+  void Begin(base::Millis now);
+  // Records the wall clock of the sender of a message.
+  void RecordClock(const PeerMessage& message);
+  // Returns the time of the wall clock, or zero if it is not known.
+  base::Millis WallTime() const;
 
  private:
   friend class MeteredBudgetManager;
@@ -190,7 +205,11 @@
   cas::KeyView<LedgerLayout, LayoutCodec> layout_;
   base::Millis layout_retry_at_;
   size_t routers_ = 1;
-  base::Millis clock_offset_;
+  // Wall clock minus monotonic clock; empty until it is known.
+  std::optional<base::Millis> clock_offset_;
+  FleetClock fleet_clock_;
+  // Time of the first call.
+  std::optional<base::Millis> started_at_;
   // Time of the call in progress.
   base::Millis now_;
   std::optional<platform::KvCondition> configuration_;
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -31,7 +31,8 @@
           {"unproven", request.unproven},
           {"returned", request.returned},
           {"least", request.least},
-          {"wished", request.wished}};
+          {"wished", request.wished},
+          {"wall", request.wall_time.count()}};
 }
 
 Json ToJson(const LoanReply& reply) {
@@ -41,7 +42,8 @@
           {"budget", reply.budget.value()},
           {"lent", reply.lent},
           {"state", static_cast<int64_t>(reply.state)},
-          {"left", reply.left}};
+          {"left", reply.left},
+          {"wall", reply.wall_time.count()}};
 }
 
 Json ToJson(const Peer& peer) {
@@ -53,6 +55,7 @@
 Json ToJson(const PeerHello& hello) {
   Json document = ToJson(hello.peer);
   document["type"] = kHello;
+  document["wall"] = hello.wall_time.count();
   return document;
 }
 
@@ -75,6 +78,11 @@
   return value && *value >= 0 ? value : std::nullopt;
 }
 
+// Routers of earlier versions don't send it.
+base::Millis WallTimeIn(const Json& document) {
+  return base::Millis(cbor::Integer(cbor::Find(document, "wall")).value_or(0));
+}
+
 std::optional<LoanReply::State> StateOf(int64_t value) {
   switch (value) {
     case static_cast<int64_t>(LoanReply::State::kLent):
@@ -104,8 +112,10 @@
   const auto type = cbor::Text(cbor::Find(*document, "type"));
   if (type && *type == kHello) {
     auto peer = PeerIn(*document);
-    return peer ? std::optional<PeerMessage>(PeerHello{std::move(*peer)})
-                : std::nullopt;
+    if (!peer) {
+      return std::nullopt;
+    }
+    return PeerHello{std::move(*peer), WallTimeIn(*document)};
   }
   const auto lender = cbor::Text(cbor::Find(*document, "lender"));
   const auto borrower = cbor::Text(cbor::Find(*document, "borrower"));
@@ -129,7 +139,8 @@
                        *unproven,
                        *returned,
                        *least,
-                       *wished};
+                       *wished,
+                       WallTimeIn(*document)};
   }
   const auto lent = Amount(*document, "lent");
   const auto left = Amount(*document, "left");
@@ -143,7 +154,8 @@
                    base::BudgetId(*budget),
                    *lent,
                    *state,
-                   *left};
+                   *left,
+                   WallTimeIn(*document)};
 }
 
 std::string EncodePeer(const Peer& peer) {
--- a/libs/ledger/src/promise_codec.cc
+++ b/libs/ledger/src/promise_codec.cc
@@ -9,17 +9,22 @@
 
 using Json = nlohmann::json;
 
+// Tokens at the start, and tokens for each second of slow and fast growth.
+constexpr size_t kAllowanceFields = 3;
+
 }  // namespace
 
 std::string PromiseCodec::Encode(const SpendPromise& promise) const {
-  Json most = Json::object();
-  for (const auto& [budget, tokens] : promise.most) {
-    most[budget.value()] = tokens;
+  Json allowances = Json::object();
+  for (const auto& [budget, allowance] : promise.allowances) {
+    allowances[budget.value()] = Json::array(
+        {allowance.initial, allowance.per_second, allowance.later_per_second});
   }
   const Json document = {{"holder", promise.holder.value()},
                          {"clock", promise.clock.count()},
                          {"clock_offset", promise.clock_offset.count()},
-                         {"most", std::move(most)}};
+                         {"fleet_time", promise.fleet_time.count()},
+                         {"allowances", std::move(allowances)}};
   std::string bytes;
   Json::to_cbor(document, bytes);
   return bytes;
@@ -34,22 +39,36 @@
   if (!document) {
     return std::nullopt;
   }
+  const Json* const allowances = cbor::Find(*document, "allowances");
+  if (allowances == nullptr && cbor::Find(*document, "most") != nullptr) {
+    // Written by an earlier version, whose promises ended after a time.
+    return promise;
+  }
   const auto holder = cbor::Text(cbor::Find(*document, "holder"));
   const auto clock = cbor::Integer(cbor::Find(*document, "clock"));
   const auto offset = cbor::Integer(cbor::Find(*document, "clock_offset"));
-  const Json* const most = cbor::Find(*document, "most");
-  if (!holder || !clock || !offset || most == nullptr || !most->is_object()) {
+  const auto fleet_time = cbor::Integer(cbor::Find(*document, "fleet_time"));
+  if (!holder || !clock || !offset || !fleet_time || allowances == nullptr ||
+      !allowances->is_object()) {
     return std::nullopt;
   }
   promise.holder = base::Incarnation(*holder);
   promise.clock = base::Millis(*clock);
   promise.clock_offset = base::Millis(*offset);
-  for (const auto& [budget, value] : most->items()) {
-    const auto tokens = cbor::Integer(&value);
-    if (!tokens || *tokens < 0) {
+  promise.fleet_time = base::Millis(*fleet_time);
+  for (const auto& [budget, value] : allowances->items()) {
+    if (!value.is_array() || value.size() != kAllowanceFields) {
+      return std::nullopt;
+    }
+    const auto initial = cbor::Integer(&value[0]);
+    const auto per_second = cbor::Integer(&value[1]);
+    const auto later_per_second = cbor::Integer(&value[2]);
+    if (!initial || *initial < 0 || !per_second || *per_second < 0 ||
+        !later_per_second || *later_per_second < 0) {
       return std::nullopt;
     }
-    promise.most[base::BudgetId(budget)] = *tokens;
+    promise.allowances[base::BudgetId(budget)] = {*initial, *per_second,
+                                                  *later_per_second};
   }
   return promise;
 }
--- a/libs/ledger/src/promise_manager.h
+++ b/libs/ledger/src/promise_manager.h
@@ -27,25 +27,36 @@
   bool known() const noexcept { return view_.known(); }
 
   // Returns the amount of a budget that this incarnation has promised not to
-  // exceed: the smallest one in any version of the key that may be stored.
-  base::Tokens Promised(const base::BudgetId& budget) const;
-  // True while this incarnation is not bound by its promise, because it has not
-  // reached the KV for the promise duration.
-  bool IsExpired(base::Millis now) const;
+  // exceed at `now`: the smallest one in any version of the key that may be
+  // stored.
+  base::Tokens Promised(base::Millis now, const base::BudgetId& budget) const;
+
+  struct Lifetime {
+    // False while the clocks of other routers may still tell it.
+    bool is_decided = false;
+    // Empty if it is not known.
+    std::optional<base::Millis> at_most;
+  };
+  // Returns how long the earlier incarnation can have lived after it wrote its
+  // promise. It ended before `started_at`, a time of this VM's monotonic clock.
+  // The offsets are those of the wall clock and of fleet time from that clock.
+  Lifetime EarlierLifetime(base::Millis started_at,
+                           base::Millis clock_offset,
+                           std::optional<base::Millis> fleet_offset) const;
   // Returns the maximum that the incarnation `holder` can have spent of a
-  // budget, or no value if it is not known.
-  std::optional<base::Tokens> MaxSpentBy(base::Millis now,
-                                         base::Millis clock_offset,
-                                         const base::Incarnation& holder,
-                                         const base::BudgetId& budget) const;
+  // budget if it lived for `lifetime` after its promise, or no value if it is
+  // not known.
+  std::optional<base::Tokens> MaxSpentBy(const base::Incarnation& holder,
+                                         const base::BudgetId& budget,
+                                         base::Millis lifetime) const;
 
   // Returns the read that is due, if any.
   std::optional<platform::KvRead> Read(base::Millis now, int64_t operation);
   // Returns a write of the promise, or no value while an operation is in flight
-  // or the interval since the last write has not passed.
+  // or `spacing` has not passed since the last write.
   std::optional<platform::KvWrite> Write(base::Millis now,
                                          int64_t operation,
-                                         bool is_urgent,
+                                         base::Millis spacing,
                                          SpendPromise promise);
 
   // Handles the outcome of an operation. Returns false if it belongs to another
@@ -57,15 +68,9 @@
     if (progress == cas::Progress::kUnrelated) {
       return false;
     }
-    is_kv_answering_ = progress != cas::Progress::kFailed;
-    if (!is_kv_answering_) {
+    if (progress == cas::Progress::kFailed) {
       retry_at_ = now + policy_.failure_backoff;
     }
-    if (was_write &&
-        (progress == cas::Progress::kAdopted || view_.has_open_writes())) {
-      // The write took effect or may still do so.
-      promised_at_ = offered_at_;
-    }
     if (!was_write && progress == cas::Progress::kAdopted &&
         !earlier_promise_) {
       earlier_promise_ = view_.record();
@@ -79,13 +84,8 @@
   cas::KeyView<SpendPromise, PromiseCodec> view_;
   // The promise read first: that of an earlier incarnation, or empty.
   std::optional<SpendPromise> earlier_promise_;
-  // Clock of the latest write, and of the latest one that may have taken
-  // effect.
-  base::Millis offered_at_;
-  base::Millis promised_at_;
   base::Millis written_at_;
   base::Millis retry_at_;
-  bool is_kv_answering_ = true;
 };
 
 }  // namespace godwit::ledger
--- a/libs/ledger/src/spend_promise.h
+++ b/libs/ledger/src/spend_promise.h
@@ -6,27 +6,30 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "spend_allowance.h"
 
 namespace godwit::ledger {
 
 // Value of a router's own KV key: an upper bound of what the router spends of
-// its grants. It holds until the router writes another one or has not reached
-// the KV for the promise duration. An incarnation of the router that starts
-// within that time knows how much its predecessor can have spent. No other
-// process writes the key.
+// its grants, which grows with time, so that the router can spend while it does
+// not reach the KV. It holds until the router writes another one. A later
+// incarnation that knows how long its predecessor can have lived after writing
+// it knows how much that one can have spent. No other process writes the key.
 struct SpendPromise {
   base::Incarnation holder;
-  // Time on the holder's monotonic clock, not later than any write that
-  // contains it.
+  // Start of the allowances on the holder's monotonic clock.
   base::Millis clock;
   // Wall clock minus monotonic clock; changes when the VM restarts.
   base::Millis clock_offset;
-  // Maximum spend by budget; zero for a budget that is missing.
-  std::map<base::BudgetId, base::Tokens> most;
+  // Start of the allowances in fleet time; zero if it was not known.
+  base::Millis fleet_time;
+  // By budget; nothing may be spent of a budget that is missing.
+  std::map<base::BudgetId, SpendAllowance> allowances;
 
   friend bool operator==(const SpendPromise& a, const SpendPromise& b) {
-    return std::tie(a.holder, a.clock, a.clock_offset, a.most) ==
-           std::tie(b.holder, b.clock, b.clock_offset, b.most);
+    return std::tie(a.holder, a.clock, a.clock_offset, a.fleet_time,
+                    a.allowances) == std::tie(b.holder, b.clock, b.clock_offset,
+                                              b.fleet_time, b.allowances);
   }
   friend bool operator!=(const SpendPromise& a, const SpendPromise& b) {
     return !(a == b);
--- a/libs/platform/include/platform/call_completed.h
+++ b/libs/platform/include/platform/call_completed.h
@@ -14,6 +14,9 @@
   // ok, conflict (a write whose expected version did not match), missing,
   // refused (the platform answered that the call had no effect) or unanswered.
   std::string_view outcome;
+  // First segment of the keys concerned, e.g. ledger or routers; empty for
+  // calls that concern no key.
+  std::string_view subject;
   // Time from the start of the call to its end.
   base::Millis duration;
 
--- a/libs/platform/src/client.cc
+++ b/libs/platform/src/client.cc
@@ -137,7 +137,8 @@
     const base::Millis started_at = base::SteadyNow();
     auto response = call.Perform();
     if (on_call) {
-      on_call({verb, CallOutcome(response), base::SteadyNow() - started_at});
+      on_call(
+          {verb, CallOutcome(response), "", base::SteadyNow() - started_at});
     }
     if (sent != nullptr) {
       *sent = call.sent();
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -27,6 +27,7 @@
   kLinkFramesRefusedTotal,
   kLinkBytesTotal,
   kKvCallsTotal,
+  kKvCallsBySubjectTotal,
   kPeerMessagesTotal,
   kKvCallSeconds,
   kConfigRevision,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -29,8 +29,8 @@
       {EventId::kConfigInForce, Level::kInfo, "config_in_force",
        "A configuration came into force; fields name its revision."},
       {EventId::kConfigRejected, Level::kError, "config_rejected",
-       "A configuration can't be put in force; the one before stays. Apply a "
-       "corrected text."},
+       "A configuration can't be put in force, or is older than the one in "
+       "force; that one stays. Fields name both. Apply a corrected text."},
       {EventId::kConfigPulled, Level::kDebug, "config_pulled",
        "A peer that is ahead was asked for its configuration."},
       {EventId::kLinkOpened, Level::kInfo, "link_opened",
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -129,6 +129,13 @@
        "calls",
        {"verb", "outcome"},
        "Calls to the platform's KV."},
+      {MetricId::kKvCallsBySubjectTotal,
+       MetricType::kCounter,
+       "godwit_kv_calls_by_subject_total",
+       "calls",
+       {"subject", "verb"},
+       "Calls of a direct router to the platform's KV, by the first segment of "
+       "their keys."},
       {MetricId::kPeerMessagesTotal,
        MetricType::kCounter,
        "godwit_peer_messages_total",
