Draw ahead at the end of a budget, and forget requests that ended

At the end of a budget the lender held nothing, so each request took a write. A reservation that had waited for the ledger was never forgotten when its request ended otherwise: its router read the ledger four times a second from then on and drew for itself. A refused refill, which nobody waits for, sent the next request to another lender, which then competed.

Change: the lender holds at least 15 in 100 of what remains; reservations are forgotten 200 ms after their last attempt; a refill is never refused; a substitute returns its holding two seconds after its last use; a budget of which nothing is free is not asked for again for half a second; failing operations back off to 600 ms; watches of backend servers keep 250 ms apart; while neither configuration nor servers can be followed, only one of them is tried.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -32,9 +32,12 @@
   // budget takes the full part; a router that substitutes for it takes a
   // fraction according to its share of all usage.
   double share_slope = 0.9;
-  double share_cutoff = 0.12;
+  double share_cutoff = 0.05;
   double max_share = 0.8;
-  double min_share = 0.05;
+  double min_share = 0.15;
+  // Time without a reservation or loan after which a router that is not the
+  // lender of a budget returns what it holds.
+  base::Millis substitute_timeout = base::Millis(2'000);
   // Number of consecutive large requests that a holding should cover in
   // addition to the burn rate, as long as they do not exceed the fraction
   // `large_divisor` of the limit.
@@ -68,7 +71,7 @@
   base::Millis promise_opening = base::Millis(16'000);
   // At least this fraction of the limit is allowed in advance, if the target is
   // as large.
-  int64_t small_target_divisor = 200;
+  int64_t small_target_divisor = 100;
   // A promise is written again once less than this share of what it should
   // allow in advance remains, in percent, and, while tokens are used, at least
   // at the given interval.
@@ -91,19 +94,23 @@
   // Maximum time that a reservation waits for the KV or for tokens that other
   // routers return.
   base::Millis max_wait = base::Millis(400);
+  // A reservation that was not repeated for this long no longer waits: its
+  // request ended.
+  base::Millis need_timeout = base::Millis(200);
   // An operation that takes longer than this shows that the KV is unavailable;
   // a slow KV answers within 250 ms.
   base::Millis normal_latency = base::Millis(300);
-  // Pause after an operation without a useful answer, and the maximum pause
-  // after a lost race.
+  // Pause after an operation without a useful answer, doubled after each
+  // further one up to the maximum, and the maximum pause after a lost race.
   base::Millis failure_backoff = base::Millis(150);
+  base::Millis max_failure_backoff = base::Millis(600);
   base::Millis race_backoff = base::Millis(20);
   // Maximum number of routers that may lend from a budget: the first one as
   // long as it answers, otherwise the next ones.
   size_t max_lenders = 4;
   // Period of usage that a loan covers: several times what it takes to replace
   // a stopped lender. What a failed borrower had not used is lost.
-  base::Millis loan_cover = base::Millis(1'000);
+  base::Millis loan_cover = base::Millis(1'500);
   // A loan covers at most this fraction of the limit, in addition to what waits
   // for it.
   int64_t loan_divisor = 20;
@@ -116,6 +123,8 @@
   base::Millis loan_timeout = base::Millis(100);
   // Maximum time that a lender lets a request wait for the KV.
   base::Millis pending_timeout = base::Millis(300);
+  // A budget of which nothing was free is not asked for again for this long.
+  base::Millis nothing_free_backoff = base::Millis(500);
   // A router that did not answer receives no loan request for this long; one
   // that had nothing to lend receives none for the same budget for the second
   // interval.
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -50,6 +50,9 @@
   base::Tokens need = 0;
   base::Tokens borrower_need = 0;
   base::Tokens loan_need = 0;
+  // Last time at which a request waited; it repeats its reservation while it
+  // does.
+  base::Millis needed_at;
   // Size of large reservations; decays slowly.
   base::Tokens largest_reservation = 0;
   // Moving average of the request size.
@@ -59,6 +62,8 @@
   BurnRate burn;
   BurnRate long_burn;
   BurnRate use;
+  // Last time at which tokens of this router's grant were reserved or lent.
+  base::Millis last_drawn_at;
   // Time of the first usage; the averages are biased shortly after it.
   std::optional<base::Millis> first_used_at;
 
@@ -69,6 +74,10 @@
   // Lenders that refused a loan of this budget, and the time until which they
   // receive no further request for it.
   std::map<base::ProcessId, base::Millis> refused_until;
+  // This router found that it can't lend the least amount requested; until when
+  // it relies on that.
+  base::Millis nothing_lent_until;
+  base::Tokens least_not_lent = 0;
   // A lender reported that nothing is free, and the maximum that can remain;
   // until when the report is relied on.
   base::Millis nothing_free_until;
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -47,6 +47,7 @@
     if (limit.limit != budget.limit.limit) {
       // A reply about the earlier limit does not apply to this one.
       budget.nothing_free_until = base::Millis();
+      budget.nothing_lent_until = base::Millis();
     }
     budget.limit = limit;
     budget.dropped = false;
@@ -100,6 +101,9 @@
   }
   if (Available(budget) >= amount) {
     budget.reserved += amount;
+    if (budget.ReservedOfGrant() > 0) {
+      budget.last_drawn_at = now;
+    }
     budget.need = 0;
     budget.loan_need = 0;
     budget.largest_reservation =
@@ -108,12 +112,15 @@
     return ReserveResult::kReserved;
   }
   if (now < budget.nothing_free_until) {
+    budget.need = 0;
     budget.loan_need = 0;
     return amount > budget.reported_left ? ReserveResult::kExhausted
                                          : ReserveResult::kUnavailable;
   }
   const bool waited_enough = now - since >= policy_.max_wait;
+  budget.needed_at = now;
   if (LenderOf(now, budget) != nullptr) {
+    budget.need = 0;
     budget.loan_need = waited_enough ? 0 : std::max(budget.loan_need, amount);
     return waited_enough ? ReserveResult::kUnavailable : ReserveResult::kWait;
   }
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -130,8 +130,7 @@
     }
   }
   // What a promise allows and is not used grows with its age.
-  if (budget.BurnOver(now, policy_.promise_refresh_interval, policy_) > 0 &&
-      (granted > 0 || promised > 0)) {
+  if (granted > 0 && budget.last_drawn_at > promises_.written_at()) {
     return policy_.promise_refresh_interval;
   }
   return std::nullopt;
@@ -299,8 +298,12 @@
     }
     shard.is_kv_answering = progress != cas::Progress::kFailed;
     if (progress == cas::Progress::kFailed) {
-      shard.retry_at = now + policy_.failure_backoff;
-    } else if (progress == cas::Progress::kConflict) {
+      shard.retry_at = now + FailureBackoff(shard);
+      ++shard.failures;
+      return;
+    }
+    shard.failures = 0;
+    if (progress == cas::Progress::kConflict) {
       // Short and randomised, so that the losers collide neither with each
       // other nor with a winner that continues to write. A router that does not
       // know the current configuration yet loses each race until it does.
@@ -320,6 +323,16 @@
   }
 }
 
+base::Millis MeteredBudgetManager::State::FailureBackoff(
+    const Shard& shard) const {
+  base::Millis backoff = policy_.failure_backoff;
+  for (int i = 0; i < shard.failures && backoff < policy_.max_failure_backoff;
+       ++i) {
+    backoff = backoff * 2;
+  }
+  return std::min(backoff, policy_.max_failure_backoff);
+}
+
 base::Millis MeteredBudgetManager::State::RaceBackoff(
     const Shard& shard) const {
   const std::string seed =
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -208,14 +208,26 @@
     // At most half of a holding is lent beyond the required minimum; the
     // remainder is kept for requests that can't be served without it.
     loans_.Lend(request, std::max(least, std::min(requested, own / 2)));
+    Find(request.budget)->last_drawn_at = now;
     Reply(waiting.from, request, LoanReply::State::kLent);
     return true;
   }
+  if (least == 0 && !draining_ && !local.dropped) {
+    // Nobody waits for the tokens. A refusal would direct the next request that
+    // somebody waits for to another lender, which would compete for the ledger.
+    Reply(waiting.from, request, LoanReply::State::kLent);
+    return true;
+  }
+  if (now < local.nothing_lent_until && least >= local.least_not_lent) {
+    Reply(waiting.from, request, LoanReply::State::kNothingFree);
+    return true;
+  }
   const Budget* const stored = BudgetIn(shard.view.record(), request.budget);
-  const bool is_fresh = shard.view.known() && now - shard.view.confirmed_at() <=
-                                                  policy_.max_record_age;
+  const bool is_fresh =
+      shard.view.known() &&
+      shard.view.confirmed_at() + policy_.max_record_age >= waiting.since;
   const bool is_free =
-      Unallocated(local) >= least || stored == nullptr || stored->free() > 0;
+      stored == nullptr || Unallocated(local) + stored->free() >= least;
   const bool may_be_returned =
       loans_.Outstanding(request.budget) + local.ReservedOfGrant() >= least;
   const bool is_expired = now - waiting.since >= policy_.pending_timeout;
@@ -223,6 +235,10 @@
   const bool nothing_free =
       is_too_large || (!is_free && (is_expired || !may_be_returned));
   if (is_serving && is_fresh && nothing_free) {
+    // Smaller requests may still be served.
+    MeteredBudget& budget = *Find(request.budget);
+    budget.nothing_lent_until = now + policy_.nothing_free_backoff;
+    budget.least_not_lent = least;
     Reply(waiting.from, request, LoanReply::State::kNothingFree);
     return true;
   }
@@ -263,7 +279,7 @@
       local->loan_request->is_pending = true;
       return;
     case LoanReply::State::kNothingFree:
-      local->nothing_free_until = now + policy_.refused_backoff;
+      local->nothing_free_until = now + policy_.nothing_free_backoff;
       local->reported_left = reply.left;
       local->loan_request.reset();
       return;
@@ -281,6 +297,10 @@
   });
   for (auto& [id, budget] : budgets_) {
     budget.borrower_need = loans_.MaxWaiting(id);
+    if (now - budget.needed_at >= policy_.need_timeout) {
+      budget.need = 0;
+      budget.loan_need = 0;
+    }
     ReturnSurplus(now, budget);
     CheckLoanRequest(now, budget);
     if (!budget.loan_request) {
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -181,7 +181,11 @@
   }
   const bool is_lender = IsLender(ShardOfBudget(budget));
   const Tokens burn = budget.BurnOver(now, policy_.outage_cover, policy_);
-  if (!is_lender && burn == 0) {
+  // The router that substituted for a lender gives back what it holds once the
+  // lender is back, instead of competing with it for the ledger.
+  const bool is_substituting =
+      burn > 0 && now - budget.last_drawn_at < policy_.substitute_timeout;
+  if (!is_lender && !is_substituting) {
     return budget.Need();
   }
   const auto holders = static_cast<Tokens>(peers_.empty() ? routers_ : 1);
@@ -274,7 +278,7 @@
   }
   const Tokens target = Target(now, budget);
   const Tokens free = limit - Committed(*stored);
-  if (budget.Need() > unallocated && free > 0) {
+  if (budget.Need() > unallocated && free >= budget.Need() - unallocated) {
     return Urgency::kNow;
   }
   if (free > 0 && unallocated < target) {
@@ -285,7 +289,11 @@
       return Urgency::kDeferred;
     }
   }
-  if (unallocated * kPercent > target * policy_.surplus_percent) {
+  // What is left at a lender at the end of a budget serves small requests
+  // there.
+  const bool is_little = IsLender(ShardOfBudget(budget)) &&
+                         unallocated * kMinTargetDivisor < limit;
+  if (unallocated * kPercent > target * policy_.surplus_percent && !is_little) {
     return Urgency::kDeferred;
   }
   return Urgency::kNone;
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -42,6 +42,8 @@
     base::Millis retry_at;
     base::Millis last_write_at;
     int lost_races = 0;
+    // Consecutive operations without a useful answer.
+    int failures = 0;
     // Grants that the write in flight closes.
     std::vector<GrantClosed> closing;
     bool is_kv_answering = true;
@@ -152,6 +154,8 @@
   std::vector<Command> Process(base::Millis now);
   // Returns the pause after a lost race.
   base::Millis RaceBackoff(const Shard& shard) const;
+  // Returns the pause after an operation without a useful answer.
+  base::Millis FailureBackoff(const Shard& shard) const;
   // Reads or writes the layout until it is known. Returns no value while
   // nothing is due.
   std::optional<Command> NextLayoutCommand(base::Millis now);
--- a/libs/ledger/src/promise_manager.h
+++ b/libs/ledger/src/promise_manager.h
@@ -26,6 +26,9 @@
   // known.
   bool known() const noexcept { return view_.known(); }
 
+  // Time of the last write.
+  base::Millis written_at() const noexcept { return written_at_; }
+
   // Returns the amount of a budget that this incarnation has promised not to
   // exceed at `now`: the smallest one in any version of the key that may be
   // stored.
--- a/libs/platform/include/platform/prefix_watcher.h
+++ b/libs/platform/include/platform/prefix_watcher.h
@@ -22,6 +22,11 @@
 // report changes made shortly before the interruption. No I/O. Not thread-safe.
 class PrefixWatcher {
  public:
+  // Interval between an answer with changes and the next watch. Changes that
+  // come close together are reported by one call.
+  explicit PrefixWatcher(base::Millis watch_interval = base::Millis())
+      : watch_interval_(watch_interval) {}
+
   // Requests to the KV. At most one is pending.
   struct List {
     std::string start_after;
@@ -60,6 +65,7 @@
   void RecordSuccess(std::vector<Update>& updates);
   void RecordFailure(base::Millis now, std::vector<Update>& updates);
 
+  const base::Millis watch_interval_;
   bool request_pending_ = false;
   bool listed_ = false;
   bool unavailable_ = false;
--- a/libs/platform/src/prefix_watcher.cc
+++ b/libs/platform/src/prefix_watcher.cc
@@ -89,6 +89,9 @@
     updates.emplace_back(Changed{change});
   }
   revision_ = std::max(revision_, done.revision);
+  if (!done.changes.empty()) {
+    retry_at_ = now + watch_interval_;
+  }
   return updates;
 }
 
--- a/libs/platform/tests/prefix_watcher_test.cc
+++ b/libs/platform/tests/prefix_watcher_test.cc
@@ -1,6 +1,9 @@
 #include "platform/prefix_watcher.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -104,3 +107,41 @@
   CHECK_EQUAL(1, CountOf<PrefixWatcher::Available>(updates));
   CHECK_EQUAL(1, CountOf<PrefixWatcher::Listed>(updates));
 }
+
+TEST(PrefixWatcher, ReportsABurstOfChangesWithFewWatches) {
+  // 54 servers register within 12 s.
+  constexpr int k_changes = 54;
+  constexpr int64_t k_spacing_ms = 220;
+  struct Case {
+    Millis interval;
+    int most_watches;
+  };
+  for (const Case& c :
+       {Case{Millis(0), k_changes + 1}, Case{Millis(250), 27}}) {
+    PrefixWatcher watcher(c.interval);
+    watcher.Next(Millis(0));
+    watcher.On(Millis(0), ListDone({}, false, 10));
+    int watches = 0;
+    int64_t reported = 0;
+    // Negative while no watch waits.
+    int64_t watched_after = -1;
+    for (int64_t at = 0; at <= k_changes * k_spacing_ms + 1000; at += 10) {
+      const int64_t revision =
+          10 + std::min<int64_t>(k_changes, at / k_spacing_ms);
+      if (const auto request = watcher.Next(Millis(at))) {
+        ++watches;
+        watched_after = std::get<Watch>(*request).after_revision;
+      }
+      if (watched_after >= 0 && watched_after < revision) {
+        std::vector<KvChange> changes(
+            static_cast<size_t>(revision - watched_after));
+        reported += revision - watched_after;
+        watched_after = -1;
+        watcher.On(Millis(at), WatchDone(KvWatchDone::Outcome::kChanges,
+                                         std::move(changes), revision));
+      }
+    }
+    CHECK_EQUAL(k_changes, reported);
+    CHECK_TEXT(watches <= c.most_watches, std::to_string(watches).c_str());
+  }
+}
--- a/tools/godwit-edge/src/store_watcher.cc
+++ b/tools/godwit-edge/src/store_watcher.cc
@@ -27,6 +27,8 @@
 // few routers have to register again after one.
 constexpr base::Millis kLeaseTtl(20'000);
 constexpr base::Millis kLeaseRenewPeriod(5'000);
+// Interval between watches of the backend servers, which register in bursts.
+constexpr base::Millis kBackendWatchInterval(250);
 // Interval between lists of the routers. It may be long, since routers send
 // each other urgent information directly.
 constexpr base::Millis kRouterListPeriod(2'000);
@@ -40,7 +42,10 @@
     adapter::StoreClient& store,
     ledger::Peer self,
     std::function<void(const dispatch::DispatchEvent&)> raise)
-    : store_(store), self_(std::move(self)), raise_(std::move(raise)) {
+    : store_(store),
+      self_(std::move(self)),
+      raise_(std::move(raise)),
+      backends_(kBackendWatchInterval) {
   configuration_.prefix = adapter::ConfigurationKey();
   configuration_.on_listed = &StoreWatcher::OnConfigurationListed;
   configuration_.on_changed = &StoreWatcher::OnConfigurationChanged;
@@ -51,7 +56,10 @@
 
 void StoreWatcher::Tick(base::Millis now) {
   SendNextRequest(configuration_, now);
-  SendNextRequest(backends_, now);
+  // While neither is followed, one of them shows when the store is available.
+  if (!configuration_.unavailable || !backends_.unavailable) {
+    SendNextRequest(backends_, now);
+  }
   ListRouters(now);
   MaintainLease(now);
 }
--- a/tools/godwit-edge/src/store_watcher.h
+++ b/tools/godwit-edge/src/store_watcher.h
@@ -38,6 +38,9 @@
   using Watcher = platform::PrefixWatcher;
 
   struct Subscription {
+    explicit Subscription(base::Millis watch_interval = base::Millis())
+        : watcher(watch_interval) {}
+
     std::string prefix;
     Watcher watcher;
     void (StoreWatcher::*on_listed)(const std::vector<platform::KvItem>&) =
