Hold enough for an outage that begins between two refills

The lender of one organisation (36 in 100 of its budget left) held 28 in 100 of what remained, four seconds of use, and refused 134 requests, 15 in 100 of the budget staying unused. Holdings were also refilled only at 70 in 100 of their target, so that an outage could begin with less than it takes.

Ruled out: the promise (it allowed more than was held), loans (all lenders refused).

Change: the share of what remains that the lender holds grows faster with what remains, the target is 11 s, refilled at 75 in 100. What a power loss costs is bounded by the promise, not by the holding.

Before and after: requests refused in an outage of 8 s after 30 s of load (virtual time) 31, now 0; a power loss of all costs 3.5 s of use, as before.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -17,22 +17,20 @@
   // Duration of a partition from the KV that a holding should cover at the
   // current burn rate. What is held when all routers fail at once is lost, so
   // this is no longer than the partitions that occur.
-  base::Millis outage_cover = base::Millis(9'000);
+  base::Millis outage_cover = base::Millis(11'000);
   // Half-lives of the two averages whose mean estimates the burn rate: the
   // short one follows a surge, the long one bridges a lull.
   base::Millis burn_half_life = base::Millis(3'000);
   base::Millis long_half_life = base::Millis(12'000);
   // Before any usage, all routers together hold this fraction of a budget.
   int64_t initial_divisor = 8;
-  // Routers together set aside a part of what remains of a budget:
-  // `share_slope` times what remains of the limit beyond `share_cutoff`, as
-  // shares of the limit, clamped to `min_share` and `max_share`. Little is set
-  // aside of a budget that runs out: tokens kept back by a partition can still
-  // be used later, tokens lost with a killed router can't. The lender of a
-  // budget takes the full part; a router that substitutes for it takes a
-  // fraction according to its share of all usage.
-  double share_slope = 0.9;
-  double share_cutoff = 0.05;
+  // Routers together set aside a part of what remains of a budget: `min_share`
+  // and `share_slope` times what remains as a share of the limit, at most
+  // `max_share`. A budget that runs out is set aside less, since a killed
+  // router may lose all that it holds of it. The lender of a budget takes the
+  // full part; a router that substitutes for it takes a fraction according to
+  // its share of all usage.
+  double share_slope = 1.4;
   double max_share = 0.8;
   double min_share = 0.15;
   // Time without a reservation or loan after which a router that is not the
@@ -51,7 +49,7 @@
   int64_t max_request_divisor = 12;
   // A holding is refilled once it is below this share of its target, in
   // percent, and without delay when it is below the second one.
-  int64_t refill_percent = 70;
+  int64_t refill_percent = 75;
   int64_t urgent_percent = 50;
   // A holding above this share of its target, in percent, is reduced to the
   // target.
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -233,7 +233,7 @@
   const double left =
       1 - all / static_cast<double>(std::max<Tokens>(1, budget.limit.limit));
   const double combined_share =
-      std::clamp((left - policy_.share_cutoff) * policy_.share_slope,
+      std::clamp(policy_.min_share + left * policy_.share_slope,
                  policy_.min_share, policy_.max_share);
   return static_cast<Tokens>(static_cast<double>(free + Unallocated(budget)) *
                              part * combined_share);
--- a/libs/ledger/tests/power_loss_test.cc
+++ b/libs/ledger/tests/power_loss_test.cc
@@ -205,22 +205,25 @@
 TEST(PowerLoss, OutagesAreServedFromHoldings) {
   struct Case {
     const char* name;
+    int seconds_before;
     int outage_seconds;
     int partitioned_routers;
     int load_percent;
     int64_t refused;
   };
   for (const Case& c :
-       {Case{"store outage", 8, 0, 100, 0},
-        Case{"one router partitioned", 9, 1, 100, 0},
-        Case{"two routers partitioned", 9, 2, 100, 0},
-        Case{"one router partitioned, load rises", 9, 1, 150, 0},
-        Case{"all routers partitioned", 8, 4, 100, 0}}) {
+       {Case{"store outage", 10, 8, 0, 100, 0},
+        Case{"store outage, three fifths used", 30, 8, 0, 100, 0},
+        Case{"one router partitioned", 10, 9, 1, 100, 0},
+        Case{"two routers partitioned", 10, 9, 2, 100, 0},
+        Case{"one router partitioned, load rises", 10, 9, 1, 150, 0},
+        Case{"all routers partitioned, three fifths used", 30, 8, 4, 100, 0},
+        Case{"all routers partitioned", 10, 8, 4, 100, 0}}) {
     MeteredSimulation simulation(1, kRouters, kLargeLimit,
                                  MeteredPolicy().outage_cover);
     simulation.Connect();
     simulation.Advance(Millis(1000));
-    UnevenLoadFor(simulation, 10, 100);
+    UnevenLoadFor(simulation, c.seconds_before, 100);
     const int64_t refused = simulation.refused();
     simulation.faults().unavailable = c.partitioned_routers == 0;
     for (int i = 0; i < c.partitioned_routers; ++i) {
