Let routers on larger VMs lend

Ruled out: backoff after lost races (150 ms at most), the configuration condition (it had the newest version at 37.8 s).

Change: routers state their processor share (setting processor_share) and lenders are ranked with its square as the weight.

--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -95,7 +95,7 @@
   Raise(listed);
   Raise(RoutersListed{
       {{base::ProcessId("router-1"), base::Incarnation("router-1.1"),
-        base::Endpoint{"127.0.0.1", 1}}}});
+        base::Endpoint{"127.0.0.1", 1}, 1000}}});
 }
 
 DispatchSimulation::~DispatchSimulation() = default;
--- a/libs/ledger/include/ledger/peer.h
+++ b/libs/ledger/include/ledger/peer.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_PEER_H_
 #define LEDGER_PEER_H_
 
+#include <cstdint>
 #include <tuple>
 
 #include "base/endpoint.h"
@@ -15,10 +16,12 @@
   base::Incarnation incarnation;
   // Address at which it receives datagrams of other routers.
   base::Endpoint address;
+  // Processor share of its VM, in thousandths of a core.
+  int64_t millicores = 1000;
 
   friend bool operator==(const Peer& a, const Peer& b) {
-    return std::tie(a.process, a.incarnation, a.address) ==
-           std::tie(b.process, b.incarnation, b.address);
+    return std::tie(a.process, a.incarnation, a.address, a.millicores) ==
+           std::tie(b.process, b.incarnation, b.address, b.millicores);
   }
   friend bool operator!=(const Peer& a, const Peer& b) { return !(a == b); }
 };
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "base/digest.h"
+#include "lender_ranking.h"
 #include "metered_state.h"
 
 namespace godwit::ledger {
@@ -64,23 +64,8 @@
 }
 
 void MeteredBudgetManager::State::RankLenders() {
-  const size_t count = std::min(peers_.size(), policy_.max_lenders);
-  std::vector<std::pair<uint64_t, const Peer*>> ranked(peers_.size());
   for (size_t i = 0; i < shards_.size(); ++i) {
-    const std::string key = std::to_string(i) + "/";
-    std::transform(
-        peers_.begin(), peers_.end(), ranked.begin(), [&key](const Peer& peer) {
-          return std::make_pair(
-              base::Digest::Of(key + peer.process.value()).low(), &peer);
-        });
-    std::partial_sort(
-        ranked.begin(), ranked.begin() + static_cast<int64_t>(count),
-        ranked.end(),
-        [](const auto& a, const auto& b) { return a.first > b.first; });
-    shards_[i].lenders.clear();
-    for (size_t j = 0; j < count; ++j) {
-      shards_[i].lenders.push_back(*ranked[j].second);
-    }
+    shards_[i].lenders = ledger::RankLenders(i, peers_, policy_.max_lenders);
   }
 }
 
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -15,6 +15,8 @@
 constexpr char kRequest[] = "ask";
 constexpr char kReply[] = "reply";
 constexpr char kHello[] = "hello";
+// Assumed of a router that does not state its processor share.
+constexpr int64_t kUnknownMillicores = 1000;
 
 std::string Bytes(const Json& document) {
   std::string bytes;
@@ -49,7 +51,8 @@
 Json ToJson(const Peer& peer) {
   return {{"process", peer.process.value()},
           {"incarnation", peer.incarnation.value()},
-          {"address", peer.address.ToText()}};
+          {"address", peer.address.ToText()},
+          {"millicores", peer.millicores}};
 }
 
 Json ToJson(const PeerHello& hello) {
@@ -69,7 +72,10 @@
     return std::nullopt;
   }
   return Peer{base::ProcessId(*process), base::Incarnation(*incarnation),
-              *endpoint};
+              *endpoint,
+              // Routers of earlier versions don't send it.
+              cbor::Integer(cbor::Find(document, "millicores"))
+                  .value_or(kUnknownMillicores)};
 }
 
 // Returns no value unless the field is a non-negative integer.
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -133,11 +133,11 @@
   std::vector<Peer> peers;
   for (size_t i = 0; i < routers_.size(); ++i) {
     const Router& router = *routers_[i];
-    peers.push_back(
-        {base::ProcessId(router.name),
-         base::Incarnation(router.name + "." +
-                           std::to_string(router.incarnation)),
-         base::Endpoint{"127.0.0.1", static_cast<uint16_t>(i + 1)}});
+    peers.push_back({base::ProcessId(router.name),
+                     base::Incarnation(router.name + "." +
+                                       std::to_string(router.incarnation)),
+                     base::Endpoint{"127.0.0.1", static_cast<uint16_t>(i + 1)},
+                     1000});
   }
   for (const auto& router : routers_) {
     // Routers that already know the fleet learn of new incarnations by their
--- a/libs/ledger/tests/peer_codec_test.cc
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -42,7 +42,8 @@
                        Millis(70'000)};
 const Peer kPeer{ProcessId("edge-1"),
                  Incarnation("edge-1.7"),
-                 {"10.1.0.19", 7200}};
+                 {"10.1.0.19", 7200},
+                 90};
 
 std::string Cbor(const nlohmann::json& document) {
   std::string bytes;
@@ -94,6 +95,12 @@
   CHECK(std::get<LoanReply>(*message).wall_time == Millis());
 }
 
+TEST(PeerCodec, EarlierVersionsDoNotSendTheirProcessorShare) {
+  nlohmann::json peer = nlohmann::json::from_cbor(EncodePeer(kPeer));
+  peer.erase("millicores");
+  CHECK_EQUAL(1000, DecodePeer(Cbor(peer))->millicores);
+}
+
 TEST(PeerCodec, PeersRoundTrip) {
   CHECK(DecodePeer(EncodePeer(kPeer)) == kPeer);
   CHECK(!DecodePeer("edge-1"));
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -65,7 +65,7 @@
         store_(io, settings.Address("platform")),
         store_watcher_(store_,
                        {options_.process, options_.incarnation,
-                        settings.Address("routers")},
+                        settings.Address("routers"), MillicoresFrom(settings)},
                        [this](const dispatch::DispatchEvent& event) {
                          OnStoreEvent(event);
                        }),
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -16,6 +16,10 @@
 constexpr int64_t kMaxDescriptors = 1'000'000;
 constexpr int64_t kMaxRetries = 1'000'000;
 constexpr int64_t kMaxCostMillis = 60'000;
+// The share of a VM may be a small part of a core.
+constexpr double kMinProcessorShare = 0.001;
+constexpr double kMaxProcessorShare = 1024;
+constexpr double kMillicoresPerCore = 1000;
 
 // The load balancer probes readiness every second and stops sending requests
 // after two failed probes; requests that it sends before that must be served.
@@ -58,6 +62,10 @@
                 "answer to be chosen",
                 0, kMaxCostMillis)
       .Default("40")
+      .Real("processor_share",
+            "cores that this VM provides; routers on larger VMs lend budgets",
+            kMinProcessorShare, kMaxProcessorShare)
+      .Default("1")
       .Integer("descriptors", "file descriptors that this process may use",
                kReservedDescriptors * 2, kMaxDescriptors)
       .Default("4096");
@@ -91,6 +99,11 @@
   return limits;
 }
 
+int64_t MillicoresFrom(const config::Settings& settings) {
+  return static_cast<int64_t>(settings.Real("processor_share") *
+                              kMillicoresPerCore);
+}
+
 size_t MaxCallerConnections(const config::Settings& settings) {
   return static_cast<size_t>(
       (settings.Integer("descriptors") - kReservedDescriptors) / 2);
--- a/tools/godwit-edge/src/edge_settings.h
+++ b/tools/godwit-edge/src/edge_settings.h
@@ -1,6 +1,9 @@
 #ifndef GODWIT_EDGE_EDGE_SETTINGS_H_
 #define GODWIT_EDGE_EDGE_SETTINGS_H_
 
+#include <cstddef>
+#include <cstdint>
+
 #include "daemon/stop_plan.h"
 #include "dispatch/dispatcher_options.h"
 
@@ -21,6 +24,9 @@
 // `stop_limit_ms` setting.
 daemon::StopPlan::Limits StopLimitsFrom(const config::Settings& settings);
 
+// Processor share of this VM, in thousandths of a core.
+int64_t MillicoresFrom(const config::Settings& settings);
+
 // Largest number of caller connections that the file descriptors allow: each
 // may need a second one, to a backend server.
 size_t MaxCallerConnections(const config::Settings& settings);
