Correct fleet time for delayed datagrams

A datagram that waits in a queue makes the sender's clock look late, and a restarted VM would count too little as used if most were delayed by more than the 300 ms allowed.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -14,9 +14,10 @@
   // router with another value detects the difference there and spends nothing.
   // A change requires that budgets begin anew.
   int shard_count = 8;
-  // Duration of a partition from the KV that a holding should cover at the
-  // current burn rate. What is held when all routers fail at once is lost, so
-  // this is no longer than the partitions that occur.
+  // Period of usage that a holding covers at the current burn rate, when it has
+  // just been refilled: longer than the partitions from the KV that occur,
+  // which may begin just before a refill. Not longer than that, since what is
+  // held by a VM that never returns is lost.
   base::Millis outage_cover = base::Millis(11'000);
   // Half-lives of the two averages whose mean estimates the burn rate: the
   // short one follows a surge, the long one bridges a lull.
@@ -79,8 +80,8 @@
   // ignored.
   base::Millis clock_jitter = base::Millis(50);
   // Upper bound of the difference between fleet time as two routers know it,
-  // from clocks that don't jump.
-  base::Millis clock_skew = base::Millis(300);
+  // from clocks that don't jump and messages that were delayed.
+  base::Millis clock_skew = base::Millis(500);
   // Maximum time that a restarted router waits for the clocks of others before
   // it closes the grants of its earlier incarnations.
   base::Millis fleet_clock_wait = base::Millis(3'000);
--- a/libs/ledger/src/fleet_clock.cc
+++ b/libs/ledger/src/fleet_clock.cc
@@ -18,8 +18,16 @@
 void FleetClock::Record(base::Millis now,
                         const base::ProcessId& router,
                         base::Millis wall_time) {
-  if (router != self_ && wall_time != base::Millis()) {
-    readings_[router] = {wall_time - now, now};
+  if (router == self_ || wall_time == base::Millis()) {
+    return;
+  }
+  // Delay on the way makes an offset too small, so the largest one lately is
+  // the best.
+  const Reading reading{wall_time - now, now};
+  const auto [entry, is_new] = readings_.try_emplace(router, reading);
+  if (!is_new && (reading.offset >= entry->second.offset ||
+                  now - entry->second.recorded_at >= kMaxReadingAge)) {
+    entry->second = reading;
   }
 }
 
