Drop requests whose callers left before they were read

A request that waits in the socket of a busy VM is dispatched as soon as it is read, and the end of its connection, right behind it, is read afterwards.

Change: once a request is complete, what else was received is read before it is handled; at the end of the connection it is dropped.

Before and after: a caller that sends a request and closes before the router reads it had it handled; now it is dropped (relay_io_test).

--- a/libs/relay/include/relay/caller_session.h
+++ b/libs/relay/include/relay/caller_session.h
@@ -55,6 +55,10 @@
   void Read();
   void OnRead(size_t size);
   void Consume();
+  // True if the caller closed its connection after it had sent its request,
+  // which may have waited to be read on a busy VM. Reads what else was
+  // received.
+  bool HasCallerDisconnected();
   void OnRequestComplete();
   void Refuse(int status, const std::string& reason);
   void Queue(std::string_view bytes);
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -123,8 +123,19 @@
   }
 }
 
+bool CallerSession::HasCallerDisconnected() {
+  error_code error;
+  const size_t size = io_->socket.read_some(asio::buffer(io_->buffer), error);
+  io_->inbox.append(io_->buffer.data(), size);
+  return error && error != asio::error::would_block;
+}
+
 void CallerSession::OnRequestComplete() {
   receiving_request_ = false;
+  if (HasCallerDisconnected()) {
+    OnDisconnected();
+    return;
+  }
   state_ = State::kAnswering;
   ReceivedRequest request;
   request.head = io_->reader.head();
--- a/libs/relay/tests/relay_io_test.cc
+++ b/libs/relay/tests/relay_io_test.cc
@@ -245,6 +245,18 @@
   CHECK(RunUntil(io, [&] { return callers.disconnects == 1; }));
 }
 
+TEST(CallerServer, DropsARequestWhoseCallerLeftBeforeItWasRead) {
+  Listen();
+  {
+    RawConnection caller(port);
+    caller.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  io.run_for(std::chrono::milliseconds(100));
+  CHECK(callers.targets.empty());
+  CHECK_EQUAL(0, callers.disconnects);
+  CHECK_EQUAL(0, server.connections());
+}
+
 TEST(CallerServer, AbortsAStreamWithoutSendingTheLastChunk) {
   callers.answers_requests = false;
   Listen();
