--- a/libs/ledger/include/ledger/metered_budget_manager.h
+++ b/libs/ledger/include/ledger/metered_budget_manager.h
@@ -30,9 +30,9 @@
 // Spends budgets in a router that meters usage itself, from grants set aside in
 // the KV before use, so that the limits hold across process failures, pauses
 // and network partitions. A grant that is lost with its router counts as spent,
-// except for the part that the router had promised not to spend yet: an
-// incarnation started on the same VM frees that part, based on the VM's
-// monotonic clock. Limits come from the configuration. Each write is
+// except for the part that the router had promised not to spend yet: the next
+// incarnation on the VM frees that part, based on the VM's monotonic clock or,
+// if the VM restarted, on the wall clocks of the fleet. Limits come from the configuration. Each write is
 // conditional on the configuration that it relies on, so that a router that
 // does not know a lowered limit yet can't set tokens aside above it.
 //
--- a/libs/ledger/src/fleet_clock.cc
+++ b/libs/ledger/src/fleet_clock.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -21,16 +22,25 @@
   if (router == self_ || wall_time == base::Millis()) {
     return;
   }
-  // Delay on the way makes an offset too small, so the largest one lately is
+  // Delay on the way makes an offset too small, so the largest recent one is
   // the best.
   const Reading reading{wall_time - now, now};
   const auto [entry, is_new] = readings_.try_emplace(router, reading);
-  if (!is_new && (reading.offset >= entry->second.offset ||
-                  now - entry->second.recorded_at >= kMaxReadingAge)) {
+  if (is_new) {
+    EraseOld(now);
+  } else if (reading.offset >= entry->second.offset ||
+             now - entry->second.recorded_at >= kMaxReadingAge) {
     entry->second = reading;
   }
 }
 
+void FleetClock::EraseOld(base::Millis now) {
+  for (auto entry = readings_.begin(); entry != readings_.end();) {
+    const bool is_old = now - entry->second.recorded_at >= kMaxReadingAge;
+    entry = is_old ? readings_.erase(entry) : std::next(entry);
+  }
+}
+
 std::optional<base::Millis> FleetClock::Earliest(base::Millis now) const {
   return Median(now, false);
 }
--- a/libs/ledger/src/fleet_clock.h
+++ b/libs/ledger/src/fleet_clock.h
@@ -25,8 +25,8 @@
               base::Millis wall_time);
 
   // Returns the difference between fleet time and this VM's monotonic clock, or
-  // no value if too few routers were heard of lately. Of an even number of
-  // clocks, Earliest and Latest return the two in the middle.
+  // no value if messages of too few routers were received recently. Of an even
+  // number of clocks, Earliest and Latest return the two in the middle.
   std::optional<base::Millis> Earliest(base::Millis now) const;
   std::optional<base::Millis> Latest(base::Millis now) const;
 
@@ -36,6 +36,8 @@
     base::Millis recorded_at;
   };
 
+  // Erases the readings of routers that left the fleet.
+  void EraseOld(base::Millis now);
   std::optional<base::Millis> Median(base::Millis now, bool latest) const;
 
   const base::ProcessId self_;
--- a/libs/platform/tests/call_deadline_test.cc
+++ b/libs/platform/tests/call_deadline_test.cc
@@ -27,8 +27,8 @@
   int64_t bits_per_ms = 0;
   int64_t service_percent = 0;
   // The link carries nothing in this span.
-  Millis cut_from;
-  Millis cut_until;
+  Millis interrupted_from;
+  Millis interrupted_until;
 };
 
 // Reads an answer of `bytes` over a link and starts over whenever the deadline
@@ -41,7 +41,8 @@
     Millis first_byte = now + Millis(kStoreLatencyMs);
     while (!deadline.HasPassed(now)) {
       now = now + kStep;
-      if (now < first_byte || (now >= link.cut_from && now < link.cut_until)) {
+      if (now < first_byte ||
+          (now >= link.interrupted_from && now < link.interrupted_until)) {
         continue;
       }
       left -=
@@ -73,12 +74,12 @@
       {"1 MB, idle link", kLargest, {kNarrow, 0, {}, {}}, 1420},
       {"1 MB, shared link", kLargest, {kNarrow, 75, {}, {}}, 5620},
       {"1 MB, nearly full link", kLargest, {kNarrow, 88, {}, {}}, 11'680},
-      {"1 MB, link cut for a moment",
+      {"1 MB, link interrupted for a moment",
        kLargest,
        {kNarrow, 75, Millis(1000), Millis(1800)},
        6620},
-      // The call that the cut ended starts over.
-      {"1 MB, link cut for seconds",
+      // The call that the interruption ended starts over.
+      {"1 MB, link interrupted for seconds",
        kLargest,
        {kNarrow, 75, Millis(1000), Millis(9000)},
        14'620}};
