--- a/libs/ledger/include/ledger/metered_budget_manager.h
+++ b/libs/ledger/include/ledger/metered_budget_manager.h
@@ -32,9 +32,10 @@
 // and network partitions. A grant that is lost with its router counts as spent,
 // except for the part that the router had promised not to spend yet: the next
 // incarnation on the VM frees that part, based on the VM's monotonic clock or,
-// if the VM restarted, on the wall clocks of the fleet. Limits come from the configuration. Each write is
-// conditional on the configuration that it relies on, so that a router that
-// does not know a lowered limit yet can't set tokens aside above it.
+// if the VM restarted, on the wall clocks of the fleet. Limits come from the
+// configuration. Each write is conditional on the configuration that it relies
+// on, so that a router that does not know a lowered limit yet can't set tokens
+// aside above it.
 //
 // Routers that know each other lend tokens: one router draws from each shard of
 // the ledger, and the others borrow from it what they use in a few seconds. A
