--- a/libs/cas/include/cas/key_view.h
+++ b/libs/cas/include/cas/key_view.h
@@ -12,6 +12,7 @@
 #include "cas/progress.h"
 #include "platform/kv_read.h"
 #include "platform/kv_read_done.h"
+#include "platform/kv_version.h"
 #include "platform/kv_write.h"
 #include "platform/kv_write_done.h"
 
@@ -27,6 +28,8 @@
 
   // True once a version was read or written.
   bool known() const noexcept { return known_; }
+  const std::string& key() const noexcept { return key_; }
+  const platform::KvVersion& version() const noexcept { return version_; }
   // True when the version in view is known to be outdated.
   bool outdated() const noexcept { return outdated_; }
   // True when the stored bytes could not be decoded.
@@ -109,7 +112,7 @@
         open_writes_.pop_back();
         // The reply may contain the version that won.
         outdated_ =
-            !known_ || done.current.version == 0 ||
+            !known_ || !done.current.version.exists() ||
             done.current.version < version_ ||
             !ApplyRead(done.current.version, done.current.value, started_at);
         return Progress::kConflict;
@@ -136,7 +139,7 @@
     bool is_write;
   };
   struct OpenWrite {
-    int64_t expected_version;
+    platform::KvVersion expected_version;
     Record record;
   };
 
@@ -147,7 +150,7 @@
 
   // Applies a value read from the KV that is no older than the known one.
   // Returns false when it cannot be decoded.
-  bool ApplyRead(int64_t version,
+  bool ApplyRead(platform::KvVersion version,
                  const std::string& value,
                  base::Millis started_at) {
     if (known_ && version == version_) {
@@ -164,7 +167,9 @@
     return true;
   }
 
-  void Adopt(int64_t version, Record record, base::Millis confirmed_at) {
+  void Adopt(platform::KvVersion version,
+             Record record,
+             base::Millis confirmed_at) {
     known_ = true;
     outdated_ = false;
     version_ = version;
@@ -184,7 +189,7 @@
   bool known_ = false;
   bool outdated_ = false;
   bool corrupt_ = false;
-  int64_t version_ = 0;
+  platform::KvVersion version_;
   Record record_;
   base::Millis confirmed_at_;
   std::optional<Operation> operation_;
--- a/libs/claims/src/claim_writer.cc
+++ b/libs/claims/src/claim_writer.cc
@@ -190,7 +190,7 @@
     if (write.value.size() > policy.max_bytes) {
       // The write is too large and was not sent.
       shard.view.Finish(platform::KvWriteDone{
-          operation, platform::WriteOutcome::kNotSent, 0});
+          operation, platform::WriteOutcome::kNotSent, {}});
       RefuseAll(shard);
       return;
     }
--- a/libs/claims/tests/claims_test.cc
+++ b/libs/claims/tests/claims_test.cc
@@ -37,6 +37,7 @@
 using godwit::link::RegisterKey;
 using godwit::platform::KvRead;
 using godwit::platform::KvReadDone;
+using godwit::platform::KvVersion;
 using godwit::platform::KvWrite;
 using godwit::platform::KvWriteDone;
 using godwit::platform::WriteOutcome;
@@ -248,15 +249,15 @@
       const std::string& value) {
     const auto* read = Find<KvRead>(commands);
     CHECK(read != nullptr);
-    return Step(KvReadDone{read->operation, true, version, value});
+    return Step(KvReadDone{read->operation, true, KvVersion(version), value});
   }
 
   std::vector<ClaimCommand> AnswerWrite(
       const std::vector<ClaimCommand>& commands, WriteOutcome outcome) {
     const auto* write = Find<KvWrite>(commands);
     CHECK(write != nullptr);
-    return Step(
-        KvWriteDone{write->operation, outcome, write->expected_version + 1});
+    return Step(KvWriteDone{write->operation, outcome,
+                            KvVersion(write->expected_version.revision + 1)});
   }
 };
 
@@ -313,7 +314,7 @@
   const auto fail = [&] {
     const auto* read = Find<KvRead>(commands);
     CHECK(read != nullptr);
-    commands = Step(KvReadDone{read->operation, false, 0, ""});
+    commands = Step(KvReadDone{read->operation, false, {}, ""});
   };
   fail();
   now = now + Millis(600);
--- a/libs/config/src/apply_operation.cc
+++ b/libs/config/src/apply_operation.cc
@@ -23,8 +23,8 @@
   if (phase_ == Phase::kRead) {
     return platform::KvRead{operation_, kConfigKey};
   }
-  return platform::KvWrite{operation_, kConfigKey, expected_revision_, text_,
-                           ""};
+  return platform::KvWrite{operation_, kConfigKey,
+                           platform::KvVersion(expected_revision_), text_, ""};
 }
 
 void ApplyOperation::OnResult(const platform::KvReadDone& done) {
@@ -35,16 +35,16 @@
     Retry();
     return;
   }
-  if (done.version != 0 && done.value == text_) {
-    Finish(ApplyOutcome::kAccepted, done.version, {});
+  if (done.version.exists() && done.value == text_) {
+    Finish(ApplyOutcome::kAccepted, done.version.revision, {});
     return;
   }
-  if (done.version == expected_revision_) {
+  if (done.version.revision == expected_revision_) {
     phase_ = Phase::kWrite;
     return;
   }
   Finish(may_be_written_ ? ApplyOutcome::kUnknown : ApplyOutcome::kConflict,
-         done.version, done.value);
+         done.version.revision, done.value);
 }
 
 void ApplyOperation::OnResult(const platform::KvWriteDone& done) {
@@ -54,7 +54,7 @@
   phase_ = Phase::kRead;
   switch (done.outcome) {
     case platform::WriteOutcome::kWon:
-      Finish(ApplyOutcome::kAccepted, done.version, {});
+      Finish(ApplyOutcome::kAccepted, done.version.revision, {});
       return;
     case platform::WriteOutcome::kLost:
       return;
--- a/libs/config/tests/apply_operation_test.cc
+++ b/libs/config/tests/apply_operation_test.cc
@@ -106,10 +106,13 @@
       CHECK_TEXT(apply.Next().has_value(), c.name);
       ++operation;
       if (answer.read) {
-        apply.OnResult(KvReadDone{operation, answer.available, answer.version,
+        apply.OnResult(KvReadDone{operation, answer.available,
+                                  godwit::platform::KvVersion(answer.version),
                                   answer.value});
       } else {
-        apply.OnResult(KvWriteDone{operation, answer.outcome, answer.version});
+        apply.OnResult(
+            KvWriteDone{operation, answer.outcome,
+                        godwit::platform::KvVersion(answer.version)});
       }
     }
     CHECK_TEXT(!apply.Next().has_value(), c.name);
--- a/libs/config/tests/config_sync_operators.cc
+++ b/libs/config/tests/config_sync_operators.cc
@@ -43,7 +43,7 @@
   done.operation = std::get<platform::KvRead>(*command).operation;
   done.available = !outage_ && !(lost_answers_ && Chance(50));
   if (done.available) {
-    done.version = kv_.version;
+    done.version = platform::KvVersion(kv_.version);
     done.value = kv_.text;
   }
   Schedule(now_ + Delay(), [this, index, done] {
@@ -65,22 +65,22 @@
       const Millis late =
           now_ + Millis(static_cast<int64_t>(random_() % kMaxLateWriteMs));
       Schedule(late, [this, write] {
-        kv_.CompareAndSwap(write.expected_version, write.value);
+        kv_.CompareAndSwap(write.expected_version.revision, write.value);
       });
     }
   } else {
     const int64_t expected = fault_ == InjectedFault::kOverwrite
                                  ? kv_.version
-                                 : write.expected_version;
+                                 : write.expected_version.revision;
     const bool won = kv_.CompareAndSwap(expected, write.value);
     done.outcome =
         won ? platform::WriteOutcome::kWon : platform::WriteOutcome::kLost;
-    done.version = won ? kv_.version : 0;
+    done.version = platform::KvVersion(won ? kv_.version : 0);
   }
   if (fault_ == InjectedFault::kAcceptUnknown &&
       done.outcome == platform::WriteOutcome::kUnknown) {
     done.outcome = platform::WriteOutcome::kWon;
-    done.version = write.expected_version + 1;
+    done.version = platform::KvVersion(write.expected_version.revision + 1);
   }
   Schedule(now_ + Delay(), [this, index, done] {
     operators_[index].apply->OnResult(done);
--- a/libs/daemon/src/config_service.cc
+++ b/libs/daemon/src/config_service.cc
@@ -61,7 +61,7 @@
             : client_.Watch(config::kConfigKey, command.after_revision,
                             command.wait);
     if (done.available) {
-      Step(config::KvWatchAnswered{done.version, done.value});
+      Step(config::KvWatchAnswered{done.version.revision, done.value});
     } else {
       Step(config::KvWatchFailed());
     }
--- a/libs/daemon/src/watch_fleet.cc
+++ b/libs/daemon/src/watch_fleet.cc
@@ -19,7 +19,7 @@
       runtime::Runtime::SleepFor(retry_delay);
       continue;
     }
-    if (done.version == version) {
+    if (done.version.revision == version) {
       continue;
     }
     membership::FleetCodec codec;
@@ -28,7 +28,7 @@
       runtime::Runtime::SleepFor(retry_delay);
       continue;
     }
-    version = done.version;
+    version = done.version.revision;
     on_record(*record, version);
   }
 }
--- a/libs/dispatch/include/dispatch/backend_directory.h
+++ b/libs/dispatch/include/dispatch/backend_directory.h
@@ -33,6 +33,10 @@
   // until they have had time to register again.
   void OnStoreUnavailable();
   void OnStoreAvailable(base::Millis now);
+  // The store returned from an older copy. Until servers have had time to write
+  // their registrations again, missing servers stay in use, draining servers
+  // stay so, and servers whose removal was observed are not used.
+  void OnStoreReturned(base::Millis now);
 
   // Another server answered at the address of this one.
   std::vector<BackendHealthChanged> MarkReplaced(const std::string& instance);
@@ -59,14 +63,28 @@
   };
 
   bool RegistrationsMayHaveLapsed(base::Millis now) const;
+  // True while the registry may show an older copy.
+  bool MayBeOld(base::Millis now) const;
   void RemoveEntry(std::map<std::string, Entry>::iterator entry,
+                   base::Millis now,
                    const char* reason,
                    std::vector<BackendHealthChanged>& changes);
 
+  struct Removal {
+    // Key of the removed server.
+    std::string key;
+    base::Millis at;
+    // The registration that the registry shows again, if it does.
+    std::optional<Backend> listed;
+  };
+
   std::map<std::string, Entry> entries_;
+  // Recent removals, by instance.
+  std::map<std::string, Removal> removals_;
   bool loaded_ = false;
   bool store_unavailable_ = false;
   std::optional<base::Millis> store_available_since_;
+  std::optional<base::Millis> store_returned_at_;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -18,6 +18,7 @@
 #include "dispatch/routers_listed.h"
 #include "dispatch/routing_table_updated.h"
 #include "dispatch/store_availability_changed.h"
+#include "dispatch/store_era_changed.h"
 #include "dispatch/tick.h"
 #include "platform/kv_read_done.h"
 #include "platform/kv_write_done.h"
@@ -36,6 +37,7 @@
                                    BackendRegistered,
                                    BackendRemoved,
                                    StoreAvailabilityChanged,
+                                   StoreEraChanged,
                                    ConfigurationTracking,
                                    RoutersListed,
                                    DrainRequested,
--- a/libs/dispatch/include/dispatch/dispatcher.h
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -44,6 +44,9 @@
   bool drained() const;
   // Version of the configuration in force; 0 before the first.
   int64_t config_version() const;
+  // The era of the store in which this router has written to the ledger what it
+  // knew of it.
+  int64_t ledger_era() const;
 
  private:
   struct State;
--- a/libs/dispatch/include/dispatch/routing_table.h
+++ b/libs/dispatch/include/dispatch/routing_table.h
@@ -13,6 +13,7 @@
 #include "dispatch/organisation.h"
 #include "dispatch/route.h"
 #include "dispatch/service_profile.h"
+#include "platform/kv_version.h"
 
 namespace godwit::dispatch {
 
@@ -24,7 +25,7 @@
     // Grows with each version.
     int64_t version = 0;
     // Revision of the stored value that the configuration was read from.
-    int64_t revision = 0;
+    platform::KvVersion revision;
     std::vector<Route> routes;
     std::vector<ServiceProfile> services;
     std::vector<Organisation> organisations;
@@ -36,7 +37,9 @@
   explicit RoutingTable(Contents contents);
 
   int64_t version() const noexcept { return contents_.version; }
-  int64_t revision() const noexcept { return contents_.revision; }
+  const platform::KvVersion& revision() const noexcept {
+    return contents_.revision;
+  }
   const CallerLimits& limits() const noexcept { return contents_.limits; }
   bool requires_api_key() const noexcept { return contents_.requires_api_key; }
   const std::vector<Route>& routes() const noexcept { return contents_.routes; }
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -2,6 +2,7 @@
 
 #include <iterator>
 #include <set>
+#include <utility>
 
 namespace godwit::dispatch {
 namespace {
@@ -11,6 +12,8 @@
 // Live servers register again within about two seconds after the store becomes
 // available.
 constexpr base::Millis kReregistrationTime(2000);
+// Removals are remembered for longer than the store can fall back.
+constexpr base::Millis kRemovalRetention(60'000);
 
 BackendHealthChanged MakeChange(const Backend& backend,
                                 Health health,
@@ -26,9 +29,15 @@
           now - *store_available_since_ < kReregistrationTime);
 }
 
+bool BackendDirectory::MayBeOld(base::Millis now) const {
+  return store_returned_at_ && now - *store_returned_at_ < kReregistrationTime;
+}
+
 void BackendDirectory::RemoveEntry(std::map<std::string, Entry>::iterator entry,
+                                   base::Millis now,
                                    const char* reason,
                                    std::vector<BackendHealthChanged>& changes) {
+  removals_[entry->first] = {entry->second.backend.key(), now, std::nullopt};
   changes.push_back(
       MakeChange(entry->second.backend, Health::kRemoved, reason));
   entries_.erase(entry);
@@ -42,7 +51,23 @@
   std::set<std::string> listed;
   for (const Backend& backend : backends) {
     listed.insert(backend.instance);
-    for (BackendHealthChanged& change : OnUpdated(backend)) {
+    const auto removal = removals_.find(backend.instance);
+    if (MayBeOld(now) && removal != removals_.end() &&
+        removal->second.key == backend.key()) {
+      removal->second.listed = backend;
+      continue;
+    }
+    Backend updated = backend;
+    const auto found = entries_.find(backend.instance);
+    if (MayBeOld(now) && found != entries_.end()) {
+      const Backend& known = found->second.backend;
+      if (backend.started_at_ms < known.started_at_ms) {
+        continue;
+      }
+      updated.draining =
+          updated.draining || (known.draining && known.key() == backend.key());
+    }
+    for (BackendHealthChanged& change : OnUpdated(updated)) {
       changes.push_back(std::move(change));
     }
   }
@@ -62,6 +87,7 @@
 
 std::vector<BackendHealthChanged> BackendDirectory::OnUpdated(
     const Backend& backend) {
+  removals_.erase(backend.instance);
   std::vector<BackendHealthChanged> changes;
   const auto found = entries_.find(backend.instance);
   if (found == entries_.end()) {
@@ -90,6 +116,10 @@
   std::vector<BackendHealthChanged> changes;
   const auto found = entries_.find(instance);
   if (found == entries_.end()) {
+    const auto removal = removals_.find(instance);
+    if (removal != removals_.end()) {
+      removal->second.listed.reset();
+    }
     return changes;
   }
   Entry& entry = found->second;
@@ -98,7 +128,7 @@
     entry.missing_since = entry.missing_since.value_or(now);
     return changes;
   }
-  RemoveEntry(found, "not registered", changes);
+  RemoveEntry(found, now, "not registered", changes);
   return changes;
 }
 
@@ -113,6 +143,11 @@
   }
 }
 
+void BackendDirectory::OnStoreReturned(base::Millis now) {
+  store_available_since_ = now;
+  store_returned_at_ = now;
+}
+
 std::vector<BackendHealthChanged> BackendDirectory::MarkReplaced(
     const std::string& instance) {
   std::vector<BackendHealthChanged> changes;
@@ -133,10 +168,25 @@
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const auto next = std::next(entry);
     if (entry->second.missing_since) {
-      RemoveEntry(entry, "did not register again", changes);
+      RemoveEntry(entry, now, "did not register again", changes);
     }
     entry = next;
   }
+  std::vector<Backend> still_listed;
+  for (auto removal = removals_.begin(); removal != removals_.end();) {
+    const bool has_returned = !MayBeOld(now) && removal->second.listed;
+    if (has_returned) {
+      still_listed.push_back(*removal->second.listed);
+    }
+    const bool is_over = now - removal->second.at >= kRemovalRetention;
+    removal =
+        has_returned || is_over ? removals_.erase(removal) : std::next(removal);
+  }
+  for (const Backend& backend : still_listed) {
+    for (BackendHealthChanged& change : OnUpdated(backend)) {
+      changes.push_back(std::move(change));
+    }
+  }
   return changes;
 }
 
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -34,6 +34,10 @@
   return state_->calls_.empty() && state_->budgets_.drained();
 }
 
+int64_t Dispatcher::ledger_era() const {
+  return state_->budgets_.merged_era();
+}
+
 int64_t Dispatcher::config_version() const {
   return state_->table_ == nullptr ? 0 : state_->table_->version();
 }
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -242,6 +242,14 @@
   }
 }
 
+void Dispatcher::State::On(const StoreEraChanged& event) {
+  if (!event.is_first) {
+    directory_.OnStoreReturned(now_);
+  }
+  budgets_.SetEra(now_, event.era);
+  ProcessBudgets();
+}
+
 void Dispatcher::State::On(const ConfigurationTracking& event) {
   store_answers_ = event.store_answers;
   if (event.is_followed) {
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -44,6 +44,7 @@
   void On(const BackendRegistered& event);
   void On(const BackendRemoved& event);
   void On(const StoreAvailabilityChanged& event);
+  void On(const StoreEraChanged& event);
   void On(const ConfigurationTracking& event);
   void On(const RoutersListed& event);
   void On(const PeerMessageReceived& event);
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -85,7 +85,7 @@
   }
   RoutingTable::Contents contents;
   contents.version = 1;
-  contents.revision = 1;
+  contents.revision = platform::KvVersion(1);
   contents.routes = Routes();
   contents.organisations = options.organisations;
   contents.requires_api_key = options.requires_api_key;
--- a/libs/dispatch/tests/parts_test.cc
+++ b/libs/dispatch/tests/parts_test.cc
@@ -140,6 +140,75 @@
   CHECK_EQUAL(1, directory.UsableBackends(ServiceId("model")).size());
 }
 
+TEST(BackendDirectory, DoesNotBelieveAnOldCopyOfTheRegistry) {
+  const auto draining = [](Backend server) {
+    server.draining = true;
+    return server;
+  };
+  struct Case {
+    const char* name;
+    // What was known, what the copy shows, and what was written again.
+    std::vector<Backend> known;
+    std::vector<std::string> removed;
+    std::vector<Backend> copy;
+    std::vector<Backend> written;
+    // Usable servers right after the return and after the grace.
+    size_t at_once;
+    size_t later;
+  };
+  const std::vector<Case> cases = {
+      {"missing and written again",
+       {Server("s1")},
+       {},
+       {},
+       {Server("s1")},
+       1,
+       1},
+      {"missing for good", {Server("s1")}, {}, {}, {}, 1, 0},
+      {"draining", {draining(Server("s1"))}, {}, {Server("s1")}, {}, 0, 0},
+      {"an earlier incarnation",
+       {Server("s1", 2)},
+       {},
+       {Server("s1", 1)},
+       {},
+       1,
+       1},
+      {"a later incarnation",
+       {Server("s1", 1)},
+       {},
+       {Server("s1", 2)},
+       {},
+       1,
+       1},
+      {"removed before", {Server("s1")}, {"s1"}, {Server("s1")}, {}, 0, 1},
+      {"removed before, and registered again",
+       {Server("s1")},
+       {"s1"},
+       {Server("s1")},
+       {Server("s1")},
+       1,
+       1},
+  };
+  for (const Case& c : cases) {
+    BackendDirectory directory;
+    directory.OnListed(Millis(0), c.known);
+    for (const std::string& instance : c.removed) {
+      directory.OnRemoved(Millis(100), instance);
+    }
+    directory.OnStoreReturned(Millis(1000));
+    directory.OnListed(Millis(1010), c.copy);
+    for (const Backend& backend : c.written) {
+      directory.OnUpdated(backend);
+    }
+    directory.Tick(Millis(1020));
+    CHECK_EQUAL_TEXT(
+        c.at_once, directory.UsableBackends(ServiceId("model")).size(), c.name);
+    directory.Tick(Millis(4000));
+    CHECK_EQUAL_TEXT(
+        c.later, directory.UsableBackends(ServiceId("model")).size(), c.name);
+  }
+}
+
 TEST(BackendDirectory, KeepsServersThatLapsedDuringAStoreOutage) {
   struct Case {
     const char* name;
--- a/libs/ledger/include/ledger/ledger_edit.h
+++ b/libs/ledger/include/ledger/ledger_edit.h
@@ -122,6 +122,7 @@
 
   // Sets the id of the write that will store this record.
   void SetWrite(base::WriteId write);
+  void SetEra(int64_t era);
 
  private:
   bool Fail(base::ErrorKind kind, std::string message, std::string remedy);
--- a/libs/ledger/include/ledger/ledger_record.h
+++ b/libs/ledger/include/ledger/ledger_record.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_LEDGER_RECORD_H_
 #define LEDGER_LEDGER_RECORD_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <tuple>
@@ -16,6 +17,8 @@
 struct LedgerRecord {
   // Id of the write that created this version.
   base::WriteId write;
+  // Era of the KV in which its budgets were last known to be complete.
+  int64_t era = 0;
   // The budgets of this shard.
   std::map<base::BudgetId, Budget> budgets;
 
@@ -26,7 +29,8 @@
   std::optional<base::Error> CheckInvariant() const;
 
   friend bool operator==(const LedgerRecord& a, const LedgerRecord& b) {
-    return std::tie(a.write, a.budgets) == std::tie(b.write, b.budgets);
+    return std::tie(a.write, a.era, a.budgets) ==
+           std::tie(b.write, b.era, b.budgets);
   }
   friend bool operator!=(const LedgerRecord& a, const LedgerRecord& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/loan_reply.h
+++ b/libs/ledger/include/ledger/loan_reply.h
@@ -30,14 +30,17 @@
   State state = State::kLent;
   // Maximum that can remain of the budget, given the usage that is known.
   base::Tokens left = 0;
+  // What the lender's grant of the budget sets aside, which the borrowers know
+  // if the lender is lost together with its last writes.
+  base::Tokens granted = 0;
   // Wall clock of the sender; zero if it is not known.
   base::Millis wall_time;
 
   friend bool operator==(const LoanReply& a, const LoanReply& b) {
     return std::tie(a.lender, a.borrower, a.budget, a.lent, a.state, a.left,
-                    a.wall_time) == std::tie(b.lender, b.borrower, b.budget,
-                                             b.lent, b.state, b.left,
-                                             b.wall_time);
+                    a.granted, a.wall_time) ==
+           std::tie(b.lender, b.borrower, b.budget, b.lent, b.state, b.left,
+                    b.granted, b.wall_time);
   }
   friend bool operator!=(const LoanReply& a, const LoanReply& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/metered_budget_manager.h
+++ b/libs/ledger/include/ledger/metered_budget_manager.h
@@ -76,6 +76,13 @@
                  platform::KvCondition configuration);
   // Sets the current difference between the wall clock and the clock of `now`.
   void SetClockOffset(base::Millis offset);
+  // Starts an era of the KV: the first one, or a later one after the KV
+  // returned from an older copy. What this router knows is then written to the
+  // ledger again, and nothing is drawn until the other routers have done so,
+  // too.
+  void SetEra(base::Millis now, int64_t era);
+  // The last era in which this router has done so, for its Peer entry.
+  int64_t merged_era() const noexcept;
   // Sets the number of routers that share the budgets, including this one; used
   // until SetPeers is called.
   void SetRouters(size_t count);
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -139,6 +139,17 @@
   base::Millis refill_interval = base::Millis(250);
   // Usage of a loan is reported at least this often.
   base::Millis report_interval = base::Millis(1'000);
+  // After the KV returned from an older copy, nothing is drawn for the first
+  // time, so that all routers learn of it and write what they know, nor for the
+  // second time while a known router has not done so: it is partitioned or has
+  // ended. Routers without a grant wait for the third time before they write,
+  // since those with grants usually know the same.
+  base::Millis era_settle_time = base::Millis(2'000);
+  base::Millis absent_peer_timeout = base::Millis(15'000);
+  base::Millis merge_delay = base::Millis(500);
+  // Grants that lenders reported are remembered for this long after the last
+  // report: longer than the KV can fall back.
+  base::Millis reported_grant_retention = base::Millis(60'000);
   // An operation without an outcome is abandoned after this time.
   base::Millis operation_timeout = base::Millis(2'000);
 };
--- a/libs/ledger/include/ledger/peer.h
+++ b/libs/ledger/include/ledger/peer.h
@@ -18,10 +18,12 @@
   base::Endpoint address;
   // Processor share of its VM, in thousandths of a core.
   int64_t millicores = 1000;
+  // Era of the KV in which it has written to the ledger what it knew.
+  int64_t era = 0;
 
   friend bool operator==(const Peer& a, const Peer& b) {
-    return std::tie(a.process, a.incarnation, a.address, a.millicores) ==
-           std::tie(b.process, b.incarnation, b.address, b.millicores);
+    return std::tie(a.process, a.incarnation, a.address, a.millicores, a.era) ==
+           std::tie(b.process, b.incarnation, b.address, b.millicores, b.era);
   }
   friend bool operator!=(const Peer& a, const Peer& b) { return !(a == b); }
 };
--- a/libs/ledger/src/ledger_codec.cc
+++ b/libs/ledger/src/ledger_codec.cc
@@ -133,6 +133,7 @@
 }
 
 bool ReadRecord(const Json& value, LedgerRecord& into) {
+  into.era = Integer(Find(value, "era")).value_or(0);
   return Integer(Find(value, "format")) == kFormat &&
          ReadId(Find(value, "write"), into.write) &&
          ReadMap(Find(value, "budgets"), into.budgets, ReadBudget);
@@ -145,9 +146,12 @@
   for (const auto& [id, budget] : record.budgets) {
     budgets[id.value()] = ToJson(budget);
   }
-  const Json document = {{"format", kFormat},
-                         {"write", record.write.value()},
-                         {"budgets", std::move(budgets)}};
+  Json document = {{"format", kFormat},
+                   {"write", record.write.value()},
+                   {"budgets", std::move(budgets)}};
+  if (record.era != 0) {
+    document["era"] = record.era;
+  }
   std::string bytes;
   Json::to_cbor(document, bytes);
   return bytes;
--- a/libs/ledger/src/ledger_edit.cc
+++ b/libs/ledger/src/ledger_edit.cc
@@ -317,6 +317,11 @@
   return true;
 }
 
+void LedgerEdit::SetEra(int64_t era) {
+  changed_ |= record_.era != era;
+  record_.era = era;
+}
+
 void LedgerEdit::SetWrite(base::WriteId write) {
   record_.write = std::move(write);
 }
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -59,6 +59,15 @@
   state_->fleet_clock_.SetOwn(offset);
 }
 
+void MeteredBudgetManager::SetEra(base::Millis now, int64_t era) {
+  state_->Begin(now);
+  state_->SetEra(now, era);
+}
+
+int64_t MeteredBudgetManager::merged_era() const noexcept {
+  return state_->merged_era_;
+}
+
 void MeteredBudgetManager::SetPeers(base::Millis now,
                                     const std::vector<Peer>& peers) {
   state_->Begin(now);
@@ -127,7 +136,7 @@
   budget.loan_need = 0;
   budget.need = std::max(budget.need, amount);
   const Shard& shard = ShardOfBudget(budget);
-  const bool is_fresh = shard.view.known() &&
+  const bool is_fresh = !shard.earlier && shard.view.known() &&
                         shard.view.confirmed_at() + policy_.max_record_age >=
                             std::min(now, since);
   if (is_fresh && amount > MaxRemaining(budget)) {
@@ -136,7 +145,8 @@
   }
   // Tokens that are held but not promised become available soon.
   const bool is_unavailable =
-      IsKvUnavailable(now, shard) && Unallocated(budget) < amount;
+      (IsKvUnavailable(now, shard) || !MayOpenSoon(now, shard)) &&
+      Unallocated(budget) < amount;
   if (waited_enough || is_unavailable) {
     budget.need = 0;
     return ReserveResult::kUnavailable;
@@ -170,7 +180,7 @@
     // Borrowed tokens stay with the grant, which a later incarnation closes.
     const bool is_lent = state_->loans_.Outstanding(id) > 0;
     const bool is_settled =
-        state_->OwnGrant(shard.view.record(), id) == nullptr ||
+        state_->OwnGrant(shard.record(), id) == nullptr ||
         (is_lent && state_->Granted(budget) <= state_->Allocated(budget));
     if (budget.reserved > 0 || shard.view.busy_since() || !is_settled) {
       return false;
@@ -228,9 +238,9 @@
            std::to_string(state_->layout_.record().keys) + " keys";
   }
   const State::Shard& shard = state_->ShardOfBudget(*local);
-  const auto stored = shard.view.record().budgets.find(budget);
+  const auto stored = shard.record().budgets.find(budget);
   const base::Tokens free =
-      stored == shard.view.record().budgets.end() ? 0 : stored->second.free();
+      stored == shard.record().budgets.end() ? 0 : stored->second.free();
   return "limit " + std::to_string(local->limit.limit) + ", granted " +
          std::to_string(state_->Granted(*local)) + ", promised " +
          std::to_string(state_->Promised(*local)) + ", spent " +
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -35,6 +35,12 @@
   if (auto command = NextPromiseCommand(now)) {
     commands.push_back(std::move(*command));
   }
+  if (auto operation = era_marker_.Next(now, next_operation_)) {
+    ++next_operation_;
+    std::visit(
+        [&commands](auto& command) { commands.push_back(std::move(command)); },
+        *operation);
+  }
   if (!KnowsLayout()) {
     if (auto command = NextLayoutCommand(now)) {
       commands.push_back(std::move(*command));
@@ -152,6 +158,14 @@
   if (!shard.view.known() || shard.view.outdated() || shard.view.corrupt()) {
     return shard.view.StartRead(now, next_operation_++);
   }
+  CheckComplete(now, shard);
+  if (!shard.is_complete) {
+    return NextMergeCommand(now, shard);
+  }
+  // Until the configuration of this era is known, writes would not take effect.
+  if (configuration_->version.era != era_ || !era_marker_.exists()) {
+    return std::nullopt;
+  }
   const Urgency urgency = UrgencyOf(now, shard);
   const base::Millis spacing = urgency == Urgency::kNow
                                    ? policy_.min_write_interval
@@ -160,6 +174,7 @@
     shard.last_write_at = now;
     platform::KvWrite write =
         shard.view.StartWrite(now, next_operation_++, NextRecord(now, shard));
+    write.conditions = era_marker_.Conditions();
     write.conditions.push_back(*configuration_);
     return write;
   }
@@ -187,6 +202,7 @@
     }
     EditBudget(now, edit, *budget);
   }
+  edit.SetEra(era_);
   return edit.record();
 }
 
@@ -281,7 +297,7 @@
 
 template <typename Done>
 void MeteredBudgetManager::State::OnDone(base::Millis now, const Done& done) {
-  if (promises_.Finish(now, done)) {
+  if (promises_.Finish(now, done) || era_marker_.Finish(now, done)) {
     return;
   }
   const cas::Progress layout = layout_.Finish(done);
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -1,10 +1,8 @@
 // Loans between routers, which keep the number of routers that write to the
 // ledger small and let the others serve one that is partitioned from the KV.
 #include <algorithm>
-#include <set>
 #include <utility>
 
-#include "lender_ranking.h"
 #include "metered_state.h"
 
 namespace godwit::ledger {
@@ -16,98 +14,6 @@
 
 }  // namespace
 
-void MeteredBudgetManager::State::SetPeers(base::Millis now,
-                                           const std::vector<Peer>& listed) {
-  std::vector<base::Endpoint> discovered;
-  for (const Peer& peer : listed) {
-    const auto [entry, is_new] = known_peers_.try_emplace(peer.process);
-    KnownPeer& known = entry->second;
-    const bool has_recent_hello =
-        known.hello_received_at &&
-        now - *known.hello_received_at < policy_.hello_validity;
-    known.last_confirmed_at = now;
-    if (is_new || !has_recent_hello) {
-      known.peer = peer;
-    }
-    if (is_new && peer.process != process_) {
-      discovered.push_back(peer.address);
-    }
-  }
-  peers_.clear();
-  std::set<base::Incarnation> incarnations;
-  for (auto entry = known_peers_.begin(); entry != known_peers_.end();) {
-    if (now - entry->second.last_confirmed_at >= policy_.missing_timeout) {
-      entry = known_peers_.erase(entry);
-      continue;
-    }
-    peers_.push_back(entry->second.peer);
-    incarnations.insert(entry->second.peer.incarnation);
-    ++entry;
-  }
-  loans_.RetainBorrowers(incarnations);
-  RankLenders();
-  if (IsAnyLender()) {
-    // Their lists may not contain this incarnation for some seconds.
-    for (const base::Endpoint& address : discovered) {
-      SendHello(address);
-    }
-  }
-}
-
-bool MeteredBudgetManager::State::IsAnyLender() const {
-  return std::any_of(
-      shards_.begin(), shards_.end(), [this](const Shard& shard) {
-        return std::any_of(
-            shard.lenders.begin(), shard.lenders.end(),
-            [this](const Peer& peer) { return peer.process == process_; });
-      });
-}
-
-void MeteredBudgetManager::State::RankLenders() {
-  for (size_t i = 0; i < shards_.size(); ++i) {
-    shards_[i].lenders = ledger::RankLenders(i, peers_, policy_.max_lenders);
-  }
-}
-
-void MeteredBudgetManager::State::SendHello(const base::Endpoint& to) {
-  const Peer* const self = PeerOf(self_);
-  if (self != nullptr) {
-    outbox_.emplace_back(SendToPeer{to, PeerHello{*self, WallTime()}});
-  }
-}
-
-void MeteredBudgetManager::State::On(base::Millis now, const PeerHello& hello) {
-  const base::ProcessId& process = hello.peer.process;
-  if (process == process_ || peers_.empty()) {
-    return;
-  }
-  known_peers_[process] = {hello.peer, now, now};
-  unresponsive_until_.erase(process);
-  const auto found = std::find_if(
-      peers_.begin(), peers_.end(),
-      [&process](const Peer& peer) { return peer.process == process; });
-  if (found == peers_.end()) {
-    peers_.push_back(hello.peer);
-  } else if (*found != hello.peer) {
-    *found = hello.peer;
-  } else {
-    return;
-  }
-  RankLenders();
-}
-
-bool MeteredBudgetManager::State::IsLender(const Shard& shard) const {
-  return shard.lenders.empty() || shard.lenders.front().process == process_;
-}
-
-const Peer* MeteredBudgetManager::State::PeerOf(
-    const base::Incarnation& incarnation) const {
-  const auto found = std::find_if(
-      peers_.begin(), peers_.end(),
-      [&](const Peer& peer) { return peer.incarnation == incarnation; });
-  return found == peers_.end() ? nullptr : &*found;
-}
-
 const Peer* MeteredBudgetManager::State::LenderOf(
     base::Millis now,
     const MeteredBudget& budget) const {
@@ -207,9 +113,9 @@
     Reply(waiting.from, request, LoanReply::State::kNothingFree);
     return true;
   }
-  const Budget* const stored = BudgetIn(shard.view.record(), request.budget);
+  const Budget* const stored = BudgetIn(shard.record(), request.budget);
   const bool is_fresh =
-      shard.view.known() &&
+      !shard.earlier && shard.view.known() &&
       shard.view.confirmed_at() + policy_.max_record_age >= waiting.since;
   const bool is_free =
       stored == nullptr || Unallocated(local) + stored->free() >= least;
@@ -239,10 +145,12 @@
 void MeteredBudgetManager::State::Reply(const base::Endpoint& to,
                                         const LoanRequest& request,
                                         LoanReply::State state) {
-  const Tokens left = std::max<Tokens>(0, MaxRemaining(*Find(request.budget)));
-  outbox_.emplace_back(
-      SendToPeer{to, LoanReply{self_, request.borrower, request.budget,
-                               loans_.Lent(request), state, left, WallTime()}});
+  const MeteredBudget& budget = *Find(request.budget);
+  const Tokens left = std::max<Tokens>(0, MaxRemaining(budget));
+  outbox_.emplace_back(SendToPeer{
+      to,
+      LoanReply{self_, request.borrower, request.budget, loans_.Lent(request),
+                state, left, Granted(budget), WallTime()}});
 }
 
 void MeteredBudgetManager::State::On(base::Millis now, const LoanReply& reply) {
@@ -252,6 +160,7 @@
     return;
   }
   local->borrowed.SetLent(reply.lender, reply.lent);
+  reported_grants_[{reply.budget, reply.lender}] = {reply.granted, now};
   if (!local->loan_request ||
       local->loan_request->lender.incarnation != reply.lender) {
     return;
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -35,6 +35,7 @@
       policy_(policy),
       promises_(process_, self_, policy_),
       layout_(kLayoutKey),
+      era_marker_(policy_),
       fleet_clock_(process_) {
   for (int i = 0; i < policy_.shard_count; ++i) {
     shards_.emplace_back(ShardKey(i));
@@ -80,7 +81,12 @@
 }
 
 Tokens MeteredBudgetManager::State::Granted(const MeteredBudget& budget) const {
-  const View& view = ShardOfBudget(budget).view;
+  const Shard& shard = ShardOfBudget(budget);
+  if (shard.earlier) {
+    const auto found = shard.earlier->granted.find(budget.limit.budget);
+    return found == shard.earlier->granted.end() ? 0 : found->second;
+  }
+  const View& view = shard.view;
   if (!view.known()) {
     return 0;
   }
@@ -156,21 +162,19 @@
 bool MeteredBudgetManager::State::IsOverCommitted(
     const MeteredBudget& budget) const {
   const Budget* const stored =
-      BudgetIn(ShardOfBudget(budget).view.record(), budget.limit.budget);
+      BudgetIn(ShardOfBudget(budget).record(), budget.limit.budget);
   return stored != nullptr && Committed(*stored) > budget.limit.limit;
 }
 
 Tokens MeteredBudgetManager::State::MaxRemaining(
     const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
-  const Budget* const stored =
-      BudgetIn(ShardOfBudget(budget).view.record(), id);
+  const Budget* const stored = BudgetIn(ShardOfBudget(budget).record(), id);
   if (stored == nullptr) {
     return budget.limit.limit - (budget.spent - budget.unproven);
   }
   Tokens used = stored->total_billed();
-  if (const Grant* const own =
-          OwnGrant(ShardOfBudget(budget).view.record(), id)) {
+  if (const Grant* const own = OwnGrant(ShardOfBudget(budget).record(), id)) {
     used += std::max<Tokens>(0, budget.spent - budget.unproven - own->billed());
   }
   return budget.limit.limit - used;
@@ -214,15 +218,14 @@
 // Near the end of a budget, each router keeps to its share of what remains.
 Tokens MeteredBudgetManager::State::Share(const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
-  const Budget* const stored =
-      BudgetIn(ShardOfBudget(budget).view.record(), id);
+  const Budget* const stored = BudgetIn(ShardOfBudget(budget).record(), id);
   const auto routers = static_cast<double>(routers_);
   if (stored == nullptr) {
     return budget.limit.limit / static_cast<Tokens>(routers_);
   }
   const Tokens free =
       std::max<Tokens>(0, budget.limit.limit - Committed(*stored));
-  const Grant* const own = OwnGrant(ShardOfBudget(budget).view.record(), id);
+  const Grant* const own = OwnGrant(ShardOfBudget(budget).record(), id);
   const Tokens recorded = own == nullptr ? 0 : own->billed();
   const auto spent = static_cast<double>(budget.spent);
   const double all =
@@ -252,7 +255,7 @@
     base::Millis now,
     const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
-  const LedgerRecord& record = ShardOfBudget(budget).view.record();
+  const LedgerRecord& record = ShardOfBudget(budget).record();
   const bool has_grant = OwnGrant(record, id) != nullptr;
   const bool has_free = has_grant && Granted(budget) > Allocated(budget);
   if (draining_) {
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -4,9 +4,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "era_marker.h"
 #include "fleet_clock.h"
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_edit.h"
@@ -33,10 +36,29 @@
 
   using View = cas::KeyView<LedgerRecord, LedgerCodec>;
 
+  // What was known of a ledger key in an earlier era of the KV.
+  struct Earlier {
+    LedgerRecord record;
+    // What this router's grants set aside.
+    std::map<base::BudgetId, base::Tokens> granted;
+  };
+
   // One ledger key and the schedule of its reads and writes.
   struct Shard {
     explicit Shard(std::string key) : view(std::move(key)) {}
+    // The record on which decisions are based.
+    const LedgerRecord& record() const noexcept {
+      return earlier ? earlier->record : view.record();
+    }
+
     View view;
+    // Set from the start of an era until the stored record is known to be
+    // complete. Until then nothing is drawn and what is held is spent.
+    std::optional<Earlier> earlier;
+    // True once the stored record covers what this router knew, and once it is
+    // known to be complete.
+    bool is_merged = true;
+    bool is_complete = true;
     // Budgets stored under the key; owned by the state.
     std::vector<MeteredBudget*> budgets;
     base::Millis retry_at;
@@ -151,6 +173,21 @@
                        bool requests_tokens);
   void ReportUsage(base::Millis now, MeteredBudget& budget);
 
+  void SetEra(base::Millis now, int64_t era);
+  // Records whether a peer has written to the ledger what it knew.
+  void RecordPeerEra(base::Millis now, const Peer& peer);
+  // Returns the grants of a shard that lenders reported.
+  LedgerRecord ReportedGrants(size_t shard) const;
+  void ForgetOldReports(base::Millis now);
+  // Returns the operation that brings a shard closer to a complete record, if
+  // one is due.
+  std::optional<Command> NextMergeCommand(base::Millis now, Shard& shard);
+  // Marks a merged shard as complete if no router can know more of it.
+  void CheckComplete(base::Millis now, Shard& shard);
+  // True unless it will be some time until the shard may be drawn from.
+  bool MayOpenSoon(base::Millis now, const Shard& shard) const;
+  void UpdateMergedEra();
+
   std::vector<Command> Process(base::Millis now);
   // Returns the pause after a lost race.
   base::Millis RaceBackoff(const Shard& shard) const;
@@ -206,6 +243,20 @@
   PromiseManager promises_;
   cas::KeyView<LedgerLayout, LayoutCodec> layout_;
   base::Millis layout_retry_at_;
+  int64_t era_ = 0;
+  // See MeteredBudgetManager::merged_era().
+  int64_t merged_era_ = 0;
+  base::Millis era_began_at_;
+  EraMarker era_marker_;
+  // Peers that may know newer records than the stored ones.
+  std::set<base::ProcessId> unmerged_peers_;
+  struct ReportedGrant {
+    base::Tokens amount = 0;
+    base::Millis at;
+  };
+  // Last grants that lenders reported.
+  std::map<std::pair<base::BudgetId, base::Incarnation>, ReportedGrant>
+      reported_grants_;
   size_t routers_ = 1;
   // Wall clock minus monotonic clock; empty until it is known.
   std::optional<base::Millis> clock_offset_;
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -45,6 +45,7 @@
           {"lent", reply.lent},
           {"state", static_cast<int64_t>(reply.state)},
           {"left", reply.left},
+          {"granted", reply.granted},
           {"wall", reply.wall_time.count()}};
 }
 
@@ -52,7 +53,8 @@
   return {{"process", peer.process.value()},
           {"incarnation", peer.incarnation.value()},
           {"address", peer.address.ToText()},
-          {"millicores", peer.millicores}};
+          {"millicores", peer.millicores},
+          {"era", peer.era}};
 }
 
 Json ToJson(const PeerHello& hello) {
@@ -75,7 +77,8 @@
               *endpoint,
               // Routers of earlier versions don't send it.
               cbor::Integer(cbor::Find(document, "millicores"))
-                  .value_or(kUnknownMillicores)};
+                  .value_or(kUnknownMillicores),
+              cbor::Integer(cbor::Find(document, "era")).value_or(0)};
 }
 
 // Returns no value unless the field is a non-negative integer.
@@ -155,12 +158,10 @@
   if (*type != kReply || !lent || !left || !state) {
     return std::nullopt;
   }
-  return LoanReply{base::Incarnation(*lender),
-                   base::Incarnation(*borrower),
-                   base::BudgetId(*budget),
-                   *lent,
-                   *state,
-                   *left,
+  return LoanReply{base::Incarnation(*lender), base::Incarnation(*borrower),
+                   base::BudgetId(*budget), *lent, *state, *left,
+                   // Routers of earlier versions don't send it.
+                   Amount(*document, "granted").value_or(0),
                    WallTimeIn(*document)};
 }
 
--- a/libs/ledger/src/promise_codec.cc
+++ b/libs/ledger/src/promise_codec.cc
@@ -24,6 +24,7 @@
                          {"clock", promise.clock.count()},
                          {"clock_offset", promise.clock_offset.count()},
                          {"fleet_time", promise.fleet_time.count()},
+                         {"era", promise.era},
                          {"allowances", std::move(allowances)}};
   std::string bytes;
   Json::to_cbor(document, bytes);
@@ -56,6 +57,7 @@
   promise.clock = base::Millis(*clock);
   promise.clock_offset = base::Millis(*offset);
   promise.fleet_time = base::Millis(*fleet_time);
+  promise.era = cbor::Integer(cbor::Find(*document, "era")).value_or(0);
   for (const auto& [budget, value] : allowances->items()) {
     if (!value.is_array() || value.size() != kAllowanceFields) {
       return std::nullopt;
--- a/libs/ledger/src/promise_manager.cc
+++ b/libs/ledger/src/promise_manager.cc
@@ -14,26 +14,51 @@
 PromiseManager::PromiseManager(const base::ProcessId& process,
                                base::Incarnation self,
                                const MeteredPolicy& policy)
-    : self_(std::move(self)),
+    : key_(kPrefix + process.value()),
+      self_(std::move(self)),
       policy_(policy),
-      view_(kPrefix + process.value()) {}
+      view_(key_) {}
+
+void PromiseManager::SetEra(int64_t era) {
+  std::vector<SpendPromise> versions = retained_;
+  view_.HoldsForAllVersions([&](const SpendPromise& promise) {
+    if (promise.holder == self_ && promise.era == era_) {
+      versions.push_back(promise);
+    }
+    return true;
+  });
+  retained_ = std::move(versions);
+  view_ = cas::KeyView<SpendPromise, PromiseCodec>(key_);
+  retry_at_ = base::Millis();
+  written_at_ = base::Millis();
+  era_ = era;
+}
 
 base::Tokens PromiseManager::Promised(base::Millis now,
                                       const base::BudgetId& budget) const {
-  if (!view_.known()) {
-    return 0;
-  }
   std::optional<base::Tokens> least;
-  view_.HoldsForAllVersions([&](const SpendPromise& promise) {
+  const auto add = [&](const SpendPromise& promise) {
     const auto found = promise.allowances.find(budget);
-    const bool is_own = promise.holder == self_;
-    const base::Tokens most = is_own && found != promise.allowances.end()
-                                  ? found->second.At(now - promise.clock)
-                                  : 0;
+    const base::Tokens most =
+        promise.holder == self_ && found != promise.allowances.end()
+            ? found->second.At(now - promise.clock)
+            : 0;
     least = std::min(least.value_or(most), most);
     return true;
-  });
-  return *least;
+  };
+  // A promise of an earlier era proves nothing to a later incarnation, so that
+  // the stored one does not bind this one then.
+  const bool is_stored = view_.known() && view_.record().holder == self_ &&
+                         view_.record().era == era_;
+  if (!is_stored) {
+    std::for_each(retained_.begin(), retained_.end(), add);
+  }
+  if (is_stored || !retained_.empty()) {
+    view_.HoldsForAllVersions([&](const SpendPromise& promise) {
+      return promise.era != era_ || add(promise);
+    });
+  }
+  return least.value_or(0);
 }
 
 PromiseManager::Lifetime PromiseManager::EarlierLifetime(
@@ -68,7 +93,9 @@
     const base::Incarnation& holder,
     const base::BudgetId& budget,
     base::Millis lifetime) const {
-  if (!earlier_promise_ || earlier_promise_->holder != holder) {
+  // The holder may have lived on after the KV lost a later promise.
+  if (!earlier_promise_ || earlier_promise_->holder != holder ||
+      earlier_promise_->era != era_) {
     return std::nullopt;
   }
   const auto found = earlier_promise_->allowances.find(budget);
@@ -101,6 +128,7 @@
   }
   written_at_ = now;
   promise.holder = self_;
+  promise.era = era_;
   promise.clock = now;
   return view_.StartWrite(now, operation, std::move(promise));
 }
--- a/libs/ledger/src/promise_manager.h
+++ b/libs/ledger/src/promise_manager.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/millis.h"
@@ -23,6 +25,10 @@
                  base::Incarnation self,
                  const MeteredPolicy& policy);
 
+  // Starts a new era of the KV, in which the stored promise may be an older
+  // one. This incarnation's last promise stays in force until the next one.
+  void SetEra(int64_t era);
+
   // True once the key was read, so that an earlier incarnation's promise is
   // known.
   bool known() const noexcept { return view_.known(); }
@@ -84,9 +90,14 @@
   }
 
  private:
+  const std::string key_;
   const base::Incarnation self_;
   const MeteredPolicy policy_;
+  int64_t era_ = 0;
   cas::KeyView<SpendPromise, PromiseCodec> view_;
+  // The versions of this incarnation's promise that were stored or in flight at
+  // the end of the last era.
+  std::vector<SpendPromise> retained_;
   // The promise read first: that of an earlier incarnation, or empty.
   std::optional<SpendPromise> earlier_promise_;
   base::Millis written_at_;
--- a/libs/ledger/src/spend_promise.h
+++ b/libs/ledger/src/spend_promise.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_SPEND_PROMISE_H_
 #define LEDGER_SPEND_PROMISE_H_
 
+#include <cstdint>
 #include <map>
 #include <tuple>
 
@@ -23,13 +24,16 @@
   base::Millis clock_offset;
   // Start of the allowances in fleet time; zero if it was not known.
   base::Millis fleet_time;
+  // Era of the KV in which it was written.
+  int64_t era = 0;
   // By budget; nothing may be spent of a budget that is missing.
   std::map<base::BudgetId, SpendAllowance> allowances;
 
   friend bool operator==(const SpendPromise& a, const SpendPromise& b) {
-    return std::tie(a.holder, a.clock, a.clock_offset, a.fleet_time,
+    return std::tie(a.holder, a.clock, a.clock_offset, a.fleet_time, a.era,
                     a.allowances) == std::tie(b.holder, b.clock, b.clock_offset,
-                                              b.fleet_time, b.allowances);
+                                              b.fleet_time, b.era,
+                                              b.allowances);
   }
   friend bool operator!=(const SpendPromise& a, const SpendPromise& b) {
     return !(a == b);
--- a/libs/ledger/tests/dropped_agent_test.cc
+++ b/libs/ledger/tests/dropped_agent_test.cc
@@ -62,8 +62,9 @@
     policy.shard_count = 1;
     BudgetManager manager(Incarnation("router-2"), policy);
     const auto read = manager.Step(Millis(100), Tick{});
-    manager.Step(Millis(110), KvReadDone{std::get<KvRead>(read[0]).operation,
-                                         true, 1, SealedRecord()});
+    manager.Step(Millis(110),
+                 KvReadDone{std::get<KvRead>(read[0]).operation, true,
+                            godwit::platform::KvVersion(1), SealedRecord()});
     bool closed = false;
     for (const bool is_listed : c.listed) {
       AgentsListed event;
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -1,7 +1,6 @@
 #include "metered_simulation.h"
 
 #include <algorithm>
-#include <deque>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -9,6 +8,7 @@
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_record.h"
 #include "ledger/shard.h"
+#include "simulated_router.h"
 
 namespace godwit::ledger {
 namespace {
@@ -17,37 +17,10 @@
 constexpr base::Millis kStep(5);
 constexpr base::Millis kLeap(60'000);
 constexpr uint64_t kMaxSkew = 20'000;
-constexpr uint64_t kMaxDelay = 12;
-constexpr uint64_t kPercent = 100;
 const base::BudgetId kBudget("kiosks");
 
 }  // namespace
 
-struct MeteredSimulation::Router {
-  struct Waiting {
-    base::Tokens amount;
-    base::Millis since;
-  };
-
-  std::string name;
-  int incarnation = 0;
-  std::unique_ptr<MeteredBudgetManager> manager;
-  std::deque<Waiting> waiting;
-  std::deque<base::Tokens> running;
-  base::Tokens used = 0;
-  bool partitioned = false;
-  bool isolated = false;
-  bool knows_peers = false;
-  // Offset of its VM's monotonic clock, and error of its wall clock.
-  base::Millis skew;
-  base::Millis wall_error;
-  // Injected fault.
-  base::Millis leap;
-  base::Millis off_until;
-  int64_t known_config = 0;
-  base::Tokens known_limit = 0;
-};
-
 MeteredSimulation::MeteredSimulation(uint64_t seed,
                                      size_t routers,
                                      base::Tokens limit,
@@ -79,7 +52,9 @@
   router.running.clear();
   router.waiting.clear();
   router.used = 0;
-  router.known_config = 0;
+  router.known_config = platform::KvVersion();
+  router.eras = platform::EraTracker();
+  router.next_poll_at = base::Millis();
   router.knows_peers = false;
   router.incarnation = static_cast<int>(++incarnations_);
   router.leap = base::Millis();
@@ -130,74 +105,18 @@
   routers_[index]->isolated = isolated;
 }
 
-// A peer's port is its index in the simulation plus one.
-void MeteredSimulation::NotifyPeers() {
-  if (!connected_) {
-    return;
-  }
-  std::vector<Peer> peers;
-  for (size_t i = 0; i < routers_.size(); ++i) {
-    const Router& router = *routers_[i];
-    peers.push_back({base::ProcessId(router.name),
-                     base::Incarnation(router.name + "." +
-                                       std::to_string(router.incarnation)),
-                     base::Endpoint{"127.0.0.1", static_cast<uint16_t>(i + 1)},
-                     1000});
-  }
-  for (const auto& router : routers_) {
-    // Routers that already know the fleet learn of new incarnations by their
-    // messages.
-    if (!router->knows_peers && !IsOff(*router)) {
-      router->knows_peers = true;
-      router->manager->SetPeers(TimeOf(*router), peers);
-    }
-  }
+void MeteredSimulation::BeginEras() {
+  kv_.BeginEras();
 }
 
-void MeteredSimulation::Send(size_t index, const SendToPeer& message) {
-  if (const auto* reply = std::get_if<LoanReply>(&message.message)) {
-    lent_[{reply->lender, reply->borrower}] = reply->lent;
-  }
-  if (routers_[index]->isolated) {
-    return;
-  }
-  const auto due = [this] {
-    return now_ + base::Millis(static_cast<int64_t>(1 + random_() % kMaxDelay));
-  };
-  const auto from = static_cast<uint16_t>(index + 1);
-  const auto percent = static_cast<uint64_t>(lost_percent_);
-  if (random_() % kPercent >= percent) {
-    datagrams_.push_back({due(), from, message});
-  }
-  if (random_() % kPercent < percent) {
-    datagrams_.push_back({due(), from, message});
-  }
+void MeteredSimulation::ReturnFromCopy(base::Millis age) {
+  kv_.ReturnFromCopy(age);
+  directory_.clear();
+  kv_.Put(kConfigKey, std::to_string(config_number_));
 }
 
-void MeteredSimulation::Deliver() {
-  std::vector<Datagram> due;
-  for (size_t i = 0; i < datagrams_.size();) {
-    if (datagrams_[i].due <= now_) {
-      due.push_back(datagrams_[i]);
-      datagrams_.erase(datagrams_.begin() + static_cast<int64_t>(i));
-    } else {
-      ++i;
-    }
-  }
-  for (Datagram& datagram : due) {
-    const size_t index = datagram.sent.to.port - size_t{1};
-    Router& router = *routers_[index];
-    auto* const request = std::get_if<LoanRequest>(&datagram.sent.message);
-    if (request != nullptr && forgets_loans_) {
-      request->returned =
-          lent_[{request->lender, request->borrower}] - request->used;
-    }
-    if (!router.isolated && !IsOff(router)) {
-      Submit(index,
-             router.manager->On(TimeOf(router), {"127.0.0.1", datagram.from},
-                                datagram.sent.message));
-    }
-  }
+platform::KvVersion MeteredSimulation::ConfigVersion() const {
+  return {hides_eras_ ? 0 : kv_.era(), kv_.stored().at(kConfigKey).version};
 }
 
 void MeteredSimulation::Partition(size_t index, bool partitioned) {
@@ -214,8 +133,8 @@
 void MeteredSimulation::SetLimit(base::Tokens limit) {
   limit_ = limit;
   highest_limit_ = std::max(highest_limit_, limit);
-  ++config_version_;
-  kv_.Put(kConfigKey, std::to_string(config_version_));
+  ++config_number_;
+  kv_.Put(kConfigKey, std::to_string(config_number_));
 }
 
 void MeteredSimulation::Request(size_t index, base::Tokens amount) {
@@ -297,9 +216,16 @@
   }
   NotifyPeers();
   Deliver();
-  for (const auto& answer : kv_.Advance(now_)) {
+  for (support::FakeKv::Answer& answer : kv_.Advance(now_)) {
+    if (hides_eras_) {
+      std::visit([](auto& done) { done.version.era = 0; }, answer.done);
+      if (auto* write = std::get_if<platform::KvWriteDone>(&answer.done)) {
+        write->current.version.era = 0;
+      }
+    }
     for (size_t i = 0; i < routers_.size(); ++i) {
-      if (routers_[i]->incarnation == answer.client) {
+      if (routers_[i]->incarnation == answer.client &&
+          CheckEra(i, answer.era)) {
         std::visit(
             [&](const auto& done) {
               Submit(i, routers_[i]->manager->On(TimeOf(*routers_[i]), done));
@@ -313,12 +239,15 @@
     if (IsOff(router)) {
       continue;
     }
-    if (!router.partitioned && router.known_config != config_version_) {
-      router.known_config = config_version_;
+    PollDirectory(i);
+    const platform::KvVersion config = ConfigVersion();
+    const bool knows_era = hides_eras_ || config.era == router.eras.current();
+    if (!router.partitioned && knows_era && router.known_config != config) {
+      router.known_config = config;
       router.known_limit = limit_;
       router.manager->SetLimits(
           {{kBudget, base::OrganisationId("lantern-line"), limit_}},
-          {kConfigKey, config_version_});
+          {kConfigKey, config});
     }
     Submit(i, router.manager->Tick(TimeOf(router)));
     TryReserve(router);
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -13,6 +14,8 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "ledger/metered_budget_manager.h"
+#include "ledger/peer.h"
+#include "platform/kv_version.h"
 #include "support/fake_kv.h"
 
 namespace godwit::ledger {
@@ -37,6 +40,13 @@
   // Injected fault: the monotonic clocks of the running incarnations leap, so
   // that these spend beyond their promises.
   void BreakPromises();
+  // The KV states eras from now on.
+  void BeginEras();
+  // The KV returns from a copy of `age` ago. The operator writes the
+  // configuration again.
+  void ReturnFromCopy(base::Millis age);
+  // Injected fault: the routers do not learn of eras.
+  void HideEras() { hides_eras_ = true; }
   // The wall clock of a router's VM jumps.
   void JumpClock(size_t router, base::Millis by);
   ~MeteredSimulation();
@@ -94,6 +104,13 @@
   void Send(size_t router, const SendToPeer& message);
   void Deliver();
   void NotifyPeers();
+  Peer PeerOf(size_t router) const;
+  // Lets a router that reaches the KV register and list the others.
+  void PollDirectory(size_t router);
+  // Handles the era that an answer states. Returns false if the answer is not
+  // to be believed.
+  bool CheckEra(size_t router, std::optional<int64_t> era);
+  platform::KvVersion ConfigVersion() const;
 
   support::FakeKv kv_;
   std::mt19937_64 random_;
@@ -102,7 +119,10 @@
   base::Millis now_{1000};
   base::Tokens limit_;
   base::Tokens highest_limit_;
-  int64_t config_version_ = 1;
+  int64_t config_number_ = 1;
+  // Routers as registered in the KV.
+  std::map<size_t, Peer> directory_;
+  bool hides_eras_ = false;
   base::Tokens used_by_terminated_ = 0;
   int64_t served_ = 0;
   int64_t refused_ = 0;
--- a/libs/ledger/tests/peer_codec_test.cc
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -39,11 +39,13 @@
                        4000,
                        LoanReply::State::kPending,
                        70,
+                       90'000,
                        Millis(70'000)};
 const Peer kPeer{ProcessId("edge-1"),
                  Incarnation("edge-1.7"),
                  {"10.1.0.19", 7200},
-                 90};
+                 90,
+                 3};
 
 std::string Cbor(const nlohmann::json& document) {
   std::string bytes;
--- a/libs/ledger/tests/promise_manager_test.cc
+++ b/libs/ledger/tests/promise_manager_test.cc
@@ -18,6 +18,7 @@
 using godwit::ledger::PromiseManager;
 using godwit::ledger::SpendPromise;
 using godwit::platform::KvReadDone;
+using godwit::platform::KvVersion;
 using godwit::platform::KvWriteDone;
 using godwit::platform::WriteOutcome;
 
@@ -41,7 +42,7 @@
   KvReadDone done;
   done.operation = operation;
   done.available = true;
-  done.version = version;
+  done.version = KvVersion(version);
   done.value = value;
   return done;
 }
@@ -61,7 +62,7 @@
     KvWriteDone done;
     done.operation = 2;
     done.outcome = WriteOutcome::kWon;
-    done.version = 5;
+    done.version = KvVersion(5);
     manager.Finish(first, done);
   }
 };
@@ -90,6 +91,44 @@
   CHECK_EQUAL(4000, manager.Promised(resumed, kBudget));
 }
 
+TEST(PromiseManager, KeepsItsPromiseInANewEraUntilTheNextOne) {
+  manager.SetEra(2);
+  CHECK_EQUAL(600, manager.Promised(first + Millis(500), kBudget));
+  // The copy has an older promise, or none.
+  const Millis second = first + Millis(600);
+  CHECK(manager.Read(second, 3).has_value());
+  manager.Finish(second, MakeReadDone(3, 0, ""));
+  CHECK_EQUAL(700, manager.Promised(second, kBudget));
+  const auto write =
+      manager.Write(second, 4, policy.min_write_interval, Promise(50));
+  CHECK(write.has_value());
+  // Both may be found stored.
+  CHECK_EQUAL(50, manager.Promised(second, kBudget));
+  KvWriteDone done;
+  done.operation = 4;
+  done.outcome = WriteOutcome::kWon;
+  done.version = KvVersion(2, 1);
+  manager.Finish(second, done);
+  CHECK_EQUAL(50, manager.Promised(second, kBudget));
+}
+
+TEST(PromiseManager, DoesNotBelieveAPromiseOfAnEarlierEra) {
+  for (const bool has_returned : {false, true}) {
+    PromiseManager later{kProcess, Incarnation("edge-1.8"), policy};
+    later.SetEra(1);
+    later.Read(first, 1);
+    SpendPromise promise = Promise(100);
+    promise.holder = kSelf;
+    promise.clock = first;
+    promise.era = has_returned ? 0 : 1;
+    later.Finish(
+        first,
+        MakeReadDone(1, 5, godwit::ledger::PromiseCodec().Encode(promise)));
+    CHECK_EQUAL(!has_returned,
+                later.MaxSpentBy(kSelf, kBudget, Millis(10)).has_value());
+  }
+}
+
 TEST(PromiseManager, BoundsTheLifetimeOfTheEarlierIncarnation) {
   struct Case {
     const char* name;
--- /dev/null
+++ b/libs/ledger/tests/simulated_router.h
@@ -0,0 +1,46 @@
+#ifndef LEDGER_TESTS_SIMULATED_ROUTER_H_
+#define LEDGER_TESTS_SIMULATED_ROUTER_H_
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "ledger/metered_budget_manager.h"
+#include "metered_simulation.h"
+#include "platform/era_tracker.h"
+#include "platform/kv_version.h"
+
+namespace godwit::ledger {
+
+struct MeteredSimulation::Router {
+  struct Waiting {
+    base::Tokens amount;
+    base::Millis since;
+  };
+
+  std::string name;
+  int incarnation = 0;
+  std::unique_ptr<MeteredBudgetManager> manager;
+  std::deque<Waiting> waiting;
+  std::deque<base::Tokens> running;
+  base::Tokens used = 0;
+  bool partitioned = false;
+  bool isolated = false;
+  bool knows_peers = false;
+  // Offset of its VM's monotonic clock, and error of its wall clock.
+  base::Millis skew;
+  base::Millis wall_error;
+  // Injected fault.
+  base::Millis leap;
+  base::Millis off_until;
+  platform::KvVersion known_config;
+  base::Tokens known_limit = 0;
+  platform::EraTracker eras;
+  base::Millis next_poll_at;
+};
+
+}  // namespace godwit::ledger
+
+#endif  // LEDGER_TESTS_SIMULATED_ROUTER_H_
--- a/libs/membership/src/fleet_editor.cc
+++ b/libs/membership/src/fleet_editor.cc
@@ -49,7 +49,7 @@
     return {};
   }
   record_ = *std::move(record);
-  version_ = done.version;
+  version_ = done.version.revision;
   return Write();
 }
 
@@ -66,7 +66,7 @@
   }
   failures_ = 0;
   record_ = std::move(writing_);
-  version_ = done.version;
+  version_ = done.version.revision;
   pending_.erase(pending_.begin(),
                  pending_.begin() + static_cast<ptrdiff_t>(writing_count_));
   return Tick(now);
@@ -89,7 +89,8 @@
   }
   writing_count_ = pending_.size();
   open_operation_ = next_operation_++;
-  return {platform::KvWrite{open_operation_, kFleetKey, version_,
+  return {platform::KvWrite{open_operation_, kFleetKey,
+                            platform::KvVersion(version_),
                             codec_.Encode(writing_), std::string()}};
 }
 
--- a/libs/membership/tests/fleet_test.cc
+++ b/libs/membership/tests/fleet_test.cc
@@ -28,6 +28,7 @@
 using godwit::membership::Prune;
 using godwit::platform::KvRead;
 using godwit::platform::KvReadDone;
+using godwit::platform::KvVersion;
 using godwit::platform::KvWrite;
 using godwit::platform::KvWriteDone;
 using godwit::platform::WriteOutcome;
@@ -151,9 +152,10 @@
                                    const FleetCommand& command) {
     if (const auto* read = std::get_if<KvRead>(&command)) {
       const bool available = failed_reads-- <= 0;
-      return editor.OnReadDone(
-          now, KvReadDone{read->operation, available, available ? version : 0,
-                          available ? value : std::string()});
+      return editor.OnReadDone(now,
+                               KvReadDone{read->operation, available,
+                                          KvVersion(available ? version : 0),
+                                          available ? value : std::string()});
     }
     const auto& write = std::get<KvWrite>(command);
     ++writes;
@@ -173,13 +175,13 @@
         outcome == WriteOutcome::kWon ||
         (outcome == WriteOutcome::kUnknown && unknown_takes_effect);
     if (effect) {
-      LONGS_EQUAL(version, write.expected_version);
+      LONGS_EQUAL(version, write.expected_version.revision);
       value = write.value;
       ++version;
     }
     const bool won = outcome == WriteOutcome::kWon;
-    return editor.OnWriteDone(
-        now, KvWriteDone{write.operation, outcome, won ? version : 0});
+    return editor.OnWriteDone(now, KvWriteDone{write.operation, outcome,
+                                               KvVersion(won ? version : 0)});
   }
 
   std::string value;
--- a/libs/platform/include/platform/kv_change.h
+++ b/libs/platform/include/platform/kv_change.h
@@ -1,10 +1,11 @@
 #ifndef PLATFORM_KV_CHANGE_H_
 #define PLATFORM_KV_CHANGE_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 
+#include "platform/kv_version.h"
+
 namespace godwit::platform {
 
 // A change of a key that a watch reported.
@@ -13,7 +14,7 @@
   // The new value; empty when the key was removed.
   std::optional<std::string> value;
   // Revision of the change.
-  int64_t version = 0;
+  KvVersion version;
 };
 
 }  // namespace godwit::platform
--- a/libs/platform/include/platform/kv_item.h
+++ b/libs/platform/include/platform/kv_item.h
@@ -1,10 +1,11 @@
 #ifndef PLATFORM_KV_ITEM_H_
 #define PLATFORM_KV_ITEM_H_
 
-#include <cstdint>
 #include <string>
 #include <tuple>
 
+#include "platform/kv_version.h"
+
 namespace godwit::platform {
 
 // A key of the KV with its value.
@@ -12,7 +13,7 @@
   std::string key;
   std::string value;
   // Revision of its last change.
-  int64_t version = 0;
+  KvVersion version;
 
   friend bool operator==(const KvItem& a, const KvItem& b) {
     return std::tie(a.key, a.value, a.version) ==
--- a/libs/platform/include/platform/kv_page.h
+++ b/libs/platform/include/platform/kv_page.h
@@ -1,10 +1,10 @@
 #ifndef PLATFORM_KV_PAGE_H_
 #define PLATFORM_KV_PAGE_H_
 
-#include <cstdint>
 #include <vector>
 
 #include "platform/kv_item.h"
+#include "platform/kv_version.h"
 
 namespace godwit::platform {
 
@@ -14,7 +14,7 @@
   // True when more keys follow the last one.
   bool truncated = false;
   // Revision of the KV when the page was read.
-  int64_t revision = 0;
+  KvVersion revision;
 };
 
 }  // namespace godwit::platform
--- a/libs/platform/include/platform/kv_read_done.h
+++ b/libs/platform/include/platform/kv_read_done.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "platform/kv_version.h"
+
 namespace godwit::platform {
 
 // Event for a state machine: outcome of a KvRead.
@@ -11,8 +13,8 @@
   int64_t operation = 0;
   // False when the KV was unavailable; `version` and `value` are then not set.
   bool available = false;
-  // Version of the key; 0 when it does not exist.
-  int64_t version = 0;
+  // Version of the key.
+  KvVersion version;
   std::string value;
 };
 
--- a/libs/platform/include/platform/kv_watch_done.h
+++ b/libs/platform/include/platform/kv_watch_done.h
@@ -1,10 +1,10 @@
 #ifndef PLATFORM_KV_WATCH_DONE_H_
 #define PLATFORM_KV_WATCH_DONE_H_
 
-#include <cstdint>
 #include <vector>
 
 #include "platform/kv_change.h"
+#include "platform/kv_version.h"
 
 namespace godwit::platform {
 
@@ -22,7 +22,7 @@
   Outcome outcome = Outcome::kFailed;
   std::vector<KvChange> changes;
   // Revision to continue watching from.
-  int64_t revision = 0;
+  KvVersion revision;
 };
 
 }  // namespace godwit::platform
--- a/libs/platform/include/platform/kv_write.h
+++ b/libs/platform/include/platform/kv_write.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "platform/kv_condition.h"
+#include "platform/kv_version.h"
 
 namespace godwit::platform {
 
@@ -15,8 +16,8 @@
   // Chosen by the state machine; unique among its pending operations.
   int64_t operation = 0;
   std::string key;
-  // Version that the key must have; 0 when it must not exist.
-  int64_t expected_version = 0;
+  // Version that the key must have.
+  KvVersion expected_version;
   // At most 1 MB.
   std::string value;
   // Lease that removes the key when it lapses; empty for a persistent key.
--- a/libs/platform/include/platform/kv_write_done.h
+++ b/libs/platform/include/platform/kv_write_done.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "platform/kv_item.h"
+#include "platform/kv_version.h"
 #include "platform/write_outcome.h"
 
 namespace godwit::platform {
@@ -12,10 +13,10 @@
 struct KvWriteDone {
   int64_t operation = 0;
   WriteOutcome outcome = WriteOutcome::kUnknown;
-  // The new version for kWon, otherwise 0.
-  int64_t version = 0;
-  // The current state of the key for kLost, if the KV returns it; otherwise its
-  // version is 0.
+  // The new version for kWon.
+  KvVersion version;
+  // The current state of the key for kLost, if the KV returns it; otherwise a
+  // version that does not exist.
   KvItem current = {};
 };
 
--- a/libs/platform/include/platform/list_reader.h
+++ b/libs/platform/include/platform/list_reader.h
@@ -1,25 +1,26 @@
 #ifndef PLATFORM_LIST_READER_H_
 #define PLATFORM_LIST_READER_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "platform/kv_item.h"
+#include "platform/kv_version.h"
 
 namespace godwit::platform {
 
 struct KvPage;
 
-// Assembles a list from its pages, which are read one after another. No I/O.
-// Not thread-safe.
+// Assembles a list from its pages, which are read one after another. Starts
+// over when the KV enters a new era between two of them. No I/O. Not
+// thread-safe.
 class ListReader {
  public:
   struct List {
     std::vector<KvItem> items;
     // Revision of the KV when the first page was read.
-    int64_t revision = 0;
+    KvVersion revision;
   };
 
   // Key after which the next page starts; empty for the first page.
@@ -30,7 +31,7 @@
  private:
   std::vector<KvItem> items_;
   std::string start_after_;
-  std::optional<int64_t> first_revision_;
+  std::optional<KvVersion> first_revision_;
 };
 
 }  // namespace godwit::platform
--- a/libs/platform/include/platform/prefix_watcher.h
+++ b/libs/platform/include/platform/prefix_watcher.h
@@ -11,6 +11,7 @@
 #include "platform/kv_change.h"
 #include "platform/kv_item.h"
 #include "platform/kv_list_done.h"
+#include "platform/kv_version.h"
 #include "platform/kv_watch_done.h"
 #include "platform/list_reader.h"
 
@@ -18,8 +19,9 @@
 
 // Tracks the keys under a prefix: lists them, then watches for changes from the
 // revision of the list. It lists them again when the KV has compacted that
-// revision, and after a watch was interrupted, since a later watch may never
-// report changes made shortly before the interruption. No I/O. Not thread-safe.
+// revision or entered a new era, and after a watch was interrupted, since a
+// later watch may never report changes made shortly before the interruption. No
+// I/O. Not thread-safe.
 class PrefixWatcher {
  public:
   // Interval between an answer with changes and the next watch. Changes that
@@ -32,7 +34,7 @@
     std::string start_after;
   };
   struct Watch {
-    int64_t after_revision = 0;
+    KvVersion after_revision;
   };
   using Request = std::variant<List, Watch>;
 
@@ -56,6 +58,9 @@
   // every tick.
   std::optional<Request> Next(base::Millis now);
 
+  // Handles the start of an era of the KV, of which another call may have told.
+  void OnEra(int64_t era);
+
   // Handles the outcome of the pending request and returns the resulting
   // updates.
   std::vector<Update> On(base::Millis now, const KvListDone& done);
@@ -73,7 +78,7 @@
   base::Millis retry_at_;
   ListReader reader_;
   // Revision to watch from.
-  int64_t revision_ = 0;
+  KvVersion revision_;
 };
 
 }  // namespace godwit::platform
--- a/libs/platform/src/client.cc
+++ b/libs/platform/src/client.cc
@@ -26,13 +26,14 @@
   return status >= 400 && status < 500;
 }
 
-// Value of the version header; 0 when it is missing or malformed.
-int64_t ParseVersion(const http::Response& response) {
+// Value of the version header; a version that does not exist when it is missing
+// or malformed.
+KvVersion ParseVersion(const http::Response& response) {
   const auto field = response.headers.find("x-version");
   if (field == response.headers.end()) {
-    return 0;
+    return KvVersion();
   }
-  return base::ParseNumber<int64_t>(field->second).value_or(0);
+  return KvVersion(base::ParseNumber<int64_t>(field->second).value_or(0));
 }
 
 std::string KeyTarget(const std::string& key) {
@@ -40,8 +41,8 @@
 }
 
 std::string WriteTarget(const KvWrite& write) {
-  std::string target = KeyTarget(write.key) +
-                       "?expect=" + std::to_string(write.expected_version);
+  std::string target = KeyTarget(write.key) + "?expect=" +
+                       std::to_string(write.expected_version.revision);
   if (!write.lease.empty()) {
     target += "&lease=" + PercentEncode(write.lease);
   }
@@ -58,7 +59,7 @@
   } else if (response->status == kOk) {
     done.version = ParseVersion(*response);
     done.outcome =
-        done.version > 0 ? WriteOutcome::kWon : WriteOutcome::kUnknown;
+        done.version.exists() ? WriteOutcome::kWon : WriteOutcome::kUnknown;
   } else if (response->status == kConflict) {
     done.outcome = WriteOutcome::kLost;
   } else if (response->status == kUnavailable ||
@@ -184,7 +185,7 @@
     done.available = true;
   } else if (response && response->status == kOk) {
     done.version = ParseVersion(*response);
-    done.available = done.version > 0;
+    done.available = done.version.exists();
     done.value = response->body;
   }
   return done;
@@ -203,12 +204,12 @@
   }
   if (response->status == kNotModified) {
     done.available = true;
-    done.version = after_version;
+    done.version = KvVersion(after_version);
   } else if (response->status == kNotFound) {
     done.available = true;
   } else if (response->status == kOk) {
     done.version = ParseVersion(*response);
-    done.available = done.version > 0;
+    done.available = done.version.exists();
     done.value = response->body;
   }
   return done;
--- a/libs/platform/src/list_reader.cc
+++ b/libs/platform/src/list_reader.cc
@@ -9,6 +9,11 @@
 std::optional<ListReader::List> ListReader::Add(const KvPage& page) {
   if (!first_revision_) {
     first_revision_ = page.revision;
+  } else if (first_revision_->era != page.revision.era) {
+    items_.clear();
+    start_after_.clear();
+    first_revision_.reset();
+    return std::nullopt;
   }
   items_.insert(items_.end(), page.items.begin(), page.items.end());
   if (page.truncated && !page.items.empty()) {
--- a/libs/platform/src/prefix_watcher.cc
+++ b/libs/platform/src/prefix_watcher.cc
@@ -51,6 +51,10 @@
   }
 }
 
+void PrefixWatcher::OnEra(int64_t era) {
+  listed_ = listed_ && revision_.era == era;
+}
+
 std::vector<PrefixWatcher::Update> PrefixWatcher::On(base::Millis now,
                                                      const KvListDone& done) {
   std::vector<Update> updates;
@@ -85,6 +89,11 @@
       break;
   }
   RecordSuccess(updates);
+  if (done.revision.era != revision_.era) {
+    // Changes between the copy and the revision of the list may be missing.
+    listed_ = false;
+    return updates;
+  }
   for (const KvChange& change : done.changes) {
     updates.emplace_back(Changed{change});
   }
--- a/libs/platform/tests/platform_test.cc
+++ b/libs/platform/tests/platform_test.cc
@@ -22,6 +22,7 @@
 using godwit::http::CoreThread;
 using godwit::platform::Client;
 using godwit::platform::KvReadDone;
+using godwit::platform::KvVersion;
 using godwit::platform::KvWriteDone;
 using godwit::platform::Vm;
 using godwit::platform::WriteOutcome;
@@ -50,7 +51,7 @@
                     const std::string& value,
                     const std::string& lease = "") {
     return core_.Call<KvWriteDone>([&] {
-      return client_.Write({7, key, expected, value, lease});
+      return client_.Write({7, key, KvVersion(expected), value, lease});
     });
   }
 
@@ -93,18 +94,20 @@
 TEST(Platform, ComparesAndSwaps) {
   Platform platform;
   CHECK(platform.Read("a/b c").available);
-  CHECK_EQUAL(0, platform.Read("a/b c").version);
+  CHECK_EQUAL(0, platform.Read("a/b c").version.revision);
   const KvWriteDone first = platform.Write("a/b c", 0, kValue);
   CHECK(first.outcome == WriteOutcome::kWon);
   CHECK_EQUAL(7, first.operation);
   CHECK(platform.Write("a/b c", 0, "x").outcome == WriteOutcome::kLost);
   CHECK(platform.Read("a/b c").value == kValue);
-  CHECK_EQUAL(first.version, platform.Read("a/b c").version);
-  const KvWriteDone second = platform.Write("a/b c", first.version, "");
+  CHECK_EQUAL(first.version.revision, platform.Read("a/b c").version.revision);
+  const KvWriteDone second =
+      platform.Write("a/b c", first.version.revision, "");
   CHECK(second.version > first.version);
-  platform.Control("DELETE",
-                   "/kv/a/b%20c?expect=" + std::to_string(second.version), "");
-  CHECK_EQUAL(0, platform.Read("a/b c").version);
+  platform.Control(
+      "DELETE", "/kv/a/b%20c?expect=" + std::to_string(second.version.revision),
+      "");
+  CHECK_EQUAL(0, platform.Read("a/b c").version.revision);
   CHECK(platform.Write("a/b c", 0, "again").version > second.version);
 }
 
@@ -143,8 +146,8 @@
       continue;
     }
     platform.Fault(R"({"outage":false,"writes_per_second":500})");
-    CHECK_EQUAL_TEXT(fault.took_effect ? 1 : 0, platform.Read("key").version,
-                     fault.name);
+    CHECK_EQUAL_TEXT(fault.took_effect ? 1 : 0,
+                     platform.Read("key").version.revision, fault.name);
   }
 }
 
@@ -177,20 +180,20 @@
   Platform platform;
   const KvReadDone missing = platform.Watch("key", 0, Millis(20));
   CHECK(missing.available);
-  CHECK_EQUAL(0, missing.version);
+  CHECK_EQUAL(0, missing.version.revision);
   platform.core().runtime().Spawn([&] {
-    while (platform.client().Read("ready").version == 0) {
+    while (platform.client().Read("ready").version == KvVersion()) {
       godwit::runtime::Runtime::SleepFor(Millis(1));
     }
-    platform.client().Write({1, "key", 0, "x", ""});
+    platform.client().Write({1, "key", KvVersion(), "x", ""});
   });
   platform.Write("ready", 0, "");
   const KvReadDone changed = platform.Watch("key", 0, Seconds(10));
   CHECK(changed.value == "x");
   const KvReadDone unchanged =
-      platform.Watch("key", changed.version, Millis(20));
+      platform.Watch("key", changed.version.revision, Millis(20));
   CHECK(unchanged.available);
-  CHECK_EQUAL(changed.version, unchanged.version);
+  CHECK(changed.version == unchanged.version);
   CHECK(platform.Stat("watches") >= 3);
   CHECK_EQUAL(0, platform.Stat("waiting"));
 }
@@ -207,9 +210,10 @@
   const KvWriteDone done = platform.Write("leased", 0, "x", *lease);
   CHECK(done.outcome == WriteOutcome::kWon);
   CHECK(renew() == true);
-  const KvReadDone lapsed = platform.Watch("leased", done.version, Seconds(10));
+  const KvReadDone lapsed =
+      platform.Watch("leased", done.version.revision, Seconds(10));
   CHECK(lapsed.available);
-  CHECK_EQUAL(0, lapsed.version);
+  CHECK_EQUAL(0, lapsed.version.revision);
   CHECK(renew() == false);
   CHECK(platform.Write("leased", 0, "x", *lease).outcome ==
         WriteOutcome::kNotSent);
--- a/libs/platform/tests/prefix_watcher_test.cc
+++ b/libs/platform/tests/prefix_watcher_test.cc
@@ -14,6 +14,7 @@
 using godwit::platform::KvItem;
 using godwit::platform::KvListDone;
 using godwit::platform::KvPage;
+using godwit::platform::KvVersion;
 using godwit::platform::KvWatchDone;
 using godwit::platform::PrefixWatcher;
 using List = PrefixWatcher::List;
@@ -24,13 +25,13 @@
 KvListDone ListDone(std::vector<KvItem> items,
                     bool truncated,
                     int64_t revision) {
-  return {KvPage{std::move(items), truncated, revision}};
+  return {KvPage{std::move(items), truncated, KvVersion(revision)}};
 }
 
 KvWatchDone WatchDone(KvWatchDone::Outcome outcome,
                       std::vector<KvChange> changes = {},
                       int64_t revision = 0) {
-  return {outcome, std::move(changes), revision};
+  return {outcome, std::move(changes), KvVersion(revision)};
 }
 
 template <typename Update>
@@ -58,24 +59,27 @@
   PrefixWatcher watcher;
   CHECK(std::get<List>(*watcher.Next(Millis(0))).start_after.empty());
   CHECK(!watcher.Next(Millis(0)));
-  CHECK(watcher.On(Millis(0), ListDone({{"a", "1", 3}}, true, 10)).empty());
+  CHECK(watcher.On(Millis(0), ListDone({{"a", "1", KvVersion(3)}}, true, 10))
+            .empty());
   CHECK(std::get<List>(*watcher.Next(Millis(0))).start_after == "a");
   const auto updates =
-      watcher.On(Millis(0), ListDone({{"b", "2", 4}}, false, 12));
+      watcher.On(Millis(0), ListDone({{"b", "2", KvVersion(4)}}, false, 12));
   CHECK_EQUAL(2, std::get<PrefixWatcher::Listed>(updates[0]).items.size());
   // Watching from the first page's revision reports changes made between the
   // two pages.
-  CHECK_EQUAL(10, std::get<Watch>(*watcher.Next(Millis(0))).after_revision);
+  CHECK_EQUAL(
+      10, std::get<Watch>(*watcher.Next(Millis(0))).after_revision.revision);
 }
 
 TEST(PrefixWatcher, ContinuesFromTheLastReceivedRevision) {
   PrefixWatcher watcher = ListedWatcher();
   watcher.Next(Millis(0));
-  const auto updates = watcher.On(
-      Millis(5),
-      WatchDone(KvWatchDone::Outcome::kChanges, {{"a", "1", 15}}, 15));
+  const auto updates =
+      watcher.On(Millis(5), WatchDone(KvWatchDone::Outcome::kChanges,
+                                      {{"a", "1", KvVersion(15)}}, 15));
   CHECK_EQUAL(1, CountOf<PrefixWatcher::Changed>(updates));
-  CHECK_EQUAL(15, std::get<Watch>(*watcher.Next(Millis(5))).after_revision);
+  CHECK_EQUAL(
+      15, std::get<Watch>(*watcher.Next(Millis(5))).after_revision.revision);
 }
 
 TEST(PrefixWatcher, ListsAgainWhenAChangeMayBeMissed) {
@@ -130,7 +134,7 @@
           10 + std::min<int64_t>(k_changes, at / k_spacing_ms);
       if (const auto request = watcher.Next(Millis(at))) {
         ++watches;
-        watched_after = std::get<Watch>(*request).after_revision;
+        watched_after = std::get<Watch>(*request).after_revision.revision;
       }
       if (watched_after >= 0 && watched_after < revision) {
         std::vector<KvChange> changes(
--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -195,7 +195,7 @@
     const auto record =
         done.available ? codec.Decode(done.value) : std::nullopt;
     if (record) {
-      On(FleetRecordReceived{*record, done.version});
+      On(FleetRecordReceived{*record, done.version.revision});
     }
   }
 
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -78,6 +78,8 @@
   kLeaseGranted = 804,
   kLeaseLapsed = 805,
   kPeerSilent = 806,
+  kStoreEra = 807,
+  kLedgerMerged = 808,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -153,6 +153,12 @@
       {EventId::kPeerSilent, Level::kWarning, "peer_silent",
        "Another router did not answer an ask for a loan; others are asked "
        "meanwhile."},
+      {EventId::kStoreEra, Level::kWarning, "store_era",
+       "The store stated a new era: unless it is the first one, it returned "
+       "from an older copy. Keys are listed and the lease is granted anew, and "
+       "nothing is drawn from budgets until the ledger is complete again."},
+      {EventId::kLedgerMerged, Level::kInfo, "ledger_merged",
+       "The ledger of this era of the store covers what this router knew."},
   };
   return table;
 }
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -154,6 +154,13 @@
        "revision",
        {},
        "Revision of the configuration in force; 0 for none."},
+      {MetricId::kStoreEra,
+       MetricType::kGauge,
+       "godwit_store_era",
+       "era",
+       {},
+       "Era of the store, which rises when it returns from an older copy; 0 "
+       "if it states none."},
       {MetricId::kFleetVersion,
        MetricType::kGauge,
        "godwit_fleet_version",
--- a/tests/support/fake_kv.h
+++ b/tests/support/fake_kv.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -13,6 +14,7 @@
 #include "base/millis.h"
 #include "platform/kv_read.h"
 #include "platform/kv_read_done.h"
+#include "platform/kv_version.h"
 #include "platform/kv_write.h"
 #include "platform/kv_write_done.h"
 
@@ -47,6 +49,8 @@
   struct Answer {
     int client = 0;
     Done done;
+    // Era in which the operation took effect; empty if it may not have.
+    std::optional<int64_t> era;
   };
   struct Stored {
     int64_t version = 0;
@@ -64,21 +68,37 @@
 
   // Stores a value as if a client had won a compare-and-swap.
   void Put(const std::string& key, std::string value) {
-    Stored& entry = stored_[key];
-    ++entry.version;
-    entry.value = std::move(value);
+    Store(key, std::move(value));
+  }
+
+  // The KV states eras from now on, beginning with 1.
+  void BeginEras() { era_ = 1; }
+  int64_t era() const { return era_; }
+  // The KV loses what was written in the last `age`, and begins a new era.
+  // Operations that have not taken effect yet do so in it.
+  void ReturnFromCopy(base::Millis age) {
+    while (!history_.empty() && history_.back().at > now_ - age) {
+      const Change& change = history_.back();
+      if (change.before) {
+        stored_[change.key] = *change.before;
+      } else {
+        stored_.erase(change.key);
+      }
+      history_.pop_back();
+    }
+    ++era_;
   }
 
   void Submit(base::Millis now, int client, const platform::KvRead& read) {
     ++reads_;
     if (Unreachable(client)) {
       Reply(now + kTimeout, client,
-            platform::KvReadDone{read.operation, false, 0, ""});
+            platform::KvReadDone{read.operation, false, {}, ""});
       return;
     }
     if (faults_.rejects) {
       Reply(now + Latency(), client,
-            platform::KvReadDone{read.operation, false, 0, ""});
+            platform::KvReadDone{read.operation, false, {}, ""});
       return;
     }
     Push(now + Latency(), Effect{client, read, Outcome::kAnswered});
@@ -93,8 +113,8 @@
     }
     if (faults_.rejects) {
       Reply(now + Latency(), client,
-            platform::KvWriteDone{write.operation,
-                                  platform::WriteOutcome::kNotSent, 0});
+            platform::KvWriteDone{
+                write.operation, platform::WriteOutcome::kNotSent, {}});
       return;
     }
     const int percent = RandomPercent();
@@ -122,6 +142,7 @@
   // Applies the operations that are due at `now` and returns the answers that
   // are due.
   std::vector<Answer> Advance(base::Millis now) {
+    now_ = now;
     while (!effects_.empty() && effects_.begin()->first <= now) {
       const base::Millis at = effects_.begin()->first;
       const Effect effect = std::move(effects_.begin()->second);
@@ -138,6 +159,11 @@
 
  private:
   enum class Outcome { kAnswered, kAnswerLost, kNoAnswer };
+  struct Change {
+    base::Millis at;
+    std::string key;
+    std::optional<Stored> before;
+  };
   struct Effect {
     int client = 0;
     std::variant<platform::KvRead, platform::KvWrite> operation;
@@ -170,56 +196,86 @@
     effects_.emplace(at, std::move(effect));
   }
 
-  void Reply(base::Millis at, int client, Done done) {
-    answers_.emplace(at, Answer{client, std::move(done)});
+  void Reply(base::Millis at,
+             int client,
+             Done done,
+             std::optional<int64_t> era = std::nullopt) {
+    answers_.emplace(at, Answer{client, std::move(done), era});
+  }
+
+  platform::KvVersion VersionOf(const std::string& key) const {
+    const auto found = stored_.find(key);
+    return {era_, found == stored_.end() ? 0 : found->second.version};
+  }
+
+  std::string ValueOf(const std::string& key) const {
+    const auto found = stored_.find(key);
+    return found == stored_.end() ? "" : found->second.value;
+  }
+
+  void Store(const std::string& key, std::string value) {
+    const auto found = stored_.find(key);
+    const bool exists = found != stored_.end();
+    if (era_ > 0) {
+      history_.push_back(
+          {now_, key,
+           exists ? std::optional<Stored>(found->second) : std::nullopt});
+    }
+    Stored& entry = stored_[key];
+    ++entry.version;
+    entry.value = std::move(value);
   }
 
   void ReplyUnknown(base::Millis now,
                     int client,
                     const platform::KvWrite& write) {
     Reply(now + kTimeout, client,
-          platform::KvWriteDone{write.operation,
-                                platform::WriteOutcome::kUnknown, 0});
+          platform::KvWriteDone{
+              write.operation, platform::WriteOutcome::kUnknown, {}});
   }
 
   void Apply(base::Millis at, const Effect& effect) {
     if (const auto* read = std::get_if<platform::KvRead>(&effect.operation)) {
-      const Stored& entry = stored_[read->key];
       Reply(at + Latency(), effect.client,
-            platform::KvReadDone{read->operation, true, entry.version,
-                                 entry.value});
+            platform::KvReadDone{read->operation, true, VersionOf(read->key),
+                                 ValueOf(read->key)},
+            era_);
       return;
     }
     const auto& write = std::get<platform::KvWrite>(effect.operation);
-    Stored& entry = stored_[write.key];
-    bool won =
-        faults_.ignores_versions || entry.version == write.expected_version;
+    // The KV knows of no eras in what it is asked.
+    bool won = faults_.ignores_versions ||
+               VersionOf(write.key).revision == write.expected_version.revision;
     for (const platform::KvCondition& condition : write.conditions) {
-      won = won && stored_[condition.key].version == condition.version;
+      won = won &&
+            VersionOf(condition.key).revision == condition.version.revision;
     }
     if (won) {
-      ++entry.version;
-      entry.value = write.value;
+      Store(write.key, write.value);
     }
-    Answer answer{effect.client, platform::KvWriteDone{}};
-    auto& done = std::get<platform::KvWriteDone>(answer.done);
+    platform::KvWriteDone done;
     done.operation = write.operation;
     if (effect.outcome == Outcome::kAnswerLost) {
       Reply(at + kTimeout, effect.client, done);
     } else if (effect.outcome == Outcome::kAnswered) {
       done.outcome =
           won ? platform::WriteOutcome::kWon : platform::WriteOutcome::kLost;
-      done.version = won ? entry.version : 0;
+      done.version = won ? VersionOf(write.key) : platform::KvVersion();
       if (!won && RandomPercent() < kCurrentValuePercent) {
-        done.current = {write.key, entry.value, entry.version};
+        done.current = {write.key, ValueOf(write.key), VersionOf(write.key)};
       }
-      Reply(at + Latency(), effect.client, done);
+      Reply(at + Latency(), effect.client, done, era_);
     }
   }
 
   std::mt19937_64 random_;
   Faults faults_;
   std::map<std::string, Stored> stored_;
+  int64_t era_ = 0;
+  // Changes since the KV states eras, for ReturnFromCopy.
+  std::vector<Change> history_;
+  // Time of the last call of Advance.
+  base::Millis now_;
   std::multimap<base::Millis, Effect> effects_;
   std::multimap<base::Millis, Answer> answers_;
   int64_t reads_ = 0;
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -181,15 +181,11 @@
       SetLimits(updated->table->limits());
     }
     Raise(event);
+    store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
   }
 
   void SetLimits(const dispatch::CallerLimits& limits) {
-    relay::CallerServer::Limits new_limits = callers_.limits();
-    new_limits.header_bytes = static_cast<size_t>(limits.header_bytes);
-    new_limits.body_bytes = static_cast<size_t>(limits.body_bytes);
-    new_limits.request_timeout = limits.request_timeout;
-    new_limits.keep_alive_timeout = limits.keep_alive_timeout;
-    callers_.SetLimits(new_limits);
+    callers_.SetLimits(CallerLimitsFrom(limits, callers_.limits()));
   }
 
   Exchange* Find(dispatch::CallId call) {
@@ -293,6 +289,8 @@
     }
     metrics_.Set(MetricId::kConfigRevision, {},
                  static_cast<double>(dispatcher_.config_version()));
+    metrics_.Set(MetricId::kStoreEra, {},
+                 static_cast<double>(store_watcher_.era()));
     metrics_.Set(MetricId::kLogLinesDroppedTotal, {},
                  static_cast<double>(telemetry::DroppedLogLines()));
     daemon::SetProcessMetrics(metrics_);
@@ -301,6 +299,7 @@
 
   void Tick() {
     const base::Millis now = base::SteadyNow();
+    store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
     store_watcher_.Tick(now);
     store_.Tick();
     servers_.Tick();
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -100,7 +100,7 @@
 void LogLedgerWrite(const std::string& key, const platform::KvWriteDone& done) {
   Log(EventId::kLedgerWritten, {{"key", key},
                                 {"outcome", OutcomeName(done.outcome)},
-                                {"revision", done.version}});
+                                {"revision", done.version.revision}});
 }
 
 void LogGrantClosed(const ledger::GrantClosed& closed) {
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -104,6 +104,16 @@
                               kMillicoresPerCore);
 }
 
+relay::CallerServer::Limits CallerLimitsFrom(
+    const dispatch::CallerLimits& configured,
+    relay::CallerServer::Limits limits) {
+  limits.header_bytes = static_cast<size_t>(configured.header_bytes);
+  limits.body_bytes = static_cast<size_t>(configured.body_bytes);
+  limits.request_timeout = configured.request_timeout;
+  limits.keep_alive_timeout = configured.keep_alive_timeout;
+  return limits;
+}
+
 size_t MaxCallerConnections(const config::Settings& settings) {
   return static_cast<size_t>(
       (settings.Integer("descriptors") - kReservedDescriptors) / 2);
--- a/tools/godwit-edge/src/edge_settings.h
+++ b/tools/godwit-edge/src/edge_settings.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 
 #include "daemon/stop_plan.h"
+#include "dispatch/caller_limits.h"
 #include "dispatch/dispatcher_options.h"
+#include "relay/caller_server.h"
 
 namespace godwit::config {
 class Settings;
@@ -27,6 +29,11 @@
 // Processor share of this VM, in thousandths of a core.
 int64_t MillicoresFrom(const config::Settings& settings);
 
+// `limits` with the configured ones instead of its own.
+relay::CallerServer::Limits CallerLimitsFrom(
+    const dispatch::CallerLimits& configured,
+    relay::CallerServer::Limits limits);
+
 // Largest number of caller connections that the file descriptors allow: each
 // may need a second one, to a backend server.
 size_t MaxCallerConnections(const config::Settings& settings);
--- a/tools/godwit-edge/src/store_watcher.cc
+++ b/tools/godwit-edge/src/store_watcher.cc
@@ -46,6 +46,7 @@
       self_(std::move(self)),
       raise_(std::move(raise)),
       backends_(kBackendWatchInterval) {
+  store_.OnEra([this](int64_t era) { OnEra(era); });
   configuration_.prefix = adapter::ConfigurationKey();
   configuration_.on_listed = &StoreWatcher::OnConfigurationListed;
   configuration_.on_changed = &StoreWatcher::OnConfigurationChanged;
@@ -151,7 +152,7 @@
 }
 
 void StoreWatcher::ApplyConfiguration(const std::string& bytes,
-                                      int64_t revision) {
+                                      const platform::KvVersion& revision) {
   std::string reason;
   auto table = adapter::DecodeConfiguration(bytes, revision, &reason);
   if (table != nullptr && table->version() < config_version_) {
@@ -160,11 +161,14 @@
     table = nullptr;
   }
   if (table == nullptr) {
-    Log(EventId::kConfigRejected, {{"revision", revision},
-                                   {"reason", reason},
-                                   {"bytes", bytes.size()},
-                                   {"version_in_force", config_version_},
-                                   {"revision_in_force", config_revision_}});
+    Log(EventId::kConfigRejected,
+        {{"era", revision.era},
+         {"revision", revision.revision},
+         {"reason", reason},
+         {"bytes", bytes.size()},
+         {"version_in_force", config_version_},
+         {"revision_in_force", config_revision_.revision},
+         {"era_in_force", config_revision_.era}});
     return;
   }
   if (revision == config_revision_) {
@@ -173,7 +177,8 @@
   }
   config_version_ = table->version();
   config_revision_ = revision;
-  Log(EventId::kConfigInForce, {{"revision", revision},
+  Log(EventId::kConfigInForce, {{"era", revision.era},
+                                {"revision", revision.revision},
                                 {"version", table->version()},
                                 {"routes", table->routes().size()},
                                 {"bytes", bytes.size()}});
@@ -239,6 +244,34 @@
   raise_(listed);
 }
 
+void StoreWatcher::OnEra(int64_t era) {
+  const bool is_first = era_ == 0;
+  Log(EventId::kStoreEra, {{"from", era_}, {"to", era}, {"first", is_first}});
+  era_ = era;
+  configuration_.watcher.OnEra(era);
+  backends_.watcher.OnEra(era);
+  raise_(dispatch::StoreEraChanged{era, is_first});
+  if (!is_first) {
+    // The lease may be lost, and its id given out again.
+    lease_.reset();
+    registered_ = false;
+    next_lease_call_at_ = base::Millis();
+    needs_current_list_ = true;
+    next_list_at_ = base::Millis();
+  }
+}
+
+void StoreWatcher::SetLedgerEra(int64_t era) {
+  if (era == self_.era) {
+    return;
+  }
+  self_.era = era;
+  Log(EventId::kLedgerMerged, {{"era", era}});
+  if (registered_ && lease_) {
+    Register(entry_version_);
+  }
+}
+
 void StoreWatcher::Deregister() {
   leaving_ = true;
   if (lease_) {
@@ -263,7 +296,7 @@
       next_lease_call_at_ =
           base::SteadyNow() + (lease_ ? kLeaseRenewPeriod : kLeaseRetryDelay);
       if (lease_) {
-        Register(0);
+        Register(platform::KvVersion());
       }
     });
     return;
@@ -281,35 +314,36 @@
       registered_ = false;
       next_lease_call_at_ = base::Millis();
     } else if (renewed && !registered_) {
-      Register(0);
+      Register(platform::KvVersion());
     }
   });
 }
 
-void StoreWatcher::Register(int64_t expected_version) {
+void StoreWatcher::Register(const platform::KvVersion& expected_version) {
   platform::KvWrite write;
   write.key = kRouterPrefix + self_.process.value();
   write.expected_version = expected_version;
   write.value = ledger::EncodePeer(self_);
   write.lease = *lease_;
-  store_.Write(
-      write, [this, expected_version](const platform::KvWriteDone& done) {
-        if (done.outcome == platform::WriteOutcome::kLost &&
-            expected_version == 0 && done.current.version > 0 && lease_) {
-          // The entry of an earlier incarnation, or a write whose answer was
-          // lost.
-          Register(done.current.version);
-          return;
-        }
-        registered_ = done.outcome == platform::WriteOutcome::kWon;
-        if (registered_) {
-          // Ensures that of two routers that start at the same time, one lists
-          // the other.
-          needs_current_list_ = true;
-          next_list_at_ = base::Millis();
-        }
-        Log(EventId::kLeaseGranted, {{"registered", registered_}});
-      });
+  store_.Write(write, [this,
+                       expected_version](const platform::KvWriteDone& done) {
+    if (done.outcome == platform::WriteOutcome::kLost &&
+        !expected_version.exists() && done.current.version.exists() && lease_) {
+      // The entry of an earlier incarnation, or a write whose answer was
+      // lost.
+      Register(done.current.version);
+      return;
+    }
+    registered_ = done.outcome == platform::WriteOutcome::kWon;
+    entry_version_ = done.version;
+    if (registered_) {
+      // Ensures that of two routers that start at the same time, one lists
+      // the other.
+      needs_current_list_ = true;
+      next_list_at_ = base::Millis();
+    }
+    Log(EventId::kLeaseGranted, {{"registered", registered_}});
+  });
 }
 
 }  // namespace godwit::edge
--- a/tools/godwit-edge/src/store_watcher.h
+++ b/tools/godwit-edge/src/store_watcher.h
@@ -33,6 +33,11 @@
   // Records the outcome of any other call to the store, which is evidence of
   // its availability, too.
   void RecordCall(bool answered);
+  // The highest era that the store stated; zero before the first.
+  int64_t era() const noexcept { return era_; }
+  // Sets the era in which this router has written to the ledger what it knew,
+  // which its entry states.
+  void SetLedgerEra(int64_t era);
 
  private:
   using Watcher = platform::PrefixWatcher;
@@ -49,6 +54,10 @@
     bool unavailable = false;
   };
 
+  // Handles the start of an era of the store. Unless it is the first one, the
+  // store returned from an older copy, so that keys are listed anew and this
+  // router registers again under a new lease.
+  void OnEra(int64_t era);
   void SendNextRequest(Subscription& subscription, base::Millis now);
   void HandleUpdates(Subscription& subscription,
                      const std::vector<Watcher::Update>& updates);
@@ -57,7 +66,8 @@
 
   void OnConfigurationListed(const std::vector<platform::KvItem>& items);
   void OnConfigurationChanged(const platform::KvChange& change);
-  void ApplyConfiguration(const std::string& bytes, int64_t revision);
+  void ApplyConfiguration(const std::string& bytes,
+                          const platform::KvVersion& revision);
   void OnBackendsListed(const std::vector<platform::KvItem>& items);
   void OnBackendChanged(const platform::KvChange& change);
   void ListRouters(base::Millis now);
@@ -65,11 +75,11 @@
 
   void MaintainLease(base::Millis now);
   // Writes this router's entry, provided that it has the version
-  // `expected_version`; 0 if there must be none.
-  void Register(int64_t expected_version);
+  // `expected_version`.
+  void Register(const platform::KvVersion& expected_version);
 
   adapter::StoreClient& store_;
-  const ledger::Peer self_;
+  ledger::Peer self_;
   const std::function<void(const dispatch::DispatchEvent&)> raise_;
   Subscription configuration_;
   Subscription backends_;
@@ -81,6 +91,10 @@
   std::optional<std::string> lease_;
   bool lease_call_pending_ = false;
   bool registered_ = false;
+  // Version of the entry as this router wrote it.
+  platform::KvVersion entry_version_;
+  // Of the store; zero before one was stated.
+  int64_t era_ = 0;
   bool leaving_ = false;
   base::Millis next_lease_call_at_;
   int unanswered_calls_ = 0;
@@ -89,7 +103,7 @@
   dispatch::ConfigurationTracking tracking_;
   // Of the newest configuration read, in force; zero before the first.
   int64_t config_version_ = 0;
-  int64_t config_revision_ = 0;
+  platform::KvVersion config_revision_;
 };
 
 }  // namespace godwit::edge
--- a/tools/godwitctl/src/config_commands.cc
+++ b/tools/godwitctl/src/config_commands.cc
@@ -175,22 +175,24 @@
     return KvUnavailable();
   }
   ordered_json json;
-  json["revision"] = done.version;
+  json["revision"] = done.version.revision;
   json["text"] = done.value;
-  return {"# revision " + std::to_string(done.version) + "\n" + done.value,
-          json.dump(2),
-          {},
-          0};
+  return {
+      "# revision " + std::to_string(done.version.revision) + "\n" + done.value,
+      json.dump(2),
+      {},
+      0};
 }
 
 Result ConfigStatus(Session& session,
                     const std::vector<std::string>& /*arguments*/) {
   const auto done = session.client->Read(config::kConfigKey);
   ordered_json json;
-  json["kv_revision"] = done.available ? ordered_json(done.version) : nullptr;
+  json["kv_revision"] =
+      done.available ? ordered_json(done.version.revision) : nullptr;
   std::string text =
       "KV: " +
-      (done.available ? "revision " + std::to_string(done.version)
+      (done.available ? "revision " + std::to_string(done.version.revision)
                       : std::string("does not answer")) +
       "\n";
   json["routers"] = ordered_json::array();
@@ -198,7 +200,7 @@
   for (const base::Endpoint& router : session.options.routers) {
     const auto revision = ReadRevision(session, router);
     const std::string address = router.ToText();
-    all_same = all_same && revision == done.version;
+    all_same = all_same && revision == done.version.revision;
     json["routers"].push_back(
         {{"address", address},
          {"revision", revision ? ordered_json(*revision) : nullptr}});
--- a/tools/godwitctl/src/config_source.cc
+++ b/tools/godwitctl/src/config_source.cc
@@ -38,17 +38,17 @@
     error_ = KvUnavailable().error;
     return std::nullopt;
   }
-  if (done.version == 0) {
+  if (!done.version.exists()) {
     return config::Config();
   }
   config::Parser parser;
-  auto parsed = parser.Parse(done.value, done.version);
+  auto parsed = parser.Parse(done.value, done.version.revision);
   if (!parsed) {
-    error_ = Error(
-        ErrorKind::kCorrupt,
-        "the applied configuration is not valid: " +
-            parser.last_error().message(),
-        "apply a corrected text with --expect " + std::to_string(done.version));
+    error_ = Error(ErrorKind::kCorrupt,
+                   "the applied configuration is not valid: " +
+                       parser.last_error().message(),
+                   "apply a corrected text with --expect " +
+                       std::to_string(done.version.revision));
   }
   return parsed;
 }
--- a/tools/godwitctl/src/fleet_commands.cc
+++ b/tools/godwitctl/src/fleet_commands.cc
@@ -51,10 +51,11 @@
     return Refused(codec.last_error());
   }
   ordered_json json;
-  json["version"] = done.version;
+  json["version"] = done.version.revision;
   json["agents"] = ordered_json::array();
   json["routers"] = ordered_json::array();
-  std::string text = "fleet version " + std::to_string(done.version) + "\n";
+  std::string text =
+      "fleet version " + std::to_string(done.version.revision) + "\n";
   for (const FleetAgent& agent : record->agents()) {
     const bool leased =
         Contains(*agents, kAgentLeases + agent.incarnation.value());
--- a/tools/godwitctl/src/ledger_change.h
+++ b/tools/godwitctl/src/ledger_change.h
@@ -56,7 +56,7 @@
   const base::WriteId write_;
   const Edit edit_;
   int64_t operation_ = 0;
-  int64_t version_ = 0;
+  platform::KvVersion version_;
   // The new record while it is being written.
   std::optional<ledger::LedgerRecord> next_;
   int64_t failures_ = 0;
--- a/tools/godwitctl/tests/ledger_change_test.cc
+++ b/tools/godwitctl/tests/ledger_change_test.cc
@@ -19,6 +19,7 @@
 using godwit::ledger::LedgerRecord;
 using godwit::platform::KvRead;
 using godwit::platform::KvReadDone;
+using godwit::platform::KvVersion;
 using godwit::platform::KvWrite;
 using godwit::platform::KvWriteDone;
 using godwit::platform::WriteOutcome;
@@ -47,22 +48,22 @@
 
   KvReadDone Read(const KvRead& read, KvOutcome kv_outcome) const {
     if (kv_outcome == KvOutcome::kNotServed) {
-      return {read.operation, false, 0, ""};
+      return {read.operation, false, {}, ""};
     }
-    return {read.operation, true, version_, value_};
+    return {read.operation, true, KvVersion(version_), value_};
   }
 
   KvWriteDone Write(const KvWrite& write, KvOutcome kv_outcome) {
     if (kv_outcome == KvOutcome::kNotServed) {
-      return {write.operation, WriteOutcome::kNotSent, 0};
+      return {write.operation, WriteOutcome::kNotSent, {}};
     }
     if (kv_outcome == KvOutcome::kLosesRace) {
       LedgerEdit edit(Record());
       edit.TopUp(kBudget, "other-" + std::to_string(version_), 1, Millis(0));
       Store(edit.record());
     }
-    if (write.expected_version != version_) {
-      return {write.operation, WriteOutcome::kLost, 0};
+    if (write.expected_version.revision != version_) {
+      return {write.operation, WriteOutcome::kLost, {}};
     }
     if (kv_outcome != KvOutcome::kLosesWrite) {
       ++version_;
@@ -71,7 +72,7 @@
     const bool answered = kv_outcome == KvOutcome::kSucceeds;
     return {write.operation,
             answered ? WriteOutcome::kWon : WriteOutcome::kUnknown,
-            answered ? version_ : 0};
+            KvVersion(answered ? version_ : 0)};
   }
 
   LedgerRecord Record() const { return *LedgerCodec().Decode(value_); }
@@ -158,6 +159,6 @@
   LedgerChange change("ledger/1", WriteId("w"),
                       [](LedgerEdit& /*edit*/) { return true; });
   change.Next();
-  change.OnResult(KvReadDone{1, true, 3, "damaged"});
+  change.OnResult(KvReadDone{1, true, KvVersion(3), "damaged"});
   CHECK(change.result()->error.kind() == ErrorKind::kCorrupt);
 }
