Serve what ends before a router stops

For three seconds each serves, then it refused all until its last stream ended or the stop limit was reached: from 2 to 6 s after the first signal 400 of 663 requests were refused as leaving, with no other router to go to.

Ruled out: a longer grace (streams accepted later can't end in time); streams by their expected time (one that takes longer would be cut off).

Change: until requests in progress are ended, a request is accepted that needs no budget and whose deadline is before that. dispatcher_test replays it and fails with the earlier rule.

--- a/libs/daemon/include/daemon/stop_plan.h
+++ b/libs/daemon/include/daemon/stop_plan.h
@@ -45,6 +45,8 @@
   // yet billed; `drained` is true once budgets have been returned.
   Action Step(base::Millis now, size_t open_calls, bool drained) noexcept;
 
+  // When requests in progress are ended. Requires begun().
+  base::Millis drain_ends_at() const noexcept;
   bool begun() const noexcept { return begun_at_.has_value(); }
   // True once Step() has returned one of the end actions.
   bool ended() const noexcept { return ended_; }
--- a/libs/daemon/src/stop_plan.cc
+++ b/libs/daemon/src/stop_plan.cc
@@ -21,8 +21,8 @@
   }
   if (open_calls > 0) {
     idle_since_.reset();
-    return now >= refuse_at + limits_.drain ? End(Action::kEndDrainTimedOut)
-                                            : Action::kNone;
+    return now >= drain_ends_at() ? End(Action::kEndDrainTimedOut)
+                                  : Action::kNone;
   }
   if (drained) {
     return End(Action::kEnd);
@@ -35,6 +35,10 @@
              : Action::kNone;
 }
 
+base::Millis StopPlan::drain_ends_at() const noexcept {
+  return *begun_at_ + limits_.grace + limits_.drain;
+}
+
 StopPlan::Action StopPlan::End(Action action) noexcept {
   ended_ = true;
   return action;
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -58,11 +58,6 @@
 }  // namespace
 
 bool Dispatcher::State::Admit(Call& call) {
-  if (draining_) {
-    Refuse(call, base::ErrorKind::kLeaving, "this router stops",
-           kLeavingRetryAfter);
-    return false;
-  }
   if (table_ == nullptr || !directory_.loaded()) {
     Refuse(call, base::ErrorKind::kUnavailable, "no configuration yet",
            kNoConfigRetryAfter);
@@ -93,6 +88,11 @@
       std::min(call.answer_deadline, now_ + AnswerStartTimeout(route));
   call.has_budget = organisation != nullptr && organisation->prepaid &&
                     call.request.prompt.has_value();
+  if (draining_ && (call.has_budget || call.answer_deadline > drain_ends_at_)) {
+    Refuse(call, base::ErrorKind::kLeaving, "this router stops",
+           kLeavingRetryAfter);
+    return false;
+  }
   return true;
 }
 
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -280,8 +280,9 @@
   RetryReservations();
 }
 
-void Dispatcher::State::On(const DrainRequested& /*event*/) {
+void Dispatcher::State::On(const DrainRequested& event) {
   draining_ = true;
+  drain_ends_at_ = event.ends_at;
   budgets_.Drain();
   ProcessBudgets();
 }
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -142,6 +142,8 @@
   bool routers_listed_ = false;
   int64_t next_attempt_ = 1;
   bool draining_ = false;
+  // When the last request must have ended.
+  base::Millis drain_ends_at_;
   // Valid during a step.
   base::Millis now_;
   std::vector<DispatchCommand> commands_;
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -45,6 +45,9 @@
     uint64_t seed = 1;
   };
 
+  // Time at which a simulation starts.
+  static constexpr base::Millis kStart{1000};
+
   DispatchSimulation(const Options& options,
                      std::vector<ModelServer::Options> servers);
   ~DispatchSimulation();
@@ -98,7 +101,7 @@
   void Handle(const ledger::SendToPeer& /*command*/) {}
   void HandleServerEvent(const ModelServer::Event& event);
 
-  base::Millis now_{1000};
+  base::Millis now_ = kStart;
   std::mt19937_64 random_;
   Dispatcher dispatcher_;
   std::vector<std::unique_ptr<ModelServer>> servers_;
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -219,6 +219,51 @@
   }
 }
 
+// Load: all routers of a data centre stop within seconds, so that callers have
+// nowhere else to go. What ends in time is served until the last second.
+TEST(Dispatcher, ServesWhatEndsBeforeARouterStops) {
+  struct Case {
+    const char* name;
+    const char* route;
+    bool is_prepaid;
+    int64_t left_ms;
+    bool answered;
+  };
+  constexpr Millis k_warm_up(1000);
+  // The route "order" times out after 800 ms, "chat" after 15 s.
+  const std::vector<Case> cases = {
+      {"a short request", "order", false, 1500, true},
+      {"a short request just in time", "order", false, 800, true},
+      {"a short request too late", "order", false, 799, false},
+      {"a stream that may last longer", "chat", false, 5000, false},
+      {"a stream that ends in time", "chat", false, 20'000, true},
+      {"a budget, of which nothing is held any more", "chat", true, 20'000,
+       false}};
+  for (const Case& c : cases) {
+    DispatchSimulation::Options options;
+    options.requires_api_key = true;
+    options.organisations = {
+        {godwit::base::OrganisationId("lantern"), {"key"}, 0, std::nullopt}};
+    if (c.is_prepaid) {
+      options.organisations[0].prepaid = 1'000'000;
+    }
+    std::vector<ModelServer::Options> servers = Plain(1);
+    servers.emplace_back();
+    DispatchSimulation simulation(options, servers);
+    simulation.Advance(k_warm_up);
+    simulation.Raise(godwit::dispatch::DrainRequested{
+        DispatchSimulation::kStart + k_warm_up + Millis(c.left_ms)});
+    const CallId call = simulation.Arrive(c.route, 0, 100, 0, 5);
+    simulation.Advance(Millis(900));
+    CHECK_EQUAL_TEXT(c.answered, simulation.outcome(call).answered, c.name);
+    if (!c.answered) {
+      CHECK_EQUAL_TEXT(static_cast<int>(ErrorKind::kLeaving),
+                       static_cast<int>(simulation.outcome(call).refusal),
+                       c.name);
+    }
+  }
+}
+
 TEST(Dispatcher, KeepsLapsedServersForTheReregistrationTime) {
   DispatchSimulation simulation({}, Plain(1));
   simulation.Raise(godwit::dispatch::StoreAvailabilityChanged{false});
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -335,7 +335,7 @@
       case daemon::StopPlan::Action::kNone:
         return;
       case daemon::StopPlan::Action::kRefuse:
-        Raise(dispatch::DrainRequested());
+        Raise(dispatch::DrainRequested{stop_plan_.drain_ends_at()});
         return;
       case daemon::StopPlan::Action::kEnd:
         Log(EventId::kDrained);
