Log the limit on its requests that a backend server states

A server may state in its answers how many requests a second it takes from all routers together. Nothing is decided by it yet.

--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -6,6 +6,7 @@
 #include "dispatch/abort_call.h"
 #include "dispatch/attempt_abandoned.h"
 #include "dispatch/backend_health_changed.h"
+#include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/cancel_attempt.h"
 #include "dispatch/refuse_call.h"
@@ -28,6 +29,7 @@
                                      AttemptAbandoned,
                                      CallEnded,
                                      BackendHealthChanged,
+                                     BackendLimitChanged,
                                      platform::KvRead,
                                      platform::KvWrite,
                                      ledger::SendToPeer,
--- a/libs/dispatch/include/dispatch/reply.h
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -19,12 +19,17 @@
   // since it cannot be the server's.
   bool is_signed = false;
   std::optional<LoadReport> load;
+  // Requests a second that the server takes from all routers together; empty if
+  // it states no limit.
+  std::optional<double> request_limit;
+  // The server states a limit that can't be read.
+  bool has_invalid_limit = false;
 
   friend bool operator==(const Reply& a, const Reply& b) {
     return std::tie(a.status, a.not_run, a.instance_mismatch, a.is_signed,
-                    a.load) == std::tie(b.status, b.not_run,
-                                        b.instance_mismatch, b.is_signed,
-                                        b.load);
+                    a.load, a.request_limit, a.has_invalid_limit) ==
+           std::tie(b.status, b.not_run, b.instance_mismatch, b.is_signed,
+                    b.load, b.request_limit, b.has_invalid_limit);
   }
   friend bool operator!=(const Reply& a, const Reply& b) { return !(a == b); }
 };
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -109,6 +109,10 @@
     return;
   }
   placement_.OnAnswered(now_, call->attempt, event.reply.load);
+  if (auto change = limits_.OnAnswer(now_, call->attempt_started_at,
+                                     call->backend, event.reply)) {
+    Emit(std::move(*change));
+  }
   const AnswerClass answer_class = ClassifyReply(event.reply);
   const std::string status = "status " + std::to_string(event.reply.status);
   const bool is_resumed = call->phase == Call::Phase::kRelaying;
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -18,6 +18,7 @@
 #include "dispatch/dispatcher.h"
 #include "dispatch/placement.h"
 #include "dispatch/placement_request.h"
+#include "dispatch/request_limits.h"
 #include "dispatch/routing_table.h"
 #include "ledger/metered_budget_manager.h"
 #include "routing/retry_budget.h"
@@ -130,6 +131,7 @@
   const DispatcherOptions options_;
   std::shared_ptr<const RoutingTable> table_;
   BackendDirectory directory_;
+  RequestLimits limits_;
   Placement placement_;
   CallQueue queue_;
   ledger::MeteredBudgetManager budgets_;
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -163,7 +163,9 @@
   AttemptAnswered answered;
   answered.call = call;
   answered.attempt = event.attempt;
-  answered.reply = {200, false, false, true, event.load};
+  answered.reply.status = 200;
+  answered.reply.is_signed = true;
+  answered.reply.load = event.load;
   answered.complete = true;
   switch (event.kind) {
     case Kind::kEvent: {
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -93,6 +93,7 @@
   void Handle(const CallEnded& command);
   void Handle(const AttemptAbandoned& command);
   void Handle(const BackendHealthChanged& command);
+  void Handle(const BackendLimitChanged& /*command*/) {}
   void Handle(const platform::KvRead& command);
   void Handle(const platform::KvWrite& command);
   void Handle(const ledger::GrantClosed& /*command*/) {}
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -71,6 +71,7 @@
   kBackendRegistered = 707,
   kBackendLeaving = 708,
   kBackendGone = 709,
+  kBackendLimitChanged = 710,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -139,6 +139,9 @@
        "A backend server registered that it drains; it gets no new work."},
       {EventId::kBackendGone, Level::kInfo, "backend_gone",
        "A backend server is not used any more; fields name the reason."},
+      {EventId::kBackendLimitChanged, Level::kInfo, "backend_limit_changed",
+       "A backend server states another limit on its requests a second than "
+       "before; -1 stands for none."},
       {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
        "The platform's KV does not answer; what needs a write is refused as "
        "not run."},
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -225,6 +225,9 @@
   void Execute(const dispatch::BackendHealthChanged& command) {
     LogBackendHealth(command);
   }
+  void Execute(const dispatch::BackendLimitChanged& command) {
+    LogBackendLimit(command);
+  }
   void Execute(const dispatch::CallEnded& command) {
     LogCallEnded(command);
     CountCallEnded(metrics_, command);
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -2,6 +2,7 @@
 
 #include "dispatch/attempt_abandoned.h"
 #include "dispatch/backend_health_changed.h"
+#include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/start_attempt.h"
 #include "ledger/grant_closed.h"
@@ -24,6 +25,8 @@
 
 constexpr double kSecondsPerMilli = 0.001;
 constexpr char kAnswered[] = "answered";
+// Logged as the limit of a backend server that states none.
+constexpr double kNoLimit = -1;
 
 double Seconds(base::Millis duration) {
   return static_cast<double>(duration.count()) * kSecondsPerMilli;
@@ -136,6 +139,16 @@
                                       {"reason", change.reason}});
 }
 
+void LogBackendLimit(const dispatch::BackendLimitChanged& change) {
+  Log(EventId::kBackendLimitChanged,
+      {{"backend", change.instance},
+       {"service", change.service},
+       {"limit_per_s", change.limit.value_or(kNoLimit)},
+       {"previous_per_s", change.previous.value_or(kNoLimit)},
+       {"previous_age_ms", change.previous_age},
+       {"unreadable", change.is_unreadable}});
+}
+
 void LogCallEnded(const dispatch::CallEnded& ended) {
   Log(EventId::kRequestFinished, {{"request", ended.request_id},
                                   {"route", ended.route},
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -6,6 +6,7 @@
 namespace godwit::dispatch {
 struct AttemptAbandoned;
 struct BackendHealthChanged;
+struct BackendLimitChanged;
 struct CallEnded;
 struct StartAttempt;
 }  // namespace godwit::dispatch
@@ -36,6 +37,7 @@
 void LogPeerUnresponsive(const ledger::PeerUnresponsive& unresponsive);
 void LogLoan(const ledger::LoanReply& reply);
 void LogBackendHealth(const dispatch::BackendHealthChanged& change);
+void LogBackendLimit(const dispatch::BackendLimitChanged& change);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
 void CountCallEnded(telemetry::Metrics& metrics,
