Reproduce a backend server that gets more requests than the limit it stated

Replays the incident in virtual time: routers under load, one backend server that states a limit on its requests.

--- /dev/null
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -0,0 +1,321 @@
+#include "router_fleet.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "dispatch/routing_table.h"
+
+namespace godwit::dispatch {
+namespace {
+
+constexpr base::Millis kStart(1000);
+constexpr base::Millis kTickPeriod(25);
+constexpr base::Millis kHop(1);
+constexpr base::Millis kListPeriod(2000);
+constexpr int64_t kLongestListDelayMs = 1000;
+constexpr base::Millis kLeaseTtl(20'000);
+constexpr base::Millis kLeaseRenewPeriod(5000);
+constexpr base::Millis kExcuseAfterFault(3000);
+constexpr base::Millis kToldDelay(500);
+constexpr base::Millis kLimitWindow(4000);
+constexpr double kMillisPerSecond = 1000;
+
+}  // namespace
+
+struct RouterFleet::Router {
+  std::unique_ptr<Dispatcher> dispatcher;
+  int64_t incarnation = 0;
+  bool is_running = false;
+  base::Millis frozen_until;
+  base::Millis cut_until;
+  base::Millis excused_until;
+  // When it first passed on an answer with a limit, by server.
+  std::map<size_t, base::Millis> told_at;
+};
+
+struct RouterFleet::Server {
+  Backend registration;
+  std::optional<double> limit;
+  std::vector<Arrival> arrivals;
+};
+
+struct RouterFleet::Scheduled {
+  base::Millis at;
+  uint64_t order = 0;
+  std::function<void()> action;
+
+  friend bool operator>(const Scheduled& a, const Scheduled& b) {
+    return a.at != b.at ? a.at > b.at : a.order > b.order;
+  }
+};
+
+RouterFleet::RouterFleet(const Options& options)
+    : options_(options),
+      random_(options.seed),
+      now_(kStart),
+      next_arrival_ms_(static_cast<double>(kStart.count())) {
+  for (size_t i = 0; i < options.servers; ++i) {
+    Server server;
+    server.registration.instance = "s" + std::to_string(i);
+    server.registration.started_at_ms = 1;
+    server.registration.service = base::ServiceId("plain");
+    server.registration.address = {"10.0.0.1", static_cast<uint16_t>(i + 1)};
+    server.registration.slots = 1000;
+    servers_.push_back(std::move(server));
+  }
+  for (size_t i = 0; i < options.routers; ++i) {
+    routers_.push_back(std::make_unique<Router>());
+    leases_[i] = now_ + kLeaseTtl;
+  }
+  for (size_t i = 0; i < options.routers; ++i) {
+    StartRouter(i);
+  }
+  ArriveNext();
+}
+
+RouterFleet::~RouterFleet() = default;
+
+void RouterFleet::At(base::Millis at, std::function<void()> action) {
+  scheduled_.push({at, next_action_++, std::move(action)});
+}
+
+void RouterFleet::AtRouter(size_t router,
+                           base::Millis at,
+                           std::function<void()> action) {
+  At(at, [this, router, incarnation = routers_[router]->incarnation,
+          action = std::move(action)]() mutable {
+    const Router& target = *routers_[router];
+    if (!target.is_running || target.incarnation != incarnation) {
+      return;
+    }
+    if (now_ < target.frozen_until) {
+      AtRouter(router, target.frozen_until, std::move(action));
+      return;
+    }
+    action();
+  });
+}
+
+void RouterFleet::StartRouter(size_t index) {
+  Router& router = *routers_[index];
+  ++router.incarnation;
+  router.is_running = true;
+  router.told_at.clear();
+  const std::string name = "router-" + std::to_string(index);
+  DispatcherOptions made;
+  made.process = base::ProcessId(name);
+  made.incarnation =
+      base::Incarnation(name + "." + std::to_string(router.incarnation));
+  router.dispatcher = std::make_unique<Dispatcher>(std::move(made));
+  Route route;
+  route.name = "status";
+  route.host = "h";
+  route.prefix = "/";
+  route.timeout = base::Millis(1500);
+  route.repeat = RepeatRule::kIdempotent;
+  route.max_attempts = 2;
+  route.targets = {{base::ServiceId("plain"), 1}};
+  RoutingTable::Contents contents;
+  contents.version = 1;
+  contents.revision = platform::KvVersion(1);
+  contents.routes = {route};
+  Raise(index, RoutingTableUpdated{
+                   std::make_shared<const RoutingTable>(std::move(contents))});
+  BackendsListed listed;
+  for (const Server& server : servers_) {
+    listed.backends.push_back(server.registration);
+  }
+  Raise(index, listed);
+  const auto phase = base::Millis(static_cast<int64_t>(random_() % 25));
+  AtRouter(index, now_ + phase, [this, index] { TickRouter(index); });
+  AtRouter(index, now_ + phase, [this, index] { ReadList(index); });
+  AtRouter(index, now_ + phase, [this, index] { RenewLease(index); });
+}
+
+void RouterFleet::Raise(size_t router, const DispatchEvent& event) {
+  for (const DispatchCommand& command :
+       routers_[router]->dispatcher->Step(now_, event)) {
+    std::visit([this, router](const auto& c) { Handle(router, c); }, command);
+  }
+}
+
+void RouterFleet::TickRouter(size_t router) {
+  Raise(router, Tick());
+  AtRouter(router, now_ + kTickPeriod, [this, router] { TickRouter(router); });
+}
+
+bool RouterFleet::IsConnected(size_t router) const {
+  return now_ >= store_down_until_ && now_ >= routers_[router]->cut_until;
+}
+
+std::vector<ledger::Peer> RouterFleet::RegisteredRouters() const {
+  std::vector<ledger::Peer> peers;
+  for (const auto& [index, expires_at] : leases_) {
+    if (now_ < expires_at) {
+      const std::string name = "router-" + std::to_string(index);
+      ledger::Peer peer;
+      peer.process = base::ProcessId(name);
+      peer.incarnation = base::Incarnation(
+          name + "." + std::to_string(routers_[index]->incarnation));
+      peer.address = {"10.0.1.1", static_cast<uint16_t>(index + 1)};
+      peers.push_back(std::move(peer));
+    }
+  }
+  return peers;
+}
+
+void RouterFleet::ReadList(size_t router) {
+  if (IsConnected(router)) {
+    const auto delay =
+        base::Millis(static_cast<int64_t>(random_() % kLongestListDelayMs));
+    AtRouter(router, now_ + delay,
+             [this, router, listed = RoutersListed{RegisteredRouters()}] {
+               Raise(router, listed);
+             });
+  }
+  AtRouter(router, now_ + kListPeriod, [this, router] { ReadList(router); });
+}
+
+void RouterFleet::RenewLease(size_t router) {
+  if (IsConnected(router)) {
+    leases_[router] = now_ + kLeaseTtl;
+  }
+  AtRouter(router, now_ + kLeaseRenewPeriod,
+           [this, router] { RenewLease(router); });
+}
+
+void RouterFleet::ArriveNext() {
+  std::exponential_distribution<double> gap(options_.requests_per_second);
+  next_arrival_ms_ += gap(random_) * kMillisPerSecond;
+  At(base::Millis(static_cast<int64_t>(next_arrival_ms_)), [this] {
+    const size_t index = random_() % routers_.size();
+    const Router& router = *routers_[index];
+    if (router.is_running && now_ >= router.frozen_until) {
+      CallArrived arrived;
+      arrived.call = next_call_++;
+      arrived.request.id = "call-" + std::to_string(arrived.call);
+      arrived.request.host = "h";
+      arrived.request.path = "/x";
+      Raise(index, arrived);
+    }
+    ArriveNext();
+  });
+}
+
+bool RouterFleet::IsExcused(size_t router) const {
+  const Router& sender = *routers_[router];
+  return now_ <
+         std::max(sender.excused_until, sender.cut_until + kExcuseAfterFault);
+}
+
+void RouterFleet::Excuse(size_t router, base::Millis until) {
+  routers_[router]->excused_until = until + kExcuseAfterFault;
+}
+
+void RouterFleet::Handle(size_t router, const StartAttempt& command) {
+  size_t index = 0;
+  while (servers_[index].registration.instance != command.backend.instance) {
+    ++index;
+  }
+  At(now_ + kHop, [this, router, index,
+                   incarnation = routers_[router]->incarnation, command] {
+    const Router& sender = *routers_[router];
+    const auto told = sender.told_at.find(index);
+    const bool was_told = sender.incarnation == incarnation &&
+                          told != sender.told_at.end() &&
+                          now_ - told->second >= kToldDelay;
+    servers_[index].arrivals.push_back({now_, was_told && !IsExcused(router)});
+    if (sender.incarnation != incarnation) {
+      return;
+    }
+    AtRouter(router, now_ + options_.run_time + kHop,
+             [this, router, index, command, limit = servers_[index].limit] {
+               AttemptAnswered answered;
+               answered.call = command.call;
+               answered.attempt = command.attempt;
+               answered.reply.status = 200;
+               answered.reply.is_signed = true;
+               answered.reply.request_limit = limit;
+               answered.complete = true;
+               if (limit) {
+                 routers_[router]->told_at.try_emplace(index, now_);
+               }
+               Raise(router, answered);
+             });
+  });
+}
+
+void RouterFleet::Handle(size_t /*router*/, const CallEnded& command) {
+  ++(command.outcome == "answered" ? answered_ : refused_);
+}
+
+void RouterFleet::Run(base::Millis span) {
+  const base::Millis end = now_ + span;
+  while (!scheduled_.empty() && scheduled_.top().at <= end) {
+    const Scheduled next = scheduled_.top();
+    scheduled_.pop();
+    now_ = std::max(now_, next.at);
+    next.action();
+  }
+  now_ = end;
+}
+
+void RouterFleet::SetLimit(size_t server, std::optional<double> limit) {
+  servers_[server].limit = limit;
+}
+
+void RouterFleet::Restart(size_t router, base::Millis span) {
+  routers_[router]->is_running = false;
+  Excuse(router, now_ + span);
+  At(now_ + span, [this, router] {
+    if (!routers_[router]->is_running) {
+      StartRouter(router);
+    }
+  });
+}
+
+void RouterFleet::Freeze(size_t router, base::Millis span) {
+  routers_[router]->frozen_until = now_ + span;
+  Excuse(router, now_ + span);
+}
+
+void RouterFleet::Cut(size_t router, base::Millis span) {
+  routers_[router]->cut_until = now_ + span;
+}
+
+void RouterFleet::StopStore(base::Millis span) {
+  store_down_until_ = now_ + span;
+}
+
+const std::vector<RouterFleet::Arrival>& RouterFleet::arrivals(
+    size_t server) const {
+  return servers_[server].arrivals;
+}
+
+int64_t RouterFleet::MostInWindow(size_t server, base::Millis from) const {
+  std::queue<base::Millis> window;
+  size_t most = 0;
+  for (const Arrival& arrival : servers_[server].arrivals) {
+    if (!arrival.is_counted || arrival.at < from) {
+      continue;
+    }
+    while (!window.empty() && arrival.at - window.front() >= kLimitWindow) {
+      window.pop();
+    }
+    window.push(arrival.at);
+    most = std::max(most, window.size());
+  }
+  return static_cast<int64_t>(most);
+}
+
+int64_t RouterFleet::ArrivalsBetween(size_t server,
+                                     base::Millis from,
+                                     base::Millis until) const {
+  const auto& all = servers_[server].arrivals;
+  return std::count_if(all.begin(), all.end(), [&](const Arrival& arrival) {
+    return arrival.at >= from && arrival.at < until;
+  });
+}
+
+}  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/tests/router_fleet.h
@@ -0,0 +1,115 @@
+#ifndef DISPATCH_TESTS_ROUTER_FLEET_H_
+#define DISPATCH_TESTS_ROUTER_FLEET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/millis.h"
+#include "dispatch/dispatcher.h"
+#include "ledger/peer.h"
+
+namespace godwit::dispatch {
+
+// Simulation of the routers of a fleet and the backend servers of one plain
+// service, in virtual time: Poisson arrivals at random routers, a registry of
+// routers with leases that is read late, and faults of single routers.
+class RouterFleet {
+ public:
+  struct Options {
+    size_t routers = 4;
+    size_t servers = 12;
+    double requests_per_second = 70;
+    base::Millis run_time{100};
+    uint64_t seed = 1;
+  };
+
+  // A request that a server received.
+  struct Arrival {
+    base::Millis at;
+    // The router had passed on an answer with the server's limit half a second
+    // earlier, and is not excused by a fault.
+    bool is_counted = false;
+  };
+
+  explicit RouterFleet(const Options& options);
+  ~RouterFleet();
+
+  void Run(base::Millis span);
+  void SetLimit(size_t server, std::optional<double> limit);
+
+  // Kills a router, which starts again after `span`.
+  void Restart(size_t router, base::Millis span);
+  // Stops a router's clock and I/O for `span`.
+  void Freeze(size_t router, base::Millis span);
+  // Disconnects a router from the store and the other routers for `span`.
+  void Cut(size_t router, base::Millis span);
+  // Makes the store unavailable for `span`; leases expire meanwhile.
+  void StopStore(base::Millis span);
+
+  const std::vector<Arrival>& arrivals(size_t server) const;
+  size_t routers() const { return routers_.size(); }
+  int64_t answered() const { return answered_; }
+  int64_t refused() const { return refused_; }
+  base::Millis now() const { return now_; }
+
+  // Largest number of counted requests that a server received in four seconds
+  // from `from` on.
+  int64_t MostInWindow(size_t server, base::Millis from) const;
+  // Requests that a server received in a span, counted or not.
+  int64_t ArrivalsBetween(size_t server,
+                          base::Millis from,
+                          base::Millis until) const;
+
+ private:
+  struct Router;
+  struct Server;
+  struct Scheduled;
+
+  void At(base::Millis at, std::function<void()> action);
+  void StartRouter(size_t index);
+  void Raise(size_t router, const DispatchEvent& event);
+  // Calls `action` at the router once it is neither frozen nor restarted; drops
+  // it if it was restarted.
+  void AtRouter(size_t router, base::Millis at, std::function<void()> action);
+  void TickRouter(size_t router);
+  void ReadList(size_t router);
+  void RenewLease(size_t router);
+  void ArriveNext();
+  bool IsConnected(size_t router) const;
+  bool IsExcused(size_t router) const;
+  void Excuse(size_t router, base::Millis until);
+  std::vector<ledger::Peer> RegisteredRouters() const;
+
+  void Handle(size_t router, const StartAttempt& command);
+  void Handle(size_t router, const CallEnded& command);
+  template <typename Command>
+  void Handle(size_t /*router*/, const Command& /*command*/) {}
+
+  const Options options_;
+  std::mt19937_64 random_;
+  base::Millis now_;
+  double next_arrival_ms_ = 0;
+  std::vector<std::unique_ptr<Router>> routers_;
+  std::vector<Server> servers_;
+  std::priority_queue<Scheduled, std::vector<Scheduled>, std::greater<>>
+      scheduled_;
+  uint64_t next_action_ = 0;
+  CallId next_call_ = 1;
+  base::Millis store_down_until_;
+  // When the lease of each registered router expires.
+  std::map<size_t, base::Millis> leases_;
+  int64_t answered_ = 0;
+  int64_t refused_ = 0;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_TESTS_ROUTER_FLEET_H_
