Keep the limits that backend servers state, over all routers together

What callers and servers saw: a server in need that stated a limit of 3.9 requests a second got 32 in 4 s, one with 2.1 got 28; allowed are 28 and 18.

Cause: routers did not read the limit (class: what a peer asks for is not decoded, so that nothing can decide by it). Ruled out by the incident's logs and by request_limit_fleet_test: each router keeping the limit for itself (one router alone sent 27 in 4 s), and retries (no 509 names the servers).

Change: for each server with a limit a few routers, chosen by rendezvous hashing, send to it, each its share of 0.75 of the limit, evenly spaced; all others send 0.1 of it together, so that each finds out when the limit has ended. Changes are told to the other routers in datagrams; the list of routers outlasts an outage of the store. No call to the store.

Why it works: the requests of any 4 s are at most those of the senders and of the rechecks of one list of routers; routers that start or return wait until lists agree.

--- a/libs/dispatch/include/dispatch/backend_directory.h
+++ b/libs/dispatch/include/dispatch/backend_directory.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,10 @@
   // Servers that may be given work.
   std::vector<const Backend*> UsableBackends(
       const base::ServiceId& service) const;
+  // Returns null if no registered server has this Backend::key().
+  const Backend* FindByKey(const std::string& key) const;
+  // Backend::key() of all registered servers.
+  std::set<std::string> Keys() const;
   // True after the registry was first read.
   bool loaded() const noexcept { return loaded_; }
   size_t size() const noexcept { return entries_.size(); }
--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -11,6 +11,7 @@
 #include "dispatch/cancel_attempt.h"
 #include "dispatch/refuse_call.h"
 #include "dispatch/relay_answer.h"
+#include "dispatch/send_to_router.h"
 #include "dispatch/start_attempt.h"
 #include "ledger/grant_closed.h"
 #include "ledger/peer_unresponsive.h"
@@ -30,6 +31,7 @@
                                      CallEnded,
                                      BackendHealthChanged,
                                      BackendLimitChanged,
+                                     SendToRouter,
                                      platform::KvRead,
                                      platform::KvWrite,
                                      ledger::SendToPeer,
--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -15,6 +15,7 @@
 #include "dispatch/configuration_tracking.h"
 #include "dispatch/drain_requested.h"
 #include "dispatch/peer_message_received.h"
+#include "dispatch/router_message_received.h"
 #include "dispatch/routers_listed.h"
 #include "dispatch/routing_table_updated.h"
 #include "dispatch/store_availability_changed.h"
@@ -42,6 +43,7 @@
                                    RoutersListed,
                                    DrainRequested,
                                    PeerMessageReceived,
+                                   RouterMessageReceived,
                                    platform::KvReadDone,
                                    platform::KvWriteDone,
                                    Tick>;
--- /dev/null
+++ b/libs/dispatch/include/dispatch/router_message.h
@@ -0,0 +1,15 @@
+#ifndef DISPATCH_ROUTER_MESSAGE_H_
+#define DISPATCH_ROUTER_MESSAGE_H_
+
+#include <variant>
+
+#include "dispatch/limit_notice.h"
+
+namespace godwit::dispatch {
+
+// What routers tell each other of backend servers, one message per datagram.
+using RouterMessage = std::variant<LimitNotice>;
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_ROUTER_MESSAGE_H_
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -190,6 +190,21 @@
   return changes;
 }
 
+const Backend* BackendDirectory::FindByKey(const std::string& key) const {
+  const auto found = entries_.find(key.substr(0, key.rfind('@')));
+  return found != entries_.end() && found->second.backend.key() == key
+             ? &found->second.backend
+             : nullptr;
+}
+
+std::set<std::string> BackendDirectory::Keys() const {
+  std::set<std::string> keys;
+  for (const auto& [instance, entry] : entries_) {
+    keys.insert(entry.backend.key());
+  }
+  return keys;
+}
+
 std::vector<const Backend*> BackendDirectory::UsableBackends(
     const base::ServiceId& service) const {
   std::vector<const Backend*> usable;
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -13,12 +13,14 @@
 // Delays after which a refused caller may retry: without a configuration or
 // with one that may be outdated, while this router drains and another takes
 // over, without a budget reservation because the KV is unavailable, without a
-// usable server, and the minimum when all servers are at capacity.
+// usable server, and the minimum and maximum when all servers are at capacity.
 constexpr base::Millis kNoConfigRetryAfter(500);
 constexpr base::Millis kLeavingRetryAfter(100);
 constexpr base::Millis kBudgetRetryAfter(600);
 constexpr base::Millis kNoBackendRetryAfter(500);
 constexpr base::Millis kMinCapacityRetryAfter(200);
+// Another router may send more to servers with limits than this one.
+constexpr base::Millis kMaxCapacityRetryAfter(5000);
 // Callers give up a stream that has not begun within this time, or within these
 // multiples of its latency and event gap objectives, whichever is longest.
 constexpr base::Millis kMinStreamStartTimeout(2000);
@@ -26,6 +28,7 @@
 constexpr int64_t kGapTimeoutMultiple = 8;
 // Calls of one service placed in one step; bounds the duration of the step.
 constexpr size_t kMaxPlacedPerStep = 64;
+constexpr double kMillisPerSecond = 1000;
 
 // A request with the same id always goes to the same target of a split.
 const base::ServiceId& ChooseTarget(const Route& route, const std::string& id) {
@@ -146,9 +149,8 @@
 
 void Dispatcher::State::TryStartAttempt(Call& call) {
   queue_.Remove(call.id);
-  const Choice choice =
-      placement_.Choose(now_, MakePlacementRequest(call),
-                        directory_.UsableBackends(call.service));
+  const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
+                                          OpenBackends(call.service));
   switch (choice.kind) {
     case Choice::Kind::kPlaced:
       Start(call, choice);
@@ -157,7 +159,8 @@
       Enqueue(call);
       return;
     case Choice::Kind::kNoBackend:
-      if (call.exclude.empty()) {
+      if (call.exclude.empty() &&
+          directory_.UsableBackends(call.service).empty()) {
         Refuse(call, base::ErrorKind::kUnavailable,
                "no backend server of the service can be used",
                kNoBackendRetryAfter);
@@ -168,16 +171,40 @@
   }
 }
 
+std::vector<const Backend*> Dispatcher::State::OpenBackends(
+    const base::ServiceId& service) const {
+  std::vector<const Backend*> backends = directory_.UsableBackends(service);
+  if (!limits_.empty()) {
+    backends.erase(std::remove_if(backends.begin(), backends.end(),
+                                  [this](const Backend* backend) {
+                                    return !limits_.MaySend(now_, *backend);
+                                  }),
+                   backends.end());
+  }
+  return backends;
+}
+
 base::Millis Dispatcher::State::ExpectedWait(const Call& call) const {
   int64_t running = 0;
+  bool are_all_limited = true;
+  double send_rate = 0;
   for (const Backend* backend : directory_.UsableBackends(call.service)) {
     running += placement_.in_flight(*backend);
+    const auto rate = limits_.SendRate(*backend);
+    are_all_limited = are_all_limited && rate.has_value();
+    send_rate += rate.value_or(0);
   }
   const auto ahead = static_cast<int64_t>(
       queue_.Ahead(call.service, call.urgency, call.arrived_at));
   const base::Millis run = placement_.TypicalRunTime(call.service);
-  return base::Millis(run.count() * (ahead + 1) /
-                      std::max<int64_t>(1, running));
+  const base::Millis by_load(run.count() * (ahead + 1) /
+                             std::max<int64_t>(1, running));
+  if (!are_all_limited || send_rate == 0) {
+    return by_load;
+  }
+  const base::Millis by_limits(static_cast<int64_t>(
+      kMillisPerSecond * static_cast<double>(ahead + 1) / send_rate));
+  return std::max(by_load, by_limits);
 }
 
 bool Dispatcher::State::WouldMissDeadline(const Call& call) const {
@@ -190,7 +217,8 @@
   if (WouldMissDeadline(call)) {
     Refuse(call, base::ErrorKind::kOverloaded,
            "the wait for a place would outlast the deadline",
-           std::max(kMinCapacityRetryAfter, ExpectedWait(call)));
+           std::clamp(ExpectedWait(call), kMinCapacityRetryAfter,
+                      kMaxCapacityRetryAfter));
     return;
   }
   // Servers that refused the call may have capacity again.
@@ -222,8 +250,8 @@
     size_t placed = 0;
     for (const CallId id : queue_.InOrder(service)) {
       Call& call = *calls_.at(id);
-      const Choice choice = placement_.Choose(
-          now_, MakePlacementRequest(call), directory_.UsableBackends(service));
+      const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
+                                              OpenBackends(service));
       if (choice.kind != Choice::Kind::kPlaced || placed == kMaxPlacedPerStep) {
         break;
       }
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -42,6 +42,7 @@
   if (call.phase != Call::Phase::kRelaying) {
     call.phase = Call::Phase::kAttempting;
   }
+  limits_.OnSent(now_, call.backend);
   placement_.OnStarted(now_, call.attempt, call.backend,
                        MakePlacementRequest(call));
   StartAttempt start;
@@ -88,8 +89,8 @@
   }
   PlacementRequest placement_request = MakePlacementRequest(call);
   placement_request.exclude.push_back(call.backend.key());
-  const Choice choice = placement_.Choose(
-      now_, placement_request, directory_.UsableBackends(call.service));
+  const Choice choice =
+      placement_.Choose(now_, placement_request, OpenBackends(call.service));
   if (choice.kind != Choice::Kind::kPlaced) {
     return std::nullopt;
   }
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -59,6 +59,8 @@
 
 Dispatcher::State::State(DispatcherOptions options)
     : options_(std::move(options)),
+      members_(options_.process),
+      limits_(members_),
       placement_(options_.placement),
       budgets_(options_.process, options_.incarnation, options_.budgets),
       routers_(options_.assumed_routers) {
@@ -226,6 +228,7 @@
 
 void Dispatcher::State::On(const BackendsListed& event) {
   Emit(directory_.OnListed(now_, event.backends));
+  ForgetRemovedBackends();
   ProcessQueues();
 }
 
@@ -236,6 +239,7 @@
 
 void Dispatcher::State::On(const BackendRemoved& event) {
   Emit(directory_.OnRemoved(now_, event.instance));
+  ForgetRemovedBackends();
 }
 
 void Dispatcher::State::On(const StoreAvailabilityChanged& event) {
@@ -275,6 +279,8 @@
     budgets_.SetRouters(routers_);
     retries_.clear();
   }
+  members_.SetListed(now_, event.routers);
+  limits_.OnRoutersListed(now_);
   budgets_.SetPeers(now_, event.routers);
   ProcessBudgets();
 }
@@ -284,6 +290,36 @@
   RetryReservations();
 }
 
+void Dispatcher::State::On(const RouterMessageReceived& event) {
+  std::visit([this](const auto& message) { OnMessage(message); },
+             event.message);
+}
+
+void Dispatcher::State::OnMessage(const LimitNotice& notice) {
+  const Backend* const backend = directory_.FindByKey(notice.backend);
+  if (backend == nullptr) {
+    return;
+  }
+  if (auto change = limits_.OnNotice(now_, *backend, notice)) {
+    Emit(std::move(*change));
+    ProcessQueues();
+  }
+}
+
+void Dispatcher::State::Broadcast(const RouterMessage& message) {
+  for (const auto& [process, address] : members_.members()) {
+    if (process != options_.process) {
+      Emit(SendToRouter{address, message});
+    }
+  }
+}
+
+void Dispatcher::State::ForgetRemovedBackends() {
+  if (!limits_.empty()) {
+    limits_.Retain(directory_.Keys());
+  }
+}
+
 void Dispatcher::State::On(const DrainRequested& event) {
   draining_ = true;
   drain_ends_at_ = event.ends_at;
@@ -320,6 +356,9 @@
       CheckTime(*found->second);
     }
   }
+  for (const LimitNotice& notice : limits_.TakeNotices(now_)) {
+    Broadcast(notice);
+  }
   ProcessBudgets();
   ProcessQueues();
 }
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -16,6 +16,7 @@
 #include "dispatch/call_queue.h"
 #include "dispatch/choice.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/fleet_members.h"
 #include "dispatch/placement.h"
 #include "dispatch/placement_request.h"
 #include "dispatch/request_limits.h"
@@ -49,6 +50,7 @@
   void On(const ConfigurationTracking& event);
   void On(const RoutersListed& event);
   void On(const PeerMessageReceived& event);
+  void On(const RouterMessageReceived& event);
   void On(const DrainRequested& event);
   void On(const platform::KvReadDone& event);
   void On(const platform::KvWriteDone& event);
@@ -73,6 +75,10 @@
   void ProcessBudgets();
   void RetryReservations();
   void ProcessQueues();
+  // The servers of a service to which a request may be sent now: usable ones
+  // whose limit on requests leaves room.
+  std::vector<const Backend*> OpenBackends(
+      const base::ServiceId& service) const;
 
   // Attempts; call_attempts.cc.
   PlacementRequest MakePlacementRequest(const Call& call) const;
@@ -118,6 +124,12 @@
   void End(Call& call, std::string outcome, std::string reason);
   ledger::Usage UsageOf(const Call& call, bool complete) const;
 
+  // Handles a message of another router.
+  void OnMessage(const LimitNotice& notice);
+  // Sends a message to all other routers.
+  void Broadcast(const RouterMessage& message);
+  void ForgetRemovedBackends();
+
   void Emit(std::vector<BackendHealthChanged> changes);
   void Emit(std::vector<ledger::MeteredBudgetManager::Command> commands);
   template <typename Command>
@@ -131,6 +143,7 @@
   const DispatcherOptions options_;
   std::shared_ptr<const RoutingTable> table_;
   BackendDirectory directory_;
+  FleetMembers members_;
   RequestLimits limits_;
   Placement placement_;
   CallQueue queue_;
--- /dev/null
+++ b/libs/dispatch/src/fleet_members.cc
@@ -0,0 +1,45 @@
+#include "dispatch/fleet_members.h"
+
+#include <utility>
+
+namespace godwit::dispatch {
+namespace {
+
+// Covers the renewal period of a lease, after which a router notices that its
+// entry is lost, and the time until the new entry is read.
+constexpr base::Millis kRegistrationTime(15'000);
+
+}  // namespace
+
+FleetMembers::FleetMembers(base::ProcessId self) : self_(std::move(self)) {}
+
+void FleetMembers::SetListed(base::Millis now,
+                             const std::vector<ledger::Peer>& listed) {
+  if (!first_listed_at_) {
+    first_listed_at_ = now;
+  }
+  std::map<base::ProcessId, base::Endpoint> members;
+  for (const ledger::Peer& peer : listed) {
+    members[peer.process] = peer.address;
+    missing_since_.erase(peer.process);
+  }
+  for (const auto& [process, address] : members_) {
+    if (members.count(process) > 0) {
+      continue;
+    }
+    const base::Millis since =
+        missing_since_.try_emplace(process, now).first->second;
+    if (now - since < kRegistrationTime) {
+      members[process] = address;
+    } else {
+      missing_since_.erase(process);
+    }
+  }
+  members_ = std::move(members);
+}
+
+bool FleetMembers::is_settled(base::Millis now) const {
+  return first_listed_at_ && now - *first_listed_at_ >= kRegistrationTime;
+}
+
+}  // namespace godwit::dispatch
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -100,6 +100,7 @@
   void Handle(const ledger::PeerUnresponsive& /*command*/) {}
   // There is no other router to lend to.
   void Handle(const ledger::SendToPeer& /*command*/) {}
+  void Handle(const SendToRouter& /*command*/) {}
   void HandleServerEvent(const ModelServer::Event& event);
 
   base::Millis now_ = kStart;
--- a/libs/dispatch/tests/request_limit_fleet_test.cc
+++ b/libs/dispatch/tests/request_limit_fleet_test.cc
@@ -58,7 +58,7 @@
     fleet.SetLimit(0, c.limit);
     fleet.Run(Millis(20'000));
     const int64_t received =
-        fleet.MostInWindow(0, limited_at + kStabilityWindow);
+        fleet.MostInWindow(0, limited_at + kStabilityWindow, fleet.now());
     if (received > Allowed(c.limit)) {
       violations += "\n" + Describe(c.routers, c.limit, received);
     }
--- a/libs/dispatch/tests/request_limits_test.cc
+++ b/libs/dispatch/tests/request_limits_test.cc
@@ -3,11 +3,15 @@
 #include <string>
 #include <vector>
 
+#include "dispatch/fleet_members.h"
+
 #include <CppUTest/TestHarness.h>
 
 using godwit::base::Millis;
+using godwit::base::ProcessId;
 using godwit::base::ServiceId;
 using godwit::dispatch::Backend;
+using godwit::dispatch::FleetMembers;
 using godwit::dispatch::Reply;
 using godwit::dispatch::RequestLimits;
 
@@ -56,7 +60,8 @@
       {"still none", 600, 550, kNone, false, kNone},
       {"again", 700, 650, 3, true, kNone},
   };
-  RequestLimits limits;
+  const FleetMembers members(ProcessId("r1"));
+  RequestLimits limits(members);
   for (const Step& step : steps) {
     const auto change = limits.OnAnswer(Millis(step.at), Millis(step.sent_at),
                                         Server("s1"), Answer(step.limit));
@@ -86,7 +91,8 @@
                                    {"unsigned", unsigned_answer, false},
                                    {"unreadable", unreadable, true}};
   for (const Case& c : cases) {
-    RequestLimits limits;
+    const FleetMembers members(ProcessId("r1"));
+    RequestLimits limits(members);
     limits.OnAnswer(Millis(100), Millis(50), Server("s1"), Answer(2));
     const auto change =
         limits.OnAnswer(Millis(200), Millis(150), Server("s1"), c.reply);
@@ -99,7 +105,8 @@
 }
 
 TEST(RequestLimits, ALimitEndsWithTheServersIncarnation) {
-  RequestLimits limits;
+  const FleetMembers members(ProcessId("r1"));
+  RequestLimits limits(members);
   limits.OnAnswer(Millis(100), Millis(50), Server("s1", 1), Answer(2));
   const auto change =
       limits.OnAnswer(Millis(200), Millis(150), Server("s1", 2), Answer(2));
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -20,6 +20,7 @@
 constexpr base::Millis kToldDelay(500);
 constexpr base::Millis kLimitWindow(4000);
 constexpr double kMillisPerSecond = 1000;
+constexpr int64_t kUnlimitedSlots = 1000;
 
 }  // namespace
 
@@ -38,6 +39,7 @@
   Backend registration;
   std::optional<double> limit;
   std::vector<Arrival> arrivals;
+  int64_t running = 0;
 };
 
 struct RouterFleet::Scheduled {
@@ -61,7 +63,7 @@
     server.registration.started_at_ms = 1;
     server.registration.service = base::ServiceId("plain");
     server.registration.address = {"10.0.0.1", static_cast<uint16_t>(i + 1)};
-    server.registration.slots = 1000;
+    server.registration.slots = options.slots.value_or(kUnlimitedSlots);
     servers_.push_back(std::move(server));
   }
   for (size_t i = 0; i < options.routers; ++i) {
@@ -226,6 +228,8 @@
                           told != sender.told_at.end() &&
                           now_ - told->second >= kToldDelay;
     servers_[index].arrivals.push_back({now_, was_told && !IsExcused(router)});
+    ++servers_[index].running;
+    At(now_ + options_.run_time, [this, index] { --servers_[index].running; });
     if (sender.incarnation != incarnation) {
       return;
     }
@@ -236,7 +240,13 @@
                answered.attempt = command.attempt;
                answered.reply.status = 200;
                answered.reply.is_signed = true;
-               answered.reply.request_limit = limit;
+               if (!options_.hides_limits) {
+                 answered.reply.request_limit = limit;
+               }
+               if (options_.slots) {
+                 answered.reply.load =
+                     LoadReport{servers_[index].running, 0, *options_.slots};
+               }
                answered.complete = true;
                if (limit) {
                  routers_[router]->told_at.try_emplace(index, now_);
@@ -247,7 +257,25 @@
 }
 
 void RouterFleet::Handle(size_t /*router*/, const CallEnded& command) {
-  ++(command.outcome == "answered" ? answered_ : refused_);
+  if (command.outcome == "answered") {
+    ++answered_;
+    return;
+  }
+  ++refused_;
+  longest_refusal_ = std::max(longest_refusal_, command.total);
+}
+
+void RouterFleet::Handle(size_t router, const SendToRouter& command) {
+  ++datagrams_;
+  const auto target = static_cast<size_t>(command.to.port) - 1;
+  std::bernoulli_distribution is_lost(options_.datagram_loss);
+  if (is_lost(random_) || now_ < routers_[router]->cut_until ||
+      now_ < routers_[target]->cut_until) {
+    return;
+  }
+  AtRouter(target, now_ + kHop, [this, target, message = command.message] {
+    Raise(target, RouterMessageReceived{message});
+  });
 }
 
 void RouterFleet::Run(base::Millis span) {
@@ -293,11 +321,13 @@
   return servers_[server].arrivals;
 }
 
-int64_t RouterFleet::MostInWindow(size_t server, base::Millis from) const {
+int64_t RouterFleet::MostInWindow(size_t server,
+                                  base::Millis from,
+                                  base::Millis until) const {
   std::queue<base::Millis> window;
   size_t most = 0;
   for (const Arrival& arrival : servers_[server].arrivals) {
-    if (!arrival.is_counted || arrival.at < from) {
+    if (!arrival.is_counted || arrival.at < from || arrival.at >= until) {
       continue;
     }
     while (!window.empty() && arrival.at - window.front() >= kLimitWindow) {
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -28,6 +28,12 @@
     size_t servers = 12;
     double requests_per_second = 70;
     base::Millis run_time{100};
+    // Concurrent requests of a server, which states its load in its answers if
+    // this is set.
+    std::optional<int64_t> slots;
+    double datagram_loss = 0.01;
+    // Injected fault: routers ignore limits.
+    bool hides_limits = false;
     uint64_t seed = 1;
   };
 
@@ -58,11 +64,16 @@
   size_t routers() const { return routers_.size(); }
   int64_t answered() const { return answered_; }
   int64_t refused() const { return refused_; }
+  int64_t datagrams() const { return datagrams_; }
+  // Longest time from an arrival to its refusal.
+  base::Millis longest_refusal() const { return longest_refusal_; }
   base::Millis now() const { return now_; }
 
   // Largest number of counted requests that a server received in four seconds
-  // from `from` on.
-  int64_t MostInWindow(size_t server, base::Millis from) const;
+  // of a span.
+  int64_t MostInWindow(size_t server,
+                       base::Millis from,
+                       base::Millis until) const;
   // Requests that a server received in a span, counted or not.
   int64_t ArrivalsBetween(size_t server,
                           base::Millis from,
@@ -90,6 +101,7 @@
 
   void Handle(size_t router, const StartAttempt& command);
   void Handle(size_t router, const CallEnded& command);
+  void Handle(size_t router, const SendToRouter& command);
   template <typename Command>
   void Handle(size_t /*router*/, const Command& /*command*/) {}
 
@@ -108,6 +120,8 @@
   std::map<size_t, base::Millis> leases_;
   int64_t answered_ = 0;
   int64_t refused_ = 0;
+  int64_t datagrams_ = 0;
+  base::Millis longest_refusal_;
 };
 
 }  // namespace godwit::dispatch
--- /dev/null
+++ b/libs/dispatch/tests/router_message_codec_test.cc
@@ -0,0 +1,68 @@
+#include "dispatch/router_message_codec.h"
+
+#include <limits>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Millis;
+using godwit::dispatch::DecodeRouterMessage;
+using godwit::dispatch::EncodeRouterMessage;
+using godwit::dispatch::LimitNotice;
+using godwit::dispatch::RouterMessage;
+using Json = nlohmann::json;
+
+namespace {
+
+std::string Cbor(const Json& document) {
+  std::string bytes;
+  Json::to_cbor(document, bytes);
+  return bytes;
+}
+
+}  // namespace
+
+TEST_GROUP(RouterMessageCodec){};
+
+TEST(RouterMessageCodec, MessagesRoundTripAndTruncatedOnesAreRejected) {
+  const std::vector<RouterMessage> messages = {
+      LimitNotice{"s1@7", 1.2, Millis(30)}, LimitNotice{"s1@7", 0.0, Millis(0)},
+      LimitNotice{"s1@7", std::nullopt, Millis(4000)}};
+  for (const RouterMessage& message : messages) {
+    const std::string bytes = EncodeRouterMessage(message);
+    CHECK(DecodeRouterMessage(bytes) == message);
+    for (size_t size = 0; size < bytes.size(); ++size) {
+      CHECK(!DecodeRouterMessage(bytes.substr(0, size)));
+    }
+  }
+}
+
+TEST(RouterMessageCodec, RejectsMalformedNotices) {
+  struct Case {
+    const char* name;
+    const char* field;
+    Json value;
+  };
+  const std::vector<Case> cases = {
+      {"type", "type", "ask"},
+      {"no server", "backend", ""},
+      {"server is a number", "backend", 7},
+      {"long server", "backend", std::string(10'000, 's')},
+      {"negative age", "age", -1},
+      {"age is text", "age", "1"},
+      {"negative rate", "rate", -0.5},
+      {"infinite rate", "rate", std::numeric_limits<double>::infinity()},
+      {"not a number", "rate", std::numeric_limits<double>::quiet_NaN()},
+      {"rate is text", "rate", "2"},
+  };
+  for (const Case& c : cases) {
+    Json document = {
+        {"type", "limit"}, {"backend", "s1@7"}, {"rate", 2.5}, {"age", 1}};
+    CHECK_TEXT(DecodeRouterMessage(Cbor(document)).has_value(), c.name);
+    document[c.field] = c.value;
+    CHECK_TEXT(!DecodeRouterMessage(Cbor(document)).has_value(), c.name);
+  }
+}
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -15,6 +15,7 @@
 #include "daemon/process_metrics.h"
 #include "daemon/stop_plan.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/router_message_codec.h"
 #include "dispatch/routing_table.h"
 #include "edge_log.h"
 #include "edge_settings.h"
@@ -262,12 +263,21 @@
     peers_.Send(command.to, bytes);
   }
 
+  void Execute(const dispatch::SendToRouter& command) {
+    metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
+    peers_.Send(command.to, dispatch::EncodeRouterMessage(command.message));
+  }
+
   void OnPeer(const base::Endpoint& from, std::string_view bytes) {
     const auto message = ledger::DecodePeerMessage(bytes);
+    const auto router_message =
+        message ? std::nullopt : dispatch::DecodeRouterMessage(bytes);
     metrics_.Add(MetricId::kPeerMessagesTotal,
-                 {message ? "received" : "unreadable"});
+                 {message || router_message ? "received" : "unreadable"});
     if (message) {
       Raise(dispatch::PeerMessageReceived{from, *message});
+    } else if (router_message) {
+      Raise(dispatch::RouterMessageReceived{*router_message});
     }
   }
 
