Use the whole of a limit that a backend server states

Cause: senders used 0.75 of a limit, and lost their turn when no request arrived in time. The margin was for two routers that take themselves for the same sender, which needs one that could not renew its lease: such a router is now no sender once it has read no list for 30 s, before the others count without it.

Change: senders use 0.95 and rechecks 0.05, and a sender makes up for half an interval.

--- a/libs/dispatch/include/dispatch/fleet_members.h
+++ b/libs/dispatch/include/dispatch/fleet_members.h
@@ -28,14 +28,17 @@
   }
   const base::ProcessId& self() const { return self_; }
   // True once lists were read for so long that every running router has had
-  // time to register.
+  // time to register, until none was read for so long that this router may be
+  // no member to the others.
   bool is_settled(base::Millis now) const;
 
  private:
   const base::ProcessId self_;
   std::map<base::ProcessId, base::Endpoint> members_;
   std::map<base::ProcessId, base::Millis> missing_since_;
+  // Start of the lists that follow each other without a long gap.
   std::optional<base::Millis> first_listed_at_;
+  base::Millis last_listed_at_;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/request_limits.h
+++ b/libs/dispatch/include/dispatch/request_limits.h
@@ -56,8 +56,9 @@
   // server has no limit.
   std::optional<double> SendRate(const Backend& backend) const;
 
-  // Returns the notices for all other routers that are due.
-  std::vector<LimitNotice> TakeNotices(base::Millis now);
+  // Returns the notices for all other routers that are due. Due every few tens
+  // of milliseconds.
+  std::vector<LimitNotice> Tick(base::Millis now);
 
  private:
   struct Limit {
@@ -81,6 +82,8 @@
 
   size_t RankOf(const std::string& key) const;
   base::Millis IntervalOf(base::Millis now, const Limit& limit) const;
+  // Returns how long before its time a request may be sent.
+  static base::Millis ToleranceOf(const Limit& limit);
   // Adapts the time of the next request to a changed interval.
   void Reschedule(base::Millis now, const std::string& key, Limit& limit);
   // Sets or, without a rate, removes the limit of a server.
@@ -92,7 +95,10 @@
                 const std::string& key,
                 std::optional<double> rate);
 
+  std::vector<LimitNotice> TakeNotices(base::Millis now);
+
   const FleetMembers& members_;
+  bool was_settled_ = false;
   // By Backend::key(), as are the following.
   std::map<std::string, Limit> limits_;
   std::map<std::string, Announcement> announcements_;
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -356,7 +356,7 @@
       CheckTime(*found->second);
     }
   }
-  for (const LimitNotice& notice : limits_.TakeNotices(now_)) {
+  for (const LimitNotice& notice : limits_.Tick(now_)) {
     Broadcast(notice);
   }
   ProcessBudgets();
--- a/libs/dispatch/src/fleet_members.cc
+++ b/libs/dispatch/src/fleet_members.cc
@@ -8,6 +8,8 @@
 // Covers the renewal period of a lease, after which a router notices that its
 // entry is lost, and the time until the new entry is read.
 constexpr base::Millis kRegistrationTime(15'000);
+// A router that could not renew its lease for longer is no member to others.
+constexpr base::Millis kListLifetime(30'000);
 
 }  // namespace
 
@@ -15,9 +17,10 @@
 
 void FleetMembers::SetListed(base::Millis now,
                              const std::vector<ledger::Peer>& listed) {
-  if (!first_listed_at_) {
+  if (!first_listed_at_ || now - last_listed_at_ >= kListLifetime) {
     first_listed_at_ = now;
   }
+  last_listed_at_ = now;
   std::map<base::ProcessId, base::Endpoint> members;
   for (const ledger::Peer& peer : listed) {
     members[peer.process] = peer.address;
@@ -39,7 +42,8 @@
 }
 
 bool FleetMembers::is_settled(base::Millis now) const {
-  return first_listed_at_ && now - *first_listed_at_ >= kRegistrationTime;
+  return first_listed_at_ && now - *first_listed_at_ >= kRegistrationTime &&
+         now - last_listed_at_ < kListLifetime;
 }
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/request_limits.cc
+++ b/libs/dispatch/src/request_limits.cc
@@ -17,16 +17,17 @@
 constexpr double kRatePerSender = 1;
 // Shares of a limit that the senders use, and that the other routers use to
 // find out whether the limit still holds.
-constexpr double kSenderShare = 0.75;
-constexpr double kRecheckShare = 0.1;
+constexpr double kSenderShare = 0.95;
+constexpr double kRecheckShare = 0.05;
 // A limit below this is rechecked as if it were this, in requests a second.
 constexpr double kMinRecheckedRate = 0.1;
 // Longest time between two requests of the first sender, which finds out when a
 // limit of zero ends.
 constexpr base::Millis kMaxFirstSenderInterval(10'000);
-// How early a request may be sent, so that several that are due between two
-// ticks are not lost.
-constexpr base::Millis kBurstTolerance(50);
+// How early a request may be sent, so that a router that had none in time still
+// uses its share: a part of the interval, and at least the time between ticks.
+constexpr int64_t kToleranceDivisor = 2;
+constexpr base::Millis kMinTolerance(50);
 constexpr double kMillisPerSecond = 1000;
 // Longer than any process runs.
 constexpr double kMaxIntervalMs = 1e12;
@@ -229,10 +230,15 @@
   }
 }
 
+base::Millis RequestLimits::ToleranceOf(const Limit& limit) {
+  return std::max(kMinTolerance,
+                  base::Millis(limit.interval.count() / kToleranceDivisor));
+}
+
 bool RequestLimits::MaySend(base::Millis now, const Backend& backend) const {
   const auto found = limits_.find(backend.key());
   return found == limits_.end() ||
-         now + kBurstTolerance >= found->second.next_send_at;
+         now + ToleranceOf(found->second) >= found->second.next_send_at;
 }
 
 void RequestLimits::OnSent(base::Millis now, const Backend& backend) {
@@ -255,6 +261,16 @@
                                 1, found->second.interval.count()));
 }
 
+std::vector<LimitNotice> RequestLimits::Tick(base::Millis now) {
+  if (members_.is_settled(now) != was_settled_) {
+    was_settled_ = !was_settled_;
+    for (auto& [key, limit] : limits_) {
+      Reschedule(now, key, limit);
+    }
+  }
+  return TakeNotices(now);
+}
+
 std::vector<LimitNotice> RequestLimits::TakeNotices(base::Millis now) {
   std::vector<LimitNotice> notices;
   for (auto entry = announcements_.begin(); entry != announcements_.end();) {
--- a/libs/dispatch/tests/fleet_members_test.cc
+++ b/libs/dispatch/tests/fleet_members_test.cc
@@ -43,6 +43,10 @@
       {16'000, {"a", "b", "d"}, 4, true},
       {20'000, {"a", "b", "d"}, 3, true},
       {22'000, {"a", "b", "c", "d"}, 4, true},
+      // The store was unavailable for so long that leases expired.
+      {53'000, {"a", "b", "c", "d"}, 4, false},
+      {60'000, {"a", "b", "c", "d"}, 4, false},
+      {68'000, {"a", "b", "c", "d"}, 4, true},
   };
   FleetMembers members(ProcessId("a"));
   for (const Step& step : steps) {
@@ -50,4 +54,6 @@
     CHECK_EQUAL(step.members, members.members().size());
     CHECK_EQUAL(step.is_settled, members.is_settled(Millis(step.at)));
   }
+  CHECK(members.is_settled(Millis(97'000)));
+  CHECK(!members.is_settled(Millis(98'000)));
 }
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -114,7 +114,7 @@
   route.name = "status";
   route.host = "h";
   route.prefix = "/";
-  route.timeout = base::Millis(1500);
+  route.timeout = options_.timeout;
   route.repeat = RepeatRule::kIdempotent;
   route.max_attempts = 2;
   route.targets = {{base::ServiceId("plain"), 1}};
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -28,6 +28,8 @@
     size_t servers = 12;
     double requests_per_second = 70;
     base::Millis run_time{100};
+    // Time from the arrival of a request to its deadline.
+    base::Millis timeout{1500};
     // Concurrent requests of a server, which states its load in its answers if
     // this is set.
     std::optional<int64_t> slots;
