--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -102,6 +102,7 @@
   std::vector<ledger::Peer> RegisteredRouters() const;
 
   void Handle(size_t router, const StartAttempt& command);
+  void Handle(size_t router, const RelayAnswer& command);
   void Handle(size_t router, const CallEnded& command);
   void Handle(size_t router, const SendToRouter& command);
   template <typename Command>
@@ -117,6 +118,8 @@
       scheduled_;
   uint64_t next_action_ = 0;
   CallId next_call_ = 1;
+  // The server whose answer with a limit is being handled.
+  std::optional<size_t> answered_by_;
   base::Millis store_down_until_;
   // When the lease of each registered router expires.
   std::map<size_t, base::Millis> leases_;
