Serve again after all servers of a service were unresponsive

Cause: calls that wait for a slot are sent oldest first, until the estimated time to the first byte no longer fits into their deadline. Without an answer the estimate was zero or that of faster times, so each call was sent with too little time left, ended at its deadline, and no answer ever corrected the estimate. Ruled out: ejection (servers are readmitted one request at a time), the retry budget.

Change: an attempt that was cancelled unanswered, while nothing else of the service was answered, raises the estimate to the time that it took. Callers then wait no longer than an answer needs. Tried first and not kept: the route's objective as the estimate while none is known; it fails where answers take longer.

--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -109,6 +109,7 @@
   const double ratio = latency / std::max(1.0, answered.typical_first_byte_ms);
   load.ObserveSlowness(now, ratio);
   State::ServiceStats& service_stats = state_->service_stats[answered.service];
+  service_stats.last_answered_at = now;
   service_stats.first_byte_ms =
       UpdateMean(service_stats.first_byte_ms, latency, kServiceStatsWeight);
   service_stats.scale *=
@@ -167,8 +168,19 @@
         state_->Eject(now, load, "can't be reached");
       }
       return;
+    case Outcome::kCancelled: {
+      // If nothing else was answered meanwhile, answers take at least as long.
+      // Without this, calls that wait would go on to be sent too late for an
+      // answer, and no answer would ever correct the estimate.
+      State::ServiceStats& service_stats = state_->service_stats[ended.service];
+      if (!ended.answered &&
+          service_stats.last_answered_at <= ended.started_at) {
+        service_stats.first_byte_ms =
+            std::max(service_stats.first_byte_ms, ToMs(now - ended.started_at));
+      }
+      return;
+    }
     case Outcome::kRefused:
-    case Outcome::kCancelled:
       return;
   }
 }
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -35,6 +35,7 @@
     // Time to the first byte and of a complete run; 0 while unknown.
     double first_byte_ms = 0;
     double run_ms = 0;
+    base::Millis last_answered_at;
   };
 
   struct ScoredBackend {
--- a/libs/dispatch/tests/load_replay_test.cc
+++ b/libs/dispatch/tests/load_replay_test.cc
@@ -168,3 +168,30 @@
   CHECK_TEXT(prefilled <= 200 * 500 + 10 * 2 * 6'000,
              std::to_string(prefilled).c_str());
 }
+
+// A router that has just started has no estimate of how long its servers take.
+TEST(LoadReplay, ServersThatWereUnresponsiveAtTheStartServeAgain) {
+  ModelServer::Options plain;
+  plain.service = "plain";
+  plain.slots = 6;
+  plain.slowness = 7;
+  DispatchSimulation simulation({},
+                                std::vector<ModelServer::Options>(4, plain));
+  for (size_t i = 0; i < simulation.servers(); ++i) {
+    simulation.server(i).SetFault(ModelServer::Fault::kUnresponsive);
+  }
+  constexpr int kCalls = 600;
+  for (int i = 0; i < kCalls; ++i) {
+    if (i == 100) {
+      for (size_t server = 0; server < simulation.servers(); ++server) {
+        simulation.server(server).SetFault(ModelServer::Fault::kNone);
+      }
+    }
+    simulation.Arrive("status");
+    simulation.Advance(Millis(25));
+  }
+  simulation.Advance(Millis(1500));
+  const auto counts = simulation.CountOutcomes("status");
+  // Most of the 500 calls that arrived after the servers had recovered.
+  CHECK_TEXT(counts.on_time + counts.late >= 300, Describe(counts).c_str());
+}
