--- a/libs/dispatch/include/dispatch/backend.h
+++ b/libs/dispatch/include/dispatch/backend.h
@@ -21,6 +21,8 @@
   base::ServiceId service;
   base::Endpoint address;
   base::DataCentreId data_centre;
+  // Version of its software; empty if not stated.
+  std::string software_version;
   // Maximum number of concurrent requests.
   int64_t slots = 1;
   // The server takes no new work.
@@ -35,9 +37,11 @@
 
   friend bool operator==(const Backend& a, const Backend& b) {
     return std::tie(a.instance, a.started_at_ms, a.service, a.address,
-                    a.data_centre, a.slots, a.draining, a.warm_up) ==
-           std::tie(b.instance, b.started_at_ms, b.service, b.address,
-                    b.data_centre, b.slots, b.draining, b.warm_up);
+                    a.data_centre, a.software_version, a.slots, a.draining,
+                    a.warm_up) == std::tie(b.instance, b.started_at_ms,
+                                           b.service, b.address, b.data_centre,
+                                           b.software_version, b.slots,
+                                           b.draining, b.warm_up);
   }
   friend bool operator!=(const Backend& a, const Backend& b) {
     return !(a == b);
--- a/libs/dispatch/include/dispatch/backend_health_changed.h
+++ b/libs/dispatch/include/dispatch/backend_health_changed.h
@@ -23,6 +23,8 @@
   std::string instance;
   base::ServiceId service;
   std::string reason;
+  // Stated for registrations.
+  std::string software_version;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/request.h
+++ b/libs/dispatch/include/dispatch/request.h
@@ -26,12 +26,15 @@
   std::optional<Prompt> prompt;
   // Last event of an interrupted stream that the caller received.
   std::optional<int64_t> resume_after;
+  // Id of the caller's request that brought the first event of the stream that
+  // this one resumes; empty if it resumes none.
+  std::string resumes;
 
   friend bool operator==(const Request& a, const Request& b) {
     return std::tie(a.id, a.host, a.path, a.api_key, a.deadline, a.prompt,
-                    a.resume_after) == std::tie(b.id, b.host, b.path, b.api_key,
-                                                b.deadline, b.prompt,
-                                                b.resume_after);
+                    a.resume_after, a.resumes) ==
+           std::tie(b.id, b.host, b.path, b.api_key, b.deadline, b.prompt,
+                    b.resume_after, b.resumes);
   }
   friend bool operator!=(const Request& a, const Request& b) {
     return !(a == b);
--- a/libs/dispatch/include/dispatch/start_attempt.h
+++ b/libs/dispatch/include/dispatch/start_attempt.h
@@ -28,6 +28,8 @@
   bool is_stream = false;
   // The stream resumes after this event.
   std::optional<int64_t> resume_after;
+  // Request::resumes, for logs.
+  std::string resumes;
   // Estimates behind the choice, for logs: time to the first byte, and prompt
   // tokens that the server does not have cached.
   base::Millis expected;
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -18,7 +18,8 @@
 BackendHealthChanged MakeChange(const Backend& backend,
                                 Health health,
                                 std::string reason) {
-  return {health, backend.instance, backend.service, std::move(reason)};
+  return {health, backend.instance, backend.service, std::move(reason),
+          backend.software_version};
 }
 
 }  // namespace
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -57,6 +57,7 @@
   start.is_stream = call.route->is_stream;
   start.resume_after =
       call.events > 0 ? call.last_event : call.request.resume_after;
+  start.resumes = call.request.resumes;
   Emit(std::move(start));
 }
 
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -154,7 +154,7 @@
         load.ejected_until = base::Millis();
         state_->changes.push_back({BackendHealthChanged::Health::kReadmitted,
                                    load.instance, load.service,
-                                   "served a request"});
+                                   "served a request", ""});
       }
       return;
     }
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -285,7 +285,7 @@
                              const char* reason) {
   load.Eject(now, options.shortest_ejection, options.longest_ejection);
   changes.push_back({BackendHealthChanged::Health::kEjected, load.instance,
-                     load.service, reason});
+                     load.service, reason, ""});
 }
 
 }  // namespace godwit::dispatch
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -85,11 +85,13 @@
        {"attempt", attempt.attempt},
        {"backend", attempt.backend.instance},
        {"service", attempt.backend.service},
+       {"software_version", attempt.backend.software_version},
        {"expected_ms", attempt.expected},
        {"uncached_tokens", attempt.uncached},
        {"urgency", attempt.urgency},
        {"time_left_ms", attempt.time_left},
-       {"resume_after", attempt.resume_after.value_or(-1)}});
+       {"resume_after", attempt.resume_after.value_or(-1)},
+       {"resumes", attempt.resumes}});
 }
 
 void LogAttemptAbandoned(const dispatch::AttemptAbandoned& record) {
@@ -134,9 +136,11 @@
 }
 
 void LogBackendHealth(const BackendHealthChanged& change) {
-  Log(EventForHealth(change.health), {{"backend", change.instance},
-                                      {"service", change.service},
-                                      {"reason", change.reason}});
+  Log(EventForHealth(change.health),
+      {{"backend", change.instance},
+       {"service", change.service},
+       {"software_version", change.software_version},
+       {"reason", change.reason}});
 }
 
 void LogBackendLimit(const dispatch::BackendLimitChanged& change) {
