--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -5,6 +5,7 @@
 #include <variant>
 
 #include "dispatch/routing_table.h"
+#include "router_fleet_state.h"
 
 namespace godwit::dispatch {
 namespace {
@@ -24,34 +25,6 @@
 
 }  // namespace
 
-struct RouterFleet::Router {
-  std::unique_ptr<Dispatcher> dispatcher;
-  int64_t incarnation = 0;
-  bool is_running = false;
-  base::Millis frozen_until;
-  base::Millis cut_until;
-  base::Millis excused_until;
-  // When it first passed on an answer with a limit, by server.
-  std::map<size_t, base::Millis> told_at;
-};
-
-struct RouterFleet::Server {
-  Backend registration;
-  std::optional<double> limit;
-  std::vector<Arrival> arrivals;
-  int64_t running = 0;
-};
-
-struct RouterFleet::Scheduled {
-  base::Millis at;
-  uint64_t order = 0;
-  std::function<void()> action;
-
-  friend bool operator>(const Scheduled& a, const Scheduled& b) {
-    return a.at != b.at ? a.at > b.at : a.order > b.order;
-  }
-};
-
 RouterFleet::RouterFleet(const Options& options)
     : options_(options),
       random_(options.seed),
@@ -63,6 +36,8 @@
     server.registration.started_at_ms = 1;
     server.registration.service = base::ServiceId("plain");
     server.registration.address = {"10.0.0.1", static_cast<uint16_t>(i + 1)};
+    server.registration.software_version =
+        "v" + std::to_string(i % options.versions);
     server.registration.slots = options.slots.value_or(kUnlimitedSlots);
     servers_.push_back(std::move(server));
   }
@@ -110,14 +85,16 @@
   made.incarnation =
       base::Incarnation(name + "." + std::to_string(router.incarnation));
   router.dispatcher = std::make_unique<Dispatcher>(std::move(made));
-  Route route;
+  Route route = options_.events > 0 ? StreamRoute() : Route();
   route.name = "status";
   route.host = "h";
   route.prefix = "/";
   route.timeout = options_.timeout;
-  route.repeat = RepeatRule::kIdempotent;
   route.max_attempts = 2;
   route.targets = {{base::ServiceId("plain"), 1}};
+  if (options_.events == 0) {
+    route.repeat = RepeatRule::kIdempotent;
+  }
   RoutingTable::Contents contents;
   contents.version = 1;
   contents.revision = platform::KvVersion(1);
@@ -126,7 +103,9 @@
                    std::make_shared<const RoutingTable>(std::move(contents))});
   BackendsListed listed;
   for (const Server& server : servers_) {
-    listed.backends.push_back(server.registration);
+    if (!server.is_down) {
+      listed.backends.push_back(server.registration);
+    }
   }
   Raise(index, listed);
   const auto phase = base::Millis(static_cast<int64_t>(random_() % 25));
@@ -191,6 +170,11 @@
   std::exponential_distribution<double> gap(options_.requests_per_second);
   next_arrival_ms_ += gap(random_) * kMillisPerSecond;
   At(base::Millis(static_cast<int64_t>(next_arrival_ms_)), [this] {
+    if (options_.events > 0) {
+      RequestStream(std::make_shared<Stream>());
+      ArriveNext();
+      return;
+    }
     const size_t index = random_() % routers_.size();
     const Router& router = *routers_[index];
     if (router.is_running && now_ >= router.frozen_until) {
@@ -217,9 +201,13 @@
 
 void RouterFleet::Handle(size_t router, const StartAttempt& command) {
   size_t index = 0;
-  while (servers_[index].registration.instance != command.backend.instance) {
+  while (servers_[index].registration.address != command.backend.address) {
     ++index;
   }
+  if (options_.events > 0) {
+    StartStream(router, index, command);
+    return;
+  }
   At(now_ + kHop, [this, router, index,
                    incarnation = routers_[router]->incarnation, command] {
     const Router& sender = *routers_[router];
@@ -261,7 +249,8 @@
   }
 }
 
-void RouterFleet::Handle(size_t /*router*/, const CallEnded& command) {
+void RouterFleet::Handle(size_t router, const CallEnded& command) {
+  EndStream(router, command.call, command.outcome == "answered");
   if (command.outcome == "answered") {
     ++answered_;
     return;
@@ -301,6 +290,7 @@
 void RouterFleet::Restart(size_t router, base::Millis span) {
   routers_[router]->is_running = false;
   Excuse(router, now_ + span);
+  BreakStreams(router);
   At(now_ + span, [this, router] {
     if (!routers_[router]->is_running) {
       StartRouter(router);
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -10,17 +10,21 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/millis.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/route.h"
 #include "ledger/peer.h"
 
 namespace godwit::dispatch {
 
-// Simulation of the routers of a fleet and the backend servers of one plain
-// service, in virtual time: Poisson arrivals at random routers, a registry of
-// routers with leases that is read late, and faults of single routers.
+// Simulation of the routers of a fleet and the backend servers of one service,
+// in virtual time: Poisson arrivals at random routers, a registry of routers
+// with leases that is read late, and faults of single routers and servers.
+// Callers take streams that broke off up again at another router.
 class RouterFleet {
  public:
   struct Options {
@@ -34,6 +38,11 @@
     // this is set.
     std::optional<int64_t> slots;
     double datagram_loss = 0.01;
+    // Events of a stream; 0 for a service without streams.
+    int64_t events = 0;
+    base::Millis event_gap{100};
+    // Number of software versions; server i has version i modulo this.
+    size_t versions = 1;
     // Injected fault: routers ignore limits.
     bool hides_limits = false;
     uint64_t seed = 1;
@@ -47,6 +56,19 @@
     bool is_counted = false;
   };
 
+  // What callers saw of streams.
+  struct StreamCounts {
+    int64_t completed = 0;
+    // Streams that hold events of servers of two software versions.
+    int64_t mixed = 0;
+    // Requests for new streams, and for streams that had begun, and how many of
+    // them brought an event.
+    int64_t begun_asked = 0;
+    int64_t begun = 0;
+    int64_t resumed_asked = 0;
+    int64_t resumed = 0;
+  };
+
   explicit RouterFleet(const Options& options);
   ~RouterFleet();
 
@@ -59,9 +81,13 @@
   void Freeze(size_t router, base::Millis span);
   // Disconnects a router from the store and the other routers for `span`.
   void Cut(size_t router, base::Millis span);
+  // Ends the incarnation of a server; one of the same version starts in its
+  // place after `span`.
+  void Crash(size_t server, base::Millis span);
   // Makes the store unavailable for `span`; leases expire meanwhile.
   void StopStore(base::Millis span);
 
+  const StreamCounts& streams() const { return stream_counts_; }
   const std::vector<Arrival>& arrivals(size_t server) const;
   size_t routers() const { return routers_.size(); }
   int64_t answered() const { return answered_; }
@@ -85,6 +111,9 @@
   struct Router;
   struct Server;
   struct Scheduled;
+  struct Stream;
+  struct StreamRun;
+  using StreamRunKey = std::tuple<size_t, int64_t, int64_t>;
 
   void At(base::Millis at, std::function<void()> action);
   void StartRouter(size_t index);
@@ -101,7 +130,17 @@
   void Excuse(size_t router, base::Millis until);
   std::vector<ledger::Peer> RegisteredRouters() const;
 
+  // The caller's side of streams, and their runs; router_fleet_streams.cc.
+  void RequestStream(std::shared_ptr<Stream> stream);
+  void StartStream(size_t router, size_t server, const StartAttempt& command);
+  void SendEvent(const StreamRunKey& key);
+  void EndStream(size_t router, CallId call, bool is_complete);
+  void BreakStreams(size_t router);
+  void RegisterServer(size_t server, base::Millis after);
+  static Route StreamRoute();
+
   void Handle(size_t router, const StartAttempt& command);
+  void Handle(size_t router, const CancelAttempt& command);
   void Handle(size_t router, const RelayAnswer& command);
   void Handle(size_t router, const CallEnded& command);
   void Handle(size_t router, const SendToRouter& command);
@@ -123,6 +162,10 @@
   base::Millis store_down_until_;
   // When the lease of each registered router expires.
   std::map<size_t, base::Millis> leases_;
+  // By router and call, and by router, its incarnation and attempt.
+  std::map<std::pair<size_t, CallId>, std::shared_ptr<Stream>> streams_;
+  std::map<StreamRunKey, StreamRun> runs_;
+  StreamCounts stream_counts_;
   int64_t answered_ = 0;
   int64_t refused_ = 0;
   int64_t datagrams_ = 0;
--- /dev/null
+++ b/libs/dispatch/tests/stream_version_test.cc
@@ -0,0 +1,52 @@
+// Replays crashes of servers while servers of two software versions serve
+// streams side by side.
+#include <cstdint>
+#include <string>
+
+#include "router_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using godwit::base::Millis;
+using godwit::dispatch::RouterFleet;
+
+namespace {
+
+RouterFleet::Options TwoVersions(size_t routers) {
+  RouterFleet::Options options;
+  options.routers = routers;
+  options.servers = 12;
+  options.versions = 2;
+  options.requests_per_second = 40;
+  options.events = 17;
+  options.event_gap = Millis(60);
+  options.timeout = Millis(6000);
+  return options;
+}
+
+std::string Describe(const RouterFleet::StreamCounts& counts) {
+  return std::to_string(counts.mixed) + " streams of two versions; " +
+         std::to_string(counts.resumed) + " of " +
+         std::to_string(counts.resumed_asked) + " resumed, " +
+         std::to_string(counts.begun) + " of " +
+         std::to_string(counts.begun_asked) + " begun, " +
+         std::to_string(counts.completed) + " completed";
+}
+
+}  // namespace
+
+TEST_GROUP(StreamVersion){};
+
+TEST(StreamVersion, StreamContinuesAtAnotherVersionAfterACrashOfItsServer) {
+  RouterFleet fleet(TwoVersions(4));
+  fleet.Run(Millis(5000));
+  for (size_t i = 0; i < 12; ++i) {
+    fleet.Crash(i % 8, Millis(1500));
+    fleet.Run(Millis(2000));
+  }
+  fleet.Run(Millis(5000));
+  const RouterFleet::StreamCounts& counts = fleet.streams();
+  CHECK_EQUAL_TEXT(0, counts.mixed, Describe(counts).c_str());
+  CHECK_TEXT(counts.completed * 10 > counts.begun * 9,
+             Describe(counts).c_str());
+}
