Continue a stream only at the software version that began it

The logged registrations agree with the servers' own versions, so that stale registrations are ruled out for it.

--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -47,6 +47,10 @@
   base::Tokens reserved = 0;
   bool has_budget = false;
 
+  // Version of the server software that began the stream; empty until the
+  // stream has begun. Only servers of this version may continue it.
+  std::optional<std::string> software_version;
+
   // The attempt in progress.
   int64_t attempt = 0;
   Backend backend;
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -149,8 +149,8 @@
 
 void Dispatcher::State::TryStartAttempt(Call& call) {
   queue_.Remove(call.id);
-  const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
-                                          OpenBackends(call.service));
+  const Choice choice =
+      placement_.Choose(now_, MakePlacementRequest(call), OpenBackends(call));
   switch (choice.kind) {
     case Choice::Kind::kPlaced:
       Start(call, choice);
@@ -159,8 +159,7 @@
       Enqueue(call);
       return;
     case Choice::Kind::kNoBackend:
-      if (call.exclude.empty() &&
-          directory_.UsableBackends(call.service).empty()) {
+      if (call.exclude.empty() && UsableBackends(call).empty()) {
         Refuse(call, base::ErrorKind::kUnavailable,
                "no backend server of the service can be used",
                kNoBackendRetryAfter);
@@ -171,9 +170,24 @@
   }
 }
 
+std::vector<const Backend*> Dispatcher::State::UsableBackends(
+    const Call& call) const {
+  std::vector<const Backend*> backends =
+      directory_.UsableBackends(call.service);
+  if (call.software_version) {
+    backends.erase(std::remove_if(backends.begin(), backends.end(),
+                                  [&call](const Backend* backend) {
+                                    return backend->software_version !=
+                                           *call.software_version;
+                                  }),
+                   backends.end());
+  }
+  return backends;
+}
+
 std::vector<const Backend*> Dispatcher::State::OpenBackends(
-    const base::ServiceId& service) const {
-  std::vector<const Backend*> backends = directory_.UsableBackends(service);
+    const Call& call) const {
+  std::vector<const Backend*> backends = UsableBackends(call);
   if (!limits_.empty()) {
     backends.erase(std::remove_if(backends.begin(), backends.end(),
                                   [this](const Backend* backend) {
@@ -188,7 +202,7 @@
   int64_t running = 0;
   bool are_all_limited = true;
   double send_rate = 0;
-  for (const Backend* backend : directory_.UsableBackends(call.service)) {
+  for (const Backend* backend : UsableBackends(call)) {
     running += placement_.in_flight(*backend);
     const auto rate = limits_.SendRate(*backend);
     are_all_limited = are_all_limited && rate.has_value();
@@ -251,7 +265,7 @@
     for (const CallId id : queue_.InOrder(service)) {
       Call& call = *calls_.at(id);
       const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
-                                              OpenBackends(service));
+                                              OpenBackends(call));
       if (choice.kind != Choice::Kind::kPlaced || placed == kMaxPlacedPerStep) {
         break;
       }
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -91,7 +91,7 @@
   PlacementRequest placement_request = MakePlacementRequest(call);
   placement_request.exclude.push_back(call.backend.key());
   const Choice choice =
-      placement_.Choose(now_, placement_request, OpenBackends(call.service));
+      placement_.Choose(now_, placement_request, OpenBackends(call));
   if (choice.kind != Choice::Kind::kPlaced) {
     return std::nullopt;
   }
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -149,6 +149,9 @@
     call->first_byte_at = now_;
   }
   call->phase = Call::Phase::kRelaying;
+  if (call->route->is_stream && !call->software_version) {
+    call->software_version = call->backend.software_version;
+  }
   // A failure that is relayed to the caller was also a run, and is billed.
   call->may_have_run = true;
   Emit(RelayAnswer{call->id, call->attempt});
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -75,10 +75,11 @@
   void ProcessBudgets();
   void RetryReservations();
   void ProcessQueues();
-  // The servers of a service to which a request may be sent now: usable ones
-  // whose limit on requests leaves room.
-  std::vector<const Backend*> OpenBackends(
-      const base::ServiceId& service) const;
+  // The servers that may run a call: those that may be given work and, for a
+  // stream that has begun, have the software version that began it.
+  std::vector<const Backend*> UsableBackends(const Call& call) const;
+  // Those of them to which it may be sent now, by their limits on requests.
+  std::vector<const Backend*> OpenBackends(const Call& call) const;
 
   // Attempts; call_attempts.cc.
   PlacementRequest MakePlacementRequest(const Call& call) const;
