Resume streams at the software version that began them

Cause: no router decoded which stream a request resumes, or knew which version had begun a stream of another router.

Change: while a service has several versions, the origin of each stream is also kept at two other routers, and a router that does not know one asks them; without a record it refuses at once as not run. While there is one version nothing is sent, and streams go on as before.

--- a/libs/dispatch/include/dispatch/backend_directory.h
+++ b/libs/dispatch/include/dispatch/backend_directory.h
@@ -49,6 +49,8 @@
   // Servers that may be given work.
   std::vector<const Backend*> UsableBackends(
       const base::ServiceId& service) const;
+  // All registered servers, also those that may not be given work.
+  std::vector<const Backend*> RegisteredBackends() const;
   // Returns null if no registered server has this Backend::key().
   const Backend* FindByKey(const std::string& key) const;
   // Backend::key() of all registered servers.
--- a/libs/dispatch/include/dispatch/router_message.h
+++ b/libs/dispatch/include/dispatch/router_message.h
@@ -4,11 +4,17 @@
 #include <variant>
 
 #include "dispatch/limit_notice.h"
+#include "dispatch/stream_origin_notice.h"
+#include "dispatch/stream_origin_query.h"
+#include "dispatch/stream_origin_reply.h"
 
 namespace godwit::dispatch {
 
 // What routers tell each other of backend servers, one message per datagram.
-using RouterMessage = std::variant<LimitNotice>;
+using RouterMessage = std::variant<LimitNotice,
+                                   StreamOriginNotice,
+                                   StreamOriginQuery,
+                                   StreamOriginReply>;
 
 }  // namespace godwit::dispatch
 
--- a/libs/dispatch/include/dispatch/router_message_received.h
+++ b/libs/dispatch/include/dispatch/router_message_received.h
@@ -1,12 +1,14 @@
 #ifndef DISPATCH_ROUTER_MESSAGE_RECEIVED_H_
 #define DISPATCH_ROUTER_MESSAGE_RECEIVED_H_
 
+#include "base/endpoint.h"
 #include "dispatch/router_message.h"
 
 namespace godwit::dispatch {
 
 // Event: another router sent a message about a backend server.
 struct RouterMessageReceived {
+  base::Endpoint from;
   RouterMessage message;
 };
 
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -191,6 +191,15 @@
   return changes;
 }
 
+std::vector<const Backend*> BackendDirectory::RegisteredBackends() const {
+  std::vector<const Backend*> registered;
+  registered.reserve(entries_.size());
+  for (const auto& [instance, entry] : entries_) {
+    registered.push_back(&entry.backend);
+  }
+  return registered;
+}
+
 const Backend* BackendDirectory::FindByKey(const std::string& key) const {
   const auto found = entries_.find(key.substr(0, key.rfind('@')));
   return found != entries_.end() && found->second.backend.key() == key
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/millis.h"
 #include "dispatch/backend.h"
@@ -20,6 +21,9 @@
 // A request that has not received its final answer.
 struct Call {
   enum class Phase : uint8_t {
+    // Other routers are asked which software version began the stream that the
+    // call resumes.
+    kAwaitingOrigin,
     kAwaitingBudget,
     kAwaitingSlot,
     // Sent to a server; no part of an answer has reached the caller.
@@ -50,6 +54,13 @@
   // Version of the server software that began the stream; empty until the
   // stream has begun. Only servers of this version may continue it.
   std::optional<std::string> software_version;
+  // While kAwaitingOrigin: the routers whose replies are pending, when they
+  // were last asked, and how often.
+  std::vector<base::Endpoint> origin_pending;
+  base::Millis origin_asked_at;
+  int64_t origin_queries = 0;
+  // A router that was asked has seen other versions.
+  bool is_origin_ambiguous = false;
 
   // The attempt in progress.
   int64_t attempt = 0;
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -82,7 +82,10 @@
     }
     call.organisation = organisation->id;
   }
-  call.service = ChooseTarget(route, call.request.id);
+  // A stream that is resumed goes on at the service that began it.
+  call.service =
+      ChooseTarget(route, call.request.resumes.empty() ? call.request.id
+                                                       : call.request.resumes);
   call.urgency = table_->UrgencyOf(route, organisation);
   call.answer_deadline =
       now_ +
@@ -161,7 +164,10 @@
     case Choice::Kind::kNoBackend:
       if (call.exclude.empty() && UsableBackends(call).empty()) {
         Refuse(call, base::ErrorKind::kUnavailable,
-               "no backend server of the service can be used",
+               call.software_version
+                   ? "no backend server of the stream's software version "
+                     "can be used"
+                   : "no backend server of the service can be used",
                kNoBackendRetryAfter);
         return;
       }
@@ -266,7 +272,14 @@
       Call& call = *calls_.at(id);
       const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
                                               OpenBackends(call));
-      if (choice.kind != Choice::Kind::kPlaced || placed == kMaxPlacedPerStep) {
+      if (placed == kMaxPlacedPerStep) {
+        break;
+      }
+      if (choice.kind != Choice::Kind::kPlaced) {
+        if (call.software_version) {
+          // Servers of other versions may have capacity for the calls behind.
+          continue;
+        }
         break;
       }
       ++placed;
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -194,6 +194,9 @@
 
 void Dispatcher::State::CheckTime(Call& call) {
   switch (call.phase) {
+    case Call::Phase::kAwaitingOrigin:
+      CheckOrigin(call);
+      return;
     case Call::Phase::kAwaitingBudget:
       if (now_ >= call.answer_deadline) {
         Refuse(call, base::ErrorKind::kBudgetUnavailable,
--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -77,6 +77,7 @@
   ended.config_version = call.table == nullptr ? 0 : call.table->version();
   Emit(std::move(ended));
   queue_.Remove(call.id);
+  awaiting_origin_.erase(call.id);
   calls_.erase(call.id);
 }
 
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -9,6 +9,8 @@
 
 // A gap between ticks above this means that this process was stalled.
 constexpr base::Millis kStallThreshold(400);
+// Interval at which the versions of registered servers are noted.
+constexpr base::Millis kVersionsInterval(1000);
 // HTTP statuses: the lowest server error, "too many requests", and the range
 // of successes.
 constexpr int kServerError = 500;
@@ -61,6 +63,7 @@
     : options_(std::move(options)),
       members_(options_.process),
       limits_(members_),
+      origins_(members_),
       placement_(options_.placement),
       budgets_(options_.process, options_.incarnation, options_.budgets),
       routers_(options_.assumed_routers) {
@@ -87,7 +90,9 @@
     return;
   }
   RetryBudgetFor(call.service).OnRequest();
-  TryBudget(call);
+  if (ResolveOrigin(call)) {
+    TryBudget(call);
+  }
   ProcessBudgets();
 }
 
@@ -149,8 +154,9 @@
     call->first_byte_at = now_;
   }
   call->phase = Call::Phase::kRelaying;
-  if (call->route->is_stream && !call->software_version) {
+  if (call->route->is_stream && !is_resumed && !event.complete) {
     call->software_version = call->backend.software_version;
+    RecordOrigin(*call);
   }
   // A failure that is relayed to the caller was also a run, and is billed.
   call->may_have_run = true;
@@ -232,11 +238,13 @@
 void Dispatcher::State::On(const BackendsListed& event) {
   Emit(directory_.OnListed(now_, event.backends));
   ForgetRemovedBackends();
+  NoteVersions();
   ProcessQueues();
 }
 
 void Dispatcher::State::On(const BackendRegistered& event) {
   Emit(directory_.OnUpdated(event.backend));
+  NoteVersion(event.backend);
   ProcessQueues();
 }
 
@@ -294,11 +302,13 @@
 }
 
 void Dispatcher::State::On(const RouterMessageReceived& event) {
-  std::visit([this](const auto& message) { OnMessage(message); },
-             event.message);
+  std::visit(
+      [this, &event](const auto& message) { OnMessage(event.from, message); },
+      event.message);
 }
 
-void Dispatcher::State::OnMessage(const LimitNotice& notice) {
+void Dispatcher::State::OnMessage(const base::Endpoint& /*from*/,
+                                  const LimitNotice& notice) {
   const Backend* const backend = directory_.FindByKey(notice.backend);
   if (backend == nullptr) {
     return;
@@ -359,6 +369,9 @@
       CheckTime(*found->second);
     }
   }
+  if (now_ - versions_noted_at_ >= kVersionsInterval) {
+    NoteVersions();
+  }
   for (const LimitNotice& notice : limits_.Tick(now_)) {
     Broadcast(notice);
   }
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -21,6 +22,7 @@
 #include "dispatch/placement_request.h"
 #include "dispatch/request_limits.h"
 #include "dispatch/routing_table.h"
+#include "dispatch/stream_origins.h"
 #include "ledger/metered_budget_manager.h"
 #include "routing/retry_budget.h"
 
@@ -81,6 +83,22 @@
   // Those of them to which it may be sent now, by their limits on requests.
   std::vector<const Backend*> OpenBackends(const Call& call) const;
 
+  // Streams that are resumed; call_origin.cc.
+  // Binds a call that resumes a stream to the software version that began it.
+  // Returns false if the call waits for other routers, or was refused.
+  bool ResolveOrigin(Call& call);
+  void AskForOrigin(Call& call);
+  // Decides when no further reply is awaited.
+  void ConcludeOrigin(Call& call);
+  void CheckOrigin(Call& call);
+  // Continues a call whose stream began at a version.
+  void BindToVersion(Call& call, const std::string& software_version);
+  void RecordOrigin(const Call& call);
+  void SendOrigin(const Call& call);
+  // Notes the software versions of one or all registered servers.
+  void NoteVersion(const Backend& backend);
+  void NoteVersions();
+
   // Attempts; call_attempts.cc.
   PlacementRequest MakePlacementRequest(const Call& call) const;
   void Start(Call& call, const Choice& choice);
@@ -126,7 +144,10 @@
   ledger::Usage UsageOf(const Call& call, bool complete) const;
 
   // Handles a message of another router.
-  void OnMessage(const LimitNotice& notice);
+  void OnMessage(const base::Endpoint& from, const LimitNotice& notice);
+  void OnMessage(const base::Endpoint& from, const StreamOriginNotice& notice);
+  void OnMessage(const base::Endpoint& from, const StreamOriginQuery& query);
+  void OnMessage(const base::Endpoint& from, const StreamOriginReply& reply);
   // Sends a message to all other routers.
   void Broadcast(const RouterMessage& message);
   void ForgetRemovedBackends();
@@ -146,6 +167,10 @@
   BackendDirectory directory_;
   FleetMembers members_;
   RequestLimits limits_;
+  StreamOrigins origins_;
+  base::Millis versions_noted_at_;
+  // Calls in phase kAwaitingOrigin.
+  std::set<CallId> awaiting_origin_;
   Placement placement_;
   CallQueue queue_;
   ledger::MeteredBudgetManager budgets_;
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -23,6 +23,10 @@
 constexpr double kMillisPerSecond = 1000;
 constexpr int64_t kUnlimitedSlots = 1000;
 
+base::Endpoint AddressOf(size_t router) {
+  return {"10.0.1.1", static_cast<uint16_t>(router + 1)};
+}
+
 }  // namespace
 
 RouterFleet::RouterFleet(const Options& options)
@@ -102,9 +106,9 @@
   Raise(index, RoutingTableUpdated{
                    std::make_shared<const RoutingTable>(std::move(contents))});
   BackendsListed listed;
-  for (const Server& server : servers_) {
-    if (!server.is_down) {
-      listed.backends.push_back(server.registration);
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    if (!servers_[i].is_down) {
+      listed.backends.push_back(RegistrationOf(i));
     }
   }
   Raise(index, listed);
@@ -139,7 +143,7 @@
       peer.process = base::ProcessId(name);
       peer.incarnation = base::Incarnation(
           name + "." + std::to_string(routers_[index]->incarnation));
-      peer.address = {"10.0.1.1", static_cast<uint16_t>(index + 1)};
+      peer.address = AddressOf(index);
       peers.push_back(std::move(peer));
     }
   }
@@ -267,9 +271,10 @@
       now_ < routers_[target]->cut_until) {
     return;
   }
-  AtRouter(target, now_ + kHop, [this, target, message = command.message] {
-    Raise(target, RouterMessageReceived{message});
-  });
+  AtRouter(target, now_ + kHop,
+           [this, target, router, message = command.message] {
+             Raise(target, RouterMessageReceived{AddressOf(router), message});
+           });
 }
 
 void RouterFleet::Run(base::Millis span) {
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -43,6 +43,8 @@
     base::Millis event_gap{100};
     // Number of software versions; server i has version i modulo this.
     size_t versions = 1;
+    // Injected fault: routers do not know the versions of servers.
+    bool hides_versions = false;
     // Injected fault: routers ignore limits.
     bool hides_limits = false;
     uint64_t seed = 1;
@@ -81,9 +83,11 @@
   void Freeze(size_t router, base::Millis span);
   // Disconnects a router from the store and the other routers for `span`.
   void Cut(size_t router, base::Millis span);
-  // Ends the incarnation of a server; one of the same version starts in its
-  // place after `span`.
-  void Crash(size_t server, base::Millis span);
+  // Ends the incarnation of a server; one of the same version, or of the given
+  // one, starts in its place after `span`.
+  void Crash(size_t server,
+             base::Millis span,
+             std::optional<std::string> version = std::nullopt);
   // Makes the store unavailable for `span`; leases expire meanwhile.
   void StopStore(base::Millis span);
 
@@ -137,6 +141,7 @@
   void EndStream(size_t router, CallId call, bool is_complete);
   void BreakStreams(size_t router);
   void RegisterServer(size_t server, base::Millis after);
+  Backend RegistrationOf(size_t server) const;
   static Route StreamRoute();
 
   void Handle(size_t router, const StartAttempt& command);
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -155,18 +155,28 @@
   }
 }
 
+Backend RouterFleet::RegistrationOf(size_t server) const {
+  Backend registration = servers_[server].registration;
+  if (options_.hides_versions) {
+    registration.software_version.clear();
+  }
+  return registration;
+}
+
 void RouterFleet::RegisterServer(size_t server, base::Millis after) {
   for (size_t i = 0; i < routers_.size(); ++i) {
     const auto delay =
         base::Millis(static_cast<int64_t>(random_() % kLongestRegistryDelayMs));
     AtRouter(i, now_ + after + delay,
-             [this, i, backend = servers_[server].registration] {
+             [this, i, backend = RegistrationOf(server)] {
                Raise(i, BackendRegistered{backend});
              });
   }
 }
 
-void RouterFleet::Crash(size_t server, base::Millis span) {
+void RouterFleet::Crash(size_t server,
+                        base::Millis span,
+                        std::optional<std::string> version) {
   Server& crashed = servers_[server];
   if (crashed.is_down) {
     return;
@@ -182,6 +192,8 @@
   }
   crashed.registration.instance =
       "s" + std::to_string(server) + "-" + std::to_string(crashed.generation);
+  crashed.registration.software_version =
+      version.value_or(crashed.registration.software_version);
   At(now_ + span, [this, server] { servers_[server].is_down = false; });
   RegisterServer(server, span);
 }
--- a/libs/dispatch/tests/router_message_codec_test.cc
+++ b/libs/dispatch/tests/router_message_codec_test.cc
@@ -9,10 +9,15 @@
 #include <CppUTest/TestHarness.h>
 
 using godwit::base::Millis;
+using godwit::base::ServiceId;
 using godwit::dispatch::DecodeRouterMessage;
 using godwit::dispatch::EncodeRouterMessage;
 using godwit::dispatch::LimitNotice;
 using godwit::dispatch::RouterMessage;
+using godwit::dispatch::StreamOrigin;
+using godwit::dispatch::StreamOriginNotice;
+using godwit::dispatch::StreamOriginQuery;
+using godwit::dispatch::StreamOriginReply;
 using Json = nlohmann::json;
 
 namespace {
@@ -29,8 +34,14 @@
 
 TEST(RouterMessageCodec, MessagesRoundTripAndTruncatedOnesAreRejected) {
   const std::vector<RouterMessage> messages = {
-      LimitNotice{"s1@7", 1.2, Millis(30)}, LimitNotice{"s1@7", 0.0, Millis(0)},
-      LimitNotice{"s1@7", std::nullopt, Millis(4000)}};
+      LimitNotice{"s1@7", 1.2, Millis(30)},
+      LimitNotice{"s1@7", 0.0, Millis(0)},
+      LimitNotice{"s1@7", std::nullopt, Millis(4000)},
+      StreamOriginNotice{"9c41", "v1.1"},
+      StreamOriginNotice{"9c41", ""},
+      StreamOriginQuery{"9c41", ServiceId("model")},
+      StreamOriginReply{"9c41", {StreamOrigin::Certainty::kUnknown, ""}},
+      StreamOriginReply{"9c41", {StreamOrigin::Certainty::kRecorded, "v1"}}};
   for (const RouterMessage& message : messages) {
     const std::string bytes = EncodeRouterMessage(message);
     CHECK(DecodeRouterMessage(bytes) == message);
@@ -40,7 +51,7 @@
   }
 }
 
-TEST(RouterMessageCodec, RejectsMalformedNotices) {
+TEST(RouterMessageCodec, RejectsMalformedLimitNotices) {
   struct Case {
     const char* name;
     const char* field;
@@ -66,3 +77,33 @@
     CHECK_TEXT(!DecodeRouterMessage(Cbor(document)).has_value(), c.name);
   }
 }
+
+TEST(RouterMessageCodec, RejectsMalformedStreamOrigins) {
+  struct Case {
+    const char* type;
+    const char* field;
+    Json value;
+  };
+  const std::vector<Case> cases = {
+      {"origin", "request", ""},
+      {"origin", "request", 1},
+      {"origin", "version", 1},
+      {"origin", "version", std::string(10'000, 'v')},
+      {"origin_query", "request", std::string(10'000, 'r')},
+      {"origin_query", "service", ""},
+      {"origin_reply", "certainty", -1},
+      {"origin_reply", "certainty", 4},
+      {"origin_reply", "certainty", "3"},
+      {"origin_reply", "version", nullptr},
+  };
+  for (const Case& c : cases) {
+    Json document = {{"type", c.type},
+                     {"request", "9c41"},
+                     {"service", "model"},
+                     {"version", "v1"},
+                     {"certainty", 3}};
+    CHECK_TEXT(DecodeRouterMessage(Cbor(document)).has_value(), c.type);
+    document[c.field] = c.value;
+    CHECK_TEXT(!DecodeRouterMessage(Cbor(document)).has_value(), c.field);
+  }
+}
--- a/libs/dispatch/tests/stream_resume_test.cc
+++ b/libs/dispatch/tests/stream_resume_test.cc
@@ -3,7 +3,10 @@
 #include <cstdint>
 #include <string>
 
+#include <rapidcheck.h>
+
 #include "router_fleet.h"
+#include "support/is_falsified.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,6 +15,9 @@
 
 namespace {
 
+// Streams of two versions that the users tolerate.
+constexpr int64_t kToleratedMixed = 2;
+
 RouterFleet::Options TwoVersions(size_t routers) {
   RouterFleet::Options options;
   options.routers = routers;
@@ -40,6 +46,44 @@
          counts.begun * counts.resumed_asked;
 }
 
+// Restarts, pauses and partitions of routers, crashes of servers, and a release
+// that replaces servers one after the other.
+void StreamsKeepTheirVersion(bool hides_versions) {
+  RouterFleet::Options options = TwoVersions(*rc::gen::inRange<size_t>(2, 8));
+  options.versions = *rc::gen::inRange<size_t>(1, 4);
+  options.datagram_loss = *rc::gen::element(0.0, 0.01, 0.3);
+  options.seed = *rc::gen::arbitrary<uint64_t>();
+  options.hides_versions = hides_versions;
+  RouterFleet fleet(options);
+  fleet.Run(Millis(*rc::gen::inRange<int64_t>(1000, 40'000)));
+  const int steps = *rc::gen::inRange(1, 15);
+  for (int i = 0; i < steps; ++i) {
+    const auto router = *rc::gen::inRange<size_t>(0, fleet.routers());
+    const auto server = *rc::gen::inRange<size_t>(0, options.servers);
+    const Millis span(*rc::gen::inRange<int64_t>(100, 6000));
+    switch (*rc::gen::inRange(0, 5)) {
+      case 0:
+        fleet.Restart(router, span);
+        break;
+      case 1:
+        fleet.Freeze(router, span);
+        break;
+      case 2:
+        fleet.Cut(router, span);
+        break;
+      case 3:
+        fleet.Crash(server, span);
+        break;
+      default:
+        fleet.Crash(server, span, "v" + std::to_string(i));
+        break;
+    }
+    fleet.Run(Millis(*rc::gen::inRange<int64_t>(0, 2500)));
+  }
+  fleet.Run(Millis(8000));
+  RC_ASSERT(fleet.streams().mixed <= kToleratedMixed);
+}
+
 }  // namespace
 
 TEST_GROUP(StreamResume){};
@@ -59,3 +103,12 @@
     CHECK_TEXT(ResumesOften(counts), Describe(counts).c_str());
   }
 }
+
+TEST(StreamResume, StreamsKeepTheirVersionOverFaultsAndReleases) {
+  CHECK(rc::check("streams keep their version",
+                  [] { StreamsKeepTheirVersion(false); }));
+}
+
+TEST(StreamResume, IgnoredVersionsAreDetected) {
+  CHECK(godwit::support::IsFalsified([] { StreamsKeepTheirVersion(true); }));
+}
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -277,7 +277,7 @@
     if (message) {
       Raise(dispatch::PeerMessageReceived{from, *message});
     } else if (router_message) {
-      Raise(dispatch::RouterMessageReceived{*router_message});
+      Raise(dispatch::RouterMessageReceived{from, *router_message});
     }
   }
 
