Close connections to servers that send bytes without end

A chunk size, chunk extension or trailer without end was buffered without bound, and so was an event without end, which besides was searched and copied whole with every 8 KB: at full speed a router exceeds its memory before the deadline. Heads, and lines in them, were bounded by the parser.

The first unbounded case of the test (a chunk size without end) failed before; all six pass.

--- a/libs/relay/include/relay/event_framer.h
+++ b/libs/relay/include/relay/event_framer.h
@@ -24,6 +24,9 @@
 
   // Size of the buffered part of an incomplete event.
   size_t pending_bytes() const noexcept { return pending_.size(); }
+  // True when an event is larger than any that a server sends. The caller must
+  // then abandon the stream: each further Feed() costs more time and memory.
+  bool is_overlong() const noexcept;
   // Number of events returned so far.
   int64_t events() const noexcept { return events_; }
   // Id of the last event returned; empty until an event with an id was.
--- a/libs/relay/src/event_framer.cc
+++ b/libs/relay/src/event_framer.cc
@@ -7,6 +7,7 @@
 
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
+constexpr size_t kMaxEventBytes = size_t{256} * 1024;
 
 // Parses the numeric id of an event from its line "id: N".
 std::optional<int64_t> ParseEventId(std::string_view event) {
@@ -66,6 +67,10 @@
   ready_.append(event);
 }
 
+bool EventFramer::is_overlong() const noexcept {
+  return pending_.size() > kMaxEventBytes;
+}
+
 void EventFramer::Restart() {
   pending_.clear();
   resume_after_id_ = last_id_;
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -22,6 +22,10 @@
 // measures it from when it sent its answer.
 constexpr base::Millis kIdleMargin(500);
 constexpr int64_t kMillisPerSecond = 1000;
+// Received bytes that the parser does not consume: above the limit on a header
+// block, and above any chunk size line or trailer. A server in trouble may send
+// such a line without end.
+constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
 constexpr std::string_view kTimeout = "timeout=";
 
 // Parses the seconds of "Keep-Alive: timeout=N".
@@ -203,7 +207,7 @@
       return;
     }
     inbox_.erase(0, taken);
-    if (reader_->damaged()) {
+    if (reader_->damaged() || inbox_.size() > kMaxUnparsedBytes) {
       Fail(Failure::kDamaged);
       return;
     }
--- a/libs/relay/tests/event_framer_test.cc
+++ b/libs/relay/tests/event_framer_test.cc
@@ -79,3 +79,19 @@
   });
   CHECK(holds);
 }
+
+TEST(EventFramer, DetectsAnEventWithoutEnd) {
+  EventFramer framer;
+  constexpr size_t kPieceBytes = 8 * 1024;
+  constexpr size_t kMostPieces = 64;
+  size_t pieces = 0;
+  while (!framer.is_overlong() && pieces < kMostPieces) {
+    CHECK(framer.Feed(std::string(kPieceBytes, 'x')).empty());
+    ++pieces;
+  }
+  CHECK(framer.is_overlong());
+  // What an answer to a prompt may hold in one event is none.
+  CHECK(pieces * kPieceBytes > size_t{64} * 1024);
+  framer.Restart();
+  CHECK(!framer.is_overlong());
+}
--- a/libs/relay/tests/relay_io_test.cc
+++ b/libs/relay/tests/relay_io_test.cc
@@ -90,6 +90,32 @@
   UpstreamPool pool{io, UpstreamPool::Options()};
 };
 
+TEST(UpstreamPool, ClosesAConnectionWithBytesWithoutEndThatAreNoAnswer) {
+  struct Case {
+    const char* name;
+    std::string bytes;
+  };
+  const std::string endless(size_t{4} * 1024 * 1024, 'x');
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Case> cases = {
+      {"no line end", endless},
+      {"a status line without end", "HTTP/1.1 200 " + endless},
+      {"a header without end", "HTTP/1.1 200 OK\r\nX-Id: " + endless},
+      {"a chunk size without end", chunked + std::string(endless.size(), '0')},
+      {"a chunk extension without end", chunked + "5;a=" + endless},
+      {"a trailer without end", chunked + "0\r\nX-Trailer: " + endless}};
+  for (const Case& c : cases) {
+    RawServer server([&c](int, const std::string&) { return c.bytes; });
+    Answer answer;
+    pool.Send(Local(server.port()), Get(), answer);
+    CHECK_TEXT(RunUntil(io, [&] { return answer.finished(); }), c.name);
+    CHECK_TEXT(answer.failed, c.name);
+    CHECK_TEXT(answer.failure == AnswerHandler::Failure::kDamaged, c.name);
+    CHECK_EQUAL_TEXT(0, pool.open_connections(), c.name);
+  }
+}
+
 TEST(UpstreamPool, ReportsCompleteAndDamagedAnswers) {
   struct Case {
     const char* name;
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -75,6 +75,10 @@
 void AttemptRelay::OnStreamBody(std::string_view bytes) {
   const std::string_view ready = exchange_->framer_.Feed(bytes);
   if (ready.empty()) {
+    if (exchange_->framer_.is_overlong()) {
+      exchange_->servers_.Cancel(upstream);
+      OnFailure(Failure::kDamaged);
+    }
     return;
   }
   if (!reported_) {
