--- a/libs/dispatch/include/dispatch/backend_directory.h
+++ b/libs/dispatch/include/dispatch/backend_directory.h
@@ -42,6 +42,10 @@
   // Another server answered at the address of this one.
   std::vector<BackendHealthChanged> MarkReplaced(const std::string& instance);
 
+  // The server stated in an answer that it is about to stop. It gets no new
+  // work in this incarnation, whatever its registration says.
+  std::vector<BackendHealthChanged> MarkLeaving(const Backend& backend);
+
   // Removes servers that did not register again. Due every few tens of
   // milliseconds.
   std::vector<BackendHealthChanged> Tick(base::Millis now);
@@ -64,6 +68,8 @@
     Backend backend;
     // Another server has its address.
     bool replaced = false;
+    // It stated in an answer that it is about to stop.
+    bool leaving = false;
     // Set while the server is missing from the registry after an outage of the
     // store.
     std::optional<base::Millis> missing_since;
--- a/libs/dispatch/include/dispatch/reply.h
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -19,6 +19,8 @@
   // since it cannot be the server's.
   bool is_signed = false;
   std::optional<LoadReport> load;
+  // The server states that it is about to stop and takes no new work.
+  bool is_leaving = false;
   // Requests a second that the server takes from all routers together; empty if
   // it states no limit.
   std::optional<double> request_limit;
@@ -27,9 +29,10 @@
 
   friend bool operator==(const Reply& a, const Reply& b) {
     return std::tie(a.status, a.not_run, a.instance_mismatch, a.is_signed,
-                    a.load, a.request_limit, a.has_invalid_limit) ==
+                    a.load, a.is_leaving, a.request_limit,
+                    a.has_invalid_limit) ==
            std::tie(b.status, b.not_run, b.instance_mismatch, b.is_signed,
-                    b.load, b.request_limit, b.has_invalid_limit);
+                    b.load, b.is_leaving, b.request_limit, b.has_invalid_limit);
   }
   friend bool operator!=(const Reply& a, const Reply& b) { return !(a == b); }
 };
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -102,6 +102,7 @@
   const bool is_restart = entry.backend.key() != backend.key();
   if (is_restart || entry.backend.address != backend.address) {
     entry.replaced = false;
+    entry.leaving = false;
     changes.push_back(MakeChange(backend, Health::kAdded, "restarted"));
   } else if (backend.draining && !entry.backend.draining) {
     changes.push_back(MakeChange(backend, Health::kDraining, "registered"));
@@ -161,6 +162,19 @@
   return changes;
 }
 
+std::vector<BackendHealthChanged> BackendDirectory::MarkLeaving(
+    const Backend& backend) {
+  std::vector<BackendHealthChanged> changes;
+  const auto found = entries_.find(backend.instance);
+  if (found != entries_.end() && found->second.backend.key() == backend.key() &&
+      !found->second.leaving) {
+    found->second.leaving = true;
+    changes.push_back(
+        MakeChange(backend, Health::kDraining, "stated in an answer"));
+  }
+  return changes;
+}
+
 std::vector<BackendHealthChanged> BackendDirectory::Tick(base::Millis now) {
   std::vector<BackendHealthChanged> changes;
   if (RegistrationsMayHaveLapsed(now)) {
@@ -220,7 +234,7 @@
   std::vector<const Backend*> usable;
   for (const auto& [instance, entry] : entries_) {
     if (entry.backend.service == service && !entry.backend.draining &&
-        !entry.replaced) {
+        !entry.replaced && !entry.leaving) {
       usable.push_back(&entry.backend);
     }
   }
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -120,6 +120,9 @@
                                      call->backend, event.reply)) {
     Emit(std::move(*change));
   }
+  if (event.reply.is_leaving && !event.reply.instance_mismatch) {
+    Emit(directory_.MarkLeaving(call->backend));
+  }
   const AnswerClass answer_class = ClassifyReply(event.reply);
   const std::string status = "status " + std::to_string(event.reply.status);
   const bool is_resumed = call->phase == Call::Phase::kRelaying;
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -83,6 +83,7 @@
   ++router.incarnation;
   router.is_running = true;
   router.told_at.clear();
+  router.leaving_told_at.clear();
   const std::string name = "router-" + std::to_string(index);
   DispatcherOptions made;
   made.process = base::ProcessId(name);
@@ -219,7 +220,14 @@
     const bool was_told = sender.incarnation == incarnation &&
                           told != sender.told_at.end() &&
                           now_ - told->second >= kToldDelay;
-    servers_[index].arrivals.push_back({now_, was_told && !IsExcused(router)});
+    const auto leaving = sender.leaving_told_at.find(index);
+    std::optional<base::Millis> since_leaving;
+    if (sender.incarnation == incarnation &&
+        leaving != sender.leaving_told_at.end()) {
+      since_leaving = now_ - leaving->second;
+    }
+    servers_[index].arrivals.push_back(
+        {now_, since_leaving, was_told && !IsExcused(router)});
     ++servers_[index].running;
     At(now_ + options_.run_time, [this, index] { --servers_[index].running; });
     if (sender.incarnation != incarnation) {
@@ -240,7 +248,8 @@
                      LoadReport{servers_[index].running, 0, *options_.slots};
                }
                answered.complete = true;
-               answered_by_ = limit ? std::make_optional(index) : std::nullopt;
+               answered.reply.is_leaving = servers_[index].is_leaving;
+               answered_by_ = index;
                Raise(router, answered);
                answered_by_.reset();
              });
@@ -248,9 +257,15 @@
 }
 
 void RouterFleet::Handle(size_t router, const RelayAnswer& /*command*/) {
-  if (answered_by_) {
+  if (!answered_by_) {
+    return;
+  }
+  if (servers_[*answered_by_].limit) {
     routers_[router]->told_at.try_emplace(*answered_by_, now_);
   }
+  if (servers_[*answered_by_].is_leaving) {
+    routers_[router]->leaving_told_at.try_emplace(*answered_by_, now_);
+  }
 }
 
 void RouterFleet::Handle(size_t router, const CallEnded& command) {
@@ -292,6 +307,18 @@
   servers_[server].limit = limit;
 }
 
+void RouterFleet::Leave(size_t server) {
+  servers_[server].is_leaving = true;
+}
+
+int64_t RouterFleet::ArrivalsAfterLeaving(size_t server,
+                                          base::Millis delay) const {
+  const auto& all = servers_[server].arrivals;
+  return std::count_if(all.begin(), all.end(), [&](const Arrival& arrival) {
+    return arrival.since_leaving && *arrival.since_leaving > delay;
+  });
+}
+
 void RouterFleet::Restart(size_t router, base::Millis span) {
   routers_[router]->is_running = false;
   Excuse(router, now_ + span);
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -53,6 +53,9 @@
   // A request that a server received.
   struct Arrival {
     base::Millis at;
+    // Time since the router had passed on an answer that states that the server
+    // leaves.
+    std::optional<base::Millis> since_leaving;
     // The router had passed on an answer with the server's limit half a second
     // earlier, and is not excused by a fault.
     bool is_counted = false;
@@ -77,6 +80,12 @@
   void Run(base::Millis span);
   void SetLimit(size_t server, std::optional<double> limit);
 
+  // The server states in its answers that it is about to stop.
+  void Leave(size_t server);
+  // Requests that a server received from routers later than `delay` after they
+  // had passed on an answer that states that it leaves.
+  int64_t ArrivalsAfterLeaving(size_t server, base::Millis delay) const;
+
   // Kills a router, which starts again after `span`.
   void Restart(size_t router, base::Millis span);
   // Stops a router's clock and I/O for `span`.
@@ -162,7 +171,7 @@
       scheduled_;
   uint64_t next_action_ = 0;
   CallId next_call_ = 1;
-  // The server whose answer with a limit is being handled.
+  // The server whose answer is being handled.
   std::optional<size_t> answered_by_;
   base::Millis store_down_until_;
   // When the lease of each registered router expires.
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -26,6 +26,8 @@
   base::Millis excused_until;
   // When it first passed on an answer with a limit, by server.
   std::map<size_t, base::Millis> told_at;
+  // The same of an answer that states that the server leaves.
+  std::map<size_t, base::Millis> leaving_told_at;
 };
 
 struct RouterFleet::Server {
@@ -36,6 +38,7 @@
   // Increases with each crash.
   int64_t generation = 0;
   bool is_down = false;
+  bool is_leaving = false;
 };
 
 struct RouterFleet::Scheduled {
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -136,7 +136,9 @@
       {EventId::kBackendRegistered, Level::kInfo, "backend_registered",
        "A backend server is registered and may be given work."},
       {EventId::kBackendLeaving, Level::kInfo, "backend_leaving",
-       "A backend server registered that it drains; it gets no new work."},
+       "A backend server registered, or stated in an answer, that it drains; "
+       "it "
+       "gets no new work."},
       {EventId::kBackendGone, Level::kInfo, "backend_gone",
        "A backend server is not used any more; fields name the reason."},
       {EventId::kBackendLimitChanged, Level::kInfo, "backend_limit_changed",
