Send nothing to a server for the time that its refusal asks for

Same class of fault as the ignored limit: the time was not decoded, and a refused request was followed by the next one.

BackendBackoff keeps the time for each server incarnation; the server is no candidate until its end.

--- a/libs/dispatch/include/dispatch/backend_health_changed.h
+++ b/libs/dispatch/include/dispatch/backend_health_changed.h
@@ -15,6 +15,8 @@
     kAdded,
     kDraining,
     kRemoved,
+    // It refused a request and wants none for a time.
+    kBackoff,
     kEjected,
     kReadmitted
   };
--- a/libs/dispatch/include/dispatch/reply.h
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <tuple>
 
+#include "base/millis.h"
 #include "dispatch/load_report.h"
 
 namespace godwit::dispatch {
@@ -19,6 +20,9 @@
   // since it cannot be the server's.
   bool is_signed = false;
   std::optional<LoadReport> load;
+  // Time for which the server wants nothing from this router; empty if it
+  // states none.
+  std::optional<base::Millis> retry_after;
   // The server states that it is about to stop and takes no new work.
   bool is_leaving = false;
   // Requests a second that the server takes from all routers together; empty if
@@ -29,10 +33,11 @@
 
   friend bool operator==(const Reply& a, const Reply& b) {
     return std::tie(a.status, a.not_run, a.instance_mismatch, a.is_signed,
-                    a.load, a.is_leaving, a.request_limit,
+                    a.load, a.retry_after, a.is_leaving, a.request_limit,
                     a.has_invalid_limit) ==
            std::tie(b.status, b.not_run, b.instance_mismatch, b.is_signed,
-                    b.load, b.is_leaving, b.request_limit, b.has_invalid_limit);
+                    b.load, b.retry_after, b.is_leaving, b.request_limit,
+                    b.has_invalid_limit);
   }
   friend bool operator!=(const Reply& a, const Reply& b) { return !(a == b); }
 };
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -194,10 +194,11 @@
 std::vector<const Backend*> Dispatcher::State::OpenBackends(
     const Call& call) const {
   std::vector<const Backend*> backends = UsableBackends(call);
-  if (!limits_.empty()) {
+  if (!limits_.empty() || !backoff_.empty()) {
     backends.erase(std::remove_if(backends.begin(), backends.end(),
                                   [this](const Backend* backend) {
-                                    return !limits_.MaySend(now_, *backend);
+                                    return now_ < backoff_.OpensAt(*backend) ||
+                                           !limits_.MaySend(now_, *backend);
                                   }),
                    backends.end());
   }
@@ -205,26 +206,58 @@
 }
 
 base::Millis Dispatcher::State::ExpectedWait(const Call& call) const {
-  int64_t running = 0;
-  bool are_all_limited = true;
-  double send_rate = 0;
-  for (const Backend* backend : UsableBackends(call)) {
-    running += placement_.in_flight(*backend);
-    const auto rate = limits_.SendRate(*backend);
-    are_all_limited = are_all_limited && rate.has_value();
-    send_rate += rate.value_or(0);
-  }
+  const std::vector<const Backend*> backends = UsableBackends(call);
   const auto ahead = static_cast<int64_t>(
       queue_.Ahead(call.service, call.urgency, call.arrived_at));
+  return std::max({WaitByLoad(call, backends, ahead),
+                   WaitByLimits(backends, ahead), WaitByBackoff(backends)});
+}
+
+base::Millis Dispatcher::State::WaitByLoad(
+    const Call& call,
+    const std::vector<const Backend*>& backends,
+    int64_t ahead) const {
+  // Requests that end one after the other. A server that wants none for a time
+  // is idle at its end.
+  int64_t concurrent = 0;
+  for (const Backend* backend : backends) {
+    concurrent += now_ < backoff_.OpensAt(*backend)
+                      ? backend->slots
+                      : placement_.in_flight(*backend);
+  }
   const base::Millis run = placement_.TypicalRunTime(call.service);
-  const base::Millis by_load(run.count() * (ahead + 1) /
-                             std::max<int64_t>(1, running));
-  if (!are_all_limited || send_rate == 0) {
-    return by_load;
+  return base::Millis(run.count() * (ahead + 1) /
+                      std::max<int64_t>(1, concurrent));
+}
+
+base::Millis Dispatcher::State::WaitByLimits(
+    const std::vector<const Backend*>& backends,
+    int64_t ahead) const {
+  double send_rate = 0;
+  for (const Backend* backend : backends) {
+    const auto rate = limits_.SendRate(*backend);
+    if (!rate) {
+      return base::Millis();
+    }
+    send_rate += *rate;
+  }
+  return send_rate == 0 ? base::Millis()
+                        : base::Millis(static_cast<int64_t>(
+                              kMillisPerSecond *
+                              static_cast<double>(ahead + 1) / send_rate));
+}
+
+base::Millis Dispatcher::State::WaitByBackoff(
+    const std::vector<const Backend*>& backends) const {
+  base::Millis wait;
+  for (const Backend* backend : backends) {
+    const base::Millis left = backoff_.OpensAt(*backend) - now_;
+    if (left <= base::Millis()) {
+      return base::Millis();
+    }
+    wait = wait == base::Millis() ? left : std::min(wait, left);
   }
-  const base::Millis by_limits(static_cast<int64_t>(
-      kMillisPerSecond * static_cast<double>(ahead + 1) / send_rate));
-  return std::max(by_load, by_limits);
+  return wait;
 }
 
 bool Dispatcher::State::WouldMissDeadline(const Call& call) const {
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -120,6 +120,15 @@
                                      call->backend, event.reply)) {
     Emit(std::move(*change));
   }
+  if (!event.reply.instance_mismatch &&
+      backoff_.OnAnswer(now_, call->backend, event.reply)) {
+    Emit(BackendHealthChanged{
+        BackendHealthChanged::Health::kBackoff, call->backend.instance,
+        call->backend.service,
+        "wants no requests for " +
+            std::to_string(event.reply.retry_after->count()) + " ms",
+        ""});
+  }
   if (event.reply.is_leaving && !event.reply.instance_mismatch) {
     Emit(directory_.MarkLeaving(call->backend));
   }
@@ -331,8 +340,10 @@
 }
 
 void Dispatcher::State::ForgetRemovedBackends() {
-  if (!limits_.empty()) {
-    limits_.Retain(directory_.Keys());
+  if (!limits_.empty() || !backoff_.empty()) {
+    const std::set<std::string> keys = directory_.Keys();
+    limits_.Retain(keys);
+    backoff_.Retain(keys);
   }
 }
 
@@ -374,6 +385,7 @@
   }
   if (now_ - versions_noted_at_ >= kVersionsInterval) {
     NoteVersions();
+    backoff_.Tick(now_);
   }
   for (const LimitNotice& notice : limits_.Tick(now_)) {
     Broadcast(notice);
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -13,6 +13,7 @@
 
 #include "base/error_kind.h"
 #include "call.h"
+#include "dispatch/backend_backoff.h"
 #include "dispatch/backend_directory.h"
 #include "dispatch/call_queue.h"
 #include "dispatch/choice.h"
@@ -71,7 +72,16 @@
   void TryStartAttempt(Call& call);
   void Enqueue(Call& call);
   bool WouldMissDeadline(const Call& call) const;
+  // Time until a call that has to wait is sent: the longest of the times that
+  // follow from the load of the servers, from their limits if all have one, and
+  // from the first end of the times for which all of them want no requests.
   base::Millis ExpectedWait(const Call& call) const;
+  base::Millis WaitByLoad(const Call& call,
+                          const std::vector<const Backend*>& backends,
+                          int64_t ahead) const;
+  base::Millis WaitByLimits(const std::vector<const Backend*>& backends,
+                            int64_t ahead) const;
+  base::Millis WaitByBackoff(const std::vector<const Backend*>& backends) const;
   // Runs the due work of the budgets, then retries the reservations of the
   // calls that wait for them.
   void ProcessBudgets();
@@ -80,7 +90,8 @@
   // The servers that may run a call: those that may be given work and, for a
   // stream that has begun, have the software version that began it.
   std::vector<const Backend*> UsableBackends(const Call& call) const;
-  // Those of them to which it may be sent now, by their limits on requests.
+  // Those of them to which it may be sent now: servers that did not ask for a
+  // time without requests, and whose limits leave room.
   std::vector<const Backend*> OpenBackends(const Call& call) const;
 
   // Streams that are resumed; call_origin.cc.
@@ -166,6 +177,7 @@
   std::shared_ptr<const RoutingTable> table_;
   BackendDirectory directory_;
   FleetMembers members_;
+  BackendBackoff backoff_;
   RequestLimits limits_;
   StreamOrigins origins_;
   base::Millis versions_noted_at_;
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -84,6 +84,7 @@
   router.is_running = true;
   router.told_at.clear();
   router.leaving_told_at.clear();
+  router.turned_away_at.clear();
   const std::string name = "router-" + std::to_string(index);
   DispatcherOptions made;
   made.process = base::ProcessId(name);
@@ -226,8 +227,32 @@
         leaving != sender.leaving_told_at.end()) {
       since_leaving = now_ - leaving->second;
     }
-    servers_[index].arrivals.push_back(
-        {now_, since_leaving, was_told && !IsExcused(router)});
+    Server& server = servers_[index];
+    const bool turns_away = now_ < server.turns_away_until;
+    const auto turned_away = sender.turned_away_at.find(index);
+    std::optional<base::Millis> since_turned_away;
+    if (turns_away && sender.incarnation == incarnation &&
+        turned_away != sender.turned_away_at.end()) {
+      since_turned_away = now_ - turned_away->second;
+    }
+    server.arrivals.push_back({now_, router, since_turned_away, since_leaving,
+                               was_told && !IsExcused(router)});
+    if (turns_away) {
+      AtRouter(router, now_ + kHop,
+               [this, router, index, command,
+                span = server.turns_away_until - now_] {
+                 AttemptAnswered answered;
+                 answered.call = command.call;
+                 answered.attempt = command.attempt;
+                 answered.reply.status = 503;
+                 answered.reply.not_run = true;
+                 answered.reply.retry_after = span;
+                 answered.complete = true;
+                 routers_[router]->turned_away_at.try_emplace(index, now_);
+                 Raise(router, answered);
+               });
+      return;
+    }
     ++servers_[index].running;
     At(now_ + options_.run_time, [this, index] { --servers_[index].running; });
     if (sender.incarnation != incarnation) {
@@ -307,6 +332,25 @@
   servers_[server].limit = limit;
 }
 
+void RouterFleet::TurnAway(size_t server, base::Millis span) {
+  servers_[server].turns_away_until = now_ + span;
+  for (const auto& router : routers_) {
+    router->turned_away_at.erase(server);
+  }
+}
+
+int64_t RouterFleet::MostWhileTurnedAway(size_t server,
+                                         base::Millis delay) const {
+  std::map<size_t, int64_t> counts;
+  int64_t most = 0;
+  for (const Arrival& arrival : servers_[server].arrivals) {
+    if (arrival.since_turned_away && *arrival.since_turned_away > delay) {
+      most = std::max(most, ++counts[arrival.router]);
+    }
+  }
+  return most;
+}
+
 void RouterFleet::Leave(size_t server) {
   servers_[server].is_leaving = true;
 }
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -53,6 +53,10 @@
   // A request that a server received.
   struct Arrival {
     base::Millis at;
+    size_t router = 0;
+    // Time since the server had asked the router to send nothing, until the end
+    // of that time.
+    std::optional<base::Millis> since_turned_away;
     // Time since the router had passed on an answer that states that the server
     // leaves.
     std::optional<base::Millis> since_leaving;
@@ -80,6 +84,12 @@
   void Run(base::Millis span);
   void SetLimit(size_t server, std::optional<double> limit);
 
+  // For `span`, the server refuses all requests, and asks each router to send
+  // nothing until the end of that time.
+  void TurnAway(size_t server, base::Millis span);
+  // The largest number of requests that a server received from one router later
+  // than `delay` after it had asked for none, before the end of that time.
+  int64_t MostWhileTurnedAway(size_t server, base::Millis delay) const;
   // The server states in its answers that it is about to stop.
   void Leave(size_t server);
   // Requests that a server received from routers later than `delay` after they
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -28,6 +28,8 @@
   std::map<size_t, base::Millis> told_at;
   // The same of an answer that states that the server leaves.
   std::map<size_t, base::Millis> leaving_told_at;
+  // When a server first asked to be sent nothing, by server.
+  std::map<size_t, base::Millis> turned_away_at;
 };
 
 struct RouterFleet::Server {
@@ -39,6 +41,7 @@
   int64_t generation = 0;
   bool is_down = false;
   bool is_leaving = false;
+  base::Millis turns_away_until;
 };
 
 struct RouterFleet::Scheduled {
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -72,6 +72,7 @@
   kBackendLeaving = 708,
   kBackendGone = 709,
   kBackendLimitChanged = 710,
+  kBackendBackoff = 711,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -144,6 +144,9 @@
       {EventId::kBackendLimitChanged, Level::kInfo, "backend_limit_changed",
        "A backend server states another limit on its requests a second than "
        "before; -1 stands for none."},
+      {EventId::kBackendBackoff, Level::kInfo, "backend_backoff",
+       "A backend server refused a request and wants none from this router for "
+       "a time, which the reason gives."},
       {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
        "The platform's KV does not answer; what needs a write is refused as "
        "not run."},
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -40,6 +40,8 @@
       return EventId::kBackendLeaving;
     case BackendHealthChanged::Health::kRemoved:
       return EventId::kBackendGone;
+    case BackendHealthChanged::Health::kBackoff:
+      return EventId::kBackendBackoff;
     case BackendHealthChanged::Health::kEjected:
       return EventId::kBackendEjected;
     case BackendHealthChanged::Health::kReadmitted:
