--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -116,22 +116,7 @@
     return;
   }
   placement_.OnAnswered(now_, call->attempt, event.reply.load);
-  if (auto change = limits_.OnAnswer(now_, call->attempt_started_at,
-                                     call->backend, event.reply)) {
-    Emit(std::move(*change));
-  }
-  if (!event.reply.instance_mismatch &&
-      backoff_.OnAnswer(now_, call->backend, event.reply)) {
-    Emit(BackendHealthChanged{
-        BackendHealthChanged::Health::kBackoff, call->backend.instance,
-        call->backend.service,
-        "wants no requests for " +
-            std::to_string(event.reply.retry_after->count()) + " ms",
-        ""});
-  }
-  if (event.reply.is_leaving && !event.reply.instance_mismatch) {
-    Emit(directory_.MarkLeaving(call->backend));
-  }
+  ApplyStatements(*call, event.reply);
   const AnswerClass answer_class = ClassifyReply(event.reply);
   const std::string status = "status " + std::to_string(event.reply.status);
   const bool is_resumed = call->phase == Call::Phase::kRelaying;
@@ -319,34 +304,6 @@
       event.message);
 }
 
-void Dispatcher::State::OnMessage(const base::Endpoint& /*from*/,
-                                  const LimitNotice& notice) {
-  const Backend* const backend = directory_.FindByKey(notice.backend);
-  if (backend == nullptr) {
-    return;
-  }
-  if (auto change = limits_.OnNotice(now_, *backend, notice)) {
-    Emit(std::move(*change));
-    ProcessQueues();
-  }
-}
-
-void Dispatcher::State::Broadcast(const RouterMessage& message) {
-  for (const auto& [process, address] : members_.members()) {
-    if (process != options_.process) {
-      Emit(SendToRouter{address, message});
-    }
-  }
-}
-
-void Dispatcher::State::ForgetRemovedBackends() {
-  if (!limits_.empty() || !backoff_.empty()) {
-    const std::set<std::string> keys = directory_.Keys();
-    limits_.Retain(keys);
-    backoff_.Retain(keys);
-  }
-}
-
 void Dispatcher::State::On(const DrainRequested& event) {
   draining_ = true;
   drain_ends_at_ = event.ends_at;
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -154,6 +154,9 @@
   void End(Call& call, std::string outcome, std::string reason);
   ledger::Usage UsageOf(const Call& call, bool complete) const;
 
+  // Statements of servers; server_statements.cc.
+  // Applies what the server of the call's attempt states about itself.
+  void ApplyStatements(const Call& call, const Reply& reply);
   // Handles a message of another router.
   void OnMessage(const base::Endpoint& from, const LimitNotice& notice);
   void OnMessage(const base::Endpoint& from, const StreamOriginNotice& notice);
--- /dev/null
+++ b/libs/dispatch/src/server_statements.cc
@@ -0,0 +1,58 @@
+// What backend servers state about themselves in their answers.
+#include <set>
+#include <string>
+
+#include "dispatcher_state.h"
+
+namespace godwit::dispatch {
+
+void Dispatcher::State::ApplyStatements(const Call& call, const Reply& reply) {
+  if (reply.instance_mismatch) {
+    return;
+  }
+  if (auto change = limits_.OnAnswer(now_, call.attempt_started_at,
+                                     call.backend, reply)) {
+    Emit(std::move(*change));
+  }
+  if (backoff_.OnAnswer(now_, call.backend, reply)) {
+    Emit(BackendHealthChanged{BackendHealthChanged::Health::kBackoff,
+                              call.backend.instance, call.backend.service,
+                              "wants no requests for " +
+                                  std::to_string(reply.retry_after->count()) +
+                                  " ms",
+                              ""});
+  }
+  if (reply.is_leaving) {
+    Emit(directory_.MarkLeaving(call.backend));
+  }
+}
+
+void Dispatcher::State::OnMessage(const base::Endpoint& /*from*/,
+                                  const LimitNotice& notice) {
+  const Backend* const backend = directory_.FindByKey(notice.backend);
+  if (backend == nullptr) {
+    return;
+  }
+  if (auto change = limits_.OnNotice(now_, *backend, notice)) {
+    Emit(std::move(*change));
+    ProcessQueues();
+  }
+}
+
+void Dispatcher::State::Broadcast(const RouterMessage& message) {
+  for (const auto& [process, address] : members_.members()) {
+    if (process != options_.process) {
+      Emit(SendToRouter{address, message});
+    }
+  }
+}
+
+void Dispatcher::State::ForgetRemovedBackends() {
+  if (!limits_.empty() || !backoff_.empty()) {
+    const std::set<std::string> keys = directory_.Keys();
+    limits_.Retain(keys);
+    backoff_.Retain(keys);
+  }
+}
+
+}  // namespace godwit::dispatch
