--- a/libs/dispatch/tests/load_replay_test.cc
+++ b/libs/dispatch/tests/load_replay_test.cc
@@ -180,8 +180,7 @@
   for (size_t i = 0; i < simulation.servers(); ++i) {
     simulation.server(i).SetFault(ModelServer::Fault::kUnresponsive);
   }
-  constexpr int kCalls = 600;
-  for (int i = 0; i < kCalls; ++i) {
+  for (int i = 0; i < 600; ++i) {
     if (i == 100) {
       for (size_t server = 0; server < simulation.servers(); ++server) {
         simulation.server(server).SetFault(ModelServer::Fault::kNone);
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -106,7 +106,7 @@
   // one, starts in its place after `span`.
   void Crash(size_t server,
              base::Millis span,
-             std::optional<std::string> version = std::nullopt);
+             const std::optional<std::string>& version = std::nullopt);
   // Makes the store unavailable for `span`; leases expire meanwhile.
   void StopStore(base::Millis span);
 
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -176,7 +176,7 @@
 
 void RouterFleet::Crash(size_t server,
                         base::Millis span,
-                        std::optional<std::string> version) {
+                        const std::optional<std::string>& version) {
   Server& crashed = servers_[server];
   if (crashed.is_down) {
     return;
--- a/libs/dispatch/tests/stream_origins_test.cc
+++ b/libs/dispatch/tests/stream_origins_test.cc
@@ -125,12 +125,12 @@
 TEST(StreamOrigins, KeepsABoundedNumberOfRecords) {
   const FleetMembers members = Fleet(3);
   StreamOrigins origins(members);
-  constexpr int kRecords = 100'000;
-  for (int i = 0; i < kRecords; ++i) {
+  constexpr int records = 100'000;
+  for (int i = 0; i < records; ++i) {
     origins.Record(Millis(i / 1000), std::to_string(i), "v1");
   }
-  CHECK(origins.size() < kRecords / 4);
-  CHECK(origins.Find(Millis(100), kService, std::to_string(kRecords - 1)) ==
+  CHECK(origins.size() < records / 4);
+  CHECK(origins.Find(Millis(100), kService, std::to_string(records - 1)) ==
         (StreamOrigin{Certainty::kRecorded, "v1"}));
 }
 
--- a/libs/relay/tests/event_framer_test.cc
+++ b/libs/relay/tests/event_framer_test.cc
@@ -82,16 +82,16 @@
 
 TEST(EventFramer, DetectsAnEventWithoutEnd) {
   EventFramer framer;
-  constexpr size_t kPieceBytes = 8 * 1024;
-  constexpr size_t kMostPieces = 64;
+  constexpr size_t piece_bytes = 8 * 1024;
+  constexpr size_t most_pieces = 64;
   size_t pieces = 0;
-  while (!framer.is_overlong() && pieces < kMostPieces) {
-    CHECK(framer.Feed(std::string(kPieceBytes, 'x')).empty());
+  while (!framer.is_overlong() && pieces < most_pieces) {
+    CHECK(framer.Feed(std::string(piece_bytes, 'x')).empty());
     ++pieces;
   }
   CHECK(framer.is_overlong());
   // What an answer to a prompt may hold in one event is none.
-  CHECK(pieces * kPieceBytes > size_t{64} * 1024);
+  CHECK(pieces * piece_bytes > size_t{64} * 1024);
   framer.Restart();
   CHECK(!framer.is_overlong());
 }
