Tell apart a router that knows nothing of a service from one that saw several versions

The queue also tried each waiting stream of a version whose servers have no capacity; now only the first of each version.

--- a/libs/dispatch/include/dispatch/stream_origin.h
+++ b/libs/dispatch/include/dispatch/stream_origin.h
@@ -10,8 +10,10 @@
 // What a router knows of the software version that began a stream.
 struct StreamOrigin {
   enum class Certainty : uint8_t {
-    // Several versions may have begun it.
+    // No server of the service is known, as shortly after the start.
     kUnknown,
+    // Several versions may have begun it.
+    kSeveralSeen,
     // No other version was registered since this router started, which was not
     // long ago.
     kOnlyOneSeen,
@@ -22,7 +24,7 @@
   };
 
   Certainty certainty = Certainty::kUnknown;
-  // Empty if unknown.
+  // Empty if unknown or one of several.
   std::string software_version;
 
   friend bool operator==(const StreamOrigin& a, const StreamOrigin& b) {
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -301,19 +302,25 @@
 void Dispatcher::State::ProcessQueues() {
   for (const base::ServiceId& service : queue_.Services()) {
     size_t placed = 0;
+    // Software versions whose servers have no capacity for streams.
+    std::set<std::string> full;
     for (const CallId id : queue_.InOrder(service)) {
       Call& call = *calls_.at(id);
-      const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
-                                              OpenBackends(call));
       if (placed == kMaxPlacedPerStep) {
         break;
       }
+      if (call.software_version && full.count(*call.software_version) > 0) {
+        continue;
+      }
+      const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
+                                              OpenBackends(call));
       if (choice.kind != Choice::Kind::kPlaced) {
-        if (call.software_version) {
-          // Servers of other versions may have capacity for the calls behind.
-          continue;
+        if (!call.software_version) {
+          break;
         }
-        break;
+        // Servers of other versions may have capacity for the calls behind.
+        full.insert(*call.software_version);
+        continue;
       }
       ++placed;
       queue_.Remove(id);
--- a/libs/dispatch/src/call_origin.cc
+++ b/libs/dispatch/src/call_origin.cc
@@ -69,7 +69,7 @@
 void Dispatcher::State::ConcludeOrigin(Call& call) {
   const StreamOrigin own =
       origins_.Find(now_, call.service, call.request.resumes);
-  if (own.certainty != Certainty::kUnknown && !call.is_origin_ambiguous) {
+  if (own.certainty >= Certainty::kOnlyOneSeen && !call.is_origin_ambiguous) {
     BindToVersion(call, own.software_version);
     return;
   }
@@ -117,9 +117,10 @@
     }
     const StreamOrigin own =
         origins_.Find(now_, call.service, reply.request_id);
-    call.is_origin_ambiguous =
-        call.is_origin_ambiguous ||
+    const bool has_seen_others =
+        reply.origin.certainty != Certainty::kUnknown &&
         reply.origin.software_version != own.software_version;
+    call.is_origin_ambiguous = call.is_origin_ambiguous || has_seen_others;
     auto& pending = call.origin_pending;
     pending.erase(std::remove(pending.begin(), pending.end(), from),
                   pending.end());
--- a/libs/dispatch/src/router_message_codec.cc
+++ b/libs/dispatch/src/router_message_codec.cc
@@ -99,8 +99,8 @@
 std::optional<StreamOrigin::Certainty> CertaintyOf(int64_t value) {
   using Certainty = StreamOrigin::Certainty;
   for (const Certainty certainty :
-       {Certainty::kUnknown, Certainty::kOnlyOneSeen, Certainty::kOnlyOneServed,
-        Certainty::kRecorded}) {
+       {Certainty::kUnknown, Certainty::kSeveralSeen, Certainty::kOnlyOneSeen,
+        Certainty::kOnlyOneServed, Certainty::kRecorded}) {
     if (value == static_cast<int64_t>(certainty)) {
       return certainty;
     }
--- a/libs/dispatch/src/stream_origins.cc
+++ b/libs/dispatch/src/stream_origins.cc
@@ -89,7 +89,9 @@
   }
   const auto recent = RecentVersions(now, found->second);
   if (recent.size() != 1) {
-    return {};
+    return {recent.empty() ? StreamOrigin::Certainty::kUnknown
+                           : StreamOrigin::Certainty::kSeveralSeen,
+            ""};
   }
   const bool is_long_known = now - found->second.first_listed_at >= kRetention;
   return {is_long_known ? StreamOrigin::Certainty::kOnlyOneServed
