--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -22,6 +22,7 @@
 #include "exchange.h"
 #include "ledger/peer_codec.h"
 #include "page_server.h"
+#include "peer_event.h"
 #include "peer_socket.h"
 #include "relay/caller_handler.h"
 #include "relay/caller_server.h"
@@ -220,14 +221,10 @@
       exchange->Abort();
     }
   }
-  void Execute(const dispatch::AttemptAbandoned& command) {
-    LogAttemptAbandoned(command);
-  }
-  void Execute(const dispatch::BackendHealthChanged& command) {
-    LogBackendHealth(command);
-  }
-  void Execute(const dispatch::BackendLimitChanged& command) {
-    LogBackendLimit(command);
+  // The other commands are records for logs.
+  template <typename Record>
+  void Execute(const Record& record) {
+    LogRecord(record);
   }
   void Execute(const dispatch::CallEnded& command) {
     LogCallEnded(command);
@@ -250,10 +247,6 @@
                  });
   }
 
-  void Execute(const ledger::GrantClosed& command) { LogGrantClosed(command); }
-  void Execute(const ledger::PeerUnresponsive& command) {
-    LogPeerUnresponsive(command);
-  }
   void Execute(const ledger::SendToPeer& command) {
     const std::string bytes = ledger::EncodePeerMessage(command.message);
     metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
@@ -269,15 +262,11 @@
   }
 
   void OnPeer(const base::Endpoint& from, std::string_view bytes) {
-    const auto message = ledger::DecodePeerMessage(bytes);
-    const auto router_message =
-        message ? std::nullopt : dispatch::DecodeRouterMessage(bytes);
+    const auto event = DecodePeerEvent(from, bytes);
     metrics_.Add(MetricId::kPeerMessagesTotal,
-                 {message || router_message ? "received" : "unreadable"});
-    if (message) {
-      Raise(dispatch::PeerMessageReceived{from, *message});
-    } else if (router_message) {
-      Raise(dispatch::RouterMessageReceived{from, *router_message});
+                 {event ? "received" : "unreadable"});
+    if (event) {
+      Raise(*event);
     }
   }
 
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -96,7 +96,7 @@
        {"resumes", attempt.resumes}});
 }
 
-void LogAttemptAbandoned(const dispatch::AttemptAbandoned& record) {
+void LogRecord(const dispatch::AttemptAbandoned& record) {
   Log(EventId::kRequestRetried, {{"request", record.request_id},
                                  {"backend", record.backend},
                                  {"reason", record.reason},
@@ -110,7 +110,7 @@
                                 {"revision", done.version.revision}});
 }
 
-void LogGrantClosed(const ledger::GrantClosed& closed) {
+void LogRecord(const ledger::GrantClosed& closed) {
   Log(EventId::kGrantRecovered, {{"budget", closed.budget},
                                  {"holder", closed.holder},
                                  {"amount", closed.amount},
@@ -119,7 +119,7 @@
                                  {"by_promise", closed.by_promise}});
 }
 
-void LogPeerUnresponsive(const ledger::PeerUnresponsive& unresponsive) {
+void LogRecord(const ledger::PeerUnresponsive& unresponsive) {
   Log(EventId::kPeerSilent, {{"peer", unresponsive.peer.incarnation},
                              {"address", unresponsive.peer.address.ToText()},
                              {"budget", unresponsive.budget},
@@ -137,7 +137,7 @@
   }
 }
 
-void LogBackendHealth(const BackendHealthChanged& change) {
+void LogRecord(const BackendHealthChanged& change) {
   Log(EventForHealth(change.health),
       {{"backend", change.instance},
        {"service", change.service},
@@ -145,7 +145,7 @@
        {"reason", change.reason}});
 }
 
-void LogBackendLimit(const dispatch::BackendLimitChanged& change) {
+void LogRecord(const dispatch::BackendLimitChanged& change) {
   Log(EventId::kBackendLimitChanged,
       {{"backend", change.instance},
        {"service", change.service},
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -31,13 +31,13 @@
 // Log lines and metrics of the dispatcher's commands.
 void LogRequestPlaced(const std::string& request_id,
                       const dispatch::StartAttempt& attempt);
-void LogAttemptAbandoned(const dispatch::AttemptAbandoned& record);
+void LogRecord(const dispatch::AttemptAbandoned& record);
 void LogLedgerWrite(const std::string& key, const platform::KvWriteDone& done);
-void LogGrantClosed(const ledger::GrantClosed& closed);
-void LogPeerUnresponsive(const ledger::PeerUnresponsive& unresponsive);
+void LogRecord(const ledger::GrantClosed& closed);
+void LogRecord(const ledger::PeerUnresponsive& unresponsive);
 void LogLoan(const ledger::LoanReply& reply);
-void LogBackendHealth(const dispatch::BackendHealthChanged& change);
-void LogBackendLimit(const dispatch::BackendLimitChanged& change);
+void LogRecord(const dispatch::BackendHealthChanged& change);
+void LogRecord(const dispatch::BackendLimitChanged& change);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
 void CountCallEnded(telemetry::Metrics& metrics,
