Count a router as told of a limit by what the answer states

The trace: 12 requests in the 0.5 s before the first answer that states the limit, from a router that had received none. The rule counts routers that have passed on an answer with the limit.

--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -274,6 +274,7 @@
                answered.complete = true;
                answered.reply.is_leaving = servers_[index].is_leaving;
                answered_by_ = index;
+               answer_states_limit_ = limit.has_value();
                Raise(router, answered);
                answered_by_.reset();
              });
@@ -284,7 +285,7 @@
   if (!answered_by_) {
     return;
   }
-  if (servers_[*answered_by_].limit) {
+  if (answer_states_limit_) {
     routers_[router]->told_at.try_emplace(*answered_by_, now_);
   }
   if (servers_[*answered_by_].is_leaving) {
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -183,6 +183,7 @@
   CallId next_call_ = 1;
   // The server whose answer is being handled.
   std::optional<size_t> answered_by_;
+  bool answer_states_limit_ = false;
   base::Millis store_down_until_;
   // When the lease of each registered router expires.
   std::map<size_t, base::Millis> leases_;
