Let requests right after a router's start wait for the ledger

Cause: until its first reads end, a router cannot know whether the ledger of the era is complete, and refused as if that would take long. Change: for the time that a read takes, such requests wait. A request that waits is bounded as before.

--- a/libs/ledger/src/metered_era.cc
+++ b/libs/ledger/src/metered_era.cc
@@ -145,7 +145,10 @@
 
 bool MeteredBudgetManager::State::MayOpenSoon(base::Millis now,
                                               const Shard& shard) const {
-  return shard.is_complete ||
+  // A router that has just started knows nothing until its first reads end.
+  const bool is_starting =
+      !shard.earlier && now - era_began_at_ < policy_.normal_latency;
+  return shard.is_complete || is_starting ||
          now - era_began_at_ + policy_.max_wait >= policy_.era_settle_time;
 }
 
--- a/libs/ledger/tests/metered_budget_manager_test.cc
+++ b/libs/ledger/tests/metered_budget_manager_test.cc
@@ -189,6 +189,20 @@
   CHECK_EQUAL(2, simulation.refused());
 }
 
+TEST(MeteredBudgetManager, ARequestRightAfterTheStartWaitsForTheLedger) {
+  MeteredSimulation simulation(1, 1, kLimit);
+  simulation.BeginEras();
+  simulation.Restart(0);
+  constexpr int requests = 10;
+  for (int i = 0; i < requests; ++i) {
+    simulation.Advance(Millis(5));
+    simulation.Request(0, 100);
+  }
+  simulation.Advance(Millis(2000));
+  CHECK_EQUAL(0, simulation.refused());
+  CHECK_EQUAL(requests, simulation.served());
+}
+
 TEST(MeteredBudgetManager, ReportsExhaustedOnlyWhenNothingRemains) {
   MeteredSimulation simulation(1, 2, 10'000);
   simulation.Advance(Millis(200));
