Log the prompt parts of requests, and whether a lost answer had begun

Callers saw care-chat fail while servers ended one after the other. Logs could not tell whether the lost requests had a part of their prompts in common, nor which of them had begun their answers: 510 request_placed and 509 request_retried now give both. No decision changes.

--- a/libs/dispatch/include/dispatch/attempt_abandoned.h
+++ b/libs/dispatch/include/dispatch/attempt_abandoned.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/millis.h"
 #include "dispatch/call_id.h"
@@ -21,6 +22,10 @@
   // "again", "resume", "wait" or "give up".
   std::string next;
   base::Millis since_start;
+  // The server had begun its answer.
+  bool had_begun = false;
+  // Prompt::SharedParts() of the request.
+  std::vector<uint64_t> shared_parts;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/start_attempt.h
+++ b/libs/dispatch/include/dispatch/start_attempt.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/millis.h"
@@ -30,6 +32,8 @@
   std::optional<int64_t> resume_after;
   // Request::resumes, for logs.
   std::string resumes;
+  // Prompt::SharedParts() of the request, for logs.
+  std::vector<uint64_t> shared_parts;
   // Estimates behind the choice, for logs: time to the first byte, and prompt
   // tokens that the server does not have cached.
   base::Millis expected;
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -66,6 +66,8 @@
   int64_t attempt = 0;
   Backend backend;
   base::Millis attempt_started_at;
+  // Its server has begun an answer.
+  bool attempt_begun = false;
   // Number of attempts sent, and of those that may have run.
   int64_t attempts_sent = 0;
   int64_t possible_runs = 0;
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -17,6 +17,11 @@
 constexpr base::Millis kMinAttemptTime(30);
 constexpr base::Millis kOverloadRetryAfter(250);
 
+std::vector<uint64_t> SharedParts(const Request& request) {
+  return request.prompt ? request.prompt->SharedParts()
+                        : std::vector<uint64_t>();
+}
+
 }  // namespace
 
 PlacementRequest Dispatcher::State::MakePlacementRequest(
@@ -34,6 +39,7 @@
   call.attempt = next_attempt_++;
   call.backend = choice.backend;
   call.attempt_started_at = now_;
+  call.attempt_begun = false;
   if (call.attempts_sent == 0) {
     call.placed_at = now_;
   }
@@ -58,6 +64,7 @@
   start.resume_after =
       call.events > 0 ? call.last_event : call.request.resume_after;
   start.resumes = call.request.resumes;
+  start.shared_parts = SharedParts(call.request);
   Emit(std::move(start));
 }
 
@@ -121,6 +128,8 @@
   record.reason = reason;
   record.next = next;
   record.since_start = now_ - call.attempt_started_at;
+  record.had_begun = call.attempt_begun;
+  record.shared_parts = SharedParts(call.request);
   Emit(std::move(record));
 }
 
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -116,6 +116,7 @@
     return;
   }
   placement_.OnAnswered(now_, call->attempt, event.reply.load);
+  call->attempt_begun = true;
   ApplyStatements(*call, event.reply);
   const AnswerClass answer_class = ClassifyReply(event.reply);
   const std::string status = "status " + std::to_string(event.reply.status);
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -79,10 +79,12 @@
       {EventId::kRunRefused, Level::kInfo, "run_refused",
        "An agent refused a start as not run; fields name the kind."},
       {EventId::kRequestRetried, Level::kInfo, "request_retried",
-       "A request that did not run is tried at another backend server."},
+       "An attempt ended without an answer for the caller; fields name the "
+       "reason, what follows, whether the answer had begun, and the parts of "
+       "the prompt but the last."},
       {EventId::kRequestPlaced, Level::kInfo, "request_placed",
        "A request was sent to a backend server; fields give what the "
-       "choice was based on."},
+       "choice was based on, and the parts of the prompt but the last."},
       {EventId::kRequestFinished, Level::kInfo, "request_finished",
        "A request got its final answer from a router that calls backend "
        "servers directly; fields give the outcome, its reason and the time "
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -1,5 +1,9 @@
 #include "edge_log.h"
 
+#include <cinttypes>
+#include <cstdio>
+#include <vector>
+
 #include "dispatch/attempt_abandoned.h"
 #include "dispatch/backend_health_changed.h"
 #include "dispatch/backend_limit_changed.h"
@@ -32,6 +36,18 @@
   return static_cast<double>(duration.count()) * kSecondsPerMilli;
 }
 
+// Hexadecimal ids, as in the header of the request.
+std::string PartsText(const std::vector<uint64_t>& parts) {
+  std::string text;
+  for (const uint64_t part : parts) {
+    char hex[24];
+    std::snprintf(hex, sizeof(hex), "%s%" PRIx64, text.empty() ? "" : ",",
+                  part);
+    text += hex;
+  }
+  return text;
+}
+
 EventId EventForHealth(BackendHealthChanged::Health health) {
   switch (health) {
     case BackendHealthChanged::Health::kAdded:
@@ -93,7 +109,8 @@
        {"urgency", attempt.urgency},
        {"time_left_ms", attempt.time_left},
        {"resume_after", attempt.resume_after.value_or(-1)},
-       {"resumes", attempt.resumes}});
+       {"resumes", attempt.resumes},
+       {"parts", PartsText(attempt.shared_parts)}});
 }
 
 void LogRecord(const dispatch::AttemptAbandoned& record) {
@@ -101,7 +118,9 @@
                                  {"backend", record.backend},
                                  {"reason", record.reason},
                                  {"next", record.next},
-                                 {"since_start_ms", record.since_start}});
+                                 {"since_start_ms", record.since_start},
+                                 {"begun", record.had_begun},
+                                 {"parts", PartsText(record.shared_parts)}});
 }
 
 void LogLedgerWrite(const std::string& key, const platform::KvWriteDone& done) {
