--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -176,7 +176,11 @@
   next_arrival_ms_ += gap(random_) * kMillisPerSecond;
   At(base::Millis(static_cast<int64_t>(next_arrival_ms_)), [this] {
     if (options_.events > 0) {
-      RequestStream(std::make_shared<Stream>());
+      auto stream = std::make_shared<Stream>();
+      if (options_.has_prompts) {
+        stream->prompt = AnyPrompt();
+      }
+      RequestStream(std::move(stream));
       ArriveNext();
       return;
     }
@@ -294,6 +298,11 @@
 }
 
 void RouterFleet::Handle(size_t router, const CallEnded& command) {
+  const auto stream = streams_.find({router, command.call});
+  if (command.outcome == "contained" && stream != streams_.end() &&
+      !stream->second->is_crashing) {
+    ++bystander_counts_.contained;
+  }
   EndStream(router, command.call, command.outcome == "answered");
   if (command.outcome == "answered") {
     ++answered_;
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -16,6 +16,7 @@
 
 #include "base/millis.h"
 #include "dispatch/dispatcher.h"
+#include "dispatch/prompt.h"
 #include "dispatch/route.h"
 #include "ledger/peer.h"
 
@@ -43,6 +44,9 @@
     base::Millis event_gap{100};
     // Number of software versions; server i has version i modulo this.
     size_t versions = 1;
+    // Requests have prompts: one of a few parts that many share, one of more
+    // that some share, and one of their own.
+    bool has_prompts = false;
     // Injected fault: routers do not know the versions of servers.
     bool hides_versions = false;
     // Injected fault: routers ignore limits.
@@ -78,6 +82,28 @@
     int64_t resumed = 0;
   };
 
+  // Requests that crash each server that begins an answer to them, and what
+  // they did.
+  struct CrashCounts {
+    // A request that reached a server.
+    struct Sent {
+      base::Millis at;
+      // The router is not excused by a fault.
+      bool is_counted = false;
+    };
+    std::vector<Sent> sent;
+    std::vector<base::Millis> crashes;
+  };
+
+  // Requests that crash nothing. Those that have the first part of crashing
+  // requests are counted at the first attempt of their callers.
+  struct BystanderCounts {
+    int64_t asked = 0;
+    int64_t begun = 0;
+    // Refused because of their content, at any attempt.
+    int64_t contained = 0;
+  };
+
   explicit RouterFleet(const Options& options);
   ~RouterFleet();
 
@@ -107,10 +133,21 @@
   void Crash(size_t server,
              base::Millis span,
              const std::optional<std::string>& version = std::nullopt);
+  // From now on, requests arrive whose prompts have a part that crashes each
+  // server that begins an answer to them; none if `per_second` is 0. The parts
+  // of the prompts: `before`, the crashing part, `after`, one of their own.
+  void SendCrashingParts(double per_second,
+                         const std::vector<uint64_t>& before,
+                         const std::vector<uint64_t>& after);
   // Makes the store unavailable for `span`; leases expire meanwhile.
   void StopStore(base::Millis span);
 
   const StreamCounts& streams() const { return stream_counts_; }
+  const CrashCounts& crashes() const { return crash_counts_; }
+  const BystanderCounts& bystanders() const { return bystander_counts_; }
+  // Requests that crash servers and reached one later than `delay` after the
+  // crash with this number, counted from 1.
+  int64_t SentAfterCrash(size_t number, base::Millis delay) const;
   const std::vector<Arrival>& arrivals(size_t server) const;
   size_t routers() const { return routers_.size(); }
   int64_t answered() const { return answered_; }
@@ -159,6 +196,15 @@
   void SendEvent(const StreamRunKey& key);
   void EndStream(size_t router, CallId call, bool is_complete);
   void BreakStreams(size_t router);
+  // Crashes by content; router_fleet_crashes.cc.
+  Prompt MakePrompt(const std::vector<uint64_t>& shared_parts);
+  Prompt AnyPrompt();
+  void CrashingArriveNext(uint64_t series);
+  // True of a stream that crashes nothing and has the first part of those that
+  // do.
+  bool IsBystander(const Stream& stream) const;
+  // Crashes a server if the run that is about to answer does so.
+  bool CrashesByContent(const StreamRun& run);
   void RegisterServer(size_t server, base::Millis after);
   Backend RegistrationOf(size_t server) const;
   static Route StreamRoute();
@@ -191,6 +237,13 @@
   std::map<std::pair<size_t, CallId>, std::shared_ptr<Stream>> streams_;
   std::map<StreamRunKey, StreamRun> runs_;
   StreamCounts stream_counts_;
+  CrashCounts crash_counts_;
+  BystanderCounts bystander_counts_;
+  std::vector<uint64_t> crashing_parts_;
+  double crashing_per_second_ = 0;
+  // Distinguishes the arrivals that the latest call started.
+  uint64_t crashing_series_ = 0;
+  uint64_t next_own_part_ = 0;
   int64_t answered_ = 0;
   int64_t refused_ = 0;
   int64_t datagrams_ = 0;
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -65,6 +65,9 @@
   int64_t requests = 0;
   // The request in progress has brought an event.
   bool goes_on = false;
+  std::optional<Prompt> prompt;
+  // Crashes each server that begins an answer to it.
+  bool is_crashing = false;
 };
 
 // A run of a stream at a server.
@@ -74,6 +77,7 @@
   int64_t generation = 0;
   int64_t next_event = 1;
   bool is_answered = false;
+  bool is_crashing = false;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -34,8 +34,13 @@
   arrived.request.id = "call-" + std::to_string(arrived.call);
   arrived.request.host = "h";
   arrived.request.path = "/x";
+  arrived.request.prompt = stream->prompt;
   stream->request_id = arrived.request.id;
   stream->goes_on = false;
+  const bool is_bystander = IsBystander(*stream);
+  if (is_bystander && stream->requests == 1) {
+    ++bystander_counts_.asked;
+  }
   if (stream->last_event > 0) {
     arrived.request.resume_after = stream->last_event;
     arrived.request.resumes = stream->began_as;
@@ -60,8 +65,18 @@
     });
     return;
   }
-  runs_[key] = {command.call, server, servers_[server].generation,
-                command.resume_after.value_or(0) + 1, false};
+  const auto stream = streams_.find({router, command.call});
+  const bool is_crashing =
+      stream != streams_.end() && stream->second->is_crashing;
+  if (is_crashing) {
+    crash_counts_.sent.push_back({now_, !IsExcused(router)});
+  }
+  runs_[key] = {command.call,
+                server,
+                servers_[server].generation,
+                command.resume_after.value_or(0) + 1,
+                false,
+                is_crashing};
   At(now_ + options_.event_gap, [this, key] { SendEvent(key); });
 }
 
@@ -84,6 +99,9 @@
     });
     return;
   }
+  if (CrashesByContent(run)) {
+    return;
+  }
   found->second.is_answered = true;
   ++found->second.next_event;
   const std::string version =
@@ -105,6 +123,9 @@
         Stream& received = *stream->second;
         if (received.last_event == 0) {
           ++stream_counts_.begun;
+          if (received.requests == 1 && IsBystander(received)) {
+            ++bystander_counts_.begun;
+          }
           received.began_as = received.request_id;
         } else if (!received.goes_on) {
           ++stream_counts_.resumed;
