Contain parts of prompts that crash backend servers, over all routers

Cause: no router remembers what a lost server had in progress.

Routers now suspect the contents of unanswered requests of a lost server, tell each other, acquit what is answered and contain what was lost with servers in a row. Losses that may have one other cause in common count once.

--- a/libs/base/include/base/error_kind.h
+++ b/libs/base/include/base/error_kind.h
@@ -33,6 +33,8 @@
   kStale = 21,
   kCancelled = 22,
   kInternal = 23,
+  // Requests with this content crash backend servers.
+  kContained = 24,
 };
 
 // Stable lower-case name such as "budget_exhausted".
--- a/libs/base/src/error_kind.cc
+++ b/libs/base/src/error_kind.cc
@@ -5,7 +5,7 @@
 namespace godwit::base {
 namespace {
 
-constexpr std::array<std::string_view, 24> kNames = {
+constexpr std::array<std::string_view, 25> kNames = {
     "none",
     "invalid_argument",
     "malformed",
@@ -30,6 +30,7 @@
     "stale",
     "cancelled",
     "internal",
+    "contained",
 };
 
 }  // namespace
--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -9,6 +9,7 @@
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/cancel_attempt.h"
+#include "dispatch/content_state_changed.h"
 #include "dispatch/refuse_call.h"
 #include "dispatch/relay_answer.h"
 #include "dispatch/send_to_router.h"
@@ -31,6 +32,7 @@
                                      CallEnded,
                                      BackendHealthChanged,
                                      BackendLimitChanged,
+                                     ContentStateChanged,
                                      SendToRouter,
                                      platform::KvRead,
                                      platform::KvWrite,
--- a/libs/dispatch/include/dispatch/router_message.h
+++ b/libs/dispatch/include/dispatch/router_message.h
@@ -3,18 +3,27 @@
 
 #include <variant>
 
+#include "dispatch/clearance_notice.h"
+#include "dispatch/containment_notice.h"
 #include "dispatch/limit_notice.h"
+#include "dispatch/loss_notice.h"
+#include "dispatch/loss_retraction.h"
 #include "dispatch/stream_origin_notice.h"
 #include "dispatch/stream_origin_query.h"
 #include "dispatch/stream_origin_reply.h"
 
 namespace godwit::dispatch {
 
-// What routers tell each other of backend servers, one message per datagram.
+// What routers tell each other of backend servers and of the requests to them,
+// one message per datagram.
 using RouterMessage = std::variant<LimitNotice,
                                    StreamOriginNotice,
                                    StreamOriginQuery,
-                                   StreamOriginReply>;
+                                   StreamOriginReply,
+                                   LossNotice,
+                                   LossRetraction,
+                                   ContainmentNotice,
+                                   ClearanceNotice>;
 
 }  // namespace godwit::dispatch
 
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -12,6 +12,7 @@
 #include "base/millis.h"
 #include "dispatch/backend.h"
 #include "dispatch/call_id.h"
+#include "dispatch/content_key.h"
 #include "dispatch/request.h"
 #include "dispatch/route.h"
 #include "dispatch/routing_table.h"
@@ -40,6 +41,9 @@
   base::ServiceId service;
   base::OrganisationId organisation;
   int64_t urgency = 0;
+  // What may crash servers, and whether the call finds out if it still does.
+  std::vector<ContentKey> contents;
+  bool is_trial = false;
   Phase phase = Phase::kAwaitingBudget;
   base::Millis arrived_at;
   // Deadline of the complete answer.
@@ -66,8 +70,12 @@
   int64_t attempt = 0;
   Backend backend;
   base::Millis attempt_started_at;
-  // Its server has begun an answer.
+  // Its server has begun an answer, and when.
   bool attempt_begun = false;
+  base::Millis attempt_begun_at;
+  // It was answered with success, as far as its content can be the cause of a
+  // later failure.
+  bool attempt_succeeded = false;
   // Number of attempts sent, and of those that may have run.
   int64_t attempts_sent = 0;
   int64_t possible_runs = 0;
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -40,6 +40,7 @@
   call.backend = choice.backend;
   call.attempt_started_at = now_;
   call.attempt_begun = false;
+  call.attempt_succeeded = false;
   if (call.attempts_sent == 0) {
     call.placed_at = now_;
   }
@@ -91,7 +92,7 @@
 
 std::optional<Choice> Dispatcher::State::NextServer(Call& call,
                                                     RunOutcome run_outcome) {
-  if (!MaySendAgain(call) ||
+  if (!MaySendAgain(call) || containment_.HasContained(now_, call.contents) ||
       (run_outcome == RunOutcome::kMayHaveRun && !MayRunAgain(call))) {
     return std::nullopt;
   }
@@ -170,6 +171,7 @@
   call.exclude.push_back(call.backend.key());
   const bool may_wait =
       run_outcome != RunOutcome::kMayHaveRun && !call.may_have_run &&
+      !containment_.HasContained(now_, call.contents) &&
       call.phase != Call::Phase::kRelaying && MaySendAgain(call);
   if (may_wait) {
     RecordAbandoned(call, reason, "wait");
@@ -189,6 +191,10 @@
     return;
   }
   if (run_outcome != RunOutcome::kMayHaveRun && !call.may_have_run) {
+    if (containment_.HasContained(now_, call.contents)) {
+      RefuseContained(call);
+      return;
+    }
     Refuse(call, base::ErrorKind::kOverloaded, reason, kOverloadRetryAfter);
     return;
   }
--- /dev/null
+++ b/libs/dispatch/src/content_containment_state.h
@@ -0,0 +1,124 @@
+#ifndef DISPATCH_CONTENT_CONTAINMENT_STATE_H_
+#define DISPATCH_CONTENT_CONTAINMENT_STATE_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "answered_contents.h"
+#include "base/ids.h"
+#include "base/millis.h"
+#include "crash_evidence.h"
+#include "dispatch/content_containment.h"
+
+namespace godwit::dispatch {
+
+struct ContentContainment::State {
+  // Losses in a row after which a content is contained that was answered before
+  // and is more likely to have been lost with requests beside it.
+  static constexpr int64_t kLossesIfAnswered = 5;
+  // Time from the decision to contain a content until requests are refused, in
+  // which another router may object.
+  static constexpr base::Millis kObjectionTime{20};
+
+  struct Containment {
+    // From when on requests are refused. Until then, a router that has answered
+    // one may object.
+    base::Millis begins_at;
+    bool has_begun = false;
+    base::Millis trial_at;
+    base::Millis period;
+    // Losses of the first and the last server, here or at another router, and
+    // the number of those in a row that led to the containment.
+    base::Millis first_lost_at;
+    base::Millis last_lost_at;
+    int64_t losses = 0;
+    // Decided by another router.
+    bool by_notice = false;
+  };
+
+  struct Content {
+    CrashEvidence evidence;
+    std::optional<Containment> containment;
+    base::Millis updated_at;
+  };
+
+  // A server to which connections were lost.
+  struct LostServer {
+    base::Millis lost_at;
+    std::set<ContentKey> contents;
+  };
+
+  explicit State(const FleetMembers& fleet) : members(fleet) {}
+
+  void AddLoss(base::Millis now,
+               const ContentKey& key,
+               const CrashEvidence::Loss& loss,
+               bool by_notice);
+  // Contains the content if the evidence suffices. Of the routers that know of
+  // the last loss by a notice, one decides.
+  bool ContainIfDue(base::Millis now,
+                    const ContentKey& key,
+                    Content& content,
+                    bool by_notice);
+  void Contain(base::Millis now,
+               Content& content,
+               const Containment& containment);
+  // Handles an answer. Returns true if the content was suspected or contained,
+  // so that other routers may have to be told.
+  bool Clear(base::Millis now, const ContentKey& key, base::Millis answered_at);
+  void Broadcast(RouterMessage message);
+  static ContainmentNotice NoticeOf(base::Millis now,
+                                    const ContentKey& key,
+                                    const Containment& containment);
+  void Retract(base::Millis now, const std::string& backend);
+  void RecordChange(ContentStateChanged::State change,
+                    const ContentKey& key,
+                    const Content& content,
+                    base::Millis remaining,
+                    bool by_notice);
+  // Null if the content is not contained, or will only be.
+  const Containment* FindContainment(base::Millis now,
+                                     const ContentKey& key) const;
+  // Begins the containments that are due.
+  void BeginContainments(base::Millis now);
+  // At how many of the lost servers each content was in progress.
+  std::map<ContentKey, size_t> CountLostWith(
+      const CrashEvidence& evidence) const;
+  // True if another content, never answered and missing from the request, was
+  // in progress at the same lost servers: then the request tells which of the
+  // two crashes servers.
+  bool IsAmbiguous(const ContentKey& key,
+                   const Content& content,
+                   const std::vector<ContentKey>& request) const;
+  // Whether this router may send a request with a contained content, to find
+  // out whether it still crashes servers.
+  bool IsTrialDue(base::Millis now,
+                  const ContentKey& key,
+                  const std::vector<ContentKey>& request) const;
+  // Position of this router among all by rendezvous hashing of the content.
+  int64_t RankFor(const ContentKey& key) const;
+  void FlushLosses(base::Millis now);
+  void QueueGossip(base::Millis now);
+  void Expire(base::Millis now);
+
+  const FleetMembers& members;
+  AnsweredContents answered;
+  std::map<ContentKey, Content> contents;
+  size_t contained_count = 0;
+  std::map<std::string, LostServer> lost_servers;
+  // Own losses that the other routers were not told of, by server.
+  std::map<std::string, std::map<ContentKey, base::Millis>> untold;
+  base::Millis gossiped_at;
+  base::ProcessId gossiped_to;
+  std::vector<Message> messages;
+  std::vector<ContentStateChanged> changes;
+  std::vector<ContentKey> newly_contained;
+};
+
+}  // namespace godwit::dispatch
+
+#endif  // DISPATCH_CONTENT_CONTAINMENT_STATE_H_
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -9,6 +9,8 @@
 
 // A gap between ticks above this means that this process was stalled.
 constexpr base::Millis kStallThreshold(400);
+// Time for which a stream must go on until its content counts as harmless.
+constexpr base::Millis kAnswerSettleTime(300);
 // Interval at which the versions of registered servers are noted.
 constexpr base::Millis kVersionsInterval(1000);
 // HTTP statuses: the lowest server error, "too many requests", and the range
@@ -27,6 +29,10 @@
   kInvalid
 };
 
+bool IsSuccess(const Reply& reply) {
+  return reply.status >= kSuccess && reply.status < kRedirect;
+}
+
 AnswerClass ClassifyReply(const Reply& reply) {
   if (reply.instance_mismatch) {
     return AnswerClass::kInstanceMismatch;
@@ -37,8 +43,7 @@
       (reply.status == kTooManyRequests || reply.status >= kServerError)) {
     return AnswerClass::kNotRun;
   }
-  const bool is_success = reply.status >= kSuccess && reply.status < kRedirect;
-  if (is_success && !reply.is_signed) {
+  if (IsSuccess(reply) && !reply.is_signed) {
     return AnswerClass::kInvalid;
   }
   return reply.status >= kServerError ? AnswerClass::kFailed
@@ -64,6 +69,7 @@
       members_(options_.process),
       limits_(members_),
       origins_(members_),
+      containment_(members_),
       placement_(options_.placement),
       budgets_(options_.process, options_.incarnation, options_.budgets),
       routers_(options_.assumed_routers) {
@@ -75,6 +81,7 @@
     const DispatchEvent& event) {
   now_ = now;
   std::visit([this](const auto& e) { On(e); }, event);
+  EmitContentChanges();
   Emit(placement_.TakeChanges());
   return std::exchange(commands_, {});
 }
@@ -86,7 +93,7 @@
   call.request = event.request;
   call.arrived_at = now_;
   calls_[call.id] = std::move(owned);
-  if (!Admit(call)) {
+  if (!Admit(call) || !AdmitContent(call)) {
     return;
   }
   RetryBudgetFor(call.service).OnRequest();
@@ -117,8 +124,16 @@
   }
   placement_.OnAnswered(now_, call->attempt, event.reply.load);
   call->attempt_begun = true;
+  call->attempt_begun_at = now_;
   ApplyStatements(*call, event.reply);
   const AnswerClass answer_class = ClassifyReply(event.reply);
+  if (answer_class != AnswerClass::kInstanceMismatch) {
+    NoteReceived(*call);
+  }
+  if (event.complete && IsSuccess(event.reply) &&
+      answer_class == AnswerClass::kGood) {
+    NoteSuccess(*call);
+  }
   const std::string status = "status " + std::to_string(event.reply.status);
   const bool is_resumed = call->phase == Call::Phase::kRelaying;
   switch (answer_class) {
@@ -182,6 +197,11 @@
     return;
   }
   placement_.OnProgressed(now_, call->attempt);
+  NoteReceived(*call);
+  // A server that is crashed by the content may still send the first events.
+  if (now_ - call->attempt_begun_at >= kAnswerSettleTime) {
+    NoteSuccess(*call);
+  }
   if (call->events > 0) {
     call->longest_gap = std::max(call->longest_gap, now_ - call->last_event_at);
   }
@@ -196,6 +216,8 @@
     return;
   }
   placement_.OnEnded(now_, call->attempt, Outcome::kServed);
+  NoteReceived(*call);
+  NoteSuccess(*call);
   End(*call, "answered", "whole");
   ProcessQueues();
 }
@@ -206,6 +228,10 @@
     return;
   }
   const bool not_sent = event.failure == AttemptFailure::kNotSent;
+  if (!not_sent && !call->attempt_succeeded) {
+    containment_.OnLost(now_, call->backend.key(), call->attempt_started_at,
+                        call->contents);
+  }
   placement_.OnEnded(now_, call->attempt,
                      not_sent ? Outcome::kUnreachable : Outcome::kFailed);
   Abandon(*call, not_sent ? RunOutcome::kNotArrived : RunOutcome::kMayHaveRun,
@@ -345,6 +371,7 @@
     NoteVersions();
     backoff_.Tick(now_);
   }
+  containment_.Tick(now_);
   for (const LimitNotice& notice : limits_.Tick(now_)) {
     Broadcast(notice);
   }
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -17,6 +17,7 @@
 #include "dispatch/backend_directory.h"
 #include "dispatch/call_queue.h"
 #include "dispatch/choice.h"
+#include "dispatch/content_containment.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/fleet_members.h"
 #include "dispatch/placement.h"
@@ -110,6 +111,20 @@
   void NoteVersion(const Backend& backend);
   void NoteVersions();
 
+  // Contents that crash servers; call_contents.cc.
+  // Returns false if the call was refused since its content is contained.
+  bool AdmitContent(Call& call);
+  // Refuses a call that has not run.
+  void RefuseContained(Call& call);
+  // Ends the calls whose content has become contained.
+  void EndContainedCalls();
+  // Something was received for the attempt in progress.
+  void NoteReceived(const Call& call);
+  // The attempt in progress was answered with success.
+  void NoteSuccess(Call& call);
+  // Messages and records of what was learnt in this step.
+  void EmitContentChanges();
+
   // Attempts; call_attempts.cc.
   PlacementRequest MakePlacementRequest(const Call& call) const;
   void Start(Call& call, const Choice& choice);
@@ -162,6 +177,10 @@
   void OnMessage(const base::Endpoint& from, const StreamOriginNotice& notice);
   void OnMessage(const base::Endpoint& from, const StreamOriginQuery& query);
   void OnMessage(const base::Endpoint& from, const StreamOriginReply& reply);
+  void OnMessage(const base::Endpoint& from, const LossNotice& notice);
+  void OnMessage(const base::Endpoint& from, const LossRetraction& retraction);
+  void OnMessage(const base::Endpoint& from, const ContainmentNotice& notice);
+  void OnMessage(const base::Endpoint& from, const ClearanceNotice& notice);
   // Sends a message to all other routers.
   void Broadcast(const RouterMessage& message);
   void ForgetRemovedBackends();
@@ -183,6 +202,7 @@
   BackendBackoff backoff_;
   RequestLimits limits_;
   StreamOrigins origins_;
+  ContentContainment containment_;
   base::Millis versions_noted_at_;
   // Calls in phase kAwaitingOrigin.
   std::set<CallId> awaiting_origin_;
--- a/libs/dispatch/src/router_message_codec.cc
+++ b/libs/dispatch/src/router_message_codec.cc
@@ -16,8 +16,14 @@
 constexpr char kOrigin[] = "origin";
 constexpr char kOriginQuery[] = "origin_query";
 constexpr char kOriginReply[] = "origin_reply";
+constexpr char kLoss[] = "loss";
+constexpr char kLossRetraction[] = "loss_retraction";
+constexpr char kContainment[] = "containment";
+constexpr char kClearance[] = "clearance";
 // Above the length of any key, id or version.
 constexpr size_t kMaxTextBytes = 512;
+// Above any duration that routers state, in milliseconds.
+constexpr int64_t kMaxDurationMs = int64_t{1} << 40;
 
 // Returns no value unless the field is a text of sensible length.
 std::optional<std::string> TextIn(const Json& document, const char* name) {
@@ -120,6 +126,124 @@
                            {*certainty, std::move(*version)}};
 }
 
+// Adds the fields of a content to a document.
+void AddContent(const ContentKey& content, Json& document) {
+  document["service"] = content.service.value();
+  document["kind"] = static_cast<int64_t>(content.kind);
+  document["id"] = content.id.ToHex();
+}
+
+std::optional<ContentKey> ContentIn(const Json& document) {
+  auto service = IdIn(document, "service");
+  const auto kind = cbor::Integer(cbor::Find(document, "kind"));
+  const auto text = TextIn(document, "id");
+  const auto id = text ? base::Digest::FromHex(*text) : std::nullopt;
+  if (!service || !id ||
+      kind != static_cast<int64_t>(ContentKey::Kind::kPromptPart)) {
+    return std::nullopt;
+  }
+  return ContentKey{base::ServiceId(std::move(*service)),
+                    static_cast<ContentKey::Kind>(*kind), *id};
+}
+
+// Returns no value unless the field is a duration that is not negative.
+std::optional<base::Millis> DurationIn(const Json& document, const char* name) {
+  const auto duration = cbor::Integer(cbor::Find(document, name));
+  if (!duration || *duration < 0 || *duration > kMaxDurationMs) {
+    return std::nullopt;
+  }
+  return base::Millis(*duration);
+}
+
+Json ToJson(const LossNotice& notice) {
+  Json suspects = Json::array();
+  for (const LossSuspect& suspect : notice.suspects) {
+    Json entry = {{"ran_for", suspect.ran_for.count()}};
+    AddContent(suspect.content, entry);
+    suspects.push_back(std::move(entry));
+  }
+  return {{"type", kLoss},
+          {"backend", notice.backend},
+          {"age", notice.age.count()},
+          {"suspects", std::move(suspects)}};
+}
+
+std::optional<RouterMessage> LossNoticeIn(const Json& document) {
+  auto backend = IdIn(document, "backend");
+  const auto age = DurationIn(document, "age");
+  const Json* const suspects = cbor::Find(document, "suspects");
+  if (!backend || !age || suspects == nullptr || !suspects->is_array()) {
+    return std::nullopt;
+  }
+  LossNotice notice{std::move(*backend), *age, {}};
+  for (const Json& entry : *suspects) {
+    auto content = ContentIn(entry);
+    const auto ran_for = DurationIn(entry, "ran_for");
+    if (!content || !ran_for) {
+      return std::nullopt;
+    }
+    notice.suspects.push_back({std::move(*content), *ran_for});
+  }
+  return notice;
+}
+
+Json ToJson(const LossRetraction& retraction) {
+  return {{"type", kLossRetraction}, {"backend", retraction.backend}};
+}
+
+std::optional<RouterMessage> LossRetractionIn(const Json& document) {
+  auto backend = IdIn(document, "backend");
+  if (!backend) {
+    return std::nullopt;
+  }
+  return LossRetraction{std::move(*backend)};
+}
+
+Json ToJson(const ContainmentNotice& notice) {
+  Json document = {{"type", kContainment},
+                   {"first_age", notice.first_age.count()},
+                   {"last_age", notice.last_age.count()},
+                   {"losses", notice.losses},
+                   {"remaining", notice.remaining.count()},
+                   {"period", notice.period.count()}};
+  AddContent(notice.content, document);
+  return document;
+}
+
+std::optional<RouterMessage> ContainmentNoticeIn(const Json& document) {
+  auto content = ContentIn(document);
+  const auto first_age = DurationIn(document, "first_age");
+  const auto last_age = DurationIn(document, "last_age");
+  const auto losses = cbor::Integer(cbor::Find(document, "losses"));
+  const auto remaining = DurationIn(document, "remaining");
+  const auto period = DurationIn(document, "period");
+  if (!content || !first_age || !last_age || !losses || *losses < 0 ||
+      !remaining || !period) {
+    return std::nullopt;
+  }
+  return ContainmentNotice{std::move(*content), *first_age, *last_age, *losses,
+                           *remaining,          *period};
+}
+
+Json ToJson(const ClearanceNotice& notice) {
+  Json document = {{"type", kClearance},
+                   {"age", notice.age.count()},
+                   {"broadcast", notice.is_broadcast}};
+  AddContent(notice.content, document);
+  return document;
+}
+
+std::optional<RouterMessage> ClearanceNoticeIn(const Json& document) {
+  auto content = ContentIn(document);
+  const auto age = DurationIn(document, "age");
+  const Json* const is_broadcast = cbor::Find(document, "broadcast");
+  if (!content || !age || is_broadcast == nullptr ||
+      !is_broadcast->is_boolean()) {
+    return std::nullopt;
+  }
+  return ClearanceNotice{std::move(*content), *age, is_broadcast->get<bool>()};
+}
+
 }  // namespace
 
 std::string EncodeRouterMessage(const RouterMessage& message) {
@@ -147,7 +271,19 @@
   if (*type == kOriginQuery) {
     return OriginQueryIn(*document);
   }
-  return *type == kOriginReply ? OriginReplyIn(*document) : std::nullopt;
+  if (*type == kOriginReply) {
+    return OriginReplyIn(*document);
+  }
+  if (*type == kLoss) {
+    return LossNoticeIn(*document);
+  }
+  if (*type == kLossRetraction) {
+    return LossRetractionIn(*document);
+  }
+  if (*type == kContainment) {
+    return ContainmentNoticeIn(*document);
+  }
+  return *type == kClearance ? ClearanceNoticeIn(*document) : std::nullopt;
 }
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -47,6 +47,8 @@
     // Requests have prompts: one of a few parts that many share, one of more
     // that some share, and one of their own.
     bool has_prompts = false;
+    // Injected fault: routers do not know the parts of prompts.
+    bool hides_parts = false;
     // Injected fault: routers do not know the versions of servers.
     bool hides_versions = false;
     // Injected fault: routers ignore limits.
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -34,7 +34,9 @@
   arrived.request.id = "call-" + std::to_string(arrived.call);
   arrived.request.host = "h";
   arrived.request.path = "/x";
-  arrived.request.prompt = stream->prompt;
+  if (!options_.hides_parts) {
+    arrived.request.prompt = stream->prompt;
+  }
   stream->request_id = arrived.request.id;
   stream->goes_on = false;
   const bool is_bystander = IsBystander(*stream);
--- a/libs/dispatch/tests/router_message_codec_test.cc
+++ b/libs/dispatch/tests/router_message_codec_test.cc
@@ -8,11 +8,17 @@
 
 #include <CppUTest/TestHarness.h>
 
+using godwit::base::Digest;
 using godwit::base::Millis;
 using godwit::base::ServiceId;
+using godwit::dispatch::ClearanceNotice;
+using godwit::dispatch::ContainmentNotice;
+using godwit::dispatch::ContentKey;
 using godwit::dispatch::DecodeRouterMessage;
 using godwit::dispatch::EncodeRouterMessage;
 using godwit::dispatch::LimitNotice;
+using godwit::dispatch::LossNotice;
+using godwit::dispatch::LossRetraction;
 using godwit::dispatch::RouterMessage;
 using godwit::dispatch::StreamOrigin;
 using godwit::dispatch::StreamOriginNotice;
@@ -22,6 +28,9 @@
 
 namespace {
 
+const ContentKey kPart = {ServiceId("model"), ContentKey::Kind::kPromptPart,
+                          Digest(0, 0xfedcba9876543210)};
+
 std::string Cbor(const Json& document) {
   std::string bytes;
   Json::to_cbor(document, bytes);
@@ -41,7 +50,14 @@
       StreamOriginNotice{"9c41", ""},
       StreamOriginQuery{"9c41", ServiceId("model")},
       StreamOriginReply{"9c41", {StreamOrigin::Certainty::kUnknown, ""}},
-      StreamOriginReply{"9c41", {StreamOrigin::Certainty::kRecorded, "v1"}}};
+      StreamOriginReply{"9c41", {StreamOrigin::Certainty::kRecorded, "v1"}},
+      LossNotice{"s1@7", Millis(3), {}},
+      LossNotice{"s1@7", Millis(0), {{kPart, Millis(0)}, {kPart, Millis(90)}}},
+      LossRetraction{"s1@7"},
+      ContainmentNotice{kPart, Millis(900), Millis(3), 3, Millis(60'000),
+                        Millis(60'000)},
+      ClearanceNotice{kPart, Millis(4), true},
+      ClearanceNotice{kPart, Millis(0), false}};
   for (const RouterMessage& message : messages) {
     const std::string bytes = EncodeRouterMessage(message);
     CHECK(DecodeRouterMessage(bytes) == message);
@@ -107,3 +123,54 @@
     CHECK_TEXT(!DecodeRouterMessage(Cbor(document)).has_value(), c.field);
   }
 }
+
+TEST(RouterMessageCodec, RejectsMalformedNoticesOfContents) {
+  struct Case {
+    const char* type;
+    const char* field;
+    Json value;
+  };
+  const std::vector<Case> cases = {
+      {"loss", "backend", ""},
+      {"loss", "age", -1},
+      {"loss", "age", int64_t{1} << 62},
+      {"loss", "suspects", 1},
+      {"loss", "suspects", {1}},
+      {"loss", "suspects", {{{"ran_for", 1}}}},
+      {"loss_retraction", "backend", 7},
+      {"containment", "service", ""},
+      {"containment", "service", std::string(10'000, 's')},
+      {"containment", "kind", 0},
+      {"containment", "kind", 99},
+      {"containment", "kind", "1"},
+      {"containment", "id", "0123"},
+      {"containment", "id", std::string(32, 'x')},
+      {"containment", "id", 7},
+      {"containment", "losses", -1},
+      {"containment", "first_age", -1},
+      {"containment", "last_age", "1"},
+      {"containment", "remaining", -5},
+      {"containment", "period", nullptr},
+      {"clearance", "id", ""},
+      {"clearance", "age", -1},
+      {"clearance", "broadcast", 1},
+  };
+  for (const Case& c : cases) {
+    Json document = {{"type", c.type},
+                     {"backend", "s1@7"},
+                     {"age", 1},
+                     {"suspects", Json::array()},
+                     {"service", "model"},
+                     {"kind", 1},
+                     {"id", std::string(32, 'a')},
+                     {"first_age", 9},
+                     {"last_age", 3},
+                     {"losses", 3},
+                     {"remaining", 60'000},
+                     {"period", 60'000},
+                     {"broadcast", true}};
+    CHECK_TEXT(DecodeRouterMessage(Cbor(document)).has_value(), c.type);
+    document[c.field] = c.value;
+    CHECK_TEXT(!DecodeRouterMessage(Cbor(document)).has_value(), c.field);
+  }
+}
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -73,6 +73,10 @@
   kBackendGone = 709,
   kBackendLimitChanged = 710,
   kBackendBackoff = 711,
+  kContentSuspected = 712,
+  kContentContained = 713,
+  kContentTrial = 714,
+  kContentCleared = 715,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -149,6 +149,19 @@
       {EventId::kBackendBackoff, Level::kInfo, "backend_backoff",
        "A backend server refused a request and wants none from this router for "
        "a time, which the reason gives."},
+      {EventId::kContentSuspected, Level::kInfo, "content_suspected",
+       "Two servers in a row were lost while they had unanswered "
+       "requests with one content; fields name it and the servers."},
+      {EventId::kContentContained, Level::kWarning, "content_contained",
+       "Requests with one content are refused, since servers were lost"
+       " one after the other while they had such requests; fields name"
+       " it, the servers and the time until the next trial."},
+      {EventId::kContentTrial, Level::kInfo, "content_trial",
+       "One request with a contained content is sent, to find out "
+       "whether it still crashes servers."},
+      {EventId::kContentCleared, Level::kInfo, "content_cleared",
+       "A request with a suspected or contained content was answered, "
+       "or its servers were not lost; such requests are sent again."},
       {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
        "The platform's KV does not answer; what needs a write is refused as "
        "not run."},
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -8,6 +8,7 @@
 #include "dispatch/backend_health_changed.h"
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
+#include "dispatch/content_state_changed.h"
 #include "dispatch/start_attempt.h"
 #include "ledger/grant_closed.h"
 #include "ledger/loan_reply.h"
@@ -66,6 +67,20 @@
   return EventId::kBackendReadmitted;
 }
 
+EventId EventForState(dispatch::ContentStateChanged::State state) {
+  switch (state) {
+    case dispatch::ContentStateChanged::State::kSuspected:
+      return EventId::kContentSuspected;
+    case dispatch::ContentStateChanged::State::kContained:
+      return EventId::kContentContained;
+    case dispatch::ContentStateChanged::State::kTrial:
+      return EventId::kContentTrial;
+    case dispatch::ContentStateChanged::State::kCleared:
+      break;
+  }
+  return EventId::kContentCleared;
+}
+
 std::string_view OutcomeName(platform::WriteOutcome outcome) {
   switch (outcome) {
     case platform::WriteOutcome::kWon:
@@ -174,6 +189,20 @@
        {"unreadable", change.is_unreadable}});
 }
 
+void LogRecord(const dispatch::ContentStateChanged& change) {
+  const bool is_part =
+      change.content.kind == dispatch::ContentKey::Kind::kPromptPart;
+  Log(EventForState(change.state),
+      {{"kind", is_part ? "part" : "request"},
+       {"content", is_part ? PartsText({change.content.id.low()})
+                           : change.content.id.ToHex()},
+       {"service", change.content.service},
+       {"losses", change.losses},
+       {"backends", change.backends},
+       {"trial_in_ms", change.remaining},
+       {"by_notice", change.by_notice}});
+}
+
 void LogCallEnded(const dispatch::CallEnded& ended) {
   Log(EventId::kRequestFinished, {{"request", ended.request_id},
                                   {"route", ended.route},
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -8,6 +8,7 @@
 struct BackendHealthChanged;
 struct BackendLimitChanged;
 struct CallEnded;
+struct ContentStateChanged;
 struct StartAttempt;
 }  // namespace godwit::dispatch
 
@@ -38,6 +39,7 @@
 void LogLoan(const ledger::LoanReply& reply);
 void LogRecord(const dispatch::BackendHealthChanged& change);
 void LogRecord(const dispatch::BackendLimitChanged& change);
+void LogRecord(const dispatch::ContentStateChanged& change);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
 void CountCallEnded(telemetry::Metrics& metrics,
