Break off streams whose connection ends before their first event

A stream that has neither a length nor chunks and whose server ends right after the head was relayed as a complete, empty answer with status 200: the caller saw success where the server had crashed, and the router saw no loss.

Cause: the end of the connection completes such an answer, and only a partial event counted as truncation. A stream without any event is now damaged, unless its end is stated by chunks or a length, as for one that is resumed after its last event.

--- a/libs/http/tests/raw_server.h
+++ b/libs/http/tests/raw_server.h
@@ -24,8 +24,11 @@
   using Answer =
       std::function<std::string(int connection, const std::string& request)>;
 
-  explicit RawServer(Answer answer)
-      : answer_(std::move(answer)), listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+  // `closes`: each connection is closed after its first answer.
+  explicit RawServer(Answer answer, bool closes = false)
+      : answer_(std::move(answer)),
+        closes_(closes),
+        listener_(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -87,10 +90,15 @@
       if (send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
         return;
       }
+      if (closes_) {
+        shutdown(fd, SHUT_WR);
+        return;
+      }
     }
   }
 
   Answer answer_;
+  const bool closes_;
   int listener_;
   uint16_t port_ = 0;
   // Accessed only by the accepting thread until it is joined.
--- a/libs/relay/include/relay/answer_head.h
+++ b/libs/relay/include/relay/answer_head.h
@@ -16,6 +16,10 @@
   std::optional<uint64_t> content_length;
 };
 
+// True if neither a length nor chunks delimit the body, but the end of the
+// connection does.
+bool EndsWithConnection(const AnswerHead& head);
+
 }  // namespace godwit::relay
 
 #endif  // RELAY_ANSWER_HEAD_H_
--- a/libs/relay/src/answer_reader.cc
+++ b/libs/relay/src/answer_reader.cc
@@ -80,6 +80,10 @@
   bool damaged = false;
 };
 
+bool EndsWithConnection(const AnswerHead& head) {
+  return !head.content_length && !head.headers.Find("Transfer-Encoding");
+}
+
 AnswerReader::AnswerReader(Handler handler, bool is_head)
     : state_(std::make_unique<State>(std::move(handler), is_head)) {}
 AnswerReader::~AnswerReader() = default;
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -125,8 +125,10 @@
   if (exchange_ == nullptr) {
     return;
   }
-  if (IsEventStream() && exchange_->framer_.pending_bytes() > 0) {
-    // The stream was truncated within an event.
+  if (IsEventStream() &&
+      (exchange_->framer_.pending_bytes() > 0 ||
+       (!reported_ && relay::EndsWithConnection(*head_)))) {
+    // The stream was truncated within an event or before the first one.
     OnFailure(Failure::kDamaged);
     return;
   }
