Log a digest by which repeats of a request are recognised

Callers of job-status and book-confirm were refused while servers ended one after the other. No decision changes.

--- a/libs/dispatch/include/dispatch/attempt_abandoned.h
+++ b/libs/dispatch/include/dispatch/attempt_abandoned.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/digest.h"
 #include "base/millis.h"
 #include "dispatch/call_id.h"
 
@@ -26,6 +27,8 @@
   bool had_begun = false;
   // Prompt::SharedParts() of the request.
   std::vector<uint64_t> shared_parts;
+  // Request::content.
+  base::Digest content;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/request.h
+++ b/libs/dispatch/include/dispatch/request.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <tuple>
 
+#include "base/digest.h"
 #include "base/millis.h"
 #include "dispatch/prompt.h"
 
@@ -29,12 +30,15 @@
   // Id of the caller's request that brought the first event of the stream that
   // this one resumes; empty if it resumes none.
   std::string resumes;
+  // Digest of method, path, query and body, by which repeats of the request are
+  // recognised. Zero if unknown.
+  base::Digest content;
 
   friend bool operator==(const Request& a, const Request& b) {
     return std::tie(a.id, a.host, a.path, a.api_key, a.deadline, a.prompt,
-                    a.resume_after, a.resumes) ==
+                    a.resume_after, a.resumes, a.content) ==
            std::tie(b.id, b.host, b.path, b.api_key, b.deadline, b.prompt,
-                    b.resume_after, b.resumes);
+                    b.resume_after, b.resumes, b.content);
   }
   friend bool operator!=(const Request& a, const Request& b) {
     return !(a == b);
--- a/libs/dispatch/include/dispatch/start_attempt.h
+++ b/libs/dispatch/include/dispatch/start_attempt.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/digest.h"
 #include "base/ids.h"
 #include "base/millis.h"
 #include "dispatch/backend.h"
@@ -34,6 +35,8 @@
   std::string resumes;
   // Prompt::SharedParts() of the request, for logs.
   std::vector<uint64_t> shared_parts;
+  // Request::content, for logs.
+  base::Digest content;
   // Estimates behind the choice, for logs: time to the first byte, and prompt
   // tokens that the server does not have cached.
   base::Millis expected;
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -66,6 +66,7 @@
       call.events > 0 ? call.last_event : call.request.resume_after;
   start.resumes = call.request.resumes;
   start.shared_parts = SharedParts(call.request);
+  start.content = call.request.content;
   Emit(std::move(start));
 }
 
@@ -131,6 +132,7 @@
   record.since_start = now_ - call.attempt_started_at;
   record.had_begun = call.attempt_begun;
   record.shared_parts = SharedParts(call.request);
+  record.content = call.request.content;
   Emit(std::move(record));
 }
 
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -80,11 +80,12 @@
        "An agent refused a start as not run; fields name the kind."},
       {EventId::kRequestRetried, Level::kInfo, "request_retried",
        "An attempt ended without an answer for the caller; fields name the "
-       "reason, what follows, whether the answer had begun, and the parts of "
-       "the prompt but the last."},
+       "reason, what follows, whether the answer had begun, the parts of the "
+       "prompt but the last, and a digest by which repeats are recognised."},
       {EventId::kRequestPlaced, Level::kInfo, "request_placed",
        "A request was sent to a backend server; fields give what the "
-       "choice was based on, and the parts of the prompt but the last."},
+       "choice was based on, the parts of the prompt but the last, and "
+       "a digest by which repeats are recognised."},
       {EventId::kRequestFinished, Level::kInfo, "request_finished",
        "A request got its final answer from a router that calls backend "
        "servers directly; fields give the outcome, its reason and the time "
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -125,9 +125,8 @@
   if (exchange_ == nullptr) {
     return;
   }
-  if (IsEventStream() &&
-      (exchange_->framer_.pending_bytes() > 0 ||
-       (!reported_ && relay::EndsWithConnection(*head_)))) {
+  if (IsEventStream() && (exchange_->framer_.pending_bytes() > 0 ||
+                          (!reported_ && relay::EndsWithConnection(*head_)))) {
     // The stream was truncated within an event or before the first one.
     OnFailure(Failure::kDamaged);
     return;
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -11,6 +11,7 @@
 #include "adapter/messages.h"
 #include "adapter/store_client.h"
 #include "base/clocks.h"
+#include "base/digester.h"
 #include "config/settings.h"
 #include "daemon/process_metrics.h"
 #include "daemon/stop_plan.h"
@@ -52,6 +53,16 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+base::Digest ContentOf(const relay::ReceivedRequest& request) {
+  base::Digester digester;
+  digester.Update(request.head.method)
+      .Update(" ")
+      .Update(request.head.target)
+      .Update("\n")
+      .Update(*request.body);
+  return digester.Value();
+}
+
 }  // namespace
 
 class EdgeDaemon::Impl : public relay::CallerHandler, public Exchange::Events {
@@ -138,6 +149,7 @@
                        reason + "\n");
       return;
     }
+    decoded->content = ContentOf(request);
     const dispatch::CallId id = next_call_++;
     calls_by_session_[session.get()] = id;
     exchanges_.try_emplace(id, id, decoded->id, session, std::move(request),
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -125,7 +125,8 @@
        {"time_left_ms", attempt.time_left},
        {"resume_after", attempt.resume_after.value_or(-1)},
        {"resumes", attempt.resumes},
-       {"parts", PartsText(attempt.shared_parts)}});
+       {"parts", PartsText(attempt.shared_parts)},
+       {"content", attempt.content.ToHex()}});
 }
 
 void LogRecord(const dispatch::AttemptAbandoned& record) {
@@ -135,7 +136,8 @@
                                  {"next", record.next},
                                  {"since_start_ms", record.since_start},
                                  {"begun", record.had_begun},
-                                 {"parts", PartsText(record.shared_parts)}});
+                                 {"parts", PartsText(record.shared_parts)},
+                                 {"content", record.content.ToHex()}});
 }
 
 void LogLedgerWrite(const std::string& key, const platform::KvWriteDone& done) {
