Reproduce a request that comes again and crashes servers one after the other

One request, with the same content at any router, crashes each server that runs it; servers start again after three seconds. The digest of a request moves to a file of its own.

--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -180,6 +180,7 @@
       if (options_.has_prompts) {
         stream->prompt = AnyPrompt();
       }
+      stream->content = AnyContent();
       RequestStream(std::move(stream));
       ArriveNext();
       return;
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -49,6 +49,8 @@
     bool has_prompts = false;
     // Injected fault: routers do not know the parts of prompts.
     bool hides_parts = false;
+    // Injected fault: routers do not know the contents of requests.
+    bool hides_contents = false;
     // Injected fault: routers do not know the versions of servers.
     bool hides_versions = false;
     // Injected fault: routers ignore limits.
@@ -98,7 +100,8 @@
   };
 
   // Requests that crash nothing. Those that have the first part of crashing
-  // requests are counted at the first attempt of their callers.
+  // requests, if these have parts, are counted at the first attempt of their
+  // callers.
   struct BystanderCounts {
     int64_t asked = 0;
     int64_t begun = 0;
@@ -141,6 +144,9 @@
   void SendCrashingParts(double per_second,
                          const std::vector<uint64_t>& before,
                          const std::vector<uint64_t>& after);
+  // From now on, one request arrives again and again that crashes each server
+  // that runs it.
+  void SendCrashingRequest(double per_second);
   // Makes the store unavailable for `span`; leases expire meanwhile.
   void StopStore(base::Millis span);
 
@@ -201,9 +207,10 @@
   // Crashes by content; router_fleet_crashes.cc.
   Prompt MakePrompt(const std::vector<uint64_t>& shared_parts);
   Prompt AnyPrompt();
+  base::Digest AnyContent();
   void CrashingArriveNext(uint64_t series);
   // True of a stream that crashes nothing and has the first part of those that
-  // do.
+  // do, if these have parts.
   bool IsBystander(const Stream& stream) const;
   // Crashes a server if the run that is about to answer does so.
   bool CrashesByContent(const StreamRun& run);
@@ -246,6 +253,7 @@
   // Distinguishes the arrivals that the latest call started.
   uint64_t crashing_series_ = 0;
   uint64_t next_own_part_ = 0;
+  uint64_t next_own_content_ = 0;
   int64_t answered_ = 0;
   int64_t refused_ = 0;
   int64_t datagrams_ = 0;
--- a/libs/dispatch/tests/router_fleet_crashes.cc
+++ b/libs/dispatch/tests/router_fleet_crashes.cc
@@ -17,6 +17,12 @@
 constexpr uint64_t kCrashingPartId = 666;
 constexpr uint64_t kOwnPartId = 10'000;
 constexpr base::Tokens kPartTokens = 200;
+// Contents of requests: one that crashes servers, some that come again, and
+// others. One of kRepeatedOneIn requests comes again.
+constexpr uint64_t kCrashingContent = 666;
+constexpr uint64_t kRepeatedContents = 20;
+constexpr uint64_t kRepeatedOneIn = 4;
+constexpr uint64_t kOwnContent = 10'000;
 
 }  // namespace
 
@@ -38,6 +44,19 @@
       {1 + random_() % kFirstParts, kSecondPartId + random_() % kSecondParts});
 }
 
+base::Digest RouterFleet::AnyContent() {
+  const uint64_t own = next_own_content_++;
+  return base::Digest(1, own % kRepeatedOneIn == 0
+                             ? own / kRepeatedOneIn % kRepeatedContents
+                             : kOwnContent + own);
+}
+
+void RouterFleet::SendCrashingRequest(double per_second) {
+  crashing_parts_.clear();
+  crashing_per_second_ = per_second;
+  CrashingArriveNext(++crashing_series_);
+}
+
 void RouterFleet::SendCrashingParts(double per_second,
                                     const std::vector<uint64_t>& before,
                                     const std::vector<uint64_t>& after) {
@@ -60,7 +79,12 @@
       return;
     }
     auto stream = std::make_shared<Stream>();
-    stream->prompt = MakePrompt(crashing_parts_);
+    if (crashing_parts_.empty()) {
+      stream->content = base::Digest(1, kCrashingContent);
+    } else {
+      stream->prompt = MakePrompt(crashing_parts_);
+      stream->content = AnyContent();
+    }
     stream->is_crashing = true;
     RequestStream(std::move(stream));
     CrashingArriveNext(series);
@@ -68,8 +92,10 @@
 }
 
 bool RouterFleet::IsBystander(const Stream& stream) const {
-  return !stream.is_crashing && stream.prompt && !crashing_parts_.empty() &&
-         stream.prompt->parts.front().id == crashing_parts_.front();
+  return !stream.is_crashing &&
+         (crashing_parts_.empty() ||
+          (stream.prompt &&
+           stream.prompt->parts.front().id == crashing_parts_.front()));
 }
 
 bool RouterFleet::CrashesByContent(const StreamRun& run) {
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -66,6 +66,7 @@
   // The request in progress has brought an event.
   bool goes_on = false;
   std::optional<Prompt> prompt;
+  base::Digest content;
   // Crashes each server that begins an answer to it.
   bool is_crashing = false;
 };
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -37,6 +37,9 @@
   if (!options_.hides_parts) {
     arrived.request.prompt = stream->prompt;
   }
+  if (!options_.hides_contents) {
+    arrived.request.content = stream->content;
+  }
   stream->request_id = arrived.request.id;
   stream->goes_on = false;
   const bool is_bystander = IsBystander(*stream);
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -11,7 +11,6 @@
 #include "adapter/messages.h"
 #include "adapter/store_client.h"
 #include "base/clocks.h"
-#include "base/digester.h"
 #include "config/settings.h"
 #include "daemon/process_metrics.h"
 #include "daemon/stop_plan.h"
@@ -29,6 +28,7 @@
 #include "relay/caller_server.h"
 #include "relay/caller_session.h"
 #include "relay/upstream_pool.h"
+#include "request_content.h"
 #include "store_watcher.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
@@ -53,16 +53,6 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-base::Digest ContentOf(const relay::ReceivedRequest& request) {
-  base::Digester digester;
-  digester.Update(request.head.method)
-      .Update(" ")
-      .Update(request.head.target)
-      .Update("\n")
-      .Update(*request.body);
-  return digester.Value();
-}
-
 }  // namespace
 
 class EdgeDaemon::Impl : public relay::CallerHandler, public Exchange::Events {
