Contain requests that come again and crash backend servers

Callers of job-status and book-confirm were refused while the four servers of their service ended one after the other: one request, repeated by its caller at any router, ended each server that ran it.

Cause: no router recognises a repeat, so that each try is placed like a new request and retried once more by its router.

The whole request, by method, path, query, body and organisation, becomes a second kind of content. A sound request is also repeated until it is answered: four losses in a row are required, and none counts that a part or a request with more losses explains. Decisions are made at the end of a tick, once all that was in progress at a lost server is known; until then requests wait, and repeats of a request that was lost twice run one at a time at each router.

--- a/libs/dispatch/include/dispatch/content_containment.h
+++ b/libs/dispatch/include/dispatch/content_containment.h
@@ -58,6 +58,12 @@
   // True if one of them is contained, whether or not a trial is due.
   bool HasContained(base::Millis now,
                     const std::vector<ContentKey>& contents) const;
+  // Whether a request with these contents must wait for a decision that is made
+  // within a few tens of milliseconds.
+  bool IsUndecided(const std::vector<ContentKey>& contents) const;
+  // Whether a request with these contents must not be sent beside another one
+  // that is in progress.
+  bool MustRunAlone(const std::vector<ContentKey>& contents) const;
   // Longest time until a trial of one of them; zero if none is contained.
   base::Millis RemainingTime(base::Millis now,
                              const std::vector<ContentKey>& contents) const;
--- a/libs/dispatch/include/dispatch/content_key.h
+++ b/libs/dispatch/include/dispatch/content_key.h
@@ -15,6 +15,8 @@
   enum class Kind : uint8_t {
     // A part of prompts that several requests may have; `id` is its id.
     kPromptPart = 1,
+    // A request that its caller repeats; `id` is a digest of both.
+    kRequest = 2,
   };
 
   base::ServiceId service;
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -153,6 +153,10 @@
 
 void Dispatcher::State::TryStartAttempt(Call& call) {
   queue_.Remove(call.id);
+  if (MustWaitForDecision(call)) {
+    Enqueue(call);
+    return;
+  }
   const Choice choice =
       placement_.Choose(now_, MakePlacementRequest(call), OpenBackends(call));
   switch (choice.kind) {
@@ -309,7 +313,8 @@
       if (placed == kMaxPlacedPerStep) {
         break;
       }
-      if (call.software_version && full.count(*call.software_version) > 0) {
+      if ((call.software_version && full.count(*call.software_version) > 0) ||
+          MustWaitForDecision(call)) {
         continue;
       }
       const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
--- a/libs/dispatch/src/call_contents.cc
+++ b/libs/dispatch/src/call_contents.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Bounds what a caller can add to the evidence with one request.
-constexpr size_t kMaxContents = 128;
+constexpr size_t kMaxParts = 128;
 constexpr base::Millis kMinContainedRetryAfter(1000);
 constexpr int64_t kMillisPerSecond = 1000;
 
@@ -20,11 +20,16 @@
           {call.service, ContentKey::Kind::kPromptPart, base::Digest(0, part)});
     }
   }
+  if (contents.size() > kMaxParts) {
+    contents.resize(kMaxParts);
+  }
+  if (call.request.content != base::Digest()) {
+    contents.push_back({call.service, ContentKey::Kind::kRequest,
+                        base::Digest::Of(call.request.content.ToHex() + "/" +
+                                         call.organisation.value())});
+  }
   std::sort(contents.begin(), contents.end());
   contents.erase(std::unique(contents.begin(), contents.end()), contents.end());
-  if (contents.size() > kMaxContents) {
-    contents.resize(kMaxContents);
-  }
   return contents;
 }
 
@@ -45,6 +50,20 @@
   return false;
 }
 
+bool Dispatcher::State::MustWaitForDecision(const Call& call) const {
+  if (containment_.IsUndecided(call.contents)) {
+    return true;
+  }
+  if (!containment_.MustRunAlone(call.contents)) {
+    return false;
+  }
+  return std::any_of(calls_.begin(), calls_.end(), [&call](const auto& entry) {
+    const Call& other = *entry.second;
+    return other.id != call.id && other.attempt != 0 &&
+           !other.attempt_succeeded && other.contents == call.contents;
+  });
+}
+
 void Dispatcher::State::RefuseContained(Call& call) {
   const base::Millis remaining = std::max(
       kMinContainedRetryAfter, containment_.RemainingTime(now_, call.contents));
--- a/libs/dispatch/src/content_containment.cc
+++ b/libs/dispatch/src/content_containment.cc
@@ -56,6 +56,24 @@
                      });
 }
 
+bool ContentContainment::IsUndecided(
+    const std::vector<ContentKey>& contents) const {
+  return !state_->contents.empty() &&
+         std::any_of(contents.begin(), contents.end(),
+                     [this](const ContentKey& key) {
+                       return state_->IsUndecided(key);
+                     });
+}
+
+bool ContentContainment::MustRunAlone(
+    const std::vector<ContentKey>& contents) const {
+  return !state_->contents.empty() &&
+         std::any_of(contents.begin(), contents.end(),
+                     [this](const ContentKey& key) {
+                       return state_->IsSuspectedRequest(key);
+                     });
+}
+
 base::Millis ContentContainment::RemainingTime(
     base::Millis now,
     const std::vector<ContentKey>& contents) const {
@@ -165,6 +183,7 @@
 }
 
 void ContentContainment::Tick(base::Millis now) {
+  state_->Decide(now);
   state_->BeginContainments(now);
   state_->FlushLosses(now);
   state_->QueueGossip(now);
--- a/libs/dispatch/src/content_containment_state.cc
+++ b/libs/dispatch/src/content_containment_state.cc
@@ -10,15 +10,21 @@
 namespace godwit::dispatch {
 namespace {
 
-// Losses in a row after which a content that was never answered is contained;
-// fewer if many servers were lost, some of them together.
-constexpr int64_t kLossesIfNeverAnswered = 3;
+// Losses in a row after which a content that was never answered is contained.
+// More of a request than of a part: its caller repeats it until it is answered,
+// also while all servers are lost one after the other for another reason.
+constexpr int64_t kLossesOfPart = 3;
+constexpr int64_t kLossesOfRequest = 4;
+// Fewer if many servers were lost, some of them together; of a request, if it
+// was in progress at several of them at once.
 constexpr int64_t kLossesOfManyServers = 2;
 constexpr size_t kManyServers = 4;
-
+constexpr size_t kManyServersAtOnce = 3;
 constexpr int64_t kSuspiciousLosses = 2;
 // Losses that this router may not have been told of.
 constexpr size_t kMissedLosses = 1;
+// Time between the decisions of routers that know of a loss by a notice.
+constexpr base::Millis kDecisionSpacing(25);
 // Time without new losses after which evidence, and a containment whose trial
 // is due, are dropped.
 constexpr base::Millis kRetention(300'000);
@@ -105,6 +111,28 @@
   return lost_with;
 }
 
+bool ContentContainment::State::IsExplained(
+    const ContentKey& key,
+    const CrashEvidence& evidence) const {
+  if (key.kind != ContentKey::Kind::kRequest) {
+    return false;
+  }
+  const std::map<ContentKey, size_t> lost_with = CountLostWith(evidence);
+  const size_t servers = evidence.Backends().size();
+  return std::any_of(
+      lost_with.begin(), lost_with.end(), [&](const auto& entry) {
+        const auto& [other, count] = entry;
+        const auto found = contents.find(other);
+        if (other == key || count + kMissedLosses < servers ||
+            found == contents.end() || answered.LastAnsweredAt(other)) {
+          return false;
+        }
+        const size_t others = found->second.evidence.Backends().size();
+        return other.kind == ContentKey::Kind::kPromptPart ? others >= servers
+                                                           : others > servers;
+      });
+}
+
 bool ContentContainment::State::IsAmbiguous(
     const ContentKey& key,
     const Content& content,
@@ -148,43 +176,88 @@
       .first->second.contents.insert(key);
 
   Content& content = contents[key];
-  const int64_t before = content.evidence.count();
   content.evidence.Add(loss);
   content.updated_at = now;
-  const int64_t losses = content.evidence.count();
   if (content.containment) {
     content.containment->last_lost_at =
         std::max(content.containment->last_lost_at, loss.lost_at);
     return;
   }
-  if (!ContainIfDue(now, key, content, by_notice) &&
-      losses >= kSuspiciousLosses && losses > before) {
-    RecordChange(ContentStateChanged::State::kSuspected, key, content,
-                 base::Millis(), false);
+  // Of the routers that know of the loss by a notice, the next one decides only
+  // if those before it did not.
+  const base::Millis due_at =
+      by_notice ? now + kDecisionSpacing * RankFor(key) : now;
+  const auto [entry, is_new] = undecided.try_emplace(key, due_at);
+  entry->second = std::min(entry->second, due_at);
+}
+
+bool ContentContainment::State::IsUndecided(const ContentKey& key) const {
+  const auto found = contents.find(key);
+  if (found == contents.end()) {
+    return false;
   }
+  const auto& containment = found->second.containment;
+  return containment ? !containment->has_begun
+                     : undecided.count(key) > 0 && IsSuspectedRequest(key);
 }
 
-bool ContentContainment::State::ContainIfDue(base::Millis now,
-                                             const ContentKey& key,
-                                             Content& content,
-                                             bool by_notice) {
-  const int64_t losses = content.evidence.count();
-  int64_t required = kLossesIfNeverAnswered;
+bool ContentContainment::State::IsSuspectedRequest(
+    const ContentKey& key) const {
+  const auto found = contents.find(key);
+  return key.kind == ContentKey::Kind::kRequest && found != contents.end() &&
+         found->second.evidence.count() >= kSuspiciousLosses &&
+         !answered.LastAnsweredAt(key);
+}
+
+int64_t ContentContainment::State::RequiredLosses(
+    const ContentKey& key,
+    const CrashEvidence& evidence) const {
   if (answered.LastAnsweredAt(key)) {
-    required = kLossesIfAnswered;
-  } else if (content.evidence.Backends().size() >= kManyServers) {
-    required = kLossesOfManyServers;
+    return kLossesIfAnswered;
   }
-  if (content.containment || losses < required ||
-      (by_notice && RankFor(key) > 0)) {
-    return false;
+  const size_t servers = evidence.Backends().size();
+  if (key.kind == ContentKey::Kind::kPromptPart) {
+    return servers >= kManyServers ? kLossesOfManyServers : kLossesOfPart;
+  }
+  // A caller repeats its request one at a time.
+  const bool runs_at_once = static_cast<int64_t>(servers) > evidence.count();
+  return servers >= kManyServersAtOnce && runs_at_once ? kLossesOfManyServers
+                                                       : kLossesOfRequest;
+}
+
+void ContentContainment::State::Decide(base::Millis now) {
+  for (auto entry = undecided.begin(); entry != undecided.end();) {
+    const auto& [key, due_at] = *entry;
+    if (now < due_at) {
+      ++entry;
+      continue;
+    }
+    const auto found = contents.find(key);
+    if (found != contents.end()) {
+      Decide(now, key, found->second);
+    }
+    entry = undecided.erase(entry);
+  }
+}
+
+void ContentContainment::State::Decide(base::Millis now,
+                                       const ContentKey& key,
+                                       Content& content) {
+  if (content.containment) {
+    return;
+  }
+  const int64_t losses = content.evidence.count();
+  const int64_t required = RequiredLosses(key, content.evidence);
+  if (losses >= required && !IsExplained(key, content.evidence)) {
+    Contain(now, content,
+            {now + kObjectionTime, false, now + kFirstTrialPeriod,
+             kFirstTrialPeriod, content.evidence.first_lost_at(),
+             content.evidence.last_lost_at(), losses, false});
+    Broadcast(NoticeOf(now, key, *content.containment));
+  } else if (losses >= kSuspiciousLosses) {
+    RecordChange(ContentStateChanged::State::kSuspected, key, content,
+                 base::Millis(), false);
   }
-  Contain(now, content,
-          {now + kObjectionTime, false, now + kFirstTrialPeriod,
-           kFirstTrialPeriod, content.evidence.first_lost_at(),
-           content.evidence.last_lost_at(), losses, false});
-  Broadcast(NoticeOf(now, key, *content.containment));
-  return true;
 }
 
 bool ContentContainment::State::Clear(base::Millis now,
@@ -253,7 +326,7 @@
     evidence.Retract(backend);
     const auto& containment = entry->second.containment;
     if (containment && !containment->by_notice &&
-        evidence.count() < kLossesIfNeverAnswered) {
+        evidence.count() < RequiredLosses(key, evidence)) {
       if (Clear(now, key, now)) {
         Broadcast(ClearanceNotice{key, base::Millis(), true});
       }
--- a/libs/dispatch/src/content_containment_state.h
+++ b/libs/dispatch/src/content_containment_state.h
@@ -58,12 +58,18 @@
                const ContentKey& key,
                const CrashEvidence::Loss& loss,
                bool by_notice);
-  // Contains the content if the evidence suffices. Of the routers that know of
-  // the last loss by a notice, one decides.
-  bool ContainIfDue(base::Millis now,
-                    const ContentKey& key,
-                    Content& content,
-                    bool by_notice);
+  // Losses in a row after which the content is contained.
+  int64_t RequiredLosses(const ContentKey& key,
+                         const CrashEvidence& evidence) const;
+  // True while a containment has not begun, and while a suspected request has
+  // losses on which nothing was decided.
+  bool IsUndecided(const ContentKey& key) const;
+  // True of a request that was lost several times in a row and never answered.
+  bool IsSuspectedRequest(const ContentKey& key) const;
+  // Decides on the contents with new losses, once all that were in progress at
+  // the lost servers are known.
+  void Decide(base::Millis now);
+  void Decide(base::Millis now, const ContentKey& key, Content& content);
   void Contain(base::Millis now,
                Content& content,
                const Containment& containment);
@@ -88,6 +94,11 @@
   // At how many of the lost servers each content was in progress.
   std::map<ContentKey, size_t> CountLostWith(
       const CrashEvidence& evidence) const;
+  // True of a request that was lost only with servers at which another content
+  // was in progress, never answered and lost with more servers, or a part with
+  // as many. Callers repeat a request that is lost beside one that crashes
+  // servers.
+  bool IsExplained(const ContentKey& key, const CrashEvidence& evidence) const;
   // True if another content, never answered and missing from the request, was
   // in progress at the same lost servers: then the request tells which of the
   // two crashes servers.
@@ -110,6 +121,8 @@
   std::map<ContentKey, Content> contents;
   size_t contained_count = 0;
   std::map<std::string, LostServer> lost_servers;
+  // Contents with new losses, and when to decide on them.
+  std::map<ContentKey, base::Millis> undecided;
   // Own losses that the other routers were not told of, by server.
   std::map<std::string, std::map<ContentKey, base::Millis>> untold;
   base::Millis gossiped_at;
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -114,6 +114,9 @@
   // Contents that crash servers; call_contents.cc.
   // Returns false if the call was refused since its content is contained.
   bool AdmitContent(Call& call);
+  // True while a decision on the call's content is due, or a suspected request
+  // is in progress that the call repeats.
+  bool MustWaitForDecision(const Call& call) const;
   // Refuses a call that has not run.
   void RefuseContained(Call& call);
   // Ends the calls whose content has become contained.
--- a/libs/dispatch/src/router_message_codec.cc
+++ b/libs/dispatch/src/router_message_codec.cc
@@ -138,12 +138,16 @@
   const auto kind = cbor::Integer(cbor::Find(document, "kind"));
   const auto text = TextIn(document, "id");
   const auto id = text ? base::Digest::FromHex(*text) : std::nullopt;
-  if (!service || !id ||
-      kind != static_cast<int64_t>(ContentKey::Kind::kPromptPart)) {
+  if (!service || !id || !kind) {
     return std::nullopt;
   }
-  return ContentKey{base::ServiceId(std::move(*service)),
-                    static_cast<ContentKey::Kind>(*kind), *id};
+  for (const ContentKey::Kind known :
+       {ContentKey::Kind::kPromptPart, ContentKey::Kind::kRequest}) {
+    if (*kind == static_cast<int64_t>(known)) {
+      return ContentKey{base::ServiceId(std::move(*service)), known, *id};
+    }
+  }
+  return std::nullopt;
 }
 
 // Returns no value unless the field is a duration that is not negative.
--- a/libs/dispatch/tests/content_containment_test.cc
+++ b/libs/dispatch/tests/content_containment_test.cc
@@ -33,6 +33,10 @@
   return {ServiceId(service), ContentKey::Kind::kPromptPart, Digest(0, id)};
 }
 
+ContentKey Request(uint64_t id) {
+  return {ServiceId("model"), ContentKey::Kind::kRequest, Digest(0, id)};
+}
+
 // A loss of a server, or an answer.
 struct Step {
   // Backend::key() of the server; empty for an answer.
@@ -54,6 +58,7 @@
       }
       now = Millis(step.at);
     }
+    containment.Tick(now);
     now = now + kLater;
     containment.Tick(now);
   }
@@ -130,6 +135,7 @@
                      {Part(1)});
       }
     }
+    fresh.Tick(Millis(1000));
     fresh.Tick(Millis(2000));
     CHECK_TEXT(fresh.Judge(Millis(2000), {Part(1)}) == c.expected, c.name);
     CHECK_TEXT(fresh.Judge(Millis(2000), {Part(2)}) == Verdict::kFree, c.name);
@@ -139,6 +145,58 @@
   }
 }
 
+TEST(ContentContainment, ContainsRequestsThatWereRepeatedAndLost) {
+  struct Case {
+    const char* name;
+    std::vector<Step> steps;
+    // A part of the same requests.
+    std::vector<ContentKey> beside;
+    Verdict expected;
+  };
+  const std::vector<Step> three = {
+      {"a", 0, 100}, {"b", 110, 200}, {"c", 210, 300}};
+  std::vector<Step> four = three;
+  four.push_back({"d", 310, 400});
+  const std::vector<Case> cases = {
+      {"three losses, one after the other", three, {}, Verdict::kFree},
+      {"four losses", four, {}, Verdict::kContained},
+      {"two of three at once",
+       {{"a", 0, 100}, {"b", 20, 110}, {"c", 110, 200}},
+       {},
+       Verdict::kContained},
+      {"lost beside a part with as many losses",
+       four,
+       {Part(1)},
+       Verdict::kFree},
+  };
+  for (const Case& c : cases) {
+    ContentContainment fresh{members};
+    for (const Step& step : c.steps) {
+      std::vector<ContentKey> contents = c.beside;
+      contents.push_back(Request(1));
+      fresh.OnLost(Millis(step.at), step.lost, Millis(step.started_at),
+                   contents);
+    }
+    fresh.Tick(Millis(1000));
+    fresh.Tick(Millis(2000));
+    CHECK_TEXT(fresh.Judge(Millis(2000), {Request(1)}) == c.expected, c.name);
+  }
+}
+
+TEST(ContentContainment, SuspectedRequestRunsAlone) {
+  for (const char* backend : {"a", "b"}) {
+    CHECK(!containment.MustRunAlone({Request(1)}));
+    now = now + Millis(100);
+    containment.OnLost(now, backend, now, {Request(1)});
+  }
+  CHECK(containment.MustRunAlone({Request(1)}));
+  CHECK(containment.IsUndecided({Request(1)}));
+  containment.Tick(now);
+  CHECK(!containment.IsUndecided({Request(1)}));
+  containment.OnAnswered(now, {Request(1)});
+  CHECK(!containment.MustRunAlone({Request(1)}));
+}
+
 TEST(ContentContainment, LossIsRetractedOnceTheServerSendsSomething) {
   Play({{"a", 0, 100}, {"b", 110, 200}});
   containment.OnReceived(Millis(300), "b");
@@ -161,6 +219,7 @@
   CHECK(Judge() == Verdict::kFree);
   containment.On(Millis(310),
                  LossNotice{"c", Millis(5), {{Part(1), Millis(90)}}});
+  containment.Tick(Millis(320));
   CHECK_EQUAL(1, Sent<ContainmentNotice>().size());
   now = Millis(400);
   containment.Tick(now);
@@ -220,6 +279,7 @@
     containment.OnLost(Millis(step.at), step.lost, Millis(step.started_at),
                        {Part(1), Part(2)});
   }
+  containment.Tick(Millis(310));
   now = Millis(400);
   containment.Tick(now);
   CHECK(containment.Judge(now, {Part(1), Part(2)}) == Verdict::kContained);
@@ -243,7 +303,8 @@
 }
 
 TEST(ContentContainment, RecordsItsDecisions) {
-  Contain();
+  Play({{"a", 0, 100}, {"b", 110, 200}});
+  Play({{"c", 1210, 1300}});
   containment.OnAnswered(now, {Part(1)});
   std::vector<ContentStateChanged::State> states;
   for (const ContentStateChanged& change : containment.TakeChanges()) {
--- a/libs/dispatch/tests/crash_containment_faults_test.cc
+++ b/libs/dispatch/tests/crash_containment_faults_test.cc
@@ -17,6 +17,7 @@
 
 constexpr Millis kStabilityWindow(3000);
 constexpr size_t kCrashesUntilKnown = 5;
+constexpr size_t kCrashesUntilRequestKnown = 3;
 constexpr int64_t kToleratedRequests = 3;
 
 struct Fleet {
@@ -71,6 +72,15 @@
   }
 }
 
+void InjectFaults(RouterFleet& fleet, const Fleet& plan) {
+  const int steps = *rc::gen::inRange(0, 12);
+  for (int i = 0; i < steps; ++i) {
+    InjectAnyFault(fleet, plan.options.servers);
+    fleet.Run(Millis(*rc::gen::inRange<int64_t>(0, 2500)));
+  }
+  fleet.Run(Millis(8000));
+}
+
 // What the prompts with the crashing part have behind it.
 const std::vector<std::vector<uint64_t>>& BesideParts() {
   static const std::vector<std::vector<uint64_t>> parts = {
@@ -84,12 +94,7 @@
     fleet.SendCrashingParts(plan.crashing_per_second, {1},
                             *rc::gen::elementOf(BesideParts()));
   }
-  const int steps = *rc::gen::inRange(0, 12);
-  for (int i = 0; i < steps; ++i) {
-    InjectAnyFault(fleet, plan.options.servers);
-    fleet.Run(Millis(*rc::gen::inRange<int64_t>(0, 2500)));
-  }
-  fleet.Run(Millis(8000));
+  InjectFaults(fleet, plan);
 }
 
 void CrashingPartsAreContained(bool hides_parts) {
@@ -102,6 +107,18 @@
             kToleratedRequests);
 }
 
+void CrashingRequestsAreContained(bool hides_contents) {
+  Fleet plan = AnyFleet();
+  plan.options.has_prompts = false;
+  plan.options.hides_contents = hides_contents;
+  RouterFleet fleet(plan.options);
+  fleet.Run(Millis(*rc::gen::inRange<int64_t>(500, 8000)));
+  fleet.SendCrashingRequest(*rc::gen::element(0.5, 2.0, 10.0));
+  InjectFaults(fleet, plan);
+  RC_ASSERT(fleet.SentAfterCrash(kCrashesUntilRequestKnown, kStabilityWindow) <=
+            kToleratedRequests);
+}
+
 void NothingElseIsContained() {
   const Fleet plan = AnyFleet();
   RouterFleet fleet(plan.options);
@@ -118,6 +135,16 @@
                   [] { CrashingPartsAreContained(false); }));
 }
 
+TEST(CrashContainmentFaults, CrashingRequestsAreContainedOverFaults) {
+  CHECK(rc::check("crashing requests are contained",
+                  [] { CrashingRequestsAreContained(false); }));
+}
+
+TEST(CrashContainmentFaults, UnknownContentsAreDetected) {
+  CHECK(
+      godwit::support::IsFalsified([] { CrashingRequestsAreContained(true); }));
+}
+
 TEST(CrashContainmentFaults, UnknownPartsAreDetected) {
   CHECK(godwit::support::IsFalsified([] { CrashingPartsAreContained(true); }));
 }
--- a/libs/dispatch/tests/router_message_codec_test.cc
+++ b/libs/dispatch/tests/router_message_codec_test.cc
@@ -31,6 +31,9 @@
 const ContentKey kPart = {ServiceId("model"), ContentKey::Kind::kPromptPart,
                           Digest(0, 0xfedcba9876543210)};
 
+const ContentKey kRequest = {ServiceId("model"), ContentKey::Kind::kRequest,
+                             Digest(7, 9)};
+
 std::string Cbor(const Json& document) {
   std::string bytes;
   Json::to_cbor(document, bytes);
@@ -53,6 +56,7 @@
       StreamOriginReply{"9c41", {StreamOrigin::Certainty::kRecorded, "v1"}},
       LossNotice{"s1@7", Millis(3), {}},
       LossNotice{"s1@7", Millis(0), {{kPart, Millis(0)}, {kPart, Millis(90)}}},
+      LossNotice{"s1@7", Millis(0), {{kRequest, Millis(5)}}},
       LossRetraction{"s1@7"},
       ContainmentNotice{kPart, Millis(900), Millis(3), 3, Millis(60'000),
                         Millis(60'000)},
