--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -372,6 +372,7 @@
     backoff_.Tick(now_);
   }
   containment_.Tick(now_);
+  EndContainedCalls();
   for (const LimitNotice& notice : limits_.Tick(now_)) {
     Broadcast(notice);
   }
