Try a contained content early only against another contained one

A router may at once try a request that lacks another suspect of the same lost servers. Now the other one must be contained, too.

--- a/libs/dispatch/src/content_containment_state.cc
+++ b/libs/dispatch/src/content_containment_state.cc
@@ -143,7 +143,9 @@
   return std::any_of(
       lost_with.begin(), lost_with.end(), [&](const auto& entry) {
         const auto& [other, count] = entry;
+        const auto found = contents.find(other);
         return other != key && count + kMissedLosses >= servers &&
+               found != contents.end() && found->second.containment &&
                !answered.LastAnsweredAt(other) &&
                !std::binary_search(request.begin(), request.end(), other);
       });
--- a/libs/dispatch/src/content_containment_state.h
+++ b/libs/dispatch/src/content_containment_state.h
@@ -99,9 +99,9 @@
   // as many. Callers repeat a request that is lost beside one that crashes
   // servers.
   bool IsExplained(const ContentKey& key, const CrashEvidence& evidence) const;
-  // True if another content, never answered and missing from the request, was
-  // in progress at the same lost servers: then the request tells which of the
-  // two crashes servers.
+  // True if another contained content, never answered and missing from the
+  // request, was in progress at the same lost servers: then the request tells
+  // which of the two crashes servers.
   bool IsAmbiguous(const ContentKey& key,
                    const Content& content,
                    const std::vector<ContentKey>& request) const;
