--- /dev/null
+++ b/libs/dispatch/src/attempt_events.cc
@@ -0,0 +1,195 @@
+// Events of attempts at backend servers.
+#include <algorithm>
+#include <string>
+
+#include "dispatcher_state.h"
+
+namespace godwit::dispatch {
+namespace {
+
+using Outcome = Placement::Outcome;
+
+// Time for which a stream must go on until its content counts as harmless.
+constexpr base::Millis kAnswerSettleTime(300);
+// HTTP statuses: the lowest server error, "too many requests", and the range
+// of successes.
+constexpr int kServerError = 500;
+constexpr int kTooManyRequests = 429;
+constexpr int kSuccess = 200;
+constexpr int kRedirect = 300;
+
+// How an answer is treated: relayed to the caller, or retried if possible.
+enum class AnswerClass : uint8_t {
+  kGood,
+  kFailed,
+  kNotRun,
+  kInstanceMismatch,
+  kInvalid
+};
+
+bool IsSuccess(const Reply& reply) {
+  return reply.status >= kSuccess && reply.status < kRedirect;
+}
+
+AnswerClass ClassifyReply(const Reply& reply) {
+  if (reply.instance_mismatch) {
+    return AnswerClass::kInstanceMismatch;
+  }
+  // A request that one server rejects as invalid is invalid at any server, so
+  // only these statuses are worth another attempt.
+  if (reply.not_run &&
+      (reply.status == kTooManyRequests || reply.status >= kServerError)) {
+    return AnswerClass::kNotRun;
+  }
+  if (IsSuccess(reply) && !reply.is_signed) {
+    return AnswerClass::kInvalid;
+  }
+  return reply.status >= kServerError ? AnswerClass::kFailed
+                                      : AnswerClass::kGood;
+}
+
+const char* ReasonText(AttemptFailure failure) {
+  switch (failure) {
+    case AttemptFailure::kNotSent:
+      return "no connection";
+    case AttemptFailure::kLost:
+      return "connection lost";
+    case AttemptFailure::kDamaged:
+      return "damaged answer";
+  }
+  return "";
+}
+
+}  // namespace
+
+void Dispatcher::State::On(const AttemptAnswered& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.OnAnswered(now_, call->attempt, event.reply.load);
+  call->attempt_begun = true;
+  call->attempt_begun_at = now_;
+  ApplyStatements(*call, event.reply);
+  const AnswerClass answer_class = ClassifyReply(event.reply);
+  if (answer_class != AnswerClass::kInstanceMismatch) {
+    NoteReceived(*call);
+  }
+  if (event.complete && IsSuccess(event.reply) &&
+      answer_class == AnswerClass::kGood) {
+    NoteSuccess(*call);
+  }
+  const std::string status = "status " + std::to_string(event.reply.status);
+  const bool is_resumed = call->phase == Call::Phase::kRelaying;
+  switch (answer_class) {
+    case AnswerClass::kInstanceMismatch:
+      Emit(directory_.MarkReplaced(call->backend.instance));
+      CancelAndAbandon(*call, Outcome::kRefused, RunOutcome::kNotRun,
+                       "wrong server, " + status);
+      return;
+    case AnswerClass::kNotRun:
+      CancelAndAbandon(*call, Outcome::kRefused, RunOutcome::kNotRun,
+                       "not run, " + status);
+      return;
+    case AnswerClass::kInvalid:
+      CancelAndAbandon(*call, Outcome::kFailed, RunOutcome::kMayHaveRun,
+                       "unsigned, " + status);
+      return;
+    case AnswerClass::kFailed:
+      if (is_resumed) {
+        CancelAndAbandon(*call, Outcome::kFailed, RunOutcome::kMayHaveRun,
+                         "failed, " + status);
+        return;
+      }
+      if (FailOver(*call, "failed, " + status)) {
+        return;
+      }
+      break;
+    case AnswerClass::kGood:
+      break;
+  }
+  if (!is_resumed) {
+    call->first_byte_at = now_;
+  }
+  call->phase = Call::Phase::kRelaying;
+  if (call->route->is_stream && !is_resumed && !event.complete) {
+    call->software_version = call->backend.software_version;
+    RecordOrigin(*call);
+  }
+  // A failure that is relayed to the caller was also a run, and is billed.
+  call->may_have_run = true;
+  Emit(RelayAnswer{call->id, call->attempt});
+  if (event.complete) {
+    const bool is_good = answer_class == AnswerClass::kGood;
+    placement_.OnEnded(now_, call->attempt,
+                       is_good ? Outcome::kServed : Outcome::kFailed);
+    End(*call, is_good ? "answered" : "failed", status);
+    ProcessQueues();
+  }
+}
+
+void Dispatcher::State::CancelAndAbandon(Call& call,
+                                         Outcome outcome,
+                                         RunOutcome run_outcome,
+                                         const std::string& reason) {
+  Cancel(call, outcome);
+  Abandon(call, run_outcome, reason);
+}
+
+void Dispatcher::State::On(const AttemptProgressed& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.OnProgressed(now_, call->attempt);
+  NoteReceived(*call);
+  // A server that is crashed by the content may still send the first events.
+  if (now_ - call->attempt_begun_at >= kAnswerSettleTime) {
+    NoteSuccess(*call);
+  }
+  if (call->events > 0) {
+    call->longest_gap = std::max(call->longest_gap, now_ - call->last_event_at);
+  }
+  call->last_event_at = now_;
+  call->events = event.events;
+  call->last_event = event.last_event;
+}
+
+void Dispatcher::State::On(const AttemptEnded& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.OnEnded(now_, call->attempt, Outcome::kServed);
+  NoteReceived(*call);
+  NoteSuccess(*call);
+  End(*call, "answered", "whole");
+  ProcessQueues();
+}
+
+void Dispatcher::State::On(const AttemptFailed& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  const bool not_sent = event.failure == AttemptFailure::kNotSent;
+  if (!not_sent && !call->attempt_succeeded) {
+    containment_.OnLost(now_, call->backend.key(), call->attempt_started_at,
+                        call->contents);
+  }
+  placement_.OnEnded(now_, call->attempt,
+                     not_sent ? Outcome::kUnreachable : Outcome::kFailed);
+  Abandon(*call, not_sent ? RunOutcome::kNotArrived : RunOutcome::kMayHaveRun,
+          ReasonText(event.failure));
+  ProcessQueues();
+}
+
+Call* Dispatcher::State::FindAttempt(CallId id, int64_t attempt) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second->attempt != attempt) {
+    return nullptr;
+  }
+  return found->second.get();
+}
+
+}  // namespace godwit::dispatch
--- a/libs/dispatch/src/content_containment_state.cc
+++ b/libs/dispatch/src/content_containment_state.cc
@@ -10,19 +10,6 @@
 namespace godwit::dispatch {
 namespace {
 
-// Losses in a row after which a content that was never answered is contained.
-// More of a request than of a part: its caller repeats it until it is answered,
-// also while all servers are lost one after the other for another reason.
-constexpr int64_t kLossesOfPart = 3;
-constexpr int64_t kLossesOfRequest = 4;
-// Fewer if many servers were lost, some of them together; of a request, if it
-// was in progress at several of them at once.
-constexpr int64_t kLossesOfManyServers = 2;
-constexpr size_t kManyServers = 4;
-constexpr size_t kManyServersAtOnce = 3;
-constexpr int64_t kSuspiciousLosses = 2;
-// Losses that this router may not have been told of.
-constexpr size_t kMissedLosses = 1;
 // Time between the decisions of routers that know of a loss by a notice.
 constexpr base::Millis kDecisionSpacing(25);
 // Time without new losses after which evidence, and a containment whose trial
@@ -30,11 +17,6 @@
 constexpr base::Millis kRetention(300'000);
 // Bound on the contents with evidence; the oldest are dropped.
 constexpr size_t kMaxContents = 8192;
-// Time until the first trial of a contained content; it doubles with each.
-constexpr base::Millis kFirstTrialPeriod(60'000);
-// Routers may begin a trial one after the other, this long apart, so that each
-// learns of the trials of those before it.
-constexpr base::Millis kTrialSpacing(2000);
 // Interval at which one other router is told what is contained.
 constexpr base::Millis kGossipInterval(1000);
 constexpr size_t kMaxGossipPerInterval = 8;
@@ -96,76 +78,6 @@
   }
 }
 
-std::map<ContentKey, size_t> ContentContainment::State::CountLostWith(
-    const CrashEvidence& evidence) const {
-  std::map<ContentKey, size_t> lost_with;
-  for (const std::string& backend : evidence.Backends()) {
-    const auto server = lost_servers.find(backend);
-    if (server == lost_servers.end()) {
-      continue;
-    }
-    for (const ContentKey& other : server->second.contents) {
-      ++lost_with[other];
-    }
-  }
-  return lost_with;
-}
-
-bool ContentContainment::State::IsExplained(
-    const ContentKey& key,
-    const CrashEvidence& evidence) const {
-  if (key.kind != ContentKey::Kind::kRequest) {
-    return false;
-  }
-  const std::map<ContentKey, size_t> lost_with = CountLostWith(evidence);
-  const size_t servers = evidence.Backends().size();
-  return std::any_of(
-      lost_with.begin(), lost_with.end(), [&](const auto& entry) {
-        const auto& [other, count] = entry;
-        const auto found = contents.find(other);
-        if (other == key || count + kMissedLosses < servers ||
-            found == contents.end() || answered.LastAnsweredAt(other)) {
-          return false;
-        }
-        const size_t others = found->second.evidence.Backends().size();
-        return other.kind == ContentKey::Kind::kPromptPart ? others >= servers
-                                                           : others > servers;
-      });
-}
-
-bool ContentContainment::State::IsAmbiguous(
-    const ContentKey& key,
-    const Content& content,
-    const std::vector<ContentKey>& request) const {
-  const std::map<ContentKey, size_t> lost_with =
-      CountLostWith(content.evidence);
-  const size_t servers = content.evidence.Backends().size();
-  return std::any_of(
-      lost_with.begin(), lost_with.end(), [&](const auto& entry) {
-        const auto& [other, count] = entry;
-        const auto found = contents.find(other);
-        return other != key && count + kMissedLosses >= servers &&
-               found != contents.end() && found->second.containment &&
-               !answered.LastAnsweredAt(other) &&
-               !std::binary_search(request.begin(), request.end(), other);
-      });
-}
-
-bool ContentContainment::State::IsTrialDue(
-    base::Millis now,
-    const ContentKey& key,
-    const std::vector<ContentKey>& request) const {
-  const Content& content = contents.at(key);
-  const Containment& containment = *content.containment;
-  if (now < containment.trial_at && (containment.period > kFirstTrialPeriod ||
-                                     !IsAmbiguous(key, content, request))) {
-    return false;
-  }
-  const base::Millis first =
-      now < containment.trial_at ? containment.begins_at : containment.trial_at;
-  return now >= first + kTrialSpacing * RankFor(key);
-}
-
 void ContentContainment::State::AddLoss(base::Millis now,
                                         const ContentKey& key,
                                         const CrashEvidence::Loss& loss,
@@ -193,75 +105,6 @@
   entry->second = std::min(entry->second, due_at);
 }
 
-bool ContentContainment::State::IsUndecided(const ContentKey& key) const {
-  const auto found = contents.find(key);
-  if (found == contents.end()) {
-    return false;
-  }
-  const auto& containment = found->second.containment;
-  return containment ? !containment->has_begun
-                     : undecided.count(key) > 0 && IsSuspectedRequest(key);
-}
-
-bool ContentContainment::State::IsSuspectedRequest(
-    const ContentKey& key) const {
-  const auto found = contents.find(key);
-  return key.kind == ContentKey::Kind::kRequest && found != contents.end() &&
-         found->second.evidence.count() >= kSuspiciousLosses &&
-         !answered.LastAnsweredAt(key);
-}
-
-int64_t ContentContainment::State::RequiredLosses(
-    const ContentKey& key,
-    const CrashEvidence& evidence) const {
-  if (answered.LastAnsweredAt(key)) {
-    return kLossesIfAnswered;
-  }
-  const size_t servers = evidence.Backends().size();
-  if (key.kind == ContentKey::Kind::kPromptPart) {
-    return servers >= kManyServers ? kLossesOfManyServers : kLossesOfPart;
-  }
-  // A caller repeats its request one at a time.
-  const bool runs_at_once = static_cast<int64_t>(servers) > evidence.count();
-  return servers >= kManyServersAtOnce && runs_at_once ? kLossesOfManyServers
-                                                       : kLossesOfRequest;
-}
-
-void ContentContainment::State::Decide(base::Millis now) {
-  for (auto entry = undecided.begin(); entry != undecided.end();) {
-    const auto& [key, due_at] = *entry;
-    if (now < due_at) {
-      ++entry;
-      continue;
-    }
-    const auto found = contents.find(key);
-    if (found != contents.end()) {
-      Decide(now, key, found->second);
-    }
-    entry = undecided.erase(entry);
-  }
-}
-
-void ContentContainment::State::Decide(base::Millis now,
-                                       const ContentKey& key,
-                                       Content& content) {
-  if (content.containment) {
-    return;
-  }
-  const int64_t losses = content.evidence.count();
-  const int64_t required = RequiredLosses(key, content.evidence);
-  if (losses >= required && !IsExplained(key, content.evidence)) {
-    Contain(now, content,
-            {now + kObjectionTime, false, now + kFirstTrialPeriod,
-             kFirstTrialPeriod, content.evidence.first_lost_at(),
-             content.evidence.last_lost_at(), losses, false});
-    Broadcast(NoticeOf(now, key, *content.containment));
-  } else if (losses >= kSuspiciousLosses) {
-    RecordChange(ContentStateChanged::State::kSuspected, key, content,
-                 base::Millis(), false);
-  }
-}
-
 bool ContentContainment::State::Clear(base::Millis now,
                                       const ContentKey& key,
                                       base::Millis answered_at) {
@@ -338,18 +181,6 @@
   }
 }
 
-int64_t ContentContainment::State::RankFor(const ContentKey& key) const {
-  const auto weight_of = [&key](const base::ProcessId& process) {
-    return base::Digest::Of(key.id.ToHex() + "/" + process.value()).low();
-  };
-  const uint64_t own = weight_of(members.self());
-  int64_t rank = 0;
-  for (const auto& [process, address] : members.members()) {
-    rank += weight_of(process) > own ? 1 : 0;
-  }
-  return rank;
-}
-
 void ContentContainment::State::FlushLosses(base::Millis now) {
   for (const auto& [backend, started] : untold) {
     const auto server = lost_servers.find(backend);
--- a/libs/dispatch/src/content_containment_state.h
+++ b/libs/dispatch/src/content_containment_state.h
@@ -17,6 +17,8 @@
 namespace godwit::dispatch {
 
 struct ContentContainment::State {
+  // Losses in a row after which a content is suspected.
+  static constexpr int64_t kSuspiciousLosses = 2;
   // Losses in a row after which a content is contained that was answered before
   // and is more likely to have been lost with requests beside it.
   static constexpr int64_t kLossesIfAnswered = 5;
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -38,7 +38,8 @@
   std::vector<DispatchCommand> Step(base::Millis now,
                                     const DispatchEvent& event);
 
-  // Event handlers; dispatcher_state.cc.
+  // Event handlers; dispatcher_state.cc, attempt_events.cc for those of
+  // attempts.
   void On(const CallArrived& event);
   void On(const CallerDisconnected& event);
   void On(const AttemptAnswered& event);
