Confirm containments, and run suspected requests at one router at a time

A containment is now proposed first and holds at the others only once it is confirmed; the end of a suspicion is sent twice. A router that sends a request which was lost twice tells the others, and repeats there wait for the outcome.

--- a/libs/dispatch/include/dispatch/containment_notice.h
+++ b/libs/dispatch/include/dispatch/containment_notice.h
@@ -10,7 +10,7 @@
 namespace godwit::dispatch {
 
 // Notifies another router that requests with a content are not sent to backend
-// servers.
+// servers, or that this is about to be decided.
 struct ContainmentNotice {
   ContentKey content;
   // Times since the first and the last server were lost.
@@ -22,12 +22,15 @@
   base::Millis remaining;
   // Time from one trial to the next.
   base::Millis period;
+  // Nobody objected in time; until then, requests wait.
+  bool is_confirmed = false;
 
   friend bool operator==(const ContainmentNotice& a,
                          const ContainmentNotice& b) {
     return std::tie(a.content, a.first_age, a.last_age, a.losses, a.remaining,
-                    a.period) == std::tie(b.content, b.first_age, b.last_age,
-                                          b.losses, b.remaining, b.period);
+                    a.period, a.is_confirmed) ==
+           std::tie(b.content, b.first_age, b.last_age, b.losses, b.remaining,
+                    b.period, b.is_confirmed);
   }
   friend bool operator!=(const ContainmentNotice& a,
                          const ContainmentNotice& b) {
--- a/libs/dispatch/include/dispatch/content_containment.h
+++ b/libs/dispatch/include/dispatch/content_containment.h
@@ -59,8 +59,10 @@
   bool HasContained(base::Millis now,
                     const std::vector<ContentKey>& contents) const;
   // Whether a request with these contents must wait for a decision that is made
-  // within a few tens of milliseconds.
-  bool IsUndecided(const std::vector<ContentKey>& contents) const;
+  // within a few tens of milliseconds, or for the outcome of a suspected repeat
+  // at another router.
+  bool IsUndecided(base::Millis now,
+                   const std::vector<ContentKey>& contents) const;
   // Whether a request with these contents must not be sent beside another one
   // that is in progress.
   bool MustRunAlone(const std::vector<ContentKey>& contents) const;
@@ -71,6 +73,8 @@
   bool WereAnswered(base::Millis now,
                     const std::vector<ContentKey>& contents) const;
 
+  // A request with these contents was sent to a server.
+  void OnSent(const std::vector<ContentKey>& contents);
   // The connection to a server with this Backend::key() was lost while it had
   // an unanswered attempt with these contents.
   void OnLost(base::Millis now,
@@ -90,6 +94,7 @@
           const base::Endpoint& from,
           const ContainmentNotice& notice);
   void On(base::Millis now, const ClearanceNotice& notice);
+  void On(base::Millis now, const SuspectRunNotice& notice);
 
   // Queues what is due. Due every few tens of milliseconds.
   void Tick(base::Millis now);
--- a/libs/dispatch/include/dispatch/router_message.h
+++ b/libs/dispatch/include/dispatch/router_message.h
@@ -11,6 +11,7 @@
 #include "dispatch/stream_origin_notice.h"
 #include "dispatch/stream_origin_query.h"
 #include "dispatch/stream_origin_reply.h"
+#include "dispatch/suspect_run_notice.h"
 
 namespace godwit::dispatch {
 
@@ -23,7 +24,8 @@
                                    LossNotice,
                                    LossRetraction,
                                    ContainmentNotice,
-                                   ClearanceNotice>;
+                                   ClearanceNotice,
+                                   SuspectRunNotice>;
 
 }  // namespace godwit::dispatch
 
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -50,6 +50,7 @@
     call.phase = Call::Phase::kAttempting;
   }
   limits_.OnSent(now_, call.backend);
+  containment_.OnSent(call.contents);
   placement_.OnStarted(now_, call.attempt, call.backend,
                        MakePlacementRequest(call));
   StartAttempt start;
--- a/libs/dispatch/src/call_contents.cc
+++ b/libs/dispatch/src/call_contents.cc
@@ -51,7 +51,7 @@
 }
 
 bool Dispatcher::State::MustWaitForDecision(const Call& call) const {
-  if (containment_.IsUndecided(call.contents)) {
+  if (containment_.IsUndecided(now_, call.contents)) {
     return true;
   }
   if (!containment_.MustRunAlone(call.contents)) {
@@ -162,4 +162,9 @@
   containment_.On(now_, notice);
 }
 
+void Dispatcher::State::OnMessage(const base::Endpoint& /*from*/,
+                                  const SuspectRunNotice& notice) {
+  containment_.On(now_, notice);
+}
+
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/content_containment.cc
+++ b/libs/dispatch/src/content_containment.cc
@@ -14,6 +14,11 @@
 // before.
 constexpr base::Millis kReceiveDelay(250);
 
+// Longest waits for the decision of another router to be confirmed, and for the
+// outcome of a suspected request there.
+constexpr base::Millis kMaxDecisionTime(100);
+constexpr base::Millis kMaxSuspectRunTime(1000);
+
 }  // namespace
 
 ContentContainment::ContentContainment(const FleetMembers& members)
@@ -57,11 +62,12 @@
 }
 
 bool ContentContainment::IsUndecided(
+    base::Millis now,
     const std::vector<ContentKey>& contents) const {
   return !state_->contents.empty() &&
          std::any_of(contents.begin(), contents.end(),
-                     [this](const ContentKey& key) {
-                       return state_->IsUndecided(key);
+                     [this, now](const ContentKey& key) {
+                       return state_->IsUndecided(now, key);
                      });
 }
 
@@ -97,6 +103,17 @@
                      });
 }
 
+void ContentContainment::OnSent(const std::vector<ContentKey>& contents) {
+  if (state_->contents.empty()) {
+    return;
+  }
+  for (const ContentKey& key : contents) {
+    if (state_->IsSuspectedRequest(key)) {
+      state_->Broadcast(SuspectRunNotice{key});
+    }
+  }
+}
+
 void ContentContainment::OnLost(base::Millis now,
                                 const std::string& backend,
                                 base::Millis started_at,
@@ -114,7 +131,7 @@
   for (const ContentKey& key : contents) {
     state_->answered.Record(now, key);
     if (state_->Clear(now, key, now)) {
-      state_->Broadcast(ClearanceNotice{key, base::Millis(), true});
+      state_->BroadcastClearance(now, key, now);
     }
   }
 }
@@ -158,15 +175,18 @@
     return;
   }
   State::Content& content = state_->contents[notice.content];
+  if (!notice.is_confirmed) {
+    content.held_until = now + kMaxDecisionTime;
+    content.updated_at = now;
+    return;
+  }
   if (content.containment && content.containment->period >= notice.period) {
     return;
   }
   const bool has_begun = content.containment && content.containment->has_begun;
-  state_->Contain(
-      now, content,
-      {has_begun ? content.containment->begins_at : now + State::kObjectionTime,
-       has_begun, now + notice.remaining, notice.period, first_lost_at,
-       now - notice.last_age, notice.losses, true});
+  state_->Contain(now, content,
+                  {now, has_begun, now + notice.remaining, notice.period,
+                   first_lost_at, now - notice.last_age, notice.losses, true});
 }
 
 void ContentContainment::On(base::Millis now, const ClearanceNotice& notice) {
@@ -178,13 +198,24 @@
                             !known->second.containment->by_notice;
   if (state_->Clear(now, notice.content, answered_at) && decided_here &&
       !notice.is_broadcast) {
-    state_->Broadcast(ClearanceNotice{notice.content, notice.age, true});
+    state_->BroadcastClearance(now, notice.content, answered_at);
+  }
+}
+
+void ContentContainment::On(base::Millis now, const SuspectRunNotice& notice) {
+  const auto found = state_->contents.find(notice.content);
+  if (found != state_->contents.end() &&
+      state_->IsSuspectedRequest(notice.content)) {
+    found->second.held_until = now + kMaxSuspectRunTime;
   }
 }
 
 void ContentContainment::Tick(base::Millis now) {
   state_->Decide(now);
   state_->BeginContainments(now);
+  for (const auto& [key, answered_at] : std::exchange(state_->cleared, {})) {
+    state_->Broadcast(ClearanceNotice{key, now - answered_at, true});
+  }
   state_->FlushLosses(now);
   state_->QueueGossip(now);
   if (!state_->contents.empty() || !state_->lost_servers.empty()) {
--- a/libs/dispatch/src/content_containment_state.cc
+++ b/libs/dispatch/src/content_containment_state.cc
@@ -75,6 +75,9 @@
     newly_contained.push_back(key);
     RecordChange(ContentStateChanged::State::kContained, key, content,
                  containment.trial_at - now, containment.by_notice);
+    if (!containment.by_notice) {
+      Broadcast(NoticeOf(now, key, containment));
+    }
   }
 }
 
@@ -91,6 +94,7 @@
 
   Content& content = contents[key];
   content.evidence.Add(loss);
+  content.held_until = base::Millis();
   content.updated_at = now;
   if (content.containment) {
     content.containment->last_lost_at =
@@ -141,6 +145,13 @@
   messages.push_back({std::nullopt, std::move(message)});
 }
 
+void ContentContainment::State::BroadcastClearance(base::Millis now,
+                                                   const ContentKey& key,
+                                                   base::Millis answered_at) {
+  Broadcast(ClearanceNotice{key, now - answered_at, true});
+  cleared.emplace_back(key, answered_at);
+}
+
 ContainmentNotice ContentContainment::State::NoticeOf(
     base::Millis now,
     const ContentKey& key,
@@ -150,7 +161,8 @@
           now - containment.last_lost_at,
           containment.losses,
           std::max(base::Millis(), containment.trial_at - now),
-          containment.period};
+          containment.period,
+          containment.has_begun};
 }
 
 void ContentContainment::State::Retract(base::Millis now,
@@ -173,7 +185,7 @@
     if (containment && !containment->by_notice &&
         evidence.count() < RequiredLosses(key, evidence)) {
       if (Clear(now, key, now)) {
-        Broadcast(ClearanceNotice{key, base::Millis(), true});
+        BroadcastClearance(now, key, now);
       }
     } else if (!containment && evidence.empty()) {
       contents.erase(entry);
@@ -221,7 +233,8 @@
   gossiped_to = next->first;
   size_t count = 0;
   for (const auto& [key, content] : contents) {
-    if (content.containment && count++ < kMaxGossipPerInterval) {
+    if (content.containment && content.containment->has_begun &&
+        count++ < kMaxGossipPerInterval) {
       messages.push_back(
           {next->second, NoticeOf(now, key, *content.containment)});
     }
--- a/libs/dispatch/src/content_containment_state.h
+++ b/libs/dispatch/src/content_containment_state.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "answered_contents.h"
@@ -46,6 +47,9 @@
     CrashEvidence evidence;
     std::optional<Containment> containment;
     base::Millis updated_at;
+    // Until when another router is expected to tell how a run or a decision
+    // ended.
+    base::Millis held_until;
   };
 
   // A server to which connections were lost.
@@ -64,8 +68,8 @@
   int64_t RequiredLosses(const ContentKey& key,
                          const CrashEvidence& evidence) const;
   // True while a containment has not begun, and while a suspected request has
-  // losses on which nothing was decided.
-  bool IsUndecided(const ContentKey& key) const;
+  // losses on which nothing was decided or runs at another router.
+  bool IsUndecided(base::Millis now, const ContentKey& key) const;
   // True of a request that was lost several times in a row and never answered.
   bool IsSuspectedRequest(const ContentKey& key) const;
   // Decides on the contents with new losses, once all that were in progress at
@@ -79,6 +83,10 @@
   // so that other routers may have to be told.
   bool Clear(base::Millis now, const ContentKey& key, base::Millis answered_at);
   void Broadcast(RouterMessage message);
+  // Tells all routers twice: one that misses it would refuse sound requests.
+  void BroadcastClearance(base::Millis now,
+                          const ContentKey& key,
+                          base::Millis answered_at);
   static ContainmentNotice NoticeOf(base::Millis now,
                                     const ContentKey& key,
                                     const Containment& containment);
@@ -129,6 +137,9 @@
   std::map<std::string, std::map<ContentKey, base::Millis>> untold;
   base::Millis gossiped_at;
   base::ProcessId gossiped_to;
+  // Clearances that are repeated with the next tick, and when the content was
+  // answered.
+  std::vector<std::pair<ContentKey, base::Millis>> cleared;
   std::vector<Message> messages;
   std::vector<ContentStateChanged> changes;
   std::vector<ContentKey> newly_contained;
--- a/libs/dispatch/src/content_decisions.cc
+++ b/libs/dispatch/src/content_decisions.cc
@@ -99,14 +99,18 @@
   return now >= first + kTrialSpacing * RankFor(key);
 }
 
-bool ContentContainment::State::IsUndecided(const ContentKey& key) const {
+bool ContentContainment::State::IsUndecided(base::Millis now,
+                                            const ContentKey& key) const {
   const auto found = contents.find(key);
   if (found == contents.end()) {
     return false;
   }
   const auto& containment = found->second.containment;
-  return containment ? !containment->has_begun
-                     : undecided.count(key) > 0 && IsSuspectedRequest(key);
+  if (containment) {
+    return !containment->has_begun;
+  }
+  return now < found->second.held_until ||
+         (IsSuspectedRequest(key) && undecided.count(key) > 0);
 }
 
 bool ContentContainment::State::IsSuspectedRequest(
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -185,6 +185,7 @@
   void OnMessage(const base::Endpoint& from, const LossRetraction& retraction);
   void OnMessage(const base::Endpoint& from, const ContainmentNotice& notice);
   void OnMessage(const base::Endpoint& from, const ClearanceNotice& notice);
+  void OnMessage(const base::Endpoint& from, const SuspectRunNotice& notice);
   // Sends a message to all other routers.
   void Broadcast(const RouterMessage& message);
   void ForgetRemovedBackends();
--- a/libs/dispatch/src/router_message_codec.cc
+++ b/libs/dispatch/src/router_message_codec.cc
@@ -20,6 +20,7 @@
 constexpr char kLossRetraction[] = "loss_retraction";
 constexpr char kContainment[] = "containment";
 constexpr char kClearance[] = "clearance";
+constexpr char kSuspectRun[] = "suspect_run";
 // Above the length of any key, id or version.
 constexpr size_t kMaxTextBytes = 512;
 // Above any duration that routers state, in milliseconds.
@@ -209,7 +210,8 @@
                    {"last_age", notice.last_age.count()},
                    {"losses", notice.losses},
                    {"remaining", notice.remaining.count()},
-                   {"period", notice.period.count()}};
+                   {"period", notice.period.count()},
+                   {"confirmed", notice.is_confirmed}};
   AddContent(notice.content, document);
   return document;
 }
@@ -221,12 +223,19 @@
   const auto losses = cbor::Integer(cbor::Find(document, "losses"));
   const auto remaining = DurationIn(document, "remaining");
   const auto period = DurationIn(document, "period");
+  const Json* const is_confirmed = cbor::Find(document, "confirmed");
   if (!content || !first_age || !last_age || !losses || *losses < 0 ||
-      !remaining || !period) {
+      !remaining || !period || is_confirmed == nullptr ||
+      !is_confirmed->is_boolean()) {
     return std::nullopt;
   }
-  return ContainmentNotice{std::move(*content), *first_age, *last_age, *losses,
-                           *remaining,          *period};
+  return ContainmentNotice{std::move(*content),
+                           *first_age,
+                           *last_age,
+                           *losses,
+                           *remaining,
+                           *period,
+                           is_confirmed->get<bool>()};
 }
 
 Json ToJson(const ClearanceNotice& notice) {
@@ -248,6 +257,20 @@
   return ClearanceNotice{std::move(*content), *age, is_broadcast->get<bool>()};
 }
 
+Json ToJson(const SuspectRunNotice& notice) {
+  Json document = {{"type", kSuspectRun}};
+  AddContent(notice.content, document);
+  return document;
+}
+
+std::optional<RouterMessage> SuspectRunNoticeIn(const Json& document) {
+  auto content = ContentIn(document);
+  if (!content) {
+    return std::nullopt;
+  }
+  return SuspectRunNotice{std::move(*content)};
+}
+
 }  // namespace
 
 std::string EncodeRouterMessage(const RouterMessage& message) {
@@ -287,7 +310,10 @@
   if (*type == kContainment) {
     return ContainmentNoticeIn(*document);
   }
-  return *type == kClearance ? ClearanceNoticeIn(*document) : std::nullopt;
+  if (*type == kClearance) {
+    return ClearanceNoticeIn(*document);
+  }
+  return *type == kSuspectRun ? SuspectRunNoticeIn(*document) : std::nullopt;
 }
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/tests/content_containment_test.cc
+++ b/libs/dispatch/tests/content_containment_test.cc
@@ -22,6 +22,7 @@
 using godwit::dispatch::FleetMembers;
 using godwit::dispatch::LossNotice;
 using godwit::dispatch::LossRetraction;
+using godwit::dispatch::SuspectRunNotice;
 using Verdict = godwit::dispatch::ContentContainment::Verdict;
 
 namespace {
@@ -190,13 +191,30 @@
     containment.OnLost(now, backend, now, {Request(1)});
   }
   CHECK(containment.MustRunAlone({Request(1)}));
-  CHECK(containment.IsUndecided({Request(1)}));
+  CHECK(containment.IsUndecided(now, {Request(1)}));
   containment.Tick(now);
-  CHECK(!containment.IsUndecided({Request(1)}));
+  CHECK(!containment.IsUndecided(now, {Request(1)}));
   containment.OnAnswered(now, {Request(1)});
   CHECK(!containment.MustRunAlone({Request(1)}));
 }
 
+TEST(ContentContainment, SuspectedRequestRunsAtOneRouterAtATime) {
+  containment.On(now, SuspectRunNotice{Request(1)});
+  CHECK(!containment.IsUndecided(now, {Request(1)}));
+  for (const char* backend : {"a", "b"}) {
+    containment.OnSent({Request(1)});
+    CHECK_EQUAL(0, Sent<SuspectRunNotice>().size());
+    now = now + Millis(100);
+    containment.OnLost(now, backend, now, {Request(1)});
+  }
+  containment.Tick(now);
+  containment.OnSent({Request(1)});
+  CHECK_EQUAL(1, Sent<SuspectRunNotice>().size());
+  containment.On(now, SuspectRunNotice{Request(1)});
+  CHECK(containment.IsUndecided(now, {Request(1)}));
+  CHECK(!containment.IsUndecided(now + kLater, {Request(1)}));
+}
+
 TEST(ContentContainment, LossIsRetractedOnceTheServerSendsSomething) {
   Play({{"a", 0, 100}, {"b", 110, 200}});
   containment.OnReceived(Millis(300), "b");
@@ -251,9 +269,9 @@
 }
 
 TEST(ContentContainment, AdoptsTheContainmentOfAnotherRouter) {
-  containment.On(
-      Millis(1000), kPeer,
-      {Part(1), Millis(700), Millis(100), 3, Millis(50'000), Millis(60'000)});
+  containment.On(Millis(1000), kPeer,
+                 {Part(1), Millis(700), Millis(100), 3, Millis(50'000),
+                  Millis(60'000), true});
   now = Millis(1100);
   containment.Tick(now);
   CHECK(Judge() == Verdict::kContained);
@@ -261,6 +279,18 @@
   CHECK(containment.RemainingTime(now, {Part(1)}) == Millis(49'900));
 }
 
+TEST(ContentContainment, RequestsWaitUntilAnotherRouterConfirms) {
+  now = Millis(1000);
+  containment.On(now, kPeer,
+                 {Part(1), Millis(700), Millis(100), 3, Millis(50'000),
+                  Millis(60'000), false});
+  CHECK(containment.IsUndecided(now, {Part(1)}));
+  now = now + kLater;
+  containment.Tick(now);
+  CHECK(!containment.IsUndecided(now, {Part(1)}));
+  CHECK(Judge() == Verdict::kFree);
+}
+
 TEST(ContentContainment, OneRequestIsTriedAtATimeAndLaterEachTime) {
   Contain();
   for (const Millis period : {Millis(60'000), Millis(120'000)}) {
--- a/libs/dispatch/tests/router_message_codec_test.cc
+++ b/libs/dispatch/tests/router_message_codec_test.cc
@@ -24,6 +24,7 @@
 using godwit::dispatch::StreamOriginNotice;
 using godwit::dispatch::StreamOriginQuery;
 using godwit::dispatch::StreamOriginReply;
+using godwit::dispatch::SuspectRunNotice;
 using Json = nlohmann::json;
 
 namespace {
@@ -59,9 +60,12 @@
       LossNotice{"s1@7", Millis(0), {{kRequest, Millis(5)}}},
       LossRetraction{"s1@7"},
       ContainmentNotice{kPart, Millis(900), Millis(3), 3, Millis(60'000),
-                        Millis(60'000)},
+                        Millis(60'000), false},
+      ContainmentNotice{kRequest, Millis(0), Millis(0), 5, Millis(0),
+                        Millis(60'000), true},
       ClearanceNotice{kPart, Millis(4), true},
-      ClearanceNotice{kPart, Millis(0), false}};
+      ClearanceNotice{kPart, Millis(0), false},
+      SuspectRunNotice{kRequest}};
   for (const RouterMessage& message : messages) {
     const std::string bytes = EncodeRouterMessage(message);
     CHECK(DecodeRouterMessage(bytes) == message);
@@ -155,6 +159,8 @@
       {"containment", "last_age", "1"},
       {"containment", "remaining", -5},
       {"containment", "period", nullptr},
+      {"containment", "confirmed", 1},
+      {"suspect_run", "id", ""},
       {"clearance", "id", ""},
       {"clearance", "age", -1},
       {"clearance", "broadcast", 1},
@@ -172,6 +178,7 @@
                      {"losses", 3},
                      {"remaining", 60'000},
                      {"period", 60'000},
+                     {"confirmed", true},
                      {"broadcast", true}};
     CHECK_TEXT(DecodeRouterMessage(Cbor(document)).has_value(), c.type);
     document[c.field] = c.value;
