Keep a containment until a request tries it, and end a hold with the suspicion

A containment whose trial was due was dropped after five minutes without a request; it then took three more servers to contain the content again. It is kept for an hour. Requests that waited for the decision on a content waited on after another router had cleared it, 100 ms at most. Both found by reading.

--- a/libs/dispatch/src/content_containment.cc
+++ b/libs/dispatch/src/content_containment.cc
@@ -13,7 +13,6 @@
 // What arrives from a server later than this after it was lost was not sent
 // before.
 constexpr base::Millis kReceiveDelay(250);
-
 // Longest waits for the decision of another router to be confirmed, and for the
 // outcome of a suspected request there.
 constexpr base::Millis kMaxDecisionTime(100);
--- a/libs/dispatch/src/content_containment_state.cc
+++ b/libs/dispatch/src/content_containment_state.cc
@@ -12,9 +12,10 @@
 
 // Time between the decisions of routers that know of a loss by a notice.
 constexpr base::Millis kDecisionSpacing(25);
-// Time without new losses after which evidence, and a containment whose trial
-// is due, are dropped.
+// Time without new losses after which evidence is dropped, and time for which a
+// containment waits for a request to try.
 constexpr base::Millis kRetention(300'000);
+constexpr base::Millis kTrialRetention(3'600'000);
 // Bound on the contents with evidence; the oldest are dropped.
 constexpr size_t kMaxContents = 8192;
 // Interval at which one other router is told what is contained.
@@ -91,7 +92,6 @@
   }
   lost_servers.try_emplace(loss.backend, LostServer{loss.lost_at, {}})
       .first->second.contents.insert(key);
-
   Content& content = contents[key];
   content.evidence.Add(loss);
   content.held_until = base::Millis();
@@ -129,6 +129,7 @@
                  base::Millis(), false);
   }
   content.evidence.RemoveUntil(answered_at);
+  content.held_until = base::Millis();
   content.updated_at = now;
   if (ends_containment) {
     content.containment.reset();
@@ -137,7 +138,6 @@
   if (content.evidence.empty() && !content.containment) {
     contents.erase(found);
   }
-
   return ends_containment || is_suspected;
 }
 
@@ -256,8 +256,9 @@
   for (auto entry = contents.begin(); entry != contents.end();) {
     const Content& content = entry->second;
     const bool is_dropped =
-        content.containment ? content.containment->trial_at + kRetention <= now
-                            : content.updated_at <= oldest_kept;
+        content.containment
+            ? content.containment->trial_at + kTrialRetention <= now
+            : content.updated_at <= oldest_kept;
     contained_count -= is_dropped && content.containment ? 1 : 0;
     entry = is_dropped ? contents.erase(entry) : std::next(entry);
   }
