--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -8,9 +8,9 @@
 #include <utility>
 #include <variant>
 
-#include "adapter/messages.h"
 #include "adapter/store_client.h"
 #include "base/clocks.h"
+#include "call_decoder.h"
 #include "config/settings.h"
 #include "daemon/process_metrics.h"
 #include "daemon/stop_plan.h"
@@ -28,7 +28,6 @@
 #include "relay/caller_server.h"
 #include "relay/caller_session.h"
 #include "relay/upstream_pool.h"
-#include "request_content.h"
 #include "store_watcher.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
@@ -132,14 +131,13 @@
   void OnRequest(const std::shared_ptr<relay::CallerSession>& session,
                  relay::ReceivedRequest request) override {
     std::string reason;
-    auto decoded = adapter::DecodeRequest(request.head, &reason);
+    auto decoded = DecodeCall(request, &reason);
     if (!decoded) {
       Log(EventId::kRequestMalformed, {{"reason", reason}});
       session->Respond(kBadRequest, "Content-Type: text/plain\r\n",
                        reason + "\n");
       return;
     }
-    decoded->content = ContentOf(request);
     const dispatch::CallId id = next_call_++;
     calls_by_session_[session.get()] = id;
     exchanges_.try_emplace(id, id, decoded->id, session, std::move(request),
