--- a/libs/dispatch/include/dispatch/containment_notice.h
+++ b/libs/dispatch/include/dispatch/containment_notice.h
@@ -18,7 +18,7 @@
   base::Millis last_age;
   // Losses in a row that led to it.
   int64_t losses = 0;
-  // Time until one request may be tried; not negative.
+  // Time until the next trial.
   base::Millis remaining;
   // Time from one trial to the next.
   base::Millis period;
--- a/libs/dispatch/include/dispatch/content_containment.h
+++ b/libs/dispatch/include/dispatch/content_containment.h
@@ -69,7 +69,7 @@
   // Longest time until a trial of one of them; zero if none is contained.
   base::Millis RemainingTime(base::Millis now,
                              const std::vector<ContentKey>& contents) const;
-  // Whether all that are contained were answered at an earlier time.
+  // True if each contained one of them has been answered before.
   bool WereAnswered(base::Millis now,
                     const std::vector<ContentKey>& contents) const;
 
--- a/libs/dispatch/tests/crashing_part_test.cc
+++ b/libs/dispatch/tests/crashing_part_test.cc
@@ -54,6 +54,7 @@
 // What a fleet did while crashing requests arrived.
 struct Observation {
   size_t crashes = 0;
+  int64_t datagrams = 0;
   // Crashing requests that reached servers after the time that the users allow.
   int64_t sent_late = 0;
   // From then on: requests with the same first part.
@@ -65,6 +66,7 @@
 Observation Observe(const Case& c) {
   RouterFleet fleet(FleetOf(c));
   fleet.Run(Millis(5000));
+  const int64_t datagrams = fleet.datagrams();
   fleet.SendCrashingParts(c.crashing_per_second, c.before, c.after);
   const Millis latest = fleet.now() + Millis(6000);
   while (fleet.crashes().crashes.size() < kCrashesUntilKnown &&
@@ -76,9 +78,17 @@
   const RouterFleet::BystanderCounts from = fleet.bystanders();
   fleet.Run(Millis(8000));
   return {fleet.crashes().crashes.size(),
+          fleet.datagrams() - datagrams,
           fleet.SentAfterCrash(kCrashesUntilKnown, kStabilityWindow),
           fleet.bystanders().asked - from.asked,
-          fleet.bystanders().begun - from.begun, fleet.bystanders().contained};
+          fleet.bystanders().begun - from.begun,
+          fleet.bystanders().contained};
+}
+
+std::string Describe(const Case& c, const std::string& text) {
+  return "\n" + std::to_string(c.routers) + " routers, " +
+         std::to_string(c.crashing_per_second) +
+         " crashing requests a second: " + text;
 }
 
 const std::vector<Observation>& Observations() {
@@ -86,18 +96,19 @@
     std::vector<Observation> all;
     for (const Case& c : Cases()) {
       all.push_back(Observe(c));
+      const Observation& seen = all.back();
+      UT_PRINT(
+          (Describe(c, std::to_string(seen.crashes) + " crashes, " +
+                           std::to_string(seen.datagrams) + " datagrams, " +
+                           std::to_string(seen.begun) + " of " +
+                           std::to_string(seen.asked) + " beside begun"))
+              .c_str());
     }
     return all;
   }();
   return observations;
 }
 
-std::string Describe(const Case& c, const std::string& text) {
-  return "\n" + std::to_string(c.routers) + " routers, " +
-         std::to_string(c.crashing_per_second) +
-         " crashing requests a second: " + text;
-}
-
 }  // namespace
 
 TEST_GROUP(CrashingPart){};
--- a/libs/dispatch/tests/crashing_request_test.cc
+++ b/libs/dispatch/tests/crashing_request_test.cc
@@ -36,6 +36,7 @@
 // What a fleet did while the request came again.
 struct Observation {
   size_t crashes = 0;
+  int64_t datagrams = 0;
   // Repeats that reached servers after the time that the users allow.
   int64_t sent_late = 0;
   // From then on: other requests.
@@ -55,14 +56,17 @@
   options.slots = 6;
   RouterFleet fleet(options);
   fleet.Run(Millis(5000));
+  const int64_t datagrams = fleet.datagrams();
   fleet.SendCrashingRequest(c.crashing_per_second);
   fleet.Run(Millis(12'000));
   const RouterFleet::BystanderCounts from = fleet.bystanders();
   fleet.Run(Millis(8000));
   return {fleet.crashes().crashes.size(),
+          fleet.datagrams() - datagrams,
           fleet.SentAfterCrash(kCrashesUntilKnown, kStabilityWindow),
           fleet.bystanders().asked - from.asked,
-          fleet.bystanders().begun - from.begun, fleet.bystanders().contained};
+          fleet.bystanders().begun - from.begun,
+          fleet.bystanders().contained};
 }
 
 std::string Describe(const Case& c, const std::string& text) {
@@ -78,6 +82,11 @@
   std::string violations;
   for (const Case& c : Cases()) {
     const Observation seen = Observe(c);
+    UT_PRINT(Describe(c, std::to_string(seen.crashes) + " crashes, " +
+                             std::to_string(seen.datagrams) + " datagrams, " +
+                             std::to_string(seen.begun) + " of " +
+                             std::to_string(seen.asked) + " others begun")
+                 .c_str());
     if (seen.sent_late > kToleratedRequests) {
       violations += Describe(c, std::to_string(seen.sent_late) +
                                     " repeats sent after the third of " +
