Compute the rank of a router only for contents on which it may decide

Each suspect of each notice of a loss was ranked among all routers: at 320 routers 320 digests for each of up to ten suspects of up to 64 notices for one lost server. Stack samples of crashing_part_test showed nearly nothing else. The first loss of a content needs no decision. Containments that have not begun are kept apart, and old evidence is dropped once a second, so that a tick does not walk over all contents.

--- a/libs/dispatch/src/content_containment.cc
+++ b/libs/dispatch/src/content_containment.cc
@@ -183,7 +183,7 @@
     return;
   }
   const bool has_begun = content.containment && content.containment->has_begun;
-  state_->Contain(now, content,
+  state_->Contain(now, notice.content, content,
                   {now, has_begun, now + notice.remaining, notice.period,
                    first_lost_at, now - notice.last_age, notice.losses, true});
 }
--- a/libs/dispatch/src/content_containment_state.cc
+++ b/libs/dispatch/src/content_containment_state.cc
@@ -16,6 +16,7 @@
 // containment waits for a request to try.
 constexpr base::Millis kRetention(300'000);
 constexpr base::Millis kTrialRetention(3'600'000);
+constexpr base::Millis kExpiryInterval(1000);
 // Bound on the contents with evidence; the oldest are dropped.
 constexpr size_t kMaxContents = 8192;
 // Interval at which one other router is told what is contained.
@@ -53,6 +54,7 @@
 }
 
 void ContentContainment::State::Contain(base::Millis now,
+                                        const ContentKey& key,
                                         Content& content,
                                         const Containment& containment) {
   if (!content.containment) {
@@ -60,25 +62,29 @@
   }
   content.containment = containment;
   content.updated_at = now;
+  if (!containment.has_begun) {
+    beginning.insert(key);
+  }
 }
 
 void ContentContainment::State::BeginContainments(base::Millis now) {
-  if (contained_count == 0) {
-    return;
-  }
-  for (auto& [key, content] : contents) {
-    if (!content.containment || content.containment->has_begun ||
-        now < content.containment->begins_at) {
-      continue;
-    }
-    Containment& containment = *content.containment;
-    containment.has_begun = true;
-    newly_contained.push_back(key);
-    RecordChange(ContentStateChanged::State::kContained, key, content,
-                 containment.trial_at - now, containment.by_notice);
-    if (!containment.by_notice) {
-      Broadcast(NoticeOf(now, key, containment));
+  for (auto key = beginning.begin(); key != beginning.end();) {
+    const auto found = contents.find(*key);
+    if (found != contents.end() && found->second.containment) {
+      Containment& containment = *found->second.containment;
+      if (now < containment.begins_at) {
+        ++key;
+        continue;
+      }
+      containment.has_begun = true;
+      newly_contained.push_back(*key);
+      RecordChange(ContentStateChanged::State::kContained, *key, found->second,
+                   containment.trial_at - now, containment.by_notice);
+      if (!containment.by_notice) {
+        Broadcast(NoticeOf(now, *key, containment));
+      }
     }
+    key = beginning.erase(key);
   }
 }
 
@@ -101,6 +107,9 @@
         std::max(content.containment->last_lost_at, loss.lost_at);
     return;
   }
+  if (content.evidence.count() < kSuspiciousLosses) {
+    return;
+  }
   // Of the routers that know of the loss by a notice, the next one decides only
   // if those before it did not.
   const base::Millis due_at =
@@ -117,8 +126,8 @@
     return false;
   }
   Content& content = found->second;
-  // After an answer in between, the losses are not in a row; after an earlier
-  // one, more of them are needed.
+  // An answer between the losses interrupts their row; one before them raises
+  // the number of losses that are required.
   const bool ends_containment =
       content.containment &&
       (content.containment->first_lost_at <= answered_at ||
@@ -242,6 +251,10 @@
 }
 
 void ContentContainment::State::Expire(base::Millis now) {
+  if (now - expired_at < kExpiryInterval) {
+    return;
+  }
+  expired_at = now;
   const bool is_full = contents.size() > kMaxContents;
   std::vector<base::Millis> ages;
   base::Millis oldest_kept = now - kRetention;
--- a/libs/dispatch/src/content_containment_state.h
+++ b/libs/dispatch/src/content_containment_state.h
@@ -77,6 +77,7 @@
   void Decide(base::Millis now);
   void Decide(base::Millis now, const ContentKey& key, Content& content);
   void Contain(base::Millis now,
+               const ContentKey& key,
                Content& content,
                const Containment& containment);
   // Handles an answer. Returns true if the content was suspected or contained,
@@ -135,6 +136,9 @@
   std::map<ContentKey, base::Millis> undecided;
   // Own losses that the other routers were not told of, by server.
   std::map<std::string, std::map<ContentKey, base::Millis>> untold;
+  // Contained, but not yet begun.
+  std::set<ContentKey> beginning;
+  base::Millis expired_at;
   base::Millis gossiped_at;
   base::ProcessId gossiped_to;
   // Clearances that are repeated with the next tick, and when the content was
--- a/libs/dispatch/src/content_decisions.cc
+++ b/libs/dispatch/src/content_decisions.cc
@@ -1,6 +1,7 @@
 // How evidence decides on contents.
 #include <algorithm>
 #include <map>
+#include <string>
 
 #include "base/digest.h"
 #include "content_containment_state.h"
@@ -161,7 +162,7 @@
   const int64_t losses = content.evidence.count();
   const int64_t required = RequiredLosses(key, content.evidence);
   if (losses >= required && !IsExplained(key, content.evidence)) {
-    Contain(now, content,
+    Contain(now, key, content,
             {now + kObjectionTime, false, now + kFirstTrialPeriod,
              kFirstTrialPeriod, content.evidence.first_lost_at(),
              content.evidence.last_lost_at(), losses, false});
@@ -173,8 +174,9 @@
 }
 
 int64_t ContentContainment::State::RankFor(const ContentKey& key) const {
-  const auto weight_of = [&key](const base::ProcessId& process) {
-    return base::Digest::Of(key.id.ToHex() + "/" + process.value()).low();
+  const std::string prefix = key.id.ToHex() + "/";
+  const auto weight_of = [&prefix](const base::ProcessId& process) {
+    return base::Digest::Of(prefix + process.value()).low();
   };
   const uint64_t own = weight_of(members.self());
   int64_t rank = 0;
