Hand callers over to other routers while the link of a VM is saturated

Cause: the load balancer hashes callers without regard to the size of a VM.

Change: CallerRebalancer leaves the load balancer's rotation while the link is in use above 45%, and closes part of the connections after their answers. It needs the setting link_mbps.

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -8,6 +8,7 @@
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "base/millis.h"
+#include "relay/link_traffic.h"
 
 namespace boost::asio {
 class io_context;
@@ -54,6 +55,9 @@
   void Drain() noexcept { draining_ = true; }
   bool draining() const noexcept { return draining_; }
 
+  // Closes the next `count` connections that send an answer after it.
+  void CloseAfterAnswers(size_t count) noexcept { to_close_ = count; }
+
   // Stops accepting connections and closes those without an unsent answer.
   void Close();
 
@@ -62,6 +66,7 @@
   void Tick();
 
   size_t connections() const noexcept { return sessions_.size(); }
+  const LinkTraffic& traffic() const noexcept { return traffic_; }
   // Number of connections with a request whose answer has not been sent
   // completely.
   size_t unanswered() const noexcept;
@@ -72,11 +77,16 @@
 
   void Accept();
   void Remove(const std::shared_ptr<CallerSession>& session);
+  // Whether a connection is to be closed after the answer that begins.
+  bool TakeClose() noexcept;
 
   boost::asio::io_context& io_;
   CallerHandler& handler_;
   Limits limits_;
   bool draining_ = false;
+  // Connections that are still to be closed after an answer.
+  size_t to_close_ = 0;
+  LinkTraffic traffic_;
   base::Error error_;
   std::shared_ptr<Acceptor> acceptor_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
--- a/libs/relay/include/relay/upstream_pool.h
+++ b/libs/relay/include/relay/upstream_pool.h
@@ -9,6 +9,7 @@
 
 #include "base/endpoint.h"
 #include "base/millis.h"
+#include "relay/link_traffic.h"
 
 namespace boost::asio {
 class io_context;
@@ -61,6 +62,7 @@
   // of milliseconds.
   void Tick();
 
+  const LinkTraffic& traffic() const noexcept { return traffic_; }
   // Number of connections opened since the start, and of those open now.
   int64_t opened_connections() const noexcept { return opened_; }
   size_t open_connections() const noexcept;
@@ -82,6 +84,7 @@
   std::map<int64_t, std::shared_ptr<UpstreamConnection>> busy_;
   int64_t next_request_ = 1;
   int64_t opened_ = 0;
+  LinkTraffic traffic_;
 };
 
 }  // namespace godwit::relay
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -103,6 +103,17 @@
   sessions_.erase(session);
 }
 
+bool CallerServer::TakeClose() noexcept {
+  if (draining_) {
+    return true;
+  }
+  if (to_close_ == 0) {
+    return false;
+  }
+  --to_close_;
+  return true;
+}
+
 void CallerServer::Close() {
   acceptor_.reset();
   const auto sessions = sessions_;
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -79,6 +79,7 @@
 }
 
 void CallerSession::OnRead(size_t size) {
+  server_.traffic_.AddReceived(size);
   if (lingering_) {
     Read();
     return;
@@ -174,7 +175,7 @@
   if (closed_) {
     return;
   }
-  close_after_answer_ = close_after_answer_ || server_.draining();
+  close_after_answer_ = close_after_answer_ || server_.TakeClose();
   chunked_ = !has_length && !is_head_;
   std::string& out = io_->outbox;
   AppendStatusLine(out, status);
@@ -231,7 +232,10 @@
   Io& io = *io_;
   while (!closed_ && !awaiting_writable_ && io.sent < io.outbox.size()) {
     error_code error;
-    io.sent += io.socket.write_some(asio::buffer(io.outbox) + io.sent, error);
+    const size_t written =
+        io.socket.write_some(asio::buffer(io.outbox) + io.sent, error);
+    io.sent += written;
+    server_.traffic_.AddSent(written);
     if (error == asio::error::would_block) {
       awaiting_writable_ = true;
       io.socket.async_wait(
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -139,6 +139,7 @@
       // reports the result.
       return;
     }
+    pool_.traffic_.AddSent(sent);
     const size_t head_bytes = std::min(sent, unsent[0].size());
     head_sent_ += head_bytes;
     body_sent_ += sent - head_bytes;
@@ -173,6 +174,7 @@
   if (closed_) {
     return;
   }
+  pool_.traffic_.AddReceived(size);
   received_any_ = received_any_ || size > 0;
   if (handler_ == nullptr) {
     // No bytes are expected on an idle connection.
--- a/libs/relay/tests/relay_io_test.cc
+++ b/libs/relay/tests/relay_io_test.cc
@@ -322,3 +322,27 @@
   const std::string answer = caller.ReadToEnd();
   CHECK(answer.find("Connection: close") != std::string::npos);
 }
+
+// Guards against a hand-over that closes more connections than it was told to,
+// or one without its answer.
+TEST(CallerServer, ClosesTheStatedNumberOfConnectionsAfterTheirAnswers) {
+  Listen();
+  server.CloseAfterAnswers(1);
+  for (const bool is_closed : {true, false}) {
+    RawConnection caller(port);
+    callers.targets.clear();
+    caller.Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(RunUntil(io, [&] { return !callers.targets.empty(); }));
+    RunUntil(io, [&] { return callers.last->queued_bytes() == 0; });
+    if (is_closed) {
+      const std::string answer = caller.ReadToEnd();
+      CHECK(answer.find("200 OK") != std::string::npos);
+      CHECK(answer.find("Connection: close") != std::string::npos);
+      continue;
+    }
+    caller.Send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(RunUntil(io, [&] { return callers.targets.size() == 2; }));
+  }
+  CHECK(server.traffic().received > 0);
+  CHECK(server.traffic().sent > server.traffic().received);
+}
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -47,6 +47,7 @@
   kRequestRetried = 509,
   kRequestPlaced = 510,
   kRequestFinished = 511,
+  kCallersHandedOver = 512,
   // Budgets and claims.
   kGrantDrawn = 601,
   kGrantReturned = 602,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -90,6 +90,10 @@
        "A request got its final answer from a router that calls backend "
        "servers directly; fields give the outcome, its reason and the time "
        "spent."},
+      {EventId::kCallersHandedOver, Level::kInfo, "callers_handed_over",
+       "The link of this VM is saturated; the router leaves the load "
+       "balancer's rotation for a short time and closes part of its "
+       "connections, so that their callers connect to other routers."},
       {EventId::kGrantDrawn, Level::kDebug, "grant_drawn",
        "A router drew a grant on a budget."},
       {EventId::kGrantReturned, Level::kDebug, "grant_returned",
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -11,6 +11,7 @@
 #include "adapter/store_client.h"
 #include "base/clocks.h"
 #include "call_decoder.h"
+#include "caller_hand_over.h"
 #include "config/settings.h"
 #include "daemon/process_metrics.h"
 #include "daemon/stop_plan.h"
@@ -43,8 +44,7 @@
 
 // Precision with which deadlines are kept.
 constexpr base::Millis kTickPeriod(25);
-// Longest wait at shutdown for callers to receive the last bytes of their
-// answers.
+// Longest wait at shutdown for callers to receive the end of their answers.
 constexpr base::Millis kFlushTimeout(250);
 constexpr base::Millis kMetricsWindow(60'000);
 constexpr int kOk = 200;
@@ -76,6 +76,7 @@
                  OnPeer(from, bytes);
                }),
         callers_(io, *this),
+        hand_over_(RebalancerOptionsFrom(settings), callers_, servers_),
         readiness_(io, [this](const std::string&) { return ReadinessPage(); }),
         operator_pages_(io, [this](const std::string& target) {
           return OperatorPage(target);
@@ -180,16 +181,13 @@
   void OnStoreEvent(const dispatch::DispatchEvent& event) {
     if (const auto* updated =
             std::get_if<dispatch::RoutingTableUpdated>(&event)) {
-      SetLimits(updated->table->limits());
+      callers_.SetLimits(
+          CallerLimitsFrom(updated->table->limits(), callers_.limits()));
     }
     Raise(event);
     store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
   }
 
-  void SetLimits(const dispatch::CallerLimits& limits) {
-    callers_.SetLimits(CallerLimitsFrom(limits, callers_.limits()));
-  }
-
   Exchange* Find(dispatch::CallId call) {
     const auto found = exchanges_.find(call);
     return found == exchanges_.end() ? nullptr : &found->second;
@@ -272,17 +270,17 @@
 
   void OnStoreCall(const platform::CallCompleted& call) {
     CountStoreCall(metrics_, call);
-    // Watches may be interrupted at any time, so they are no evidence of the
-    // store's availability.
+    // Watches are interrupted also while the store is available.
     if (call.verb != "watch") {
       store_watcher_.RecordCall(call.served());
     }
   }
 
   PageServer::Page ReadinessPage() const {
-    const bool ready = dispatcher_.ready() && !stop_plan_.begun();
-    return {ready ? kOk : kUnavailable, "text/plain",
-            ready ? "ready\n" : "not ready\n"};
+    return dispatcher_.ready() && !stop_plan_.begun() &&
+                   hand_over_.in_rotation()
+               ? PageServer::Page{kOk, "text/plain", "ready\n"}
+               : PageServer::Page{kUnavailable, "text/plain", "not ready\n"};
   }
 
   PageServer::Page OperatorPage(const std::string& target) {
@@ -301,6 +299,7 @@
 
   void Tick() {
     const base::Millis now = base::SteadyNow();
+    hand_over_.Tick(now);
     store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
     store_watcher_.Tick(now);
     store_.Tick();
@@ -367,6 +366,7 @@
   StoreWatcher store_watcher_;
   PeerSocket peers_;
   relay::CallerServer callers_;
+  CallerHandOver hand_over_;
   PageServer readiness_;
   PageServer operator_pages_;
   std::unordered_map<dispatch::CallId, Exchange> exchanges_;
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -20,6 +20,8 @@
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1024;
 constexpr double kMillicoresPerCore = 1000;
+constexpr double kMaxLinkMbps = 1'000'000;
+constexpr double kBytesPerMbit = 125'000;
 
 // The load balancer probes readiness every second and stops sending requests
 // after two failed probes; requests that it sends before that must be served.
@@ -66,6 +68,11 @@
             "cores that this VM provides; routers on larger VMs lend budgets",
             kMinProcessorShare, kMaxProcessorShare)
       .Default("1")
+      .Real("link_mbps",
+            "bandwidth of this VM's link, each direction; 0 if unknown. While "
+            "it is saturated, callers are handed over to other routers",
+            0, kMaxLinkMbps)
+      .Default("0")
       .Integer("descriptors", "file descriptors that this process may use",
                kReservedDescriptors * 2, kMaxDescriptors)
       .Default("4096");
@@ -114,6 +121,13 @@
   return limits;
 }
 
+relay::CallerRebalancer::Options RebalancerOptionsFrom(
+    const config::Settings& settings) {
+  relay::CallerRebalancer::Options options;
+  options.link_rate = settings.Real("link_mbps") * kBytesPerMbit;
+  return options;
+}
+
 size_t MaxCallerConnections(const config::Settings& settings) {
   return static_cast<size_t>(
       (settings.Integer("descriptors") - kReservedDescriptors) / 2);
--- a/tools/godwit-edge/src/edge_settings.h
+++ b/tools/godwit-edge/src/edge_settings.h
@@ -7,6 +7,7 @@
 #include "daemon/stop_plan.h"
 #include "dispatch/caller_limits.h"
 #include "dispatch/dispatcher_options.h"
+#include "relay/caller_rebalancer.h"
 #include "relay/caller_server.h"
 
 namespace godwit::config {
@@ -34,6 +35,10 @@
     const dispatch::CallerLimits& configured,
     relay::CallerServer::Limits limits);
 
+// Options by the bandwidth of this VM.
+relay::CallerRebalancer::Options RebalancerOptionsFrom(
+    const config::Settings& settings);
+
 // Largest number of caller connections that the file descriptors allow: each
 // may need a second one, to a backend server.
 size_t MaxCallerConnections(const config::Settings& settings);
