--- a/libs/dispatch/include/dispatch/backend_health_changed.h
+++ b/libs/dispatch/include/dispatch/backend_health_changed.h
@@ -17,6 +17,8 @@
     kRemoved,
     // It refused a request and wants none for a time.
     kBackoff,
+    // An answer states a load that can't be read.
+    kInvalidLoad,
     kEjected,
     kReadmitted
   };
--- a/libs/dispatch/include/dispatch/load_report.h
+++ b/libs/dispatch/include/dispatch/load_report.h
@@ -2,6 +2,7 @@
 #define DISPATCH_LOAD_REPORT_H_
 
 #include <cstdint>
+#include <optional>
 #include <tuple>
 
 namespace godwit::dispatch {
@@ -11,10 +12,13 @@
   int64_t running = 0;
   int64_t waiting = 0;
   int64_t slots = 0;
+  // How long work takes at the server now, in percent of the usual time; empty
+  // if it states none.
+  std::optional<int64_t> work_time_percent;
 
   friend bool operator==(const LoadReport& a, const LoadReport& b) {
-    return std::tie(a.running, a.waiting, a.slots) ==
-           std::tie(b.running, b.waiting, b.slots);
+    return std::tie(a.running, a.waiting, a.slots, a.work_time_percent) ==
+           std::tie(b.running, b.waiting, b.slots, b.work_time_percent);
   }
   friend bool operator!=(const LoadReport& a, const LoadReport& b) {
     return !(a == b);
--- a/libs/dispatch/include/dispatch/reply.h
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -20,6 +20,8 @@
   // since it cannot be the server's.
   bool is_signed = false;
   std::optional<LoadReport> load;
+  // The server states its load, but not all of it can be read.
+  bool has_invalid_load = false;
   // Time for which the server wants nothing from this router; empty if it
   // states none.
   std::optional<base::Millis> retry_after;
@@ -33,11 +35,11 @@
 
   friend bool operator==(const Reply& a, const Reply& b) {
     return std::tie(a.status, a.not_run, a.instance_mismatch, a.is_signed,
-                    a.load, a.retry_after, a.is_leaving, a.request_limit,
-                    a.has_invalid_limit) ==
+                    a.load, a.has_invalid_load, a.retry_after, a.is_leaving,
+                    a.request_limit, a.has_invalid_limit) ==
            std::tie(b.status, b.not_run, b.instance_mismatch, b.is_signed,
-                    b.load, b.retry_after, b.is_leaving, b.request_limit,
-                    b.has_invalid_limit);
+                    b.load, b.has_invalid_load, b.retry_after, b.is_leaving,
+                    b.request_limit, b.has_invalid_limit);
   }
   friend bool operator!=(const Reply& a, const Reply& b) { return !(a == b); }
 };
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -206,6 +206,8 @@
   FleetMembers members_;
   BackendBackoff backoff_;
   RequestLimits limits_;
+  // Keys of the servers whose invalid load reports were recorded.
+  std::set<std::string> invalid_loads_;
   StreamOrigins origins_;
   ContentContainment containment_;
   base::Millis versions_noted_at_;
--- a/libs/dispatch/src/server_statements.cc
+++ b/libs/dispatch/src/server_statements.cc
@@ -22,6 +22,14 @@
                                   " ms",
                               ""});
   }
+  if (reply.has_invalid_load &&
+      invalid_loads_.insert(call.backend.key()).second) {
+    Emit(BackendHealthChanged{BackendHealthChanged::Health::kInvalidLoad,
+                              call.backend.instance, call.backend.service,
+                              reply.load ? "the percentage can't be read"
+                                         : "the report can't be read",
+                              ""});
+  }
   if (reply.is_leaving) {
     Emit(directory_.MarkLeaving(call.backend));
   }
@@ -48,10 +56,14 @@
 }
 
 void Dispatcher::State::ForgetRemovedBackends() {
-  if (!limits_.empty() || !backoff_.empty()) {
-    const std::set<std::string> keys = directory_.Keys();
-    limits_.Retain(keys);
-    backoff_.Retain(keys);
+  if (limits_.empty() && backoff_.empty() && invalid_loads_.empty()) {
+    return;
+  }
+  const std::set<std::string> keys = directory_.Keys();
+  limits_.Retain(keys);
+  backoff_.Retain(keys);
+  for (auto key = invalid_loads_.begin(); key != invalid_loads_.end();) {
+    key = keys.count(*key) == 0 ? invalid_loads_.erase(key) : std::next(key);
   }
 }
 
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -166,6 +166,7 @@
   answered.reply.status = 200;
   answered.reply.is_signed = true;
   answered.reply.load = event.load;
+  answered.reply.has_invalid_load = !event.load;
   answered.complete = true;
   switch (event.kind) {
     case Kind::kEvent: {
@@ -272,7 +273,9 @@
 }
 
 void DispatchSimulation::Handle(const AttemptAbandoned& /*command*/) {}
-void DispatchSimulation::Handle(const BackendHealthChanged& /*command*/) {}
+void DispatchSimulation::Handle(const BackendHealthChanged& command) {
+  health_changes_.push_back(command);
+}
 void DispatchSimulation::Handle(const platform::KvRead& /*command*/) {}
 void DispatchSimulation::Handle(const platform::KvWrite& /*command*/) {}
 
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -69,6 +69,9 @@
   Dispatcher& dispatcher() { return dispatcher_; }
   const Outcome& outcome(CallId call) const { return outcomes_.at(call); }
   const std::map<CallId, Outcome>& outcomes() const { return outcomes_; }
+  const std::vector<BackendHealthChanged>& health_changes() const {
+    return health_changes_;
+  }
   base::Millis now() const { return now_; }
 
   // Counts of the calls of a route by outcome.
@@ -115,6 +118,7 @@
   std::map<CallId, int64_t> requested_events_;
   std::map<CallId, int64_t> events_;
   std::map<CallId, base::Millis> last_event_at_;
+  std::vector<BackendHealthChanged> health_changes_;
   CallId next_call_ = 1;
 };
 
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher.h"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 
 using godwit::base::ErrorKind;
 using godwit::base::Millis;
+using godwit::dispatch::BackendHealthChanged;
 using godwit::dispatch::CallId;
 using godwit::dispatch::DispatchSimulation;
 using godwit::dispatch::ModelServer;
@@ -219,6 +221,30 @@
   }
 }
 
+// Guards against a log that is flooded by a server whose reports are damaged,
+// and against damage that nobody learns of.
+TEST(Dispatcher, RecordsAnInvalidLoadOnceForEachIncarnation) {
+  auto servers = Plain(1);
+  servers[0].has_invalid_load = true;
+  DispatchSimulation simulation({}, servers);
+  const auto run = [&simulation]() {
+    for (int i = 0; i < 10; ++i) {
+      simulation.Arrive("order");
+      simulation.Advance(Millis(100));
+    }
+    return std::count_if(
+        simulation.health_changes().begin(), simulation.health_changes().end(),
+        [](const BackendHealthChanged& change) {
+          return change.health == BackendHealthChanged::Health::kInvalidLoad;
+        });
+  };
+  CHECK_EQUAL(1, run());
+  auto restarted = simulation.server(0).Registration();
+  restarted.started_at_ms = 7;
+  simulation.Raise(godwit::dispatch::BackendRegistered{restarted});
+  CHECK_EQUAL(2, run());
+}
+
 // Load: all routers of a data centre stop within seconds, so that callers have
 // nowhere else to go. What ends in time is served until the last second.
 TEST(Dispatcher, ServesWhatEndsBeforeARouterStops) {
--- a/libs/dispatch/tests/model_server.cc
+++ b/libs/dispatch/tests/model_server.cc
@@ -39,7 +39,10 @@
   made.kind = kind;
   made.attempt = attempt;
   made.event = event;
-  made.load = {running(), static_cast<int64_t>(queue_.size()), options_.slots};
+  if (!options_.has_invalid_load) {
+    made.load = LoadReport{running(), static_cast<int64_t>(queue_.size()),
+                           options_.slots, std::nullopt};
+  }
   return made;
 }
 
--- a/libs/dispatch/tests/model_server.h
+++ b/libs/dispatch/tests/model_server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -39,6 +40,8 @@
     int64_t slots = 16;
     // Multiple of the time that a server of typical speed takes.
     double slowness = 1;
+    // Its answers state a load that can't be read.
+    bool has_invalid_load = false;
   };
 
   struct Work {
@@ -65,7 +68,8 @@
     Kind kind = Kind::kEvent;
     int64_t attempt = 0;
     int64_t event = 0;
-    LoadReport load;
+    // Empty if it can't be read.
+    std::optional<LoadReport> load;
   };
 
   ModelServer(std::string instance, uint16_t port, Options options);
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -273,8 +273,8 @@
                  answered.reply.request_limit = limit;
                }
                if (options_.slots) {
-                 answered.reply.load =
-                     LoadReport{servers_[index].running, 0, *options_.slots};
+                 answered.reply.load = LoadReport{
+                     servers_[index].running, 0, *options_.slots, std::nullopt};
                }
                answered.complete = true;
                answered.reply.is_leaving = servers_[index].is_leaving;
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -77,6 +77,7 @@
   kContentContained = 713,
   kContentTrial = 714,
   kContentCleared = 715,
+  kBackendLoadInvalid = 720,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -163,6 +163,9 @@
       {EventId::kContentCleared, Level::kInfo, "content_cleared",
        "A request with a suspected or contained content was answered, "
        "or its servers were not lost; such requests are sent again."},
+      {EventId::kBackendLoadInvalid, Level::kInfo, "backend_load_invalid",
+       "A backend server states a load that can't be read in whole; what can't "
+       "be read counts as not stated. Logged once for each incarnation."},
       {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
        "The platform's KV does not answer; what needs a write is refused as "
        "not run."},
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -59,6 +59,8 @@
       return EventId::kBackendGone;
     case BackendHealthChanged::Health::kBackoff:
       return EventId::kBackendBackoff;
+    case BackendHealthChanged::Health::kInvalidLoad:
+      return EventId::kBackendLoadInvalid;
     case BackendHealthChanged::Health::kEjected:
       return EventId::kBackendEjected;
     case BackendHealthChanged::Health::kReadmitted:
