Contain contents only by losses of servers that are not heard of again

ContentContainment took each lost connection for a crash of its server. Servers that ran requests and reset the connection had a valid request contained at all routers after three losses, though they answered other requests meanwhile.

A loss counts after 300 ms, unless there is other evidence of the crash: all of several connections of the router were lost within 20 ms, a new connection is refused, or a new incarnation is registered. Routers tell each other which (LossNotice, optional field "unconfirmed"; without it a loss counts at once, as before). Until then, requests wait with a content whose losses would suffice. An answer to a request that was sent after the loss retracts it at once. Suspicions are recorded once their losses have settled.

--- a/libs/dispatch/include/dispatch/content_containment.h
+++ b/libs/dispatch/include/dispatch/content_containment.h
@@ -28,7 +28,10 @@
 // of losses, and of what they contain and clear; one that has answered a
 // content objects to its containment, and one that missed these messages is
 // told what is contained within seconds. Handles requests that crash servers
-// on purpose or by a fault, beside losses of servers for other reasons. Losses
+// on purpose or by a fault, beside losses of servers for other reasons, and of
+// connections to servers that live on: a decision waits until there was time to
+// hear of the lost servers, unless there is other evidence that they crashed.
+// Losses
 // alone create entries, so that their number is bounded by that of lost
 // requests. No I/O. Not thread-safe.
 class ContentContainment {
@@ -41,6 +44,15 @@
     kContained,
   };
 
+  // What is known of a server to which a connection was lost.
+  enum class LossKind : uint8_t {
+    // It has crashed.
+    kCrash,
+    // It may live on. The loss counts as soon as there is other evidence of the
+    // crash, or if the server is not heard of in time.
+    kConnection,
+  };
+
   struct Message {
     // Empty for a message to all other routers.
     std::optional<base::Endpoint> to;
@@ -59,7 +71,7 @@
   bool HasContained(base::Millis now,
                     const std::vector<ContentKey>& contents) const;
   // Whether a request with these contents must wait for a decision that is made
-  // within a few tens of milliseconds, or for the outcome of a suspected repeat
+  // within a few hundred milliseconds, or for the outcome of a suspected repeat
   // at another router.
   bool IsUndecided(base::Millis now,
                    const std::vector<ContentKey>& contents) const;
@@ -80,11 +92,23 @@
   void OnLost(base::Millis now,
               const std::string& backend,
               base::Millis started_at,
-              const std::vector<ContentKey>& contents);
+              const std::vector<ContentKey>& contents,
+              LossKind kind = LossKind::kCrash);
+  // A server has crashed if it is one to which a connection was lost: all of
+  // them were, or there is a new incarnation.
+  void OnCrashed(base::Millis now, const std::string& backend);
+  // A connection to a server could not be opened for an attempt that started
+  // then.
+  void OnRefused(base::Millis now,
+                 const std::string& backend,
+                 base::Millis started_at);
   // An attempt with these contents was answered.
   void OnAnswered(base::Millis now, const std::vector<ContentKey>& contents);
-  // Something was received from a server.
-  void OnReceived(base::Millis now, const std::string& backend);
+  // Something was received from a server; for an attempt that started then, if
+  // this is stated.
+  void OnReceived(base::Millis now,
+                  const std::string& backend,
+                  const std::optional<base::Millis>& started_at = std::nullopt);
   // True while OnReceived() must be called.
   bool has_losses() const noexcept;
 
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -173,12 +173,13 @@
     return;
   }
   const bool not_sent = event.failure == AttemptFailure::kNotSent;
-  if (!not_sent && !call->attempt_succeeded) {
-    containment_.OnLost(now_, call->backend.key(), call->attempt_started_at,
-                        call->contents);
-  }
   placement_.OnEnded(now_, call->attempt,
                      not_sent ? Outcome::kUnreachable : Outcome::kFailed);
+  if (not_sent) {
+    containment_.OnRefused(now_, call->backend.key(), call->attempt_started_at);
+  } else {
+    NoteLost(*call);
+  }
   Abandon(*call, not_sent ? RunOutcome::kNotArrived : RunOutcome::kMayHaveRun,
           ReasonText(event.failure));
   ProcessQueues();
--- a/libs/dispatch/src/call_contents.cc
+++ b/libs/dispatch/src/call_contents.cc
@@ -117,7 +117,33 @@
 
 void Dispatcher::State::NoteReceived(const Call& call) {
   if (containment_.has_losses()) {
-    containment_.OnReceived(now_, call.backend.key());
+    containment_.OnReceived(now_, call.backend.key(), call.attempt_started_at);
+  }
+}
+
+void Dispatcher::State::NoteLost(const Call& call) {
+  const std::string backend = call.backend.key();
+  if (!call.attempt_succeeded) {
+    containment_.OnLost(now_, backend, call.attempt_started_at, call.contents,
+                        ContentContainment::LossKind::kConnection);
+  }
+  if (connection_losses_.OnLost(now_, backend,
+                                placement_.in_flight(call.backend))) {
+    containment_.OnCrashed(now_, backend);
+  }
+}
+
+void Dispatcher::State::NoteRegistered(const Backend& backend) {
+  if (!containment_.has_losses()) {
+    return;
+  }
+  for (const Backend* known : directory_.RegisteredBackends()) {
+    const bool is_replaced = known->instance == backend.instance
+                                 ? known->started_at_ms < backend.started_at_ms
+                                 : known->address == backend.address;
+    if (is_replaced) {
+      containment_.OnCrashed(now_, known->key());
+    }
   }
 }
 
--- a/libs/dispatch/src/content_containment.cc
+++ b/libs/dispatch/src/content_containment.cc
@@ -116,13 +116,32 @@
 void ContentContainment::OnLost(base::Millis now,
                                 const std::string& backend,
                                 base::Millis started_at,
-                                const std::vector<ContentKey>& contents) {
+                                const std::vector<ContentKey>& contents,
+                                LossKind kind) {
   for (const ContentKey& key : contents) {
     state_->AddLoss(now, key, {backend, started_at, now}, false);
     base::Millis& started =
         state_->untold[backend].try_emplace(key, started_at).first->second;
     started = std::max(started, started_at);
   }
+  if (kind == LossKind::kCrash) {
+    state_->MarkCrashed(now, backend);
+  }
+}
+
+void ContentContainment::OnCrashed(base::Millis now,
+                                   const std::string& backend) {
+  state_->MarkCrashed(now, backend);
+}
+
+void ContentContainment::OnRefused(base::Millis now,
+                                   const std::string& backend,
+                                   base::Millis started_at) {
+  const auto found = state_->lost_servers.find(backend);
+  if (found != state_->lost_servers.end() &&
+      started_at >= found->second.lost_at) {
+    state_->MarkCrashed(now, backend);
+  }
 }
 
 void ContentContainment::OnAnswered(base::Millis now,
@@ -135,11 +154,16 @@
   }
 }
 
-void ContentContainment::OnReceived(base::Millis now,
-                                    const std::string& backend) {
+void ContentContainment::OnReceived(
+    base::Millis now,
+    const std::string& backend,
+    const std::optional<base::Millis>& started_at) {
   const auto found = state_->lost_servers.find(backend);
-  if (found != state_->lost_servers.end() &&
-      now - found->second.lost_at > kReceiveDelay) {
+  if (found == state_->lost_servers.end()) {
+    return;
+  }
+  const base::Millis lost_at = found->second.lost_at;
+  if (now - lost_at > kReceiveDelay || (started_at && *started_at > lost_at)) {
     state_->Retract(now, backend);
     state_->Broadcast(LossRetraction{backend});
   }
@@ -155,6 +179,11 @@
     state_->AddLoss(now, suspect.content,
                     {notice.backend, lost_at - suspect.ran_for, lost_at}, true);
   }
+  if (!notice.is_unconfirmed) {
+    state_->MarkCrashed(now, notice.backend);
+    // The other routers have been told.
+    state_->untold_crashes.erase(notice.backend);
+  }
 }
 
 void ContentContainment::On(base::Millis now,
--- a/libs/dispatch/src/content_containment_state.cc
+++ b/libs/dispatch/src/content_containment_state.cc
@@ -112,10 +112,46 @@
   }
   // Of the routers that know of the loss by a notice, the next one decides only
   // if those before it did not.
-  const base::Millis due_at =
-      by_notice ? now + kDecisionSpacing * RankFor(key) : now;
-  const auto [entry, is_new] = undecided.try_emplace(key, due_at);
-  entry->second = std::min(entry->second, due_at);
+  const base::Millis delay =
+      by_notice ? kDecisionSpacing * RankFor(key) : base::Millis();
+  const auto [entry, is_new] =
+      undecided.try_emplace(key, Decision{now + delay, delay});
+  Decision& decision = entry->second;
+  decision.due_at = std::min(decision.due_at, now + delay);
+  decision.delay = std::min(decision.delay, delay);
+  decision.has_news = true;
+  decision.is_postponed = false;
+}
+
+void ContentContainment::State::MarkCrashed(base::Millis now,
+                                            const std::string& backend) {
+  const auto found = lost_servers.find(backend);
+  if (found == lost_servers.end() || found->second.has_crashed) {
+    return;
+  }
+  found->second.has_crashed = true;
+  for (const ContentKey& key : found->second.contents) {
+    const auto entry = undecided.find(key);
+    if (entry != undecided.end()) {
+      Decision& decision = entry->second;
+      decision.due_at = std::min(decision.due_at, now + decision.delay);
+      untold_crashes.insert(backend);
+    }
+  }
+}
+
+void ContentContainment::State::Reconsider(const ContentKey& key) {
+  const auto entry = undecided.find(key);
+  if (entry == undecided.end()) {
+    return;
+  }
+  const auto found = contents.find(key);
+  if (found == contents.end() ||
+      found->second.evidence.count() < kSuspiciousLosses) {
+    undecided.erase(entry);
+    return;
+  }
+  entry->second.has_news = true;
 }
 
 bool ContentContainment::State::Clear(base::Millis now,
@@ -147,6 +183,7 @@
   if (content.evidence.empty() && !content.containment) {
     contents.erase(found);
   }
+  Reconsider(key);
   return ends_containment || is_suspected;
 }
 
@@ -183,6 +220,7 @@
   const std::set<ContentKey> affected = std::move(found->second.contents);
   lost_servers.erase(found);
   untold.erase(backend);
+  untold_crashes.erase(backend);
   for (const ContentKey& key : affected) {
     const auto entry = contents.find(key);
     if (entry == contents.end()) {
@@ -190,6 +228,10 @@
     }
     CrashEvidence& evidence = entry->second.evidence;
     evidence.Retract(backend);
+    if (evidence.count() < kSuspiciousLosses) {
+      // Runs at other routers are no longer those of a suspected request.
+      entry->second.held_until = base::Millis();
+    }
     const auto& containment = entry->second.containment;
     if (containment && !containment->by_notice &&
         evidence.count() < RequiredLosses(key, evidence)) {
@@ -199,6 +241,7 @@
     } else if (!containment && evidence.empty()) {
       contents.erase(entry);
     }
+    Reconsider(key);
   }
 }
 
@@ -209,7 +252,8 @@
       continue;
     }
     const base::Millis lost_at = server->second.lost_at;
-    LossNotice notice{backend, now - lost_at, {}};
+    LossNotice notice{backend, now - lost_at, {}, !server->second.has_crashed};
+    untold_crashes.erase(backend);
     for (const auto& [key, started_at] : started) {
       notice.suspects.push_back(
           {key, std::max(base::Millis(), lost_at - started_at)});
@@ -223,6 +267,13 @@
     }
   }
   untold.clear();
+  for (const std::string& backend : untold_crashes) {
+    const auto server = lost_servers.find(backend);
+    if (server != lost_servers.end()) {
+      Broadcast(LossNotice{backend, now - server->second.lost_at, {}, false});
+    }
+  }
+  untold_crashes.clear();
 }
 
 void ContentContainment::State::QueueGossip(base::Millis now) {
--- a/libs/dispatch/src/content_containment_state.h
+++ b/libs/dispatch/src/content_containment_state.h
@@ -26,6 +26,9 @@
   // Time from the decision to contain a content until requests are refused, in
   // which another router may object.
   static constexpr base::Millis kObjectionTime{20};
+  // Time after a loss in which the router hears of the server if it lives on:
+  // what arrives within 250 ms of the loss may have been sent before it.
+  static constexpr base::Millis kSettleTime{300};
 
   struct Containment {
     // From when on requests are refused. Until then, a router that has answered
@@ -56,6 +59,22 @@
   struct LostServer {
     base::Millis lost_at;
     std::set<ContentKey> contents;
+    // More than the loss shows that it has crashed.
+    bool has_crashed = false;
+  };
+
+  // A decision that new losses require.
+  struct Decision {
+    base::Millis due_at;
+    // Time that this router leaves to those that decide before it.
+    base::Millis delay;
+    // Losses were added or retracted since the last tick.
+    bool has_news = true;
+    // Is due once its losses have settled.
+    bool is_postponed = false;
+    // The content will be contained unless a lost server lives on, so that
+    // requests with it wait.
+    bool holds_requests = false;
   };
 
   explicit State(const FleetMembers& fleet) : members(fleet) {}
@@ -64,18 +83,33 @@
                const ContentKey& key,
                const CrashEvidence::Loss& loss,
                bool by_notice);
+  // True if the server has crashed for certain, or was not heard of in time.
+  bool IsSettled(base::Millis now, const CrashEvidence::Loss& loss) const;
+  // True if this part of a content's evidence suffices to contain it.
+  bool Suffices(const ContentKey& key,
+                const Content& content,
+                const CrashEvidence& evidence) const;
+  // More than a loss shows that the server has crashed.
+  void MarkCrashed(base::Millis now, const std::string& backend);
+  // Losses of a content that may be undecided were retracted.
+  void Reconsider(const ContentKey& key);
   // Losses in a row after which the content is contained.
   int64_t RequiredLosses(const ContentKey& key,
                          const CrashEvidence& evidence) const;
-  // True while a containment has not begun, and while a suspected request has
-  // losses on which nothing was decided or runs at another router.
+  // True while a containment has not begun or depends on whether a server lives
+  // on, and while a suspected request has losses on which nothing was decided
+  // or runs at another router.
   bool IsUndecided(base::Millis now, const ContentKey& key) const;
   // True of a request that was lost several times in a row and never answered.
   bool IsSuspectedRequest(const ContentKey& key) const;
   // Decides on the contents with new losses, once all that were in progress at
   // the lost servers are known.
   void Decide(base::Millis now);
-  void Decide(base::Millis now, const ContentKey& key, Content& content);
+  // Returns false if the decision was postponed.
+  bool Decide(base::Millis now,
+              const ContentKey& key,
+              Content& content,
+              Decision& decision);
   void Contain(base::Millis now,
                const ContentKey& key,
                Content& content,
@@ -132,10 +166,12 @@
   std::map<ContentKey, Content> contents;
   size_t contained_count = 0;
   std::map<std::string, LostServer> lost_servers;
-  // Contents with new losses, and when to decide on them.
-  std::map<ContentKey, base::Millis> undecided;
+  // Contents with new losses.
+  std::map<ContentKey, Decision> undecided;
   // Own losses that the other routers were not told of, by server.
   std::map<std::string, std::map<ContentKey, base::Millis>> untold;
+  // Servers of which the other routers must be told that they have crashed.
+  std::set<std::string> untold_crashes;
   // Contained, but not yet begun.
   std::set<ContentKey> beginning;
   base::Millis expired_at;
--- a/libs/dispatch/src/content_decisions.cc
+++ b/libs/dispatch/src/content_decisions.cc
@@ -1,6 +1,8 @@
 // How evidence decides on contents.
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/digest.h"
@@ -110,8 +112,13 @@
   if (containment) {
     return !containment->has_begun;
   }
-  return now < found->second.held_until ||
-         (IsSuspectedRequest(key) && undecided.count(key) > 0);
+  if (now < found->second.held_until) {
+    return true;
+  }
+  const auto entry = undecided.find(key);
+  return entry != undecided.end() &&
+         (entry->second.holds_requests ||
+          (!entry->second.is_postponed && IsSuspectedRequest(key)));
 }
 
 bool ContentContainment::State::IsSuspectedRequest(
@@ -140,37 +147,71 @@
 
 void ContentContainment::State::Decide(base::Millis now) {
   for (auto entry = undecided.begin(); entry != undecided.end();) {
-    const auto& [key, due_at] = *entry;
-    if (now < due_at) {
-      ++entry;
+    auto& [key, decision] = *entry;
+    const auto found = contents.find(key);
+    if (found == contents.end() || found->second.containment) {
+      entry = undecided.erase(entry);
       continue;
     }
-    const auto found = contents.find(key);
-    if (found != contents.end()) {
-      Decide(now, key, found->second);
+    Content& content = found->second;
+    if (decision.has_news) {
+      decision.has_news = false;
+      decision.holds_requests = Suffices(key, content, content.evidence);
     }
-    entry = undecided.erase(entry);
+    const bool is_over =
+        now >= decision.due_at && Decide(now, key, content, decision);
+    entry = is_over ? undecided.erase(entry) : std::next(entry);
   }
 }
 
-void ContentContainment::State::Decide(base::Millis now,
+bool ContentContainment::State::IsSettled(
+    base::Millis now,
+    const CrashEvidence::Loss& loss) const {
+  const auto server = lost_servers.find(loss.backend);
+  return server == lost_servers.end() || server->second.has_crashed ||
+         now - loss.lost_at >= kSettleTime;
+}
+
+bool ContentContainment::State::Suffices(const ContentKey& key,
+                                         const Content& content,
+                                         const CrashEvidence& evidence) const {
+  return evidence.count() >= RequiredLosses(key, evidence) &&
+         !IsExplained(key, content.evidence);
+}
+
+bool ContentContainment::State::Decide(base::Millis now,
                                        const ContentKey& key,
-                                       Content& content) {
-  if (content.containment) {
-    return;
+                                       Content& content,
+                                       Decision& decision) {
+  CrashEvidence settled;
+  std::optional<base::Millis> next_settled_at;
+  for (const CrashEvidence::Loss& loss : content.evidence.losses()) {
+    if (IsSettled(now, loss)) {
+      settled.Add(loss);
+    } else {
+      const base::Millis settled_at = loss.lost_at + kSettleTime;
+      next_settled_at =
+          std::min(next_settled_at.value_or(settled_at), settled_at);
+    }
   }
-  const int64_t losses = content.evidence.count();
-  const int64_t required = RequiredLosses(key, content.evidence);
-  if (losses >= required && !IsExplained(key, content.evidence)) {
+  if (Suffices(key, content, settled)) {
     Contain(now, key, content,
             {now + kObjectionTime, false, now + kFirstTrialPeriod,
-             kFirstTrialPeriod, content.evidence.first_lost_at(),
-             content.evidence.last_lost_at(), losses, false});
+             kFirstTrialPeriod, settled.first_lost_at(), settled.last_lost_at(),
+             settled.count(), false});
     Broadcast(NoticeOf(now, key, *content.containment));
-  } else if (losses >= kSuspiciousLosses) {
+    return true;
+  }
+  if (next_settled_at) {
+    decision.due_at = *next_settled_at + decision.delay;
+    decision.is_postponed = true;
+    return false;
+  }
+  if (settled.count() >= kSuspiciousLosses) {
     RecordChange(ContentStateChanged::State::kSuspected, key, content,
                  base::Millis(), false);
   }
+  return true;
 }
 
 int64_t ContentContainment::State::RankFor(const ContentKey& key) const {
--- a/libs/dispatch/src/crash_evidence.h
+++ b/libs/dispatch/src/crash_evidence.h
@@ -38,6 +38,7 @@
   bool empty() const noexcept { return losses_.empty(); }
   // Backend::key() of the lost servers.
   std::vector<std::string> Backends() const;
+  const std::vector<Loss>& losses() const noexcept { return losses_; }
 
  private:
   // By the time of the loss.
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -88,6 +88,9 @@
 }
 
 void Dispatcher::State::On(const BackendsListed& event) {
+  for (const Backend& backend : event.backends) {
+    NoteRegistered(backend);
+  }
   Emit(directory_.OnListed(now_, event.backends));
   ForgetRemovedBackends();
   NoteVersions();
@@ -95,6 +98,7 @@
 }
 
 void Dispatcher::State::On(const BackendRegistered& event) {
+  NoteRegistered(event.backend);
   Emit(directory_.OnUpdated(event.backend));
   NoteVersion(event.backend);
   ProcessQueues();
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -13,6 +13,7 @@
 
 #include "base/error_kind.h"
 #include "call.h"
+#include "connection_losses.h"
 #include "dispatch/backend_backoff.h"
 #include "dispatch/backend_directory.h"
 #include "dispatch/call_queue.h"
@@ -122,6 +123,10 @@
   void RefuseContained(Call& call);
   // Ends the calls whose content has become contained.
   void EndContainedCalls();
+  // The connection of the attempt that has just ended was lost.
+  void NoteLost(const Call& call);
+  // A server is being registered; it may take the place of one that crashed.
+  void NoteRegistered(const Backend& backend);
   // Something was received for the attempt in progress.
   void NoteReceived(const Call& call);
   // The attempt in progress was answered with success.
@@ -208,6 +213,7 @@
   RequestLimits limits_;
   StreamOrigins origins_;
   ContentContainment containment_;
+  ConnectionLosses connection_losses_;
   base::Millis versions_noted_at_;
   // Calls in phase kAwaitingOrigin.
   std::set<CallId> awaiting_origin_;
--- a/libs/dispatch/src/router_message_codec.cc
+++ b/libs/dispatch/src/router_message_codec.cc
@@ -167,10 +167,14 @@
     AddContent(suspect.content, entry);
     suspects.push_back(std::move(entry));
   }
-  return {{"type", kLoss},
-          {"backend", notice.backend},
-          {"age", notice.age.count()},
-          {"suspects", std::move(suspects)}};
+  Json document = {{"type", kLoss},
+                   {"backend", notice.backend},
+                   {"age", notice.age.count()},
+                   {"suspects", std::move(suspects)}};
+  if (notice.is_unconfirmed) {
+    document["unconfirmed"] = true;
+  }
+  return document;
 }
 
 std::optional<RouterMessage> LossNoticeIn(const Json& document) {
@@ -180,7 +184,15 @@
   if (!backend || !age || suspects == nullptr || !suspects->is_array()) {
     return std::nullopt;
   }
-  LossNotice notice{std::move(*backend), *age, {}};
+  // Missing in notices of routers whose losses all count at once.
+  const Json* const is_unconfirmed = cbor::Find(document, "unconfirmed");
+  if (is_unconfirmed != nullptr && !is_unconfirmed->is_boolean()) {
+    return std::nullopt;
+  }
+  LossNotice notice{std::move(*backend),
+                    *age,
+                    {},
+                    is_unconfirmed != nullptr && is_unconfirmed->get<bool>()};
   for (const Json& entry : *suspects) {
     auto content = ContentIn(entry);
     const auto ran_for = DurationIn(entry, "ran_for");
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -109,6 +109,19 @@
     int64_t contained = 0;
   };
 
+  // A valid request whose connections are reset by servers that live on, and
+  // what routers made of it.
+  struct ResetCounts {
+    int64_t resets = 0;
+    int64_t answered = 0;
+    // Records of all routers that a content is suspected.
+    int64_t suspicions = 0;
+    // Longest times from arrival to the first attempt: of this request, and of
+    // others that crash nothing.
+    base::Millis longest_wait;
+    base::Millis longest_wait_of_others;
+  };
+
   explicit RouterFleet(const Options& options);
   ~RouterFleet();
 
@@ -147,11 +160,16 @@
   // From now on, one request arrives again and again that crashes each server
   // that runs it.
   void SendCrashingRequest(double per_second);
+  // One valid request arrives `copies` times, `gap` apart, at one router after
+  // the other. For `span`, servers run it and then reset its connection; they
+  // go on answering all other requests.
+  void SendResetRequest(size_t copies, base::Millis gap, base::Millis span);
   // Makes the store unavailable for `span`; leases expire meanwhile.
   void StopStore(base::Millis span);
 
   const StreamCounts& streams() const { return stream_counts_; }
   const CrashCounts& crashes() const { return crash_counts_; }
+  const ResetCounts& resets() const { return reset_counts_; }
   const BystanderCounts& bystanders() const { return bystander_counts_; }
   // Requests that crash servers and reached one later than `delay` after the
   // crash with this number, counted from 1.
@@ -200,6 +218,7 @@
 
   // The caller's side of streams, and their runs; router_fleet_streams.cc.
   void RequestStream(std::shared_ptr<Stream> stream);
+  void RequestStreamAt(size_t router, std::shared_ptr<Stream> stream);
   void StartStream(size_t router, size_t server, const StartAttempt& command);
   void SendEvent(const StreamRunKey& key);
   void EndStream(size_t router, CallId call, bool is_complete);
@@ -214,6 +233,10 @@
   bool IsBystander(const Stream& stream) const;
   // Crashes a server if the run that is about to answer does so.
   bool CrashesByContent(const StreamRun& run);
+  // Resets the connection of the run that is about to answer if its server does
+  // so.
+  bool ResetsConnection(const StreamRunKey& key, const StreamRun& run);
+  void CountWait(const Stream& stream);
   void RegisterServer(size_t server, base::Millis after);
   Backend RegistrationOf(size_t server) const;
   static Route StreamRoute();
@@ -223,6 +246,7 @@
   void Handle(size_t router, const RelayAnswer& command);
   void Handle(size_t router, const CallEnded& command);
   void Handle(size_t router, const SendToRouter& command);
+  void Handle(size_t router, const ContentStateChanged& command);
   template <typename Command>
   void Handle(size_t /*router*/, const Command& /*command*/) {}
 
@@ -248,6 +272,8 @@
   StreamCounts stream_counts_;
   CrashCounts crash_counts_;
   BystanderCounts bystander_counts_;
+  ResetCounts reset_counts_;
+  base::Millis resets_until_;
   std::vector<uint64_t> crashing_parts_;
   double crashing_per_second_ = 0;
   // Distinguishes the arrivals that the latest call started.
--- a/libs/dispatch/tests/router_fleet_crashes.cc
+++ b/libs/dispatch/tests/router_fleet_crashes.cc
@@ -17,9 +17,11 @@
 constexpr uint64_t kCrashingPartId = 666;
 constexpr uint64_t kOwnPartId = 10'000;
 constexpr base::Tokens kPartTokens = 200;
-// Contents of requests: one that crashes servers, some that come again, and
-// others. One of kRepeatedOneIn requests comes again.
+// Contents of requests: one that crashes servers, one whose connections are
+// reset, some that come again, and others. One of kRepeatedOneIn requests comes
+// again.
 constexpr uint64_t kCrashingContent = 666;
+constexpr uint64_t kResetContent = 667;
 constexpr uint64_t kRepeatedContents = 20;
 constexpr uint64_t kRepeatedOneIn = 4;
 constexpr uint64_t kOwnContent = 10'000;
@@ -91,6 +93,53 @@
   });
 }
 
+void RouterFleet::SendResetRequest(size_t copies,
+                                   base::Millis gap,
+                                   base::Millis span) {
+  resets_until_ = now_ + span;
+  for (size_t i = 0; i < copies; ++i) {
+    At(now_ + gap * static_cast<int64_t>(i), [this, i] {
+      auto stream = std::make_shared<Stream>();
+      if (options_.has_prompts) {
+        stream->prompt = AnyPrompt();
+      }
+      stream->content = base::Digest(1, kResetContent);
+      stream->is_reset = true;
+      RequestStreamAt(i % routers_.size(), std::move(stream));
+    });
+  }
+}
+
+bool RouterFleet::ResetsConnection(const StreamRunKey& key,
+                                   const StreamRun& run) {
+  if (!run.is_reset || now_ >= resets_until_) {
+    return false;
+  }
+  ++reset_counts_.resets;
+  const auto [router, incarnation, attempt] = key;
+  AtRouter(router, now_ + kHop, [this, r = router, a = attempt, run] {
+    Raise(r, AttemptFailed{run.call, a, AttemptFailure::kLost});
+  });
+  runs_.erase(key);
+  return true;
+}
+
+void RouterFleet::CountWait(const Stream& stream) {
+  if (!stream.asked_at || stream.is_crashing) {
+    return;
+  }
+  base::Millis& longest = stream.is_reset
+                              ? reset_counts_.longest_wait
+                              : reset_counts_.longest_wait_of_others;
+  longest = std::max(longest, now_ - *stream.asked_at);
+}
+
+void RouterFleet::Handle(size_t /*router*/,
+                         const ContentStateChanged& command) {
+  reset_counts_.suspicions +=
+      command.state == ContentStateChanged::State::kSuspected ? 1 : 0;
+}
+
 bool RouterFleet::IsBystander(const Stream& stream) const {
   return !stream.is_crashing &&
          (crashing_parts_.empty() ||
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -69,6 +69,10 @@
   base::Digest content;
   // Crashes each server that begins an answer to it.
   bool is_crashing = false;
+  // Its connections may be reset by servers that live on.
+  bool is_reset = false;
+  // Arrival of the request in progress, until its first attempt.
+  std::optional<base::Millis> asked_at;
 };
 
 // A run of a stream at a server.
@@ -79,6 +83,7 @@
   int64_t next_event = 1;
   bool is_answered = false;
   bool is_crashing = false;
+  bool is_reset = false;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -23,7 +23,11 @@
 }
 
 void RouterFleet::RequestStream(std::shared_ptr<Stream> stream) {
-  const size_t index = random_() % routers_.size();
+  RequestStreamAt(random_() % routers_.size(), std::move(stream));
+}
+
+void RouterFleet::RequestStreamAt(size_t index,
+                                  std::shared_ptr<Stream> stream) {
   const Router& router = *routers_[index];
   if (!router.is_running || now_ < router.frozen_until ||
       ++stream->requests > kMostRequests) {
@@ -42,6 +46,7 @@
   }
   stream->request_id = arrived.request.id;
   stream->goes_on = false;
+  stream->asked_at = now_;
   const bool is_bystander = IsBystander(*stream);
   if (is_bystander && stream->requests == 1) {
     ++bystander_counts_.asked;
@@ -73,6 +78,11 @@
   const auto stream = streams_.find({router, command.call});
   const bool is_crashing =
       stream != streams_.end() && stream->second->is_crashing;
+  const bool is_reset = stream != streams_.end() && stream->second->is_reset;
+  if (stream != streams_.end()) {
+    CountWait(*stream->second);
+    stream->second->asked_at.reset();
+  }
   if (is_crashing) {
     crash_counts_.sent.push_back({now_, !IsExcused(router)});
   }
@@ -81,7 +91,8 @@
                 servers_[server].generation,
                 command.resume_after.value_or(0) + 1,
                 false,
-                is_crashing};
+                is_crashing,
+                is_reset};
   At(now_ + options_.event_gap, [this, key] { SendEvent(key); });
 }
 
@@ -104,7 +115,7 @@
     });
     return;
   }
-  if (CrashesByContent(run)) {
+  if (CrashesByContent(run) || ResetsConnection(key, run)) {
     return;
   }
   found->second.is_answered = true;
@@ -161,6 +172,7 @@
   }
   const std::shared_ptr<Stream> stream = found->second;
   streams_.erase(found);
+  reset_counts_.answered += stream->is_reset && is_complete ? 1 : 0;
   if (is_complete || stream->requests == kMostRequests) {
     stream_counts_.completed += is_complete ? 1 : 0;
     stream_counts_.mixed += stream->versions.size() > 1 ? 1 : 0;
--- a/libs/dispatch/tests/router_message_codec_test.cc
+++ b/libs/dispatch/tests/router_message_codec_test.cc
@@ -58,6 +58,7 @@
       LossNotice{"s1@7", Millis(3), {}},
       LossNotice{"s1@7", Millis(0), {{kPart, Millis(0)}, {kPart, Millis(90)}}},
       LossNotice{"s1@7", Millis(0), {{kRequest, Millis(5)}}},
+      LossNotice{"s1@7", Millis(0), {{kRequest, Millis(5)}}, true},
       LossRetraction{"s1@7"},
       ContainmentNotice{kPart, Millis(900), Millis(3), 3, Millis(60'000),
                         Millis(60'000), false},
