Limit the requests to cold backend servers

A server that has just started accepts only coldPerS requests a second from all routers together, and crashes above that. The router decoded coldRemainingMs and used it nowhere, so that a started server got full load at once.

ColdPeriods keeps until when each incarnation is cold, from registrations, answers (Godwitlatch-Cold-Ms) and coldStartS. RequestLimits has cold servers as a second source of limits: the routers divide ceil(coldPerS) requests in a window of 1/0.95 s by their ranks, and SendWindow bounds the requests in any window, so that the sum holds although all routers may send at once. Routers that are not settled divide a fifth of the rate, and none before lists were read over 4 s. The response timeout of a cold server is doubled.

--- a/libs/dispatch/include/dispatch/backend.h
+++ b/libs/dispatch/include/dispatch/backend.h
@@ -2,6 +2,7 @@
 #define DISPATCH_BACKEND_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -27,8 +28,10 @@
   int64_t slots = 1;
   // The server takes no new work.
   bool draining = false;
-  // Time for which the server is slow after its start.
-  base::Millis warm_up;
+  // How much longer the server is cold; empty if not stated.
+  std::optional<base::Millis> cold_remaining;
+  // The server states a time that can't be read.
+  bool has_invalid_cold_remaining = false;
 
   // Unique for each incarnation.
   std::string key() const {
@@ -38,10 +41,10 @@
   friend bool operator==(const Backend& a, const Backend& b) {
     return std::tie(a.instance, a.started_at_ms, a.service, a.address,
                     a.data_centre, a.software_version, a.slots, a.draining,
-                    a.warm_up) == std::tie(b.instance, b.started_at_ms,
-                                           b.service, b.address, b.data_centre,
-                                           b.software_version, b.slots,
-                                           b.draining, b.warm_up);
+                    a.cold_remaining, a.has_invalid_cold_remaining) ==
+           std::tie(b.instance, b.started_at_ms, b.service, b.address,
+                    b.data_centre, b.software_version, b.slots, b.draining,
+                    b.cold_remaining, b.has_invalid_cold_remaining);
   }
   friend bool operator!=(const Backend& a, const Backend& b) {
     return !(a == b);
--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -5,6 +5,7 @@
 
 #include "dispatch/abort_call.h"
 #include "dispatch/attempt_abandoned.h"
+#include "dispatch/backend_cold_changed.h"
 #include "dispatch/backend_health_changed.h"
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
@@ -32,6 +33,7 @@
                                      CallEnded,
                                      BackendHealthChanged,
                                      BackendLimitChanged,
+                                     BackendColdChanged,
                                      ContentStateChanged,
                                      SendToRouter,
                                      platform::KvRead,
--- a/libs/dispatch/include/dispatch/fleet_members.h
+++ b/libs/dispatch/include/dispatch/fleet_members.h
@@ -31,6 +31,9 @@
   // time to register, until none was read for so long that this router may be
   // no member to the others.
   bool is_settled(base::Millis now) const;
+  // True once lists were read over such a time that routers that started
+  // together are in each other's list.
+  bool has_started() const;
 
  private:
   const base::ProcessId self_;
--- a/libs/dispatch/include/dispatch/placement.h
+++ b/libs/dispatch/include/dispatch/placement.h
@@ -72,6 +72,9 @@
   // prefill of its pending prompts may take.
   bool IsUnresponsive(base::Millis now, int64_t attempt) const;
 
+  // The server is cold until then, and has twice the response timeout.
+  void SetColdUntil(const Backend& backend, base::Millis until);
+
   // Shifts the last receive times by `span`, in which this process was stalled
   // and could not receive.
   void CompensateStall(base::Millis span);
--- a/libs/dispatch/include/dispatch/reply.h
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -30,14 +30,20 @@
   std::optional<double> request_limit;
   // The server states a limit that can't be read.
   bool has_invalid_limit = false;
+  // How much longer the server is cold; empty if not stated.
+  std::optional<base::Millis> cold_remaining;
+  // The server states a time that can't be read.
+  bool has_invalid_cold_remaining = false;
 
   friend bool operator==(const Reply& a, const Reply& b) {
     return std::tie(a.status, a.not_run, a.instance_mismatch, a.is_signed,
                     a.load, a.retry_after, a.is_leaving, a.request_limit,
-                    a.has_invalid_limit) ==
+                    a.has_invalid_limit, a.cold_remaining,
+                    a.has_invalid_cold_remaining) ==
            std::tie(b.status, b.not_run, b.instance_mismatch, b.is_signed,
                     b.load, b.retry_after, b.is_leaving, b.request_limit,
-                    b.has_invalid_limit);
+                    b.has_invalid_limit, b.cold_remaining,
+                    b.has_invalid_cold_remaining);
   }
   friend bool operator!=(const Reply& a, const Reply& b) { return !(a == b); }
 };
--- a/libs/dispatch/include/dispatch/service_profile.h
+++ b/libs/dispatch/include/dispatch/service_profile.h
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "base/ids.h"
+#include "base/millis.h"
 #include "dispatch/engine_profile.h"
 
 namespace godwit::dispatch {
@@ -18,10 +19,16 @@
   int64_t max_connections = 0;
   // Empty for plain services.
   std::optional<EngineProfile> engine;
+  // Time for which a server is cold after its start; zero if the service has no
+  // cold starts.
+  base::Millis cold_start;
+  // Requests a second that a cold server accepts from all routers together.
+  double cold_rate = 1;
 
   friend bool operator==(const ServiceProfile& a, const ServiceProfile& b) {
-    return std::tie(a.id, a.max_connections, a.engine) ==
-           std::tie(b.id, b.max_connections, b.engine);
+    return std::tie(a.id, a.max_connections, a.engine, a.cold_start,
+                    a.cold_rate) == std::tie(b.id, b.max_connections, b.engine,
+                                             b.cold_start, b.cold_rate);
   }
   friend bool operator!=(const ServiceProfile& a, const ServiceProfile& b) {
     return !(a == b);
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -239,17 +239,24 @@
     const std::vector<const Backend*>& backends,
     int64_t ahead) const {
   double send_rate = 0;
+  std::optional<base::Millis> wait;
   for (const Backend* backend : backends) {
     const auto rate = limits_.SendRate(*backend);
     if (!rate) {
       return base::Millis();
     }
     send_rate += *rate;
+    if (const auto end = limits_.EndOf(*backend)) {
+      const base::Millis left = std::max(base::Millis(), *end - now_);
+      wait = std::min(left, wait.value_or(left));
+    }
+  }
+  if (send_rate > 0) {
+    const base::Millis turn(static_cast<int64_t>(
+        kMillisPerSecond * static_cast<double>(ahead + 1) / send_rate));
+    wait = std::min(turn, wait.value_or(turn));
   }
-  return send_rate == 0 ? base::Millis()
-                        : base::Millis(static_cast<int64_t>(
-                              kMillisPerSecond *
-                              static_cast<double>(ahead + 1) / send_rate));
+  return wait.value_or(base::Millis());
 }
 
 base::Millis Dispatcher::State::WaitByBackoff(
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -76,6 +76,8 @@
     return;
   }
   table_ = event.table;
+  cold_periods_.SetConfiguration(table_);
+  ApplyColdPeriods();
   std::vector<ledger::BudgetLimit> limits;
   for (const Organisation& organisation : table_->organisations()) {
     if (organisation.prepaid) {
@@ -89,6 +91,10 @@
 
 void Dispatcher::State::On(const BackendsListed& event) {
   Emit(directory_.OnListed(now_, event.backends));
+  for (const Backend& backend : cold_periods_.OnListed(now_, event.backends)) {
+    RecordUnreadableColdPeriod(backend);
+  }
+  ApplyColdPeriods();
   ForgetRemovedBackends();
   NoteVersions();
   ProcessQueues();
@@ -96,6 +102,10 @@
 
 void Dispatcher::State::On(const BackendRegistered& event) {
   Emit(directory_.OnUpdated(event.backend));
+  if (cold_periods_.OnRegistered(now_, event.backend)) {
+    RecordUnreadableColdPeriod(event.backend);
+  }
+  ApplyColdPeriod(event.backend);
   NoteVersion(event.backend);
   ProcessQueues();
 }
@@ -201,6 +211,9 @@
   }
   containment_.Tick(now_);
   EndContainedCalls();
+  for (BackendColdChanged& change : limits_.EndColdLimits(now_)) {
+    Emit(std::move(change));
+  }
   for (const LimitNotice& notice : limits_.Tick(now_)) {
     Broadcast(notice);
   }
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -17,6 +17,7 @@
 #include "dispatch/backend_directory.h"
 #include "dispatch/call_queue.h"
 #include "dispatch/choice.h"
+#include "dispatch/cold_periods.h"
 #include "dispatch/content_containment.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/fleet_members.h"
@@ -189,6 +190,10 @@
   // Sends a message to all other routers.
   void Broadcast(const RouterMessage& message);
   void ForgetRemovedBackends();
+  // Applies what is known of the server's cold period.
+  void ApplyColdPeriod(const Backend& backend);
+  void ApplyColdPeriods();
+  void RecordUnreadableColdPeriod(const Backend& backend);
 
   void Emit(std::vector<BackendHealthChanged> changes);
   void Emit(std::vector<ledger::MeteredBudgetManager::Command> commands);
@@ -206,6 +211,7 @@
   FleetMembers members_;
   BackendBackoff backoff_;
   RequestLimits limits_;
+  ColdPeriods cold_periods_;
   StreamOrigins origins_;
   ContentContainment containment_;
   base::Millis versions_noted_at_;
--- a/libs/dispatch/src/fleet_members.cc
+++ b/libs/dispatch/src/fleet_members.cc
@@ -10,6 +10,9 @@
 constexpr base::Millis kRegistrationTime(15'000);
 // A router that could not renew its lease for longer is no member to others.
 constexpr base::Millis kListLifetime(30'000);
+// Routers register when they start, and a list may be read up to two periods of
+// two seconds after it was requested.
+constexpr base::Millis kStartTime(4000);
 
 }  // namespace
 
@@ -46,4 +49,8 @@
          now - last_listed_at_ < kListLifetime;
 }
 
+bool FleetMembers::has_started() const {
+  return first_listed_at_ && last_listed_at_ - *first_listed_at_ >= kStartTime;
+}
+
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -195,6 +195,10 @@
          state_->IsUnresponsive(now, load->second);
 }
 
+void Placement::SetColdUntil(const Backend& backend, base::Millis until) {
+  state_->LoadOf(backend).cold_until = until;
+}
+
 void Placement::CompensateStall(base::Millis span) {
   for (auto& [key, load] : state_->loads) {
     load.last_received_at = load.last_received_at + span;
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -65,7 +65,7 @@
   }
   for (auto entry = loads.begin(); entry != loads.end();) {
     const ServerLoad& load = entry->second;
-    const bool is_idle = load.in_flight == 0 &&
+    const bool is_idle = load.in_flight == 0 && now >= load.cold_until &&
                          now - load.last_received_at > kIdleServerRetention;
     entry = is_idle ? loads.erase(entry) : std::next(entry);
   }
@@ -245,8 +245,11 @@
   const auto prefill_time = base::Millis(
       static_cast<int64_t>(kPrefillAllowance * kPrefillMsPerToken *
                            static_cast<double>(load.pending_prefill)));
+  // A cold server answers more slowly.
+  const base::Millis response_timeout =
+      options.response_timeout * (now < load.cold_until ? 2 : 1);
   return load.in_flight > 0 &&
-         now - load.last_received_at > options.response_timeout + prefill_time;
+         now - load.last_received_at > response_timeout + prefill_time;
 }
 
 void Placement::State::CheckResponsiveness(base::Millis now, ServerLoad& load) {
--- a/libs/dispatch/src/request_limits.cc
+++ b/libs/dispatch/src/request_limits.cc
@@ -62,6 +62,12 @@
   return rank;
 }
 
+double RequestLimits::PhaseOf(const std::string& key) const {
+  return static_cast<double>(
+             base::Digest::Of(members_.self().value() + "/" + key).high()) /
+         kHashes;
+}
+
 base::Millis RequestLimits::IntervalOf(base::Millis now,
                                        const Limit& limit) const {
   const double routers =
@@ -91,13 +97,9 @@
   }
   // Routers that learn of a change at the same time must not all send at the
   // same time.
-  const double phase =
-      static_cast<double>(
-          base::Digest::Of(members_.self().value() + "/" + key).high()) /
-      kHashes;
   const base::Millis first =
       now + base::Millis(static_cast<int64_t>(
-                phase * static_cast<double>(interval.count())));
+                PhaseOf(key) * static_cast<double>(interval.count())));
   limit.next_send_at = interval < limit.interval
                            ? std::min(limit.next_send_at, first)
                            : std::max(limit.next_send_at, first);
@@ -109,6 +111,10 @@
     limit.rank = RankOf(key);
     Reschedule(now, key, limit);
   }
+  for (auto& [key, cold] : cold_) {
+    cold.rank = RankOf(key);
+    ApportionCold(now, key, cold);
+  }
 }
 
 BackendLimitChanged RequestLimits::Update(base::Millis now,
@@ -224,6 +230,7 @@
     }
   };
   retain(limits_);
+  retain(cold_);
   retain(announcements_);
   for (auto key = unreadable_.begin(); key != unreadable_.end();) {
     key = keys.count(*key) == 0 ? unreadable_.erase(key) : ++key;
@@ -236,16 +243,27 @@
 }
 
 bool RequestLimits::MaySend(base::Millis now, const Backend& backend) const {
-  const auto found = limits_.find(backend.key());
+  const std::string key = backend.key();
+  const auto cold = cold_.find(key);
+  if (cold != cold_.end() && now < cold->second.limit.until &&
+      !cold->second.window.MaySend(now)) {
+    return false;
+  }
+  const auto found = limits_.find(key);
   return found == limits_.end() ||
          now + ToleranceOf(found->second) >= found->second.next_send_at;
 }
 
 void RequestLimits::OnSent(base::Millis now, const Backend& backend) {
-  if (limits_.empty()) {
+  if (empty()) {
     return;
   }
-  const auto found = limits_.find(backend.key());
+  const std::string key = backend.key();
+  const auto cold = cold_.find(key);
+  if (cold != cold_.end()) {
+    cold->second.window.OnSent(now);
+  }
+  const auto found = limits_.find(key);
   if (found != limits_.end()) {
     Limit& limit = found->second;
     limit.next_send_at = std::max(limit.next_send_at, now) + limit.interval;
@@ -253,12 +271,20 @@
 }
 
 std::optional<double> RequestLimits::SendRate(const Backend& backend) const {
-  const auto found = limits_.find(backend.key());
-  if (found == limits_.end()) {
-    return std::nullopt;
+  const std::string key = backend.key();
+  std::optional<double> rate;
+  const auto cold = cold_.find(key);
+  if (cold != cold_.end()) {
+    rate = cold->second.window.rate();
   }
-  return kMillisPerSecond / static_cast<double>(std::max<int64_t>(
-                                1, found->second.interval.count()));
+  const auto found = limits_.find(key);
+  if (found != limits_.end()) {
+    const double stated =
+        kMillisPerSecond / static_cast<double>(std::max<int64_t>(
+                               1, found->second.interval.count()));
+    rate = std::min(stated, rate.value_or(stated));
+  }
+  return rate;
 }
 
 std::vector<LimitNotice> RequestLimits::Tick(base::Millis now) {
@@ -267,6 +293,9 @@
     for (auto& [key, limit] : limits_) {
       Reschedule(now, key, limit);
     }
+    for (auto& [key, cold] : cold_) {
+      ApportionCold(now, key, cold);
+    }
   }
   return TakeNotices(now);
 }
--- a/libs/dispatch/src/server_load.h
+++ b/libs/dispatch/src/server_load.h
@@ -34,6 +34,8 @@
   base::Millis last_received_at;
   int64_t ejections = 0;
   base::Millis ejected_until;
+  // When it is warm.
+  base::Millis cold_until;
   // Limited to one attempt at a time until one has been served.
   bool on_probation = false;
 
--- a/libs/dispatch/src/server_statements.cc
+++ b/libs/dispatch/src/server_statements.cc
@@ -22,6 +22,14 @@
                                   " ms",
                               ""});
   }
+  if (reply.cold_remaining || reply.has_invalid_cold_remaining) {
+    if (cold_periods_.OnAnswer(now_, call.backend, reply)) {
+      RecordUnreadableColdPeriod(call.backend);
+    }
+    if (directory_.FindByKey(call.backend.key()) != nullptr) {
+      ApplyColdPeriod(call.backend);
+    }
+  }
   if (reply.is_leaving) {
     Emit(directory_.MarkLeaving(call.backend));
   }
@@ -48,11 +56,35 @@
 }
 
 void Dispatcher::State::ForgetRemovedBackends() {
-  if (!limits_.empty() || !backoff_.empty()) {
-    const std::set<std::string> keys = directory_.Keys();
-    limits_.Retain(keys);
-    backoff_.Retain(keys);
+  const std::set<std::string> keys = directory_.Keys();
+  limits_.Retain(keys);
+  backoff_.Retain(keys);
+  cold_periods_.Retain(now_, keys);
+}
+
+void Dispatcher::State::ApplyColdPeriod(const Backend& backend) {
+  const auto limit = cold_periods_.LimitOf(now_, backend);
+  auto change = limits_.SetCold(now_, backend, limit);
+  if (limit || change) {
+    placement_.SetColdUntil(backend, limit ? limit->until : base::Millis());
+  }
+  if (change) {
+    Emit(std::move(*change));
+  }
+}
+
+void Dispatcher::State::ApplyColdPeriods() {
+  for (const Backend* const backend : directory_.RegisteredBackends()) {
+    ApplyColdPeriod(*backend);
   }
 }
 
+void Dispatcher::State::RecordUnreadableColdPeriod(const Backend& backend) {
+  BackendColdChanged change;
+  change.instance = backend.instance;
+  change.service = backend.service;
+  change.is_unreadable = true;
+  Emit(std::move(change));
+}
+
 }  // namespace godwit::dispatch
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -89,7 +89,10 @@
   contents.routes = Routes();
   contents.organisations = options.organisations;
   contents.requires_api_key = options.requires_api_key;
-  contents.services = {{base::ServiceId("model"), 0, EngineProfile{16, 0, 4}}};
+  ServiceProfile service;
+  service.id = base::ServiceId("model");
+  service.engine = EngineProfile{16, 0, 4};
+  contents.services = {service};
   Raise(RoutingTableUpdated{
       std::make_shared<const RoutingTable>(std::move(contents))});
   Raise(listed);
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -104,15 +104,17 @@
   contents.version = 1;
   contents.revision = platform::KvVersion(1);
   contents.routes = {route};
+  if (options_.cold_rate > 0 && !options_.hides_cold) {
+    ServiceProfile service;
+    service.id = base::ServiceId("plain");
+    service.cold_start = options_.cold_start;
+    service.cold_rate = options_.cold_rate;
+    contents.services = {service};
+  }
   Raise(index, RoutingTableUpdated{
                    std::make_shared<const RoutingTable>(std::move(contents))});
-  BackendsListed listed;
-  for (size_t i = 0; i < servers_.size(); ++i) {
-    if (!servers_[i].is_down) {
-      listed.backends.push_back(RegistrationOf(i));
-    }
-  }
-  Raise(index, listed);
+  router.started_at = now_;
+  ListBackends(index);
   const auto phase = base::Millis(static_cast<int64_t>(random_() % 25));
   AtRouter(index, now_ + phase, [this, index] { TickRouter(index); });
   AtRouter(index, now_ + phase, [this, index] { ReadList(index); });
@@ -218,8 +220,17 @@
     StartStream(router, index, command);
     return;
   }
-  At(now_ + kHop, [this, router, index,
-                   incarnation = routers_[router]->incarnation, command] {
+  const int64_t jitter = options_.delivery_jitter.count();
+  const base::Millis delay(
+      jitter > 1
+          ? static_cast<int64_t>(random_() % static_cast<uint64_t>(jitter))
+          : 0);
+  At(now_ + kHop + delay, [this, router, index,
+                           incarnation = routers_[router]->incarnation,
+                           command] {
+    if (TurnsDownAsEnded(router, index, command)) {
+      return;
+    }
     const Router& sender = *routers_[router];
     const auto told = sender.told_at.find(index);
     const bool was_told = sender.incarnation == incarnation &&
@@ -241,6 +252,8 @@
     }
     server.arrivals.push_back({now_, router, since_turned_away, since_leaving,
                                was_told && !IsExcused(router)});
+    NoteColdArrival(index, server.arrivals.back());
+    const base::Millis run_time = RunTime(index);
     if (turns_away) {
       AtRouter(router, now_ + kHop,
                [this, router, index, command,
@@ -258,11 +271,11 @@
       return;
     }
     ++servers_[index].running;
-    At(now_ + options_.run_time, [this, index] { --servers_[index].running; });
+    At(now_ + run_time, [this, index] { --servers_[index].running; });
     if (sender.incarnation != incarnation) {
       return;
     }
-    AtRouter(router, now_ + options_.run_time + kHop,
+    AtRouter(router, now_ + run_time + kHop,
              [this, router, index, command, limit = servers_[index].limit] {
                AttemptAnswered answered;
                answered.call = command.call;
@@ -276,6 +289,11 @@
                  answered.reply.load =
                      LoadReport{servers_[index].running, 0, *options_.slots};
                }
+               if (IsCold(index) && options_.states_cold_in_answers &&
+                   !options_.hides_cold) {
+                 answered.reply.cold_remaining =
+                     servers_[index].cold_until - now_;
+               }
                answered.complete = true;
                answered.reply.is_leaving = servers_[index].is_leaving;
                answered_by_ = index;
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -55,6 +55,15 @@
     bool hides_versions = false;
     // Injected fault: routers ignore limits.
     bool hides_limits = false;
+    // Requests a second that a cold server accepts, and the time for which
+    // servers are cold after their start; 0 for a service without cold starts.
+    double cold_rate = 0;
+    base::Millis cold_start{10'000};
+    bool states_cold_in_answers = false;
+    // Injected fault: routers ignore what servers state about cold periods.
+    bool hides_cold = false;
+    // Requests arrive at servers up to this much later than others.
+    base::Millis delivery_jitter{1};
     uint64_t seed = 1;
   };
 
@@ -71,8 +80,16 @@
     // The router had passed on an answer with the server's limit half a second
     // earlier, and is not excused by a fault.
     bool is_counted = false;
+    // The server was cold, in this incarnation, and the router was not excused:
+    // it may take an incarnation for warm that stated nothing when the router
+    // read its first list.
+    bool is_cold = false;
+    int64_t generation = 0;
   };
 
+  // When a new incarnation states how long it is cold.
+  enum class ColdStatement : uint8_t { kAtOnce, kLate, kNever };
+
   // What callers saw of streams.
   struct StreamCounts {
     int64_t completed = 0;
@@ -138,6 +155,14 @@
   void Crash(size_t server,
              base::Millis span,
              const std::optional<std::string>& version = std::nullopt);
+  // Ends the incarnation of a server; one that is cold starts in its place
+  // after `span`.
+  void StartCold(size_t server, base::Millis span, ColdStatement statement);
+  // The server becomes cold again.
+  void BecomeCold(size_t server);
+  // Largest number of requests that the server received in any one second
+  // since `from` while it was cold in one incarnation.
+  int64_t MostPerSecondWhileCold(size_t server, base::Millis from) const;
   // From now on, requests arrive whose prompts have a part that crashes each
   // server that begins an answer to them; none if `per_second` is 0. The parts
   // of the prompts: `before`, the crashing part, `after`, one of their own.
@@ -215,6 +240,17 @@
   // Crashes a server if the run that is about to answer does so.
   bool CrashesByContent(const StreamRun& run);
   void RegisterServer(size_t server, base::Millis after);
+  // Cold servers; router_fleet_cold.cc.
+  void ListBackends(size_t router);
+  void WriteHeartbeat(size_t server, int64_t generation);
+  void DeliverRegistration(size_t router, size_t server, int64_t generation);
+  bool IsCold(size_t server) const;
+  base::Millis RunTime(size_t server) const;
+  void NoteColdArrival(size_t server, Arrival& arrival) const;
+  // Answers a request to a server that has ended. Returns false if it has not.
+  bool TurnsDownAsEnded(size_t router,
+                        size_t server,
+                        const StartAttempt& command);
   Backend RegistrationOf(size_t server) const;
   static Route StreamRoute();
 
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -24,6 +24,7 @@
   base::Millis frozen_until;
   base::Millis cut_until;
   base::Millis excused_until;
+  base::Millis started_at;
   // When it first passed on an answer with a limit, by server.
   std::map<size_t, base::Millis> told_at;
   // The same of an answer that states that the server leaves.
@@ -42,6 +43,10 @@
   bool is_down = false;
   bool is_leaving = false;
   base::Millis turns_away_until;
+  base::Millis cold_until;
+  base::Millis started_at;
+  // When it first states how long it is cold.
+  base::Millis states_cold_from;
 };
 
 struct RouterFleet::Scheduled {
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -186,6 +186,9 @@
   if (options_.hides_versions) {
     registration.software_version.clear();
   }
+  if (options_.hides_cold) {
+    registration.cold_remaining.reset();
+  }
   return registration;
 }
 
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -77,6 +77,9 @@
   kContentContained = 713,
   kContentTrial = 714,
   kContentCleared = 715,
+  kBackendCold = 716,
+  kBackendWarm = 717,
+  kBackendColdUnreadable = 718,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -163,6 +163,15 @@
       {EventId::kContentCleared, Level::kInfo, "content_cleared",
        "A request with a suspected or contained content was answered, "
        "or its servers were not lost; such requests are sent again."},
+      {EventId::kBackendCold, Level::kInfo, "backend_cold",
+       "A backend server is cold: it accepts only a few requests a second from "
+       "all routers together; fields give them and the time left."},
+      {EventId::kBackendWarm, Level::kInfo, "backend_warm",
+       "A backend server is not cold any more."},
+      {EventId::kBackendColdUnreadable, Level::kWarning,
+       "backend_cold_unreadable",
+       "A backend server states for how long it is cold in a way that can't be "
+       "read, which counts as not stated; logged once for each start of it."},
       {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
        "The platform's KV does not answer; what needs a write is refused as "
        "not run."},
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dispatch/attempt_abandoned.h"
+#include "dispatch/backend_cold_changed.h"
 #include "dispatch/backend_health_changed.h"
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
@@ -191,6 +192,19 @@
        {"unreadable", change.is_unreadable}});
 }
 
+void LogRecord(const dispatch::BackendColdChanged& change) {
+  if (change.is_unreadable) {
+    Log(EventId::kBackendColdUnreadable,
+        {{"backend", change.instance}, {"service", change.service}});
+    return;
+  }
+  Log(change.is_cold ? EventId::kBackendCold : EventId::kBackendWarm,
+      {{"backend", change.instance},
+       {"service", change.service},
+       {"remaining_ms", change.remaining},
+       {"rate_per_s", change.rate}});
+}
+
 void LogRecord(const dispatch::ContentStateChanged& change) {
   const bool is_part =
       change.content.kind == dispatch::ContentKey::Kind::kPromptPart;
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -5,6 +5,7 @@
 
 namespace godwit::dispatch {
 struct AttemptAbandoned;
+struct BackendColdChanged;
 struct BackendHealthChanged;
 struct BackendLimitChanged;
 struct CallEnded;
@@ -39,6 +40,7 @@
 void LogLoan(const ledger::LoanReply& reply);
 void LogRecord(const dispatch::BackendHealthChanged& change);
 void LogRecord(const dispatch::BackendLimitChanged& change);
+void LogRecord(const dispatch::BackendColdChanged& change);
 void LogRecord(const dispatch::ContentStateChanged& change);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
