--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -18,6 +18,7 @@
 #include "dispatch/backend_directory.h"
 #include "dispatch/call_queue.h"
 #include "dispatch/choice.h"
+#include "dispatch/cold_periods.h"
 #include "dispatch/content_containment.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/fleet_members.h"
@@ -194,6 +195,10 @@
   // Sends a message to all other routers.
   void Broadcast(const RouterMessage& message);
   void ForgetRemovedBackends();
+  // Applies what is known of the server's cold period.
+  void ApplyColdPeriod(const Backend& backend);
+  void ApplyColdPeriods();
+  void RecordUnreadableColdPeriod(const Backend& backend);
 
   void Emit(std::vector<BackendHealthChanged> changes);
   void Emit(std::vector<ledger::MeteredBudgetManager::Command> commands);
@@ -213,6 +218,7 @@
   RequestLimits limits_;
   // Keys of the servers whose invalid load reports were recorded.
   std::set<std::string> invalid_loads_;
+  ColdPeriods cold_periods_;
   StreamOrigins origins_;
   ContentContainment containment_;
   ConnectionLosses connection_losses_;
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -78,6 +78,9 @@
   kContentContained = 713,
   kContentTrial = 714,
   kContentCleared = 715,
+  kBackendCold = 716,
+  kBackendWarm = 717,
+  kBackendColdUnreadable = 718,
   kBackendLoadInvalid = 720,
   // Platform.
   kKvUnavailable = 801,
