Replay fleets that use up a budget with requests of mixed sizes

Cause: no test counts the requests that are refused while the budget has tokens for them, nor the time that a refusal takes.

Change: MeteredSimulation runs requests that end by themselves and records their outcomes.

--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -49,7 +49,11 @@
   for (const base::Tokens amount : router.running) {
     used_by_terminated_ += amount;
   }
+  for (const Router::Timed& timed : router.timed) {
+    used_by_terminated_ += timed.request.amount;
+  }
   router.running.clear();
+  router.timed.clear();
   router.waiting.clear();
   router.used = 0;
   router.known_config = platform::KvVersion();
@@ -142,18 +146,49 @@
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({amount, now_});
+  router.waiting.push_back({amount, now_, std::nullopt});
+  TryReserve(router);
+}
+
+void MeteredSimulation::Request(size_t index, const TimedRequest& request) {
+  Router& router = *routers_[index];
+  if (IsOff(router)) {
+    return;
+  }
+  router.waiting.push_back({request.amount, now_, request});
   TryReserve(router);
 }
 
+void MeteredSimulation::EndTimedRequests(Router& router) {
+  const auto ended = std::stable_partition(
+      router.timed.begin(), router.timed.end(),
+      [this](const Router::Timed& timed) { return timed.ends_at > now_; });
+  for (auto timed = ended; timed != router.timed.end(); ++timed) {
+    router.used += timed->request.used;
+    router.manager->Settle(TimeOf(router), kBudget, timed->request.amount,
+                           {timed->request.used, 0});
+  }
+  router.timed.erase(ended, router.timed.end());
+}
+
 void MeteredSimulation::TryReserve(Router& router) {
   std::deque<Router::Waiting> still_waiting;
   for (const Router::Waiting& waiting : router.waiting) {
-    switch (
+    const auto result =
         router.manager->Reserve(TimeOf(router), kBudget, waiting.amount,
-                                waiting.since + router.skew + router.leap)) {
+                                waiting.since + router.skew + router.leap);
+    if (waiting.timed && result != MeteredBudgetManager::ReserveResult::kWait) {
+      outcomes_.push_back(
+          {*waiting.timed, result, now_ - waiting.since, Used()});
+    }
+    switch (result) {
       case MeteredBudgetManager::ReserveResult::kReserved:
-        router.running.push_back(waiting.amount);
+        if (waiting.timed) {
+          router.timed.push_back(
+              {*waiting.timed, now_ + waiting.timed->duration});
+        } else {
+          router.running.push_back(waiting.amount);
+        }
         ++served_;
         break;
       case MeteredBudgetManager::ReserveResult::kWait:
@@ -239,6 +274,7 @@
     if (IsOff(router)) {
       continue;
     }
+    EndTimedRequests(router);
     PollDirectory(i);
     const platform::KvVersion config = ConfigVersion();
     const bool knows_era = hides_eras_ || config.era == router.eras.current();
@@ -291,6 +327,9 @@
     for (const base::Tokens amount : router->running) {
       used += amount;
     }
+    for (const Router::Timed& timed : router->timed) {
+      used += timed.request.amount;
+    }
   }
   return used;
 }
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -16,7 +16,9 @@
 #include "ledger/metered_budget_manager.h"
 #include "ledger/peer.h"
 #include "platform/kv_version.h"
+#include "reserve_outcome.h"
 #include "support/fake_kv.h"
+#include "timed_request.h"
 
 namespace godwit::ledger {
 
@@ -54,6 +56,8 @@
   // Submits a request to a router. It waits for tokens until the manager
   // refuses it.
   void Request(size_t router, base::Tokens amount);
+  // Submits a request that ends by itself. Its outcome is recorded.
+  void Request(size_t router, const TimedRequest& request);
   // Ends the oldest running request of a router, which used `used_percent` of
   // its reservation.
   void Finish(size_t router, int used_percent);
@@ -75,6 +79,8 @@
   // Returns the usage of all incarnations, including running requests.
   base::Tokens Used() const;
   base::Tokens highest_limit() const { return highest_limit_; }
+  // Outcomes of the requests that end by themselves.
+  const std::vector<ReserveOutcome>& outcomes() const { return outcomes_; }
   int64_t refused() const { return refused_; }
   int64_t served() const { return served_; }
   int64_t exhausted() const { return exhausted_; }
@@ -99,6 +105,8 @@
   bool IsOff(const Router& router) const;
   void Process();
   void TryReserve(Router& router);
+  // Ends the requests of a router whose time is over.
+  void EndTimedRequests(Router& router);
   void Submit(size_t router,
               const std::vector<MeteredBudgetManager::Command>& commands);
   void Send(size_t router, const SendToPeer& message);
@@ -128,6 +136,7 @@
   int64_t refused_ = 0;
   int64_t exhausted_ = 0;
   int64_t falsely_exhausted_ = 0;
+  std::vector<ReserveOutcome> outcomes_;
   int64_t incarnations_ = 0;
   int keys_ = MeteredPolicy().shard_count;
   bool forgets_loans_ = false;
--- a/libs/ledger/tests/simulated_router.h
+++ b/libs/ledger/tests/simulated_router.h
@@ -3,7 +3,9 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/millis.h"
@@ -11,6 +13,7 @@
 #include "metered_simulation.h"
 #include "platform/era_tracker.h"
 #include "platform/kv_version.h"
+#include "timed_request.h"
 
 namespace godwit::ledger {
 
@@ -18,6 +21,12 @@
   struct Waiting {
     base::Tokens amount;
     base::Millis since;
+    // Set for requests that end by themselves.
+    std::optional<TimedRequest> timed;
+  };
+  struct Timed {
+    TimedRequest request;
+    base::Millis ends_at;
   };
 
   std::string name;
@@ -25,6 +34,7 @@
   std::unique_ptr<MeteredBudgetManager> manager;
   std::deque<Waiting> waiting;
   std::deque<base::Tokens> running;
+  std::vector<Timed> timed;
   base::Tokens used = 0;
   bool partitioned = false;
   bool isolated = false;
