Measure the parts of what a loss of power costs of a budget

The loss was known as one figure, for requests that use their full reservation and end within 100 ms.

--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -19,15 +19,35 @@
 constexpr uint64_t kMaxSkew = 20'000;
 const base::BudgetId kBudget("kiosks");
 
+MeteredPolicy PolicyWith(base::Millis outage_cover) {
+  MeteredPolicy policy;
+  policy.outage_cover = outage_cover;
+  return policy;
+}
+
+// Returns a figure of MeteredBudgetManager::Describe().
+base::Tokens FigureIn(const std::string& description, const char* name) {
+  const size_t at = description.find(std::string(name) + " ");
+  return at == std::string::npos
+             ? 0
+             : std::stoll(description.substr(at + std::string(name).size()));
+}
+
 }  // namespace
 
 MeteredSimulation::MeteredSimulation(uint64_t seed,
                                      size_t routers,
                                      base::Tokens limit,
                                      base::Millis outage_cover)
+    : MeteredSimulation(seed, routers, limit, PolicyWith(outage_cover)) {}
+
+MeteredSimulation::MeteredSimulation(uint64_t seed,
+                                     size_t routers,
+                                     base::Tokens limit,
+                                     const MeteredPolicy& policy)
     : kv_(seed),
       random_(seed),
-      outage_cover_(outage_cover),
+      policy_(policy),
       limit_(limit),
       highest_limit_(limit) {
   kv_.Put(kConfigKey, "1");
@@ -46,8 +66,8 @@
     router.skew = base::Millis(static_cast<int64_t>(random_() % kMaxSkew));
   }
   used_by_terminated_ += router.used;
-  for (const base::Tokens amount : router.running) {
-    used_by_terminated_ += amount;
+  for (const Router::Running& running : router.running) {
+    used_by_terminated_ += running.UsedBy(now_);
   }
   router.running.clear();
   router.waiting.clear();
@@ -58,8 +78,7 @@
   router.knows_peers = false;
   router.incarnation = static_cast<int>(++incarnations_);
   router.leap = base::Millis();
-  MeteredPolicy policy;
-  policy.outage_cover = outage_cover_;
+  MeteredPolicy policy = policy_;
   policy.shard_count = keys_;
   router.manager = std::make_unique<MeteredBudgetManager>(
       base::ProcessId(router.name),
@@ -142,10 +161,37 @@
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({amount, now_});
+  router.waiting.push_back({amount, now_, {}});
   TryReserve(router);
 }
 
+void MeteredSimulation::Run(size_t index,
+                            base::Tokens amount,
+                            int used_percent,
+                            base::Millis duration) {
+  Router& router = *routers_[index];
+  if (IsOff(router)) {
+    return;
+  }
+  router.waiting.push_back({amount, now_, {used_percent, duration}});
+  TryReserve(router);
+}
+
+void MeteredSimulation::FinishDue(Router& router) {
+  std::deque<Router::Running> still_running;
+  for (const Router::Running& running : router.running) {
+    const base::Millis duration = running.course.duration;
+    if (duration == base::Millis() || now_ - running.since < duration) {
+      still_running.push_back(running);
+      continue;
+    }
+    const base::Tokens used = running.UsedBy(now_);
+    router.used += used;
+    router.manager->Settle(TimeOf(router), kBudget, running.amount, {used, 0});
+  }
+  router.running = std::move(still_running);
+}
+
 void MeteredSimulation::TryReserve(Router& router) {
   std::deque<Router::Waiting> still_waiting;
   for (const Router::Waiting& waiting : router.waiting) {
@@ -153,7 +199,8 @@
         router.manager->Reserve(TimeOf(router), kBudget, waiting.amount,
                                 waiting.since + router.skew + router.leap)) {
       case MeteredBudgetManager::ReserveResult::kReserved:
-        router.running.push_back(waiting.amount);
+        router.running.push_back({waiting.amount, now_, waiting.course});
+        last_served_at_ = now_;
         ++served_;
         break;
       case MeteredBudgetManager::ReserveResult::kWait:
@@ -167,6 +214,7 @@
         break;
       case MeteredBudgetManager::ReserveResult::kUnavailable:
         ++refused_;
+        last_refused_at_ = now_;
         break;
     }
   }
@@ -178,7 +226,7 @@
   if (router.running.empty()) {
     return;
   }
-  const base::Tokens amount = router.running.front();
+  const base::Tokens amount = router.running.front().amount;
   router.running.pop_front();
   const base::Tokens used = amount * used_percent / 100;
   router.used += used;
@@ -193,11 +241,12 @@
     size_t index,
     const std::vector<MeteredBudgetManager::Command>& commands) {
   for (const auto& command : commands) {
-    if (std::holds_alternative<GrantClosed>(command) ||
-        std::holds_alternative<PeerUnresponsive>(command)) {
+    if (std::holds_alternative<PeerUnresponsive>(command)) {
       continue;
     }
-    if (const auto* message = std::get_if<SendToPeer>(&command)) {
+    if (const auto* closed = std::get_if<GrantClosed>(&command)) {
+      counted_ += closed->counted;
+    } else if (const auto* message = std::get_if<SendToPeer>(&command)) {
       Send(index, *message);
     } else if (const auto* read = std::get_if<platform::KvRead>(&command)) {
       ++kv_operations_;
@@ -249,6 +298,7 @@
           {{kBudget, base::OrganisationId("lantern-line"), limit_}},
           {kConfigKey, config});
     }
+    FinishDue(router);
     Submit(i, router.manager->Tick(TimeOf(router)));
     TryReserve(router);
   }
@@ -288,11 +338,35 @@
   base::Tokens used = used_by_terminated_;
   for (const auto& router : routers_) {
     used += router->used;
-    for (const base::Tokens amount : router->running) {
-      used += amount;
+    for (const Router::Running& running : router->running) {
+      used += running.UsedBy(now_);
     }
   }
   return used;
 }
 
+PowerLossParts MeteredSimulation::PartsNow() const {
+  PowerLossParts parts;
+  for (const auto& router : routers_) {
+    const std::string state =
+        router->manager->Describe(TimeOf(*router), kBudget);
+    const base::Tokens promised =
+        std::min(FigureIn(state, "granted"), FigureIn(state, "promised"));
+    const base::Tokens reserved = FigureIn(state, "reserved");
+    const base::Tokens borrowed = FigureIn(state, "borrowed");
+    const base::Tokens of_grant =
+        std::max<base::Tokens>(0, reserved - borrowed);
+    parts.promised += promised;
+    parts.advance += promised == 0 ? 0
+                                   : promised - FigureIn(state, "spent") -
+                                         of_grant - FigureIn(state, "lent");
+    parts.loans += std::max<base::Tokens>(0, borrowed - reserved);
+    parts.reservations += reserved;
+    for (const Router::Running& running : router->running) {
+      parts.reservations -= running.UsedBy(now_);
+    }
+  }
+  return parts;
+}
+
 }  // namespace godwit::ledger
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -14,8 +14,10 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "ledger/metered_budget_manager.h"
+#include "ledger/metered_policy.h"
 #include "ledger/peer.h"
 #include "platform/kv_version.h"
+#include "power_loss_parts.h"
 #include "support/fake_kv.h"
 
 namespace godwit::ledger {
@@ -28,6 +30,10 @@
                     size_t routers,
                     base::Tokens limit,
                     base::Millis outage_cover = base::Millis(2000));
+  MeteredSimulation(uint64_t seed,
+                    size_t routers,
+                    base::Tokens limit,
+                    const MeteredPolicy& policy);
   // Makes the routers peers that lend to each other. Messages take a few
   // milliseconds; `lost_percent` of them are lost, and as many are duplicated.
   void Connect(int lost_percent = 0);
@@ -54,11 +60,17 @@
   // Submits a request to a router. It waits for tokens until the manager
   // refuses it.
   void Request(size_t router, base::Tokens amount);
+  // Submits a request that ends by itself and uses its tokens at an even rate.
+  void Run(size_t router,
+           base::Tokens amount,
+           int used_percent,
+           base::Millis duration);
   // Ends the oldest running request of a router, which used `used_percent` of
   // its reservation.
   void Finish(size_t router, int used_percent);
   // Terminates a router, whose state is lost, and starts its next incarnation.
-  // The reservations of its running requests count as fully used. `with_vm`
+  // The reservations of its running requests count as fully used, except for
+  // those of Run(). `with_vm`
   // restarts its VM too, which changes the offset of its monotonic clock.
   void Restart(size_t router, bool with_vm = false);
   // Restarts a router and its VM, which are off for a while.
@@ -85,6 +97,16 @@
   base::Tokens Held(size_t router) const;
   // Number of reads and writes of the ledger and of promises.
   int64_t kv_operations() const { return kv_operations_; }
+  // Returns the unused tokens of a loss of power that follows now, by cause.
+  PowerLossParts PartsNow() const;
+  // Sum of the tokens that restarted routers counted as used by their earlier
+  // incarnations.
+  base::Tokens counted() const { return counted_; }
+  base::Millis now() const { return now_; }
+  // Times of the last refusal as unavailable, and of the last reservation that
+  // was granted.
+  base::Millis last_refused_at() const { return last_refused_at_; }
+  base::Millis last_served_at() const { return last_served_at_; }
 
  private:
   struct Router;
@@ -98,6 +120,8 @@
   base::Millis TimeOf(const Router& router) const;
   bool IsOff(const Router& router) const;
   void Process();
+  // Ends the requests of Run() whose time has come.
+  void FinishDue(Router& router);
   void TryReserve(Router& router);
   void Submit(size_t router,
               const std::vector<MeteredBudgetManager::Command>& commands);
@@ -114,7 +138,7 @@
 
   support::FakeKv kv_;
   std::mt19937_64 random_;
-  const base::Millis outage_cover_;
+  const MeteredPolicy policy_;
   std::vector<std::unique_ptr<Router>> routers_;
   base::Millis now_{1000};
   base::Tokens limit_;
@@ -137,6 +161,9 @@
   // Total lent, by lender and borrower.
   std::map<std::pair<base::Incarnation, base::Incarnation>, base::Tokens> lent_;
   int64_t kv_operations_ = 0;
+  base::Tokens counted_ = 0;
+  base::Millis last_refused_at_;
+  base::Millis last_served_at_;
 };
 
 }  // namespace godwit::ledger
--- a/libs/ledger/tests/simulated_fleet.cc
+++ b/libs/ledger/tests/simulated_fleet.cc
@@ -22,7 +22,8 @@
 
 // A peer's port is its index in the simulation plus one.
 void MeteredSimulation::NotifyPeers() {
-  if (!connected_) {
+  // With eras, routers read the list that is stored (PollDirectory).
+  if (!connected_ || (kv_.era() != 0 && !hides_eras_)) {
     return;
   }
   std::vector<Peer> peers;
--- a/libs/ledger/tests/simulated_router.h
+++ b/libs/ledger/tests/simulated_router.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_TESTS_SIMULATED_ROUTER_H_
 #define LEDGER_TESTS_SIMULATED_ROUTER_H_
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <string>
@@ -15,16 +16,38 @@
 namespace godwit::ledger {
 
 struct MeteredSimulation::Router {
+  // What a request uses of its reservation, and how long it runs. Without a
+  // duration, it runs until Finish() ends it.
+  struct Course {
+    int used_percent = 100;
+    base::Millis duration;
+  };
   struct Waiting {
     base::Tokens amount;
     base::Millis since;
+    Course course;
+  };
+  struct Running {
+    base::Tokens amount;
+    base::Millis since;
+    Course course;
+    // Returns what is used by `now`. A request that Finish() ends may have used
+    // its full reservation at any time.
+    base::Tokens UsedBy(base::Millis now) const {
+      if (course.duration == base::Millis()) {
+        return amount;
+      }
+      const auto most = amount * course.used_percent / 100;
+      return most * std::min(now - since, course.duration).count() /
+             course.duration.count();
+    }
   };
 
   std::string name;
   int incarnation = 0;
   std::unique_ptr<MeteredBudgetManager> manager;
   std::deque<Waiting> waiting;
-  std::deque<base::Tokens> running;
+  std::deque<Running> running;
   base::Tokens used = 0;
   bool partitioned = false;
   bool isolated = false;
