Bound the time since a promise by the clocks of single routers

A restarted router compared fleet time, a median, with the one in its promise and added 500 ms for clocks that differ and for delay, during which the allowance grew further. Promises now state up to 15 routers' wall clocks; a restarted router asks these routers for their clocks (ClockRequest, ClockReply) and compares each with itself. Clocks may then differ by any amount: of n clocks fewer than half jump, so that one of the (n + 1) / 2 smallest differences is right. A request carries its time, so that delay does not make the bound too small. The tests' clocks now differ; those of OnlyClocksThatJumpTogetherOverspend by 20 s.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -79,6 +79,14 @@
   // Differences between two clock readings of one VM below this value are
   // ignored.
   base::Millis clock_jitter = base::Millis(50);
+  // Number of wall clocks that a promise states; fewer than half of them may
+  // jump. A restarted router asks their routers at the given interval and waits
+  // for all of them up to the first time, and for a sufficient number up to the
+  // second one, before it relies on fleet time.
+  size_t promise_clocks = 15;
+  base::Millis clock_request_interval = base::Millis(50);
+  base::Millis clock_answer_wait = base::Millis(200);
+  base::Millis clock_quorum_wait = base::Millis(1'000);
   // Upper bound of the difference between fleet time as two routers know it,
   // from clocks that don't jump and messages that were delayed.
   base::Millis clock_skew = base::Millis(500);
--- a/libs/ledger/include/ledger/peer_message.h
+++ b/libs/ledger/include/ledger/peer_message.h
@@ -3,6 +3,8 @@
 
 #include <variant>
 
+#include "ledger/clock_reply.h"
+#include "ledger/clock_request.h"
 #include "ledger/loan_reply.h"
 #include "ledger/loan_request.h"
 #include "ledger/peer_hello.h"
@@ -10,7 +12,8 @@
 namespace godwit::ledger {
 
 // Messages between the routers of a fleet, one per datagram.
-using PeerMessage = std::variant<LoanRequest, LoanReply, PeerHello>;
+using PeerMessage =
+    std::variant<LoanRequest, LoanReply, PeerHello, ClockRequest, ClockReply>;
 
 }  // namespace godwit::ledger
 
--- a/libs/ledger/src/fleet_clock.cc
+++ b/libs/ledger/src/fleet_clock.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -49,6 +50,29 @@
   return Median(now, true);
 }
 
+WallClocks FleetClock::LowerBounds(base::Millis now, size_t count) const {
+  std::vector<std::pair<base::Millis, const base::ProcessId*>> latest;
+  for (const auto& [router, reading] : readings_) {
+    if (now - reading.recorded_at < kMaxReadingAge) {
+      latest.emplace_back(now - reading.recorded_at, &router);
+    }
+  }
+  std::sort(latest.begin(), latest.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.first, *a.second) < std::tie(b.first, *b.second);
+  });
+  WallClocks clocks;
+  if (own_) {
+    clocks[self_] = now + *own_;
+  }
+  for (const auto& [age, router] : latest) {
+    if (clocks.size() >= count) {
+      break;
+    }
+    clocks[*router] = now + readings_.at(*router).offset;
+  }
+  return clocks;
+}
+
 std::optional<base::Millis> FleetClock::Median(base::Millis now,
                                                bool latest) const {
   std::vector<base::Millis> offsets;
--- a/libs/ledger/src/fleet_clock.h
+++ b/libs/ledger/src/fleet_clock.h
@@ -1,11 +1,13 @@
 #ifndef LEDGER_FLEET_CLOCK_H_
 #define LEDGER_FLEET_CLOCK_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "wall_clocks.h"
 
 namespace godwit::ledger {
 
@@ -30,6 +32,10 @@
   std::optional<base::Millis> Earliest(base::Millis now) const;
   std::optional<base::Millis> Latest(base::Millis now) const;
 
+  // Returns lower bounds of the wall clocks of up to `count` routers at `now`,
+  // including this one: those that were received last.
+  WallClocks LowerBounds(base::Millis now, size_t count) const;
+
  private:
   struct Reading {
     base::Millis offset;
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -221,8 +221,12 @@
     state_->On(now, from, *request);
   } else if (const auto* reply = std::get_if<LoanReply>(&message)) {
     state_->On(now, *reply);
+  } else if (const auto* hello = std::get_if<PeerHello>(&message)) {
+    state_->On(now, *hello);
+  } else if (const auto* clock = std::get_if<ClockRequest>(&message)) {
+    state_->On(from, *clock);
   } else {
-    state_->On(now, std::get<PeerHello>(message));
+    state_->On(now, std::get<ClockReply>(message));
   }
   return state_->Process(now);
 }
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -31,6 +31,7 @@
     return commands;
   }
   ProcessLoans(now);
+  AskForClocks(now);
   std::swap(commands, outbox_);
   if (auto command = NextPromiseCommand(now)) {
     commands.push_back(std::move(*command));
@@ -105,6 +106,7 @@
   if (const auto fleet_offset = fleet_clock_.Earliest(now)) {
     promise.fleet_time = now + *fleet_offset;
   }
+  promise.wall_clocks = fleet_clock_.LowerBounds(now, policy_.promise_clocks);
   for (const auto& [id, budget] : budgets_) {
     if (Granted(budget) > 0) {
       promise.allowances[id] = NextAllowance(now, budget);
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -11,6 +11,8 @@
 
 #include "era_marker.h"
 #include "fleet_clock.h"
+#include "ledger/clock_reply.h"
+#include "ledger/clock_request.h"
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_edit.h"
 #include "ledger/ledger_record.h"
@@ -231,6 +233,11 @@
   void Begin(base::Millis now);
   // Records the wall clock of the sender of a message.
   void RecordClock(const PeerMessage& message);
+  // Asks routers for their clocks while that may tell how long the earlier
+  // incarnation lived.
+  void AskForClocks(base::Millis now);
+  void On(const base::Endpoint& from, const ClockRequest& request);
+  void On(base::Millis now, const ClockReply& reply);
   // Returns the time of the wall clock, or zero if it is not known.
   base::Millis WallTime() const;
 
@@ -261,8 +268,12 @@
   // Wall clock minus monotonic clock; empty until it is known.
   std::optional<base::Millis> clock_offset_;
   FleetClock fleet_clock_;
-  // Time of the first call.
+  // Time of the first call, and upper bounds of other routers' wall clocks at
+  // that time.
   std::optional<base::Millis> started_at_;
+  WallClocks wall_clocks_at_start_;
+  std::optional<base::Millis> clocks_asked_at_;
+  base::Millis next_clock_request_at_;
   // Time of the call in progress.
   base::Millis now_;
   std::optional<platform::KvCondition> configuration_;
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -15,6 +15,8 @@
 constexpr char kRequest[] = "ask";
 constexpr char kReply[] = "reply";
 constexpr char kHello[] = "hello";
+constexpr char kClockRequest[] = "clock_request";
+constexpr char kClockReply[] = "clock_reply";
 // Assumed of a router that does not state its processor share.
 constexpr int64_t kUnknownMillicores = 1000;
 
@@ -64,6 +66,20 @@
   return document;
 }
 
+Json ToJson(const ClockRequest& request) {
+  return {{"type", kClockRequest},
+          {"asker", request.asker.value()},
+          {"asked_at", request.asked_at.count()}};
+}
+
+Json ToJson(const ClockReply& reply) {
+  return {{"type", kClockReply},
+          {"asker", reply.asker.value()},
+          {"asked_at", reply.asked_at.count()},
+          {"router", reply.router.value()},
+          {"wall", reply.wall_time.count()}};
+}
+
 std::optional<Peer> PeerIn(const Json& document) {
   const auto process = cbor::Text(cbor::Find(document, "process"));
   const auto incarnation = cbor::Text(cbor::Find(document, "incarnation"));
@@ -92,6 +108,25 @@
   return base::Millis(cbor::Integer(cbor::Find(document, "wall")).value_or(0));
 }
 
+std::optional<PeerMessage> ClockMessageIn(const Json& document,
+                                          bool is_request) {
+  const auto asker = cbor::Text(cbor::Find(document, "asker"));
+  const auto asked_at = cbor::Integer(cbor::Find(document, "asked_at"));
+  if (!asker || !asked_at) {
+    return std::nullopt;
+  }
+  if (is_request) {
+    return ClockRequest{base::Incarnation(*asker), base::Millis(*asked_at)};
+  }
+  const auto router = cbor::Text(cbor::Find(document, "router"));
+  const auto wall = cbor::Integer(cbor::Find(document, "wall"));
+  if (!router || !wall) {
+    return std::nullopt;
+  }
+  return ClockReply{base::Incarnation(*asker), base::Millis(*asked_at),
+                    base::ProcessId(*router), base::Millis(*wall)};
+}
+
 std::optional<LoanReply::State> StateOf(int64_t value) {
   switch (value) {
     case static_cast<int64_t>(LoanReply::State::kLent):
@@ -126,6 +161,9 @@
     }
     return PeerHello{std::move(*peer), WallTimeIn(*document)};
   }
+  if (type && (*type == kClockRequest || *type == kClockReply)) {
+    return ClockMessageIn(*document, *type == kClockRequest);
+  }
   const auto lender = cbor::Text(cbor::Find(*document, "lender"));
   const auto borrower = cbor::Text(cbor::Find(*document, "borrower"));
   const auto budget = cbor::Text(cbor::Find(*document, "budget"));
--- a/libs/ledger/src/promise_codec.cc
+++ b/libs/ledger/src/promise_codec.cc
@@ -20,10 +20,15 @@
     allowances[budget.value()] = Json::array(
         {allowance.initial, allowance.per_second, allowance.later_per_second});
   }
+  Json clocks = Json::object();
+  for (const auto& [router, wall_time] : promise.wall_clocks) {
+    clocks[router.value()] = wall_time.count();
+  }
   const Json document = {{"holder", promise.holder.value()},
                          {"clock", promise.clock.count()},
                          {"clock_offset", promise.clock_offset.count()},
                          {"fleet_time", promise.fleet_time.count()},
+                         {"wall_clocks", std::move(clocks)},
                          {"era", promise.era},
                          {"allowances", std::move(allowances)}};
   std::string bytes;
@@ -58,6 +63,20 @@
   promise.clock_offset = base::Millis(*offset);
   promise.fleet_time = base::Millis(*fleet_time);
   promise.era = cbor::Integer(cbor::Find(*document, "era")).value_or(0);
+  // Routers of earlier versions don't write it.
+  const Json* const clocks = cbor::Find(*document, "wall_clocks");
+  if (clocks != nullptr && !clocks->is_object()) {
+    return std::nullopt;
+  }
+  if (clocks != nullptr) {
+    for (const auto& [router, value] : clocks->items()) {
+      const auto wall_time = cbor::Integer(&value);
+      if (!wall_time) {
+        return std::nullopt;
+      }
+      promise.wall_clocks[base::ProcessId(router)] = base::Millis(*wall_time);
+    }
+  }
   for (const auto& [budget, value] : allowances->items()) {
     if (!value.is_array() || value.size() != kAllowanceFields) {
       return std::nullopt;
--- a/libs/ledger/src/promise_manager.cc
+++ b/libs/ledger/src/promise_manager.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "elapsed_bound.h"
+
 namespace godwit::ledger {
 namespace {
 
@@ -61,28 +63,42 @@
   return least.value_or(0);
 }
 
+const WallClocks& PromiseManager::EarlierClocks() const {
+  static const WallClocks k_none;
+  return earlier_promise_ ? earlier_promise_->wall_clocks : k_none;
+}
+
 PromiseManager::Lifetime PromiseManager::EarlierLifetime(
-    base::Millis started_at,
-    base::Millis clock_offset,
-    std::optional<base::Millis> fleet_offset) const {
+    const Start& start) const {
   if (!earlier_promise_ || earlier_promise_->holder.value().empty()) {
     return {true, std::nullopt};
   }
   const SpendPromise& promise = *earlier_promise_;
-  const base::Millis drift = clock_offset - promise.clock_offset;
+  const base::Millis drift = start.clock_offset - promise.clock_offset;
   const bool same_clock = drift < policy_.clock_jitter &&
                           base::Millis(0) - policy_.clock_jitter < drift;
-  if (same_clock && started_at >= promise.clock) {
-    return {true, started_at - promise.clock};
+  if (same_clock && start.at >= promise.clock) {
+    return {true, start.at - promise.clock};
+  }
+  if (promise.wall_clocks.size() >= ElapsedBound::kMinClocks) {
+    const ElapsedBound bound(promise.wall_clocks, start.wall_clocks);
+    if (bound.has_quorum()) {
+      return {
+          bound.is_complete() || start.asked_for >= policy_.clock_answer_wait,
+          bound.at_most()};
+    }
+    if (start.asked_for < policy_.clock_quorum_wait) {
+      return {false, std::nullopt};
+    }
   }
   if (promise.fleet_time == base::Millis()) {
     return {true, std::nullopt};
   }
-  if (!fleet_offset) {
+  if (!start.fleet_offset) {
     return {false, std::nullopt};
   }
   const base::Millis elapsed =
-      started_at + *fleet_offset - promise.fleet_time + policy_.clock_skew;
+      start.at + *start.fleet_offset - promise.fleet_time + policy_.clock_skew;
   if (elapsed < base::Millis(0)) {
     return {true, std::nullopt};
   }
--- a/libs/ledger/src/promise_manager.h
+++ b/libs/ledger/src/promise_manager.h
@@ -47,12 +47,24 @@
     // Empty if it is not known.
     std::optional<base::Millis> at_most;
   };
+  // What is known of the time at which this incarnation started, after the
+  // earlier one had ended.
+  struct Start {
+    // Time of this VM's monotonic clock.
+    base::Millis at;
+    // Differences of the wall clock and of fleet time from that clock.
+    base::Millis clock_offset;
+    std::optional<base::Millis> fleet_offset;
+    // Upper bounds of the wall clocks of routers that answered.
+    WallClocks wall_clocks;
+    // Time for which routers have been asked for their clocks.
+    base::Millis asked_for;
+  };
   // Returns how long the earlier incarnation can have lived after it wrote its
-  // promise. It ended before `started_at`, a time of this VM's monotonic clock.
-  // The offsets are those of the wall clock and of fleet time from that clock.
-  Lifetime EarlierLifetime(base::Millis started_at,
-                           base::Millis clock_offset,
-                           std::optional<base::Millis> fleet_offset) const;
+  // promise.
+  Lifetime EarlierLifetime(const Start& start) const;
+  // Returns the wall clocks that the earlier promise states.
+  const WallClocks& EarlierClocks() const;
   // Returns the maximum that the incarnation `holder` can have spent of a
   // budget if it lived for `lifetime` after its promise, or no value if it is
   // not known.
--- a/libs/ledger/src/spend_promise.h
+++ b/libs/ledger/src/spend_promise.h
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "spend_allowance.h"
+#include "wall_clocks.h"
 
 namespace godwit::ledger {
 
@@ -24,16 +25,19 @@
   base::Millis clock_offset;
   // Start of the allowances in fleet time; zero if it was not known.
   base::Millis fleet_time;
+  // Lower bounds of the wall clocks of some routers at the start of the
+  // allowances; empty if too few were known.
+  WallClocks wall_clocks;
   // Era of the KV in which it was written.
   int64_t era = 0;
   // By budget; nothing may be spent of a budget that is missing.
   std::map<base::BudgetId, SpendAllowance> allowances;
 
   friend bool operator==(const SpendPromise& a, const SpendPromise& b) {
-    return std::tie(a.holder, a.clock, a.clock_offset, a.fleet_time, a.era,
-                    a.allowances) == std::tie(b.holder, b.clock, b.clock_offset,
-                                              b.fleet_time, b.era,
-                                              b.allowances);
+    return std::tie(a.holder, a.clock, a.clock_offset, a.fleet_time,
+                    a.wall_clocks, a.era, a.allowances) ==
+           std::tie(b.holder, b.clock, b.clock_offset, b.fleet_time,
+                    b.wall_clocks, b.era, b.allowances);
   }
   friend bool operator!=(const SpendPromise& a, const SpendPromise& b) {
     return !(a == b);
--- a/libs/ledger/tests/metered_budget_manager_test.cc
+++ b/libs/ledger/tests/metered_budget_manager_test.cc
@@ -39,6 +39,9 @@
   if (schedule.forgets_loans) {
     simulation.ForgetLoans();
   }
+  for (size_t router = 0; router < kRouters; ++router) {
+    simulation.JumpClock(router, Millis(*rc::gen::inRange<int64_t>(0, 300)));
+  }
   const bool may_lower = *rc::gen::inRange(0, 4) == 0;
   const int steps = *rc::gen::inRange(10, 60);
   for (int i = 0; i < steps; ++i) {
--- a/libs/ledger/tests/power_loss_parts.h
+++ b/libs/ledger/tests/power_loss_parts.h
@@ -12,7 +12,8 @@
   base::Tokens promised = 0;
   // Neither used, reserved nor lent.
   base::Tokens advance = 0;
-  // Lent, and neither used nor reserved by the borrower.
+  // Lent, as far as the lenders know, and neither used nor reserved by the
+  // borrowers.
   base::Tokens loans = 0;
   // Reserved for running requests beyond what these have used.
   base::Tokens reservations = 0;
--- a/libs/ledger/tests/power_loss_test.cc
+++ b/libs/ledger/tests/power_loss_test.cc
@@ -184,6 +184,11 @@
   for (const size_t jumping : {size_t{0}, size_t{1}, kRouters}) {
     MeteredSimulation simulation(1, kRouters, kLargeLimit,
                                  MeteredPolicy().outage_cover);
+    for (size_t router = 0; router < kRouters; ++router) {
+      // Clocks that don't jump may differ by any amount.
+      simulation.JumpClock(router,
+                           Millis(20'000 * static_cast<int64_t>(router)));
+    }
     simulation.Connect();
     simulation.Advance(Millis(1000));
     LoadFor(simulation, 10);
