--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -17,6 +17,8 @@
     kNoCapacity,
     // No server can be used.
     kNoBackend,
+    // The request needs more memory than any server has.
+    kTooLarge,
   };
 
   Kind kind = Kind::kNoBackend;
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -166,6 +166,9 @@
     case Choice::Kind::kNoCapacity:
       Enqueue(call);
       return;
+    case Choice::Kind::kTooLarge:
+      RefuseTooLarge(call);
+      return;
     case Choice::Kind::kNoBackend:
       if (call.exclude.empty() && UsableBackends(call).empty()) {
         Refuse(call, base::ErrorKind::kUnavailable,
@@ -181,6 +184,12 @@
   }
 }
 
+void Dispatcher::State::RefuseTooLarge(Call& call) {
+  Refuse(call, base::ErrorKind::kTooLarge,
+         "the request needs more memory than any backend server has",
+         base::Millis());
+}
+
 std::vector<const Backend*> Dispatcher::State::UsableBackends(
     const Call& call) const {
   std::vector<const Backend*> backends =
@@ -319,6 +328,11 @@
       }
       const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
                                               OpenBackends(call));
+      if (choice.kind == Choice::Kind::kTooLarge) {
+        // The configuration was changed while it waited.
+        RefuseTooLarge(call);
+        continue;
+      }
       if (choice.kind != Choice::Kind::kPlaced) {
         if (!call.software_version) {
           break;
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -72,6 +72,7 @@
   void RefuseUnknown(Call& call, base::ErrorKind kind, const char* reason);
   void TryBudget(Call& call);
   void TryStartAttempt(Call& call);
+  void RefuseTooLarge(Call& call);
   void Enqueue(Call& call);
   bool WouldMissDeadline(const Call& call) const;
   // Time until a call that has to wait is sent: the longest of the times that
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -48,13 +48,19 @@
 Choice Placement::Choose(base::Millis now,
                          const PlacementRequest& request,
                          const std::vector<const Backend*>& candidates) {
+  const bool by_capacity = state_->UsesCapacityModel(request);
+  if (by_capacity && !candidates.empty() && State::IsTooLarge(request)) {
+    Choice too_large;
+    too_large.kind = Choice::Kind::kTooLarge;
+    return too_large;
+  }
   const auto scored_backends = state_->ScoreBackends(now, request, candidates);
   Choice choice;
   if (scored_backends.empty()) {
     return choice;
   }
   const State::ScoredBackend* const best =
-      state_->UsesCapacityModel(request)
+      by_capacity
           ? state_->PickByCapacity(request, scored_backends)
           : LowestCost(scored_backends);
   if (best == nullptr) {
@@ -154,6 +160,7 @@
   state_->attempts.erase(found);
   ServerLoad& load = state_->loads[ended.server];
   --load.in_flight;
+  load.memory -= ended.memory;
   if (!ended.answered) {
     --load.unanswered;
     load.pending_prefill -= ended.pending_prefill;
--- a/libs/dispatch/src/placement_capacity.cc
+++ b/libs/dispatch/src/placement_capacity.cc
@@ -19,6 +19,12 @@
 // their prompts at once.
 constexpr double kStayShare = 0.5;
 constexpr double kLeaveShare = 1;
+// Share of a server's memory that is filled: the rest is for requests that
+// generate more than is assumed.
+constexpr double kMemoryShare = 0.9;
+// Part of the maximum output that a request is assumed to generate: half of the
+// callers' length estimates are off by a factor of two.
+constexpr base::Tokens kOutputDivisor = 2;
 // Time for which servers stay separate after a prompt that stalls streams.
 constexpr base::Millis kSeparationTime = base::Seconds(60);
 // Multiple of its part by capacity up to which a server gets the prompts that
@@ -46,6 +52,18 @@
   return (static_cast<double>(hash >> 11U) + 0.5) / two_to_53;
 }
 
+base::Tokens MemoryOf(const Prompt& prompt) {
+  return prompt.input_tokens + prompt.max_output_tokens / kOutputDivisor;
+}
+
+// Tokens that a server of the request's service may hold; empty if not stated.
+std::optional<double> MemoryLimit(const PlacementRequest& request) {
+  if (!request.engine || request.engine->kv_capacity <= 0) {
+    return std::nullopt;
+  }
+  return kMemoryShare * static_cast<double>(request.engine->kv_capacity);
+}
+
 double Between(double lowest, double highest, uint64_t hash) {
   return lowest + (highest - lowest) * UnitInterval(hash);
 }
@@ -140,9 +158,32 @@
   // ever correct it.
   scored.has_capacity = load.Runs(now, options.report_lifetime) <
                             slots + std::max(1.0, slots * kQueueShare) &&
+                        HasMemory(now, request, load) &&
                         (!load.on_probation || load.in_flight == 0);
 }
 
+bool Placement::State::HasMemory(base::Millis now,
+                                 const PlacementRequest& request,
+                                 const ServerLoad& load) const {
+  const auto limit = MemoryLimit(request);
+  if (!limit) {
+    return true;
+  }
+  const auto known = service_stats.find(request.service);
+  const double mean =
+      known == service_stats.end() ? 0 : known->second.memory;
+  const double other_runs = load.Runs(now, options.report_lifetime) -
+                            static_cast<double>(load.in_flight);
+  return static_cast<double>(load.memory + MemoryOf(*request.prompt)) +
+             other_runs * mean <=
+         *limit;
+}
+
+bool Placement::State::IsTooLarge(const PlacementRequest& request) {
+  const auto limit = MemoryLimit(request);
+  return limit && static_cast<double>(MemoryOf(*request.prompt)) > *limit;
+}
+
 bool Placement::State::StallsStreams(const PlacementRequest& request) {
   return CapacityCoefficients().prefill_ms_per_token *
              static_cast<double>(request.prompt->input_tokens) >
@@ -188,6 +229,9 @@
   if (StallsStreams(request)) {
     service.stalling_prompt_at = now;
   }
+  attempt.memory = MemoryOf(*request.prompt);
+  UpdateMean(service.memory, static_cast<double>(attempt.memory));
+  load.memory += attempt.memory;
   service.recent_attempts += 1 - service.recent_attempts / kCountedAttempts;
   service.work_unit *= 1 + 1 / kCountedAttempts;
   if (service.work_unit > kMaxWorkUnit) {
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -33,6 +33,8 @@
     // for other routers, how long work took then as a multiple of the usual
     // time, and how much of both this router knew; from 0 to 1.
     double tokens_ahead = 0;
+    // Tokens that the attempt is expected to hold in the server's memory.
+    base::Tokens memory = 0;
     double work_time_factor = 1;
     double confidence = 0;
     // Number of events received, and when the last one was.
@@ -55,6 +57,8 @@
     double uncached_tokens = 0;
     double other_runs = 0;
     double run_events = 0;
+    // Tokens that a request holds in a server's memory; 0 while unknown.
+    double memory = 0;
     // When a prompt that stalls streams was last sent; see StallsStreams().
     std::optional<base::Millis> stalling_prompt_at;
     // Unit of ServerLoad::recent_work. It grows with each attempt, so that
@@ -108,6 +112,12 @@
   void EstimateByCapacity(base::Millis now,
                           const PlacementRequest& request,
                           ScoredBackend& scored);
+  // Whether a server has memory for the request beside what it holds.
+  bool HasMemory(base::Millis now,
+                 const PlacementRequest& request,
+                 const ServerLoad& load) const;
+  // True if the request needs more memory than any server has.
+  static bool IsTooLarge(const PlacementRequest& request);
   // True if the prefill of a prompt takes longer than streams may pause.
   static bool StallsStreams(const PlacementRequest& request);
   // Keeps prompts that stall streams apart from others, if there are any.
--- a/libs/dispatch/src/server_load.h
+++ b/libs/dispatch/src/server_load.h
@@ -21,6 +21,8 @@
   int64_t in_flight = 0;
   int64_t unanswered = 0;
   base::Tokens pending_prefill = 0;
+  // Tokens that the attempts in progress are expected to hold in its memory.
+  base::Tokens memory = 0;
   // Attempts of other routers; moving mean over load reports.
   double other_runs = 0;
   base::Millis reported_at;
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -89,7 +89,7 @@
   contents.routes = Routes();
   contents.organisations = options.organisations;
   contents.requires_api_key = options.requires_api_key;
-  contents.services = {{base::ServiceId("model"), 0, EngineProfile{16, 0, 4}}};
+  contents.services = {{base::ServiceId("model"), 0, EngineProfile{16, options.kv_capacity, 4}}};
   Raise(RoutingTableUpdated{
       std::make_shared<const RoutingTable>(std::move(contents))});
   Raise(listed);
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -42,6 +42,8 @@
     // prompts), "order" (at most once), "status" (idempotent).
     std::vector<Organisation> organisations;
     bool requires_api_key = false;
+    // Tokens that fit into the memory of a model server; 0 if not stated.
+    base::Tokens kv_capacity = 0;
     uint64_t seed = 1;
   };
 
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -245,6 +245,23 @@
   CHECK_EQUAL(2, run());
 }
 
+// Guards against a request that waits until its deadline for memory that no
+// server has.
+TEST(Dispatcher, RefusesARequestThatFitsIntoNoServerAtOnce) {
+  DispatchSimulation::Options options;
+  options.kv_capacity = 10'000;
+  options.placement.capacity_model =
+      godwit::dispatch::PlacementOptions::CapacityModelUse::kAlways;
+  DispatchSimulation simulation(options, Models(2));
+  const CallId large = simulation.Arrive("chat", 1'000, 9'000, 1, 10);
+  CHECK(simulation.outcome(large).ended);
+  CHECK(ErrorKind::kTooLarge == simulation.outcome(large).refusal);
+  CHECK(!simulation.outcome(large).may_have_run);
+  const CallId small = simulation.Arrive("chat", 1'000, 2'000, 1, 10);
+  simulation.Advance(Millis(2000));
+  CHECK(simulation.outcome(small).answered);
+}
+
 // Load: all routers of a data centre stop within seconds, so that callers have
 // nowhere else to go. What ends in time is served until the last second.
 TEST(Dispatcher, ServesWhatEndsBeforeARouterStops) {
--- a/libs/dispatch/tests/uneven_fleet.cc
+++ b/libs/dispatch/tests/uneven_fleet.cc
@@ -72,7 +72,7 @@
        << late_percent << "% late, first byte after " << mean_first_byte_ms
        << " ms, error " << mean_error_ms << " ms, busiest " << busiest << " ("
        << busiest_in_window << " in windows, " << busiest_by_requests
-       << " by requests), " << reread_percent << "% read again";
+       << " by requests), " << reread_percent << "% read again, " << most_memory << " of the memory";
   return text.str();
 }
 
@@ -85,6 +85,7 @@
   busiest_in_window += other.busiest_in_window;
   busiest_by_requests += other.busiest_by_requests;
   reread_percent += other.reread_percent;
+  most_memory += other.most_memory;
   return *this;
 }
 
@@ -96,7 +97,7 @@
           busiest / count,
           busiest_in_window / count,
           busiest_by_requests / count,
-          reread_percent / count};
+          reread_percent / count, most_memory / count};
 }
 
 UnevenFleet::Figures UnevenFleet::Replay(const Options& options) {
@@ -134,6 +135,7 @@
   Figures figures;
   int64_t answered = 0;
   base::Tokens prompt_tokens = 0;
+  base::Tokens most_held = 0;
   int64_t windows = 0;
   int64_t attempt = 0;
   double next_ms = kStartMs;
@@ -162,6 +164,9 @@
         figures.late_percent += took > kLateMs ? 1 : 0;
       }
     }
+    for (const auto& server : servers) {
+      most_held = std::max(most_held, server->held_tokens());
+    }
     for (; next_ms < static_cast<double>(now_ms); next_ms += gap_ms(random)) {
       const Arrival arrival(random);
       Prompt prompt;
@@ -174,6 +179,9 @@
       request.service = base::ServiceId("model");
       request.prompt = &prompt;
       request.event_gap_objective = base::Millis(300);
+      if (options.kv_capacity > 0) {
+        request.engine = EngineProfile{kSlots, options.kv_capacity, 4};
+      }
       const size_t router = random() % options.routers;
       const Choice choice = routers[router]->Choose(now, request, candidates);
       if (choice.kind != Choice::Kind::kPlaced) {
@@ -206,6 +214,10 @@
   figures.mean_first_byte_ms /= static_cast<double>(answered);
   figures.mean_error_ms /= static_cast<double>(answered);
   figures.late_percent *= 100 / static_cast<double>(answered);
+  figures.most_memory =
+      options.kv_capacity == 0 ? 0
+                               : static_cast<double>(most_held) /
+                                     static_cast<double>(options.kv_capacity);
   base::Tokens reread = 0;
   for (const auto& server : servers) {
     reread += server->shared_tokens_read();
--- a/libs/dispatch/tests/uneven_fleet.h
+++ b/libs/dispatch/tests/uneven_fleet.h
@@ -23,6 +23,8 @@
     int64_t seconds = 60;
     // The servers' answers state how long work takes now.
     bool states_work_time = true;
+    // Tokens that fit into the memory of a server; 0 if not stated.
+    base::Tokens kv_capacity = 0;
     uint64_t seed = 1;
     PlacementOptions placement;
   };
@@ -44,6 +46,8 @@
     // Share of the prompts' tokens that are of shared parts which a server had
     // read before, and were read again.
     double reread_percent = 0;
+    // The most tokens that a server held, as a share of its memory.
+    double most_memory = 0;
 
     std::string Describe() const;
     Figures& operator+=(const Figures& other);
--- a/libs/dispatch/tests/uneven_server.cc
+++ b/libs/dispatch/tests/uneven_server.cc
@@ -15,6 +15,7 @@
 constexpr double kSlowPhaseMs = 600;
 constexpr double kUsualPhaseMs = 3'400;
 constexpr double kPercent = 100;
+constexpr base::Tokens kTokensPerEvent = 4;
 
 }  // namespace
 
@@ -101,6 +102,15 @@
   return events;
 }
 
+base::Tokens UnevenServer::held_tokens() const {
+  base::Tokens held = 0;
+  for (const Run& run : runs_) {
+    held += run.work.shared + run.work.own +
+            kTokensPerEvent * (run.work.events - run.events_left);
+  }
+  return held;
+}
+
 LoadReport UnevenServer::Report(bool states_work_time) const {
   LoadReport report;
   report.running = static_cast<int64_t>(runs_.size());
--- a/libs/dispatch/tests/uneven_server.h
+++ b/libs/dispatch/tests/uneven_server.h
@@ -41,6 +41,8 @@
   LoadReport Report(bool states_work_time) const;
   double speed() const { return speed_; }
   base::Tokens shared_tokens_read() const { return shared_tokens_read_; }
+  // Tokens of the runs in progress; what waits holds no memory.
+  base::Tokens held_tokens() const;
   base::Tokens tokens_read() const { return tokens_read_; }
 
  private:
