--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "base/digest.h"
+#include "dispatch/queued_call.h"
 #include "dispatcher_state.h"
 
 namespace godwit::dispatch {
@@ -22,6 +23,8 @@
 constexpr base::Millis kMinCapacityRetryAfter(200);
 // Another router may send more to servers with limits than this one.
 constexpr base::Millis kMaxCapacityRetryAfter(5000);
+// Part of a wait by which the retries of refused callers are spread.
+constexpr int64_t kRetrySpreadDivisor = 4;
 // Callers give up a stream that has not begun within this time, or within these
 // multiples of its latency and event gap objectives, whichever is longest.
 constexpr base::Millis kMinStreamStartTimeout(2000);
@@ -59,6 +62,22 @@
                    route.event_gap_objective * kGapTimeoutMultiple});
 }
 
+QueuedCall QueuedCallOf(const Call& call) {
+  QueuedCall queued;
+  queued.call = call.id;
+  queued.service = call.service;
+  queued.organisation = call.organisation;
+  queued.urgency = call.urgency;
+  queued.arrived_at = call.arrived_at;
+  if (call.request.prompt) {
+    // Half of the callers' length estimates are off by a factor of two.
+    queued.work =
+        std::max<int64_t>(1, call.request.prompt->input_tokens +
+                                 call.request.prompt->max_output_tokens / 2);
+  }
+  return queued;
+}
+
 }  // namespace
 
 bool Dispatcher::State::Admit(Call& call) {
@@ -221,8 +240,7 @@
 
 base::Millis Dispatcher::State::ExpectedWait(const Call& call) const {
   const std::vector<const Backend*> backends = UsableBackends(call);
-  const auto ahead = static_cast<int64_t>(
-      queue_.Ahead(call.service, call.urgency, call.arrived_at));
+  const auto ahead = static_cast<int64_t>(queue_.Ahead(QueuedCallOf(call)));
   return std::max({WaitByLoad(call, backends, ahead),
                    WaitByLimits(backends, ahead), WaitByBackoff(backends)});
 }
@@ -280,18 +298,27 @@
          call.answer_start_deadline;
 }
 
+base::Millis Dispatcher::State::CapacityRetryAfter(const Call& call) const {
+  const base::Millis wait = std::clamp(
+      ExpectedWait(call), kMinCapacityRetryAfter, kMaxCapacityRetryAfter);
+  // Callers that were refused together don't come back together.
+  const auto spread = static_cast<int64_t>(
+      base::Digest::Of(call.request.id).high() %
+      static_cast<uint64_t>(wait.count() / kRetrySpreadDivisor + 1));
+  return wait + base::Millis(spread);
+}
+
 void Dispatcher::State::Enqueue(Call& call) {
   if (WouldMissDeadline(call)) {
     Refuse(call, base::ErrorKind::kOverloaded,
            "the wait for a place would outlast the deadline",
-           std::clamp(ExpectedWait(call), kMinCapacityRetryAfter,
-                      kMaxCapacityRetryAfter));
+           CapacityRetryAfter(call));
     return;
   }
   // Servers that refused the call may have capacity again.
   call.exclude.clear();
   call.phase = Call::Phase::kAwaitingSlot;
-  queue_.Add(call.service, call.urgency, call.arrived_at, call.id);
+  queue_.Add(QueuedCallOf(call));
 }
 
 void Dispatcher::State::ProcessBudgets() {
@@ -342,7 +369,7 @@
         continue;
       }
       ++placed;
-      queue_.Remove(id);
+      queue_.Start(id);
       if (call.attempts_sent > 0 && !RetryBudgetFor(service).TryRetry()) {
         Refuse(call, base::ErrorKind::kOverloaded,
                "no retries are left for the service", kMinCapacityRetryAfter);
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -231,7 +231,8 @@
       if (now_ + placement_.TypicalFirstByteTime(call.service) >=
           call.answer_start_deadline) {
         Refuse(call, base::ErrorKind::kOverloaded,
-               "no place came free before the deadline", kOverloadRetryAfter);
+               "no place came free before the deadline",
+               CapacityRetryAfter(call));
       }
       return;
     case Call::Phase::kAttempting:
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -75,6 +75,8 @@
   void RefuseTooLarge(Call& call);
   void Enqueue(Call& call);
   bool WouldMissDeadline(const Call& call) const;
+  // When a call that is refused for lack of capacity may come again.
+  base::Millis CapacityRetryAfter(const Call& call) const;
   // Time until a call that has to wait is sent: the longest of the times that
   // follow from the load of the servers, from their limits if all have one, and
   // from the first end of the times for which all of them want no requests.
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -60,9 +60,8 @@
     return choice;
   }
   const State::ScoredBackend* const best =
-      by_capacity
-          ? state_->PickByCapacity(request, scored_backends)
-          : LowestCost(scored_backends);
+      by_capacity ? state_->PickByCapacity(request, scored_backends)
+                  : LowestCost(scored_backends);
   if (best == nullptr) {
     choice.kind = Choice::Kind::kNoCapacity;
     return choice;
--- a/libs/dispatch/src/placement_capacity.cc
+++ b/libs/dispatch/src/placement_capacity.cc
@@ -170,8 +170,7 @@
     return true;
   }
   const auto known = service_stats.find(request.service);
-  const double mean =
-      known == service_stats.end() ? 0 : known->second.memory;
+  const double mean = known == service_stats.end() ? 0 : known->second.memory;
   const double other_runs = load.Runs(now, options.report_lifetime) -
                             static_cast<double>(load.in_flight);
   return static_cast<double>(load.memory + MemoryOf(*request.prompt)) +
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -89,7 +89,8 @@
   contents.routes = Routes();
   contents.organisations = options.organisations;
   contents.requires_api_key = options.requires_api_key;
-  contents.services = {{base::ServiceId("model"), 0, EngineProfile{16, options.kv_capacity, 4}}};
+  contents.services = {
+      {base::ServiceId("model"), 0, EngineProfile{16, options.kv_capacity, 4}}};
   Raise(RoutingTableUpdated{
       std::make_shared<const RoutingTable>(std::move(contents))});
   Raise(listed);
@@ -117,7 +118,7 @@
   arrived.request.id = "call-" + std::to_string(call);
   arrived.request.host = "h";
   arrived.request.path = "/" + route + "/x";
-  arrived.request.api_key = "key";
+  arrived.request.api_key = api_key_;
   if (own > 0) {
     Prompt prompt;
     prompt.input_tokens = shared + own;
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -61,6 +61,8 @@
                 base::Tokens own = 0,
                 uint64_t session = 0,
                 int64_t events = 0);
+  // The API key of requests that arrive from now on.
+  void SetApiKey(const std::string& key) { api_key_ = key; }
   void Disconnect(CallId call);
   void Advance(base::Millis span);
   // Passes an event to the dispatcher and carries out its commands.
@@ -110,6 +112,7 @@
   void HandleServerEvent(const ModelServer::Event& event);
 
   base::Millis now_ = kStart;
+  std::string api_key_ = "key";
   std::mt19937_64 random_;
   Dispatcher dispatcher_;
   std::vector<std::unique_ptr<ModelServer>> servers_;
--- a/libs/dispatch/tests/load_replay_test.cc
+++ b/libs/dispatch/tests/load_replay_test.cc
@@ -1,12 +1,18 @@
 // Replays worst-case loads in virtual time, where useful with and without the
 // part of the placement policy that handles them.
+#include <cstdint>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "dispatch_simulation.h"
 
 #include <CppUTest/TestHarness.h>
 
+using godwit::base::ErrorKind;
 using godwit::base::Millis;
+using godwit::base::OrganisationId;
+using godwit::dispatch::CallId;
 using godwit::dispatch::DispatchSimulation;
 using godwit::dispatch::ModelServer;
 using godwit::dispatch::PlacementOptions;
@@ -111,6 +117,58 @@
   CHECK_TEXT(burst.other.on_time + burst.other.late > 20, figures.c_str());
 }
 
+// Guards against a burst of one organisation that keeps out another with the
+// same urgency, and against refused callers that come back all at once.
+TEST(LoadReplay, BurstOfOneOrganisationWaitsBehindItself) {
+  DispatchSimulation::Options options;
+  options.requires_api_key = true;
+  options.organisations = {{OrganisationId("lantern"), {"lantern"}, {}, {}},
+                           {OrganisationId("brennan"), {"brennan"}, {}, {}}};
+  DispatchSimulation simulation(options, Models(2));
+  std::vector<CallId> burst;
+  std::vector<CallId> others;
+  for (int i = 0; i < 200; ++i) {
+    simulation.SetApiKey("lantern");
+    for (int n = 0; n < 4; ++n) {
+      burst.push_back(simulation.Arrive("summary", 100, 2000,
+                                        static_cast<uint64_t>(i % 10), 30));
+    }
+    if (i % 10 == 0) {
+      simulation.SetApiKey("brennan");
+      others.push_back(simulation.Arrive(
+          "summary", 100, 2000, 500 + static_cast<uint64_t>(i % 10), 30));
+    }
+    simulation.Advance(Millis(20));
+  }
+  simulation.Advance(Millis(16000));
+  int64_t served = 0;
+  std::set<Millis> retries;
+  int64_t refused = 0;
+  for (const CallId call : burst) {
+    const auto& outcome = simulation.outcome(call);
+    served += outcome.answered ? 1 : 0;
+    if (outcome.refusal == ErrorKind::kOverloaded) {
+      ++refused;
+      retries.insert(outcome.retry_after);
+      CHECK(outcome.retry_after >= Millis(200));
+    }
+  }
+  int64_t others_served = 0;
+  for (const CallId call : others) {
+    others_served += simulation.outcome(call).answered ? 1 : 0;
+  }
+  const std::string figures =
+      std::to_string(served) + " of " + std::to_string(burst.size()) + ", " +
+      std::to_string(others_served) + " of " + std::to_string(others.size()) +
+      ", " + std::to_string(retries.size()) + " retry times of " +
+      std::to_string(refused);
+  UT_PRINT(figures.c_str());
+  CHECK_EQUAL_TEXT(static_cast<int64_t>(others.size()), others_served,
+                   figures.c_str());
+  CHECK_TEXT(served > 0 && refused > 0, figures.c_str());
+  CHECK_TEXT(retries.size() > 20, figures.c_str());
+}
+
 TEST(LoadReplay, LossOfHalfTheServers) {
   DispatchSimulation simulation({}, Models(8));
   for (int i = 0; i < 300; ++i) {
--- a/libs/dispatch/tests/parts_test.cc
+++ b/libs/dispatch/tests/parts_test.cc
@@ -2,7 +2,6 @@
 #include <vector>
 
 #include "dispatch/backend_directory.h"
-#include "dispatch/call_queue.h"
 #include "dispatch/routing_table.h"
 
 #include <CppUTest/TestHarness.h>
@@ -12,7 +11,6 @@
 using godwit::base::ServiceId;
 using godwit::dispatch::Backend;
 using godwit::dispatch::BackendDirectory;
-using godwit::dispatch::CallQueue;
 using godwit::dispatch::Organisation;
 using godwit::dispatch::Route;
 using godwit::dispatch::RoutingTable;
@@ -97,24 +95,6 @@
   CHECK(table.UrgencyOf(least_urgent, nullptr) <= 9);
 }
 
-TEST_GROUP(CallQueue){};
-
-TEST(CallQueue, ServesUrgentCallsFirstWithoutStarvation) {
-  CallQueue queue;
-  const ServiceId service("model");
-  queue.Add(service, 3, Millis(0), 1);
-  queue.Add(service, 0, Millis(500), 2);
-  queue.Add(service, 0, Millis(100), 3);
-  // Arrived long after the first.
-  queue.Add(service, 0, Millis(5000), 4);
-  const std::vector<godwit::dispatch::CallId> expected = {3, 2, 1, 4};
-  CHECK(queue.InOrder(service) == expected);
-  CHECK_EQUAL(2, queue.Ahead(service, 0, Millis(600)));
-  queue.Remove(3);
-  queue.Remove(3);
-  CHECK_EQUAL(3, queue.size());
-}
-
 TEST_GROUP(BackendDirectory){};
 
 TEST(BackendDirectory, AppliesRegistrations) {
--- a/libs/dispatch/tests/placement_memory_test.cc
+++ b/libs/dispatch/tests/placement_memory_test.cc
@@ -46,8 +46,7 @@
     request.service = ServiceId("model");
     request.prompt = &prompt;
     request.engine = EngineProfile{16, kMemory, 4};
-    const Choice choice =
-        placement_.Choose(Millis(1000), request, {&backend_});
+    const Choice choice = placement_.Choose(Millis(1000), request, {&backend_});
     if (choice.kind == Kind::kPlaced) {
       placement_.OnStarted(Millis(1000), ++attempt_, backend_, request);
     }
--- a/libs/dispatch/tests/uneven_fleet.cc
+++ b/libs/dispatch/tests/uneven_fleet.cc
@@ -72,7 +72,8 @@
        << late_percent << "% late, first byte after " << mean_first_byte_ms
        << " ms, error " << mean_error_ms << " ms, busiest " << busiest << " ("
        << busiest_in_window << " in windows, " << busiest_by_requests
-       << " by requests), " << reread_percent << "% read again, " << most_memory << " of the memory";
+       << " by requests), " << reread_percent << "% read again, " << most_memory
+       << " of the memory";
   return text.str();
 }
 
@@ -97,7 +98,8 @@
           busiest / count,
           busiest_in_window / count,
           busiest_by_requests / count,
-          reread_percent / count, most_memory / count};
+          reread_percent / count,
+          most_memory / count};
 }
 
 UnevenFleet::Figures UnevenFleet::Replay(const Options& options) {
@@ -214,10 +216,10 @@
   figures.mean_first_byte_ms /= static_cast<double>(answered);
   figures.mean_error_ms /= static_cast<double>(answered);
   figures.late_percent *= 100 / static_cast<double>(answered);
-  figures.most_memory =
-      options.kv_capacity == 0 ? 0
-                               : static_cast<double>(most_held) /
-                                     static_cast<double>(options.kv_capacity);
+  figures.most_memory = options.kv_capacity == 0
+                            ? 0
+                            : static_cast<double>(most_held) /
+                                  static_cast<double>(options.kv_capacity);
   base::Tokens reread = 0;
   for (const auto& server : servers) {
     reread += server->shared_tokens_read();
