--- a/libs/dispatch/tests/capacity_replay_test.cc
+++ b/libs/dispatch/tests/capacity_replay_test.cc
@@ -1,6 +1,5 @@
-// Replays servers of unequal speed, with and without the capacity model. Two
-// runs of it may not differ in anything else: the servers state how long work
-// takes now only in the second one.
+// Replays servers of unequal speed, with and without the capacity model: it
+// applies in the runs in which servers state how long work takes now.
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -70,7 +69,7 @@
 }
 
 // Routers that send a request every few seconds know little of the servers. The
-// bound of 1.4 is not reached with twelve servers; see the design page.
+// bound of 1.4 is not reached with twelve servers; see docs/design/platform.md.
 TEST(CapacityReplay, ManyRoutersCrowdLess) {
   for (const size_t servers : {3, 12}) {
     const auto before = Replay(320, servers, false);
