Bound what a router sends to a server within each data centre

Cause: the bound of the capacity model compared the servers of all data centres. A router prefers those of its own, so that these were always above the bound and prompts went to the other data centre, for which traffic is charged.

Change: a server's part is its part among the servers of its data centre.

--- a/libs/dispatch/src/placement_capacity.cc
+++ b/libs/dispatch/src/placement_capacity.cc
@@ -1,7 +1,7 @@
-// Estimates and choices by the capacity model.
+// Estimates by the capacity model.
 #include <algorithm>
-#include <array>
 #include <cmath>
+#include <optional>
 
 #include "placement_state.h"
 
@@ -10,15 +10,6 @@
 
 // Weight of an observation in the moving means of a service.
 constexpr double kServiceWeight = 0.05;
-// Share of the shared tokens that a prompt's preferred server is assumed to
-// have cached if this router has sent it none of them.
-constexpr double kPreferredCachedShare = 0.9;
-// Excess of a preferred server's expected time over the shortest up to which a
-// prompt stays there, as shares of the latency objective. It lies between these
-// for each prompt, so that routers that read the same report don't all move
-// their prompts at once.
-constexpr double kStayShare = 0.5;
-constexpr double kLeaveShare = 1;
 // Share of a server's memory that is filled: the rest is for requests that
 // generate more than is assumed.
 constexpr double kMemoryShare = 0.9;
@@ -27,12 +18,6 @@
 constexpr base::Tokens kOutputDivisor = 2;
 // Time for which servers stay separate after a prompt that stalls streams.
 constexpr base::Millis kSeparationTime = base::Seconds(60);
-// Multiple of its part by capacity up to which a server gets the prompts that
-// prefer it; between these for each prompt. Each router counts what it has sent
-// itself: if all routers keep to it, so does the sum, however old their reports
-// are.
-constexpr double kMinWorkBound = 1;
-constexpr double kMaxWorkBound = 1.2;
 // Number of attempts after which an attempt counts for a third: enough that the
 // slowest of a dozen servers has some, few enough that shifts of the load count
 // within a minute or two.
@@ -46,12 +31,6 @@
   mean = mean == 0 ? value : mean + kServiceWeight * (value - mean);
 }
 
-// A number between 0 and 1 that follows from the bits of a hash.
-double UnitInterval(uint64_t hash) {
-  constexpr double two_to_53 = 9007199254740992.0;
-  return (static_cast<double>(hash >> 11U) + 0.5) / two_to_53;
-}
-
 base::Tokens MemoryOf(const Prompt& prompt) {
   return prompt.input_tokens + prompt.max_output_tokens / kOutputDivisor;
 }
@@ -64,10 +43,6 @@
   return kMemoryShare * static_cast<double>(request.engine->kv_capacity);
 }
 
-double Between(double lowest, double highest, uint64_t hash) {
-  return lowest + (highest - lowest) * UnitInterval(hash);
-}
-
 }  // namespace
 
 bool Placement::State::UsesCapacityModel(
@@ -289,108 +264,4 @@
   attempt.last_event_at = now;
 }
 
-// The mean time that the recent attempts of this router take if they are shared
-// out by capacity, times a bound that depends on the prompt, so that the same
-// prompts leave a server at all routers and stay cached at the next one; and
-// one request, so that few attempts don't look like an excess.
-double Placement::State::MostWork(const PlacementRequest& request,
-                                  const std::vector<ScoredBackend>& all) const {
-  double work = 0;
-  double speeds = 0;
-  for (const ScoredBackend& scored : all) {
-    const double speed =
-        1 / scored.load->model->coefficients().prefill_ms_per_token;
-    work += scored.load->recent_work * speed;
-    speeds += speed;
-  }
-  const double bound =
-      Between(kMinWorkBound, kMaxWorkBound,
-              PromptCacheTracker::SharedPartsHash(*request.prompt));
-  const auto known = service_stats.find(request.service);
-  const double attempts =
-      known == service_stats.end() ? 0 : known->second.recent_attempts;
-  const double one_request =
-      static_cast<double>(all.size()) / std::max(1.0, attempts);
-  return (bound + one_request) * work / speeds;
-}
-
-// By weighted rendezvous hashing, so that an error of a learned speed moves few
-// prompts to another server.
-std::array<const Placement::State::ScoredBackend*, 2>
-Placement::State::PreferredByCapacity(
-    const PlacementRequest& request,
-    const std::vector<ScoredBackend>& all) const {
-  const auto is_local = [this](const ScoredBackend& scored) {
-    return scored.backend->data_centre == options.data_centre;
-  };
-  const bool only_local = !HasGlobalPreference(*request.prompt) &&
-                          std::any_of(all.begin(), all.end(), is_local);
-  std::array<const ScoredBackend*, 2> preferred{};
-  std::array<double, 2> scores{};
-  for (const ScoredBackend& scored : all) {
-    if ((only_local && !is_local(scored)) || !scored.is_preferable) {
-      continue;
-    }
-    const double point = UnitInterval(PromptCacheTracker::RendezvousWeight(
-        scored.backend->key(), *request.prompt));
-    const double score =
-        -1 / (std::log(point) *
-              scored.load->model->coefficients().prefill_ms_per_token);
-    if (score > scores[0]) {
-      scores = {score, scores[0]};
-      preferred = {&scored, preferred[0]};
-    } else if (score > scores[1]) {
-      scores[1] = score;
-      preferred[1] = &scored;
-    }
-  }
-  return preferred;
-}
-
-const Placement::State::ScoredBackend* Placement::State::PickByCapacity(
-    const PlacementRequest& request,
-    const std::vector<ScoredBackend>& all) const {
-  const double most_work = MostWork(request, all);
-  const ScoredBackend* best = nullptr;
-  const ScoredBackend* best_within_bound = nullptr;
-  for (const ScoredBackend& scored : all) {
-    if (!scored.has_capacity) {
-      continue;
-    }
-    if (best == nullptr || scored.cost < best->cost) {
-      best = &scored;
-    }
-    if (scored.load->recent_work <= most_work &&
-        (best_within_bound == nullptr ||
-         scored.cost < best_within_bound->cost)) {
-      best_within_bound = &scored;
-    }
-  }
-  if (best_within_bound == nullptr) {
-    return best;
-  }
-  const double excess =
-      Between(kStayShare, kLeaveShare,
-              PromptCacheTracker::SharedPartsHash(*request.prompt)) *
-      static_cast<double>(request.latency_objective.count());
-  const base::Tokens shared = PromptCacheTracker::SharedTokens(*request.prompt);
-  for (const ScoredBackend* preferred : PreferredByCapacity(request, all)) {
-    if (preferred == nullptr || !preferred->has_capacity ||
-        preferred->load->recent_work > most_work) {
-      continue;
-    }
-    const base::Tokens known =
-        request.prompt->input_tokens - preferred->uncached;
-    const double prefill_ms_per_token =
-        preferred->load->model->coefficients().prefill_ms_per_token;
-    const double cached_ms =
-        kPreferredCachedShare * prefill_ms_per_token *
-        static_cast<double>(std::max<base::Tokens>(0, shared - known));
-    if (preferred->cost - cached_ms <= best_within_bound->cost + excess) {
-      return preferred;
-    }
-  }
-  return best_within_bound;
-}
-
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -224,6 +224,7 @@
   std::vector<ScoredBackend> usable = healthy.empty() ? ejected : healthy;
   if (by_capacity) {
     SeparateStallingPrompts(now, request, usable);
+    MarkExcess(request, usable);
   } else if (request.prompt != nullptr && !usable.empty()) {
     const auto long_prompt_servers = LongPromptServers(usable);
     const Backend* const preferred =
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -78,6 +78,9 @@
     // By the capacity model: prompts that stall streams go here first, or other
     // prompts do.
     bool is_preferable = true;
+    // By the capacity model: this router has sent it more than its part by
+    // capacity among the servers of its data centre.
+    bool has_excess = false;
   };
 
   ServerLoad& LoadOf(const Backend& backend);
@@ -141,10 +144,10 @@
                           ServerLoad& load,
                           Attempt& attempt,
                           int64_t events);
-  // Time of recent attempts above which a server gets no prompts only because
-  // they prefer it.
-  double MostWork(const PlacementRequest& request,
-                  const std::vector<ScoredBackend>& all) const;
+  // Choices by the capacity model; placement_spread.cc.
+  // Marks the servers to which this router has sent more than their part.
+  void MarkExcess(const PlacementRequest& request,
+                  std::vector<ScoredBackend>& all) const;
   // The first and second choice for the shared parts of a prompt, the same at
   // all routers; null if there are fewer servers.
   std::array<const ScoredBackend*, 2> PreferredByCapacity(
--- a/libs/dispatch/tests/capacity_replay_test.cc
+++ b/libs/dispatch/tests/capacity_replay_test.cc
@@ -16,12 +16,16 @@
 constexpr double kPromptsPerSecondAndServer = 7.3;
 
 // The mean of several replays.
-UnevenFleet::Figures Replay(size_t routers, size_t servers, bool has_model) {
+UnevenFleet::Figures Replay(size_t routers,
+                            size_t servers,
+                            bool has_model,
+                            size_t other_servers = 0) {
   UnevenFleet::Figures mean;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     UnevenFleet::Options options;
     options.routers = routers;
     options.servers = servers;
+    options.other_servers = other_servers;
     options.prompts_per_second =
         kPromptsPerSecondAndServer * static_cast<double>(servers);
     options.states_work_time = has_model;
@@ -68,6 +72,17 @@
   }
 }
 
+// Guards against prompts that are sent to another data centre to spread them:
+// traffic between data centres is charged.
+TEST(CapacityReplay, SpreadingStaysInTheDataCentre) {
+  const auto before = Replay(20, 12, false, 6);
+  const auto after = Replay(20, 12, true, 6);
+  const std::string figures = before.Describe() + "; now " + after.Describe();
+  UT_PRINT(figures.c_str());
+  CHECK_TEXT(after.other_percent <= before.other_percent, figures.c_str());
+  CHECK_TEXT(after.late_percent <= before.late_percent, figures.c_str());
+}
+
 // Routers that send a request every few seconds know little of the servers. The
 // bound of 1.4 is not reached with twelve servers; see docs/design/platform.md.
 TEST(CapacityReplay, ManyRoutersCrowdLess) {
--- a/libs/dispatch/tests/uneven_fleet.cc
+++ b/libs/dispatch/tests/uneven_fleet.cc
@@ -5,6 +5,7 @@
 #include <iomanip>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <random>
 #include <sstream>
 #include <vector>
@@ -72,8 +73,8 @@
        << late_percent << "% late, first byte after " << mean_first_byte_ms
        << " ms, error " << mean_error_ms << " ms, busiest " << busiest << " ("
        << busiest_in_window << " in windows, " << busiest_by_requests
-       << " by requests), " << reread_percent << "% read again, " << most_memory
-       << " of the memory";
+       << " by requests), " << reread_percent << "% read again, "
+       << other_percent << "% elsewhere, " << most_memory << " of the memory";
   return text.str();
 }
 
@@ -86,6 +87,7 @@
   busiest_in_window += other.busiest_in_window;
   busiest_by_requests += other.busiest_by_requests;
   reread_percent += other.reread_percent;
+  other_percent += other.other_percent;
   most_memory += other.most_memory;
   return *this;
 }
@@ -99,6 +101,7 @@
           busiest_in_window / count,
           busiest_by_requests / count,
           reread_percent / count,
+          other_percent / count,
           most_memory / count};
 }
 
@@ -114,7 +117,8 @@
         "s" + std::to_string(options.seed) + "-" + std::to_string(i);
     backend.service = base::ServiceId("model");
     backend.address = {"127.0.0.1", static_cast<uint16_t>(i + 1)};
-    backend.data_centre = base::DataCentreId("a");
+    backend.data_centre = base::DataCentreId(
+        i + options.other_servers < options.servers ? "a" : "b");
     backend.slots = kSlots;
     candidates.push_back(&backend);
     index[backend.instance] = i;
@@ -216,6 +220,13 @@
   figures.mean_first_byte_ms /= static_cast<double>(answered);
   figures.mean_error_ms /= static_cast<double>(answered);
   figures.late_percent *= 100 / static_cast<double>(answered);
+  const double total_requests =
+      std::accumulate(requests.begin(), requests.end(), 0.0);
+  figures.other_percent =
+      100 / total_requests *
+      std::accumulate(
+          requests.end() - static_cast<ptrdiff_t>(options.other_servers),
+          requests.end(), 0.0);
   figures.most_memory = options.kv_capacity == 0
                             ? 0
                             : static_cast<double>(most_held) /
--- a/libs/dispatch/tests/uneven_fleet.h
+++ b/libs/dispatch/tests/uneven_fleet.h
@@ -19,6 +19,8 @@
     size_t routers = 20;
     // Servers; their speeds repeat 0.7, 0.7 and 1.7 of the typical one.
     size_t servers = 3;
+    // Of these, the last ones are in another data centre than all routers.
+    size_t other_servers = 0;
     double prompts_per_second = 22;
     int64_t seconds = 60;
     // The servers' answers state how long work takes now.
@@ -46,6 +48,8 @@
     // Share of the prompts' tokens that are of shared parts which a server had
     // read before, and were read again.
     double reread_percent = 0;
+    // Share of the prompts that went to the other data centre.
+    double other_percent = 0;
     // The most tokens that a server held, as a share of its memory.
     double most_memory = 0;
 
