--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -31,6 +31,10 @@
   placement_request.prompt =
       call.request.prompt ? &*call.request.prompt : nullptr;
   placement_request.event_gap_objective = call.route->event_gap_objective;
+  placement_request.latency_objective = call.route->latency_objective;
+  if (const ServiceProfile* service = call.table->Find(call.service)) {
+    placement_request.engine = service->engine;
+  }
   placement_request.exclude = call.exclude;
   return placement_request;
 }
@@ -227,7 +231,8 @@
       if (now_ + placement_.TypicalFirstByteTime(call.service) >=
           call.answer_start_deadline) {
         Refuse(call, base::ErrorKind::kOverloaded,
-               "no place came free before the deadline", kOverloadRetryAfter);
+               "no place came free before the deadline",
+               CapacityRetryAfter(call));
       }
       return;
     case Call::Phase::kAttempting:
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -91,7 +91,7 @@
   contents.requires_api_key = options.requires_api_key;
   ServiceProfile service;
   service.id = base::ServiceId("model");
-  service.engine = EngineProfile{16, 0, 4};
+  service.engine = EngineProfile{16, options.kv_capacity, 4};
   contents.services = {service};
   Raise(RoutingTableUpdated{
       std::make_shared<const RoutingTable>(std::move(contents))});
@@ -120,7 +120,7 @@
   arrived.request.id = "call-" + std::to_string(call);
   arrived.request.host = "h";
   arrived.request.path = "/" + route + "/x";
-  arrived.request.api_key = "key";
+  arrived.request.api_key = api_key_;
   if (own > 0) {
     Prompt prompt;
     prompt.input_tokens = shared + own;
