End streams that stall, and leave slow ones and slow callers alone

A server that completed no event for 0.7 s counted as unresponsive although the pause that the route allows may be longer, so that a valid resumable stream was moved to another server. Bytes without a complete event counted for nothing there. A stream that sent a byte or a comment now and then at a server that answered others went on until its deadline. A caller that read slowly made the router stop reading, which looked like a silent server.

Bytes that complete no event are reported (AttemptReceived) and keep a stream valid within its event gap objective. A stream that completes no event for eight times as long, and at least 2 s, continues at another server or ends. Comments are relayed but are no events; repeats of a server that begins a resumed stream again count as progress, each once. While an answer is not read since its caller is slow (AttemptPaused), its server is not judged by it.

--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -6,7 +6,9 @@
 #include "dispatch/attempt_answered.h"
 #include "dispatch/attempt_ended.h"
 #include "dispatch/attempt_failed.h"
+#include "dispatch/attempt_paused.h"
 #include "dispatch/attempt_progressed.h"
+#include "dispatch/attempt_received.h"
 #include "dispatch/backend_registered.h"
 #include "dispatch/backend_removed.h"
 #include "dispatch/backends_listed.h"
@@ -30,6 +32,8 @@
 using DispatchEvent = std::variant<CallArrived,
                                    CallerDisconnected,
                                    AttemptAnswered,
+                                   AttemptReceived,
+                                   AttemptPaused,
                                    AttemptProgressed,
                                    AttemptEnded,
                                    AttemptFailed,
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -70,6 +70,8 @@
   placement_.OnAnswered(now_, call->attempt, event.reply.load);
   call->attempt_begun = true;
   call->attempt_begun_at = now_;
+  call->last_received_at = now_;
+  call->progressed_at = now_;
   ApplyStatements(*call, event.reply);
   const AnswerClass answer_class = ClassifyReply(event.reply);
   if (answer_class != AnswerClass::kInstanceMismatch) {
@@ -136,6 +138,32 @@
   Abandon(call, run_outcome, reason);
 }
 
+void Dispatcher::State::On(const AttemptReceived& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.OnProgressed(now_, call->attempt);
+  NoteReceived(*call);
+  if (!call->last_received_at || event.repeats_event) {
+    call->progressed_at = now_;
+  }
+  call->last_received_at = now_;
+}
+
+void Dispatcher::State::On(const AttemptPaused& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  call->is_paused = event.is_paused;
+  if (!event.is_paused) {
+    // What the server sent meanwhile is only read from now on.
+    call->last_received_at = now_;
+    call->progressed_at = now_;
+  }
+}
+
 void Dispatcher::State::On(const AttemptProgressed& event) {
   Call* const call = FindAttempt(event.call, event.attempt);
   if (call == nullptr) {
@@ -143,6 +171,8 @@
   }
   placement_.OnProgressed(now_, call->attempt);
   NoteReceived(*call);
+  call->last_received_at = now_;
+  call->progressed_at = now_;
   // A server that is crashed by the content may still send the first events.
   if (now_ - call->attempt_begun_at >= kAnswerSettleTime) {
     NoteSuccess(*call);
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -73,6 +73,12 @@
   // Its server has begun an answer, and when.
   bool attempt_begun = false;
   base::Millis attempt_begun_at;
+  // When bytes were last received for it; empty if none were.
+  std::optional<base::Millis> last_received_at;
+  // When it last completed an event, or its first bytes were received.
+  base::Millis progressed_at;
+  // It is not read, since the caller reads slowly.
+  bool is_paused = false;
   // It was answered with success, as far as its content can be the cause of a
   // later failure.
   bool attempt_succeeded = false;
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -16,6 +16,10 @@
 // Least time to the deadline for which another attempt is started.
 constexpr base::Millis kMinAttemptTime(30);
 constexpr base::Millis kOverloadRetryAfter(250);
+// A stream has stalled if it completes no event within this multiple of its
+// event gap objective, and at least this time.
+constexpr int64_t kStallMultiple = 8;
+constexpr base::Millis kMinStallTime(2000);
 
 std::vector<uint64_t> SharedParts(const Request& request) {
   return request.prompt ? request.prompt->SharedParts()
@@ -41,6 +45,8 @@
   call.attempt_started_at = now_;
   call.attempt_begun = false;
   call.attempt_succeeded = false;
+  call.last_received_at.reset();
+  call.is_paused = false;
   if (call.attempts_sent == 0) {
     call.placed_at = now_;
   }
@@ -206,11 +212,37 @@
 }
 
 void Dispatcher::State::CheckResponsiveness(Call& call) {
-  if (call.attempt != 0 && placement_.IsUnresponsive(now_, call.attempt)) {
+  if (call.attempt == 0 || call.is_paused) {
+    return;
+  }
+  if (HasStalled(call)) {
+    if (!FailOver(call, "stalled")) {
+      EndStalled(call);
+    }
+  } else if (placement_.IsUnresponsive(now_, call.attempt) &&
+             !IsWithinPause(call)) {
     FailOver(call, "silent");
   }
 }
 
+bool Dispatcher::State::IsWithinPause(const Call& call) const {
+  return call.route->is_stream && call.last_received_at &&
+         now_ - *call.last_received_at <= call.route->event_gap_objective;
+}
+
+bool Dispatcher::State::HasStalled(const Call& call) const {
+  return call.route->is_stream && call.last_received_at &&
+         now_ - call.progressed_at >
+             std::max(kMinStallTime,
+                      call.route->event_gap_objective * kStallMultiple);
+}
+
+void Dispatcher::State::EndStalled(Call& call) {
+  Cancel(call, Outcome::kFailed);
+  call.may_have_run = true;
+  Finish(call, RunOutcome::kMayHaveRun, "the stream stalled");
+}
+
 void Dispatcher::State::CheckTime(Call& call) {
   switch (call.phase) {
     case Call::Phase::kAwaitingOrigin:
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -44,6 +44,8 @@
   void On(const CallArrived& event);
   void On(const CallerDisconnected& event);
   void On(const AttemptAnswered& event);
+  void On(const AttemptReceived& event);
+  void On(const AttemptPaused& event);
   void On(const AttemptProgressed& event);
   void On(const AttemptEnded& event);
   void On(const AttemptFailed& event);
@@ -166,7 +168,15 @@
   void Replace(Call& call, const Choice& next, const std::string& reason);
   void Finish(Call& call, RunOutcome run_outcome, const std::string& reason);
   Call* FindAttempt(CallId call, int64_t attempt);
+  // Handles attempts at servers that are unresponsive, and streams that have
+  // stalled.
   void CheckResponsiveness(Call& call);
+  // True if bytes were received within the pause that is allowed between the
+  // events of the stream.
+  bool IsWithinPause(const Call& call) const;
+  // True if a stream has completed no event for far longer than that.
+  bool HasStalled(const Call& call) const;
+  void EndStalled(Call& call);
   void CheckTime(Call& call);
   routing::RetryBudget& RetryBudgetFor(const base::ServiceId& service);
 
--- a/libs/relay/include/relay/event_framer.h
+++ b/libs/relay/include/relay/event_framer.h
@@ -27,8 +27,12 @@
   // True when an event is larger than any that a server sends. The caller must
   // then abandon the stream: each further Feed() costs more time and memory.
   bool is_overlong() const noexcept;
-  // Number of events returned so far.
+  // Number of events returned so far. Comments, which servers send to keep a
+  // connection open, are returned too but are no events.
   int64_t events() const noexcept { return events_; }
+  // Number of events dropped so far since the caller has received them, each
+  // counted once for a server.
+  int64_t repeats() const noexcept { return repeats_; }
   // Id of the last event returned; empty until an event with an id was.
   std::optional<int64_t> last_id() const noexcept { return last_id_; }
 
@@ -41,6 +45,9 @@
   std::optional<int64_t> last_id_;
   // Set by Restart: events with ids up to this one are repeats.
   std::optional<int64_t> resume_after_id_;
+  int64_t repeats_ = 0;
+  // Id of the last repeat of this server.
+  std::optional<int64_t> last_repeated_id_;
 };
 
 }  // namespace godwit::relay
--- a/libs/relay/src/event_framer.cc
+++ b/libs/relay/src/event_framer.cc
@@ -35,6 +35,18 @@
   return std::nullopt;
 }
 
+// True if each line is empty or a comment.
+bool IsComment(std::string_view event) {
+  bool at_line_start = true;
+  for (const char c : event) {
+    if (at_line_start && c != ':' && c != '\n') {
+      return false;
+    }
+    at_line_start = c == '\n';
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string_view EventFramer::Feed(std::string_view bytes) {
@@ -56,8 +68,16 @@
 }
 
 void EventFramer::AppendEvent(std::string_view event) {
+  if (IsComment(event)) {
+    ready_.append(event);
+    return;
+  }
   const std::optional<int64_t> id = ParseEventId(event);
   if (id && resume_after_id_ && *id <= *resume_after_id_) {
+    if (!last_repeated_id_ || *id > *last_repeated_id_) {
+      last_repeated_id_ = id;
+      ++repeats_;
+    }
     return;
   }
   if (id) {
@@ -74,6 +94,7 @@
 void EventFramer::Restart() {
   pending_.clear();
   resume_after_id_ = last_id_;
+  last_repeated_id_.reset();
 }
 
 }  // namespace godwit::relay
--- a/libs/relay/tests/event_framer_test.cc
+++ b/libs/relay/tests/event_framer_test.cc
@@ -37,6 +37,35 @@
   CHECK(framer.last_id() == 1);
 }
 
+// Guards against streams that go on for ever without an event.
+TEST(EventFramer, CountsNeitherCommentsNorTheSameRepeatAgain) {
+  struct Case {
+    const char* name;
+    std::string bytes;
+    int64_t events;
+    int64_t repeats;
+    std::string returned;
+  };
+  const std::vector<Case> cases = {
+      {"comment", ": wait\n\n", 0, 0, ": wait\n\n"},
+      {"empty event", "\n\n", 0, 0, "\n\n"},
+      {"comment within an event", ": wait\ndata: a\n\n", 1, 0,
+       ": wait\ndata: a\n\n"},
+      {"repeats", Events(1, 3), 0, 3, ""},
+      {"one repeat for ever", Event(2) + Event(2) + Event(2), 0, 1, ""},
+      {"repeats and a new event", Events(2, 4), 1, 2, Event(4)},
+  };
+  for (const Case& c : cases) {
+    EventFramer framer;
+    framer.Feed(Events(1, 3));
+    framer.Restart();
+    const std::string returned(framer.Feed(c.bytes));
+    STRCMP_EQUAL_TEXT(c.returned.c_str(), returned.c_str(), c.name);
+    CHECK_EQUAL_TEXT(3 + c.events, framer.events(), c.name);
+    CHECK_EQUAL_TEXT(c.repeats, framer.repeats(), c.name);
+  }
+}
+
 TEST(EventFramer, ResumesOnAnotherBackendWithoutLossOrRepeats) {
   struct Case {
     const char* name;
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -53,6 +53,11 @@
   return relaying_;
 }
 
+void AttemptRelay::ReportReceived(bool repeats_event) {
+  exchange_->events_.Raise(
+      dispatch::AttemptReceived{exchange_->call_, attempt_, repeats_event});
+}
+
 void AttemptRelay::OnBody(std::string_view bytes) {
   const auto self = shared_from_this();
   if (exchange_ == nullptr) {
@@ -62,6 +67,10 @@
     OnStreamBody(bytes);
     return;
   }
+  ReportReceived(false);
+  if (exchange_ == nullptr) {
+    return;
+  }
   if (relaying_) {
     exchange_->ForwardToCaller(bytes);
     return;
@@ -73,18 +82,28 @@
 }
 
 void AttemptRelay::OnStreamBody(std::string_view bytes) {
+  const int64_t events = exchange_->framer_.events();
+  const int64_t repeats = exchange_->framer_.repeats();
   const std::string_view ready = exchange_->framer_.Feed(bytes);
-  if (ready.empty()) {
-    if (exchange_->framer_.is_overlong()) {
-      exchange_->servers_.Cancel(upstream);
-      OnFailure(Failure::kDamaged);
+  if (exchange_->framer_.is_overlong()) {
+    exchange_->servers_.Cancel(upstream);
+    OnFailure(Failure::kDamaged);
+    return;
+  }
+  if (exchange_->framer_.events() == events) {
+    // Comments; those before the first event go with it.
+    if (relaying_) {
+      exchange_->ForwardToCaller(ready);
+    } else {
+      buffered_.append(ready);
     }
+    ReportReceived(exchange_->framer_.repeats() != repeats);
     return;
   }
   if (!reported_) {
     // Copied, since the dispatcher may drop the answer during ReportAnswer,
     // which invalidates `ready`, a view into the framer.
-    buffered_ = std::string(ready);
+    buffered_.append(ready);
     if (!ReportAnswer(false) || exchange_ == nullptr) {
       return;
     }
--- a/tools/godwit-edge/src/attempt_relay.h
+++ b/tools/godwit-edge/src/attempt_relay.h
@@ -41,6 +41,7 @@
   void OnStreamBody(std::string_view bytes);
   // Reports the answer to the dispatcher. False if it does not relay it.
   bool ReportAnswer(bool complete);
+  void ReportReceived(bool repeats_event);
   bool IsEventStream() const;
 
   Exchange* exchange_;
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -55,6 +55,7 @@
 void Exchange::Start(const dispatch::StartAttempt& attempt) {
   DropAttempt();
   framer_.Restart();
+  is_paused_ = false;
   attempt_ =
       std::make_shared<AttemptRelay>(*this, attempt.attempt, attempt.is_stream);
   relay::OutgoingRequest request;
@@ -80,17 +81,24 @@
 
 void Exchange::ForwardToCaller(std::string_view bytes) {
   session_->Write(bytes);
-  if (session_->queued_bytes() > kMaxQueuedBytes) {
+  if (session_->queued_bytes() > kMaxQueuedBytes && !is_paused_) {
     servers_.PauseReading(attempt_->upstream);
+    SetPaused(true);
   }
 }
 
 void Exchange::Resume() {
-  if (attempt_ != nullptr) {
+  if (attempt_ != nullptr && is_paused_) {
     servers_.ResumeReading(attempt_->upstream);
+    SetPaused(false);
   }
 }
 
+void Exchange::SetPaused(bool is_paused) {
+  is_paused_ = is_paused;
+  events_.Raise(dispatch::AttemptPaused{call_, attempt_->attempt(), is_paused});
+}
+
 void Exchange::Refuse(const dispatch::RefuseCall& refusal) {
   const http::Response page = http::ErrorResponse(
       http::StatusOf(refusal.kind),
--- a/tools/godwit-edge/src/exchange.h
+++ b/tools/godwit-edge/src/exchange.h
@@ -67,6 +67,7 @@
   friend class AttemptRelay;
 
   void ForwardToCaller(std::string_view bytes);
+  void SetPaused(bool is_paused);
   // Cancels the attempt in progress and ignores its answer.
   void DropAttempt();
 
@@ -81,6 +82,8 @@
   relay::EventFramer framer_;
   // The head of an answer was sent to the caller.
   bool head_sent_ = false;
+  // The answer is not read until the caller has read more of it.
+  bool is_paused_ = false;
 };
 
 }  // namespace godwit::edge
