Let the lender of a scarce budget decide who gets the remaining tokens

Cause: near the end of a budget the lender had nothing left, and its borrowers held pieces too small for any request. A refusal of one request applied to all requests at that router for 500 ms. IsTooLargeForRemaining refused large requests in favour of small ones. A request waited up to 400 ms for tokens that were not coming, and the Retry-After was always 600 ms.

Change: a budget is scarce while what is free is below 4 s of use, or did not cover a request within the last second. The lender states that in its replies and announces it to its borrowers. These then return at once what no request needs, report use at once and borrow exactly what a request needs. The lender serves by urgency, then by age, including its own requests; loan requests carry both. A request that what is free does not cover waits for at most 100 ms, and only if the rate of returns covers it; otherwise it is refused at once, with the time at which tokens are expected. A refusal applies only to requests that waited at that time. Calls that wait for tokens are retried by urgency, then by arrival. A pending loan request is resent after 100 ms. The two settings for requests that are too large end.

--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -2,6 +2,8 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <vector>
 
 #include "base/digest.h"
 #include "dispatcher_state.h"
@@ -13,11 +15,10 @@
 
 // Delays after which a refused caller may retry: without a configuration or
 // with one that may be outdated, while this router drains and another takes
-// over, without a budget reservation because the KV is unavailable, without a
-// usable server, and the minimum and maximum when all servers are at capacity.
+// over, without a usable server, and the minimum and maximum when all servers
+// are at capacity.
 constexpr base::Millis kNoConfigRetryAfter(500);
 constexpr base::Millis kLeavingRetryAfter(100);
-constexpr base::Millis kBudgetRetryAfter(600);
 constexpr base::Millis kNoBackendRetryAfter(500);
 constexpr base::Millis kMinCapacityRetryAfter(200);
 // Another router may send more to servers with limits than this one.
@@ -129,7 +130,8 @@
   const base::Tokens upper_bound =
       prompt.input_tokens + prompt.max_output_tokens;
   const base::BudgetId budget(call.organisation.value());
-  switch (budgets_.Reserve(now_, budget, upper_bound, call.arrived_at)) {
+  switch (budgets_.Reserve(now_, budget, upper_bound, call.arrived_at,
+                           call.urgency)) {
     case ReserveResult::kReserved:
       call.reserved = upper_bound;
       TryStartAttempt(call);
@@ -146,7 +148,7 @@
       Refuse(call, base::ErrorKind::kBudgetUnavailable,
              "can't set " + std::to_string(upper_bound) +
                  " tokens aside: " + budgets_.Describe(now_, budget),
-             kBudgetRetryAfter);
+             budgets_.RetryAfter(budget));
       return;
   }
 }
@@ -291,14 +293,15 @@
 }
 
 void Dispatcher::State::RetryReservations() {
-  std::vector<CallId> waiting;
+  // By urgency, then by arrival.
+  std::vector<std::tuple<int64_t, base::Millis, CallId>> waiting;
   for (const auto& [id, call] : calls_) {
     if (call->phase == Call::Phase::kAwaitingBudget) {
-      waiting.push_back(id);
+      waiting.emplace_back(call->urgency, call->arrived_at, id);
     }
   }
   std::sort(waiting.begin(), waiting.end());
-  for (const CallId id : waiting) {
+  for (const auto& [urgency, arrived_at, id] : waiting) {
     TryBudget(*calls_.at(id));
   }
 }
--- a/libs/ledger/include/ledger/loan_reply.h
+++ b/libs/ledger/include/ledger/loan_reply.h
@@ -35,12 +35,17 @@
   base::Tokens granted = 0;
   // Wall clock of the sender; zero if it is not known.
   base::Millis wall_time;
+  // The borrower is to return at once what no request needs, and to borrow only
+  // what one needs.
+  bool is_scarce = false;
+  // Of a refusal: when tokens are expected; zero if it is not known.
+  base::Millis retry_after;
 
   friend bool operator==(const LoanReply& a, const LoanReply& b) {
     return std::tie(a.lender, a.borrower, a.budget, a.lent, a.state, a.left,
-                    a.granted, a.wall_time) ==
+                    a.granted, a.wall_time, a.is_scarce, a.retry_after) ==
            std::tie(b.lender, b.borrower, b.budget, b.lent, b.state, b.left,
-                    b.granted, b.wall_time);
+                    b.granted, b.wall_time, b.is_scarce, b.retry_after);
   }
   friend bool operator!=(const LoanReply& a, const LoanReply& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/loan_request.h
+++ b/libs/ledger/include/ledger/loan_request.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_LOAN_REQUEST_H_
 #define LEDGER_LOAN_REQUEST_H_
 
+#include <cstdint>
 #include <tuple>
 
 #include "base/ids.h"
@@ -26,12 +27,18 @@
   base::Tokens wished = 0;
   // Wall clock of the sender; zero if it is not known.
   base::Millis wall_time;
+  // Urgency of the first of the waiting requests, 0 being the most urgent, and
+  // the time for which it has waited.
+  int64_t urgency = 0;
+  base::Millis waited;
 
   friend bool operator==(const LoanRequest& a, const LoanRequest& b) {
     return std::tie(a.borrower, a.lender, a.budget, a.used, a.unproven,
-                    a.returned, a.least, a.wished, a.wall_time) ==
-           std::tie(b.borrower, b.lender, b.budget, b.used, b.unproven,
-                    b.returned, b.least, b.wished, b.wall_time);
+                    a.returned, a.least, a.wished, a.wall_time, a.urgency,
+                    a.waited) == std::tie(b.borrower, b.lender, b.budget,
+                                          b.used, b.unproven, b.returned,
+                                          b.least, b.wished, b.wall_time,
+                                          b.urgency, b.waited);
   }
   friend bool operator!=(const LoanRequest& a, const LoanRequest& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/metered_budget_manager.h
+++ b/libs/ledger/include/ledger/metered_budget_manager.h
@@ -91,12 +91,18 @@
   void SetPeers(base::Millis now, const std::vector<Peer>& peers);
 
   // Reserves `amount` of a budget for a request that has waited since `since`.
-  // A budget that no longer has a limit always covers the amount, and one that
-  // never had a limit is kUnavailable.
+  // Of a scarce budget, the most urgent requests are served first (0 is the
+  // most urgent), and the oldest first among equals. A budget that no longer
+  // has a limit always covers the amount, and one that never had a limit is
+  // kUnavailable.
   ReserveResult Reserve(base::Millis now,
                         const base::BudgetId& budget,
                         base::Tokens amount,
-                        base::Millis since);
+                        base::Millis since,
+                        int64_t urgency);
+  // Returns the time after which tokens of a budget are expected, as of the
+  // last reservation that was kUnavailable.
+  base::Millis RetryAfter(const base::BudgetId& budget) const;
   // Ends a reservation of `reserved` tokens, of which `used` were used.
   void Settle(base::Millis now,
               const base::BudgetId& budget,
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -42,12 +42,6 @@
   // `large_divisor` of the limit.
   int64_t large_requests = 1;
   int64_t large_divisor = 40;
-  // Once less than the fraction `scarce_divisor` of a limit remains, a request
-  // above the mean size is refused if it could take more than the fraction
-  // `max_request_divisor` of what remains, so that many small requests are
-  // served instead.
-  int64_t scarce_divisor = 6;
-  int64_t max_request_divisor = 12;
   // A holding is refilled once it is below this share of its target, in
   // percent, and without delay when it is below the second one.
   int64_t refill_percent = 75;
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -13,6 +13,7 @@
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
 #include "ledger/shard.h"
+#include "reservation_queue.h"
 
 namespace godwit::ledger {
 
@@ -23,7 +24,8 @@
         shard(static_cast<size_t>(ShardOf(limit.budget, policy.shard_count))),
         burn(policy.burn_half_life),
         long_burn(policy.long_half_life),
-        use(policy.burn_half_life) {}
+        use(policy.burn_half_life),
+        returns(kReturnsHalfLife) {}
 
   // A loan request without a final answer.
   struct OpenLoanRequest {
@@ -32,8 +34,14 @@
     base::Millis sent_at;
     // The lender received it and draws from the ledger.
     bool is_pending = false;
+    // What the first of the waiting requests needs in total, and its rank.
+    base::Tokens amount = 0;
+    ReservationRank rank;
   };
 
+  // Short, since what is returned follows the requests in progress.
+  static constexpr base::Millis kReturnsHalfLife{1'000};
+
   BudgetLimit limit;
   // Index of the budget's ledger key.
   const size_t shard;
@@ -55,13 +63,14 @@
   base::Millis needed_at;
   // Size of large reservations; decays slowly.
   base::Tokens largest_reservation = 0;
-  // Moving average of the request size.
-  base::Tokens mean_request = 0;
   // Rates of usage under this router's grant (short and long average), and of
   // all usage at this router.
   BurnRate burn;
   BurnRate long_burn;
   BurnRate use;
+  // Rate at which reservations and loans of this router's grant are returned
+  // unused.
+  BurnRate returns;
   // Last time at which tokens of this router's grant were reserved or lent.
   base::Millis last_drawn_at;
   // Time of the first usage; the averages are biased shortly after it.
@@ -74,10 +83,25 @@
   // Lenders that refused a loan of this budget, and the time until which they
   // receive no further request for it.
   std::map<base::ProcessId, base::Millis> refused_until;
-  // This router found that it can't lend the least amount requested; until when
-  // it relies on that.
-  base::Millis nothing_lent_until;
-  base::Tokens least_not_lent = 0;
+  // Requests that wait here.
+  ReservationQueue waiting;
+  // As the router that grants or lends: whether the budget is scarce, since
+  // when, and when that was announced last.
+  bool is_scarce = false;
+  base::Millis scarce_since;
+  base::Millis announced_at;
+  // Last amount that what is free did not cover.
+  base::Tokens uncovered = 0;
+  base::Millis uncovered_at;
+  // As a borrower: until when the budget counts as scarce.
+  base::Millis scarce_until;
+  // A lender refused the first of the waiting requests: when, how much it
+  // needed, and its rank.
+  base::Millis refused_at;
+  base::Tokens refused_amount = 0;
+  ReservationRank refused_rank;
+  // When tokens are expected, as of the last refusal.
+  base::Millis retry_after;
   // A lender reported that nothing is free, and the maximum that can remain;
   // until when the report is relied on.
   base::Millis nothing_free_until;
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -8,11 +8,10 @@
 namespace godwit::ledger {
 namespace {
 
-// A request changes the mean request size by 1/kMeanRequestDivisor of the
-// difference.
-constexpr base::Tokens kMeanRequestDivisor = 16;
 // Each smaller reservation reduces the largest one by 1/kLargestDecayDivisor.
 constexpr base::Tokens kLargestDecayDivisor = 50;
+// After a refusal for which it is not known when tokens are expected.
+constexpr base::Millis kDefaultRetryAfter(600);
 
 }  // namespace
 
@@ -47,7 +46,7 @@
     if (limit.limit != budget.limit.limit) {
       // A reply about the earlier limit does not apply to this one.
       budget.nothing_free_until = base::Millis();
-      budget.nothing_lent_until = base::Millis();
+      budget.refused_amount = 0;
     }
     budget.limit = limit;
     budget.dropped = false;
@@ -82,33 +81,33 @@
     base::Millis now,
     const base::BudgetId& budget,
     base::Tokens amount,
-    base::Millis since) {
+    base::Millis since,
+    int64_t urgency) {
   state_->Begin(now);
   MeteredBudget* const local = state_->Find(budget);
   if (local == nullptr) {
     // The budget's limit is not known.
     return ReserveResult::kUnavailable;
   }
-  return state_->Reserve(now, *local, amount, since);
+  return state_->Reserve(now, *local, amount, {urgency, since});
+}
+
+base::Millis MeteredBudgetManager::RetryAfter(
+    const base::BudgetId& budget) const {
+  const MeteredBudget* const local = state_->Find(budget);
+  return local == nullptr ? kDefaultRetryAfter : local->retry_after;
 }
 
 MeteredBudgetManager::ReserveResult MeteredBudgetManager::State::Reserve(
     base::Millis now,
     MeteredBudget& budget,
     base::Tokens amount,
-    base::Millis since) {
+    const ReservationRank& rank) {
   if (budget.dropped) {
     return ReserveResult::kReserved;
   }
-  budget.mean_request =
-      budget.mean_request == 0
-          ? amount
-          : budget.mean_request +
-                (amount - budget.mean_request) / kMeanRequestDivisor;
-  if (IsTooLargeForRemaining(budget, amount)) {
-    return ReserveResult::kUnavailable;
-  }
-  if (Available(budget) >= amount) {
+  const base::Tokens ahead = IsScarce(now, budget) ? AheadOf(budget, rank) : 0;
+  if (Available(budget) >= amount + ahead) {
     budget.reserved += amount;
     if (budget.ReservedOfGrant() > 0) {
       budget.last_drawn_at = now;
@@ -118,40 +117,70 @@
     budget.largest_reservation =
         std::max(amount, budget.largest_reservation -
                              budget.largest_reservation / kLargestDecayDivisor);
+    budget.waiting.Remove(rank, amount);
     return ReserveResult::kReserved;
   }
-  if (now < budget.nothing_free_until) {
+  budget.needed_at = now;
+  budget.waiting.Add(now, rank, amount);
+  const ReserveResult result = Wait(now, budget, amount, rank);
+  if (result != ReserveResult::kWait) {
     budget.need = 0;
     budget.loan_need = 0;
-    return amount > budget.reported_left ? ReserveResult::kExhausted
-                                         : ReserveResult::kUnavailable;
+    budget.waiting.Remove(rank, amount);
+  }
+  return result;
+}
+
+MeteredBudgetManager::ReserveResult MeteredBudgetManager::State::Wait(
+    base::Millis now,
+    MeteredBudget& budget,
+    base::Tokens amount,
+    const ReservationRank& rank) {
+  if (now < budget.nothing_free_until && amount > budget.reported_left) {
+    return ReserveResult::kExhausted;
+  }
+  if (WasRefused(budget, rank, amount)) {
+    return ReserveResult::kUnavailable;
+  }
+  const bool is_scarce = IsScarce(now, budget);
+  const base::Millis waited = now - rank.since;
+  const bool waited_enough = waited >= policy_.max_wait;
+  if (waited_enough) {
+    budget.retry_after = kDefaultRetryAfter;
   }
-  const bool waited_enough = now - since >= policy_.max_wait;
-  budget.needed_at = now;
   if (LenderOf(now, budget) != nullptr) {
     budget.need = 0;
-    budget.loan_need = waited_enough ? 0 : std::max(budget.loan_need, amount);
+    budget.loan_need = is_scarce ? budget.waiting.First()->amount
+                                 : std::max(budget.loan_need, amount);
     return waited_enough ? ReserveResult::kUnavailable : ReserveResult::kWait;
   }
   budget.loan_need = 0;
-  budget.need = std::max(budget.need, amount);
+  const base::Tokens total = amount + (is_scarce ? AheadOf(budget, rank) : 0);
+  const base::Tokens pool = Pool(budget);
+  budget.need = is_scarce
+                    ? std::clamp<base::Tokens>(budget.waiting.Total(), 1,
+                                               std::max<base::Tokens>(1, pool))
+                    : std::max(budget.need, amount);
   const Shard& shard = ShardOfBudget(budget);
-  const bool is_fresh = !shard.earlier && shard.view.known() &&
-                        shard.view.confirmed_at() + policy_.max_record_age >=
-                            std::min(now, since);
+  const bool is_fresh = IsRecordFresh(budget, std::min(now, rank.since));
   if (is_fresh && amount > MaxRemaining(budget)) {
-    budget.need = 0;
     return ReserveResult::kExhausted;
   }
+  const bool is_lender = !peers_.empty() && IsLender(shard);
+  if (is_lender && pool < total) {
+    MarkUncovered(now, budget, total);
+  }
+  if (is_lender && is_fresh && !MayCome(now, budget, total, waited)) {
+    budget.retry_after = RetryAfter(now, budget, total);
+    return ReserveResult::kUnavailable;
+  }
   // Tokens that are held but not promised become available soon.
-  const bool is_unavailable =
-      (IsKvUnavailable(now, shard) || !MayOpenSoon(now, shard)) &&
-      Unallocated(budget) < amount;
-  if (waited_enough || is_unavailable) {
-    budget.need = 0;
+  if ((IsKvUnavailable(now, shard) || !MayOpenSoon(now, shard)) &&
+      Unallocated(budget) < amount) {
+    budget.retry_after = policy_.refused_backoff;
     return ReserveResult::kUnavailable;
   }
-  return ReserveResult::kWait;
+  return waited_enough ? ReserveResult::kUnavailable : ReserveResult::kWait;
 }
 
 void MeteredBudgetManager::Settle(base::Millis now,
@@ -162,9 +191,14 @@
   if (local == nullptr) {
     return;
   }
+  const base::Tokens of_grant = local->ReservedOfGrant();
   local->reserved -= std::min(reserved, local->reserved);
   local->use.Add(now, used.tokens);
-  local->Spend(now, local->borrowed.Charge(used));
+  const Usage of_own = local->borrowed.Charge(used);
+  local->Spend(now, of_own);
+  local->returns.Add(
+      now, std::max<base::Tokens>(
+               0, of_grant - local->ReservedOfGrant() - of_own.tokens));
 }
 
 void MeteredBudgetManager::Drain() {
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -15,6 +15,9 @@
 // refuses loans that it can't serve from its grant. It leaves the next lender
 // more than half of MeteredPolicy::max_wait.
 constexpr base::Millis kMaxLoanLatency(150);
+// A pending request is resent after this time, since the final reply may have
+// been lost.
+constexpr base::Millis kPendingResendInterval(100);
 
 }  // namespace
 
@@ -63,22 +66,46 @@
   if (local == nullptr) {
     return;
   }
-  const auto used = loans_.ApplyReport(request);
-  if (!used) {
+  const auto report = loans_.ApplyReport(request);
+  if (!report) {
     // The loan was removed while the borrower was out of the fleet. The
     // borrower keeps its tokens; without an answer it turns to other lenders.
     return;
   }
-  if (used->tokens > 0) {
-    local->Spend(now, *used);
+  if (report->used.tokens > 0) {
+    local->Spend(now, report->used);
+  }
+  if (report->returned > 0) {
+    local->returns.Add(now, report->returned);
   }
   if (request.wished == 0) {
     return;
   }
-  if (!TryAnswer(now, {request, from, now})) {
-    loans_.AddWaiting(request, from, now);
-    Reply(from, request, LoanReply::State::kPending);
+  const LoanTracker::Waiting waiting{
+      request, from, now, {request.urgency, now - request.waited}};
+  if (!TryAnswer(now, waiting)) {
+    loans_.AddWaiting(waiting);
+    Reply(from, *local, request.borrower, LoanReply::State::kPending,
+          base::Millis());
+  }
+}
+
+Tokens MeteredBudgetManager::State::LoanFor(const MeteredBudget& budget,
+                                            const LoanTracker::Waiting& waiting,
+                                            Tokens least,
+                                            Tokens requested) const {
+  const Tokens own = draining_ ? 0 : OwnAvailable(budget);
+  if (!budget.is_scarce) {
+    // At most half of a holding is lent beyond the required minimum; the
+    // remainder is kept for requests that can't be served without it.
+    return own >= least ? std::max(least, std::min(requested, own / 2)) : 0;
+  }
+  if (own < least + AheadOf(budget, waiting.rank)) {
+    return 0;
   }
+  const Tokens all_waiting =
+      budget.waiting.Total() + loans_.TotalWaiting(budget.limit.budget);
+  return least > 0 && own >= requested + all_waiting ? requested : least;
 }
 
 // Lends what is requested, or refuses if the tokens can't become available in
@@ -87,76 +114,64 @@
     base::Millis now,
     const LoanTracker::Waiting& waiting) {
   const LoanRequest& request = waiting.request;
-  const MeteredBudget& local = *Find(request.budget);
+  MeteredBudget& local = *Find(request.budget);
   const Shard& shard = ShardOfBudget(local);
+  const auto reply = [&](LoanReply::State state,
+                         base::Millis retry_after = base::Millis()) {
+    Reply(waiting.from, local, request.borrower, state, retry_after);
+    return true;
+  };
   const Tokens lent = loans_.Lent(request);
   const Tokens least = std::max<Tokens>(0, request.least - lent);
   const Tokens requested = std::max(least, request.wished - lent);
   if (requested == 0) {
     // The request was served before, and the reply was lost.
-    Reply(waiting.from, request, LoanReply::State::kLent);
-    return true;
+    return reply(LoanReply::State::kLent);
   }
-  const Tokens own = draining_ ? 0 : OwnAvailable(local);
-  const bool is_too_large = least > 0 && IsTooLargeForRemaining(local, least);
-  if (own >= least && own > 0 && !is_too_large) {
-    // At most half of a holding is lent beyond the required minimum; the
-    // remainder is kept for requests that can't be served without it.
-    loans_.Lend(request, std::max(least, std::min(requested, own / 2)));
-    Find(request.budget)->last_drawn_at = now;
-    Reply(waiting.from, request, LoanReply::State::kLent);
-    return true;
+  const Tokens loan = LoanFor(local, waiting, least, requested);
+  if (loan > 0) {
+    loans_.Lend(request, loan);
+    local.last_drawn_at = now;
+    return reply(LoanReply::State::kLent);
   }
   // A lender that can neither draw nor renew its promise directs the borrower
   // to the next one, which draws for itself.
   const bool can_draw = !IsKvUnanswered(now, shard, kMaxLoanLatency);
-  if (least == 0 && !draining_ && !local.dropped && can_draw) {
+  const bool is_serving = !draining_ && !local.dropped && can_draw;
+  if (least == 0 && is_serving) {
     // Nobody waits for the tokens. A refusal would direct the next request that
     // somebody waits for to another lender, which would compete for the ledger.
-    Reply(waiting.from, request, LoanReply::State::kLent);
-    return true;
+    return reply(LoanReply::State::kLent);
   }
-  if (now < local.nothing_lent_until && least >= local.least_not_lent) {
-    Reply(waiting.from, request, LoanReply::State::kNothingFree);
-    return true;
+  const Tokens needed =
+      least + (local.is_scarce ? AheadOf(local, waiting.rank) : 0);
+  const base::Millis waited =
+      now - (local.is_scarce ? waiting.rank.since : waiting.since);
+  if (Pool(local) < needed) {
+    MarkUncovered(now, local, needed);
   }
-  const Budget* const stored = BudgetIn(shard.record(), request.budget);
-  const bool is_fresh =
-      !shard.earlier && shard.view.known() &&
-      shard.view.confirmed_at() + policy_.max_record_age >= waiting.since;
-  const bool is_free =
-      stored == nullptr || Unallocated(local) + stored->free() >= least;
-  const bool may_be_returned =
-      loans_.Outstanding(request.budget) + local.ReservedOfGrant() >= least;
-  const bool is_expired = now - waiting.since >= policy_.pending_timeout;
-  const bool is_serving = least > 0 && !draining_ && !local.dropped;
-  const bool nothing_free =
-      is_too_large || (!is_free && (is_expired || !may_be_returned));
-  if (is_serving && is_fresh && nothing_free) {
-    // Smaller requests may still be served.
-    MeteredBudget& budget = *Find(request.budget);
-    budget.nothing_lent_until = now + policy_.nothing_free_backoff;
-    budget.least_not_lent = least;
-    Reply(waiting.from, request, LoanReply::State::kNothingFree);
-    return true;
+  if (is_serving && IsRecordFresh(local, waiting.since) &&
+      !MayCome(now, local, needed, waited)) {
+    return reply(LoanReply::State::kNothingFree,
+                 RetryAfter(now, local, needed));
   }
-  const bool may_become_available =
-      is_serving && !is_too_large && !is_expired && can_draw;
-  if (!may_become_available) {
-    Reply(waiting.from, request, LoanReply::State::kRefused);
+  if (!is_serving || waited >= policy_.pending_timeout) {
+    return reply(LoanReply::State::kRefused);
   }
-  return !may_become_available;
+  return false;
 }
 
 void MeteredBudgetManager::State::Reply(const base::Endpoint& to,
-                                        const LoanRequest& request,
-                                        LoanReply::State state) {
-  const MeteredBudget& budget = *Find(request.budget);
+                                        const MeteredBudget& budget,
+                                        const base::Incarnation& borrower,
+                                        LoanReply::State state,
+                                        base::Millis retry_after) {
+  const base::BudgetId& id = budget.limit.budget;
   const Tokens left = std::max<Tokens>(0, MaxRemaining(budget));
   outbox_.emplace_back(SendToPeer{
       to,
-      LoanReply{self_, request.borrower, request.budget, loans_.Lent(request),
-                state, left, Granted(budget), WallTime()}});
+      LoanReply{self_, borrower, id, loans_.Lent(id, borrower), state, left,
+                Granted(budget), WallTime(), budget.is_scarce, retry_after}});
 }
 
 void MeteredBudgetManager::State::On(base::Millis now, const LoanReply& reply) {
@@ -167,6 +182,7 @@
   }
   local->borrowed.SetLent(reply.lender, reply.lent);
   reported_grants_[{reply.budget, reply.lender}] = {reply.granted, now};
+  RecordScarcity(now, *local, reply);
   if (!local->loan_request ||
       local->loan_request->lender.incarnation != reply.lender) {
     return;
@@ -179,9 +195,10 @@
       local->loan_request->is_pending = true;
       return;
     case LoanReply::State::kNothingFree:
-      local->nothing_free_until = now + policy_.nothing_free_backoff;
-      local->reported_left = reply.left;
+      RecordRefusal(now, *local, reply);
       local->loan_request.reset();
+      // Requests that were not refused repeat their reservations.
+      local->loan_need = 0;
       return;
     case LoanReply::State::kRefused:
       local->refused_until[local->loan_request->lender.process] =
@@ -192,11 +209,14 @@
 }
 
 void MeteredBudgetManager::State::ProcessLoans(base::Millis now) {
+  for (auto& [id, budget] : budgets_) {
+    UpdateScarcity(now, budget);
+  }
   loans_.RemoveServed([this, now](const LoanTracker::Waiting& waiting) {
     return TryAnswer(now, waiting);
   });
   for (auto& [id, budget] : budgets_) {
-    budget.borrower_need = loans_.MaxWaiting(id);
+    budget.borrower_need = BorrowerNeed(budget);
     if (now - budget.needed_at >= policy_.need_timeout) {
       budget.need = 0;
       budget.loan_need = 0;
@@ -213,6 +233,10 @@
 void MeteredBudgetManager::State::ReturnSurplus(base::Millis now,
                                                 MeteredBudget& budget) {
   const Tokens spare = budget.borrowed.free() - budget.reserved;
+  if (IsScarce(now, budget)) {
+    budget.borrowed.Return(std::max<Tokens>(0, spare - budget.waiting.Total()));
+    return;
+  }
   const Tokens target = LoanTarget(now, budget);
   if (spare > 0 && spare * kPercent > target * policy_.surplus_percent &&
       !budget.loan_request && budget.loan_need == 0) {
@@ -240,8 +264,14 @@
     budget.loan_request.reset();
     return;
   }
-  if (!request.is_pending &&
-      now - request.sent_at >= policy_.loan_resend_interval) {
+  const auto first = budget.waiting.First();
+  const bool is_preceded =
+      IsScarce(now, budget) && first && first->rank < request.rank;
+  const bool is_unanswered =
+      now - request.sent_at >= (request.is_pending
+                                    ? kPendingResendInterval
+                                    : policy_.loan_resend_interval);
+  if (is_preceded || is_unanswered) {
     budget.loan_request->sent_at = now;
     SendLoanRequest(now, budget, request.lender, true);
   }
@@ -250,7 +280,7 @@
 void MeteredBudgetManager::State::Borrow(base::Millis now,
                                          MeteredBudget& budget) {
   const bool is_waited_for = budget.loan_need > Available(budget);
-  const Tokens target = LoanTarget(now, budget);
+  const Tokens target = WantedLoan(now, budget);
   const Tokens spare = budget.borrowed.free() - budget.reserved;
   const bool is_low =
       target > 0 && spare * kPercent < target * policy_.loan_refill_percent &&
@@ -264,7 +294,7 @@
   }
   budget.next_refill_at = now + policy_.refill_interval;
   budget.loan_request =
-      MeteredBudget::OpenLoanRequest{*lender, now, now, false};
+      MeteredBudget::OpenLoanRequest{*lender, now, now, false, 0, {}};
   SendLoanRequest(now, budget, *lender, true);
 }
 
@@ -283,15 +313,26 @@
   request.used = loan.used;
   request.unproven = loan.unproven;
   request.returned = loan.returned;
+  const auto first = budget.waiting.First();
   if (requests_tokens) {
     const Tokens shortfall =
         std::max<Tokens>(0, budget.loan_need - Available(budget));
     const Tokens spare =
         std::max<Tokens>(0, budget.borrowed.free() - budget.reserved);
-    const Tokens requested =
-        std::max({shortfall, LoanTarget(now, budget) - spare, Tokens{1}});
+    const Tokens wanted = IsScarce(now, budget)
+                              ? budget.waiting.Total() - Available(budget)
+                              : LoanTarget(now, budget) - spare;
+    const Tokens requested = std::max({shortfall, wanted, Tokens{1}});
     request.least = shortfall == 0 ? 0 : loan.lent + shortfall;
     request.wished = loan.lent + requested;
+    if (first) {
+      request.urgency = first->rank.urgency;
+      request.waited = std::max(base::Millis(), now - first->rank.since);
+    }
+    if (budget.loan_request) {
+      budget.loan_request->amount = budget.loan_need;
+      budget.loan_request->rank = first ? first->rank : ReservationRank();
+    }
   }
   loan.reported = loan.used + loan.returned;
   loan.reported_at = now;
@@ -301,8 +342,8 @@
 void MeteredBudgetManager::State::ReportUsage(base::Millis now,
                                               MeteredBudget& budget) {
   for (const auto& [incarnation, loan] : budget.borrowed.loans()) {
-    const bool is_due =
-        draining_ || now - loan.reported_at >= policy_.report_interval;
+    const bool is_due = draining_ || IsScarce(now, budget) ||
+                        now - loan.reported_at >= policy_.report_interval;
     const Peer* const lender =
         loan.has_unreported_usage() && is_due ? PeerOf(incarnation) : nullptr;
     if (lender != nullptr) {
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -206,15 +206,6 @@
   return std::max(budget.Need(), is_too_small ? 0 : target);
 }
 
-bool MeteredBudgetManager::State::IsTooLargeForRemaining(
-    const MeteredBudget& budget,
-    Tokens amount) const {
-  const Tokens left = MaxRemaining(budget);
-  return amount > budget.mean_request &&
-         left * policy_.scarce_divisor < budget.limit.limit &&
-         amount * policy_.max_request_divisor > left;
-}
-
 // Near the end of a budget, each router keeps to its share of what remains.
 Tokens MeteredBudgetManager::State::Share(const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -101,7 +101,12 @@
   ReserveResult Reserve(base::Millis now,
                         MeteredBudget& budget,
                         base::Tokens amount,
-                        base::Millis since);
+                        const ReservationRank& rank);
+  // Decides on a reservation that what is available does not cover.
+  ReserveResult Wait(base::Millis now,
+                     MeteredBudget& budget,
+                     base::Tokens amount,
+                     const ReservationRank& rank);
   // Returns the tokens of this router's grant that are used, reserved or lent.
   base::Tokens Allocated(const MeteredBudget& budget) const;
   // Returns the other tokens of this router's grant, and the part of them that
@@ -121,10 +126,6 @@
   // Returns the maximum that can remain of a budget, given the usage that is
   // known.
   base::Tokens MaxRemaining(const MeteredBudget& budget) const;
-  // True if a request would take so much of the little that remains that many
-  // smaller ones could not be served.
-  bool IsTooLargeForRemaining(const MeteredBudget& budget,
-                              base::Tokens amount) const;
   // Returns the part of a budget's remaining tokens that this router may hold.
   base::Tokens Share(const MeteredBudget& budget) const;
   // True while the KV does not answer operations on the shard.
@@ -163,9 +164,62 @@
   bool IsAnyLender() const;
   void SendHello(const base::Endpoint& to);
   bool TryAnswer(base::Millis now, const LoanTracker::Waiting& waiting);
+  // Returns the tokens to lend for a request that needs `least` and asks for
+  // `requested`, or zero if it has to wait or is refused.
+  base::Tokens LoanFor(const MeteredBudget& budget,
+                       const LoanTracker::Waiting& waiting,
+                       base::Tokens least,
+                       base::Tokens requested) const;
   void Reply(const base::Endpoint& to,
-             const LoanRequest& request,
-             LoanReply::State state);
+             const MeteredBudget& budget,
+             const base::Incarnation& borrower,
+             LoanReply::State state,
+             base::Millis retry_after);
+
+  // True while a budget is scarce, as this router or its lender finds.
+  bool IsScarce(base::Millis now, const MeteredBudget& budget) const;
+  // Returns what is free in the ledger and in this router's grant.
+  base::Tokens Pool(const MeteredBudget& budget) const;
+  // Returns the number of free borrowed tokens that this router should have.
+  base::Tokens WantedLoan(base::Millis now, const MeteredBudget& budget) const;
+  // Returns what the requests that precede `rank` wait for, here and at
+  // borrowers.
+  base::Tokens AheadOf(const MeteredBudget& budget,
+                       const ReservationRank& rank) const;
+  // True if `amount` is free or expected to be returned in time for a request
+  // that has waited for `waited`.
+  bool MayCome(base::Millis now,
+               const MeteredBudget& budget,
+               base::Tokens amount,
+               base::Millis waited) const;
+  // Returns the time until `amount` is expected to be free.
+  base::Millis RetryAfter(base::Millis now,
+                          const MeteredBudget& budget,
+                          base::Tokens amount) const;
+  // Returns what this router's grant must provide for borrowers.
+  base::Tokens BorrowerNeed(const MeteredBudget& budget) const;
+  // True if the record is not older than a request that has waited since
+  // `since`, by more than a lookup takes.
+  bool IsRecordFresh(const MeteredBudget& budget, base::Millis since) const;
+  // Records that what is free does not cover `amount`.
+  void MarkUncovered(base::Millis now,
+                     MeteredBudget& budget,
+                     base::Tokens amount);
+  // Finds out whether a budget is scarce, and tells its borrowers.
+  void UpdateScarcity(base::Millis now, MeteredBudget& budget);
+  void AnnounceScarcity(const MeteredBudget& budget);
+  void RecordScarcity(base::Millis now,
+                      MeteredBudget& budget,
+                      const LoanReply& reply);
+  // Records that a lender refused the open loan request.
+  void RecordRefusal(base::Millis now,
+                     MeteredBudget& budget,
+                     const LoanReply& reply);
+  // True if a lender has refused this waiting request, or one before it that
+  // needs no more.
+  bool WasRefused(const MeteredBudget& budget,
+                  const ReservationRank& rank,
+                  base::Tokens amount) const;
   void ProcessLoans(base::Millis now);
   void ReturnSurplus(base::Millis now, MeteredBudget& budget);
   // Resends a loan request that has no answer, and abandons it after its
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -34,7 +34,9 @@
           {"returned", request.returned},
           {"least", request.least},
           {"wished", request.wished},
-          {"wall", request.wall_time.count()}};
+          {"wall", request.wall_time.count()},
+          {"urgency", request.urgency},
+          {"waited", request.waited.count()}};
 }
 
 Json ToJson(const LoanReply& reply) {
@@ -46,7 +48,9 @@
           {"state", static_cast<int64_t>(reply.state)},
           {"left", reply.left},
           {"granted", reply.granted},
-          {"wall", reply.wall_time.count()}};
+          {"wall", reply.wall_time.count()},
+          {"scarce", reply.is_scarce ? 1 : 0},
+          {"retry", reply.retry_after.count()}};
 }
 
 Json ToJson(const Peer& peer) {
@@ -141,15 +145,12 @@
     if (!used || !unproven || !returned || !least || !wished) {
       return std::nullopt;
     }
-    return LoanRequest{base::Incarnation(*borrower),
-                       base::Incarnation(*lender),
-                       base::BudgetId(*budget),
-                       *used,
-                       *unproven,
-                       *returned,
-                       *least,
-                       *wished,
-                       WallTimeIn(*document)};
+    return LoanRequest{base::Incarnation(*borrower), base::Incarnation(*lender),
+                       base::BudgetId(*budget), *used, *unproven, *returned,
+                       *least, *wished, WallTimeIn(*document),
+                       // Routers of earlier versions don't send these.
+                       Amount(*document, "urgency").value_or(0),
+                       base::Millis(Amount(*document, "waited").value_or(0))};
   }
   const auto lent = Amount(*document, "lent");
   const auto left = Amount(*document, "left");
@@ -160,9 +161,11 @@
   }
   return LoanReply{base::Incarnation(*lender), base::Incarnation(*borrower),
                    base::BudgetId(*budget), *lent, *state, *left,
-                   // Routers of earlier versions don't send it.
+                   // Routers of earlier versions don't send these.
                    Amount(*document, "granted").value_or(0),
-                   WallTimeIn(*document)};
+                   WallTimeIn(*document),
+                   Amount(*document, "scarce").value_or(0) > 0,
+                   base::Millis(Amount(*document, "retry").value_or(0))};
 }
 
 std::string EncodePeer(const Peer& peer) {
--- a/libs/ledger/tests/metered_budget_manager_test.cc
+++ b/libs/ledger/tests/metered_budget_manager_test.cc
@@ -89,7 +89,8 @@
         break;
       default:
         for (int n = 0; n < 8; ++n) {
-          simulation.Request(router, *rc::gen::inRange<Tokens>(1, 900));
+          simulation.Request(router, *rc::gen::inRange<Tokens>(1, 900),
+                             *rc::gen::inRange(0, 3));
         }
         break;
     }
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -141,12 +141,14 @@
   kv_.Put(kConfigKey, std::to_string(config_number_));
 }
 
-void MeteredSimulation::Request(size_t index, base::Tokens amount) {
+void MeteredSimulation::Request(size_t index,
+                                base::Tokens amount,
+                                int64_t urgency) {
   Router& router = *routers_[index];
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({amount, now_, std::nullopt});
+  router.waiting.push_back({amount, now_, urgency, std::nullopt});
   TryReserve(router);
 }
 
@@ -155,7 +157,7 @@
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({request.amount, now_, request});
+  router.waiting.push_back({request.amount, now_, request.urgency, request});
   TryReserve(router);
 }
 
@@ -174,9 +176,9 @@
 void MeteredSimulation::TryReserve(Router& router) {
   std::deque<Router::Waiting> still_waiting;
   for (const Router::Waiting& waiting : router.waiting) {
-    const auto result =
-        router.manager->Reserve(TimeOf(router), kBudget, waiting.amount,
-                                waiting.since + router.skew + router.leap);
+    const auto result = router.manager->Reserve(
+        TimeOf(router), kBudget, waiting.amount,
+        waiting.since + router.skew + router.leap, waiting.urgency);
     if (waiting.timed && result != MeteredBudgetManager::ReserveResult::kWait) {
       outcomes_.push_back(
           {*waiting.timed, result, now_ - waiting.since, Used()});
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -55,7 +55,7 @@
 
   // Submits a request to a router. It waits for tokens until the manager
   // refuses it.
-  void Request(size_t router, base::Tokens amount);
+  void Request(size_t router, base::Tokens amount, int64_t urgency = 0);
   // Submits a request that ends by itself. Its outcome is recorded.
   void Request(size_t router, const TimedRequest& request);
   // Ends the oldest running request of a router, which used `used_percent` of
--- a/libs/ledger/tests/peer_codec_test.cc
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -32,7 +32,9 @@
                            100,
                            1500,
                            4000,
-                           Millis(70'000)};
+                           Millis(70'000),
+                           2,
+                           Millis(35)};
 const LoanReply kReply{Incarnation("edge-2.9"),
                        Incarnation("edge-1.7"),
                        BudgetId("kiosks"),
@@ -40,7 +42,9 @@
                        LoanReply::State::kPending,
                        70,
                        90'000,
-                       Millis(70'000)};
+                       Millis(70'000),
+                       true,
+                       Millis(250)};
 const Peer kPeer{ProcessId("edge-1"),
                  Incarnation("edge-1.7"),
                  {"10.1.0.19", 7200},
@@ -97,6 +101,24 @@
   CHECK(std::get<LoanReply>(*message).wall_time == Millis());
 }
 
+TEST(PeerCodec, EarlierVersionsDoNotKnowScarceBudgets) {
+  nlohmann::json reply = nlohmann::json::from_cbor(EncodePeerMessage(kReply));
+  reply.erase("scarce");
+  reply.erase("retry");
+  const auto decoded_reply = DecodePeerMessage(Cbor(reply));
+  CHECK(decoded_reply.has_value());
+  CHECK(!std::get<LoanReply>(*decoded_reply).is_scarce);
+  CHECK(std::get<LoanReply>(*decoded_reply).retry_after == Millis());
+  nlohmann::json request =
+      nlohmann::json::from_cbor(EncodePeerMessage(kRequest));
+  request.erase("urgency");
+  request.erase("waited");
+  const auto decoded_request = DecodePeerMessage(Cbor(request));
+  CHECK(decoded_request.has_value());
+  CHECK_EQUAL(0, std::get<LoanRequest>(*decoded_request).urgency);
+  CHECK(std::get<LoanRequest>(*decoded_request).waited == Millis());
+}
+
 TEST(PeerCodec, EarlierVersionsDoNotSendTheirProcessorShare) {
   nlohmann::json peer = nlohmann::json::from_cbor(EncodePeer(kPeer));
   peer.erase("millicores");
--- a/libs/ledger/tests/simulated_router.h
+++ b/libs/ledger/tests/simulated_router.h
@@ -21,6 +21,7 @@
   struct Waiting {
     base::Tokens amount;
     base::Millis since;
+    int64_t urgency = 0;
     // Set for requests that end by themselves.
     std::optional<TimedRequest> timed;
   };
--- a/libs/ledger/tests/used_up_budget_test.cc
+++ b/libs/ledger/tests/used_up_budget_test.cc
@@ -1,6 +1,7 @@
 // Replays fleets that use up a budget with requests of mixed sizes, and counts
 // the refused requests for which the budget had tokens.
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
 #include <random>
@@ -32,7 +33,11 @@
 constexpr Tokens kAffordablePercent = 97;
 // Requests of at least this size are the largest tenth.
 constexpr Tokens kLarge = 15'100;
-constexpr int64_t kUrgencies = 3;
+constexpr size_t kUrgencies = 3;
+// Messages take up to 12 ms each way; a request waits 100 ms for tokens that
+// are expected.
+constexpr Millis kTypicalRefusal(50);
+constexpr Millis kLongestRefusal(150);
 
 // Sizes are spread evenly by their logarithm; 30 to 60% of them is used.
 class Load {
@@ -78,6 +83,8 @@
   int64_t all_served = 0;
   int64_t large = 0;
   int64_t large_served = 0;
+  // After the first refusal.
+  std::array<int64_t, kUrgencies> served_by_urgency{};
   // Median and maximum.
   Millis typical_refusal;
   Millis longest_refusal;
@@ -109,6 +116,8 @@
       figures.large_served += is_large && IsServed(outcome) ? 1 : 0;
     }
     if (IsServed(outcome)) {
+      const auto urgency = static_cast<size_t>(outcome.request.urgency);
+      figures.served_by_urgency.at(urgency) += waits.empty() ? 0 : 1;
       continue;
     }
     figures.refused_affordable += is_affordable ? 1 : 0;
@@ -133,7 +142,9 @@
          std::to_string(figures.all_served) + " of " +
          std::to_string(figures.all) + ", of the largest " +
          std::to_string(figures.large_served) + " of " +
-         std::to_string(figures.large) + ", refusals take " +
+         std::to_string(figures.large) + ", by urgency " +
+         std::to_string(figures.served_by_urgency.front()) + " to " +
+         std::to_string(figures.served_by_urgency.back()) + ", refusals take " +
          std::to_string(figures.typical_refusal.count()) + " to " +
          std::to_string(figures.longest_refusal.count()) + " ms, " +
          std::to_string(figures.operations) + " operations";
@@ -148,31 +159,50 @@
     size_t routers;
     Tokens limit;
     int64_t per_second;
-    int64_t max_refused_percent;
+    int lost_percent;
+    uint32_t seed;
+    // Operations on the KV before budgets could be scarce.
     int64_t max_operations;
   };
-  const std::vector<Case> cases = {{20, 4'000'000, 50, 2, 600},
-                                   {29, 4'000'000, 50, 8, 600},
-                                   {29, 855'298, 10, 8, 900},
-                                   {320, 4'000'000, 50, 12, 4'800}};
+  const std::vector<Case> cases = {
+      {20, 4'000'000, 50, 0, 7, 395},   {20, 4'000'000, 50, 5, 8, 395},
+      {29, 4'000'000, 50, 0, 7, 496},   {29, 4'000'000, 50, 5, 9, 496},
+      {29, 855'298, 10, 0, 7, 529},     {29, 855'298, 10, 5, 10, 529},
+      {320, 4'000'000, 50, 0, 7, 3'849}};
+  int64_t served_most_urgent = 0;
+  int64_t served_least_urgent = 0;
   for (const Case& c : cases) {
     MeteredSimulation simulation(1, c.routers, c.limit,
                                  MeteredPolicy().outage_cover);
-    simulation.Connect();
+    simulation.Connect(c.lost_percent);
     simulation.Advance(Millis(1000));
-    Load(7, c.per_second).For(simulation, c.routers, Millis(45'000));
+    Load(c.seed, c.per_second).For(simulation, c.routers, Millis(45'000));
     const Figures figures = FiguresOf(simulation);
     const std::string text =
         Text(std::to_string(c.routers) + " routers, limit " +
                  std::to_string(c.limit),
              figures);
     UT_PRINT(text.c_str());
-    CHECK_TEXT(figures.refused_affordable * 100 <=
-                   figures.affordable * c.max_refused_percent,
+    CHECK_TEXT(figures.refused_affordable * 100 <= figures.affordable,
                text.c_str());
+    // Large requests wait for their turn instead of losing to small ones.
+    CHECK_TEXT(figures.large > 0 && 2 * figures.large_served * figures.all >=
+                                        figures.all_served * figures.large,
+               text.c_str());
+    CHECK_TEXT(figures.typical_refusal <= kTypicalRefusal &&
+                   figures.longest_refusal <= (c.lost_percent == 0
+                                                   ? kLongestRefusal
+                                                   : MeteredPolicy().max_wait),
+               text.c_str());
+    served_most_urgent += figures.served_by_urgency.front();
+    served_least_urgent += figures.served_by_urgency.back();
+    // A caller retries in vain when the budget is used up and that is not said.
+    CHECK_TEXT(figures.exhausted > figures.refused, text.c_str());
+    CHECK_EQUAL_TEXT(0, simulation.falsely_exhausted(), text.c_str());
     CHECK_TEXT(figures.operations <= c.max_operations, text.c_str());
     CHECK_TEXT(simulation.Used() <= c.limit, text.c_str());
   }
+  CHECK(served_most_urgent > served_least_urgent);
 }
 
 // The lender can't draw, and its promise ends.
