Report the tokens of budgets by state and refusals by cause

Cause: refusals on a budget that has tokens could not be told from those on one that is used up, nor from an unavailable store.

Change: MeteredBudgetManager::Reports() gives tokens by state (free, held, lent, in doubt) and refused requests by cause. godwit-edge exports them as godwit_budget_tokens and godwit_budget_refusals_total. A replay shows that use which is not proven never leads to kExhausted.

--- a/libs/dispatch/include/dispatch/dispatcher.h
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "dispatch/dispatch_command.h"
 #include "dispatch/dispatch_event.h"
 #include "dispatch/dispatcher_options.h"
+#include "ledger/budget_report.h"
 
 namespace godwit::dispatch {
 
@@ -47,6 +48,8 @@
   // The era of the store in which this router has written to the ledger what it
   // knew of it.
   int64_t ledger_era() const;
+  // Where the tokens of the prepaid budgets are, as this router knows it.
+  std::vector<ledger::BudgetReport> budget_reports() const;
 
  private:
   struct State;
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -38,6 +38,10 @@
   return state_->budgets_.merged_era();
 }
 
+std::vector<ledger::BudgetReport> Dispatcher::budget_reports() const {
+  return state_->budgets_.Reports();
+}
+
 int64_t Dispatcher::config_version() const {
   return state_->table_ == nullptr ? 0 : state_->table_->version();
 }
--- a/libs/ledger/include/ledger/metered_budget_manager.h
+++ b/libs/ledger/include/ledger/metered_budget_manager.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "ledger/budget_limit.h"
+#include "ledger/budget_report.h"
 #include "ledger/grant_closed.h"
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
@@ -125,6 +126,8 @@
                           const base::Endpoint& from,
                           const PeerMessage& message);
 
+  // Returns the state of all budgets, for metrics.
+  std::vector<BudgetReport> Reports() const;
   // Describes the state on which the results of Reserve are based, for logs.
   std::string Describe(base::Millis now, const base::BudgetId& budget) const;
 
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -10,6 +10,7 @@
 #include "borrowed_loans.h"
 #include "burn_rate.h"
 #include "ledger/budget_limit.h"
+#include "ledger/budget_report.h"
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
 #include "ledger/shard.h"
@@ -100,6 +101,7 @@
   base::Millis refused_at;
   base::Tokens refused_amount = 0;
   ReservationRank refused_rank;
+  BudgetReport::Refusals refusals;
   // When tokens are expected, as of the last refusal.
   base::Millis retry_after;
   // A lender reported that nothing is free, and the maximum that can remain;
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -136,10 +136,13 @@
     MeteredBudget& budget,
     base::Tokens amount,
     const ReservationRank& rank) {
+  BudgetReport::Refusals& refusals = budget.refusals;
   if (now < budget.nothing_free_until && amount > budget.reported_left) {
+    ++refusals.exhausted;
     return ReserveResult::kExhausted;
   }
   if (WasRefused(budget, rank, amount)) {
+    ++refusals.nothing_free;
     return ReserveResult::kUnavailable;
   }
   const bool is_scarce = IsScarce(now, budget);
@@ -152,6 +155,7 @@
     budget.need = 0;
     budget.loan_need = is_scarce ? budget.waiting.First()->amount
                                  : std::max(budget.loan_need, amount);
+    refusals.timed_out += waited_enough ? 1 : 0;
     return waited_enough ? ReserveResult::kUnavailable : ReserveResult::kWait;
   }
   budget.loan_need = 0;
@@ -164,6 +168,7 @@
   const Shard& shard = ShardOfBudget(budget);
   const bool is_fresh = IsRecordFresh(budget, std::min(now, rank.since));
   if (is_fresh && amount > MaxRemaining(budget)) {
+    ++refusals.exhausted;
     return ReserveResult::kExhausted;
   }
   const bool is_lender = !peers_.empty() && IsLender(shard);
@@ -171,15 +176,18 @@
     MarkUncovered(now, budget, total);
   }
   if (is_lender && is_fresh && !MayCome(now, budget, total, waited)) {
+    ++refusals.nothing_free;
     budget.retry_after = RetryAfter(now, budget, total);
     return ReserveResult::kUnavailable;
   }
   // Tokens that are held but not promised become available soon.
   if ((IsKvUnavailable(now, shard) || !MayOpenSoon(now, shard)) &&
       Unallocated(budget) < amount) {
+    ++refusals.kv_unavailable;
     budget.retry_after = policy_.refused_backoff;
     return ReserveResult::kUnavailable;
   }
+  refusals.timed_out += waited_enough ? 1 : 0;
   return waited_enough ? ReserveResult::kUnavailable : ReserveResult::kWait;
 }
 
@@ -261,30 +269,4 @@
   return state_->Process(now);
 }
 
-std::string MeteredBudgetManager::Describe(base::Millis now,
-                                           const base::BudgetId& budget) const {
-  const MeteredBudget* const local = state_->Find(budget);
-  if (local == nullptr) {
-    return "no limit";
-  }
-  if (state_->layout_.known() && !state_->KnowsLayout()) {
-    return "the ledger is stored under " +
-           std::to_string(state_->layout_.record().keys) + " keys";
-  }
-  const State::Shard& shard = state_->ShardOfBudget(*local);
-  const auto stored = shard.record().budgets.find(budget);
-  const base::Tokens free =
-      stored == shard.record().budgets.end() ? 0 : stored->second.free();
-  return "limit " + std::to_string(local->limit.limit) + ", granted " +
-         std::to_string(state_->Granted(*local)) + ", promised " +
-         std::to_string(state_->Promised(*local)) + ", spent " +
-         std::to_string(local->spent) + ", reserved " +
-         std::to_string(local->reserved) + ", lent " +
-         std::to_string(state_->loans_.Outstanding(budget)) + ", borrowed " +
-         std::to_string(local->borrowed.free()) + ", target " +
-         std::to_string(state_->Target(now, *local)) + ", free " +
-         std::to_string(free) + ", record age " +
-         std::to_string((now - shard.view.confirmed_at()).count()) + " ms";
-}
-
 }  // namespace godwit::ledger
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -178,6 +178,7 @@
 
   // True while a budget is scarce, as this router or its lender finds.
   bool IsScarce(base::Millis now, const MeteredBudget& budget) const;
+  BudgetReport Report(const MeteredBudget& budget) const;
   // Returns what is free in the ledger and in this router's grant.
   base::Tokens Pool(const MeteredBudget& budget) const;
   // Returns the number of free borrowed tokens that this router should have.
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -8,6 +8,7 @@
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_record.h"
 #include "ledger/shard.h"
+#include "ledger/usage.h"
 #include "simulated_router.h"
 
 namespace godwit::ledger {
@@ -166,9 +167,12 @@
       router.timed.begin(), router.timed.end(),
       [this](const Router::Timed& timed) { return timed.ends_at > now_; });
   for (auto timed = ended; timed != router.timed.end(); ++timed) {
-    router.used += timed->request.used;
-    router.manager->Settle(TimeOf(router), kBudget, timed->request.amount,
-                           {timed->request.used, 0});
+    const TimedRequest& request = timed->request;
+    const Usage usage = request.is_proven
+                            ? Usage{request.used, 0}
+                            : Usage{request.amount, request.amount};
+    router.used += usage.tokens;
+    router.manager->Settle(TimeOf(router), kBudget, request.amount, usage);
   }
   router.timed.erase(ended, router.timed.end());
 }
@@ -322,6 +326,19 @@
   return held;
 }
 
+BudgetReport::Refusals MeteredSimulation::refusals() const {
+  BudgetReport::Refusals sum;
+  for (const auto& router : routers_) {
+    for (const BudgetReport& report : router->manager->Reports()) {
+      sum.exhausted += report.refusals.exhausted;
+      sum.nothing_free += report.refusals.nothing_free;
+      sum.timed_out += report.refusals.timed_out;
+      sum.kv_unavailable += report.refusals.kv_unavailable;
+    }
+  }
+  return sum;
+}
+
 base::Tokens MeteredSimulation::Used() const {
   base::Tokens used = used_by_terminated_;
   for (const auto& router : routers_) {
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "ledger/budget_report.h"
 #include "ledger/metered_budget_manager.h"
 #include "ledger/peer.h"
 #include "platform/kv_version.h"
@@ -87,6 +88,8 @@
   // Number of requests refused as exhausted although the budget would have
   // covered them even if everything that may have been used was used.
   int64_t falsely_exhausted() const { return falsely_exhausted_; }
+  // Returns what the running incarnations count.
+  BudgetReport::Refusals refusals() const;
   // Returns what the ledger sets aside for a router beyond its billed usage.
   base::Tokens Held(size_t router) const;
   // Number of reads and writes of the ledger and of promises.
--- a/libs/ledger/tests/timed_request.h
+++ b/libs/ledger/tests/timed_request.h
@@ -17,6 +17,8 @@
   base::Millis duration;
   // 0 is the most urgent.
   int64_t urgency = 0;
+  // False if the connection is lost, so that all of `amount` may be used.
+  bool is_proven = true;
 };
 
 }  // namespace godwit::ledger
--- a/libs/ledger/tests/used_up_budget_test.cc
+++ b/libs/ledger/tests/used_up_budget_test.cc
@@ -45,8 +45,12 @@
   Load(uint32_t seed, int64_t per_second)
       : random_(seed), per_second_(per_second) {}
 
+  // No request ends with proven usage from now on.
+  void LoseConnections() { is_proven_ = false; }
+
   TimedRequest Next() {
     TimedRequest request;
+    request.is_proven = is_proven_;
     request.amount = static_cast<Tokens>(
         kSmallest * std::pow(kLargest / kSmallest, Uniform()));
     request.used = static_cast<Tokens>(static_cast<double>(request.amount) *
@@ -70,6 +74,7 @@
 
   std::mt19937 random_;
   const int64_t per_second_;
+  bool is_proven_ = true;
 };
 
 struct Figures {
@@ -199,12 +204,34 @@
     // A caller retries in vain when the budget is used up and that is not said.
     CHECK_TEXT(figures.exhausted > figures.refused, text.c_str());
     CHECK_EQUAL_TEXT(0, simulation.falsely_exhausted(), text.c_str());
+    const auto refusals = simulation.refusals();
+    CHECK_EQUAL_TEXT(figures.exhausted, refusals.exhausted, text.c_str());
+    CHECK_EQUAL_TEXT(
+        figures.refused,
+        refusals.nothing_free + refusals.timed_out + refusals.kv_unavailable,
+        text.c_str());
     CHECK_TEXT(figures.operations <= c.max_operations, text.c_str());
     CHECK_TEXT(simulation.Used() <= c.limit, text.c_str());
   }
   CHECK(served_most_urgent > served_least_urgent);
 }
 
+// Tokens that may not have been used can't be spent, but a caller must not be
+// told that they were.
+TEST(UsedUpBudget, UnprovenUseIsNotExhausted) {
+  MeteredSimulation simulation(1, kFleet, 855'298,
+                               MeteredPolicy().outage_cover);
+  simulation.Connect();
+  simulation.Advance(Millis(1000));
+  Load load(7, 10);
+  load.LoseConnections();
+  load.For(simulation, kFleet, Millis(30'000));
+  const Figures figures = FiguresOf(simulation);
+  CHECK_EQUAL(0, figures.exhausted);
+  CHECK(figures.refused > 0);
+  CHECK(simulation.Used() <= simulation.highest_limit());
+}
+
 // The lender can't draw, and its promise ends.
 TEST(UsedUpBudget, ALenderWithoutTheStoreIsReplaced) {
   MeteredSimulation simulation(1, kFleet, 4'000'000,
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -203,6 +203,21 @@
        "seconds",
        {"service"},
        "Time from arrival until a request was sent to a backend server."},
+      {MetricId::kBudgetTokens,
+       MetricType::kGauge,
+       "godwit_budget_tokens",
+       "tokens",
+       {"organisation", "state"},
+       "Tokens of a budget as a direct router knows them: free (at its "
+       "lender), "
+       "held, lent, in_doubt (at its lender)."},
+      {MetricId::kBudgetRefusalsTotal,
+       MetricType::kCounter,
+       "godwit_budget_refusals_total",
+       "requests",
+       {"organisation", "cause"},
+       "Requests that a direct router refused for lack of tokens: exhausted, "
+       "nothing_free, timed_out, kv_unavailable."},
   };
   return table;
 }
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -9,7 +9,9 @@
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/content_state_changed.h"
+#include "dispatch/dispatcher.h"
 #include "dispatch/start_attempt.h"
+#include "ledger/budget_report.h"
 #include "ledger/grant_closed.h"
 #include "ledger/loan_reply.h"
 #include "ledger/peer_unresponsive.h"
@@ -224,6 +226,29 @@
                                   {"config_version", ended.config_version}});
 }
 
+void SetDispatcherMetrics(telemetry::Metrics& metrics,
+                          const dispatch::Dispatcher& dispatcher) {
+  metrics.Set(MetricId::kConfigRevision, {},
+              static_cast<double>(dispatcher.config_version()));
+  for (const ledger::BudgetReport& report : dispatcher.budget_reports()) {
+    const std::string& budget = report.budget.value();
+    const auto set = [&](MetricId id, const char* label, int64_t value) {
+      metrics.Set(id, {budget, label}, static_cast<double>(value));
+    };
+    set(MetricId::kBudgetTokens, "held", report.held);
+    set(MetricId::kBudgetTokens, "lent", report.lent);
+    // Zero when another router has become the lender.
+    set(MetricId::kBudgetTokens, "free", report.free);
+    set(MetricId::kBudgetTokens, "in_doubt", report.in_doubt);
+    const ledger::BudgetReport::Refusals& refusals = report.refusals;
+    set(MetricId::kBudgetRefusalsTotal, "exhausted", refusals.exhausted);
+    set(MetricId::kBudgetRefusalsTotal, "nothing_free", refusals.nothing_free);
+    set(MetricId::kBudgetRefusalsTotal, "timed_out", refusals.timed_out);
+    set(MetricId::kBudgetRefusalsTotal, "kv_unavailable",
+        refusals.kv_unavailable);
+  }
+}
+
 void CountCallEnded(telemetry::Metrics& metrics,
                     const dispatch::CallEnded& ended) {
   const std::string& service = ended.service.value();
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -9,6 +9,7 @@
 struct BackendLimitChanged;
 struct CallEnded;
 struct ContentStateChanged;
+class Dispatcher;
 struct StartAttempt;
 }  // namespace godwit::dispatch
 
@@ -44,6 +45,8 @@
 
 void CountCallEnded(telemetry::Metrics& metrics,
                     const dispatch::CallEnded& ended);
+void SetDispatcherMetrics(telemetry::Metrics& metrics,
+                          const dispatch::Dispatcher& dispatcher);
 void CountStoreCall(telemetry::Metrics& metrics,
                     const platform::CallCompleted& call);
 
