--- a/libs/ledger/include/ledger/metered_budget_manager.h
+++ b/libs/ledger/include/ledger/metered_budget_manager.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "ledger/budget_limit.h"
+#include "ledger/budget_report.h"
 #include "ledger/grant_closed.h"
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
@@ -91,12 +92,18 @@
   void SetPeers(base::Millis now, const std::vector<Peer>& peers);
 
   // Reserves `amount` of a budget for a request that has waited since `since`.
-  // A budget that no longer has a limit always covers the amount, and one that
-  // never had a limit is kUnavailable.
+  // Of a scarce budget, the most urgent requests are served first (0 is the
+  // most urgent), and the oldest first among equals. A budget that no longer
+  // has a limit always covers the amount, and one that never had a limit is
+  // kUnavailable.
   ReserveResult Reserve(base::Millis now,
                         const base::BudgetId& budget,
                         base::Tokens amount,
-                        base::Millis since);
+                        base::Millis since,
+                        int64_t urgency);
+  // Returns the time after which tokens of a budget are expected, as of the
+  // last reservation that was kUnavailable.
+  base::Millis RetryAfter(const base::BudgetId& budget) const;
   // Ends a reservation of `reserved` tokens, of which `used` were used.
   void Settle(base::Millis now,
               const base::BudgetId& budget,
@@ -119,6 +126,8 @@
                           const base::Endpoint& from,
                           const PeerMessage& message);
 
+  // Returns the state of all budgets, for metrics.
+  std::vector<BudgetReport> Reports() const;
   // Describes the state on which the results of Reserve are based, for logs.
   std::string Describe(base::Millis now, const base::BudgetId& budget) const;
 
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -8,6 +8,7 @@
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_record.h"
 #include "ledger/shard.h"
+#include "ledger/usage.h"
 #include "simulated_router.h"
 
 namespace godwit::ledger {
@@ -160,12 +161,14 @@
   kv_.Put(kConfigKey, std::to_string(config_number_));
 }
 
-void MeteredSimulation::Request(size_t index, base::Tokens amount) {
+void MeteredSimulation::Request(size_t index,
+                                base::Tokens amount,
+                                int64_t urgency) {
   Router& router = *routers_[index];
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({amount, now_, {}, std::nullopt});
+  router.waiting.push_back({amount, now_, urgency, {}, std::nullopt});
   TryReserve(router);
 }
 
@@ -178,7 +181,7 @@
     return;
   }
   router.waiting.push_back(
-      {amount, now_, {used_percent, duration}, std::nullopt});
+      {amount, now_, 0, {used_percent, duration}, std::nullopt});
   TryReserve(router);
 }
 
@@ -187,7 +190,8 @@
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({request.amount, now_, {}, request});
+  router.waiting.push_back(
+      {request.amount, now_, request.urgency, {}, request});
   TryReserve(router);
 }
 
@@ -196,9 +200,12 @@
       router.timed.begin(), router.timed.end(),
       [this](const Router::Timed& timed) { return timed.ends_at > now_; });
   for (auto timed = ended; timed != router.timed.end(); ++timed) {
-    router.used += timed->request.used;
-    router.manager->Settle(TimeOf(router), kBudget, timed->request.amount,
-                           {timed->request.used, 0});
+    const TimedRequest& request = timed->request;
+    const Usage usage = request.is_proven
+                            ? Usage{request.used, 0}
+                            : Usage{request.amount, request.amount};
+    router.used += usage.tokens;
+    router.manager->Settle(TimeOf(router), kBudget, request.amount, usage);
   }
   router.timed.erase(ended, router.timed.end());
 }
@@ -221,9 +228,9 @@
 void MeteredSimulation::TryReserve(Router& router) {
   std::deque<Router::Waiting> still_waiting;
   for (const Router::Waiting& waiting : router.waiting) {
-    const auto result =
-        router.manager->Reserve(TimeOf(router), kBudget, waiting.amount,
-                                waiting.since + router.skew + router.leap);
+    const auto result = router.manager->Reserve(
+        TimeOf(router), kBudget, waiting.amount,
+        waiting.since + router.skew + router.leap, waiting.urgency);
     if (waiting.timed && result != MeteredBudgetManager::ReserveResult::kWait) {
       outcomes_.push_back(
           {*waiting.timed, result, now_ - waiting.since, Used()});
@@ -371,6 +378,19 @@
   return held;
 }
 
+BudgetReport::Refusals MeteredSimulation::refusals() const {
+  BudgetReport::Refusals sum;
+  for (const auto& router : routers_) {
+    for (const BudgetReport& report : router->manager->Reports()) {
+      sum.exhausted += report.refusals.exhausted;
+      sum.nothing_free += report.refusals.nothing_free;
+      sum.timed_out += report.refusals.timed_out;
+      sum.kv_unavailable += report.refusals.kv_unavailable;
+    }
+  }
+  return sum;
+}
+
 base::Tokens MeteredSimulation::Used() const {
   base::Tokens used = used_by_terminated_;
   for (const auto& router : routers_) {
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "ledger/budget_report.h"
 #include "ledger/metered_budget_manager.h"
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
@@ -61,7 +62,7 @@
 
   // Submits a request to a router. It waits for tokens until the manager
   // refuses it.
-  void Request(size_t router, base::Tokens amount);
+  void Request(size_t router, base::Tokens amount, int64_t urgency = 0);
   // Submits a request that ends by itself. Its outcome is recorded.
   void Request(size_t router, const TimedRequest& request);
   // Submits a request that ends by itself and uses its tokens at an even rate.
@@ -99,6 +100,8 @@
   // Number of requests refused as exhausted although the budget would have
   // covered them even if everything that may have been used was used.
   int64_t falsely_exhausted() const { return falsely_exhausted_; }
+  // Returns what the running incarnations count.
+  BudgetReport::Refusals refusals() const;
   // Returns what the ledger sets aside for a router beyond its billed usage.
   base::Tokens Held(size_t router) const;
   // Number of reads and writes of the ledger and of promises.
--- a/libs/ledger/tests/simulated_router.h
+++ b/libs/ledger/tests/simulated_router.h
@@ -2,6 +2,7 @@
 #define LEDGER_TESTS_SIMULATED_ROUTER_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -28,6 +29,7 @@
   struct Waiting {
     base::Tokens amount;
     base::Millis since;
+    int64_t urgency = 0;
     Course course;
     // Set for requests whose outcome is recorded.
     std::optional<TimedRequest> timed;
