Say that a request has not run only if no attempt may have run

If the answer of a first server was lost after the request may have run, and a second server answered with a status that is relayed (409, say) and the header Godwitlatch-Not-Executed, the caller got the header: it was told that its request had not run. RelayAnswer states whether an earlier attempt may have run; the header is then left out.

--- a/libs/dispatch/include/dispatch/relay_answer.h
+++ b/libs/dispatch/include/dispatch/relay_answer.h
@@ -11,6 +11,9 @@
 struct RelayAnswer {
   CallId call = 0;
   int64_t attempt = 0;
+  // An earlier attempt of the call may have run, whatever the answer states of
+  // this one.
+  bool may_have_run_before = false;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -118,9 +118,9 @@
     call->software_version = call->backend.software_version;
     RecordOrigin(*call);
   }
+  Emit(RelayAnswer{call->id, call->attempt, call->may_have_run});
   // A failure that is relayed to the caller was also a run, and is billed.
   call->may_have_run = true;
-  Emit(RelayAnswer{call->id, call->attempt});
   if (event.complete) {
     const bool is_good = answer_class == AnswerClass::kGood;
     placement_.OnEnded(now_, call->attempt,
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -118,14 +118,14 @@
   exchange_->events_.Raise(progress);
 }
 
-void AttemptRelay::Relay() {
+void AttemptRelay::Relay(bool may_have_run_before) {
   relaying_ = true;
   relay::CallerSession& session = *exchange_->session_;
   const bool has_length = complete_ || head_->content_length.has_value();
   if (!exchange_->head_sent_) {
     exchange_->head_sent_ = true;
-    std::string lines =
-        adapter::EncodeAnswer(*head_, has_length && !IsEventStream());
+    std::string lines = adapter::EncodeAnswer(
+        *head_, has_length && !IsEventStream(), may_have_run_before);
     if (complete_ && !head_->content_length) {
       relay::AppendHeader(lines, "Content-Length",
                           std::to_string(buffered_.size()));
--- a/tools/godwit-edge/src/attempt_relay.h
+++ b/tools/godwit-edge/src/attempt_relay.h
@@ -26,7 +26,7 @@
   void Detach() { exchange_ = nullptr; }
   // Forwards the buffered bytes to the caller, and all later ones as they
   // arrive.
-  void Relay();
+  void Relay(bool may_have_run_before);
 
   int64_t attempt() const noexcept { return attempt_; }
   // Id of the upstream pool's request, for cancelling it.
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -208,7 +208,7 @@
   }
   void Execute(const dispatch::RelayAnswer& command) {
     if (Exchange* exchange = Find(command.call)) {
-      exchange->Relay(command.attempt);
+      exchange->Relay(command);
     }
   }
   void Execute(const dispatch::RefuseCall& command) {
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -73,9 +73,9 @@
   }
 }
 
-void Exchange::Relay(int64_t attempt) {
-  if (attempt_ != nullptr && attempt_->attempt() == attempt) {
-    attempt_->Relay();
+void Exchange::Relay(const dispatch::RelayAnswer& command) {
+  if (attempt_ != nullptr && attempt_->attempt() == command.attempt) {
+    attempt_->Relay(command.may_have_run_before);
   }
 }
 
--- a/tools/godwit-edge/src/exchange.h
+++ b/tools/godwit-edge/src/exchange.h
@@ -8,6 +8,7 @@
 #include "dispatch/call_id.h"
 #include "dispatch/dispatch_event.h"
 #include "dispatch/refuse_call.h"
+#include "dispatch/relay_answer.h"
 #include "dispatch/start_attempt.h"
 #include "relay/event_framer.h"
 #include "relay/received_request.h"
@@ -49,7 +50,7 @@
   void Cancel(int64_t attempt);
   // Relays the attempt's answer to the caller. No effect unless the attempt is
   // the one in progress.
-  void Relay(int64_t attempt);
+  void Relay(const dispatch::RelayAnswer& command);
   // Answers the caller with a JSON error.
   void Refuse(const dispatch::RefuseCall& refusal);
   // Closes the caller's connection, so that the caller detects that the answer
