Answer requests that callers had sent when the router stops

At the end of a planned stop, connections without a request that had been read were closed at once. Requests that lay unread in a socket, were received in part or waited in the backlog of the listener were cut off without an answer.

CallerServer::Close() accepts what waits, and closes idle connections only 50 ms later if nothing is unread there. The router refuses what still comes as not run, since it can't be served in the 250 ms until it ends, and ends as soon as the connections are closed.

relay_io_test: with the former Close(), AnswersRequestsThatCallersSentBeforeItCloses fails (no answer in 5 s); now all three requests are answered. edge_process_test passes. Not covered: requests in progress when the bound of the drain is reached are still cut off.

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 #include "base/endpoint.h"
@@ -54,7 +55,8 @@
   void Drain() noexcept { draining_ = true; }
   bool draining() const noexcept { return draining_; }
 
-  // Stops accepting connections and closes those without an unsent answer.
+  // Stops accepting connections. With the next ticks, closes those without an
+  // unsent answer; requests that callers had begun to send are still handed on.
   void Close();
 
   // Closes connections that exceeded a timeout. Must be called every few tens
@@ -62,8 +64,8 @@
   void Tick();
 
   size_t connections() const noexcept { return sessions_.size(); }
-  // Number of connections with a request whose answer has not been sent
-  // completely.
+  // Number of connections with a request that has not been received or whose
+  // answer has not been sent completely.
   size_t unanswered() const noexcept;
 
  private:
@@ -71,12 +73,17 @@
   struct Acceptor;
 
   void Accept();
+  // Accepts the connections that callers have opened so far.
+  void AcceptWaiting();
+  // Starts a session on the connection that was accepted last.
+  void AddSession();
   void Remove(const std::shared_ptr<CallerSession>& session);
 
   boost::asio::io_context& io_;
   CallerHandler& handler_;
   Limits limits_;
   bool draining_ = false;
+  std::optional<base::Millis> closing_since_;
   base::Error error_;
   std::shared_ptr<Acceptor> acceptor_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
--- a/libs/relay/include/relay/caller_session.h
+++ b/libs/relay/include/relay/caller_session.h
@@ -44,6 +44,10 @@
   size_t queued_bytes() const noexcept;
   // True while the answer to the request on this connection is incomplete.
   bool awaits_answer() const noexcept { return state_ == State::kAnswering; }
+  // True while a request or its answer is incomplete.
+  bool is_busy() const noexcept {
+    return awaits_answer() || receiving_request_ || queued_bytes() > 0;
+  }
   bool closed() const noexcept { return closed_; }
 
  private:
@@ -68,6 +72,8 @@
   void FinishAnswer();
   void OnDisconnected();
   void Close();
+  // Closes the connection unless the caller has begun to send a request.
+  void CloseIfIdle();
   void Tick(base::Millis now);
 
   CallerServer& server_;
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -23,12 +23,17 @@
 constexpr int kBacklog = 4096;
 // A caller that acknowledges no bytes for this long counts as disconnected.
 constexpr base::Millis kCallerAckTimeout(5000);
+// Time in which requests are read that callers had sent before the server
+// closed.
+constexpr base::Millis kCloseDelay(50);
 
 }  // namespace
 
 struct CallerServer::Acceptor {
-  explicit Acceptor(asio::io_context& io) : acceptor(io) {}
+  explicit Acceptor(asio::io_context& io) : acceptor(io), accepted(io) {}
   asio::ip::tcp::acceptor acceptor;
+  // The connection that was accepted last, until it has a session.
+  asio::ip::tcp::socket accepted;
 };
 
 CallerServer::CallerServer(asio::io_context& io, CallerHandler& handler)
@@ -78,54 +83,75 @@
 
 void CallerServer::Accept() {
   acceptor_->acceptor.async_accept(
-      [this, keep = acceptor_](const error_code& error,
-                               asio::ip::tcp::socket socket) {
+      acceptor_->accepted, [this, keep = acceptor_](const error_code& error) {
         if (acceptor_ == nullptr) {
           return;
         }
-        if (!error && sessions_.size() < limits_.connections) {
-          error_code ignored;
-          socket.non_blocking(true, ignored);
-          SetSocketOptions(socket, kCallerAckTimeout);
-          const RequestReader::Limits limits{limits_.header_bytes,
-                                             limits_.body_bytes};
-          auto session = std::make_shared<CallerSession>(
-              *this,
-              std::make_unique<CallerSession::Io>(std::move(socket), limits));
-          sessions_.insert(session);
-          session->Start();
+        if (!error) {
+          AddSession();
         }
         Accept();
       });
 }
 
+void CallerServer::AddSession() {
+  asio::ip::tcp::socket socket = std::move(acceptor_->accepted);
+  if (sessions_.size() >= limits_.connections) {
+    return;
+  }
+  error_code ignored;
+  socket.non_blocking(true, ignored);
+  SetSocketOptions(socket, kCallerAckTimeout);
+  const RequestReader::Limits limits{limits_.header_bytes, limits_.body_bytes};
+  auto session = std::make_shared<CallerSession>(
+      *this, std::make_unique<CallerSession::Io>(std::move(socket), limits));
+  sessions_.insert(session);
+  session->Start();
+}
+
+void CallerServer::AcceptWaiting() {
+  if (acceptor_ == nullptr) {
+    return;
+  }
+  error_code error;
+  acceptor_->acceptor.non_blocking(true, error);
+  while (!error) {
+    acceptor_->acceptor.accept(acceptor_->accepted, error);
+    if (!error) {
+      AddSession();
+    }
+  }
+}
+
 void CallerServer::Remove(const std::shared_ptr<CallerSession>& session) {
   sessions_.erase(session);
 }
 
 void CallerServer::Close() {
+  draining_ = true;
+  AcceptWaiting();
   acceptor_.reset();
-  const auto sessions = sessions_;
-  for (const auto& session : sessions) {
-    if (!session->awaits_answer() && session->queued_bytes() == 0) {
-      session->Close();
-    }
-  }
+  closing_since_ = base::SteadyNow();
 }
 
 void CallerServer::Tick() {
   const base::Millis now = base::SteadyNow();
   const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(),
                                                              sessions_.end());
+  const bool closes_idle =
+      closing_since_ && now - *closing_since_ >= kCloseDelay;
   for (const auto& session : sessions) {
     session->Tick(now);
+    if (closes_idle) {
+      session->CloseIfIdle();
+    }
   }
 }
 
 size_t CallerServer::unanswered() const noexcept {
   size_t count = 0;
   for (const auto& session : sessions_) {
-    if (session->awaits_answer() || session->queued_bytes() > 0) {
+    if (session->is_busy()) {
       ++count;
     }
   }
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -304,6 +304,14 @@
   server_.Remove(shared_from_this());
 }
 
+void CallerSession::CloseIfIdle() {
+  error_code error;
+  if (!closed_ && !lingering_ && !is_busy() &&
+      io_->socket.available(error) == 0) {
+    Close();
+  }
+}
+
 void CallerSession::Tick(base::Millis now) {
   if (closed_ || state_ == State::kAnswering) {
     return;
--- a/libs/relay/tests/relay_io_test.cc
+++ b/libs/relay/tests/relay_io_test.cc
@@ -312,6 +312,33 @@
   CHECK_EQUAL(408, callers.refused_statuses[0]);
 }
 
+// Guards against requests that are cut off without an answer when the process
+// stops while callers send them.
+TEST(CallerServer, AnswersRequestsThatCallersSentBeforeItCloses) {
+  Listen();
+  RawConnection idle(port);
+  RawConnection unread(port);
+  RawConnection partly_sent(port);
+  CHECK(RunUntil(io, [&] { return server.connections() == 3; }));
+  unread.Send("GET /unread HTTP/1.1\r\nHost: x\r\n\r\n");
+  partly_sent.Send("GET /partly HTTP/1.1\r\nHo");
+  RawConnection not_accepted(port);
+  not_accepted.Send("GET /waiting HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Drain();
+  server.Close();
+  partly_sent.Send("st: x\r\n\r\n");
+  CHECK(RunUntil(io, [&] { return callers.targets.size() == 3; }));
+  CHECK(RunUntil(io, [&] {
+    server.Tick();
+    return server.unanswered() == 0 && server.connections() < 4;
+  }));
+  for (RawConnection* caller : {&unread, &partly_sent, &not_accepted}) {
+    const std::string answer = caller->ReadToEnd();
+    CHECK_TEXT(answer.find(" 200 ") != std::string::npos, answer.c_str());
+  }
+  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+}
+
 TEST(CallerServer, ClosesConnectionsAfterTheNextAnswerWhileDraining) {
   Listen();
   RawConnection caller(port);
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -246,7 +246,6 @@
                    Raise(done);
                  });
   }
-
   void Execute(const ledger::SendToPeer& command) {
     const std::string bytes = ledger::EncodePeerMessage(command.message);
     metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
@@ -255,7 +254,6 @@
     }
     peers_.Send(command.to, bytes);
   }
-
   void Execute(const dispatch::SendToRouter& command) {
     metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
     peers_.Send(command.to, dispatch::EncodeRouterMessage(command.message));
@@ -320,7 +318,7 @@
     }
     ApplyStopAction(
         stop_plan_.Step(now, dispatcher_.open_calls(), dispatcher_.drained()));
-    if (stop_at_ && (now >= *stop_at_ || callers_.unanswered() == 0)) {
+    if (stop_at_ && (now >= *stop_at_ || callers_.connections() == 0)) {
       io_.stop();
       return;
     }
@@ -350,6 +348,8 @@
             {{"open_requests", dispatcher_.open_calls()}});
         break;
     }
+    // Requests that still arrive would be cut off: they are refused as not run.
+    Raise(dispatch::DrainRequested{base::SteadyNow()});
     callers_.Close();
     readiness_.Close();
     stop_at_ = base::SteadyNow() + kFlushTimeout;
