--- a/libs/relay/tests/relay_io_test.cc
+++ b/libs/relay/tests/relay_io_test.cc
@@ -165,6 +165,29 @@
   }
 }
 
+// Guards against answers that reach another caller: a server may send a copy of
+// an answer late, on a connection that is in use again.
+TEST(UpstreamPool, SkipsALateCopyOfAnEarlierAnswerOnAReusedConnection) {
+  const auto answer_to = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 1\r\n\r\n" +
+           id;
+  };
+  RawServer server([&](int, const std::string&) {
+    static int request = 0;
+    ++request;
+    return request == 1 ? answer_to("1") : answer_to("1") + answer_to("2");
+  });
+  const int64_t before = pool.opened_connections();
+  for (const char* id : {"1", "2"}) {
+    Answer answer;
+    answer.wanted_id = id;
+    pool.Send(Local(server.port()), Get(), answer);
+    CHECK(RunUntil(io, [&] { return answer.finished(); }));
+    STRCMP_EQUAL(id, answer.body.c_str());
+  }
+  CHECK_EQUAL(1, pool.opened_connections() - before);
+}
+
 TEST(UpstreamPool, ReportsNotSentWhenTheConnectionFails) {
   uint16_t unused = 0;
   {
