--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 #include "base/endpoint.h"
@@ -59,6 +60,8 @@
   void CloseAfterAnswers(size_t count) noexcept { to_close_ = count; }
 
   // Stops accepting connections and closes those without an unsent answer.
+  // Stops accepting connections. With the next ticks, closes those without an
+  // unsent answer; requests that callers had begun to send are still handed on.
   void Close();
 
   // Closes connections that exceeded a timeout. Must be called every few tens
@@ -69,6 +72,8 @@
   const LinkTraffic& traffic() const noexcept { return traffic_; }
   // Number of connections with a request whose answer has not been sent
   // completely.
+  // Number of connections with a request that has not been received or whose
+  // answer has not been sent completely.
   size_t unanswered() const noexcept;
 
  private:
@@ -76,6 +81,10 @@
   struct Acceptor;
 
   void Accept();
+  // Accepts the connections that callers have opened so far.
+  void AcceptWaiting();
+  // Starts a session on the connection that was accepted last.
+  void AddSession();
   void Remove(const std::shared_ptr<CallerSession>& session);
   // Whether a connection is to be closed after the answer that begins.
   bool TakeClose() noexcept;
@@ -87,6 +96,7 @@
   // Connections that are still to be closed after an answer.
   size_t to_close_ = 0;
   LinkTraffic traffic_;
+  std::optional<base::Millis> closing_since_;
   base::Error error_;
   std::shared_ptr<Acceptor> acceptor_;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
--- a/libs/relay/tests/relay_io_test.cc
+++ b/libs/relay/tests/relay_io_test.cc
@@ -165,6 +165,29 @@
   }
 }
 
+// Guards against answers that reach another caller: a server may send a copy of
+// an answer late, on a connection that is in use again.
+TEST(UpstreamPool, SkipsALateCopyOfAnEarlierAnswerOnAReusedConnection) {
+  const auto answer_to = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 1\r\n\r\n" +
+           id;
+  };
+  RawServer server([&](int, const std::string&) {
+    static int request = 0;
+    ++request;
+    return request == 1 ? answer_to("1") : answer_to("1") + answer_to("2");
+  });
+  const int64_t before = pool.opened_connections();
+  for (const char* id : {"1", "2"}) {
+    Answer answer;
+    answer.wanted_id = id;
+    pool.Send(Local(server.port()), Get(), answer);
+    CHECK(RunUntil(io, [&] { return answer.finished(); }));
+    STRCMP_EQUAL(id, answer.body.c_str());
+  }
+  CHECK_EQUAL(1, pool.opened_connections() - before);
+}
+
 TEST(UpstreamPool, ReportsNotSentWhenTheConnectionFails) {
   uint16_t unused = 0;
   {
@@ -312,6 +335,33 @@
   CHECK_EQUAL(408, callers.refused_statuses[0]);
 }
 
+// Guards against requests that are cut off without an answer when the process
+// stops while callers send them.
+TEST(CallerServer, AnswersRequestsThatCallersSentBeforeItCloses) {
+  Listen();
+  RawConnection idle(port);
+  RawConnection unread(port);
+  RawConnection partly_sent(port);
+  CHECK(RunUntil(io, [&] { return server.connections() == 3; }));
+  unread.Send("GET /unread HTTP/1.1\r\nHost: x\r\n\r\n");
+  partly_sent.Send("GET /partly HTTP/1.1\r\nHo");
+  RawConnection not_accepted(port);
+  not_accepted.Send("GET /waiting HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Drain();
+  server.Close();
+  partly_sent.Send("st: x\r\n\r\n");
+  CHECK(RunUntil(io, [&] { return callers.targets.size() == 3; }));
+  CHECK(RunUntil(io, [&] {
+    server.Tick();
+    return server.unanswered() == 0 && server.connections() < 4;
+  }));
+  for (RawConnection* caller : {&unread, &partly_sent, &not_accepted}) {
+    const std::string answer = caller->ReadToEnd();
+    CHECK_TEXT(answer.find(" 200 ") != std::string::npos, answer.c_str());
+  }
+  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+}
+
 TEST(CallerServer, ClosesConnectionsAfterTheNextAnswerWhileDraining) {
   Listen();
   RawConnection caller(port);
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -206,7 +206,7 @@
   }
   void Execute(const dispatch::RelayAnswer& command) {
     if (Exchange* exchange = Find(command.call)) {
-      exchange->Relay(command.attempt);
+      exchange->Relay(command);
     }
   }
   void Execute(const dispatch::RefuseCall& command) {
@@ -244,7 +244,6 @@
                    Raise(done);
                  });
   }
-
   void Execute(const ledger::SendToPeer& command) {
     const std::string bytes = ledger::EncodePeerMessage(command.message);
     metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
@@ -253,7 +252,6 @@
     }
     peers_.Send(command.to, bytes);
   }
-
   void Execute(const dispatch::SendToRouter& command) {
     metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
     peers_.Send(command.to, dispatch::EncodeRouterMessage(command.message));
@@ -318,7 +316,7 @@
     }
     ApplyStopAction(
         stop_plan_.Step(now, dispatcher_.open_calls(), dispatcher_.drained()));
-    if (stop_at_ && (now >= *stop_at_ || callers_.unanswered() == 0)) {
+    if (stop_at_ && (now >= *stop_at_ || callers_.connections() == 0)) {
       io_.stop();
       return;
     }
@@ -348,6 +346,8 @@
             {{"open_requests", dispatcher_.open_calls()}});
         break;
     }
+    // Requests that still arrive would be cut off: they are refused as not run.
+    Raise(dispatch::DrainRequested{base::SteadyNow()});
     callers_.Close();
     readiness_.Close();
     stop_at_ = base::SteadyNow() + kFlushTimeout;
