--- a/libs/ledger/tests/metered_budget_manager_test.cc
+++ b/libs/ledger/tests/metered_budget_manager_test.cc
@@ -65,7 +65,9 @@
                             *rc::gen::inRange<Tokens>(0, 500));
         break;
       case 5:
-        simulation.Isolate(router, *rc::gen::arbitrary<bool>());
+        // Of both directions, or of one.
+        simulation.Isolate(router, *rc::gen::inRange(0, 3) == 0);
+        simulation.Mute(router, *rc::gen::inRange(0, 3) == 0);
         break;
       case 6: {
         // One router, a data centre, or all.
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -110,6 +110,10 @@
   routers_[index]->isolated = isolated;
 }
 
+void MeteredSimulation::Mute(size_t index, bool muted) {
+  routers_[index]->muted = muted;
+}
+
 void MeteredSimulation::BeginEras() {
   kv_.BeginEras();
 }
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -36,6 +36,8 @@
   void Connect(int lost_percent = 0);
   // Drops all datagrams to and from a router.
   void Isolate(size_t router, bool isolated);
+  // Drops all datagrams from a router; it still receives those of others.
+  void Mute(size_t router, bool muted);
   // Injected fault: lenders treat all outstanding loans as returned.
   void ForgetLoans() { forgets_loans_ = true; }
   // Incarnations started from now on divide the ledger among `count` keys.
--- a/libs/ledger/tests/simulated_fleet.cc
+++ b/libs/ledger/tests/simulated_fleet.cc
@@ -89,7 +89,7 @@
   if (const auto* reply = std::get_if<LoanReply>(&message.message)) {
     lent_[{reply->lender, reply->borrower}] = reply->lent;
   }
-  if (routers_[index]->isolated) {
+  if (routers_[index]->isolated || routers_[index]->muted) {
     return;
   }
   const auto due = [this] {
--- a/libs/ledger/tests/simulated_router.h
+++ b/libs/ledger/tests/simulated_router.h
@@ -39,6 +39,7 @@
   base::Tokens used = 0;
   bool partitioned = false;
   bool isolated = false;
+  bool muted = false;
   bool knows_peers = false;
   // Offset of its VM's monotonic clock, and error of its wall clock.
   base::Millis skew;
--- a/libs/ledger/tests/store_return_test.cc
+++ b/libs/ledger/tests/store_return_test.cc
@@ -85,7 +85,7 @@
       default:
         for (int n = 0; n < 8; ++n) {
           simulation.Request(InRange<size_t>(0, kRouters),
-                             InRange<Tokens>(1, kLimit / 100));
+                             InRange<Tokens>(1, kLimit / 100), InRange(0, 3));
           simulation.Advance(Millis(InRange(1, 150)));
           simulation.Finish(router, InRange(10, 101));
         }
