--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -330,6 +330,15 @@
   return held;
 }
 
+bool MeteredSimulation::IsScarceAnywhere() const {
+  return std::any_of(routers_.begin(), routers_.end(), [](const auto& router) {
+    const auto reports = router->manager->Reports();
+    return std::any_of(
+        reports.begin(), reports.end(),
+        [](const BudgetReport& report) { return report.is_scarce; });
+  });
+}
+
 BudgetReport::Refusals MeteredSimulation::refusals() const {
   BudgetReport::Refusals sum;
   for (const auto& router : routers_) {
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -90,6 +90,8 @@
   // Number of requests refused as exhausted although the budget would have
   // covered them even if everything that may have been used was used.
   int64_t falsely_exhausted() const { return falsely_exhausted_; }
+  // True if a router finds its budget scarce.
+  bool IsScarceAnywhere() const;
   // Returns what the running incarnations count.
   BudgetReport::Refusals refusals() const;
   // Returns what the ledger sets aside for a router beyond its billed usage.
