--- a/libs/ledger/tests/promise_manager_test.cc
+++ b/libs/ledger/tests/promise_manager_test.cc
@@ -181,6 +181,57 @@
   }
 }
 
+// Guards against a decision before enough clocks are known, and against one
+// that waits for a router that does not answer.
+TEST(PromiseManager, ComparesTheClocksThatAPromiseStates) {
+  struct Case {
+    const char* name;
+    int64_t asked_for_ms;
+    // Of three routers, at the start; the promise states 50,000 for each.
+    std::vector<int64_t> clocks_ms;
+    bool is_decided;
+    std::optional<int64_t> at_most_ms;
+  };
+  const int64_t answer_wait = policy.clock_answer_wait.count();
+  const int64_t quorum_wait = policy.clock_quorum_wait.count();
+  const int64_t by_fleet_time = 2'400 + policy.clock_skew.count();
+  const std::vector<Case> cases = {
+      {"nobody answered yet", 0, {}, false, std::nullopt},
+      {"one answered", quorum_wait - 1, {52'000}, false, std::nullopt},
+      {"nobody answers", quorum_wait, {}, true, by_fleet_time},
+      {"two answered", answer_wait - 1, {52'000, 52'100}, false, 2'107},
+      {"the third does not answer", answer_wait, {52'000, 52'100}, true, 2'107},
+      {"all answered", 0, {52'000, 52'100, 90'000}, true, 2'107},
+      {"two ran backwards", 0, {49'000, 49'000, 52'000}, true, std::nullopt}};
+  SpendPromise promise = Promise(100);
+  for (const char* router : {"a", "b", "c"}) {
+    promise.wall_clocks[ProcessId(router)] = Millis(50'000);
+  }
+  const auto bytes =
+      manager.Write(first + Millis(1), 9, Millis(0), promise)->value;
+  for (const Case& c : cases) {
+    PromiseManager next(kProcess, Incarnation("edge-1.2"), policy);
+    next.Read(Millis(400), 1);
+    next.Finish(Millis(400), MakeReadDone(1, 6, bytes));
+    CHECK(next.EarlierClocks() == promise.wall_clocks);
+    PromiseManager::Start start{Millis(400),
+                                Millis(17'000),
+                                Millis(17'000),
+                                {},
+                                Millis(c.asked_for_ms)};
+    for (size_t i = 0; i < c.clocks_ms.size(); ++i) {
+      const std::string router(1, static_cast<char>('a' + i));
+      start.wall_clocks[ProcessId(router)] = Millis(c.clocks_ms[i]);
+    }
+    const auto lifetime = next.EarlierLifetime(start);
+    CHECK_EQUAL_TEXT(c.is_decided, lifetime.is_decided, c.name);
+    CHECK_EQUAL_TEXT(c.at_most_ms.has_value(), lifetime.at_most.has_value(),
+                     c.name);
+    CHECK_EQUAL_TEXT(c.at_most_ms.value_or(0),
+                     lifetime.at_most.value_or(Millis(0)).count(), c.name);
+  }
+}
+
 TEST(PromiseManager, AnEarlierFormatTellsNothing) {
   std::string bytes;
   nlohmann::json::to_cbor({{"holder", kSelf.value()},
