--- a/libs/ledger/src/metered_budget.cc
+++ b/libs/ledger/src/metered_budget.cc
@@ -6,6 +6,10 @@
 namespace godwit::ledger {
 namespace {
 
+// A request changes the mean request size by 1/kMeanRequestDivisor of the
+// difference.
+constexpr base::Tokens kMeanRequestDivisor = 16;
+
 // Upper bound of the correction of an average that started recently and so has
 // covered only a part of a steady rate.
 constexpr double kMaxCorrection = 4;
@@ -38,12 +42,21 @@
   return std::max<base::Tokens>(0, reserved - borrowed.free());
 }
 
-base::Tokens MeteredBudget::UseOver(base::Millis now,
-                                    base::Millis span,
-                                    const MeteredPolicy& policy) const {
-  return first_used_at ? Corrected(use.Over(now, span), now - *first_used_at,
-                                   policy.burn_half_life)
-                       : 0;
+void MeteredBudget::RecordReservation(base::Millis now, base::Tokens amount) {
+  mean_request = mean_request == 0 ? amount
+                                   : mean_request + (amount - mean_request) /
+                                                        kMeanRequestDivisor;
+  first_reserved_at = first_reserved_at.value_or(now);
+  reservations.Add(now, amount);
+}
+
+base::Tokens MeteredBudget::ReservedOver(base::Millis now,
+                                         base::Millis span,
+                                         const MeteredPolicy& policy) const {
+  return first_reserved_at
+             ? Corrected(reservations.Over(now, span), now - *first_reserved_at,
+                         policy.burn_half_life)
+             : 0;
 }
 
 base::Tokens MeteredBudget::BurnOver(base::Millis now,
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -109,6 +109,7 @@
   const base::Tokens ahead = IsScarce(now, budget) ? AheadOf(budget, rank) : 0;
   if (Available(budget) >= amount + ahead) {
     budget.reserved += amount;
+    budget.RecordReservation(now, amount);
     if (budget.ReservedOfGrant() > 0) {
       budget.last_drawn_at = now;
     }
@@ -201,7 +202,6 @@
   }
   const base::Tokens of_grant = local->ReservedOfGrant();
   local->reserved -= std::min(reserved, local->reserved);
-  local->use.Add(now, used.tokens);
   const Usage of_own = local->borrowed.Charge(used);
   local->Spend(now, of_own);
   local->returns.Add(
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -174,6 +174,7 @@
   }
   router.waiting.push_back({amount, now_, urgency, {}, std::nullopt});
   TryReserve(router);
+  delayed_ += router.waiting.empty() ? 0 : 1;
 }
 
 void MeteredSimulation::Run(size_t index,
@@ -187,6 +188,7 @@
   router.waiting.push_back(
       {amount, now_, 0, {used_percent, duration}, std::nullopt});
   TryReserve(router);
+  delayed_ += router.waiting.empty() ? 0 : 1;
 }
 
 void MeteredSimulation::Request(size_t index, const TimedRequest& request) {
