Answer requests in progress when the bound of a planned stop is reached

Requests that had arrived before the router refused new ones, and whose deadline is later than the bound of the stop, were cut off without an answer. The second DrainRequested, with the present as its end, ends all calls: those that may have run with an unknown outcome, others as not run, and streams are aborted.

lost_answer_test has the cases; edge_process_test passes (19 tests).

--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <vector>
 
 #include "dispatcher_state.h"
 
@@ -81,4 +82,25 @@
   calls_.erase(call.id);
 }
 
+void Dispatcher::State::EndAllCalls() {
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : calls_) {
+    ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const CallId id : ids) {
+    Call& call = *calls_.at(id);
+    if (call.attempt != 0) {
+      Cancel(call, Placement::Outcome::kCancelled);
+      call.may_have_run = true;
+      Finish(call, RunOutcome::kMayHaveRun, "this router stops");
+    } else {
+      Refuse(call,
+             call.may_have_run ? base::ErrorKind::kOutcomeUnknown
+                               : base::ErrorKind::kLeaving,
+             "this router stops", base::Millis());
+    }
+  }
+}
+
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -166,6 +166,9 @@
 void Dispatcher::State::On(const DrainRequested& event) {
   draining_ = true;
   drain_ends_at_ = event.ends_at;
+  if (event.ends_at <= now_) {
+    EndAllCalls();
+  }
   budgets_.Drain();
   ProcessBudgets();
 }
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -186,6 +186,8 @@
               std::string reason,
               base::Millis retry_after);
   void End(Call& call, std::string outcome, std::string reason);
+  // Answers all calls, since the router ends.
+  void EndAllCalls();
   ledger::Usage UsageOf(const Call& call, bool complete) const;
 
   // Statements of servers; server_statements.cc.
--- a/libs/dispatch/tests/lost_answer_test.cc
+++ b/libs/dispatch/tests/lost_answer_test.cc
@@ -11,6 +11,7 @@
 using godwit::base::ErrorKind;
 using godwit::base::Millis;
 using godwit::base::ServiceId;
+using godwit::dispatch::AbortCall;
 using godwit::dispatch::AttemptAnswered;
 using godwit::dispatch::AttemptFailed;
 using godwit::dispatch::AttemptFailure;
@@ -20,6 +21,7 @@
 using godwit::dispatch::Dispatcher;
 using godwit::dispatch::DispatcherOptions;
 using godwit::dispatch::DispatchEvent;
+using godwit::dispatch::DrainRequested;
 using godwit::dispatch::RefuseCall;
 using godwit::dispatch::RelayAnswer;
 using godwit::dispatch::RepeatRule;
@@ -30,6 +32,8 @@
 
 namespace {
 
+constexpr int64_t kCalls = 9;
+constexpr int kOk = 200;
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 
@@ -40,63 +44,88 @@
   ErrorKind refusal = ErrorKind::kNone;
   bool is_relayed = false;
   bool may_have_run_before = false;
+  bool is_aborted = false;
 };
 
-// The first attempt fails; if there is a second one, it is answered with the
-// status and the statement that it has not run.
-Outcome Play(RepeatRule repeat, AttemptFailure first, int second) {
-  Dispatcher dispatcher{DispatcherOptions()};
-  Outcome outcome;
-  const auto raise = [&](const DispatchEvent& event) {
-    for (const auto& command : dispatcher.Step(Millis(1000), event)) {
+// A router with one request to a service.
+class OneCall {
+ public:
+  OneCall(RepeatRule repeat, int64_t servers) {
+    Route route;
+    route.name = "status";
+    route.host = "h";
+    route.prefix = "/";
+    route.repeat = repeat;
+    route.max_attempts = 2;
+    route.targets = {{ServiceId("plain"), 1}};
+    RoutingTable::Contents contents;
+    contents.version = 1;
+    contents.revision = godwit::platform::KvVersion(1);
+    contents.routes = {route};
+    Raise(RoutingTableUpdated{
+        std::make_shared<const RoutingTable>(std::move(contents))});
+    BackendsListed listed;
+    for (int64_t i = 1; i <= servers; ++i) {
+      Backend backend;
+      backend.instance = "s" + std::to_string(i);
+      backend.service = ServiceId("plain");
+      backend.address = {"10.0.0.1", static_cast<uint16_t>(i)};
+      listed.backends.push_back(backend);
+    }
+    Raise(listed);
+    Arrive(1);
+  }
+
+  void Arrive(int64_t id) {
+    CallArrived arrived;
+    arrived.call = id;
+    arrived.request.id = "call-" + std::to_string(id);
+    arrived.request.host = "h";
+    arrived.request.path = "/x";
+    Raise(arrived);
+  }
+
+  void Raise(const DispatchEvent& event) {
+    for (const auto& command : dispatcher_.Step(Millis(1000), event)) {
       if (std::holds_alternative<StartAttempt>(command)) {
-        ++outcome.attempts;
+        ++outcome_.attempts;
       } else if (const auto* refusal = std::get_if<RefuseCall>(&command)) {
-        outcome.is_refused = true;
-        outcome.refusal = refusal->kind;
+        outcome_.is_refused = true;
+        outcome_.refusal = refusal->kind;
       } else if (const auto* relay = std::get_if<RelayAnswer>(&command)) {
-        outcome.is_relayed = true;
-        outcome.may_have_run_before = relay->may_have_run_before;
+        outcome_.is_relayed = true;
+        outcome_.may_have_run_before = relay->may_have_run_before;
+      } else if (std::holds_alternative<AbortCall>(command)) {
+        outcome_.is_aborted = true;
       }
     }
-  };
-  Route route;
-  route.name = "status";
-  route.host = "h";
-  route.prefix = "/";
-  route.repeat = repeat;
-  route.max_attempts = 2;
-  route.targets = {{ServiceId("plain"), 1}};
-  RoutingTable::Contents contents;
-  contents.version = 1;
-  contents.revision = godwit::platform::KvVersion(1);
-  contents.routes = {route};
-  raise(RoutingTableUpdated{
-      std::make_shared<const RoutingTable>(std::move(contents))});
-  BackendsListed listed;
-  for (const char* instance : {"s1", "s2"}) {
-    Backend backend;
-    backend.instance = instance;
-    backend.service = ServiceId("plain");
-    backend.address = {"10.0.0.1", static_cast<uint16_t>(instance[1])};
-    listed.backends.push_back(backend);
   }
-  raise(listed);
-  CallArrived arrived;
-  arrived.call = 1;
-  arrived.request.id = "call-1";
-  arrived.request.host = "h";
-  arrived.request.path = "/x";
-  raise(arrived);
-  raise(AttemptFailed{1, 1, first});
-  AttemptAnswered answered;
-  answered.call = 1;
-  answered.attempt = 2;
-  answered.reply.status = second;
-  answered.reply.not_run = true;
-  answered.complete = true;
-  raise(answered);
-  return outcome;
+  void Answer(int64_t attempt, int status, bool not_run, bool complete) {
+    AttemptAnswered answered;
+    answered.call = 1;
+    answered.attempt = attempt;
+    answered.reply.status = status;
+    answered.reply.not_run = not_run;
+    answered.reply.is_signed = true;
+    answered.complete = complete;
+    Raise(answered);
+  }
+
+  const Outcome& outcome() const { return outcome_; }
+  size_t open_calls() const { return dispatcher_.open_calls(); }
+
+ private:
+  Dispatcher dispatcher_{DispatcherOptions()};
+  Outcome outcome_;
+};
+
+// The first attempt fails; if there is a second one, it is answered with the
+// status and the statement that it has not run.
+Outcome Play(RepeatRule repeat, AttemptFailure first, int second) {
+  OneCall call(repeat, 2);
+  call.Raise(AttemptFailed{1, 1, first});
+  call.Answer(2, second, true, true);
+  return call.outcome();
 }
 
 }  // namespace
@@ -136,3 +165,30 @@
                      c.name);
   }
 }
+
+// Guards against requests that are cut off without an answer when the router
+// ends.
+TEST(LostAnswer, RequestsInProgressAreAnsweredWhenTheRouterEnds) {
+  OneCall attempting(RepeatRule::kAtMostOnce, 1);
+  attempting.Raise(DrainRequested{Millis(2000)});
+  CHECK(!attempting.outcome().is_refused);
+  attempting.Raise(DrainRequested{Millis(1000)});
+  CHECK(attempting.outcome().refusal == ErrorKind::kOutcomeUnknown);
+  CHECK_EQUAL(0, attempting.open_calls());
+
+  OneCall relaying(RepeatRule::kAtMostOnce, 1);
+  relaying.Answer(1, kOk, false, false);
+  relaying.Raise(DrainRequested{Millis(1000)});
+  CHECK(relaying.outcome().is_aborted);
+  CHECK_EQUAL(0, relaying.open_calls());
+
+  OneCall crowded(RepeatRule::kAtMostOnce, 1);
+  for (int64_t call = 2; call <= kCalls; ++call) {
+    crowded.Arrive(call);
+  }
+  CHECK_EQUAL(kCalls, crowded.open_calls());
+  CHECK(crowded.outcome().attempts < kCalls);
+  crowded.Raise(DrainRequested{Millis(1000)});
+  CHECK(crowded.outcome().refusal == ErrorKind::kLeaving);
+  CHECK_EQUAL(0, crowded.open_calls());
+}
