Evacuate data centres by the operator's key

Before a data centre is switched off, the operator could only drain its servers one by one. The subscription of the configuration now has the prefix op/, and op/evacuate/ZONE leaves the servers of ZONE out of the usable ones, through which all first attempts, retries and resumed streams go. Calls that wait are refused at once if no server is left. For coldStartS from the removal of the key, servers there count as cold, also if the router learns of the removal only.

--- a/libs/dispatch/include/dispatch/backend_directory.h
+++ b/libs/dispatch/include/dispatch/backend_directory.h
@@ -11,12 +11,14 @@
 #include "base/millis.h"
 #include "dispatch/backend.h"
 #include "dispatch/backend_health_changed.h"
+#include "dispatch/data_centre_state_changed.h"
 
 namespace godwit::dispatch {
 
 // The backend servers that are registered in the platform's store, corrected
-// by what this router observed itself. A server whose removal was observed is
-// not used again, even while the store is unavailable. No I/O. Not thread-safe.
+// by what this router observed itself and without those in data centres that
+// the operator has evacuated. A server whose removal was observed is not used
+// again, even while the store is unavailable. No I/O. Not thread-safe.
 class BackendDirectory {
  public:
   // The complete registry was read. Servers missing from it were removed,
@@ -46,6 +48,17 @@
   // work in this incarnation, whatever its registration says.
   std::vector<BackendHealthChanged> MarkLeaving(const Backend& backend);
 
+  // Sets the data centres that the operator has evacuated.
+  void SetEvacuations(std::set<base::DataCentreId> data_centres);
+  // Applies them. After the store returned from an older copy, an evacuation
+  // that is missing stays in force for as long as missing servers stay in use.
+  // Due as Tick() is.
+  std::vector<DataCentreStateChanged> ApplyEvacuations(base::Millis now);
+  // Data centres whose servers are not used.
+  const std::set<base::DataCentreId>& evacuated() const { return evacuated_; }
+  // Whether a server of the service is not used for this reason only.
+  bool HasEvacuatedBackends(const base::ServiceId& service) const;
+
   // Removes servers that did not register again. Due every few tens of
   // milliseconds.
   std::vector<BackendHealthChanged> Tick(base::Millis now);
@@ -75,6 +88,7 @@
     std::optional<base::Millis> missing_since;
   };
 
+  static bool TakesWork(const Entry& entry);
   bool RegistrationsMayHaveLapsed(base::Millis now) const;
   // True while the registry may show an older copy.
   bool MayBeOld(base::Millis now) const;
@@ -94,6 +108,9 @@
   std::map<std::string, Entry> entries_;
   // Recent removals, by instance.
   std::map<std::string, Removal> removals_;
+  // As the operator set them, and in force.
+  std::set<base::DataCentreId> evacuations_;
+  std::set<base::DataCentreId> evacuated_;
   bool loaded_ = false;
   bool store_unavailable_ = false;
   std::optional<base::Millis> store_available_since_;
--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -11,6 +11,7 @@
 #include "dispatch/call_ended.h"
 #include "dispatch/cancel_attempt.h"
 #include "dispatch/content_state_changed.h"
+#include "dispatch/data_centre_state_changed.h"
 #include "dispatch/refuse_call.h"
 #include "dispatch/relay_answer.h"
 #include "dispatch/send_to_router.h"
@@ -34,6 +35,7 @@
                                      BackendHealthChanged,
                                      BackendLimitChanged,
                                      BackendColdChanged,
+                                     DataCentreStateChanged,
                                      ContentStateChanged,
                                      SendToRouter,
                                      platform::KvRead,
--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -14,6 +14,7 @@
 #include "dispatch/caller_disconnected.h"
 #include "dispatch/configuration_tracking.h"
 #include "dispatch/drain_requested.h"
+#include "dispatch/evacuations_changed.h"
 #include "dispatch/peer_message_received.h"
 #include "dispatch/router_message_received.h"
 #include "dispatch/routers_listed.h"
@@ -39,6 +40,7 @@
                                    BackendRemoved,
                                    StoreAvailabilityChanged,
                                    StoreEraChanged,
+                                   EvacuationsChanged,
                                    ConfigurationTracking,
                                    RoutersListed,
                                    DrainRequested,
--- a/libs/dispatch/include/dispatch/dispatcher.h
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -39,6 +39,10 @@
   size_t open_calls() const;
   // Number of calls that wait for a slot at a backend server.
   size_t waiting_calls() const;
+  // Number of servers that are cold, and of data centres to whose servers
+  // nothing is sent.
+  size_t cold_servers() const;
+  size_t evacuated_data_centres() const;
   // True when, after DrainRequested, no call is open and all budgets were
   // returned.
   bool drained() const;
--- a/libs/dispatch/src/backend_directory.cc
+++ b/libs/dispatch/src/backend_directory.cc
@@ -1,5 +1,6 @@
 #include "dispatch/backend_directory.h"
 
+#include <algorithm>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -205,6 +206,59 @@
   return changes;
 }
 
+bool BackendDirectory::TakesWork(const Entry& entry) {
+  return !entry.backend.draining && !entry.replaced && !entry.leaving;
+}
+
+void BackendDirectory::SetEvacuations(
+    std::set<base::DataCentreId> data_centres) {
+  evacuations_ = std::move(data_centres);
+}
+
+std::vector<DataCentreStateChanged> BackendDirectory::ApplyEvacuations(
+    base::Millis now) {
+  std::vector<DataCentreStateChanged> changes;
+  if (evacuations_ == evacuated_) {
+    return changes;
+  }
+  const auto record = [this, &changes](const base::DataCentreId& data_centre,
+                                       bool is_evacuated) {
+    const auto servers = std::count_if(
+        entries_.begin(), entries_.end(), [&data_centre](const auto& entry) {
+          return entry.second.backend.data_centre == data_centre;
+        });
+    changes.push_back(
+        {data_centre, is_evacuated, static_cast<size_t>(servers)});
+  };
+  for (const base::DataCentreId& data_centre : evacuations_) {
+    if (evacuated_.insert(data_centre).second) {
+      record(data_centre, true);
+    }
+  }
+  if (MayBeOld(now)) {
+    return changes;
+  }
+  for (const base::DataCentreId& data_centre : evacuated_) {
+    if (evacuations_.count(data_centre) == 0) {
+      record(data_centre, false);
+    }
+  }
+  evacuated_ = evacuations_;
+  return changes;
+}
+
+bool BackendDirectory::HasEvacuatedBackends(
+    const base::ServiceId& service) const {
+  return !evacuated_.empty() &&
+         std::any_of(entries_.begin(), entries_.end(),
+                     [this, &service](const auto& entry) {
+                       const Backend& backend = entry.second.backend;
+                       return backend.service == service &&
+                              TakesWork(entry.second) &&
+                              evacuated_.count(backend.data_centre) > 0;
+                     });
+}
+
 std::vector<const Backend*> BackendDirectory::RegisteredBackends() const {
   std::vector<const Backend*> registered;
   registered.reserve(entries_.size());
@@ -233,8 +287,8 @@
     const base::ServiceId& service) const {
   std::vector<const Backend*> usable;
   for (const auto& [instance, entry] : entries_) {
-    if (entry.backend.service == service && !entry.backend.draining &&
-        !entry.replaced && !entry.leaving) {
+    if (entry.backend.service == service && TakesWork(entry) &&
+        evacuated_.count(entry.backend.data_centre) == 0) {
       usable.push_back(&entry.backend);
     }
   }
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -167,7 +167,8 @@
       Enqueue(call);
       return;
     case Choice::Kind::kNoBackend:
-      if (call.exclude.empty() && UsableBackends(call).empty()) {
+      if (!IsEvacuated(call) && call.exclude.empty() &&
+          UsableBackends(call).empty()) {
         Refuse(call, base::ErrorKind::kUnavailable,
                call.software_version
                    ? "no backend server of the stream's software version "
@@ -279,6 +280,10 @@
 }
 
 void Dispatcher::State::Enqueue(Call& call) {
+  if (IsEvacuated(call)) {
+    RefuseEvacuated(call);
+    return;
+  }
   if (WouldMissDeadline(call)) {
     Refuse(call, base::ErrorKind::kOverloaded,
            "the wait for a place would outlast the deadline",
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -30,6 +30,14 @@
   return state_->queue_.size();
 }
 
+size_t Dispatcher::cold_servers() const {
+  return state_->limits_.cold_servers();
+}
+
+size_t Dispatcher::evacuated_data_centres() const {
+  return state_->directory_.evacuated().size();
+}
+
 bool Dispatcher::drained() const {
   return state_->calls_.empty() && state_->budgets_.drained();
 }
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -194,6 +194,7 @@
   }
   last_tick_ = now_;
   Emit(directory_.Tick(now_));
+  ApplyEvacuations();
   std::vector<CallId> ids;
   ids.reserve(calls_.size());
   for (const auto& [id, call] : calls_) {
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -53,6 +53,7 @@
   void On(const BackendRemoved& event);
   void On(const StoreAvailabilityChanged& event);
   void On(const StoreEraChanged& event);
+  void On(const EvacuationsChanged& event);
   void On(const ConfigurationTracking& event);
   void On(const RoutersListed& event);
   void On(const PeerMessageReceived& event);
@@ -194,6 +195,11 @@
   void ApplyColdPeriod(const Backend& backend);
   void ApplyColdPeriods();
   void RecordUnreadableColdPeriod(const Backend& backend);
+  // Evacuated data centres; evacuations.cc.
+  void ApplyEvacuations();
+  // True if no server can be used since data centres are evacuated.
+  bool IsEvacuated(const Call& call) const;
+  void RefuseEvacuated(Call& call);
 
   void Emit(std::vector<BackendHealthChanged> changes);
   void Emit(std::vector<ledger::MeteredBudgetManager::Command> commands);
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -95,6 +95,7 @@
   void Handle(const BackendHealthChanged& command);
   void Handle(const BackendLimitChanged& /*command*/) {}
   void Handle(const BackendColdChanged& /*command*/) {}
+  void Handle(const DataCentreStateChanged& /*command*/) {}
   void Handle(const ContentStateChanged& /*command*/) {}
   void Handle(const platform::KvRead& command);
   void Handle(const platform::KvWrite& command);
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -39,6 +39,8 @@
     server.registration.started_at_ms = 1;
     server.registration.service = base::ServiceId("plain");
     server.registration.address = {"10.0.0.1", static_cast<uint16_t>(i + 1)};
+    server.registration.data_centre =
+        base::DataCentreId("dc" + std::to_string(i % options.data_centres));
     server.registration.software_version =
         "v" + std::to_string(i % options.versions);
     server.registration.slots = options.slots.value_or(kUnlimitedSlots);
@@ -113,7 +115,12 @@
   }
   Raise(index, RoutingTableUpdated{
                    std::make_shared<const RoutingTable>(std::move(contents))});
-  router.started_at = now_;
+  router.evacuations.clear();
+  if (!evacuations_.empty() && !options_.hides_evacuations) {
+    // Read with the configuration.
+    router.evacuations = evacuations_;
+    Raise(index, EvacuationsChanged{evacuations_});
+  }
   ListBackends(index);
   const auto phase = base::Millis(static_cast<int64_t>(random_() % 25));
   AtRouter(index, now_ + phase, [this, index] { TickRouter(index); });
@@ -216,6 +223,9 @@
   while (servers_[index].registration.address != command.backend.address) {
     ++index;
   }
+  sent_to_evacuated_ +=
+      static_cast<int64_t>(routers_[router]->evacuations.count(
+          servers_[index].registration.data_centre));
   if (options_.events > 0) {
     StartStream(router, index, command);
     return;
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -62,6 +63,10 @@
     bool states_cold_in_answers = false;
     // Injected fault: routers ignore what servers state about cold periods.
     bool hides_cold = false;
+    // Injected fault: routers ignore evacuations.
+    bool hides_evacuations = false;
+    // Server i is in the data centre "dc" and i modulo this.
+    size_t data_centres = 1;
     // Requests arrive at servers up to this much later than others.
     base::Millis delivery_jitter{1};
     uint64_t seed = 1;
@@ -160,6 +165,11 @@
   void StartCold(size_t server, base::Millis span, ColdStatement statement);
   // The server becomes cold again.
   void BecomeCold(size_t server);
+  // The operator asks for the evacuation of these data centres, and of no
+  // others. The servers of those that return are cold, and state nothing.
+  void SetEvacuations(const std::set<base::DataCentreId>& data_centres);
+  // Requests that routers sent to data centres whose evacuation they knew.
+  int64_t sent_to_evacuated() const { return sent_to_evacuated_; }
   // Largest number of requests that the server received in any one second
   // since `from` while it was cold in one incarnation.
   int64_t MostPerSecondWhileCold(size_t server, base::Millis from) const;
@@ -242,6 +252,7 @@
   void RegisterServer(size_t server, base::Millis after);
   // Cold servers; router_fleet_cold.cc.
   void ListBackends(size_t router);
+  void ReadEvacuations(size_t router);
   void WriteHeartbeat(size_t server, int64_t generation);
   void DeliverRegistration(size_t router, size_t server, int64_t generation);
   bool IsCold(size_t server) const;
@@ -290,6 +301,8 @@
   uint64_t crashing_series_ = 0;
   uint64_t next_own_part_ = 0;
   uint64_t next_own_content_ = 0;
+  std::set<base::DataCentreId> evacuations_;
+  int64_t sent_to_evacuated_ = 0;
   int64_t answered_ = 0;
   int64_t refused_ = 0;
   int64_t datagrams_ = 0;
--- a/libs/dispatch/tests/router_fleet_cold.cc
+++ b/libs/dispatch/tests/router_fleet_cold.cc
@@ -33,6 +33,7 @@
       listed.backends.push_back(RegistrationOf(i));
     }
   }
+  routers_[router]->first_listed_at = now_;
   Raise(router, listed);
 }
 
@@ -118,6 +119,36 @@
   WriteHeartbeat(server, cold.generation);
 }
 
+void RouterFleet::SetEvacuations(
+    const std::set<base::DataCentreId>& data_centres) {
+  for (Server& server : servers_) {
+    const base::DataCentreId& own = server.registration.data_centre;
+    if (evacuations_.count(own) > 0 && data_centres.count(own) == 0) {
+      server.started_at = now_;
+      server.cold_until = now_ + options_.cold_start;
+      server.states_cold_from = server.cold_until;
+    }
+  }
+  evacuations_ = data_centres;
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    const base::Millis delay(
+        static_cast<int64_t>(random_() % kLongestReadDelayMs));
+    AtRouter(i, now_ + delay, [this, i] { ReadEvacuations(i); });
+  }
+}
+
+void RouterFleet::ReadEvacuations(size_t router) {
+  if (!IsConnected(router)) {
+    AtRouter(router, now_ + kReadRetryInterval,
+             [this, router] { ReadEvacuations(router); });
+    return;
+  }
+  routers_[router]->evacuations = evacuations_;
+  if (!options_.hides_evacuations) {
+    Raise(router, EvacuationsChanged{evacuations_});
+  }
+}
+
 bool RouterFleet::IsCold(size_t server) const {
   return !servers_[server].is_down && now_ < servers_[server].cold_until;
 }
@@ -129,8 +160,8 @@
 void RouterFleet::NoteColdArrival(size_t server, Arrival& arrival) const {
   const Server& receiver = servers_[server];
   const Router& sender = *routers_[arrival.router];
-  const bool is_excused = sender.started_at >= receiver.started_at &&
-                          sender.started_at < receiver.states_cold_from;
+  const bool is_excused = sender.first_listed_at >= receiver.started_at &&
+                          sender.first_listed_at < receiver.states_cold_from;
   arrival.is_cold = IsCold(server) && !is_excused;
   arrival.generation = receiver.generation;
 }
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -24,7 +24,10 @@
   base::Millis frozen_until;
   base::Millis cut_until;
   base::Millis excused_until;
-  base::Millis started_at;
+  // When it read the servers for the first time.
+  base::Millis first_listed_at;
+  // As it last read them.
+  std::set<base::DataCentreId> evacuations;
   // When it first passed on an answer with a limit, by server.
   std::map<size_t, base::Millis> told_at;
   // The same of an answer that states that the server leaves.
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -80,6 +80,8 @@
   kBackendCold = 716,
   kBackendWarm = 717,
   kBackendColdUnreadable = 718,
+  kDataCentreEvacuated = 719,
+  kDataCentreReturned = 720,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -39,6 +39,8 @@
   kFirstByteLatency,
   kAnswerLatency,
   kPlaceWait,
+  kBackendsCold,
+  kDataCentresEvacuated,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -172,6 +172,13 @@
        "backend_cold_unreadable",
        "A backend server states for how long it is cold in a way that can't be "
        "read, which counts as not stated; logged once for each start of it."},
+      {EventId::kDataCentreEvacuated, Level::kWarning, "data_centre_evacuated",
+       "By the operator's order, a router sends nothing more to the backend "
+       "servers of a data centre; a field counts those that are registered."},
+      {EventId::kDataCentreReturned, Level::kInfo, "data_centre_returned",
+       "The order was withdrawn: a router sends to the backend servers of the "
+       "data centre again, a little at first if their service has cold "
+       "starts."},
       {EventId::kKvUnavailable, Level::kWarning, "kv_unavailable",
        "The platform's KV does not answer; what needs a write is refused as "
        "not run."},
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -203,6 +203,20 @@
        "seconds",
        {"service"},
        "Time from arrival until a request was sent to a backend server."},
+      {MetricId::kBackendsCold,
+       MetricType::kGauge,
+       "godwit_backends_cold",
+       "servers",
+       {},
+       "Backend servers that are cold, so that all routers together send them "
+       "only a few requests a second."},
+      {MetricId::kDataCentresEvacuated,
+       MetricType::kGauge,
+       "godwit_data_centres_evacuated",
+       "data centres",
+       {},
+       "Data centres to whose backend servers this router sends nothing, by "
+       "the operator's order."},
   };
   return table;
 }
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -289,8 +289,7 @@
     if (target != "/metrics") {
       return {kNotFound, "text/plain", "no such page\n"};
     }
-    metrics_.Set(MetricId::kConfigRevision, {},
-                 static_cast<double>(dispatcher_.config_version()));
+    SetDispatcherMetrics(metrics_, dispatcher_);
     metrics_.Set(MetricId::kStoreEra, {},
                  static_cast<double>(store_watcher_.era()));
     metrics_.Set(MetricId::kLogLinesDroppedTotal, {},
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -10,6 +10,8 @@
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/content_state_changed.h"
+#include "dispatch/data_centre_state_changed.h"
+#include "dispatch/dispatcher.h"
 #include "dispatch/start_attempt.h"
 #include "ledger/grant_closed.h"
 #include "ledger/loan_reply.h"
@@ -205,6 +207,12 @@
        {"rate_per_s", change.rate}});
 }
 
+void LogRecord(const dispatch::DataCentreStateChanged& change) {
+  Log(change.is_evacuated ? EventId::kDataCentreEvacuated
+                          : EventId::kDataCentreReturned,
+      {{"data_centre", change.data_centre}, {"servers", change.servers}});
+}
+
 void LogRecord(const dispatch::ContentStateChanged& change) {
   const bool is_part =
       change.content.kind == dispatch::ContentKey::Kind::kPromptPart;
@@ -264,6 +272,16 @@
   metrics.Observe(MetricId::kAnswerLatency, {service}, Seconds(ended.total));
 }
 
+void SetDispatcherMetrics(telemetry::Metrics& metrics,
+                          const dispatch::Dispatcher& dispatcher) {
+  metrics.Set(MetricId::kConfigRevision, {},
+              static_cast<double>(dispatcher.config_version()));
+  metrics.Set(MetricId::kBackendsCold, {},
+              static_cast<double>(dispatcher.cold_servers()));
+  metrics.Set(MetricId::kDataCentresEvacuated, {},
+              static_cast<double>(dispatcher.evacuated_data_centres()));
+}
+
 void CountStoreCall(telemetry::Metrics& metrics,
                     const platform::CallCompleted& call) {
   const std::string verb(call.verb);
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -4,12 +4,14 @@
 #include <string>
 
 namespace godwit::dispatch {
+class Dispatcher;
 struct AttemptAbandoned;
 struct BackendColdChanged;
 struct BackendHealthChanged;
 struct BackendLimitChanged;
 struct CallEnded;
 struct ContentStateChanged;
+struct DataCentreStateChanged;
 struct StartAttempt;
 }  // namespace godwit::dispatch
 
@@ -41,11 +43,14 @@
 void LogRecord(const dispatch::BackendHealthChanged& change);
 void LogRecord(const dispatch::BackendLimitChanged& change);
 void LogRecord(const dispatch::BackendColdChanged& change);
+void LogRecord(const dispatch::DataCentreStateChanged& change);
 void LogRecord(const dispatch::ContentStateChanged& change);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
 void CountCallEnded(telemetry::Metrics& metrics,
                     const dispatch::CallEnded& ended);
+void SetDispatcherMetrics(telemetry::Metrics& metrics,
+                          const dispatch::Dispatcher& dispatcher);
 void CountStoreCall(telemetry::Metrics& metrics,
                     const platform::CallCompleted& call);
 
--- a/tools/godwit-edge/src/store_watcher.cc
+++ b/tools/godwit-edge/src/store_watcher.cc
@@ -47,9 +47,9 @@
       raise_(std::move(raise)),
       backends_(kBackendWatchInterval) {
   store_.OnEra([this](int64_t era) { OnEra(era); });
-  configuration_.prefix = adapter::ConfigurationKey();
-  configuration_.on_listed = &StoreWatcher::OnConfigurationListed;
-  configuration_.on_changed = &StoreWatcher::OnConfigurationChanged;
+  configuration_.prefix = adapter::OperatorKeyPrefix();
+  configuration_.on_listed = &StoreWatcher::OnOperatorKeysListed;
+  configuration_.on_changed = &StoreWatcher::OnOperatorKeyChanged;
   backends_.prefix = adapter::BackendKeyPrefix();
   backends_.on_listed = &StoreWatcher::OnBackendsListed;
   backends_.on_changed = &StoreWatcher::OnBackendChanged;
@@ -136,8 +136,16 @@
   }
 }
 
-void StoreWatcher::OnConfigurationListed(
+void StoreWatcher::OnOperatorKeysListed(
     const std::vector<platform::KvItem>& items) {
+  // Before the configuration, without which no request is served.
+  dispatch::EvacuationsChanged evacuations;
+  for (const platform::KvItem& item : items) {
+    if (auto data_centre = adapter::EvacuatedDataCentre(item.key)) {
+      evacuations.data_centres.insert(std::move(*data_centre));
+    }
+  }
+  SetEvacuations(std::move(evacuations));
   for (const platform::KvItem& item : items) {
     if (item.key == adapter::ConfigurationKey()) {
       ApplyConfiguration(item.value, item.version);
@@ -145,9 +153,30 @@
   }
 }
 
-void StoreWatcher::OnConfigurationChanged(const platform::KvChange& change) {
+void StoreWatcher::OnOperatorKeyChanged(const platform::KvChange& change) {
   if (change.key == adapter::ConfigurationKey() && change.value) {
     ApplyConfiguration(*change.value, change.version);
+    return;
+  }
+  const auto data_centre = adapter::EvacuatedDataCentre(change.key);
+  if (!data_centre) {
+    return;
+  }
+  // A removal may be all that is reported of an evacuation that was taken back
+  // at once. Other routers may have complied, so that servers may be cold.
+  dispatch::EvacuationsChanged evacuations = evacuations_;
+  evacuations.data_centres.insert(*data_centre);
+  SetEvacuations(evacuations);
+  if (!change.value) {
+    evacuations.data_centres.erase(*data_centre);
+    SetEvacuations(std::move(evacuations));
+  }
+}
+
+void StoreWatcher::SetEvacuations(dispatch::EvacuationsChanged evacuations) {
+  if (evacuations.data_centres != evacuations_.data_centres) {
+    evacuations_ = std::move(evacuations);
+    raise_(evacuations_);
   }
 }
 
--- a/tools/godwit-edge/src/store_watcher.h
+++ b/tools/godwit-edge/src/store_watcher.h
@@ -10,13 +10,15 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "dispatch/dispatch_event.h"
+#include "dispatch/evacuations_changed.h"
 #include "ledger/peer.h"
 #include "platform/list_reader.h"
 #include "platform/prefix_watcher.h"
 
 namespace godwit::edge {
 
-// Watches the platform's store for the configuration, the registered backend
+// Watches the platform's store for what the operator writes (the configuration
+// and the data centres to evacuate), the registered backend
 // servers and the routers of the fleet, and raises an event for each update.
 // Registers this router in the store under a lease.
 class StoreWatcher {
@@ -64,8 +66,9 @@
   void ReportAvailability();
   void ReportTracking();
 
-  void OnConfigurationListed(const std::vector<platform::KvItem>& items);
-  void OnConfigurationChanged(const platform::KvChange& change);
+  void OnOperatorKeysListed(const std::vector<platform::KvItem>& items);
+  void OnOperatorKeyChanged(const platform::KvChange& change);
+  void SetEvacuations(dispatch::EvacuationsChanged evacuations);
   void ApplyConfiguration(const std::string& bytes,
                           const platform::KvVersion& revision);
   void OnBackendsListed(const std::vector<platform::KvItem>& items);
@@ -103,6 +106,7 @@
   dispatch::ConfigurationTracking tracking_;
   // Of the newest configuration read, in force; zero before the first.
   int64_t config_version_ = 0;
+  dispatch::EvacuationsChanged evacuations_;
   platform::KvVersion config_revision_;
 };
 
