--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -16,6 +16,7 @@
 #include "dispatch/caller_disconnected.h"
 #include "dispatch/configuration_tracking.h"
 #include "dispatch/drain_requested.h"
+#include "dispatch/evacuations_changed.h"
 #include "dispatch/peer_message_received.h"
 #include "dispatch/router_message_received.h"
 #include "dispatch/routers_listed.h"
@@ -43,6 +44,7 @@
                                    BackendRemoved,
                                    StoreAvailabilityChanged,
                                    StoreEraChanged,
+                                   EvacuationsChanged,
                                    ConfigurationTracking,
                                    RoutersListed,
                                    DrainRequested,
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -81,7 +81,9 @@
   kBackendCold = 716,
   kBackendWarm = 717,
   kBackendColdUnreadable = 718,
-  kBackendLoadInvalid = 720,
+  kDataCentreEvacuated = 719,
+  kDataCentreReturned = 720,
+  kBackendLoadInvalid = 721,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -41,6 +41,8 @@
   kPlaceWait,
   kBudgetTokens,
   kBudgetRefusalsTotal,
+  kBackendsCold,
+  kDataCentresEvacuated,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -176,6 +176,13 @@
        "backend_cold_unreadable",
        "A backend server states for how long it is cold in a way that can't be "
        "read, which counts as not stated; logged once for each start of it."},
+      {EventId::kDataCentreEvacuated, Level::kWarning, "data_centre_evacuated",
+       "By the operator's order, a router sends nothing more to the backend "
+       "servers of a data centre; a field counts those that are registered."},
+      {EventId::kDataCentreReturned, Level::kInfo, "data_centre_returned",
+       "The order was withdrawn: a router sends to the backend servers of the "
+       "data centre again, a little at first if their service has cold "
+       "starts."},
       {EventId::kBackendLoadInvalid, Level::kInfo, "backend_load_invalid",
        "A backend server states a load that can't be read in whole; what can't "
        "be read counts as not stated. Logged once for each incarnation."},
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -10,6 +10,7 @@
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/content_state_changed.h"
+#include "dispatch/data_centre_state_changed.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/start_attempt.h"
 #include "ledger/budget_report.h"
@@ -209,6 +210,12 @@
        {"rate_per_s", change.rate}});
 }
 
+void LogRecord(const dispatch::DataCentreStateChanged& change) {
+  Log(change.is_evacuated ? EventId::kDataCentreEvacuated
+                          : EventId::kDataCentreReturned,
+      {{"data_centre", change.data_centre}, {"servers", change.servers}});
+}
+
 void LogRecord(const dispatch::ContentStateChanged& change) {
   const bool is_part =
       change.content.kind == dispatch::ContentKey::Kind::kPromptPart;
@@ -246,6 +253,10 @@
                           const dispatch::Dispatcher& dispatcher) {
   metrics.Set(MetricId::kConfigRevision, {},
               static_cast<double>(dispatcher.config_version()));
+  metrics.Set(MetricId::kBackendsCold, {},
+              static_cast<double>(dispatcher.cold_servers()));
+  metrics.Set(MetricId::kDataCentresEvacuated, {},
+              static_cast<double>(dispatcher.evacuated_data_centres()));
   for (const ledger::BudgetReport& report : dispatcher.budget_reports()) {
     const std::string& budget = report.budget.value();
     const auto set = [&](MetricId id, const char* label, int64_t value) {
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -10,6 +10,7 @@
 struct BackendLimitChanged;
 struct CallEnded;
 struct ContentStateChanged;
+struct DataCentreStateChanged;
 class Dispatcher;
 struct StartAttempt;
 }  // namespace godwit::dispatch
@@ -42,6 +43,7 @@
 void LogRecord(const dispatch::BackendHealthChanged& change);
 void LogRecord(const dispatch::BackendLimitChanged& change);
 void LogRecord(const dispatch::BackendColdChanged& change);
+void LogRecord(const dispatch::DataCentreStateChanged& change);
 void LogRecord(const dispatch::ContentStateChanged& change);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
