--- a/libs/dispatch/include/dispatch/placement.h
+++ b/libs/dispatch/include/dispatch/placement.h
@@ -63,8 +63,8 @@
   void OnAnswered(base::Millis now,
                   int64_t attempt,
                   const std::optional<LoadReport>& load);
-  // More of the answer arrived.
-  void OnProgressed(base::Millis now, int64_t attempt);
+  // More of the answer arrived, which has `events` events now; 0 if not known.
+  void OnProgressed(base::Millis now, int64_t attempt, int64_t events = 0);
   void OnEnded(base::Millis now, int64_t attempt, Outcome outcome);
 
   // Whether the server of the attempt has work in progress and has sent nothing
@@ -72,6 +72,9 @@
   // prefill of its pending prompts may take.
   bool IsUnresponsive(base::Millis now, int64_t attempt) const;
 
+  // The server is cold until then, and has twice the response timeout.
+  void SetColdUntil(const Backend& backend, base::Millis until);
+
   // Shifts the last receive times by `span`, in which this process was stalled
   // and could not receive.
   void CompensateStall(base::Millis span);
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -70,6 +70,8 @@
   placement_.OnAnswered(now_, call->attempt, event.reply.load);
   call->attempt_begun = true;
   call->attempt_begun_at = now_;
+  call->last_received_at = now_;
+  call->progressed_at = now_;
   ApplyStatements(*call, event.reply);
   const AnswerClass answer_class = ClassifyReply(event.reply);
   if (answer_class != AnswerClass::kInstanceMismatch) {
@@ -116,9 +118,9 @@
     call->software_version = call->backend.software_version;
     RecordOrigin(*call);
   }
+  Emit(RelayAnswer{call->id, call->attempt, call->may_have_run});
   // A failure that is relayed to the caller was also a run, and is billed.
   call->may_have_run = true;
-  Emit(RelayAnswer{call->id, call->attempt});
   if (event.complete) {
     const bool is_good = answer_class == AnswerClass::kGood;
     placement_.OnEnded(now_, call->attempt,
@@ -136,13 +138,41 @@
   Abandon(call, run_outcome, reason);
 }
 
-void Dispatcher::State::On(const AttemptProgressed& event) {
+void Dispatcher::State::On(const AttemptReceived& event) {
   Call* const call = FindAttempt(event.call, event.attempt);
   if (call == nullptr) {
     return;
   }
   placement_.OnProgressed(now_, call->attempt);
   NoteReceived(*call);
+  if (!call->last_received_at || event.repeats_event) {
+    call->progressed_at = now_;
+  }
+  call->last_received_at = now_;
+}
+
+void Dispatcher::State::On(const AttemptPaused& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  call->is_paused = event.is_paused;
+  if (!event.is_paused) {
+    // What the server sent meanwhile is only read from now on.
+    call->last_received_at = now_;
+    call->progressed_at = now_;
+  }
+}
+
+void Dispatcher::State::On(const AttemptProgressed& event) {
+  Call* const call = FindAttempt(event.call, event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  placement_.OnProgressed(now_, call->attempt, event.events);
+  NoteReceived(*call);
+  call->last_received_at = now_;
+  call->progressed_at = now_;
   // A server that is crashed by the content may still send the first events.
   if (now_ - call->attempt_begun_at >= kAnswerSettleTime) {
     NoteSuccess(*call);
@@ -173,12 +203,13 @@
     return;
   }
   const bool not_sent = event.failure == AttemptFailure::kNotSent;
-  if (!not_sent && !call->attempt_succeeded) {
-    containment_.OnLost(now_, call->backend.key(), call->attempt_started_at,
-                        call->contents);
-  }
   placement_.OnEnded(now_, call->attempt,
                      not_sent ? Outcome::kUnreachable : Outcome::kFailed);
+  if (not_sent) {
+    containment_.OnRefused(now_, call->backend.key(), call->attempt_started_at);
+  } else {
+    NoteLost(*call);
+  }
   Abandon(*call, not_sent ? RunOutcome::kNotArrived : RunOutcome::kMayHaveRun,
           ReasonText(event.failure));
   ProcessQueues();
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -2,8 +2,11 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
+#include <vector>
 
 #include "base/digest.h"
+#include "dispatch/queued_call.h"
 #include "dispatcher_state.h"
 
 namespace godwit::dispatch {
@@ -13,15 +16,16 @@
 
 // Delays after which a refused caller may retry: without a configuration or
 // with one that may be outdated, while this router drains and another takes
-// over, without a budget reservation because the KV is unavailable, without a
-// usable server, and the minimum and maximum when all servers are at capacity.
+// over, without a usable server, and the minimum and maximum when all servers
+// are at capacity.
 constexpr base::Millis kNoConfigRetryAfter(500);
 constexpr base::Millis kLeavingRetryAfter(100);
-constexpr base::Millis kBudgetRetryAfter(600);
 constexpr base::Millis kNoBackendRetryAfter(500);
 constexpr base::Millis kMinCapacityRetryAfter(200);
 // Another router may send more to servers with limits than this one.
 constexpr base::Millis kMaxCapacityRetryAfter(5000);
+// Part of a wait by which the retries of refused callers are spread.
+constexpr int64_t kRetrySpreadDivisor = 4;
 // Callers give up a stream that has not begun within this time, or within these
 // multiples of its latency and event gap objectives, whichever is longest.
 constexpr base::Millis kMinStreamStartTimeout(2000);
@@ -59,6 +63,22 @@
                    route.event_gap_objective * kGapTimeoutMultiple});
 }
 
+QueuedCall QueuedCallOf(const Call& call) {
+  QueuedCall queued;
+  queued.call = call.id;
+  queued.service = call.service;
+  queued.organisation = call.organisation;
+  queued.urgency = call.urgency;
+  queued.arrived_at = call.arrived_at;
+  if (call.request.prompt) {
+    // Half of the callers' length estimates are off by a factor of two.
+    queued.work =
+        std::max<int64_t>(1, call.request.prompt->input_tokens +
+                                 call.request.prompt->max_output_tokens / 2);
+  }
+  return queued;
+}
+
 }  // namespace
 
 bool Dispatcher::State::Admit(Call& call) {
@@ -129,7 +149,8 @@
   const base::Tokens upper_bound =
       prompt.input_tokens + prompt.max_output_tokens;
   const base::BudgetId budget(call.organisation.value());
-  switch (budgets_.Reserve(now_, budget, upper_bound, call.arrived_at)) {
+  switch (budgets_.Reserve(now_, budget, upper_bound, call.arrived_at,
+                           call.urgency)) {
     case ReserveResult::kReserved:
       call.reserved = upper_bound;
       TryStartAttempt(call);
@@ -146,7 +167,7 @@
       Refuse(call, base::ErrorKind::kBudgetUnavailable,
              "can't set " + std::to_string(upper_bound) +
                  " tokens aside: " + budgets_.Describe(now_, budget),
-             kBudgetRetryAfter);
+             budgets_.RetryAfter(budget));
       return;
   }
 }
@@ -166,6 +187,9 @@
     case Choice::Kind::kNoCapacity:
       Enqueue(call);
       return;
+    case Choice::Kind::kTooLarge:
+      RefuseTooLarge(call);
+      return;
     case Choice::Kind::kNoBackend:
       if (call.exclude.empty() && UsableBackends(call).empty()) {
         Refuse(call, base::ErrorKind::kUnavailable,
@@ -181,6 +205,12 @@
   }
 }
 
+void Dispatcher::State::RefuseTooLarge(Call& call) {
+  Refuse(call, base::ErrorKind::kTooLarge,
+         "the request needs more memory than any backend server has",
+         base::Millis());
+}
+
 std::vector<const Backend*> Dispatcher::State::UsableBackends(
     const Call& call) const {
   std::vector<const Backend*> backends =
@@ -212,8 +242,7 @@
 
 base::Millis Dispatcher::State::ExpectedWait(const Call& call) const {
   const std::vector<const Backend*> backends = UsableBackends(call);
-  const auto ahead = static_cast<int64_t>(
-      queue_.Ahead(call.service, call.urgency, call.arrived_at));
+  const auto ahead = static_cast<int64_t>(queue_.Ahead(QueuedCallOf(call)));
   return std::max({WaitByLoad(call, backends, ahead),
                    WaitByLimits(backends, ahead), WaitByBackoff(backends)});
 }
@@ -239,17 +268,24 @@
     const std::vector<const Backend*>& backends,
     int64_t ahead) const {
   double send_rate = 0;
+  std::optional<base::Millis> wait;
   for (const Backend* backend : backends) {
     const auto rate = limits_.SendRate(*backend);
     if (!rate) {
       return base::Millis();
     }
     send_rate += *rate;
+    if (const auto end = limits_.EndOf(*backend)) {
+      const base::Millis left = std::max(base::Millis(), *end - now_);
+      wait = std::min(left, wait.value_or(left));
+    }
+  }
+  if (send_rate > 0) {
+    const base::Millis turn(static_cast<int64_t>(
+        kMillisPerSecond * static_cast<double>(ahead + 1) / send_rate));
+    wait = std::min(turn, wait.value_or(turn));
   }
-  return send_rate == 0 ? base::Millis()
-                        : base::Millis(static_cast<int64_t>(
-                              kMillisPerSecond *
-                              static_cast<double>(ahead + 1) / send_rate));
+  return wait.value_or(base::Millis());
 }
 
 base::Millis Dispatcher::State::WaitByBackoff(
@@ -271,18 +307,27 @@
          call.answer_start_deadline;
 }
 
+base::Millis Dispatcher::State::CapacityRetryAfter(const Call& call) const {
+  const base::Millis wait = std::clamp(
+      ExpectedWait(call), kMinCapacityRetryAfter, kMaxCapacityRetryAfter);
+  // Callers that were refused together don't come back together.
+  const auto spread = static_cast<int64_t>(
+      base::Digest::Of(call.request.id).high() %
+      static_cast<uint64_t>(wait.count() / kRetrySpreadDivisor + 1));
+  return wait + base::Millis(spread);
+}
+
 void Dispatcher::State::Enqueue(Call& call) {
   if (WouldMissDeadline(call)) {
     Refuse(call, base::ErrorKind::kOverloaded,
            "the wait for a place would outlast the deadline",
-           std::clamp(ExpectedWait(call), kMinCapacityRetryAfter,
-                      kMaxCapacityRetryAfter));
+           CapacityRetryAfter(call));
     return;
   }
   // Servers that refused the call may have capacity again.
   call.exclude.clear();
   call.phase = Call::Phase::kAwaitingSlot;
-  queue_.Add(call.service, call.urgency, call.arrived_at, call.id);
+  queue_.Add(QueuedCallOf(call));
 }
 
 void Dispatcher::State::ProcessBudgets() {
@@ -291,14 +336,15 @@
 }
 
 void Dispatcher::State::RetryReservations() {
-  std::vector<CallId> waiting;
+  // By urgency, then by arrival.
+  std::vector<std::tuple<int64_t, base::Millis, CallId>> waiting;
   for (const auto& [id, call] : calls_) {
     if (call->phase == Call::Phase::kAwaitingBudget) {
-      waiting.push_back(id);
+      waiting.emplace_back(call->urgency, call->arrived_at, id);
     }
   }
   std::sort(waiting.begin(), waiting.end());
-  for (const CallId id : waiting) {
+  for (const auto& [urgency, arrived_at, id] : waiting) {
     TryBudget(*calls_.at(id));
   }
 }
@@ -319,6 +365,11 @@
       }
       const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
                                               OpenBackends(call));
+      if (choice.kind == Choice::Kind::kTooLarge) {
+        // The configuration was changed while it waited.
+        RefuseTooLarge(call);
+        continue;
+      }
       if (choice.kind != Choice::Kind::kPlaced) {
         if (!call.software_version) {
           break;
@@ -328,7 +379,7 @@
         continue;
       }
       ++placed;
-      queue_.Remove(id);
+      queue_.Start(id);
       if (call.attempts_sent > 0 && !RetryBudgetFor(service).TryRetry()) {
         Refuse(call, base::ErrorKind::kOverloaded,
                "no retries are left for the service", kMinCapacityRetryAfter);
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -13,10 +13,12 @@
 
 #include "base/error_kind.h"
 #include "call.h"
+#include "connection_losses.h"
 #include "dispatch/backend_backoff.h"
 #include "dispatch/backend_directory.h"
 #include "dispatch/call_queue.h"
 #include "dispatch/choice.h"
+#include "dispatch/cold_periods.h"
 #include "dispatch/content_containment.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/fleet_members.h"
@@ -43,6 +45,8 @@
   void On(const CallArrived& event);
   void On(const CallerDisconnected& event);
   void On(const AttemptAnswered& event);
+  void On(const AttemptReceived& event);
+  void On(const AttemptPaused& event);
   void On(const AttemptProgressed& event);
   void On(const AttemptEnded& event);
   void On(const AttemptFailed& event);
@@ -72,8 +76,11 @@
   void RefuseUnknown(Call& call, base::ErrorKind kind, const char* reason);
   void TryBudget(Call& call);
   void TryStartAttempt(Call& call);
+  void RefuseTooLarge(Call& call);
   void Enqueue(Call& call);
   bool WouldMissDeadline(const Call& call) const;
+  // When a call that is refused for lack of capacity may come again.
+  base::Millis CapacityRetryAfter(const Call& call) const;
   // Time until a call that has to wait is sent: the longest of the times that
   // follow from the load of the servers, from their limits if all have one, and
   // from the first end of the times for which all of them want no requests.
@@ -122,6 +129,10 @@
   void RefuseContained(Call& call);
   // Ends the calls whose content has become contained.
   void EndContainedCalls();
+  // The connection of the attempt that has just ended was lost.
+  void NoteLost(const Call& call);
+  // A server is being registered; it may take the place of one that crashed.
+  void NoteRegistered(const Backend& backend);
   // Something was received for the attempt in progress.
   void NoteReceived(const Call& call);
   // The attempt in progress was answered with success.
@@ -161,7 +172,15 @@
   void Replace(Call& call, const Choice& next, const std::string& reason);
   void Finish(Call& call, RunOutcome run_outcome, const std::string& reason);
   Call* FindAttempt(CallId call, int64_t attempt);
+  // Handles attempts at servers that are unresponsive, and streams that have
+  // stalled.
   void CheckResponsiveness(Call& call);
+  // True if bytes were received within the pause that is allowed between the
+  // events of the stream.
+  bool IsWithinPause(const Call& call) const;
+  // True if a stream has completed no event for far longer than that.
+  bool HasStalled(const Call& call) const;
+  void EndStalled(Call& call);
   void CheckTime(Call& call);
   routing::RetryBudget& RetryBudgetFor(const base::ServiceId& service);
 
@@ -189,6 +208,10 @@
   // Sends a message to all other routers.
   void Broadcast(const RouterMessage& message);
   void ForgetRemovedBackends();
+  // Applies what is known of the server's cold period.
+  void ApplyColdPeriod(const Backend& backend);
+  void ApplyColdPeriods();
+  void RecordUnreadableColdPeriod(const Backend& backend);
 
   void Emit(std::vector<BackendHealthChanged> changes);
   void Emit(std::vector<ledger::MeteredBudgetManager::Command> commands);
@@ -206,8 +229,12 @@
   FleetMembers members_;
   BackendBackoff backoff_;
   RequestLimits limits_;
+  // Keys of the servers whose invalid load reports were recorded.
+  std::set<std::string> invalid_loads_;
+  ColdPeriods cold_periods_;
   StreamOrigins origins_;
   ContentContainment containment_;
+  ConnectionLosses connection_losses_;
   base::Millis versions_noted_at_;
   // Calls in phase kAwaitingOrigin.
   std::set<CallId> awaiting_origin_;
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -22,6 +22,18 @@
   return mean == 0 ? value : mean + weight * (value - mean);
 }
 
+// Null if no server has capacity.
+template <typename ScoredBackend>
+const ScoredBackend* LowestCost(const std::vector<ScoredBackend>& all) {
+  const ScoredBackend* best = nullptr;
+  for (const ScoredBackend& scored : all) {
+    if (scored.has_capacity && (best == nullptr || scored.cost < best->cost)) {
+      best = &scored;
+    }
+  }
+  return best;
+}
+
 double ToMs(base::Millis span) {
   return static_cast<double>(span.count());
 }
@@ -36,17 +48,20 @@
 Choice Placement::Choose(base::Millis now,
                          const PlacementRequest& request,
                          const std::vector<const Backend*>& candidates) {
+  const bool by_capacity = state_->UsesCapacityModel(request);
+  if (by_capacity && !candidates.empty() && State::IsTooLarge(request)) {
+    Choice too_large;
+    too_large.kind = Choice::Kind::kTooLarge;
+    return too_large;
+  }
   const auto scored_backends = state_->ScoreBackends(now, request, candidates);
   Choice choice;
   if (scored_backends.empty()) {
     return choice;
   }
-  const State::ScoredBackend* best = nullptr;
-  for (const State::ScoredBackend& scored : scored_backends) {
-    if (scored.has_capacity && (best == nullptr || scored.cost < best->cost)) {
-      best = &scored;
-    }
-  }
+  const State::ScoredBackend* const best =
+      by_capacity ? state_->PickByCapacity(request, scored_backends)
+                  : LowestCost(scored_backends);
   if (best == nullptr) {
     choice.kind = Choice::Kind::kNoCapacity;
     return choice;
@@ -77,6 +92,9 @@
   }
   started.typical_first_byte_ms = state_->TypicalFirstByteMs(
       request, load.pending_prefill + started.pending_prefill);
+  if (state_->UsesCapacityModel(request)) {
+    state_->RecordExpectation(now, request, load, backend.slots, started);
+  }
   if (load.in_flight == 0) {
     load.last_received_at = now;
   }
@@ -98,16 +116,20 @@
   load.last_received_at = now;
   if (report) {
     load.UpdateFromReport(now, *report);
+    state_->RecordReport(now, load, *report);
   }
   if (answered.answered) {
     return;
   }
   answered.answered = true;
+  answered.events = 1;
+  answered.last_event_at = now;
   --load.unanswered;
   load.pending_prefill -= answered.pending_prefill;
   const double latency = std::max(1.0, ToMs(now - answered.started_at));
   const double ratio = latency / std::max(1.0, answered.typical_first_byte_ms);
   load.ObserveSlowness(now, ratio);
+  state_->LearnFirstByte(now, load, answered);
   State::ServiceStats& service_stats = state_->service_stats[answered.service];
   service_stats.last_answered_at = now;
   service_stats.first_byte_ms =
@@ -117,10 +139,14 @@
               (std::clamp(ratio, 1 / kMaxScaleStep, kMaxScaleStep) - 1);
 }
 
-void Placement::OnProgressed(base::Millis now, int64_t attempt) {
+void Placement::OnProgressed(base::Millis now,
+                             int64_t attempt,
+                             int64_t events) {
   const auto found = state_->attempts.find(attempt);
   if (found != state_->attempts.end()) {
-    state_->loads[found->second.server].last_received_at = now;
+    ServerLoad& load = state_->loads[found->second.server];
+    load.last_received_at = now;
+    State::LearnEvents(now, load, found->second, events);
   }
 }
 
@@ -133,6 +159,7 @@
   state_->attempts.erase(found);
   ServerLoad& load = state_->loads[ended.server];
   --load.in_flight;
+  load.memory -= ended.memory;
   if (!ended.answered) {
     --load.unanswered;
     load.pending_prefill -= ended.pending_prefill;
@@ -143,6 +170,9 @@
       service_stats.run_ms =
           UpdateMean(service_stats.run_ms, ToMs(now - ended.started_at),
                      kServiceStatsWeight);
+      service_stats.run_events =
+          UpdateMean(service_stats.run_events,
+                     static_cast<double>(ended.events), kServiceStatsWeight);
       load.failures -= kFailureWeight * load.failures;
       ++load.samples;
       load.last_received_at = now;
@@ -195,6 +225,10 @@
          state_->IsUnresponsive(now, load->second);
 }
 
+void Placement::SetColdUntil(const Backend& backend, base::Millis until) {
+  state_->LoadOf(backend).cold_until = until;
+}
+
 void Placement::CompensateStall(base::Millis span) {
   for (auto& [key, load] : state_->loads) {
     load.last_received_at = load.last_received_at + span;
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -65,7 +65,7 @@
   }
   for (auto entry = loads.begin(); entry != loads.end();) {
     const ServerLoad& load = entry->second;
-    const bool is_idle = load.in_flight == 0 &&
+    const bool is_idle = load.in_flight == 0 && now >= load.cold_until &&
                          now - load.last_received_at > kIdleServerRetention;
     entry = is_idle ? loads.erase(entry) : std::next(entry);
   }
@@ -202,6 +202,7 @@
     base::Millis now,
     const PlacementRequest& request,
     const std::vector<const Backend*>& candidates) {
+  const bool by_capacity = UsesCapacityModel(request);
   std::vector<ScoredBackend> healthy;
   std::vector<ScoredBackend> ejected;
   for (const Backend* backend : candidates) {
@@ -212,12 +213,19 @@
     scored.backend = backend;
     scored.load = &LoadOf(*backend);
     CheckResponsiveness(now, *scored.load);
-    Estimate(now, request, scored);
+    if (by_capacity) {
+      EstimateByCapacity(now, request, scored);
+    } else {
+      Estimate(now, request, scored);
+    }
     (scored.load->IsEjected(now) ? ejected : healthy).push_back(scored);
   }
   // Ejected servers are used only if no other is left.
   std::vector<ScoredBackend> usable = healthy.empty() ? ejected : healthy;
-  if (request.prompt != nullptr && !usable.empty()) {
+  if (by_capacity) {
+    SeparateStallingPrompts(now, request, usable);
+    MarkExcess(request, usable);
+  } else if (request.prompt != nullptr && !usable.empty()) {
     const auto long_prompt_servers = LongPromptServers(usable);
     const Backend* const preferred =
         PreferredBackend(request, usable, long_prompt_servers);
@@ -245,8 +253,11 @@
   const auto prefill_time = base::Millis(
       static_cast<int64_t>(kPrefillAllowance * kPrefillMsPerToken *
                            static_cast<double>(load.pending_prefill)));
+  // A cold server answers more slowly.
+  const base::Millis response_timeout =
+      options.response_timeout * (now < load.cold_until ? 2 : 1);
   return load.in_flight > 0 &&
-         now - load.last_received_at > options.response_timeout + prefill_time;
+         now - load.last_received_at > response_timeout + prefill_time;
 }
 
 void Placement::State::CheckResponsiveness(base::Millis now, ServerLoad& load) {
--- a/libs/dispatch/src/server_load.h
+++ b/libs/dispatch/src/server_load.h
@@ -2,10 +2,12 @@
 #define DISPATCH_SERVER_LOAD_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "capacity_model.h"
 #include "dispatch/load_report.h"
 
 namespace godwit::dispatch {
@@ -19,6 +21,8 @@
   int64_t in_flight = 0;
   int64_t unanswered = 0;
   base::Tokens pending_prefill = 0;
+  // Tokens that the attempts in progress are expected to hold in its memory.
+  base::Tokens memory = 0;
   // Attempts of other routers; moving mean over load reports.
   double other_runs = 0;
   base::Millis reported_at;
@@ -34,9 +38,17 @@
   base::Millis last_received_at;
   int64_t ejections = 0;
   base::Millis ejected_until;
+  // When it is warm.
+  base::Millis cold_until;
   // Limited to one attempt at a time until one has been served.
   bool on_probation = false;
 
+  // Time that the recent attempts of this router take at the server, in units
+  // that the capacity model of the service keeps.
+  double recent_work = 0;
+  // Empty until the capacity model is used for the service.
+  std::optional<CapacityModel> model;
+
   // Updates the estimate from a report of the load of all routers.
   void UpdateFromReport(base::Millis now, const LoadReport& load);
   // Estimated attempts of all routers in progress. A report counts in full for
--- a/libs/dispatch/tests/dispatch_simulation.cc
+++ b/libs/dispatch/tests/dispatch_simulation.cc
@@ -89,7 +89,10 @@
   contents.routes = Routes();
   contents.organisations = options.organisations;
   contents.requires_api_key = options.requires_api_key;
-  contents.services = {{base::ServiceId("model"), 0, EngineProfile{16, 0, 4}}};
+  ServiceProfile service;
+  service.id = base::ServiceId("model");
+  service.engine = EngineProfile{16, options.kv_capacity, 4};
+  contents.services = {service};
   Raise(RoutingTableUpdated{
       std::make_shared<const RoutingTable>(std::move(contents))});
   Raise(listed);
@@ -117,7 +120,7 @@
   arrived.request.id = "call-" + std::to_string(call);
   arrived.request.host = "h";
   arrived.request.path = "/" + route + "/x";
-  arrived.request.api_key = "key";
+  arrived.request.api_key = api_key_;
   if (own > 0) {
     Prompt prompt;
     prompt.input_tokens = shared + own;
@@ -166,6 +169,7 @@
   answered.reply.status = 200;
   answered.reply.is_signed = true;
   answered.reply.load = event.load;
+  answered.reply.has_invalid_load = !event.load;
   answered.complete = true;
   switch (event.kind) {
     case Kind::kEvent: {
@@ -272,7 +276,9 @@
 }
 
 void DispatchSimulation::Handle(const AttemptAbandoned& /*command*/) {}
-void DispatchSimulation::Handle(const BackendHealthChanged& /*command*/) {}
+void DispatchSimulation::Handle(const BackendHealthChanged& command) {
+  health_changes_.push_back(command);
+}
 void DispatchSimulation::Handle(const platform::KvRead& /*command*/) {}
 void DispatchSimulation::Handle(const platform::KvWrite& /*command*/) {}
 
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -42,6 +42,8 @@
     // prompts), "order" (at most once), "status" (idempotent).
     std::vector<Organisation> organisations;
     bool requires_api_key = false;
+    // Tokens that fit into the memory of a model server; 0 if not stated.
+    base::Tokens kv_capacity = 0;
     uint64_t seed = 1;
   };
 
@@ -59,6 +61,8 @@
                 base::Tokens own = 0,
                 uint64_t session = 0,
                 int64_t events = 0);
+  // The API key of requests that arrive from now on.
+  void SetApiKey(const std::string& key) { api_key_ = key; }
   void Disconnect(CallId call);
   void Advance(base::Millis span);
   // Passes an event to the dispatcher and carries out its commands.
@@ -69,6 +73,9 @@
   Dispatcher& dispatcher() { return dispatcher_; }
   const Outcome& outcome(CallId call) const { return outcomes_.at(call); }
   const std::map<CallId, Outcome>& outcomes() const { return outcomes_; }
+  const std::vector<BackendHealthChanged>& health_changes() const {
+    return health_changes_;
+  }
   base::Millis now() const { return now_; }
 
   // Counts of the calls of a route by outcome.
@@ -94,6 +101,7 @@
   void Handle(const AttemptAbandoned& command);
   void Handle(const BackendHealthChanged& command);
   void Handle(const BackendLimitChanged& /*command*/) {}
+  void Handle(const BackendColdChanged& /*command*/) {}
   void Handle(const ContentStateChanged& /*command*/) {}
   void Handle(const platform::KvRead& command);
   void Handle(const platform::KvWrite& command);
@@ -105,6 +113,7 @@
   void HandleServerEvent(const ModelServer::Event& event);
 
   base::Millis now_ = kStart;
+  std::string api_key_ = "key";
   std::mt19937_64 random_;
   Dispatcher dispatcher_;
   std::vector<std::unique_ptr<ModelServer>> servers_;
@@ -115,6 +124,7 @@
   std::map<CallId, int64_t> requested_events_;
   std::map<CallId, int64_t> events_;
   std::map<CallId, base::Millis> last_event_at_;
+  std::vector<BackendHealthChanged> health_changes_;
   CallId next_call_ = 1;
 };
 
--- a/libs/dispatch/tests/dispatcher_test.cc
+++ b/libs/dispatch/tests/dispatcher_test.cc
@@ -1,5 +1,6 @@
 #include "dispatch/dispatcher.h"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 
 using godwit::base::ErrorKind;
 using godwit::base::Millis;
+using godwit::dispatch::BackendHealthChanged;
 using godwit::dispatch::CallId;
 using godwit::dispatch::DispatchSimulation;
 using godwit::dispatch::ModelServer;
@@ -219,6 +221,47 @@
   }
 }
 
+// Guards against a log that is flooded by a server whose reports are damaged,
+// and against damage that nobody learns of.
+TEST(Dispatcher, RecordsAnInvalidLoadOnceForEachIncarnation) {
+  auto servers = Plain(1);
+  servers[0].has_invalid_load = true;
+  DispatchSimulation simulation({}, servers);
+  const auto run = [&simulation]() {
+    for (int i = 0; i < 10; ++i) {
+      simulation.Arrive("order");
+      simulation.Advance(Millis(100));
+    }
+    return std::count_if(
+        simulation.health_changes().begin(), simulation.health_changes().end(),
+        [](const BackendHealthChanged& change) {
+          return change.health == BackendHealthChanged::Health::kInvalidLoad;
+        });
+  };
+  CHECK_EQUAL(1, run());
+  auto restarted = simulation.server(0).Registration();
+  restarted.started_at_ms = 7;
+  simulation.Raise(godwit::dispatch::BackendRegistered{restarted});
+  CHECK_EQUAL(2, run());
+}
+
+// Guards against a request that waits until its deadline for memory that no
+// server has.
+TEST(Dispatcher, RefusesARequestThatFitsIntoNoServerAtOnce) {
+  DispatchSimulation::Options options;
+  options.kv_capacity = 10'000;
+  options.placement.capacity_model =
+      godwit::dispatch::PlacementOptions::CapacityModelUse::kAlways;
+  DispatchSimulation simulation(options, Models(2));
+  const CallId large = simulation.Arrive("chat", 1'000, 9'000, 1, 10);
+  CHECK(simulation.outcome(large).ended);
+  CHECK(ErrorKind::kTooLarge == simulation.outcome(large).refusal);
+  CHECK(!simulation.outcome(large).may_have_run);
+  const CallId small = simulation.Arrive("chat", 1'000, 2'000, 1, 10);
+  simulation.Advance(Millis(2000));
+  CHECK(simulation.outcome(small).answered);
+}
+
 // Load: all routers of a data centre stop within seconds, so that callers have
 // nowhere else to go. What ends in time is served until the last second.
 TEST(Dispatcher, ServesWhatEndsBeforeARouterStops) {
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -55,6 +55,15 @@
     bool hides_versions = false;
     // Injected fault: routers ignore limits.
     bool hides_limits = false;
+    // Requests a second that a cold server accepts, and the time for which
+    // servers are cold after their start; 0 for a service without cold starts.
+    double cold_rate = 0;
+    base::Millis cold_start{10'000};
+    bool states_cold_in_answers = false;
+    // Injected fault: routers ignore what servers state about cold periods.
+    bool hides_cold = false;
+    // Requests arrive at servers up to this much later than others.
+    base::Millis delivery_jitter{1};
     uint64_t seed = 1;
   };
 
@@ -71,8 +80,16 @@
     // The router had passed on an answer with the server's limit half a second
     // earlier, and is not excused by a fault.
     bool is_counted = false;
+    // The server was cold, in this incarnation, and the router was not excused:
+    // it may take an incarnation for warm that stated nothing when the router
+    // read its first list.
+    bool is_cold = false;
+    int64_t generation = 0;
   };
 
+  // When a new incarnation states how long it is cold.
+  enum class ColdStatement : uint8_t { kAtOnce, kLate, kNever };
+
   // What callers saw of streams.
   struct StreamCounts {
     int64_t completed = 0;
@@ -109,6 +126,19 @@
     int64_t contained = 0;
   };
 
+  // A valid request whose connections are reset by servers that live on, and
+  // what routers made of it.
+  struct ResetCounts {
+    int64_t resets = 0;
+    int64_t answered = 0;
+    // Records of all routers that a content is suspected.
+    int64_t suspicions = 0;
+    // Longest times from arrival to the first attempt: of this request, and of
+    // others that crash nothing.
+    base::Millis longest_wait;
+    base::Millis longest_wait_of_others;
+  };
+
   explicit RouterFleet(const Options& options);
   ~RouterFleet();
 
@@ -138,6 +168,14 @@
   void Crash(size_t server,
              base::Millis span,
              const std::optional<std::string>& version = std::nullopt);
+  // Ends the incarnation of a server; one that is cold starts in its place
+  // after `span`.
+  void StartCold(size_t server, base::Millis span, ColdStatement statement);
+  // The server becomes cold again.
+  void BecomeCold(size_t server);
+  // Largest number of requests that the server received in any one second
+  // since `from` while it was cold in one incarnation.
+  int64_t MostPerSecondWhileCold(size_t server, base::Millis from) const;
   // From now on, requests arrive whose prompts have a part that crashes each
   // server that begins an answer to them; none if `per_second` is 0. The parts
   // of the prompts: `before`, the crashing part, `after`, one of their own.
@@ -147,11 +185,16 @@
   // From now on, one request arrives again and again that crashes each server
   // that runs it.
   void SendCrashingRequest(double per_second);
+  // One valid request arrives `copies` times, `gap` apart, at one router after
+  // the other. For `span`, servers run it and then reset its connection; they
+  // go on answering all other requests.
+  void SendResetRequest(size_t copies, base::Millis gap, base::Millis span);
   // Makes the store unavailable for `span`; leases expire meanwhile.
   void StopStore(base::Millis span);
 
   const StreamCounts& streams() const { return stream_counts_; }
   const CrashCounts& crashes() const { return crash_counts_; }
+  const ResetCounts& resets() const { return reset_counts_; }
   const BystanderCounts& bystanders() const { return bystander_counts_; }
   // Requests that crash servers and reached one later than `delay` after the
   // crash with this number, counted from 1.
@@ -200,6 +243,7 @@
 
   // The caller's side of streams, and their runs; router_fleet_streams.cc.
   void RequestStream(std::shared_ptr<Stream> stream);
+  void RequestStreamAt(size_t router, std::shared_ptr<Stream> stream);
   void StartStream(size_t router, size_t server, const StartAttempt& command);
   void SendEvent(const StreamRunKey& key);
   void EndStream(size_t router, CallId call, bool is_complete);
@@ -214,7 +258,22 @@
   bool IsBystander(const Stream& stream) const;
   // Crashes a server if the run that is about to answer does so.
   bool CrashesByContent(const StreamRun& run);
+  // Resets the connection of the run that is about to answer if its server does
+  // so.
+  bool ResetsConnection(const StreamRunKey& key, const StreamRun& run);
+  void CountWait(const Stream& stream);
   void RegisterServer(size_t server, base::Millis after);
+  // Cold servers; router_fleet_cold.cc.
+  void ListBackends(size_t router);
+  void WriteHeartbeat(size_t server, int64_t generation);
+  void DeliverRegistration(size_t router, size_t server, int64_t generation);
+  bool IsCold(size_t server) const;
+  base::Millis RunTime(size_t server) const;
+  void NoteColdArrival(size_t server, Arrival& arrival) const;
+  // Answers a request to a server that has ended. Returns false if it has not.
+  bool TurnsDownAsEnded(size_t router,
+                        size_t server,
+                        const StartAttempt& command);
   Backend RegistrationOf(size_t server) const;
   static Route StreamRoute();
 
@@ -223,6 +282,7 @@
   void Handle(size_t router, const RelayAnswer& command);
   void Handle(size_t router, const CallEnded& command);
   void Handle(size_t router, const SendToRouter& command);
+  void Handle(size_t router, const ContentStateChanged& command);
   template <typename Command>
   void Handle(size_t /*router*/, const Command& /*command*/) {}
 
@@ -248,6 +308,8 @@
   StreamCounts stream_counts_;
   CrashCounts crash_counts_;
   BystanderCounts bystander_counts_;
+  ResetCounts reset_counts_;
+  base::Millis resets_until_;
   std::vector<uint64_t> crashing_parts_;
   double crashing_per_second_ = 0;
   // Distinguishes the arrivals that the latest call started.
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -24,6 +24,7 @@
   base::Millis frozen_until;
   base::Millis cut_until;
   base::Millis excused_until;
+  base::Millis started_at;
   // When it first passed on an answer with a limit, by server.
   std::map<size_t, base::Millis> told_at;
   // The same of an answer that states that the server leaves.
@@ -42,6 +43,10 @@
   bool is_down = false;
   bool is_leaving = false;
   base::Millis turns_away_until;
+  base::Millis cold_until;
+  base::Millis started_at;
+  // When it first states how long it is cold.
+  base::Millis states_cold_from;
 };
 
 struct RouterFleet::Scheduled {
@@ -69,6 +74,10 @@
   base::Digest content;
   // Crashes each server that begins an answer to it.
   bool is_crashing = false;
+  // Its connections may be reset by servers that live on.
+  bool is_reset = false;
+  // Arrival of the request in progress, until its first attempt.
+  std::optional<base::Millis> asked_at;
 };
 
 // A run of a stream at a server.
@@ -79,6 +88,7 @@
   int64_t next_event = 1;
   bool is_answered = false;
   bool is_crashing = false;
+  bool is_reset = false;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/ledger/src/metered_budget.cc
+++ b/libs/ledger/src/metered_budget.cc
@@ -9,6 +9,8 @@
 // Upper bound of the correction of an average that started recently and so has
 // covered only a part of a steady rate.
 constexpr double kMaxCorrection = 4;
+// A reservation changes the mean size by 1/kMeanDivisor of the difference.
+constexpr base::Tokens kMeanDivisor = 16;
 
 base::Tokens Corrected(base::Tokens tokens,
                        base::Millis age,
@@ -41,6 +43,10 @@
 void MeteredBudget::RecordReservation(base::Millis now, base::Tokens amount) {
   first_reserved_at = first_reserved_at.value_or(now);
   reservations.Add(now, amount);
+  mean_reservation =
+      mean_reservation == 0
+          ? amount
+          : mean_reservation + (amount - mean_reservation) / kMeanDivisor;
 }
 
 base::Tokens MeteredBudget::ReservedOver(base::Millis now,
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -8,11 +8,10 @@
 namespace godwit::ledger {
 namespace {
 
-// A request changes the mean request size by 1/kMeanRequestDivisor of the
-// difference.
-constexpr base::Tokens kMeanRequestDivisor = 16;
 // Each smaller reservation reduces the largest one by 1/kLargestDecayDivisor.
 constexpr base::Tokens kLargestDecayDivisor = 50;
+// After a refusal for which it is not known when tokens are expected.
+constexpr base::Millis kDefaultRetryAfter(600);
 
 }  // namespace
 
@@ -47,7 +46,7 @@
     if (limit.limit != budget.limit.limit) {
       // A reply about the earlier limit does not apply to this one.
       budget.nothing_free_until = base::Millis();
-      budget.nothing_lent_until = base::Millis();
+      budget.refused_amount = 0;
     }
     budget.limit = limit;
     budget.dropped = false;
@@ -82,33 +81,33 @@
     base::Millis now,
     const base::BudgetId& budget,
     base::Tokens amount,
-    base::Millis since) {
+    base::Millis since,
+    int64_t urgency) {
   state_->Begin(now);
   MeteredBudget* const local = state_->Find(budget);
   if (local == nullptr) {
     // The budget's limit is not known.
     return ReserveResult::kUnavailable;
   }
-  return state_->Reserve(now, *local, amount, since);
+  return state_->Reserve(now, *local, amount, {urgency, since});
+}
+
+base::Millis MeteredBudgetManager::RetryAfter(
+    const base::BudgetId& budget) const {
+  const MeteredBudget* const local = state_->Find(budget);
+  return local == nullptr ? kDefaultRetryAfter : local->retry_after;
 }
 
 MeteredBudgetManager::ReserveResult MeteredBudgetManager::State::Reserve(
     base::Millis now,
     MeteredBudget& budget,
     base::Tokens amount,
-    base::Millis since) {
+    const ReservationRank& rank) {
   if (budget.dropped) {
     return ReserveResult::kReserved;
   }
-  budget.mean_request =
-      budget.mean_request == 0
-          ? amount
-          : budget.mean_request +
-                (amount - budget.mean_request) / kMeanRequestDivisor;
-  if (IsTooLargeForRemaining(budget, amount)) {
-    return ReserveResult::kUnavailable;
-  }
-  if (Available(budget) >= amount) {
+  const base::Tokens ahead = IsScarce(now, budget) ? AheadOf(budget, rank) : 0;
+  if (Available(budget) >= amount + ahead) {
     budget.reserved += amount;
     budget.RecordReservation(now, amount);
     if (budget.ReservedOfGrant() > 0) {
@@ -119,40 +118,78 @@
     budget.largest_reservation =
         std::max(amount, budget.largest_reservation -
                              budget.largest_reservation / kLargestDecayDivisor);
+    budget.waiting.Remove(rank, amount);
     return ReserveResult::kReserved;
   }
-  if (now < budget.nothing_free_until) {
+  budget.needed_at = now;
+  budget.waiting.Add(now, rank, amount);
+  const ReserveResult result = Wait(now, budget, amount, rank);
+  if (result != ReserveResult::kWait) {
     budget.need = 0;
     budget.loan_need = 0;
-    return amount > budget.reported_left ? ReserveResult::kExhausted
-                                         : ReserveResult::kUnavailable;
+    budget.waiting.Remove(rank, amount);
+  }
+  return result;
+}
+
+MeteredBudgetManager::ReserveResult MeteredBudgetManager::State::Wait(
+    base::Millis now,
+    MeteredBudget& budget,
+    base::Tokens amount,
+    const ReservationRank& rank) {
+  BudgetReport::Refusals& refusals = budget.refusals;
+  if (now < budget.nothing_free_until && amount > budget.reported_left) {
+    ++refusals.exhausted;
+    return ReserveResult::kExhausted;
+  }
+  if (WasRefused(budget, rank, amount)) {
+    ++refusals.nothing_free;
+    return ReserveResult::kUnavailable;
+  }
+  const bool is_scarce = IsScarce(now, budget);
+  const base::Millis waited = now - rank.since;
+  const bool waited_enough = waited >= policy_.max_wait;
+  if (waited_enough) {
+    budget.retry_after = kDefaultRetryAfter;
   }
-  const bool waited_enough = now - since >= policy_.max_wait;
-  budget.needed_at = now;
   if (LenderOf(now, budget) != nullptr) {
     budget.need = 0;
-    budget.loan_need = waited_enough ? 0 : std::max(budget.loan_need, amount);
+    budget.loan_need = is_scarce ? budget.waiting.First()->amount
+                                 : std::max(budget.loan_need, amount);
+    refusals.timed_out += waited_enough ? 1 : 0;
     return waited_enough ? ReserveResult::kUnavailable : ReserveResult::kWait;
   }
   budget.loan_need = 0;
-  budget.need = std::max(budget.need, amount);
+  const base::Tokens total = amount + (is_scarce ? AheadOf(budget, rank) : 0);
+  const base::Tokens pool = Pool(budget);
+  budget.need = is_scarce
+                    ? std::clamp<base::Tokens>(budget.waiting.Total(), 1,
+                                               std::max<base::Tokens>(1, pool))
+                    : std::max(budget.need, amount);
   const Shard& shard = ShardOfBudget(budget);
-  const bool is_fresh = !shard.earlier && shard.view.known() &&
-                        shard.view.confirmed_at() + policy_.max_record_age >=
-                            std::min(now, since);
+  const bool is_fresh = IsRecordFresh(budget, std::min(now, rank.since));
   if (is_fresh && amount > MaxRemaining(budget)) {
-    budget.need = 0;
+    ++refusals.exhausted;
     return ReserveResult::kExhausted;
   }
+  const bool is_lender = !peers_.empty() && IsLender(shard);
+  if (is_lender && pool < total) {
+    MarkUncovered(now, budget, total);
+  }
+  if (is_lender && is_fresh && !MayCome(now, budget, total, waited)) {
+    ++refusals.nothing_free;
+    budget.retry_after = RetryAfter(now, budget, total);
+    return ReserveResult::kUnavailable;
+  }
   // Tokens that are held but not promised become available soon.
-  const bool is_unavailable =
-      (IsKvUnavailable(now, shard) || !MayOpenSoon(now, shard)) &&
-      Unallocated(budget) < amount;
-  if (waited_enough || is_unavailable) {
-    budget.need = 0;
+  if ((IsKvUnavailable(now, shard) || !MayOpenSoon(now, shard)) &&
+      Unallocated(budget) < amount) {
+    ++refusals.kv_unavailable;
+    budget.retry_after = policy_.refused_backoff;
     return ReserveResult::kUnavailable;
   }
-  return ReserveResult::kWait;
+  refusals.timed_out += waited_enough ? 1 : 0;
+  return waited_enough ? ReserveResult::kUnavailable : ReserveResult::kWait;
 }
 
 void MeteredBudgetManager::Settle(base::Millis now,
@@ -163,8 +200,13 @@
   if (local == nullptr) {
     return;
   }
+  const base::Tokens of_grant = local->ReservedOfGrant();
   local->reserved -= std::min(reserved, local->reserved);
-  local->Spend(now, local->borrowed.Charge(used));
+  const Usage of_own = local->borrowed.Charge(used);
+  local->Spend(now, of_own);
+  local->returns.Add(
+      now, std::max<base::Tokens>(
+               0, of_grant - local->ReservedOfGrant() - of_own.tokens));
 }
 
 void MeteredBudgetManager::Drain() {
@@ -231,30 +273,4 @@
   return state_->Process(now);
 }
 
-std::string MeteredBudgetManager::Describe(base::Millis now,
-                                           const base::BudgetId& budget) const {
-  const MeteredBudget* const local = state_->Find(budget);
-  if (local == nullptr) {
-    return "no limit";
-  }
-  if (state_->layout_.known() && !state_->KnowsLayout()) {
-    return "the ledger is stored under " +
-           std::to_string(state_->layout_.record().keys) + " keys";
-  }
-  const State::Shard& shard = state_->ShardOfBudget(*local);
-  const auto stored = shard.record().budgets.find(budget);
-  const base::Tokens free =
-      stored == shard.record().budgets.end() ? 0 : stored->second.free();
-  return "limit " + std::to_string(local->limit.limit) + ", granted " +
-         std::to_string(state_->Granted(*local)) + ", promised " +
-         std::to_string(state_->Promised(*local)) + ", spent " +
-         std::to_string(local->spent) + ", reserved " +
-         std::to_string(local->reserved) + ", lent " +
-         std::to_string(state_->loans_.Outstanding(budget)) + ", borrowed " +
-         std::to_string(local->borrowed.free()) + ", target " +
-         std::to_string(state_->Target(now, *local)) + ", free " +
-         std::to_string(free) + ", record age " +
-         std::to_string((now - shard.view.confirmed_at()).count()) + " ms";
-}
-
 }  // namespace godwit::ledger
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -206,15 +206,6 @@
   return std::max(budget.Need(), is_too_small ? 0 : target);
 }
 
-bool MeteredBudgetManager::State::IsTooLargeForRemaining(
-    const MeteredBudget& budget,
-    Tokens amount) const {
-  const Tokens left = MaxRemaining(budget);
-  return amount > budget.mean_request &&
-         left * policy_.scarce_divisor < budget.limit.limit &&
-         amount * policy_.max_request_divisor > left;
-}
-
 // Near the end of a budget, each router keeps to its share of what remains.
 Tokens MeteredBudgetManager::State::Share(const MeteredBudget& budget) const {
   const base::BudgetId& id = budget.limit.budget;
@@ -246,9 +237,15 @@
 
 bool MeteredBudgetManager::State::IsKvUnavailable(base::Millis now,
                                                   const Shard& shard) const {
+  return IsKvUnanswered(now, shard, policy_.normal_latency);
+}
+
+bool MeteredBudgetManager::State::IsKvUnanswered(base::Millis now,
+                                                 const Shard& shard,
+                                                 base::Millis latency) const {
   const auto busy = shard.view.busy_since();
-  return !shard.is_kv_answering ||
-         (busy && now - *busy > policy_.normal_latency);
+  return !shard.is_kv_answering || (busy && now - *busy > latency) ||
+         promises_.IsUnanswered(now, latency);
 }
 
 MeteredBudgetManager::State::Urgency MeteredBudgetManager::State::UrgencyOf(
--- a/libs/ledger/tests/metered_budget_manager_test.cc
+++ b/libs/ledger/tests/metered_budget_manager_test.cc
@@ -68,7 +68,9 @@
                             *rc::gen::inRange<Tokens>(0, 500));
         break;
       case 5:
-        simulation.Isolate(router, *rc::gen::arbitrary<bool>());
+        // Of both directions, or of one.
+        simulation.Isolate(router, *rc::gen::inRange(0, 3) == 0);
+        simulation.Mute(router, *rc::gen::inRange(0, 3) == 0);
         break;
       case 6: {
         // One router, a data centre, or all.
@@ -92,7 +94,8 @@
         break;
       default:
         for (int n = 0; n < 8; ++n) {
-          simulation.Request(router, *rc::gen::inRange<Tokens>(1, 900));
+          simulation.Request(router, *rc::gen::inRange<Tokens>(1, 900),
+                             *rc::gen::inRange(0, 3));
         }
         break;
     }
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -8,6 +8,7 @@
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_record.h"
 #include "ledger/shard.h"
+#include "ledger/usage.h"
 #include "simulated_router.h"
 
 namespace godwit::ledger {
@@ -25,14 +26,6 @@
   return policy;
 }
 
-// Returns a figure of MeteredBudgetManager::Describe().
-base::Tokens FigureIn(const std::string& description, const char* name) {
-  const size_t at = description.find(std::string(name) + " ");
-  return at == std::string::npos
-             ? 0
-             : std::stoll(description.substr(at + std::string(name).size()));
-}
-
 }  // namespace
 
 MeteredSimulation::MeteredSimulation(uint64_t seed,
@@ -69,7 +62,11 @@
   for (const Router::Running& running : router.running) {
     used_by_terminated_ += running.UsedBy(now_);
   }
+  for (const Router::Timed& timed : router.timed) {
+    used_by_terminated_ += timed.request.amount;
+  }
   router.running.clear();
+  router.timed.clear();
   router.waiting.clear();
   router.used = 0;
   router.known_config = platform::KvVersion();
@@ -124,6 +121,10 @@
   routers_[index]->isolated = isolated;
 }
 
+void MeteredSimulation::Mute(size_t index, bool muted) {
+  routers_[index]->muted = muted;
+}
+
 void MeteredSimulation::BeginEras() {
   kv_.BeginEras();
 }
@@ -156,12 +157,14 @@
   kv_.Put(kConfigKey, std::to_string(config_number_));
 }
 
-void MeteredSimulation::Request(size_t index, base::Tokens amount) {
+void MeteredSimulation::Request(size_t index,
+                                base::Tokens amount,
+                                int64_t urgency) {
   Router& router = *routers_[index];
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({amount, now_, {}});
+  router.waiting.push_back({amount, now_, urgency, {}, std::nullopt});
   TryReserve(router);
   delayed_ += router.waiting.empty() ? 0 : 1;
 }
@@ -174,34 +177,55 @@
   if (IsOff(router)) {
     return;
   }
-  router.waiting.push_back({amount, now_, {used_percent, duration}});
+  router.waiting.push_back(
+      {amount, now_, 0, {used_percent, duration}, std::nullopt});
   TryReserve(router);
   delayed_ += router.waiting.empty() ? 0 : 1;
 }
 
-void MeteredSimulation::FinishDue(Router& router) {
-  std::deque<Router::Running> still_running;
-  for (const Router::Running& running : router.running) {
-    const base::Millis duration = running.course.duration;
-    if (duration == base::Millis() || now_ - running.since < duration) {
-      still_running.push_back(running);
-      continue;
-    }
-    const base::Tokens used = running.UsedBy(now_);
-    router.used += used;
-    router.manager->Settle(TimeOf(router), kBudget, running.amount, {used, 0});
+void MeteredSimulation::Request(size_t index, const TimedRequest& request) {
+  Router& router = *routers_[index];
+  if (IsOff(router)) {
+    return;
+  }
+  router.waiting.push_back(
+      {request.amount, now_, request.urgency, {}, request});
+  TryReserve(router);
+}
+
+void MeteredSimulation::EndTimedRequests(Router& router) {
+  const auto ended = std::stable_partition(
+      router.timed.begin(), router.timed.end(),
+      [this](const Router::Timed& timed) { return timed.ends_at > now_; });
+  for (auto timed = ended; timed != router.timed.end(); ++timed) {
+    const TimedRequest& request = timed->request;
+    const Usage usage = request.is_proven
+                            ? Usage{request.used, 0}
+                            : Usage{request.amount, request.amount};
+    router.used += usage.tokens;
+    router.manager->Settle(TimeOf(router), kBudget, request.amount, usage);
   }
-  router.running = std::move(still_running);
+  router.timed.erase(ended, router.timed.end());
 }
 
 void MeteredSimulation::TryReserve(Router& router) {
   std::deque<Router::Waiting> still_waiting;
   for (const Router::Waiting& waiting : router.waiting) {
-    switch (
-        router.manager->Reserve(TimeOf(router), kBudget, waiting.amount,
-                                waiting.since + router.skew + router.leap)) {
+    const auto result = router.manager->Reserve(
+        TimeOf(router), kBudget, waiting.amount,
+        waiting.since + router.skew + router.leap, waiting.urgency);
+    if (waiting.timed && result != MeteredBudgetManager::ReserveResult::kWait) {
+      outcomes_.push_back(
+          {*waiting.timed, result, now_ - waiting.since, Used()});
+    }
+    switch (result) {
       case MeteredBudgetManager::ReserveResult::kReserved:
-        router.running.push_back({waiting.amount, now_, waiting.course});
+        if (waiting.timed) {
+          router.timed.push_back(
+              {*waiting.timed, now_ + waiting.timed->duration});
+        } else {
+          router.running.push_back({waiting.amount, now_, waiting.course});
+        }
         last_served_at_ = now_;
         ++served_;
         break;
@@ -290,6 +314,7 @@
     if (IsOff(router)) {
       continue;
     }
+    EndTimedRequests(router);
     PollDirectory(i);
     const platform::KvVersion config = ConfigVersion();
     const bool knows_era = hides_eras_ || config.era == router.eras.current();
@@ -336,38 +361,40 @@
   return held;
 }
 
-base::Tokens MeteredSimulation::Used() const {
-  base::Tokens used = used_by_terminated_;
+bool MeteredSimulation::IsScarceAnywhere() const {
+  return std::any_of(routers_.begin(), routers_.end(), [](const auto& router) {
+    const auto reports = router->manager->Reports();
+    return std::any_of(
+        reports.begin(), reports.end(),
+        [](const BudgetReport& report) { return report.is_scarce; });
+  });
+}
+
+BudgetReport::Refusals MeteredSimulation::refusals() const {
+  BudgetReport::Refusals sum;
   for (const auto& router : routers_) {
-    used += router->used;
-    for (const Router::Running& running : router->running) {
-      used += running.UsedBy(now_);
+    for (const BudgetReport& report : router->manager->Reports()) {
+      sum.exhausted += report.refusals.exhausted;
+      sum.nothing_free += report.refusals.nothing_free;
+      sum.timed_out += report.refusals.timed_out;
+      sum.kv_unavailable += report.refusals.kv_unavailable;
     }
   }
-  return used;
+  return sum;
 }
 
-PowerLossParts MeteredSimulation::PartsNow() const {
-  PowerLossParts parts;
+base::Tokens MeteredSimulation::Used() const {
+  base::Tokens used = used_by_terminated_;
   for (const auto& router : routers_) {
-    const std::string state =
-        router->manager->Describe(TimeOf(*router), kBudget);
-    const base::Tokens promised =
-        std::min(FigureIn(state, "granted"), FigureIn(state, "promised"));
-    const base::Tokens reserved = FigureIn(state, "reserved");
-    const base::Tokens of_grant =
-        std::max<base::Tokens>(0, reserved - FigureIn(state, "borrowed"));
-    const base::Tokens allocated =
-        FigureIn(state, "spent") + of_grant + FigureIn(state, "lent");
-    parts.promised += promised;
-    parts.advance += std::max<base::Tokens>(0, promised - allocated);
-    parts.loans += allocated - router->used - reserved;
-    parts.reservations += reserved;
+    used += router->used;
     for (const Router::Running& running : router->running) {
-      parts.reservations -= running.UsedBy(now_);
+      used += running.UsedBy(now_);
+    }
+    for (const Router::Timed& timed : router->timed) {
+      used += timed.request.amount;
     }
   }
-  return parts;
+  return used;
 }
 
 }  // namespace godwit::ledger
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -13,12 +13,15 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "ledger/budget_report.h"
 #include "ledger/metered_budget_manager.h"
 #include "ledger/metered_policy.h"
 #include "ledger/peer.h"
 #include "platform/kv_version.h"
 #include "power_loss_parts.h"
+#include "reserve_outcome.h"
 #include "support/fake_kv.h"
+#include "timed_request.h"
 
 namespace godwit::ledger {
 
@@ -39,6 +42,8 @@
   void Connect(int lost_percent = 0);
   // Drops all datagrams to and from a router.
   void Isolate(size_t router, bool isolated);
+  // Drops all datagrams from a router; it still receives those of others.
+  void Mute(size_t router, bool muted);
   // Injected fault: lenders treat all outstanding loans as returned.
   void ForgetLoans() { forgets_loans_ = true; }
   // Incarnations started from now on divide the ledger among `count` keys.
@@ -59,7 +64,9 @@
 
   // Submits a request to a router. It waits for tokens until the manager
   // refuses it.
-  void Request(size_t router, base::Tokens amount);
+  void Request(size_t router, base::Tokens amount, int64_t urgency = 0);
+  // Submits a request that ends by itself. Its outcome is recorded.
+  void Request(size_t router, const TimedRequest& request);
   // Submits a request that ends by itself and uses its tokens at an even rate.
   void Run(size_t router,
            base::Tokens amount,
@@ -87,6 +94,8 @@
   // Returns the usage of all incarnations, including running requests.
   base::Tokens Used() const;
   base::Tokens highest_limit() const { return highest_limit_; }
+  // Outcomes of the requests that end by themselves.
+  const std::vector<ReserveOutcome>& outcomes() const { return outcomes_; }
   int64_t refused() const { return refused_; }
   int64_t served() const { return served_; }
   // Number of requests that waited for tokens.
@@ -95,6 +104,10 @@
   // Number of requests refused as exhausted although the budget would have
   // covered them even if everything that may have been used was used.
   int64_t falsely_exhausted() const { return falsely_exhausted_; }
+  // True if a router finds its budget scarce.
+  bool IsScarceAnywhere() const;
+  // Returns what the running incarnations count.
+  BudgetReport::Refusals refusals() const;
   // Returns what the ledger sets aside for a router beyond its billed usage.
   base::Tokens Held(size_t router) const;
   // Number of reads and writes of the ledger and of promises.
@@ -125,6 +138,8 @@
   // Ends the requests of Run() whose time has come.
   void FinishDue(Router& router);
   void TryReserve(Router& router);
+  // Ends the requests of a router whose time is over.
+  void EndTimedRequests(Router& router);
   void Submit(size_t router,
               const std::vector<MeteredBudgetManager::Command>& commands);
   void Send(size_t router, const SendToPeer& message);
@@ -155,6 +170,7 @@
   int64_t delayed_ = 0;
   int64_t exhausted_ = 0;
   int64_t falsely_exhausted_ = 0;
+  std::vector<ReserveOutcome> outcomes_;
   int64_t incarnations_ = 0;
   int keys_ = MeteredPolicy().shard_count;
   bool forgets_loans_ = false;
--- a/libs/ledger/tests/simulated_router.h
+++ b/libs/ledger/tests/simulated_router.h
@@ -2,9 +2,12 @@
 #define LEDGER_TESTS_SIMULATED_ROUTER_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/millis.h"
@@ -12,6 +15,7 @@
 #include "metered_simulation.h"
 #include "platform/era_tracker.h"
 #include "platform/kv_version.h"
+#include "timed_request.h"
 
 namespace godwit::ledger {
 
@@ -25,7 +29,14 @@
   struct Waiting {
     base::Tokens amount;
     base::Millis since;
+    int64_t urgency = 0;
     Course course;
+    // Set for requests whose outcome is recorded.
+    std::optional<TimedRequest> timed;
+  };
+  struct Timed {
+    TimedRequest request;
+    base::Millis ends_at;
   };
   struct Running {
     base::Tokens amount;
@@ -48,9 +59,11 @@
   std::unique_ptr<MeteredBudgetManager> manager;
   std::deque<Waiting> waiting;
   std::deque<Running> running;
+  std::vector<Timed> timed;
   base::Tokens used = 0;
   bool partitioned = false;
   bool isolated = false;
+  bool muted = false;
   bool knows_peers = false;
   // Offset of its VM's monotonic clock, and error of its wall clock.
   base::Millis skew;
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -47,6 +47,7 @@
   kRequestRetried = 509,
   kRequestPlaced = 510,
   kRequestFinished = 511,
+  kCallersHandedOver = 512,
   // Budgets and claims.
   kGrantDrawn = 601,
   kGrantReturned = 602,
@@ -77,6 +78,10 @@
   kContentContained = 713,
   kContentTrial = 714,
   kContentCleared = 715,
+  kBackendCold = 716,
+  kBackendWarm = 717,
+  kBackendColdUnreadable = 718,
+  kBackendLoadInvalid = 720,
   // Platform.
   kKvUnavailable = 801,
   kKvAvailable = 802,
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -11,6 +11,7 @@
 #include "adapter/store_client.h"
 #include "base/clocks.h"
 #include "call_decoder.h"
+#include "caller_hand_over.h"
 #include "config/settings.h"
 #include "daemon/process_metrics.h"
 #include "daemon/stop_plan.h"
@@ -43,8 +44,7 @@
 
 // Precision with which deadlines are kept.
 constexpr base::Millis kTickPeriod(25);
-// Longest wait at shutdown for callers to receive the last bytes of their
-// answers.
+// Longest wait at shutdown for callers to receive the end of their answers.
 constexpr base::Millis kFlushTimeout(250);
 constexpr base::Millis kMetricsWindow(60'000);
 constexpr int kOk = 200;
@@ -76,6 +76,7 @@
                  OnPeer(from, bytes);
                }),
         callers_(io, *this),
+        hand_over_(RebalancerOptionsFrom(settings), callers_, servers_),
         readiness_(io, [this](const std::string&) { return ReadinessPage(); }),
         operator_pages_(io, [this](const std::string& target) {
           return OperatorPage(target);
@@ -180,16 +181,13 @@
   void OnStoreEvent(const dispatch::DispatchEvent& event) {
     if (const auto* updated =
             std::get_if<dispatch::RoutingTableUpdated>(&event)) {
-      SetLimits(updated->table->limits());
+      callers_.SetLimits(
+          CallerLimitsFrom(updated->table->limits(), callers_.limits()));
     }
     Raise(event);
     store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
   }
 
-  void SetLimits(const dispatch::CallerLimits& limits) {
-    callers_.SetLimits(CallerLimitsFrom(limits, callers_.limits()));
-  }
-
   Exchange* Find(dispatch::CallId call) {
     const auto found = exchanges_.find(call);
     return found == exchanges_.end() ? nullptr : &found->second;
@@ -208,7 +206,7 @@
   }
   void Execute(const dispatch::RelayAnswer& command) {
     if (Exchange* exchange = Find(command.call)) {
-      exchange->Relay(command.attempt);
+      exchange->Relay(command);
     }
   }
   void Execute(const dispatch::RefuseCall& command) {
@@ -246,7 +244,6 @@
                    Raise(done);
                  });
   }
-
   void Execute(const ledger::SendToPeer& command) {
     const std::string bytes = ledger::EncodePeerMessage(command.message);
     metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
@@ -255,7 +252,6 @@
     }
     peers_.Send(command.to, bytes);
   }
-
   void Execute(const dispatch::SendToRouter& command) {
     metrics_.Add(MetricId::kPeerMessagesTotal, {"sent"});
     peers_.Send(command.to, dispatch::EncodeRouterMessage(command.message));
@@ -272,25 +268,24 @@
 
   void OnStoreCall(const platform::CallCompleted& call) {
     CountStoreCall(metrics_, call);
-    // Watches may be interrupted at any time, so they are no evidence of the
-    // store's availability.
+    // Watches are interrupted also while the store is available.
     if (call.verb != "watch") {
       store_watcher_.RecordCall(call.served());
     }
   }
 
   PageServer::Page ReadinessPage() const {
-    const bool ready = dispatcher_.ready() && !stop_plan_.begun();
-    return {ready ? kOk : kUnavailable, "text/plain",
-            ready ? "ready\n" : "not ready\n"};
+    return dispatcher_.ready() && !stop_plan_.begun() &&
+                   hand_over_.in_rotation()
+               ? PageServer::Page{kOk, "text/plain", "ready\n"}
+               : PageServer::Page{kUnavailable, "text/plain", "not ready\n"};
   }
 
   PageServer::Page OperatorPage(const std::string& target) {
     if (target != "/metrics") {
       return {kNotFound, "text/plain", "no such page\n"};
     }
-    metrics_.Set(MetricId::kConfigRevision, {},
-                 static_cast<double>(dispatcher_.config_version()));
+    SetDispatcherMetrics(metrics_, dispatcher_);
     metrics_.Set(MetricId::kStoreEra, {},
                  static_cast<double>(store_watcher_.era()));
     metrics_.Set(MetricId::kLogLinesDroppedTotal, {},
@@ -301,6 +296,7 @@
 
   void Tick() {
     const base::Millis now = base::SteadyNow();
+    hand_over_.Tick(now);
     store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
     store_watcher_.Tick(now);
     store_.Tick();
@@ -320,7 +316,7 @@
     }
     ApplyStopAction(
         stop_plan_.Step(now, dispatcher_.open_calls(), dispatcher_.drained()));
-    if (stop_at_ && (now >= *stop_at_ || callers_.unanswered() == 0)) {
+    if (stop_at_ && (now >= *stop_at_ || callers_.connections() == 0)) {
       io_.stop();
       return;
     }
@@ -350,6 +346,8 @@
             {{"open_requests", dispatcher_.open_calls()}});
         break;
     }
+    // Requests that still arrive would be cut off: they are refused as not run.
+    Raise(dispatch::DrainRequested{base::SteadyNow()});
     callers_.Close();
     readiness_.Close();
     stop_at_ = base::SteadyNow() + kFlushTimeout;
@@ -367,6 +365,7 @@
   StoreWatcher store_watcher_;
   PeerSocket peers_;
   relay::CallerServer callers_;
+  CallerHandOver hand_over_;
   PageServer readiness_;
   PageServer operator_pages_;
   std::unordered_map<dispatch::CallId, Exchange> exchanges_;
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -5,11 +5,14 @@
 #include <vector>
 
 #include "dispatch/attempt_abandoned.h"
+#include "dispatch/backend_cold_changed.h"
 #include "dispatch/backend_health_changed.h"
 #include "dispatch/backend_limit_changed.h"
 #include "dispatch/call_ended.h"
 #include "dispatch/content_state_changed.h"
+#include "dispatch/dispatcher.h"
 #include "dispatch/start_attempt.h"
+#include "ledger/budget_report.h"
 #include "ledger/grant_closed.h"
 #include "ledger/loan_reply.h"
 #include "ledger/peer_unresponsive.h"
@@ -59,6 +62,8 @@
       return EventId::kBackendGone;
     case BackendHealthChanged::Health::kBackoff:
       return EventId::kBackendBackoff;
+    case BackendHealthChanged::Health::kInvalidLoad:
+      return EventId::kBackendLoadInvalid;
     case BackendHealthChanged::Health::kEjected:
       return EventId::kBackendEjected;
     case BackendHealthChanged::Health::kReadmitted:
@@ -191,6 +196,19 @@
        {"unreadable", change.is_unreadable}});
 }
 
+void LogRecord(const dispatch::BackendColdChanged& change) {
+  if (change.is_unreadable) {
+    Log(EventId::kBackendColdUnreadable,
+        {{"backend", change.instance}, {"service", change.service}});
+    return;
+  }
+  Log(change.is_cold ? EventId::kBackendCold : EventId::kBackendWarm,
+      {{"backend", change.instance},
+       {"service", change.service},
+       {"remaining_ms", change.remaining},
+       {"rate_per_s", change.rate}});
+}
+
 void LogRecord(const dispatch::ContentStateChanged& change) {
   const bool is_part =
       change.content.kind == dispatch::ContentKey::Kind::kPromptPart;
@@ -224,6 +242,29 @@
                                   {"config_version", ended.config_version}});
 }
 
+void SetDispatcherMetrics(telemetry::Metrics& metrics,
+                          const dispatch::Dispatcher& dispatcher) {
+  metrics.Set(MetricId::kConfigRevision, {},
+              static_cast<double>(dispatcher.config_version()));
+  for (const ledger::BudgetReport& report : dispatcher.budget_reports()) {
+    const std::string& budget = report.budget.value();
+    const auto set = [&](MetricId id, const char* label, int64_t value) {
+      metrics.Set(id, {budget, label}, static_cast<double>(value));
+    };
+    set(MetricId::kBudgetTokens, "held", report.held);
+    set(MetricId::kBudgetTokens, "lent", report.lent);
+    // Zero when another router has become the lender.
+    set(MetricId::kBudgetTokens, "free", report.free);
+    set(MetricId::kBudgetTokens, "in_doubt", report.in_doubt);
+    const ledger::BudgetReport::Refusals& refusals = report.refusals;
+    set(MetricId::kBudgetRefusalsTotal, "exhausted", refusals.exhausted);
+    set(MetricId::kBudgetRefusalsTotal, "nothing_free", refusals.nothing_free);
+    set(MetricId::kBudgetRefusalsTotal, "timed_out", refusals.timed_out);
+    set(MetricId::kBudgetRefusalsTotal, "kv_unavailable",
+        refusals.kv_unavailable);
+  }
+}
+
 void CountCallEnded(telemetry::Metrics& metrics,
                     const dispatch::CallEnded& ended) {
   const std::string& service = ended.service.value();
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -5,10 +5,12 @@
 
 namespace godwit::dispatch {
 struct AttemptAbandoned;
+struct BackendColdChanged;
 struct BackendHealthChanged;
 struct BackendLimitChanged;
 struct CallEnded;
 struct ContentStateChanged;
+class Dispatcher;
 struct StartAttempt;
 }  // namespace godwit::dispatch
 
@@ -39,11 +41,14 @@
 void LogLoan(const ledger::LoanReply& reply);
 void LogRecord(const dispatch::BackendHealthChanged& change);
 void LogRecord(const dispatch::BackendLimitChanged& change);
+void LogRecord(const dispatch::BackendColdChanged& change);
 void LogRecord(const dispatch::ContentStateChanged& change);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
 void CountCallEnded(telemetry::Metrics& metrics,
                     const dispatch::CallEnded& ended);
+void SetDispatcherMetrics(telemetry::Metrics& metrics,
+                          const dispatch::Dispatcher& dispatcher);
 void CountStoreCall(telemetry::Metrics& metrics,
                     const platform::CallCompleted& call);
 
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -20,6 +20,11 @@
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1024;
 constexpr double kMillicoresPerCore = 1000;
+constexpr double kMaxLinkMbps = 1'000'000;
+constexpr double kBytesPerMbit = 125'000;
+// Values of the setting `capacity_model`.
+constexpr char kStated[] = "stated";
+constexpr char kAlways[] = "always";
 
 // The load balancer probes readiness every second and stops sending requests
 // after two failed probes; requests that it sends before that must be served.
@@ -62,10 +67,22 @@
                 "answer to be chosen",
                 0, kMaxCostMillis)
       .Default("40")
+      .Choice(
+          "capacity_model",
+          "services whose servers' times the capacity model predicts: those "
+          "whose servers state how long work takes now, or all with an "
+          "engine profile",
+          {kStated, kAlways})
+      .Default(kStated)
       .Real("processor_share",
             "cores that this VM provides; routers on larger VMs lend budgets",
             kMinProcessorShare, kMaxProcessorShare)
       .Default("1")
+      .Real("link_mbps",
+            "bandwidth of this VM's link, each direction; 0 if unknown. While "
+            "it is saturated, callers are handed over to other routers",
+            0, kMaxLinkMbps)
+      .Default("0")
       .Integer("descriptors", "file descriptors that this process may use",
                kReservedDescriptors * 2, kMaxDescriptors)
       .Default("4096");
@@ -81,6 +98,10 @@
       base::DataCentreId(settings.Text("data_centre"));
   options.placement.other_data_centre_cost =
       settings.Duration("other_data_centre_cost_ms");
+  options.placement.capacity_model =
+      settings.Text("capacity_model") == kAlways
+          ? dispatch::PlacementOptions::CapacityModelUse::kAlways
+          : dispatch::PlacementOptions::CapacityModelUse::kStated;
   options.retry_ratio = settings.Real("retry_ratio");
   options.retry_slack = settings.Real("retry_slack");
   options.configuration_key = std::string(adapter::ConfigurationKey());
@@ -114,6 +135,13 @@
   return limits;
 }
 
+relay::CallerRebalancer::Options RebalancerOptionsFrom(
+    const config::Settings& settings) {
+  relay::CallerRebalancer::Options options;
+  options.link_rate = settings.Real("link_mbps") * kBytesPerMbit;
+  return options;
+}
+
 size_t MaxCallerConnections(const config::Settings& settings) {
   return static_cast<size_t>(
       (settings.Integer("descriptors") - kReservedDescriptors) / 2);
