Lend one request's tokens of large budgets, and ask lenders again that refused

Cause: loans of 0.4 s of reservations are often smaller than a request and were then not taken, so that 96% of the requests waited for their lender; a lender without an answer from the store for 150 ms refused, and so did the request.

Change: each router holds one mean request's tokens of budgets of which these loans are at most a fiftieth; a request that all lenders refuse may ask again until it has waited 400 ms, unless they have refused for two seconds.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -116,6 +116,9 @@
   // A loan covers at most this fraction of the limit, in addition to what waits
   // for it.
   int64_t loan_divisor = 20;
+  // Loans of the size of one request at every router together are at most this
+  // fraction of the limit.
+  int64_t single_loan_divisor = 50;
   // A loan is refilled once less than this share of its target remains, in
   // percent.
   int64_t loan_refill_percent = 50;
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -45,6 +45,23 @@
   return nullptr;
 }
 
+bool MeteredBudgetManager::State::MayAskAgain(
+    base::Millis now,
+    MeteredBudget& budget,
+    const ReservationRank& rank) const {
+  const base::Millis wait_ends_at = rank.since + policy_.max_wait;
+  const bool has_refusal =
+      std::any_of(budget.refused_until.begin(), budget.refused_until.end(),
+                  [&](const auto& entry) {
+                    return entry.second > now && entry.second < wait_ends_at;
+                  });
+  if (!has_refusal) {
+    return false;
+  }
+  budget.refused_since = budget.refused_since.value_or(now);
+  return now - *budget.refused_since < policy_.operation_timeout;
+}
+
 Tokens MeteredBudgetManager::State::LoanTarget(
     base::Millis now,
     const MeteredBudget& budget) const {
@@ -54,9 +71,17 @@
   const Tokens target =
       std::min(budget.ReservedOver(now, policy_.loan_cover, policy_),
                budget.limit.limit / policy_.loan_divisor);
+  if (target >= budget.mean_request) {
+    return target;
+  }
   // A loan below the size of a request serves none, and would be lost with the
-  // router.
-  return target < budget.mean_request ? 0 : target;
+  // router. One request for each router is held only of a large budget.
+  const auto routers = static_cast<Tokens>(peers_.size());
+  const bool is_affordable =
+      target > 0 && !IsScarce(now, budget) &&
+      budget.mean_request * routers * policy_.single_loan_divisor <=
+          budget.limit.limit;
+  return is_affordable ? budget.mean_request : 0;
 }
 
 void MeteredBudgetManager::State::On(base::Millis now,
@@ -194,6 +219,7 @@
   switch (reply.state) {
     case LoanReply::State::kLent:
       local->loan_request.reset();
+      local->refused_since.reset();
       return;
     case LoanReply::State::kPending:
       local->loan_request->is_pending = true;
