--- a/libs/dispatch/include/dispatch/placement_options.h
+++ b/libs/dispatch/include/dispatch/placement_options.h
@@ -12,7 +12,7 @@
 struct PlacementOptions {
   // For which services the capacity model predicts times: those whose servers
   // state how long work takes now, or all with an engine profile.
-  enum class CapacityModelUse : uint8_t { kStated, kAlways };
+  enum class CapacityModelUse : uint8_t { kNever, kStated, kAlways };
   CapacityModelUse capacity_model = CapacityModelUse::kStated;
   // The router's own data centre.
   base::DataCentreId data_centre;
--- a/libs/dispatch/src/placement_capacity.cc
+++ b/libs/dispatch/src/placement_capacity.cc
@@ -53,7 +53,8 @@
 
 bool Placement::State::UsesCapacityModel(
     const PlacementRequest& request) const {
-  if (request.prompt == nullptr) {
+  if (request.prompt == nullptr ||
+      options.capacity_model == PlacementOptions::CapacityModelUse::kNever) {
     return false;
   }
   if (options.capacity_model == PlacementOptions::CapacityModelUse::kAlways &&
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -1,6 +1,7 @@
 #include "edge_settings.h"
 
 #include <algorithm>
+#include <string>
 
 #include "adapter/configuration.h"
 #include "config/settings.h"
@@ -23,6 +24,7 @@
 constexpr double kMaxLinkMbps = 1'000'000;
 constexpr double kBytesPerMbit = 125'000;
 // Values of the setting `capacity_model`.
+constexpr char kNever[] = "never";
 constexpr char kStated[] = "stated";
 constexpr char kAlways[] = "always";
 
@@ -39,6 +41,15 @@
 // File descriptors that are not available for connections.
 constexpr int64_t kReservedDescriptors = 250;
 
+dispatch::PlacementOptions::CapacityModelUse CapacityModelUseFrom(
+    const std::string& text) {
+  using Use = dispatch::PlacementOptions::CapacityModelUse;
+  if (text == kAlways) {
+    return Use::kAlways;
+  }
+  return text == kStated ? Use::kStated : Use::kNever;
+}
+
 }  // namespace
 
 void DeclareSettings(config::SettingsReader& reader) {
@@ -72,8 +83,8 @@
           "services whose servers' times the capacity model predicts: those "
           "whose servers state how long work takes now, or all with an "
           "engine profile",
-          {kStated, kAlways})
-      .Default(kStated)
+          {kNever, kStated, kAlways})
+      .Default(kNever)
       .Real("processor_share",
             "cores that this VM provides; routers on larger VMs lend budgets",
             kMinProcessorShare, kMaxProcessorShare)
@@ -99,9 +110,7 @@
   options.placement.other_data_centre_cost =
       settings.Duration("other_data_centre_cost_ms");
   options.placement.capacity_model =
-      settings.Text("capacity_model") == kAlways
-          ? dispatch::PlacementOptions::CapacityModelUse::kAlways
-          : dispatch::PlacementOptions::CapacityModelUse::kStated;
+      CapacityModelUseFrom(settings.Text("capacity_model"));
   options.retry_ratio = settings.Real("retry_ratio");
   options.retry_slack = settings.Real("retry_slack");
   options.configuration_key = std::string(adapter::ConfigurationKey());
