--- a/libs/dispatch/src/placement_capacity.cc
+++ b/libs/dispatch/src/placement_capacity.cc
@@ -24,10 +24,6 @@
 // slowest of a dozen servers has some, few enough that shifts of the load count
 // within a minute or two.
 constexpr double kCountedAttempts = 400;
-// Share of the event gap objective from which on the prefill of a prompt stalls
-// concurrent streams: at a slow server, or one that is slowed down by other
-// work, it takes several times as long.
-constexpr double kStallingPauseShare = 0.35;
 // Bound on the unit of work, at which all are divided by it.
 constexpr double kMaxWorkUnit = 1e100;
 // Requests that may be queued at a server beyond its batch, as a share of it.
@@ -172,8 +168,7 @@
 bool Placement::State::StallsStreams(const PlacementRequest& request) {
   return CapacityCoefficients().prefill_ms_per_token *
              static_cast<double>(request.prompt->input_tokens) >
-         kStallingPauseShare *
-             static_cast<double>(request.event_gap_objective.count());
+         static_cast<double>(request.event_gap_objective.count());
 }
 
 void Placement::State::SeparateStallingPrompts(
