Keep the versions that served in the KV, so that no restart joins two versions

Cause: a router that has just started and sees one software version continued a resumed stream there, unless a keeper had seen another one. After a restart of all routers no keeper has, so that streams of a version whose servers have just left were joined with the one registered now. A router that no longer follows the registry had the same fault, and one that hears late of a new version.

Ruled out: with both versions registered such streams were refused already.

Change: the list of versions that served within 30 s is stored under one key, read at the start, and written at a release by one router, which notifies the others. Without it, or without a confirmation by a router that followed the registry, a resumed stream is refused as not run. Each resumption asks the possible keepers. The replays' store has that list; losses of its notices are drawn apart, so that other replays are unchanged. stream_resume_test restarts 20 routers instead of 12, since one of the datagram losses moved its sample below its minimum of 12; all bounds stay.

--- a/libs/dispatch/include/dispatch/router_message.h
+++ b/libs/dispatch/include/dispatch/router_message.h
@@ -12,6 +12,7 @@
 #include "dispatch/stream_origin_query.h"
 #include "dispatch/stream_origin_reply.h"
 #include "dispatch/suspect_run_notice.h"
+#include "dispatch/versions_notice.h"
 
 namespace godwit::dispatch {
 
@@ -21,6 +22,7 @@
                                    StreamOriginNotice,
                                    StreamOriginQuery,
                                    StreamOriginReply,
+                                   VersionsNotice,
                                    LossNotice,
                                    LossRetraction,
                                    ContainmentNotice,
--- a/libs/dispatch/include/dispatch/stream_origin.h
+++ b/libs/dispatch/include/dispatch/stream_origin.h
@@ -14,9 +14,12 @@
     kUnknown,
     // Several versions may have begun it.
     kSeveralSeen,
-    // No other version was registered since this router started, which was not
-    // long ago.
+    // No other version was registered since this router started, and it does
+    // not know what served before.
     kOnlyOneSeen,
+    // No other version was registered for longer than streams last, until this
+    // router no longer followed the registry.
+    kOnlyOneUnconfirmed,
     // No other version was registered for longer than streams last.
     kOnlyOneServed,
     // Recorded when it began.
--- a/libs/dispatch/include/dispatch/stream_origins.h
+++ b/libs/dispatch/include/dispatch/stream_origins.h
@@ -15,7 +15,9 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "dispatch/backend.h"
+#include "dispatch/stored_versions.h"
 #include "dispatch/stream_origin.h"
+#include "dispatch/version_register.h"
 
 namespace godwit::dispatch {
 
@@ -35,6 +37,15 @@
   // A server is registered; due for each about every second. Returns true if
   // its service has several versions and had one before.
   bool OnRegistered(base::Millis now, const Backend& backend);
+  // The list of versions that recently served was stored; it `is_complete` if
+  // no other served for longer than streams last.
+  void OnStored(base::Millis now,
+                const VersionsByService& versions,
+                bool is_complete);
+  // What this router knows of the versions that serve.
+  VersionRegister::Known Known(base::Millis now) const;
+  // This router follows the registry, or stopped to do so.
+  void SetFollowing(bool is_following) { is_following_ = is_following; }
   // True if the service has, or recently had, servers of several versions.
   bool HasSeveralVersions(base::Millis now,
                           const base::ServiceId& service) const;
@@ -50,22 +61,35 @@
 
   // Number of records.
   size_t size() const noexcept { return versions_by_request_.size(); }
-  // The other routers that keep the origin of a stream.
+  // The other routers that keep the origin of a stream, and those that may keep
+  // it for any router, which leaves itself out.
   std::vector<base::Endpoint> KeepersOf(const std::string& request_id) const;
+  std::vector<base::Endpoint> PossibleKeepersOf(
+      const std::string& request_id) const;
 
  private:
-  struct ServiceVersions {
-    base::Millis first_listed_at;
-    // When a server of each version was last registered.
-    std::map<std::string, base::Millis> last_registered_at;
-  };
+  // When a server of each version was last registered.
+  using LastRegistered = std::map<std::string, base::Millis>;
 
-  static std::set<std::string> RecentVersions(base::Millis now,
-                                              const ServiceVersions& versions);
+  // True if no other versions recently served than this router knows of.
+  bool KnowsAll(base::Millis now) const;
+  // The versions of all services that were registered within `span`.
+  VersionsByService RegisteredWithin(base::Millis now, base::Millis span) const;
+  // The first `count` other routers by rendezvous hashing of the stream.
+  std::vector<base::Endpoint> RankedFirst(const std::string& request_id,
+                                          size_t count) const;
+  static std::set<std::string> RegisteredWithin(
+      base::Millis now,
+      base::Millis span,
+      const LastRegistered& registered);
   void Expire(base::Millis now);
 
   const FleetMembers& members_;
-  std::map<base::ServiceId, ServiceVersions> services_;
+  std::map<base::ServiceId, LastRegistered> services_;
+  std::optional<base::Millis> first_listed_at_;
+  // What served before this router started is known.
+  bool knows_earlier_ = false;
+  bool is_following_ = true;
   std::unordered_map<std::string, std::string> versions_by_request_;
   // Order in which the records expire.
   std::deque<std::pair<base::Millis, std::string>> expiries_;
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -63,8 +63,9 @@
   std::vector<base::Endpoint> origin_pending;
   base::Millis origin_asked_at;
   int64_t origin_queries = 0;
-  // A router that was asked has seen other versions.
+  // A router that was asked has seen other versions, or knows that none served.
   bool is_origin_ambiguous = false;
+  bool is_origin_confirmed = false;
 
   // The attempt in progress.
   int64_t attempt = 0;
--- a/libs/dispatch/src/call_origin.cc
+++ b/libs/dispatch/src/call_origin.cc
@@ -12,6 +12,8 @@
 // are asked.
 constexpr base::Millis kOriginReplyTimeout(100);
 constexpr int64_t kMaxOriginQueries = 2;
+// How long a router that has just started waits for the list of routers.
+constexpr base::Millis kListTimeout(1000);
 
 bool ResumesStream(const Call& call) {
   return call.route->is_stream &&
@@ -30,31 +32,33 @@
   if (!ResumesStream(call)) {
     return true;
   }
-  const StreamOrigin origin =
-      origins_.Find(now_, call.service, call.request.resumes);
-  if (origin.certainty >= Certainty::kOnlyOneServed) {
+  const StreamOrigin origin = origins_.Find(now_, call.service, OriginId(call));
+  // Another router may have seen a server of a new version first.
+  if (origin.certainty == Certainty::kRecorded) {
     call.software_version = origin.software_version;
     return true;
   }
   call.phase = Call::Phase::kAwaitingOrigin;
   awaiting_origin_.insert(call.id);
-  if (!call.request.resumes.empty()) {
-    call.origin_pending = origins_.KeepersOf(call.request.resumes);
-  }
   AskForOrigin(call);
   return false;
 }
 
 void Dispatcher::State::AskForOrigin(Call& call) {
+  call.origin_asked_at = now_;
+  if (members_.members().empty() && now_ - call.arrived_at < kListTimeout) {
+    return;
+  }
+  if (call.origin_queries == 0) {
+    call.origin_pending = origins_.PossibleKeepersOf(OriginId(call));
+  }
   if (call.origin_pending.empty()) {
     ConcludeOrigin(call);
     return;
   }
   ++call.origin_queries;
-  call.origin_asked_at = now_;
   for (const base::Endpoint& router : call.origin_pending) {
-    Emit(SendToRouter{router,
-                      StreamOriginQuery{call.request.resumes, call.service}});
+    Emit(SendToRouter{router, StreamOriginQuery{OriginId(call), call.service}});
   }
 }
 
@@ -67,9 +71,14 @@
 }
 
 void Dispatcher::State::ConcludeOrigin(Call& call) {
-  const StreamOrigin own =
-      origins_.Find(now_, call.service, call.request.resumes);
-  if (own.certainty >= Certainty::kOnlyOneSeen && !call.is_origin_ambiguous) {
+  const StreamOrigin own = origins_.Find(now_, call.service, OriginId(call));
+  // Without other routers, there is none that can have seen another version.
+  const Certainty sufficient =
+      call.is_origin_confirmed   ? Certainty::kOnlyOneSeen
+      : call.origin_queries == 0 ? Certainty::kOnlyOneUnconfirmed
+                                 : Certainty::kOnlyOneServed;
+  const bool is_certain = own.certainty >= sufficient;
+  if (is_certain && !call.is_origin_ambiguous) {
     BindToVersion(call, own.software_version);
     return;
   }
@@ -106,8 +115,7 @@
   const std::set<CallId> awaiting = awaiting_origin_;
   for (const CallId id : awaiting) {
     const auto found = calls_.find(id);
-    if (found == calls_.end() ||
-        found->second->request.resumes != reply.request_id) {
+    if (found == calls_.end() || OriginId(*found->second) != reply.request_id) {
       continue;
     }
     Call& call = *found->second;
@@ -121,10 +129,15 @@
         reply.origin.certainty != Certainty::kUnknown &&
         reply.origin.software_version != own.software_version;
     call.is_origin_ambiguous = call.is_origin_ambiguous || has_seen_others;
+    call.is_origin_confirmed =
+        call.is_origin_confirmed ||
+        reply.origin.certainty >= Certainty::kOnlyOneUnconfirmed;
     auto& pending = call.origin_pending;
     pending.erase(std::remove(pending.begin(), pending.end(), from),
                   pending.end());
-    if (pending.empty()) {
+    const bool is_settled =
+        own.certainty >= Certainty::kOnlyOneServed && !call.is_origin_ambiguous;
+    if (pending.empty() || is_settled) {
       ConcludeOrigin(call);
     }
   }
@@ -161,6 +174,38 @@
   }
 }
 
+void Dispatcher::State::ProcessVersions() {
+  if (!directory_.loaded()) {
+    return;
+  }
+  if (auto operation = versions_.Next(now_, origins_.Known(now_))) {
+    std::visit([this](auto& command) { Emit(std::move(command)); }, *operation);
+  }
+}
+
+template <typename Done>
+bool Dispatcher::State::FinishVersions(const Done& done) {
+  const VersionRegister::Result result = versions_.Finish(now_, done);
+  if (result == VersionRegister::Result::kRead ||
+      result == VersionRegister::Result::kWritten) {
+    origins_.OnStored(now_, versions_.stored().services,
+                      versions_.is_complete());
+  }
+  if (result == VersionRegister::Result::kWritten) {
+    Broadcast(VersionsNotice{versions_.stored()});
+  }
+  return result != VersionRegister::Result::kUnrelated;
+}
+
+template bool Dispatcher::State::FinishVersions(const platform::KvReadDone&);
+template bool Dispatcher::State::FinishVersions(const platform::KvWriteDone&);
+
+void Dispatcher::State::OnMessage(const base::Endpoint& /*from*/,
+                                  const VersionsNotice& notice) {
+  versions_.OnNotice(notice.stored);
+  origins_.OnStored(now_, notice.stored.services, versions_.is_complete());
+}
+
 void Dispatcher::State::NoteVersions() {
   versions_noted_at_ = now_;
   for (const Backend* backend : directory_.RegisteredBackends()) {
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -19,6 +19,7 @@
       members_(options_.process),
       limits_(members_),
       origins_(members_),
+      versions_(members_),
       containment_(members_),
       placement_(options_.placement),
       budgets_(options_.process, options_.incarnation, options_.budgets),
@@ -131,12 +132,14 @@
   if (!event.is_first) {
     directory_.OnStoreReturned(now_);
   }
+  versions_.SetEra(event.era);
   budgets_.SetEra(now_, event.era);
   ProcessBudgets();
 }
 
 void Dispatcher::State::On(const ConfigurationTracking& event) {
   store_answers_ = event.store_answers;
+  origins_.SetFollowing(event.is_followed);
   if (event.is_followed) {
     unfollowed_since_.reset();
   } else if (!unfollowed_since_) {
@@ -184,11 +187,17 @@
 }
 
 void Dispatcher::State::On(const platform::KvReadDone& event) {
+  if (FinishVersions(event)) {
+    return;
+  }
   Emit(budgets_.On(now_, event));
   RetryReservations();
 }
 
 void Dispatcher::State::On(const platform::KvWriteDone& event) {
+  if (FinishVersions(event)) {
+    return;
+  }
   Emit(budgets_.On(now_, event));
   RetryReservations();
 }
@@ -217,6 +226,7 @@
     NoteVersions();
     backoff_.Tick(now_);
   }
+  ProcessVersions();
   containment_.Tick(now_);
   EndContainedCalls();
   for (BackendColdChanged& change : limits_.EndColdLimits(now_)) {
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -27,6 +27,7 @@
 #include "dispatch/request_limits.h"
 #include "dispatch/routing_table.h"
 #include "dispatch/stream_origins.h"
+#include "dispatch/version_register.h"
 #include "ledger/metered_budget_manager.h"
 #include "routing/retry_budget.h"
 
@@ -119,6 +120,11 @@
   // Notes the software versions of one or all registered servers.
   void NoteVersion(const Backend& backend);
   void NoteVersions();
+  // Keeps the stored list of versions.
+  void ProcessVersions();
+  // Returns false if the operation belongs to another component.
+  template <typename Done>
+  bool FinishVersions(const Done& done);
 
   // Contents that crash servers; call_contents.cc.
   // Returns false if the call was refused since its content is contained.
@@ -203,6 +209,7 @@
   void OnMessage(const base::Endpoint& from, const StreamOriginNotice& notice);
   void OnMessage(const base::Endpoint& from, const StreamOriginQuery& query);
   void OnMessage(const base::Endpoint& from, const StreamOriginReply& reply);
+  void OnMessage(const base::Endpoint& from, const VersionsNotice& notice);
   void OnMessage(const base::Endpoint& from, const LossNotice& notice);
   void OnMessage(const base::Endpoint& from, const LossRetraction& retraction);
   void OnMessage(const base::Endpoint& from, const ContainmentNotice& notice);
@@ -241,6 +248,7 @@
   std::set<std::string> invalid_loads_;
   ColdPeriods cold_periods_;
   StreamOrigins origins_;
+  VersionRegister versions_;
   ContentContainment containment_;
   ConnectionLosses connection_losses_;
   base::Millis versions_noted_at_;
--- a/libs/dispatch/src/router_message_codec.cc
+++ b/libs/dispatch/src/router_message_codec.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "cbor/read.h"
+#include "stored_versions_json.h"
 
 namespace godwit::dispatch {
 namespace {
@@ -16,6 +17,7 @@
 constexpr char kOrigin[] = "origin";
 constexpr char kOriginQuery[] = "origin_query";
 constexpr char kOriginReply[] = "origin_reply";
+constexpr char kVersions[] = "versions";
 constexpr char kLoss[] = "loss";
 constexpr char kLossRetraction[] = "loss_retraction";
 constexpr char kContainment[] = "containment";
@@ -96,19 +98,34 @@
                            base::ServiceId(std::move(*service))};
 }
 
+// Numbers of certainties in messages.
+constexpr std::pair<StreamOrigin::Certainty, int64_t> kCertainties[] = {
+    {StreamOrigin::Certainty::kUnknown, 0},
+    {StreamOrigin::Certainty::kSeveralSeen, 1},
+    {StreamOrigin::Certainty::kOnlyOneSeen, 2},
+    {StreamOrigin::Certainty::kOnlyOneServed, 3},
+    {StreamOrigin::Certainty::kRecorded, 4},
+    {StreamOrigin::Certainty::kOnlyOneUnconfirmed, 5},
+};
+
+int64_t NumberOf(StreamOrigin::Certainty certainty) {
+  int64_t number = 0;
+  for (const auto& [named, value] : kCertainties) {
+    number = named == certainty ? value : number;
+  }
+  return number;
+}
+
 Json ToJson(const StreamOriginReply& reply) {
   return {{"type", kOriginReply},
           {"request", reply.request_id},
-          {"certainty", static_cast<int64_t>(reply.origin.certainty)},
+          {"certainty", NumberOf(reply.origin.certainty)},
           {"version", reply.origin.software_version}};
 }
 
 std::optional<StreamOrigin::Certainty> CertaintyOf(int64_t value) {
-  using Certainty = StreamOrigin::Certainty;
-  for (const Certainty certainty :
-       {Certainty::kUnknown, Certainty::kSeveralSeen, Certainty::kOnlyOneSeen,
-        Certainty::kOnlyOneServed, Certainty::kRecorded}) {
-    if (value == static_cast<int64_t>(certainty)) {
+  for (const auto& [certainty, number] : kCertainties) {
+    if (value == number) {
       return certainty;
     }
   }
@@ -127,6 +144,20 @@
                            {*certainty, std::move(*version)}};
 }
 
+Json ToJson(const VersionsNotice& notice) {
+  return {{"type", kVersions}, {"stored", ToJson(notice.stored)}};
+}
+
+std::optional<RouterMessage> VersionsNoticeIn(const Json& document) {
+  const Json* const document_stored = cbor::Find(document, "stored");
+  auto stored = document_stored == nullptr ? std::nullopt
+                                           : StoredVersionsIn(*document_stored);
+  if (!stored) {
+    return std::nullopt;
+  }
+  return VersionsNotice{std::move(*stored)};
+}
+
 // Adds the fields of a content to a document.
 void AddContent(const ContentKey& content, Json& document) {
   document["service"] = content.service.value();
@@ -313,6 +344,9 @@
   if (*type == kOriginReply) {
     return OriginReplyIn(*document);
   }
+  if (*type == kVersions) {
+    return VersionsNoticeIn(*document);
+  }
   if (*type == kLoss) {
     return LossNoticeIn(*document);
   }
--- a/libs/dispatch/src/stream_origins.cc
+++ b/libs/dispatch/src/stream_origins.cc
@@ -13,6 +13,8 @@
 // Above the longest time from the start of a stream, or the removal of a server
 // that still serves it, until its caller takes it up again.
 constexpr base::Millis kRetention(30'000);
+// Registered servers are noted about every second.
+constexpr base::Millis kRegistrationPeriod(3'000);
 // Bounds the memory; at 4,400 streams a second, 30 routers keep 440 a second
 // each.
 constexpr size_t kMaxRecords = 16'384;
@@ -22,26 +24,22 @@
 
 StreamOrigins::StreamOrigins(const FleetMembers& members) : members_(members) {}
 
-std::set<std::string> StreamOrigins::RecentVersions(
+std::set<std::string> StreamOrigins::RegisteredWithin(
     base::Millis now,
-    const ServiceVersions& versions) {
-  std::set<std::string> recent;
-  for (const auto& [version, last_registered_at] :
-       versions.last_registered_at) {
-    if (now - last_registered_at < kRetention) {
-      recent.insert(version);
+    base::Millis span,
+    const LastRegistered& registered) {
+  std::set<std::string> versions;
+  for (const auto& [version, last_registered_at] : registered) {
+    if (now - last_registered_at < span) {
+      versions.insert(version);
     }
   }
-  return recent;
+  return versions;
 }
 
 bool StreamOrigins::OnRegistered(base::Millis now, const Backend& backend) {
-  const auto [entry, is_new] = services_.try_emplace(backend.service);
-  ServiceVersions& versions = entry->second;
-  if (is_new) {
-    versions.first_listed_at = now;
-  }
-  auto& registered = versions.last_registered_at;
+  first_listed_at_ = first_listed_at_.value_or(now);
+  LastRegistered& registered = services_[backend.service];
   for (auto version = registered.begin(); version != registered.end();) {
     version = now - version->second >= kRetention ? registered.erase(version)
                                                   : std::next(version);
@@ -51,11 +49,44 @@
   return !had_several && registered.size() > 1;
 }
 
+void StreamOrigins::OnStored(base::Millis now,
+                             const VersionsByService& versions,
+                             bool is_complete) {
+  for (const auto& [service, names] : versions) {
+    for (const std::string& name : names) {
+      services_[service].try_emplace(name, now);
+    }
+  }
+  knows_earlier_ = knows_earlier_ || is_complete;
+}
+
+VersionsByService StreamOrigins::RegisteredWithin(base::Millis now,
+                                                  base::Millis span) const {
+  VersionsByService services;
+  for (const auto& [service, registered] : services_) {
+    auto versions = RegisteredWithin(now, span, registered);
+    if (!versions.empty()) {
+      services[service] = std::move(versions);
+    }
+  }
+  return services;
+}
+
+VersionRegister::Known StreamOrigins::Known(base::Millis now) const {
+  return {RegisteredWithin(now, kRegistrationPeriod),
+          RegisteredWithin(now, kRetention), KnowsAll(now)};
+}
+
+bool StreamOrigins::KnowsAll(base::Millis now) const {
+  return knows_earlier_ ||
+         (first_listed_at_ && now - *first_listed_at_ >= kRetention);
+}
+
 bool StreamOrigins::HasSeveralVersions(base::Millis now,
                                        const base::ServiceId& service) const {
   const auto found = services_.find(service);
   return found != services_.end() &&
-         RecentVersions(now, found->second).size() > 1;
+         RegisteredWithin(now, kRetention, found->second).size() > 1;
 }
 
 void StreamOrigins::Expire(base::Millis now) {
@@ -87,20 +118,33 @@
   if (found == services_.end()) {
     return {};
   }
-  const auto recent = RecentVersions(now, found->second);
+  const auto recent = RegisteredWithin(now, kRetention, found->second);
   if (recent.size() != 1) {
     return {recent.empty() ? StreamOrigin::Certainty::kUnknown
                            : StreamOrigin::Certainty::kSeveralSeen,
             ""};
   }
-  const bool is_long_known = now - found->second.first_listed_at >= kRetention;
-  return {is_long_known ? StreamOrigin::Certainty::kOnlyOneServed
-                        : StreamOrigin::Certainty::kOnlyOneSeen,
+  if (!KnowsAll(now)) {
+    return {StreamOrigin::Certainty::kOnlyOneSeen, *recent.begin()};
+  }
+  return {is_following_ ? StreamOrigin::Certainty::kOnlyOneServed
+                        : StreamOrigin::Certainty::kOnlyOneUnconfirmed,
           *recent.begin()};
 }
 
 std::vector<base::Endpoint> StreamOrigins::KeepersOf(
     const std::string& request_id) const {
+  return RankedFirst(request_id, kKeepers);
+}
+
+std::vector<base::Endpoint> StreamOrigins::PossibleKeepersOf(
+    const std::string& request_id) const {
+  return RankedFirst(request_id, kKeepers + 1);
+}
+
+std::vector<base::Endpoint> StreamOrigins::RankedFirst(
+    const std::string& request_id,
+    size_t count) const {
   std::vector<std::pair<uint64_t, base::Endpoint>> ranked;
   for (const auto& [process, address] : members_.members()) {
     if (process != members_.self()) {
@@ -108,7 +152,7 @@
           base::Digest::Of(request_id + "/" + process.value()).low(), address);
     }
   }
-  const size_t count = std::min(kKeepers, ranked.size());
+  count = std::min(count, ranked.size());
   std::partial_sort(
       ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count),
       ranked.end(),
--- a/libs/dispatch/tests/router_fleet.cc
+++ b/libs/dispatch/tests/router_fleet.cc
@@ -31,6 +31,7 @@
 RouterFleet::RouterFleet(const Options& options)
     : options_(options),
       random_(options.seed),
+      list_random_(options.seed),
       now_(kStart),
       next_arrival_ms_(static_cast<double>(kStart.count())) {
   for (size_t i = 0; i < options.servers; ++i) {
@@ -345,7 +346,9 @@
   ++datagrams_;
   const auto target = static_cast<size_t>(command.to.port) - 1;
   std::bernoulli_distribution is_lost(options_.datagram_loss);
-  if (is_lost(random_) || now_ < routers_[router]->cut_until ||
+  const bool is_list = std::holds_alternative<VersionsNotice>(command.message);
+  if (is_lost(is_list ? list_random_ : random_) ||
+      now_ < routers_[router]->cut_until ||
       now_ < routers_[target]->cut_until) {
     return;
   }
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -164,6 +164,9 @@
 
   // Kills a router, which starts again after `span`.
   void Restart(size_t router, base::Millis span);
+  // Kills all routers at once, which start again after `span`. Callers find no
+  // router until then.
+  void RestartAll(base::Millis span);
   // Stops a router's clock and I/O for `span`.
   void Freeze(size_t router, base::Millis span);
   // Disconnects a router from the store and the other routers for `span`.
@@ -214,6 +217,7 @@
   int64_t answered() const { return answered_; }
   int64_t refused() const { return refused_; }
   int64_t datagrams() const { return datagrams_; }
+  int64_t store_operations() const { return store_operations_; }
   // Longest time from an arrival to its refusal.
   base::Millis longest_refusal() const { return longest_refusal_; }
   base::Millis now() const { return now_; }
@@ -294,11 +298,17 @@
   void Handle(size_t router, const CallEnded& command);
   void Handle(size_t router, const SendToRouter& command);
   void Handle(size_t router, const ContentStateChanged& command);
+  // The KV has the list of software versions only.
+  void Handle(size_t router, const platform::KvRead& command);
+  void Handle(size_t router, const platform::KvWrite& command);
   template <typename Command>
   void Handle(size_t /*router*/, const Command& /*command*/) {}
 
   const Options options_;
   std::mt19937_64 random_;
+  // For losses of lists of versions, apart, so that these do not change the
+  // arrivals of a replay.
+  std::mt19937_64 list_random_;
   base::Millis now_;
   double next_arrival_ms_ = 0;
   std::vector<std::unique_ptr<Router>> routers_;
@@ -311,6 +321,10 @@
   std::optional<size_t> answered_by_;
   bool answer_states_limit_ = false;
   base::Millis store_down_until_;
+  platform::KvItem stored_versions_;
+  int64_t store_operations_ = 0;
+  // No caller reaches a router before.
+  base::Millis callers_return_at_;
   // When the lease of each registered router expires.
   std::map<size_t, base::Millis> leases_;
   // By router and call, and by router, its incarnation and attempt.
--- a/libs/dispatch/tests/router_fleet_faults.cc
+++ b/libs/dispatch/tests/router_fleet_faults.cc
@@ -57,8 +57,17 @@
   });
 }
 
+void RouterFleet::RestartAll(base::Millis span) {
+  callers_return_at_ = now_ + span;
+  for (size_t i = 0; i < routers_.size(); ++i) {
+    Restart(i, span);
+  }
+}
+
 void RouterFleet::Freeze(size_t router, base::Millis span) {
-  routers_[router]->frozen_until = now_ + span;
+  // What was put off until the end of an earlier pause is delivered then.
+  base::Millis& frozen_until = routers_[router]->frozen_until;
+  frozen_until = std::max(frozen_until, now_ + span);
   Excuse(router, now_ + span);
 }
 
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -1,7 +1,9 @@
 // Streams of the simulated fleet: their runs at servers, and callers that take
 // them up again.
+#include <algorithm>
 #include <utility>
 
+#include "dispatch/version_register.h"
 #include "router_fleet_state.h"
 
 namespace godwit::dispatch {
@@ -9,6 +11,7 @@
 
 constexpr base::Millis kHop(1);
 constexpr base::Millis kReturnDelay(30);
+constexpr base::Millis kStoreDelay(4);
 constexpr int64_t kMostRequests = 4;
 // How long after its end, or its start, routers hear of a server.
 constexpr int64_t kLongestRegistryDelayMs = 700;
@@ -178,7 +181,8 @@
     stream_counts_.mixed += stream->versions.size() > 1 ? 1 : 0;
     return;
   }
-  At(now_ + kReturnDelay, [this, stream] { RequestStream(stream); });
+  At(std::max(now_, callers_return_at_) + kReturnDelay,
+     [this, stream] { RequestStream(stream); });
 }
 
 void RouterFleet::BreakStreams(size_t router) {
@@ -193,6 +197,49 @@
   }
 }
 
+void RouterFleet::Handle(size_t router, const platform::KvRead& command) {
+  if (command.key != VersionRegister::kKey) {
+    return;
+  }
+  ++store_operations_;
+  const bool is_answered = IsConnected(router);
+  At(now_ + kStoreDelay, [this, router, command, is_answered,
+                          incarnation = routers_[router]->incarnation] {
+    if (routers_[router]->is_running &&
+        routers_[router]->incarnation == incarnation) {
+      Raise(router, platform::KvReadDone{command.operation, is_answered,
+                                         stored_versions_.version,
+                                         stored_versions_.value});
+    }
+  });
+}
+
+void RouterFleet::Handle(size_t router, const platform::KvWrite& command) {
+  if (command.key != VersionRegister::kKey) {
+    return;
+  }
+  ++store_operations_;
+  const bool is_answered = IsConnected(router);
+  At(now_ + kStoreDelay, [this, router, command, is_answered,
+                          incarnation = routers_[router]->incarnation] {
+    platform::KvWriteDone done;
+    done.operation = command.operation;
+    if (is_answered && command.expected_version == stored_versions_.version) {
+      stored_versions_.version.revision += 1;
+      stored_versions_.value = command.value;
+      done.outcome = platform::WriteOutcome::kWon;
+      done.version = stored_versions_.version;
+    } else if (is_answered) {
+      done.outcome = platform::WriteOutcome::kLost;
+      done.current = stored_versions_;
+    }
+    if (routers_[router]->is_running &&
+        routers_[router]->incarnation == incarnation) {
+      Raise(router, done);
+    }
+  });
+}
+
 Backend RouterFleet::RegistrationOf(size_t server) const {
   Backend registration = servers_[server].registration;
   if (options_.hides_versions) {
--- a/libs/dispatch/tests/router_message_codec_test.cc
+++ b/libs/dispatch/tests/router_message_codec_test.cc
@@ -25,6 +25,7 @@
 using godwit::dispatch::StreamOriginQuery;
 using godwit::dispatch::StreamOriginReply;
 using godwit::dispatch::SuspectRunNotice;
+using godwit::dispatch::VersionsNotice;
 using Json = nlohmann::json;
 
 namespace {
@@ -55,6 +56,9 @@
       StreamOriginQuery{"9c41", ServiceId("model")},
       StreamOriginReply{"9c41", {StreamOrigin::Certainty::kUnknown, ""}},
       StreamOriginReply{"9c41", {StreamOrigin::Certainty::kRecorded, "v1"}},
+      StreamOriginReply{"9c41",
+                        {StreamOrigin::Certainty::kOnlyOneUnconfirmed, "v1"}},
+      VersionsNotice{{3, {{ServiceId("model"), {"", "v1"}}}}},
       LossNotice{"s1@7", Millis(3), {}},
       LossNotice{"s1@7", Millis(0), {{kPart, Millis(0)}, {kPart, Millis(90)}}},
       LossNotice{"s1@7", Millis(0), {{kRequest, Millis(5)}}},
@@ -117,7 +121,7 @@
       {"origin_query", "request", std::string(10'000, 'r')},
       {"origin_query", "service", ""},
       {"origin_reply", "certainty", -1},
-      {"origin_reply", "certainty", 5},
+      {"origin_reply", "certainty", 6},
       {"origin_reply", "certainty", "3"},
       {"origin_reply", "version", nullptr},
   };
--- a/libs/dispatch/tests/stream_origins_test.cc
+++ b/libs/dispatch/tests/stream_origins_test.cc
@@ -1,5 +1,6 @@
 #include "dispatch/stream_origins.h"
 
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -111,6 +112,44 @@
   }
 }
 
+TEST(StreamOrigins, StoredVersionsTellWhatServedBeforeTheStart) {
+  struct Case {
+    const char* name;
+    std::set<std::string> stored;
+    bool is_complete;
+    bool is_following;
+    Certainty certainty;
+  };
+  const Case cases[] = {
+      {"the same version", {"v2"}, true, true, Certainty::kOnlyOneServed},
+      {"the same, the registry is not followed",
+       {"v2"},
+       true,
+       false,
+       Certainty::kOnlyOneUnconfirmed},
+      {"none", {}, true, true, Certainty::kOnlyOneServed},
+      {"another one", {"v1"}, true, true, Certainty::kSeveralSeen},
+      {"an incomplete list", {"v2"}, false, true, Certainty::kOnlyOneSeen},
+      {"another one, incomplete", {"v1"}, false, true, Certainty::kSeveralSeen},
+  };
+  for (const Case& c : cases) {
+    const FleetMembers members = Fleet(3);
+    StreamOrigins origins(members);
+    origins.SetFollowing(c.is_following);
+    origins.OnRegistered(Millis(1000), Server("v2"));
+    origins.OnStored(Millis(1000), {{kService, c.stored}}, c.is_complete);
+    CHECK_TEXT(
+        origins.Find(Millis(2000), kService, "9c41").certainty == c.certainty,
+        c.name);
+    // Streams that may have begun before have ended.
+    origins.OnRegistered(Millis(31'000), Server("v2"));
+    origins.SetFollowing(true);
+    CHECK_TEXT(origins.Find(Millis(31'000), kService, "9c41").certainty ==
+                   Certainty::kOnlyOneServed,
+               c.name);
+  }
+}
+
 TEST(StreamOrigins, ReportsThatVersionsBecomeSeveral) {
   const FleetMembers members = Fleet(3);
   StreamOrigins origins(members);
--- a/libs/dispatch/tests/stream_resume_test.cc
+++ b/libs/dispatch/tests/stream_resume_test.cc
@@ -74,7 +74,7 @@
   for (const size_t routers : {4, 30}) {
     RouterFleet fleet(TwoVersions(routers));
     fleet.Run(Millis(20'000));
-    for (size_t i = 0; i < 12; ++i) {
+    for (size_t i = 0; i < 20; ++i) {
       fleet.Restart(i % routers, Millis(1000));
       fleet.Run(Millis(1500));
     }
