Bill nothing for a prompt that had not begun to run when its caller left

Cause: a request whose caller leaves before the first byte of its answer was billed for its input and four events, all of it in doubt, which can neither be used nor be reported as exhausted.

Ruled out: two bills for one request (none); events shorter than stated (0.2 in 100 of an answer).

Change: a prompt runs from its first token on, which its server sends at once. Nothing is billed if the server has sent nothing, unless nothing came from it to any request for 250 ms: then a cut link may hold bytes up, and the bill stays in doubt.

--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -61,8 +61,8 @@
   }
   Call& call = *found->second;
   if (call.attempt != 0) {
+    call.may_have_run = call.may_have_run || MayHaveBegun(call);
     Cancel(call, Outcome::kCancelled);
-    call.may_have_run = true;
   }
   End(call, "caller_gone", "the caller closed its connection");
   ProcessQueues();
