Log and measure how old a router's knowledge of the configuration is

No line and no metric told whether it had not heard of the newer version (its watch was never answered, or its list took too long) or had read it and not put it in force.

511 gives config_age_ms, the time since the store last answered a list or watch of the configuration; godwit_config_age_seconds gives it at any time; 809 kv_watch_unanswered gives a watch that ended without an answer, and for how long. No logic changes.

--- a/libs/dispatch/include/dispatch/call_ended.h
+++ b/libs/dispatch/include/dispatch/call_ended.h
@@ -31,6 +31,8 @@
   base::Millis longest_gap;
   base::Millis total;
   int64_t config_version = 0;
+  // Time since the store last answered a list or watch of the configuration.
+  base::Millis config_age;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/configuration_tracking.h
+++ b/libs/dispatch/include/dispatch/configuration_tracking.h
@@ -3,6 +3,8 @@
 
 #include <tuple>
 
+#include "base/millis.h"
+
 namespace godwit::dispatch {
 
 // Event: whether this router learns of changes of the configuration, and
@@ -10,11 +12,13 @@
 struct ConfigurationTracking {
   bool is_followed = true;
   bool store_answers = true;
+  // When the store last answered a list or watch of the configuration.
+  base::Millis answered_at{};
 
   friend bool operator==(const ConfigurationTracking& a,
                          const ConfigurationTracking& b) {
-    return std::tie(a.is_followed, a.store_answers) ==
-           std::tie(b.is_followed, b.store_answers);
+    return std::tie(a.is_followed, a.store_answers, a.answered_at) ==
+           std::tie(b.is_followed, b.store_answers, b.answered_at);
   }
   friend bool operator!=(const ConfigurationTracking& a,
                          const ConfigurationTracking& b) {
--- a/libs/dispatch/include/dispatch/dispatcher.h
+++ b/libs/dispatch/include/dispatch/dispatcher.h
@@ -49,6 +49,8 @@
   bool drained() const;
   // Version of the configuration in force; 0 before the first.
   int64_t config_version() const;
+  // When the store last answered a list or watch of the configuration.
+  base::Millis configuration_answered_at() const;
   // The era of the store in which this router has written to the ledger what it
   // knew of it.
   int64_t ledger_era() const;
--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -76,6 +76,7 @@
   ended.longest_gap = call.longest_gap;
   ended.total = now_ - call.arrived_at;
   ended.config_version = call.table == nullptr ? 0 : call.table->version();
+  ended.config_age = now_ - configuration_answered_at_;
   Emit(std::move(ended));
   queue_.Remove(call.id);
   awaiting_origin_.erase(call.id);
--- a/libs/dispatch/src/dispatcher.cc
+++ b/libs/dispatch/src/dispatcher.cc
@@ -54,4 +54,8 @@
   return state_->table_ == nullptr ? 0 : state_->table_->version();
 }
 
+base::Millis Dispatcher::configuration_answered_at() const {
+  return state_->configuration_answered_at_;
+}
+
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -139,6 +139,7 @@
 
 void Dispatcher::State::On(const ConfigurationTracking& event) {
   store_answers_ = event.store_answers;
+  configuration_answered_at_ = event.answered_at;
   origins_.SetFollowing(event.is_followed);
   if (event.is_followed) {
     unfollowed_since_.reset();
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -264,6 +264,8 @@
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   // When the configuration was no longer followed; empty while it is.
   std::optional<base::Millis> unfollowed_since_;
+  // When the store last answered a list or watch of the configuration.
+  base::Millis configuration_answered_at_;
   bool store_answers_ = true;
   size_t routers_;
   bool routers_listed_ = false;
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -93,6 +93,7 @@
   kPeerSilent = 806,
   kStoreEra = 807,
   kLedgerMerged = 808,
+  kKvWatchUnanswered = 809,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -31,6 +31,7 @@
   kPeerMessagesTotal,
   kKvCallSeconds,
   kConfigRevision,
+  kConfigAgeSeconds,
   kStoreEra,
   kFleetVersion,
   kLogLinesDroppedTotal,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -206,6 +206,9 @@
        "nothing is drawn from budgets until the ledger is complete again."},
       {EventId::kLedgerMerged, Level::kInfo, "ledger_merged",
        "The ledger of this era of the store covers what this router knew."},
+      {EventId::kKvWatchUnanswered, Level::kInfo, "kv_watch_unanswered",
+       "A watch of the KV ended without an answer, and its keys are listed "
+       "anew; a field gives for how long their changes may have gone unseen."},
   };
   return table;
 }
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -154,6 +154,13 @@
        "revision",
        {},
        "Revision of the configuration in force; 0 for none."},
+      {MetricId::kConfigAgeSeconds,
+       MetricType::kGauge,
+       "godwit_config_age_seconds",
+       "seconds",
+       {},
+       "Time since the store last answered a direct router's list or watch of "
+       "the configuration."},
       {MetricId::kStoreEra,
        MetricType::kGauge,
        "godwit_store_era",
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <vector>
 
+#include "base/clocks.h"
 #include "dispatch/attempt_abandoned.h"
 #include "dispatch/backend_cold_changed.h"
 #include "dispatch/backend_health_changed.h"
@@ -246,13 +247,17 @@
                                   {"first_byte_ms", ended.first_byte},
                                   {"longest_gap_ms", ended.longest_gap},
                                   {"total_ms", ended.total},
-                                  {"config_version", ended.config_version}});
+                                  {"config_version", ended.config_version},
+                                  {"config_age_ms", ended.config_age}});
 }
 
 void SetDispatcherMetrics(telemetry::Metrics& metrics,
                           const dispatch::Dispatcher& dispatcher) {
   metrics.Set(MetricId::kConfigRevision, {},
               static_cast<double>(dispatcher.config_version()));
+  metrics.Set(
+      MetricId::kConfigAgeSeconds, {},
+      Seconds(base::SteadyNow() - dispatcher.configuration_answered_at()));
   metrics.Set(MetricId::kBackendsCold, {},
               static_cast<double>(dispatcher.cold_servers()));
   metrics.Set(MetricId::kDataCentresEvacuated, {},
--- a/tools/godwit-edge/src/store_watcher.cc
+++ b/tools/godwit-edge/src/store_watcher.cc
@@ -71,8 +71,10 @@
   if (!request) {
     return;
   }
+  subscription.sent_at = now;
   const auto done = [this, &subscription](const auto& outcome) {
     const base::Millis at = base::SteadyNow();
+    OnAnswer(subscription, at, outcome);
     HandleUpdates(subscription, subscription.watcher.On(at, outcome));
     ReportTracking();
     SendNextRequest(subscription, at);
@@ -86,6 +88,25 @@
   }
 }
 
+void StoreWatcher::OnAnswer(Subscription& subscription,
+                            base::Millis now,
+                            const platform::KvListDone& done) {
+  if (done.page) {
+    subscription.answered_at = now;
+  }
+}
+
+void StoreWatcher::OnAnswer(Subscription& subscription,
+                            base::Millis now,
+                            const platform::KvWatchDone& done) {
+  if (done.outcome != platform::KvWatchDone::Outcome::kFailed) {
+    subscription.answered_at = now;
+    return;
+  }
+  Log(EventId::kKvWatchUnanswered, {{"prefix", subscription.prefix},
+                                    {"waited_ms", now - subscription.sent_at}});
+}
+
 void StoreWatcher::HandleUpdates(Subscription& subscription,
                                  const std::vector<Watcher::Update>& updates) {
   for (const Watcher::Update& update : updates) {
@@ -130,6 +151,7 @@
   tracking.store_answers = unanswered_calls_ < kMaxUnansweredCalls;
   tracking.is_followed =
       tracking.store_answers && configuration_.watcher.is_following();
+  tracking.answered_at = configuration_.answered_at;
   if (tracking != tracking_) {
     tracking_ = tracking;
     raise_(tracking);
--- a/tools/godwit-edge/src/store_watcher.h
+++ b/tools/godwit-edge/src/store_watcher.h
@@ -54,6 +54,10 @@
         nullptr;
     void (StoreWatcher::*on_changed)(const platform::KvChange&) = nullptr;
     bool unavailable = false;
+    // When the pending request was sent.
+    base::Millis sent_at;
+    // When the last list or watch was answered.
+    base::Millis answered_at;
   };
 
   // Handles the start of an era of the store. Unless it is the first one, the
@@ -61,6 +65,12 @@
   // router registers again under a new lease.
   void OnEra(int64_t era);
   void SendNextRequest(Subscription& subscription, base::Millis now);
+  void OnAnswer(Subscription& subscription,
+                base::Millis now,
+                const platform::KvListDone& done);
+  void OnAnswer(Subscription& subscription,
+                base::Millis now,
+                const platform::KvWatchDone& done);
   void HandleUpdates(Subscription& subscription,
                      const std::vector<Watcher::Update>& updates);
   void ReportAvailability();
