End watches of the store that may never be answered

What callers saw: one router answered 404, or ran requests by an older version, up to 11 s after a configuration was acknowledged, and sent requests to servers that were draining, while the store answered all its other calls.

Cause: a watch that the store takes while it answers nothing is never answered. It was given up only when its own wait of 10 s and a second were over, and counted as following the store meanwhile. Class: silence taken for 'no change'.

Change: a call that goes unanswered ends the watches that were pending meanwhile, and their keys are listed. A router whose calls show nothing for 0.5 s renews its lease, so that there is such a call. The time after which 404 becomes 503 counts from the last call that was answered. The registration of a router is a class of its own.

--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -140,11 +140,11 @@
 void Dispatcher::State::On(const ConfigurationTracking& event) {
   store_answers_ = event.store_answers;
   configuration_answered_at_ = event.answered_at;
-  origins_.SetFollowing(event.is_followed);
+  origins_.SetFollowing(event.registry_is_followed);
   if (event.is_followed) {
     unfollowed_since_.reset();
   } else if (!unfollowed_since_) {
-    unfollowed_since_ = now_;
+    unfollowed_since_ = event.followed_until.value_or(now_);
   }
 }
 
--- a/libs/platform/include/platform/call_completed.h
+++ b/libs/platform/include/platform/call_completed.h
@@ -22,9 +22,8 @@
 
   // True when the platform processed the call, even if the result was missing
   // or conflict.
-  bool served() const noexcept {
-    return outcome != "refused" && outcome != "unanswered";
-  }
+  bool served() const noexcept { return answered() && outcome != "refused"; }
+  bool answered() const noexcept { return outcome != "unanswered"; }
 };
 
 }  // namespace godwit::platform
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -270,7 +270,7 @@
     CountStoreCall(metrics_, call);
     // Watches are interrupted also while the store is available.
     if (call.verb != "watch") {
-      store_watcher_.RecordCall(call.served());
+      store_watcher_.RecordCall(call);
     }
   }
 
--- a/tools/godwit-edge/src/store_watcher.cc
+++ b/tools/godwit-edge/src/store_watcher.cc
@@ -7,7 +7,6 @@
 #include "base/clocks.h"
 #include "dispatch/routing_table.h"
 #include "ledger/peer_codec.h"
-#include "platform/kv_write.h"
 #include "telemetry/event_id.h"
 #include "telemetry/log.h"
 
@@ -17,22 +16,15 @@
 using telemetry::EventId;
 using telemetry::Log;
 
-// Prefix of the keys under which the routers of a fleet register.
-constexpr char kRouterPrefix[] = "routers/";
 // Longest wait for a change. It is long because the store counts each watch as
-// a call; keep-alive probes detect an unresponsive connection sooner.
+// a call; keep-alive probes and other calls detect sooner that it may never be
+// answered.
 constexpr base::Millis kWatchTimeout(10'000);
-// A router that ended without deregistering stays listed for at most this long.
-// Longer than the disconnections from the store that occur in practice, so that
-// few routers have to register again after one.
-constexpr base::Millis kLeaseTtl(20'000);
-constexpr base::Millis kLeaseRenewPeriod(5'000);
 // Interval between watches of the backend servers, which register in bursts.
 constexpr base::Millis kBackendWatchInterval(250);
 // Interval between lists of the routers. It may be long, since routers send
 // each other urgent information directly.
 constexpr base::Millis kRouterListPeriod(2'000);
-constexpr base::Millis kLeaseRetryDelay(500);
 // Consecutive unanswered calls after which the store counts as unavailable.
 constexpr int kMaxUnansweredCalls = 2;
 
@@ -43,9 +35,14 @@
     ledger::Peer self,
     std::function<void(const dispatch::DispatchEvent&)> raise)
     : store_(store),
-      self_(std::move(self)),
       raise_(std::move(raise)),
-      backends_(kBackendWatchInterval) {
+      backends_(kBackendWatchInterval),
+      registration_(store, std::move(self), [this] {
+        // Ensures that of two routers that start at the same time, one lists
+        // the other.
+        needs_current_list_ = true;
+        next_list_at_ = base::Millis();
+      }) {
   store_.OnEra([this](int64_t era) { OnEra(era); });
   configuration_.prefix = adapter::OperatorKeyPrefix();
   configuration_.on_listed = &StoreWatcher::OnOperatorKeysListed;
@@ -56,13 +53,21 @@
 }
 
 void StoreWatcher::Tick(base::Millis now) {
+  EndUnreliableWatch(configuration_);
+  EndUnreliableWatch(backends_);
   SendNextRequest(configuration_, now);
   // While neither is followed, one of them shows when the store is available.
   if (!configuration_.unavailable || !backends_.unavailable) {
     SendNextRequest(backends_, now);
   }
   ListRouters(now);
-  MaintainLease(now);
+  registration_.Tick(now, liveness_.IsProbeDue(now));
+}
+
+void StoreWatcher::EndUnreliableWatch(Subscription& subscription) {
+  if (subscription.watch && !liveness_.IsWatchReliable(subscription.sent_at)) {
+    store_.Abandon(*subscription.watch);
+  }
 }
 
 void StoreWatcher::SendNextRequest(Subscription& subscription,
@@ -74,6 +79,7 @@
   subscription.sent_at = now;
   const auto done = [this, &subscription](const auto& outcome) {
     const base::Millis at = base::SteadyNow();
+    subscription.watch.reset();
     OnAnswer(subscription, at, outcome);
     HandleUpdates(subscription, subscription.watcher.On(at, outcome));
     ReportTracking();
@@ -82,9 +88,9 @@
   if (const auto* list = std::get_if<Watcher::List>(&*request)) {
     store_.List(subscription.prefix, list->start_after, false, done);
   } else {
-    store_.Watch(subscription.prefix,
-                 std::get<Watcher::Watch>(*request).after_revision,
-                 kWatchTimeout, done);
+    subscription.watch = store_.Watch(
+        subscription.prefix, std::get<Watcher::Watch>(*request).after_revision,
+        kWatchTimeout, done);
   }
 }
 
@@ -126,8 +132,17 @@
   }
 }
 
-void StoreWatcher::RecordCall(bool answered) {
-  unanswered_calls_ = answered ? 0 : unanswered_calls_ + 1;
+void StoreWatcher::RecordCall(const platform::CallCompleted& call) {
+  const base::Millis now = base::SteadyNow();
+  if (call.served()) {
+    unanswered_calls_ = 0;
+    liveness_.OnAnswered(now - call.duration);
+  } else {
+    ++unanswered_calls_;
+    if (!call.answered()) {
+      liveness_.OnUnanswered(now);
+    }
+  }
   ReportAvailability();
   ReportTracking();
 }
@@ -151,6 +166,12 @@
   tracking.store_answers = unanswered_calls_ < kMaxUnansweredCalls;
   tracking.is_followed =
       tracking.store_answers && configuration_.watcher.is_following();
+  tracking.registry_is_followed =
+      tracking.store_answers && backends_.watcher.is_following();
+  if (!tracking.is_followed) {
+    tracking.followed_until = tracking_.is_followed ? liveness_.answered_at()
+                                                    : tracking_.followed_until;
+  }
   tracking.answered_at = configuration_.answered_at;
   if (tracking != tracking_) {
     tracking_ = tracking;
@@ -263,8 +284,8 @@
     return;
   }
   list_pending_ = true;
-  store_.List(kRouterPrefix, routers_.start_after(), !needs_current_list_,
-              [this](const platform::KvListDone& done) {
+  store_.List(RouterRegistration::kPrefix, routers_.start_after(),
+              !needs_current_list_, [this](const platform::KvListDone& done) {
                 list_pending_ = false;
                 OnRouters(base::SteadyNow(), done);
               });
@@ -287,11 +308,12 @@
     // Skips the entry of an earlier incarnation of this process, which is about
     // to be replaced.
     const auto peer = ledger::DecodePeer(item.value);
-    if (peer && peer->process != self_.process) {
+    if (peer && peer->process != registration_.self().process) {
       listed.routers.push_back(*peer);
     }
   }
-  listed.routers.push_back(self_);
+  listed.routers.push_back(registration_.self());
+  liveness_.SetProcesses(listed.routers.size());
   raise_(listed);
 }
 
@@ -303,98 +325,10 @@
   backends_.watcher.OnEra(era);
   raise_(dispatch::StoreEraChanged{era, is_first});
   if (!is_first) {
-    // The lease may be lost, and its id given out again.
-    lease_.reset();
-    registered_ = false;
-    next_lease_call_at_ = base::Millis();
+    registration_.OnStoreReturned();
     needs_current_list_ = true;
     next_list_at_ = base::Millis();
   }
 }
 
-void StoreWatcher::SetLedgerEra(int64_t era) {
-  if (era == self_.era) {
-    return;
-  }
-  self_.era = era;
-  Log(EventId::kLedgerMerged, {{"era", era}});
-  if (registered_ && lease_) {
-    Register(entry_version_);
-  }
-}
-
-void StoreWatcher::Deregister() {
-  leaving_ = true;
-  if (lease_) {
-    store_.RevokeLease(*lease_);
-    lease_.reset();
-  }
-}
-
-void StoreWatcher::MaintainLease(base::Millis now) {
-  if (leaving_ || lease_call_pending_ || now < next_lease_call_at_) {
-    return;
-  }
-  lease_call_pending_ = true;
-  if (!lease_) {
-    store_.GrantLease(kLeaseTtl, [this](std::optional<std::string> lease) {
-      lease_call_pending_ = false;
-      if (leaving_) {
-        // The lease is not renewed and expires after its TTL.
-        return;
-      }
-      lease_ = std::move(lease);
-      next_lease_call_at_ =
-          base::SteadyNow() + (lease_ ? kLeaseRenewPeriod : kLeaseRetryDelay);
-      if (lease_) {
-        Register(platform::KvVersion());
-      }
-    });
-    return;
-  }
-  store_.RenewLease(*lease_, [this](std::optional<bool> renewed) {
-    lease_call_pending_ = false;
-    if (leaving_) {
-      return;
-    }
-    next_lease_call_at_ =
-        base::SteadyNow() + (renewed ? kLeaseRenewPeriod : kLeaseRetryDelay);
-    if (renewed && !*renewed) {
-      Log(EventId::kLeaseLapsed);
-      lease_.reset();
-      registered_ = false;
-      next_lease_call_at_ = base::Millis();
-    } else if (renewed && !registered_) {
-      Register(platform::KvVersion());
-    }
-  });
-}
-
-void StoreWatcher::Register(const platform::KvVersion& expected_version) {
-  platform::KvWrite write;
-  write.key = kRouterPrefix + self_.process.value();
-  write.expected_version = expected_version;
-  write.value = ledger::EncodePeer(self_);
-  write.lease = *lease_;
-  store_.Write(write, [this,
-                       expected_version](const platform::KvWriteDone& done) {
-    if (done.outcome == platform::WriteOutcome::kLost &&
-        !expected_version.exists() && done.current.version.exists() && lease_) {
-      // The entry of an earlier incarnation, or a write whose answer was
-      // lost.
-      Register(done.current.version);
-      return;
-    }
-    registered_ = done.outcome == platform::WriteOutcome::kWon;
-    entry_version_ = done.version;
-    if (registered_) {
-      // Ensures that of two routers that start at the same time, one lists
-      // the other.
-      needs_current_list_ = true;
-      next_list_at_ = base::Millis();
-    }
-    Log(EventId::kLeaseGranted, {{"registered", registered_}});
-  });
-}
-
 }  // namespace godwit::edge
--- a/tools/godwit-edge/src/store_watcher.h
+++ b/tools/godwit-edge/src/store_watcher.h
@@ -12,15 +12,18 @@
 #include "dispatch/dispatch_event.h"
 #include "dispatch/evacuations_changed.h"
 #include "ledger/peer.h"
+#include "platform/call_completed.h"
+#include "platform/kv_liveness.h"
 #include "platform/list_reader.h"
 #include "platform/prefix_watcher.h"
+#include "router_registration.h"
 
 namespace godwit::edge {
 
 // Watches the platform's store for what the operator writes (the configuration
 // and the data centres to evacuate), the registered backend
 // servers and the routers of the fleet, and raises an event for each update.
-// Registers this router in the store under a lease.
+// Registers this router there.
 class StoreWatcher {
  public:
   StoreWatcher(adapter::StoreClient& store,
@@ -31,15 +34,15 @@
   void Tick(base::Millis now);
   // Revokes the registration, since this router stops and others must not rely
   // on it any more.
-  void Deregister();
+  void Deregister() { registration_.Deregister(); }
   // Records the outcome of any other call to the store, which is evidence of
   // its availability, too.
-  void RecordCall(bool answered);
+  void RecordCall(const platform::CallCompleted& call);
   // The highest era that the store stated; zero before the first.
   int64_t era() const noexcept { return era_; }
   // Sets the era in which this router has written to the ledger what it knew,
   // which its entry states.
-  void SetLedgerEra(int64_t era);
+  void SetLedgerEra(int64_t era) { registration_.SetLedgerEra(era); }
 
  private:
   using Watcher = platform::PrefixWatcher;
@@ -54,6 +57,8 @@
         nullptr;
     void (StoreWatcher::*on_changed)(const platform::KvChange&) = nullptr;
     bool unavailable = false;
+    // The call of the pending watch.
+    std::optional<int64_t> watch;
     // When the pending request was sent.
     base::Millis sent_at;
     // When the last list or watch was answered.
@@ -65,6 +70,8 @@
   // router registers again under a new lease.
   void OnEra(int64_t era);
   void SendNextRequest(Subscription& subscription, base::Millis now);
+  // Gives up a pending watch that may never be answered.
+  void EndUnreliableWatch(Subscription& subscription);
   void OnAnswer(Subscription& subscription,
                 base::Millis now,
                 const platform::KvListDone& done);
@@ -86,13 +93,7 @@
   void ListRouters(base::Millis now);
   void OnRouters(base::Millis now, const platform::KvListDone& done);
 
-  void MaintainLease(base::Millis now);
-  // Writes this router's entry, provided that it has the version
-  // `expected_version`.
-  void Register(const platform::KvVersion& expected_version);
-
   adapter::StoreClient& store_;
-  ledger::Peer self_;
   const std::function<void(const dispatch::DispatchEvent&)> raise_;
   Subscription configuration_;
   Subscription backends_;
@@ -101,15 +102,10 @@
   bool list_pending_ = false;
   // The next list must not be stale.
   bool needs_current_list_ = true;
-  std::optional<std::string> lease_;
-  bool lease_call_pending_ = false;
-  bool registered_ = false;
-  // Version of the entry as this router wrote it.
-  platform::KvVersion entry_version_;
+  RouterRegistration registration_;
+  platform::KvLiveness liveness_;
   // Of the store; zero before one was stated.
   int64_t era_ = 0;
-  bool leaving_ = false;
-  base::Millis next_lease_call_at_;
   int unanswered_calls_ = 0;
   bool available_ = true;
   // As last reported.
