Send no request again on the connection that carried it

What callers saw: a request that may run once ran twice, or was answered 503, 'not run', though a server had run it.

Cause: a server rejects a request, the router sends it again to the same server, and the pool hands out the connection that was released last. If the server repeats the rejection there, it carries the id of the request and passes for the answer to the second send. Class: an id that names the request, not the send.

Change: a connection knows which requests it has carried and is not used again for one of them; after 1,024 requests it is replaced. A repeated rejection then arrives on an idle connection, which closes, or before the answer to another id, and is skipped.

--- a/libs/relay/include/relay/upstream_pool.h
+++ b/libs/relay/include/relay/upstream_pool.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -73,8 +74,11 @@
   // Called when a connection has finished its request; keeps it as idle if it
   // can serve another one.
   void Release(const std::shared_ptr<UpstreamConnection>& connection);
+  // An idle connection that has not carried the request `id`; null if there is
+  // none.
   std::shared_ptr<UpstreamConnection> TakeIdle(base::Millis now,
-                                               const base::Endpoint& server);
+                                               const base::Endpoint& server,
+                                               const std::string& id);
 
   boost::asio::io_context& io_;
   const Options options_;
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/clocks.h"
+#include "base/digest.h"
 #include "idle_reuse_limit.h"
 #include "socket_options.h"
 
@@ -26,6 +27,8 @@
 // block, and above any chunk size line or trailer. A server in trouble may send
 // such a line without end.
 constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
+// Requests with ids that one connection carries.
+constexpr size_t kMaxCarried = 1024;
 constexpr std::string_view kTimeout = "timeout=";
 
 // Parses the seconds of "Keep-Alive: timeout=N".
@@ -52,6 +55,15 @@
                                        base::Endpoint server)
     : pool_(pool), server_(std::move(server)), socket_(pool.io_) {}
 
+bool UpstreamConnection::HasCarried(const std::string& id) const {
+  return !id.empty() && std::find(carried_.begin(), carried_.end(),
+                                  base::Digest::Of(id).low()) != carried_.end();
+}
+
+bool UpstreamConnection::is_exhausted() const noexcept {
+  return carried_.size() >= kMaxCarried;
+}
+
 void UpstreamConnection::Open(base::Millis now) {
   opened_at_ = now;
   error_code error;
@@ -99,6 +111,9 @@
     idle_before_send_ = now - idle_since_;
   }
   request_ = std::move(request);
+  if (!request_.id.empty()) {
+    carried_.push_back(base::Digest::Of(request_.id).low());
+  }
   handler_ = &handler;
   head_sent_ = 0;
   body_sent_ = 0;
--- a/libs/relay/src/upstream_connection.h
+++ b/libs/relay/src/upstream_connection.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/endpoint.h"
 #include "base/millis.h"
@@ -39,6 +40,12 @@
   // Fails the request if the connection has not opened within `timeout`.
   void CheckConnect(base::Millis now, base::Millis timeout);
 
+  // True if a request with this id was assigned to the connection; false for an
+  // empty id.
+  bool HasCarried(const std::string& id) const;
+  // True once the connection has carried as many requests as it can tell apart.
+  bool is_exhausted() const noexcept;
+
   const base::Endpoint& server() const noexcept { return server_; }
   int64_t request_id() const noexcept { return request_id_; }
   bool closed() const noexcept { return closed_; }
@@ -71,6 +78,8 @@
   std::array<char, kReadBytes> buffer_;
   std::string inbox_;
 
+  // Digests of the ids of the requests that it has carried.
+  std::vector<uint64_t> carried_;
   int64_t request_id_ = 0;
   OutgoingRequest request_;
   AnswerHandler* handler_ = nullptr;
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/upstream_pool.cc
@@ -33,7 +33,7 @@
                            AnswerHandler& handler) {
   const int64_t id = next_request_++;
   const base::Millis now = base::SteadyNow();
-  auto connection = TakeIdle(now, server);
+  auto connection = TakeIdle(now, server, request.id);
   const bool is_new = connection == nullptr;
   if (is_new) {
     connection = std::make_shared<UpstreamConnection>(*this, server);
@@ -49,20 +49,24 @@
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
     base::Millis now,
-    const base::Endpoint& server) {
+    const base::Endpoint& server,
+    const std::string& id) {
   const auto found = idle_.find(server);
   if (found == idle_.end()) {
     return nullptr;
   }
   auto& connections = found->second;
-  while (!connections.empty()) {
-    auto connection = std::move(connections.back());
-    connections.pop_back();
-    if (!connection->closed() && now < connection->idle_until() &&
-        idle_reuse_limit_->Allows(now, now - connection->idle_since())) {
+  for (size_t i = connections.size(); i > 0; --i) {
+    const auto position = connections.begin() + static_cast<ptrdiff_t>(i) - 1;
+    auto connection = *position;
+    if (connection->closed() || now >= connection->idle_until() ||
+        !idle_reuse_limit_->Allows(now, now - connection->idle_since())) {
+      connections.erase(position);
+      connection->Drop();
+    } else if (!connection->HasCarried(id)) {
+      connections.erase(position);
       return connection;
     }
-    connection->Drop();
   }
   return nullptr;
 }
@@ -70,6 +74,9 @@
 void UpstreamPool::Release(
     const std::shared_ptr<UpstreamConnection>& connection) {
   busy_.erase(connection->request_id());
+  if (connection->is_exhausted()) {
+    connection->Drop();
+  }
   if (!connection->closed()) {
     connection->BecomeIdle(base::SteadyNow(), options_.idle_timeout);
     idle_[connection->server()].push_back(connection);
--- a/libs/relay/tests/relay_io_test.cc
+++ b/libs/relay/tests/relay_io_test.cc
@@ -73,8 +73,9 @@
   Failure failure = Failure::kLost;
 };
 
-OutgoingRequest Get() {
+OutgoingRequest Get(const std::string& id = "") {
   OutgoingRequest request;
+  request.id = id;
   request.head = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
   return request;
 }
@@ -188,6 +189,36 @@
   CHECK_EQUAL(1, pool.opened_connections() - before);
 }
 
+TEST(UpstreamPool, LateCopyOfARejectionIsTakenForTheAnswerToTheNextSend) {
+  const std::string rejection =
+      "HTTP/1.1 503 Busy\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string success =
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n";
+  // Each request that follows another one on its connection gets a copy of the
+  // rejection first.
+  RawServer server([&](int connection, const std::string&) {
+    return connection == 0 ? rejection : success;
+  });
+  for (const int status : {503, 200}) {
+    Answer answer;
+    pool.Send(Local(server.port()), Get("1"), answer);
+    CHECK(RunUntil(io, [&] { return answer.finished(); }));
+    CHECK_EQUAL(status, answer.status);
+  }
+  CHECK_EQUAL(2, pool.opened_connections());
+}
+
+TEST(UpstreamPool, ReusesConnectionsForOtherRequestsUpToALimit) {
+  const std::string plain = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  RawServer server([&](int, const std::string&) { return plain; });
+  for (int i = 0; i < 1100; ++i) {
+    Answer answer;
+    pool.Send(Local(server.port()), Get(std::to_string(i)), answer);
+    CHECK(RunUntil(io, [&] { return answer.finished(); }));
+  }
+  CHECK_EQUAL(2, pool.opened_connections());
+}
+
 TEST(UpstreamPool, ReportsNotSentWhenTheConnectionFails) {
   uint16_t unused = 0;
   {
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -59,6 +59,7 @@
   attempt_ =
       std::make_shared<AttemptRelay>(*this, attempt.attempt, attempt.is_stream);
   relay::OutgoingRequest request;
+  request.id = request_id_;
   request.head =
       adapter::EncodeRequest(request_.head, attempt, request_.body->size());
   request.body = request_.body;
