Refuse chat requests that are nested deep

What callers saw: one chat request with a field nested 200,000 deep ended the agent that ran it, and with it all runs of its engine; each retry ended another agent.

Cause: the agent copies the body and writes it again with its own fields; both are recursive in the JSON library. Class: as the odd entries of the store, input whose depth nothing bounds.

Change: routers refuse bodies nested more than 64 deep as malformed, agents pass a body on as it is if it is nested more than 128 deep.

Evidence: DeeplyNestedChatRequestEndsTheProcessThatCopiesIt (accepted) and RequestCarriesCapAndResume (segmentation fault) failed before.

--- a/libs/agent/src/engine_request.cc
+++ b/libs/agent/src/engine_request.cc
@@ -1,5 +1,7 @@
 #include "agent/engine_request.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace godwit::agent {
@@ -7,9 +9,21 @@
 
 using Json = nlohmann::json;
 
+// Copies and texts of a document are made recursively. Routers refuse bodies
+// that are nested this deep.
+constexpr int kMaxDepth = 128;
+
+// Returns null if the body is no object, or nested too deep.
 Json ParseObject(const std::string& body) {
-  Json parsed = Json::parse(body, nullptr, false);
-  return parsed.is_object() ? parsed : Json();
+  bool is_too_deep = false;
+  Json parsed = Json::parse(
+      body,
+      [&is_too_deep](int depth, Json::parse_event_t /*event*/, Json& /*part*/) {
+        is_too_deep = is_too_deep || depth > kMaxDepth;
+        return !is_too_deep;
+      },
+      false);
+  return parsed.is_object() && !is_too_deep ? std::move(parsed) : Json();
 }
 
 bool IsTrue(const Json& object, const char* name) {
--- a/libs/agent/tests/engine_answer_test.cc
+++ b/libs/agent/tests/engine_answer_test.cc
@@ -105,6 +105,9 @@
     int64_t resume_tokens;
     std::string sent;
   };
+  // Routers refuse such a body; a copy of it would exhaust the stack.
+  const std::string nested =
+      "{\"odd\":" + std::string(200'000, '[') + std::string(200'000, ']') + "}";
   const Case cases[] = {
       {R"({"model":"m"})", 0, R"({"max_tokens":10,"model":"m"})"},
       {R"({"max_tokens":99,"stream":true})", 3,
@@ -112,6 +115,7 @@
        R"("stream_options":{"include_usage":true}})"},
       {"[]", 3, "[]"},
       {"no JSON", 0, "no JSON"},
+      {nested, 0, nested},
   };
   for (const Case& c : cases) {
     StartRun start = Start(c.body);
--- a/libs/router/src/chat_body.cc
+++ b/libs/router/src/chat_body.cc
@@ -8,6 +8,8 @@
 using nlohmann::json;
 
 constexpr int64_t kMaxOutputTokens = 1'000'000;
+// Copies and texts of a document are made recursively.
+constexpr int kMaxDepth = 64;
 
 base::Error Malformed(std::string message, std::string remedy) {
   return base::Error(base::ErrorKind::kMalformed, std::move(message),
@@ -68,7 +70,19 @@
 }  // namespace
 
 std::optional<ChatBody> ChatBodyReader::Read(const std::string& body) {
-  const json parsed = json::parse(body, nullptr, false);
+  bool is_too_deep = false;
+  const json parsed = json::parse(
+      body,
+      [&is_too_deep](int depth, json::parse_event_t /*event*/, json& /*part*/) {
+        is_too_deep = is_too_deep || depth > kMaxDepth;
+        return !is_too_deep;
+      },
+      false);
+  if (is_too_deep) {
+    error_ =
+        Malformed("the body is nested more than 64 deep", "send fewer levels");
+    return std::nullopt;
+  }
   if (parsed.is_discarded()) {
     error_ = Malformed("the body is not JSON", "send valid JSON");
     return std::nullopt;
--- a/libs/router/tests/request_parser_test.cc
+++ b/libs/router/tests/request_parser_test.cc
@@ -74,6 +74,21 @@
         static_cast<int64_t>(request.body.size()));
 }
 
+TEST(RequestParser, DeeplyNestedChatRequestEndsTheProcessThatCopiesIt) {
+  struct Case {
+    size_t depth;
+    bool is_accepted;
+  };
+  for (const Case& c : {Case{60, true}, Case{200'000, false}}) {
+    Request request = ChatRequest();
+    request.body.insert(1, "\"odd\":" + std::string(c.depth, '[') +
+                               std::string(c.depth, ']') + ",");
+    RequestParser parser;
+    CHECK_EQUAL(c.is_accepted, parser.Parse(TestConfig(), request).has_value());
+    CHECK(c.is_accepted || parser.last_error().kind() == ErrorKind::kMalformed);
+  }
+}
+
 TEST(RequestParser, PromptsShareTheBlocksOfACommonPrefix) {
   const std::string common(600, 'c');
   std::vector<std::vector<godwit::base::Digest>> blocks;
