Continue no stream on the word of a router that may be out of step

What callers see: a stream that holds events of two software versions (ORDER).

Cause: a router that knows of one version only asks the routers that may keep the stream's origin. If none replied it relied on its own knowledge while it believed to follow the registry, and what it believed was the state of the configuration's watch, not that of the servers'. A reply of a router that did not follow the registry counted as a confirmation.

Change: a confirmation comes from a router that follows the registry, or from all that were asked. Without one, the router reads the list of versions in the store, and goes on only if that read began after the request came and was answered.

--- a/libs/dispatch/include/dispatch/version_register.h
+++ b/libs/dispatch/include/dispatch/version_register.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_VERSION_REGISTER_H_
 #define DISPATCH_VERSION_REGISTER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -47,6 +48,13 @@
   // negative.
   std::optional<Operation> Next(base::Millis now, const Known& known);
 
+  // Asks for a read of the list that begins at this time or later.
+  void RequestRead(base::Millis since) {
+    read_requested_at_ = std::max(read_requested_at_, since);
+  }
+  // Start of the latest read that was answered.
+  base::Millis read_at() const noexcept { return read_at_; }
+
   // What the outcome of an operation means: it belongs to another component, or
   // the stored list is not known, was read, or was written by this router.
   enum class Result : uint8_t { kUnrelated, kNone, kRead, kWritten };
@@ -74,6 +82,9 @@
   int64_t era_ = 0;
   // The key has to be read in this era.
   bool needs_read_ = true;
+  base::Millis read_requested_at_;
+  base::Millis read_started_at_;
+  base::Millis read_at_;
   int64_t next_operation_ = -1;
   base::Millis retry_at_;
   // Since when the stored list differs from the wanted one.
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -63,9 +63,11 @@
   std::vector<base::Endpoint> origin_pending;
   base::Millis origin_asked_at;
   int64_t origin_queries = 0;
-  // A router that was asked has seen other versions, or knows that none served.
+  // A router that was asked has seen other versions; follows the registry and
+  // knows that none served; or knows too little to say so.
   bool is_origin_ambiguous = false;
   bool is_origin_confirmed = false;
+  bool has_vague_reply = false;
 
   // The attempt in progress.
   int64_t attempt = 0;
--- a/libs/dispatch/src/call_origin.cc
+++ b/libs/dispatch/src/call_origin.cc
@@ -12,6 +12,8 @@
 // are asked.
 constexpr base::Millis kOriginReplyTimeout(100);
 constexpr int64_t kMaxOriginQueries = 2;
+// How long a call waits for the store to confirm what this router knows.
+constexpr base::Millis kConfirmationTimeout(700);
 // How long a router that has just started waits for the list of routers.
 constexpr base::Millis kListTimeout(1000);
 
@@ -72,13 +74,27 @@
 
 void Dispatcher::State::ConcludeOrigin(Call& call) {
   const StreamOrigin own = origins_.Find(now_, call.service, OriginId(call));
+  const bool have_all_replied = call.origin_pending.empty();
+  const bool is_confirmed =
+      call.is_origin_confirmed ||
+      (call.origin_queries > 0 && have_all_replied && !call.has_vague_reply);
   // Without other routers, there is none that can have seen another version.
-  const Certainty sufficient =
-      call.is_origin_confirmed   ? Certainty::kOnlyOneSeen
-      : call.origin_queries == 0 ? Certainty::kOnlyOneUnconfirmed
-                                 : Certainty::kOnlyOneServed;
-  const bool is_certain = own.certainty >= sufficient;
-  if (is_certain && !call.is_origin_ambiguous) {
+  const Certainty sufficient = is_confirmed ? Certainty::kOnlyOneSeen
+                               : call.origin_queries == 0
+                                   ? Certainty::kOnlyOneUnconfirmed
+                                   : Certainty::kOnlyOneServed;
+  const bool is_certain =
+      own.certainty >= sufficient && !call.is_origin_ambiguous;
+  // A router that other routers don't reach may not hear of servers either, and
+  // not know it yet.
+  const bool needs_store = call.origin_queries > 0 && !is_confirmed;
+  if (is_certain && needs_store && versions_.read_at() < call.arrived_at &&
+      now_ - call.arrived_at < kConfirmationTimeout) {
+    versions_.RequestRead(call.arrived_at);
+    ProcessVersions();
+    return;
+  }
+  if (is_certain && (!needs_store || versions_.read_at() >= call.arrived_at)) {
     BindToVersion(call, own.software_version);
     return;
   }
@@ -131,12 +147,16 @@
     call.is_origin_ambiguous = call.is_origin_ambiguous || has_seen_others;
     call.is_origin_confirmed =
         call.is_origin_confirmed ||
-        reply.origin.certainty >= Certainty::kOnlyOneUnconfirmed;
+        reply.origin.certainty >= Certainty::kOnlyOneServed;
+    call.has_vague_reply =
+        call.has_vague_reply ||
+        reply.origin.certainty < Certainty::kOnlyOneUnconfirmed;
     auto& pending = call.origin_pending;
     pending.erase(std::remove(pending.begin(), pending.end(), from),
                   pending.end());
-    const bool is_settled =
-        own.certainty >= Certainty::kOnlyOneServed && !call.is_origin_ambiguous;
+    const bool is_settled = own.certainty >= Certainty::kOnlyOneServed &&
+                            call.is_origin_confirmed &&
+                            !call.is_origin_ambiguous;
     if (pending.empty() || is_settled) {
       ConcludeOrigin(call);
     }
--- a/libs/dispatch/src/version_register.cc
+++ b/libs/dispatch/src/version_register.cc
@@ -102,7 +102,9 @@
   if (now < retry_at_) {
     return std::nullopt;
   }
-  if (!view_.known() || view_.outdated() || needs_read_) {
+  if (!view_.known() || view_.outdated() || needs_read_ ||
+      read_requested_at_ > read_at_) {
+    read_started_at_ = now;
     return view_.StartRead(now, next_operation_--);
   }
   StoredVersions wanted = WantedList(known);
@@ -135,6 +137,9 @@
   if (view_.outdated()) {
     return Result::kNone;
   }
+  if (!was_write) {
+    read_at_ = read_started_at_;
+  }
   stored_ = view_.record();
   differs_since_.reset();
   needs_read_ = needs_read_ && was_write;
--- a/libs/dispatch/tests/router_fleet.h
+++ b/libs/dispatch/tests/router_fleet.h
@@ -54,6 +54,10 @@
     bool hides_contents = false;
     // Injected fault: routers do not know the versions of servers.
     bool hides_versions = false;
+    // Routers hear of servers only while they reach the store, a while after a
+    // pause, and notice late that they do not. Callers reach them nevertheless,
+    // and wait for those that pause.
+    bool misses_registrations = false;
     // Injected fault: routers ignore limits.
     bool hides_limits = false;
     // Requests a second that a cold server accepts, and the time for which
@@ -277,6 +281,11 @@
   bool ResetsConnection(const StreamRunKey& key, const StreamRun& run);
   void CountWait(const Stream& stream);
   void RegisterServer(size_t server, base::Millis after);
+  // Raises an event of the registry of servers at a router, unless it misses
+  // it.
+  void RaiseFromRegistry(size_t router, const DispatchEvent& event);
+  // Makes a router that was cut off from the store read the servers again.
+  void RejoinRegistry(size_t router);
   // Cold servers; router_fleet_cold.cc.
   void ListBackends(size_t router);
   void ReadEvacuations(size_t router);
--- a/libs/dispatch/tests/router_fleet_cold.cc
+++ b/libs/dispatch/tests/router_fleet_cold.cc
@@ -22,7 +22,9 @@
 }  // namespace
 
 void RouterFleet::ListBackends(size_t router) {
-  if (options_.cold_rate > 0 && !IsConnected(router)) {
+  const bool needs_store =
+      options_.cold_rate > 0 || options_.misses_registrations;
+  if (needs_store && !IsConnected(router)) {
     AtRouter(router, now_ + kReadRetryInterval,
              [this, router] { ListBackends(router); });
     return;
--- a/libs/dispatch/tests/router_fleet_faults.cc
+++ b/libs/dispatch/tests/router_fleet_faults.cc
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr base::Millis kLimitWindow(4000);
+// Time until a router notices that the store does not answer, and from the end
+// of that until it has read the servers again.
+constexpr base::Millis kNoticeTime(1500);
+constexpr base::Millis kRejoinTime(1000);
 
 }  // namespace
 
@@ -68,11 +72,26 @@
   // What was put off until the end of an earlier pause is delivered then.
   base::Millis& frozen_until = routers_[router]->frozen_until;
   frozen_until = std::max(frozen_until, now_ + span);
+  routers_[router]->was_paused_until = frozen_until;
   Excuse(router, now_ + span);
 }
 
 void RouterFleet::Cut(size_t router, base::Millis span) {
   routers_[router]->cut_until = now_ + span;
+  if (!options_.misses_registrations) {
+    return;
+  }
+  AtRouter(router, now_ + kNoticeTime, [this, router] {
+    if (!IsConnected(router)) {
+      ConfigurationTracking tracking;
+      tracking.is_followed = false;
+      tracking.store_answers = false;
+      tracking.registry_is_followed = false;
+      Raise(router, tracking);
+    }
+  });
+  AtRouter(router, now_ + span + kRejoinTime,
+           [this, router] { RejoinRegistry(router); });
 }
 
 void RouterFleet::StopStore(base::Millis span) {
--- a/libs/dispatch/tests/router_fleet_state.h
+++ b/libs/dispatch/tests/router_fleet_state.h
@@ -22,6 +22,8 @@
   int64_t incarnation = 0;
   bool is_running = false;
   base::Millis frozen_until;
+  // The end of its latest pause, that of now included.
+  base::Millis was_paused_until;
   base::Millis cut_until;
   base::Millis excused_until;
   // When it read the servers for the first time.
--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -13,6 +13,9 @@
 constexpr base::Millis kReturnDelay(30);
 constexpr base::Millis kStoreDelay(4);
 constexpr int64_t kMostRequests = 4;
+// A router that goes on after a pause answers callers before it has read what
+// it missed of the registry.
+constexpr base::Millis kReadAfterPause(250);
 // How long after its end, or its start, routers hear of a server.
 constexpr int64_t kLongestRegistryDelayMs = 700;
 
@@ -32,6 +35,12 @@
 void RouterFleet::RequestStreamAt(size_t index,
                                   std::shared_ptr<Stream> stream) {
   const Router& router = *routers_[index];
+  if (options_.misses_registrations && router.is_running &&
+      now_ < router.frozen_until) {
+    AtRouter(index, router.frozen_until,
+             [this, index, stream] { RequestStreamAt(index, stream); });
+    return;
+  }
   if (!router.is_running || now_ < router.frozen_until ||
       ++stream->requests > kMostRequests) {
     return;
@@ -257,11 +266,33 @@
         base::Millis(static_cast<int64_t>(random_() % kLongestRegistryDelayMs));
     AtRouter(i, now_ + after + delay,
              [this, i, backend = RegistrationOf(server)] {
-               Raise(i, BackendRegistered{backend});
+               RaiseFromRegistry(i, BackendRegistered{backend});
              });
   }
 }
 
+void RouterFleet::RaiseFromRegistry(size_t router, const DispatchEvent& event) {
+  const Router& receiver = *routers_[router];
+  if (!options_.misses_registrations) {
+    Raise(router, event);
+  } else if (receiver.was_paused_until + kReadAfterPause > now_) {
+    AtRouter(router, receiver.was_paused_until + kReadAfterPause,
+             [this, router, event] { RaiseFromRegistry(router, event); });
+  } else if (IsConnected(router)) {
+    Raise(router, event);
+  }
+}
+
+void RouterFleet::RejoinRegistry(size_t router) {
+  if (!IsConnected(router)) {
+    return;
+  }
+  ListBackends(router);
+  ConfigurationTracking tracking;
+  tracking.answered_at = now_;
+  Raise(router, tracking);
+}
+
 void RouterFleet::Crash(size_t server,
                         base::Millis span,
                         const std::optional<std::string>& version) {
@@ -276,7 +307,7 @@
     const auto delay =
         base::Millis(static_cast<int64_t>(random_() % kLongestRegistryDelayMs));
     AtRouter(i, now_ + span + delay,
-             [this, i, ended] { Raise(i, BackendRemoved{ended}); });
+             [this, i, ended] { RaiseFromRegistry(i, BackendRemoved{ended}); });
   }
   crashed.registration.instance =
       "s" + std::to_string(server) + "-" + std::to_string(crashed.generation);
