--- a/libs/dispatch/tests/router_fleet_streams.cc
+++ b/libs/dispatch/tests/router_fleet_streams.cc
@@ -272,13 +272,12 @@
 }
 
 void RouterFleet::RaiseFromRegistry(size_t router, const DispatchEvent& event) {
-  const Router& receiver = *routers_[router];
-  if (!options_.misses_registrations) {
-    Raise(router, event);
-  } else if (receiver.was_paused_until + kReadAfterPause > now_) {
-    AtRouter(router, receiver.was_paused_until + kReadAfterPause,
+  const base::Millis reads_at =
+      routers_[router]->was_paused_until + kReadAfterPause;
+  if (options_.misses_registrations && now_ < reads_at) {
+    AtRouter(router, reads_at,
              [this, router, event] { RaiseFromRegistry(router, event); });
-  } else if (IsConnected(router)) {
+  } else if (!options_.misses_registrations || IsConnected(router)) {
     Raise(router, event);
   }
 }
