--- a/libs/relay/tests/upstream_pool_test.cc
+++ b/libs/relay/tests/upstream_pool_test.cc
@@ -181,8 +181,9 @@
 }
 
 TEST(UpstreamPool, ReusesConnectionsForOtherRequestsUpToALimit) {
-  const std::string plain = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-  RawServer server([&](int, const std::string&) { return plain; });
+  RawServer server([](int, const std::string&) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  });
   for (int i = 0; i < 1100; ++i) {
     Answer answer;
     pool.Send(Local(server.port()), Get(std::to_string(i)), answer);
