Log answers that are discarded and what an answer states

Three causes of the incident look the same in the logs: an answer that belongs to another request was dropped without a line, and 511 gave the status of a relayed answer in a text, and not whether the server states that the request was not run.

513 answer_discarded and godwit_answers_discarded_total show the first, the fields answer_status and states_not_run of 511 the second. docs/OPERATIONS.md says how to tell the causes apart.

--- a/libs/dispatch/include/dispatch/call_ended.h
+++ b/libs/dispatch/include/dispatch/call_ended.h
@@ -22,6 +22,10 @@
   // Instance of the server of the last attempt; empty if there was none.
   std::string backend;
   int64_t attempts = 0;
+  // Status of the last answer of a server that the router accepted, zero
+  // without one, and whether it states that the request was not run.
+  int answer_status = 0;
+  bool states_not_run = false;
   int64_t events = 0;
   base::Tokens tokens = 0;
   // A backend server may have run it.
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -72,6 +72,8 @@
   call->attempt_begun_at = now_;
   call->last_received_at = now_;
   call->progressed_at = now_;
+  call->answer_status = event.reply.status;
+  call->states_not_run = event.reply.not_run;
   ApplyStatements(*call, event.reply);
   const AnswerClass answer_class = ClassifyReply(event.reply);
   if (answer_class != AnswerClass::kInstanceMismatch) {
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -82,6 +82,9 @@
   base::Millis progressed_at;
   // It is not read, since the caller reads slowly.
   bool is_paused = false;
+  // Status of its answer, and whether that states that it was not run.
+  int answer_status = 0;
+  bool states_not_run = false;
   // It was answered with success, as far as its content can be the cause of a
   // later failure.
   bool attempt_succeeded = false;
--- a/libs/dispatch/src/call_end.cc
+++ b/libs/dispatch/src/call_end.cc
@@ -65,6 +65,8 @@
   ended.reason = std::move(reason);
   ended.backend = call.backend.instance;
   ended.attempts = call.attempts_sent;
+  ended.answer_status = call.answer_status;
+  ended.states_not_run = call.states_not_run;
   ended.events = call.events;
   ended.tokens = used.tokens;
   ended.may_have_run = call.may_have_run;
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -48,6 +48,7 @@
   kRequestPlaced = 510,
   kRequestFinished = 511,
   kCallersHandedOver = 512,
+  kAnswerDiscarded = 513,
   // Budgets and claims.
   kGrantDrawn = 601,
   kGrantReturned = 602,
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -46,6 +46,7 @@
   kDataCentresEvacuated,
   kLinkUtilization,
   kConnectionsHandedOverTotal,
+  kAnswersDiscardedTotal,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -88,12 +88,17 @@
        "a digest by which repeats are recognised."},
       {EventId::kRequestFinished, Level::kInfo, "request_finished",
        "A request got its final answer from a router that calls backend "
-       "servers directly; fields give the outcome, its reason and the time "
-       "spent."},
+       "servers directly; fields give the outcome, its reason, the status of "
+       "the last answer of a server and whether it states that the request was "
+       "not run, and the time spent."},
       {EventId::kCallersHandedOver, Level::kInfo, "callers_handed_over",
        "The link of this VM is saturated; the router leaves the load "
        "balancer's rotation for a short time and closes part of its "
        "connections, so that their callers connect to other routers."},
+      {EventId::kAnswerDiscarded, Level::kInfo, "answer_discarded",
+       "An answer of a backend server was dropped, since it belongs to another "
+       "request than the one in progress on its connection; fields give its "
+       "status and the id that it states."},
       {EventId::kGrantDrawn, Level::kDebug, "grant_drawn",
        "A router drew a grant on a budget."},
       {EventId::kGrantReturned, Level::kDebug, "grant_returned",
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -253,6 +253,13 @@
        {},
        "Connections of callers that a direct router closes after an answer "
        "since its link is saturated."},
+      {MetricId::kAnswersDiscardedTotal,
+       MetricType::kCounter,
+       "godwit_answers_discarded_total",
+       "answers",
+       {},
+       "Answers of backend servers that a direct router dropped, since they "
+       "belong to another request than the one in progress."},
   };
   return table;
 }
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -1,6 +1,7 @@
 #include "attempt_relay.h"
 
 #include "adapter/messages.h"
+#include "discarded_answer.h"
 #include "dispatch/attempt_failure.h"
 #include "exchange.h"
 #include "relay/caller_session.h"
@@ -29,16 +30,25 @@
 
 }  // namespace
 
-AttemptRelay::AttemptRelay(Exchange& exchange, int64_t attempt, bool is_stream)
-    : exchange_(&exchange), attempt_(attempt), is_stream_(is_stream) {}
+AttemptRelay::AttemptRelay(Exchange& exchange,
+                           const dispatch::StartAttempt& attempt)
+    : exchange_(&exchange),
+      attempt_(attempt.attempt),
+      backend_(attempt.backend.instance),
+      is_stream_(attempt.is_stream) {}
 
 bool AttemptRelay::IsEventStream() const {
   return is_stream_ && head_ && head_->status == kOk;
 }
 
 bool AttemptRelay::OnHead(const relay::AnswerHead& head) {
-  if (exchange_ == nullptr ||
-      !adapter::MatchesRequestId(head, exchange_->request_id_)) {
+  if (exchange_ == nullptr) {
+    return false;
+  }
+  if (!adapter::MatchesRequestId(head, exchange_->request_id_)) {
+    exchange_->events_.Report(DiscardedAnswer{exchange_->request_id_, backend_,
+                                              adapter::RequestIdOf(head),
+                                              head.status});
     return false;
   }
   head_ = head;
--- a/tools/godwit-edge/src/attempt_relay.h
+++ b/tools/godwit-edge/src/attempt_relay.h
@@ -10,6 +10,10 @@
 #include "relay/answer_handler.h"
 #include "relay/answer_head.h"
 
+namespace godwit::dispatch {
+struct StartAttempt;
+}  // namespace godwit::dispatch
+
 namespace godwit::edge {
 
 class Exchange;
@@ -20,7 +24,7 @@
 class AttemptRelay : public relay::AnswerHandler,
                      public std::enable_shared_from_this<AttemptRelay> {
  public:
-  AttemptRelay(Exchange& exchange, int64_t attempt, bool is_stream);
+  AttemptRelay(Exchange& exchange, const dispatch::StartAttempt& attempt);
 
   // The exchange no longer needs this attempt; later answers are ignored.
   void Detach() { exchange_ = nullptr; }
@@ -46,6 +50,8 @@
 
   Exchange* exchange_;
   const int64_t attempt_;
+  // Instance of the server.
+  const std::string backend_;
   const bool is_stream_;
   std::optional<relay::AnswerHead> head_;
   std::string buffered_;
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -13,7 +13,6 @@
 #include "call_decoder.h"
 #include "caller_hand_over.h"
 #include "config/settings.h"
-#include "daemon/process_metrics.h"
 #include "daemon/stop_plan.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/router_message_codec.h"
@@ -22,6 +21,7 @@
 #include "edge_settings.h"
 #include "exchange.h"
 #include "ledger/peer_codec.h"
+#include "operator_page.h"
 #include "page_server.h"
 #include "peer_event.h"
 #include "peer_socket.h"
@@ -49,7 +49,6 @@
 constexpr base::Millis kMetricsWindow(60'000);
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -79,7 +78,8 @@
         hand_over_(RebalancerOptionsFrom(settings), callers_, servers_),
         readiness_(io, [this](const std::string&) { return ReadinessPage(); }),
         operator_pages_(io, [this](const std::string& target) {
-          return OperatorPage(target);
+          return OperatorPage(target, dispatcher_, store_watcher_.era(),
+                              metrics_);
         }) {
     store_.OnCall(
         [this](const platform::CallCompleted& call) { OnStoreCall(call); });
@@ -176,6 +176,11 @@
     }
   }
 
+  void Report(const DiscardedAnswer& answer) override {
+    LogDiscardedAnswer(answer);
+    metrics_.Add(MetricId::kAnswersDiscardedTotal, {});
+  }
+
  private:
   // Handles an event of the store watcher.
   void OnStoreEvent(const dispatch::DispatchEvent& event) {
@@ -281,19 +286,6 @@
                : PageServer::Page{kUnavailable, "text/plain", "not ready\n"};
   }
 
-  PageServer::Page OperatorPage(const std::string& target) {
-    if (target != "/metrics") {
-      return {kNotFound, "text/plain", "no such page\n"};
-    }
-    SetDispatcherMetrics(metrics_, dispatcher_);
-    metrics_.Set(MetricId::kStoreEra, {},
-                 static_cast<double>(store_watcher_.era()));
-    metrics_.Set(MetricId::kLogLinesDroppedTotal, {},
-                 static_cast<double>(telemetry::DroppedLogLines()));
-    daemon::SetProcessMetrics(metrics_);
-    return {kOk, "text/plain; version=0.0.4", metrics_.Render()};
-  }
-
   void Tick() {
     const base::Millis now = base::SteadyNow();
     hand_over_.Tick(now, metrics_);
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/clocks.h"
+#include "discarded_answer.h"
 #include "dispatch/attempt_abandoned.h"
 #include "dispatch/backend_cold_changed.h"
 #include "dispatch/backend_health_changed.h"
@@ -35,6 +36,8 @@
 
 constexpr double kSecondsPerMilli = 0.001;
 constexpr char kAnswered[] = "answered";
+// Longer ids in answers of servers are cut off.
+constexpr size_t kMaxIdChars = 64;
 // Logged as the limit of a backend server that states none.
 constexpr double kNoLimit = -1;
 
@@ -231,6 +234,14 @@
        {"by_notice", change.by_notice}});
 }
 
+void LogDiscardedAnswer(const DiscardedAnswer& answer) {
+  Log(EventId::kAnswerDiscarded, {{"request", answer.request_id},
+                                  {"backend", answer.backend},
+                                  {"answer_to",
+                                   answer.answer_id.substr(0, kMaxIdChars)},
+                                  {"status", answer.status}});
+}
+
 void LogCallEnded(const dispatch::CallEnded& ended) {
   Log(EventId::kRequestFinished, {{"request", ended.request_id},
                                   {"route", ended.route},
@@ -240,6 +251,8 @@
                                   {"reason", ended.reason},
                                   {"backend", ended.backend},
                                   {"attempts", ended.attempts},
+                                  {"answer_status", ended.answer_status},
+                                  {"states_not_run", ended.states_not_run},
                                   {"events", ended.events},
                                   {"tokens", ended.tokens},
                                   {"may_have_run", ended.may_have_run},
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -32,6 +32,8 @@
 
 namespace godwit::edge {
 
+struct DiscardedAnswer;
+
 // Log lines and metrics of the dispatcher's commands.
 void LogRequestPlaced(const std::string& request_id,
                       const dispatch::StartAttempt& attempt);
@@ -45,6 +47,7 @@
 void LogRecord(const dispatch::BackendColdChanged& change);
 void LogRecord(const dispatch::DataCentreStateChanged& change);
 void LogRecord(const dispatch::ContentStateChanged& change);
+void LogDiscardedAnswer(const DiscardedAnswer& answer);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
 void CountCallEnded(telemetry::Metrics& metrics,
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -56,8 +56,7 @@
   DropAttempt();
   framer_.Restart();
   is_paused_ = false;
-  attempt_ =
-      std::make_shared<AttemptRelay>(*this, attempt.attempt, attempt.is_stream);
+  attempt_ = std::make_shared<AttemptRelay>(*this, attempt);
   relay::OutgoingRequest request;
   request.id = request_id_;
   request.head =
--- a/tools/godwit-edge/src/exchange.h
+++ b/tools/godwit-edge/src/exchange.h
@@ -21,6 +21,7 @@
 namespace godwit::edge {
 
 class AttemptRelay;
+struct DiscardedAnswer;
 
 // One request of a caller with its connection, and the attempt in progress at
 // a backend server. Executes the dispatcher's commands for it.
@@ -31,6 +32,7 @@
    public:
     virtual ~Events() = default;
     virtual void Raise(const dispatch::DispatchEvent& event) = 0;
+    virtual void Report(const DiscardedAnswer& answer) = 0;
   };
 
   Exchange(dispatch::CallId call,
