Resume streams only with their continuation

What callers saw: a stream broke off, the next server answered with an error, and the text of the error was in the stream, which ended as if it were complete; with 204, or an error without a body, it ended so without text.

Cause: the dispatcher judged the answer to a resumed stream as that to a new request. Any status below 500 was passed on, since a request that one server rejects is invalid at any server; a stream that has begun has no place for it.

An answer follows a stream now only if it is 200 and of the type with which the stream began. Any other answer counts as a failure: another server is tried, else the connection is closed without the last chunk.

--- a/libs/dispatch/include/dispatch/reply.h
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -2,6 +2,7 @@
 #define DISPATCH_REPLY_H_
 
 #include <optional>
+#include <string>
 #include <tuple>
 
 #include "base/millis.h"
@@ -12,6 +13,8 @@
 // Status and metadata of a backend server's answer.
 struct Reply {
   int status = 0;
+  // Type of the body in lower case, without parameters; empty if not stated.
+  std::string media_type;
   // The server states that it did not run the request.
   bool not_run = false;
   // The server at this address is not the expected instance.
@@ -38,11 +41,11 @@
   bool has_invalid_cold_remaining = false;
 
   friend bool operator==(const Reply& a, const Reply& b) {
-    return std::tie(a.status, a.not_run, a.instance_mismatch, a.is_signed,
+    return std::tie(a.status, a.media_type, a.not_run, a.instance_mismatch, a.is_signed,
                     a.load, a.has_invalid_load, a.retry_after, a.is_leaving,
                     a.request_limit, a.has_invalid_limit, a.cold_remaining,
                     a.has_invalid_cold_remaining) ==
-           std::tie(b.status, b.not_run, b.instance_mismatch, b.is_signed,
+           std::tie(b.status, b.media_type, b.not_run, b.instance_mismatch, b.is_signed,
                     b.load, b.has_invalid_load, b.retry_after, b.is_leaving,
                     b.request_limit, b.has_invalid_limit, b.cold_remaining,
                     b.has_invalid_cold_remaining);
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -11,10 +11,11 @@
 
 // Time for which a stream must go on until its content counts as harmless.
 constexpr base::Millis kAnswerSettleTime(300);
-// HTTP statuses: the lowest server error, "too many requests", and the range
-// of successes.
+// HTTP statuses: the lowest server error, "too many requests", "ok", and the
+// range of successes.
 constexpr int kServerError = 500;
 constexpr int kTooManyRequests = 429;
+constexpr int kOk = 200;
 constexpr int kSuccess = 200;
 constexpr int kRedirect = 300;
 
@@ -48,6 +49,11 @@
                                       : AnswerClass::kGood;
 }
 
+// Whether the answer may follow what the caller has received of a stream.
+bool IsContinuation(const Call& call, const Reply& reply) {
+  return reply.status == kOk && reply.media_type == call.media_type;
+}
+
 const char* ReasonText(AttemptFailure failure) {
   switch (failure) {
     case AttemptFailure::kNotSent:
@@ -112,8 +118,16 @@
     case AnswerClass::kGood:
       break;
   }
+  if (is_resumed && !IsContinuation(*call, event.reply)) {
+    CancelAndAbandon(
+        *call, Outcome::kFailed,
+        event.reply.not_run ? RunOutcome::kNotRun : RunOutcome::kMayHaveRun,
+        "no continuation, " + status);
+    return;
+  }
   if (!is_resumed) {
     call->first_byte_at = now_;
+    call->media_type = event.reply.media_type;
   }
   call->phase = Call::Phase::kRelaying;
   if (call->route->is_stream && !is_resumed && !event.complete) {
--- a/libs/dispatch/src/call.h
+++ b/libs/dispatch/src/call.h
@@ -46,6 +46,8 @@
   bool is_trial = false;
   Phase phase = Phase::kAwaitingBudget;
   base::Millis arrived_at;
+  // Type of the answer that is being relayed.
+  std::string media_type;
   // Deadline of the complete answer.
   base::Millis answer_deadline;
   // Deadline of the start of the answer, after which the caller is taken to
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -94,7 +94,9 @@
     case RepeatRule::kIdempotent:
       return call.phase != Call::Phase::kRelaying;
     case RepeatRule::kResumable:
-      return call.events == 0 || call.last_event.has_value();
+      // An answer that is no stream can't go on at another server.
+      return call.phase != Call::Phase::kRelaying ||
+             call.last_event.has_value();
     case RepeatRule::kAtMostOnce:
       return false;
   }
--- a/libs/relay/include/relay/header_list.h
+++ b/libs/relay/include/relay/header_list.h
@@ -46,6 +46,9 @@
                   std::string_view name,
                   std::string_view value);
 
+// The type in a Content-Type line, in lower case and without parameters.
+std::string MediaType(std::string_view content_type);
+
 // True for a hop-by-hop header, which must not be forwarded: the standard ones
 // and those that the Connection lines of `headers` name.
 bool IsHopByHop(const HeaderList& headers, std::string_view name);
--- a/libs/relay/src/header_list.cc
+++ b/libs/relay/src/header_list.cc
@@ -78,6 +78,12 @@
   block.append(name).append(": ").append(value).append("\r\n");
 }
 
+std::string MediaType(std::string_view content_type) {
+  std::string type(Trim(content_type.substr(0, content_type.find(';'))));
+  std::transform(type.begin(), type.end(), type.begin(), Lower);
+  return type;
+}
+
 bool IsHopByHop(const HeaderList& headers, std::string_view name) {
   const bool standard = std::any_of(
       kHopByHop.begin(), kHopByHop.end(),
--- a/libs/relay/tests/header_list_test.cc
+++ b/libs/relay/tests/header_list_test.cc
@@ -32,6 +32,25 @@
   CHECK(!headers.HasToken("connection", "close"));
 }
 
+TEST(HeaderList, ReadsTheMediaType) {
+  struct Case {
+    const char* content_type;
+    const char* expected;
+  };
+  const std::vector<Case> cases = {
+      {"text/event-stream", "text/event-stream"},
+      {"Text/Event-Stream ; charset=utf-8", "text/event-stream"},
+      {" text/plain", "text/plain"},
+      {"", ""},
+      {";", ""},
+  };
+  for (const Case& c : cases) {
+    STRCMP_EQUAL_TEXT(c.expected,
+                      godwit::relay::MediaType(c.content_type).c_str(),
+                      c.content_type);
+  }
+}
+
 TEST(HeaderList, RecognisesHopByHopHeaders) {
   struct Case {
     const char* name;
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -13,6 +13,8 @@
 using dispatch::AttemptFailure;
 
 constexpr int kOk = 200;
+// Servers may leave the type out.
+constexpr char kEventStreamType[] = "text/event-stream";
 // Longer answers are forwarded as they arrive.
 constexpr size_t kMaxBufferedBytes = size_t{256} * 1024;
 
@@ -37,10 +39,6 @@
       backend_(attempt.backend.instance),
       is_stream_(attempt.is_stream) {}
 
-bool AttemptRelay::IsEventStream() const {
-  return is_stream_ && head_ && head_->status == kOk;
-}
-
 bool AttemptRelay::OnHead(const relay::AnswerHead& head) {
   if (exchange_ == nullptr) {
     return false;
@@ -52,6 +50,10 @@
     return false;
   }
   head_ = head;
+  const std::string type =
+      relay::MediaType(head.headers.Find("Content-Type").value_or(""));
+  is_event_stream_ = is_stream_ && head.status == kOk &&
+                     (type.empty() || type == kEventStreamType);
   return true;
 }
 
@@ -73,7 +75,7 @@
   if (exchange_ == nullptr) {
     return;
   }
-  if (IsEventStream()) {
+  if (is_event_stream_) {
     OnStreamBody(bytes);
     return;
   }
@@ -135,12 +137,12 @@
   if (!exchange_->head_sent_) {
     exchange_->head_sent_ = true;
     std::string lines = adapter::EncodeAnswer(
-        *head_, has_length && !IsEventStream(), may_have_run_before);
+        *head_, has_length && !is_event_stream_, may_have_run_before);
     if (complete_ && !head_->content_length) {
       relay::AppendHeader(lines, "Content-Length",
                           std::to_string(buffered_.size()));
     }
-    session.Begin(head_->status, lines, has_length && !IsEventStream());
+    session.Begin(head_->status, lines, has_length && !is_event_stream_);
   }
   exchange_->ForwardToCaller(buffered_);
   buffered_.clear();
@@ -154,8 +156,8 @@
   if (exchange_ == nullptr) {
     return;
   }
-  if (IsEventStream() && (exchange_->framer_.pending_bytes() > 0 ||
-                          (!reported_ && relay::EndsWithConnection(*head_)))) {
+  if (is_event_stream_ && (exchange_->framer_.pending_bytes() > 0 ||
+                           (!reported_ && relay::EndsWithConnection(*head_)))) {
     // The stream was truncated within an event or before the first one.
     OnFailure(Failure::kDamaged);
     return;
--- a/tools/godwit-edge/src/attempt_relay.h
+++ b/tools/godwit-edge/src/attempt_relay.h
@@ -46,13 +46,14 @@
   // Reports the answer to the dispatcher. False if it does not relay it.
   bool ReportAnswer(bool complete);
   void ReportReceived(bool repeats_event);
-  bool IsEventStream() const;
 
   Exchange* exchange_;
   const int64_t attempt_;
   // Instance of the server.
   const std::string backend_;
+  // The route's answers are streams, and this answer is one.
   const bool is_stream_;
+  bool is_event_stream_ = false;
   std::optional<relay::AnswerHead> head_;
   std::string buffered_;
   bool reported_ = false;
