Count an event as received only once its answer is relayed

What callers saw: events were missing from a stream, which ended as complete.

Cause: all attempts of a request shared one framer, which took events for received as soon as it had parsed them. The dispatcher may still reject the answer that brought them, if it is unsigned or encoded; the same events of the next server were then dropped as repeats.

--- a/libs/relay/include/relay/event_framer.h
+++ b/libs/relay/include/relay/event_framer.h
@@ -6,47 +6,47 @@
 #include <string>
 #include <string_view>
 
+#include "relay/stream_position.h"
+
 namespace godwit::relay {
 
-// Splits a text/event-stream body into complete events, so that a stream can be
-// resumed on another backend server after the last event that the caller has
-// received. Performs no I/O.
+// Splits the text/event-stream body of one backend server into complete events,
+// so that the stream can be resumed on another one after the last event that
+// the caller has received. Performs no I/O.
 class EventFramer {
  public:
+  // `received`: what the caller has received from earlier servers. Events up to
+  // it are dropped if they are repeated.
+  explicit EventFramer(const StreamPosition& received = StreamPosition())
+      : position_(received), resume_after_id_(received.last_id) {}
+
   // Consumes a part of the body. Returns the events that are now complete and
   // that the caller has not received; valid until the next call.
   std::string_view Feed(std::string_view bytes);
 
-  // Prepares for the stream of another backend server after the first one was
-  // lost: discards an incomplete event, and drops events up to the last
-  // returned one if they are repeated.
-  void Restart();
-
   // Size of the buffered part of an incomplete event.
   size_t pending_bytes() const noexcept { return pending_.size(); }
   // True when an event is larger than any that a server sends. The caller must
   // then abandon the stream: each further Feed() costs more time and memory.
   bool is_overlong() const noexcept;
-  // Number of events returned so far. Comments, which servers send to keep a
-  // connection open, are returned too but are no events.
-  int64_t events() const noexcept { return events_; }
+  // What the caller has received once it has the returned events. Comments,
+  // which servers send to keep a connection open, are returned too but are no
+  // events.
+  const StreamPosition& position() const noexcept { return position_; }
   // Number of events dropped so far since the caller has received them, each
-  // counted once for a server.
+  // counted once.
   int64_t repeats() const noexcept { return repeats_; }
-  // Id of the last event returned; empty until an event with an id was.
-  std::optional<int64_t> last_id() const noexcept { return last_id_; }
 
  private:
   void AppendEvent(std::string_view event);
 
   std::string pending_;
   std::string ready_;
-  int64_t events_ = 0;
-  std::optional<int64_t> last_id_;
-  // Set by Restart: events with ids up to this one are repeats.
-  std::optional<int64_t> resume_after_id_;
+  StreamPosition position_;
+  // Events with ids up to this one are repeats.
+  const std::optional<int64_t> resume_after_id_;
   int64_t repeats_ = 0;
-  // Id of the last repeat of this server.
+  // Id of the last repeat.
   std::optional<int64_t> last_repeated_id_;
 };
 
--- a/libs/relay/src/event_framer.cc
+++ b/libs/relay/src/event_framer.cc
@@ -81,9 +81,9 @@
     return;
   }
   if (id) {
-    last_id_ = id;
+    position_.last_id = id;
   }
-  ++events_;
+  ++position_.events;
   ready_.append(event);
 }
 
@@ -91,10 +91,4 @@
   return pending_.size() > kMaxEventBytes;
 }
 
-void EventFramer::Restart() {
-  pending_.clear();
-  resume_after_id_ = last_id_;
-  last_repeated_id_.reset();
-}
-
 }  // namespace godwit::relay
--- a/libs/relay/tests/event_framer_test.cc
+++ b/libs/relay/tests/event_framer_test.cc
@@ -8,6 +8,7 @@
 #include <CppUTest/TestHarness.h>
 
 using godwit::relay::EventFramer;
+using godwit::relay::StreamPosition;
 
 namespace {
 
@@ -33,8 +34,7 @@
   CHECK(framer.Feed("id: 1\nda").empty());
   CHECK_EQUAL(8, framer.pending_bytes());
   CHECK(framer.Feed("ta: a\n\nid: 2\n") == "id: 1\ndata: a\n\n");
-  CHECK_EQUAL(1, framer.events());
-  CHECK(framer.last_id() == 1);
+  CHECK(framer.position() == (StreamPosition{1, 1}));
 }
 
 // Guards against streams that go on for ever without an event.
@@ -56,12 +56,12 @@
       {"repeats and a new event", Events(2, 4), 1, 2, Event(4)},
   };
   for (const Case& c : cases) {
-    EventFramer framer;
-    framer.Feed(Events(1, 3));
-    framer.Restart();
+    EventFramer first;
+    first.Feed(Events(1, 3));
+    EventFramer framer(first.position());
     const std::string returned(framer.Feed(c.bytes));
     STRCMP_EQUAL_TEXT(c.returned.c_str(), returned.c_str(), c.name);
-    CHECK_EQUAL_TEXT(3 + c.events, framer.events(), c.name);
+    CHECK_EQUAL_TEXT(3 + c.events, framer.position().events, c.name);
     CHECK_EQUAL_TEXT(c.repeats, framer.repeats(), c.name);
   }
 }
@@ -82,12 +82,12 @@
       {"before the first event", "id: 1", Events(1, 2), Events(1, 2)},
   };
   for (const Case& c : cases) {
-    EventFramer framer;
-    std::string out(framer.Feed(c.first));
-    framer.Restart();
-    out += framer.Feed(c.second);
+    EventFramer first;
+    std::string out(first.Feed(c.first));
+    EventFramer second(first.position());
+    out += second.Feed(c.second);
     STRCMP_EQUAL_TEXT(c.expected.c_str(), out.c_str(), c.name);
-    CHECK_EQUAL_TEXT(0, framer.pending_bytes(), c.name);
+    CHECK_EQUAL_TEXT(0, second.pending_bytes(), c.name);
   }
 }
 
@@ -103,7 +103,7 @@
       at += size;
     }
     RC_ASSERT(out == complete_stream);
-    RC_ASSERT(framer.events() == count);
+    RC_ASSERT(framer.position().events == count);
     RC_ASSERT(framer.pending_bytes() == 0);
   });
   CHECK(holds);
@@ -121,6 +121,5 @@
   CHECK(framer.is_overlong());
   // What an answer to a prompt may hold in one event is none.
   CHECK(pieces * piece_bytes > size_t{64} * 1024);
-  framer.Restart();
-  CHECK(!framer.is_overlong());
+  CHECK(!EventFramer(framer.position()).is_overlong());
 }
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -37,7 +37,8 @@
     : exchange_(&exchange),
       attempt_(attempt.attempt),
       backend_(attempt.backend.instance),
-      is_stream_(attempt.is_stream) {}
+      is_stream_(attempt.is_stream),
+      framer_(exchange.position_) {}
 
 bool AttemptRelay::OnHead(const relay::AnswerHead& head) {
   if (exchange_ == nullptr) {
@@ -94,39 +95,38 @@
 }
 
 void AttemptRelay::OnStreamBody(std::string_view bytes) {
-  const int64_t events = exchange_->framer_.events();
-  const int64_t repeats = exchange_->framer_.repeats();
-  const std::string_view ready = exchange_->framer_.Feed(bytes);
-  if (exchange_->framer_.is_overlong()) {
+  const int64_t events = framer_.position().events;
+  const int64_t repeats = framer_.repeats();
+  const std::string_view ready = framer_.Feed(bytes);
+  if (framer_.is_overlong()) {
     exchange_->servers_.Cancel(upstream);
     OnFailure(Failure::kDamaged);
     return;
   }
-  if (exchange_->framer_.events() == events) {
+  if (framer_.position().events == events) {
     // Comments; those before the first event go with it.
     if (relaying_) {
       exchange_->ForwardToCaller(ready);
     } else {
       buffered_.append(ready);
     }
-    ReportReceived(exchange_->framer_.repeats() != repeats);
+    ReportReceived(framer_.repeats() != repeats);
     return;
   }
-  if (!reported_) {
-    // Copied, since the dispatcher may drop the answer during ReportAnswer,
-    // which invalidates `ready`, a view into the framer.
+  if (reported_) {
+    exchange_->ForwardToCaller(ready);
+  } else {
     buffered_.append(ready);
     if (!ReportAnswer(false) || exchange_ == nullptr) {
       return;
     }
-  } else {
-    exchange_->ForwardToCaller(ready);
   }
+  exchange_->position_ = framer_.position();
   dispatch::AttemptProgressed progress;
   progress.call = exchange_->call_;
   progress.attempt = attempt_;
-  progress.events = exchange_->framer_.events();
-  progress.last_event = exchange_->framer_.last_id();
+  progress.events = framer_.position().events;
+  progress.last_event = framer_.position().last_id;
   exchange_->events_.Raise(progress);
 }
 
@@ -156,7 +156,7 @@
   if (exchange_ == nullptr) {
     return;
   }
-  if (is_event_stream_ && (exchange_->framer_.pending_bytes() > 0 ||
+  if (is_event_stream_ && (framer_.pending_bytes() > 0 ||
                            (!reported_ && relay::EndsWithConnection(*head_)))) {
     // The stream was truncated within an event or before the first one.
     OnFailure(Failure::kDamaged);
--- a/tools/godwit-edge/src/attempt_relay.h
+++ b/tools/godwit-edge/src/attempt_relay.h
@@ -9,6 +9,7 @@
 
 #include "relay/answer_handler.h"
 #include "relay/answer_head.h"
+#include "relay/event_framer.h"
 
 namespace godwit::dispatch {
 struct StartAttempt;
@@ -54,6 +55,7 @@
   // The route's answers are streams, and this answer is one.
   const bool is_stream_;
   bool is_event_stream_ = false;
+  relay::EventFramer framer_;
   std::optional<relay::AnswerHead> head_;
   std::string buffered_;
   bool reported_ = false;
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -235,11 +235,11 @@
 }
 
 void LogDiscardedAnswer(const DiscardedAnswer& answer) {
-  Log(EventId::kAnswerDiscarded, {{"request", answer.request_id},
-                                  {"backend", answer.backend},
-                                  {"answer_to",
-                                   answer.answer_id.substr(0, kMaxIdChars)},
-                                  {"status", answer.status}});
+  Log(EventId::kAnswerDiscarded,
+      {{"request", answer.request_id},
+       {"backend", answer.backend},
+       {"answer_to", answer.answer_id.substr(0, kMaxIdChars)},
+       {"status", answer.status}});
 }
 
 void LogCallEnded(const dispatch::CallEnded& ended) {
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -54,7 +54,6 @@
 
 void Exchange::Start(const dispatch::StartAttempt& attempt) {
   DropAttempt();
-  framer_.Restart();
   is_paused_ = false;
   attempt_ = std::make_shared<AttemptRelay>(*this, attempt);
   relay::OutgoingRequest request;
--- a/tools/godwit-edge/src/exchange.h
+++ b/tools/godwit-edge/src/exchange.h
@@ -10,8 +10,8 @@
 #include "dispatch/refuse_call.h"
 #include "dispatch/relay_answer.h"
 #include "dispatch/start_attempt.h"
-#include "relay/event_framer.h"
 #include "relay/received_request.h"
+#include "relay/stream_position.h"
 
 namespace godwit::relay {
 class CallerSession;
@@ -81,8 +81,8 @@
   relay::UpstreamPool& servers_;
   Events& events_;
   std::shared_ptr<AttemptRelay> attempt_;
-  // Frames the events that the caller has received over all attempts.
-  relay::EventFramer framer_;
+  // What the caller has received of a stream over all attempts.
+  relay::StreamPosition position_;
   // The head of an answer was sent to the caller.
   bool head_sent_ = false;
   // The answer is not read until the caller has read more of it.
