Give up a server whose events can't follow those that were relayed

What callers saw: numbers of events that go back or come twice, or an event left out where a stream goes on at another server.

Cause: only repeats of what earlier servers had sent were dropped; whatever else a server sent was relayed in its order. A server that begins its stream again, or goes on after a later event than it was asked to, put its events into the caller's stream. A caller's own Last-Event-Id was not applied to what servers repeat.

The ids of a stream that may be resumed increase. An event whose id is not above those before it ends the attempt; so does the first event of another server that leaves numbers out, if the stream was numbered without a gap so far. The stream then goes on at another server after the last event that was relayed, or is broken off. Such a server has not crashed, so that it is no evidence against the content of the request. Streams that may not be resumed are relayed as they are.

--- a/libs/dispatch/include/dispatch/attempt_failure.h
+++ b/libs/dispatch/include/dispatch/attempt_failure.h
@@ -13,6 +13,9 @@
   kLost,
   // The bytes received are not a valid answer; the request may have run.
   kDamaged,
+  // The server sent events of a stream in another order than that in which they
+  // are due.
+  kOutOfOrder,
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/include/dispatch/start_attempt.h
+++ b/libs/dispatch/include/dispatch/start_attempt.h
@@ -29,6 +29,8 @@
   base::OrganisationId organisation;
   // The answer is an event stream.
   bool is_stream = false;
+  // The stream may go on at another server after the id of its last event.
+  bool is_resumable = false;
   // The stream resumes after this event.
   std::optional<int64_t> resume_after;
   // Request::resumes, for logs.
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -62,6 +62,8 @@
       return "connection lost";
     case AttemptFailure::kDamaged:
       return "damaged answer";
+    case AttemptFailure::kOutOfOrder:
+      return "events out of order";
   }
   return "";
 }
@@ -223,7 +225,7 @@
                      not_sent ? Outcome::kUnreachable : Outcome::kFailed);
   if (not_sent) {
     containment_.OnRefused(now_, call->backend.key(), call->attempt_started_at);
-  } else {
+  } else if (event.failure != AttemptFailure::kOutOfOrder) {
     NoteLost(*call);
   }
   Abandon(*call, not_sent ? RunOutcome::kNotArrived : RunOutcome::kMayHaveRun,
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -77,6 +77,7 @@
   start.urgency = call.urgency;
   start.organisation = call.organisation;
   start.is_stream = call.route->is_stream;
+  start.is_resumable = call.route->repeat == RepeatRule::kResumable;
   start.resume_after =
       call.events > 0 ? call.last_event : call.request.resume_after;
   start.resumes = call.request.resumes;
--- a/libs/relay/src/event_framer.cc
+++ b/libs/relay/src/event_framer.cc
@@ -58,6 +58,9 @@
   size_t taken = 0;
   for (size_t end = bytes.find(kEventEnd); end != std::string_view::npos;
        end = bytes.find(kEventEnd, taken)) {
+    if (is_out_of_order_) {
+      break;
+    }
     const size_t after = end + kEventEnd.size();
     AppendEvent(bytes.substr(taken, after - taken));
     taken = after;
@@ -73,13 +76,19 @@
     return;
   }
   const std::optional<int64_t> id = ParseEventId(event);
-  if (id && resume_after_id_ && *id <= *resume_after_id_) {
+  if (id && received_.last_id && *id <= *received_.last_id) {
     if (!last_repeated_id_ || *id > *last_repeated_id_) {
       last_repeated_id_ = id;
       ++repeats_;
     }
     return;
   }
+  if (id && !MayFollow(*id)) {
+    is_out_of_order_ = true;
+    return;
+  }
+  position_.is_numbered =
+      position_.is_numbered && id && *id == position_.last_id.value_or(0) + 1;
   if (id) {
     position_.last_id = id;
   }
@@ -87,6 +96,17 @@
   ready_.append(event);
 }
 
+bool EventFramer::MayFollow(int64_t id) const {
+  if (!is_resumable_ || !position_.last_id) {
+    return true;
+  }
+  const bool continues_others =
+      received_.events > 0 && position_.events == received_.events;
+  return continues_others && position_.is_numbered
+             ? id == *position_.last_id + 1
+             : id > *position_.last_id;
+}
+
 bool EventFramer::is_overlong() const noexcept {
   return pending_.size() > kMaxEventBytes;
 }
--- a/libs/relay/tests/event_framer_test.cc
+++ b/libs/relay/tests/event_framer_test.cc
@@ -109,6 +109,51 @@
   CHECK(holds);
 }
 
+TEST(EventFramer, EventsThatCantFollowAreReturned) {
+  struct Case {
+    const char* name;
+    StreamPosition received;
+    std::string bytes;
+    std::string returned;
+    bool is_out_of_order;
+  };
+  const std::string steps = "id: 5\ndata: a\n\nid: 10\ndata: b\n\n";
+  const std::vector<Case> cases = {
+      {"in order", {}, Events(1, 4), Events(1, 4), false},
+      {"twice", {}, Events(1, 2) + Events(2, 3), Events(1, 2), true},
+      {"goes back", {}, Events(1, 3) + Event(1), Events(1, 3), true},
+      {"increasing ids", {}, steps, steps, false},
+      {"continuation", {2, 2, true}, Events(3, 4), Events(3, 4), false},
+      {"repeats", {2, 2, true}, Events(1, 4), Events(3, 4), false},
+      {"event is missing", {2, 2, true}, Events(4, 5), "", true},
+      {"repeats, then goes back",
+       {2, 2, true},
+       Events(2, 4) + Events(3, 5),
+       Events(3, 4),
+       true},
+      {"ids that are no numbers of events", {1, 3, false}, steps, steps, false},
+      {"caller has two events",
+       {0, 2, true},
+       Events(3, 4),
+       Events(3, 4),
+       false},
+      {"caller has two events, repeats",
+       {0, 2, true},
+       Events(1, 4),
+       Events(3, 4),
+       false},
+  };
+  for (const Case& c : cases) {
+    EventFramer framer(c.received, true);
+    STRCMP_EQUAL_TEXT(c.returned.c_str(),
+                      std::string(framer.Feed(c.bytes)).c_str(), c.name);
+    CHECK_EQUAL_TEXT(c.is_out_of_order, framer.is_out_of_order(), c.name);
+  }
+  EventFramer unchecked;
+  STRCMP_EQUAL((Event(2) + Event(1)).c_str(),
+               std::string(unchecked.Feed(Event(2) + Event(1))).c_str());
+}
+
 TEST(EventFramer, DetectsAnEventWithoutEnd) {
   EventFramer framer;
   constexpr size_t piece_bytes = 8 * 1024;
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -38,7 +38,7 @@
       attempt_(attempt.attempt),
       backend_(attempt.backend.instance),
       is_stream_(attempt.is_stream),
-      framer_(exchange.position_) {}
+      framer_(exchange.position_, attempt.is_resumable) {}
 
 bool AttemptRelay::OnHead(const relay::AnswerHead& head) {
   if (exchange_ == nullptr) {
@@ -98,21 +98,25 @@
   const int64_t events = framer_.position().events;
   const int64_t repeats = framer_.repeats();
   const std::string_view ready = framer_.Feed(bytes);
-  if (framer_.is_overlong()) {
-    exchange_->servers_.Cancel(upstream);
-    OnFailure(Failure::kDamaged);
-    return;
+  if (framer_.position().events > events) {
+    OnEvents(ready);
+  } else {
+    OnComments(ready, framer_.repeats() > repeats);
   }
-  if (framer_.position().events == events) {
-    // Comments; those before the first event go with it.
-    if (relaying_) {
-      exchange_->ForwardToCaller(ready);
-    } else {
-      buffered_.append(ready);
-    }
-    ReportReceived(framer_.repeats() != repeats);
-    return;
+  if (exchange_ != nullptr && framer_.is_overlong()) {
+    Break(AttemptFailure::kDamaged);
+  } else if (exchange_ != nullptr && framer_.is_out_of_order()) {
+    Break(AttemptFailure::kOutOfOrder);
   }
+}
+
+void AttemptRelay::Break(AttemptFailure failure) {
+  exchange_->servers_.Cancel(upstream);
+  exchange_->events_.Raise(
+      dispatch::AttemptFailed{exchange_->call_, attempt_, failure});
+}
+
+void AttemptRelay::OnEvents(std::string_view ready) {
   if (reported_) {
     exchange_->ForwardToCaller(ready);
   } else {
@@ -130,6 +134,16 @@
   exchange_->events_.Raise(progress);
 }
 
+void AttemptRelay::OnComments(std::string_view ready, bool repeats_event) {
+  if (relaying_) {
+    exchange_->ForwardToCaller(ready);
+  } else {
+    // Comments before the first event go with it.
+    buffered_.append(ready);
+  }
+  ReportReceived(repeats_event);
+}
+
 void AttemptRelay::Relay(bool may_have_run_before) {
   relaying_ = true;
   relay::CallerSession& session = *exchange_->session_;
--- a/tools/godwit-edge/src/attempt_relay.h
+++ b/tools/godwit-edge/src/attempt_relay.h
@@ -12,6 +12,7 @@
 #include "relay/event_framer.h"
 
 namespace godwit::dispatch {
+enum class AttemptFailure : uint8_t;
 struct StartAttempt;
 }  // namespace godwit::dispatch
 
@@ -44,6 +45,11 @@
 
  private:
   void OnStreamBody(std::string_view bytes);
+  // `ready`: the events that are now complete, or comments alone.
+  void OnEvents(std::string_view ready);
+  void OnComments(std::string_view ready, bool repeats_event);
+  // Ends the attempt, whose answer can't be used further.
+  void Break(dispatch::AttemptFailure failure);
   // Reports the answer to the dispatcher. False if it does not relay it.
   bool ReportAnswer(bool complete);
   void ReportReceived(bool repeats_event);
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -55,6 +55,9 @@
 void Exchange::Start(const dispatch::StartAttempt& attempt) {
   DropAttempt();
   is_paused_ = false;
+  if (attempt.is_resumable && position_.events == 0) {
+    position_.last_id = attempt.resume_after;
+  }
   attempt_ = std::make_shared<AttemptRelay>(*this, attempt);
   relay::OutgoingRequest request;
   request.id = request_id_;
