Pass on no refusal that does not state that the request was not run

What callers saw: 503 or 429 for requests that had run (REFUSED).

Cause: callers take 408, 429 and 503 for the promise that a request has not run and never will. A server gives that promise by its header alone; a server that is full or stops may send the same statuses for a request that it began. Such an answer was relayed as the server gave it.

It counts as a failed attempt that may have run now: what may be repeated is sent to another server, and anything else ends as 502, outcome unknown. 421 stays as it is: it means that another server has the address.

--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -11,10 +11,12 @@
 
 // Time for which a stream must go on until its content counts as harmless.
 constexpr base::Millis kAnswerSettleTime(300);
-// HTTP statuses: the lowest server error, "too many requests", "ok", and the
-// range of successes.
+// HTTP statuses: the lowest server error, those that callers take for the
+// promise that a request was not run, "ok", and the range of successes.
 constexpr int kServerError = 500;
+constexpr int kRequestTimeout = 408;
 constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 constexpr int kOk = 200;
 constexpr int kSuccess = 200;
 constexpr int kRedirect = 300;
@@ -24,6 +26,8 @@
   kGood,
   kFailed,
   kNotRun,
+  // Says by its status that the request was not run, and does not state it.
+  kUnstatedRefusal,
   kInstanceMismatch,
   kInvalid
 };
@@ -32,6 +36,11 @@
   return reply.status >= kSuccess && reply.status < kRedirect;
 }
 
+bool PromisesNotRun(const Reply& reply) {
+  return reply.status == kRequestTimeout || reply.status == kTooManyRequests ||
+         reply.status == kUnavailable;
+}
+
 AnswerClass ClassifyReply(const Reply& reply) {
   if (reply.instance_mismatch) {
     return AnswerClass::kInstanceMismatch;
@@ -45,6 +54,9 @@
   if (IsSuccess(reply) && !reply.is_signed) {
     return AnswerClass::kInvalid;
   }
+  if (PromisesNotRun(reply) && !reply.not_run) {
+    return AnswerClass::kUnstatedRefusal;
+  }
   return reply.status >= kServerError ? AnswerClass::kFailed
                                       : AnswerClass::kGood;
 }
@@ -103,6 +115,10 @@
       CancelAndAbandon(*call, Outcome::kRefused, RunOutcome::kNotRun,
                        "not run, " + status);
       return;
+    case AnswerClass::kUnstatedRefusal:
+      CancelAndAbandon(*call, Outcome::kFailed, RunOutcome::kMayHaveRun,
+                       "not stated to be not run, " + status);
+      return;
     case AnswerClass::kInvalid:
       CancelAndAbandon(*call, Outcome::kFailed, RunOutcome::kMayHaveRun,
                        "unsigned, " + status);
--- a/libs/dispatch/tests/lost_answer_test.cc
+++ b/libs/dispatch/tests/lost_answer_test.cc
@@ -34,7 +34,9 @@
 
 constexpr int64_t kCalls = 9;
 constexpr int kOk = 200;
+constexpr int kRequestTimeout = 408;
 constexpr int kConflict = 409;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
 // What became of a request at two servers.
@@ -166,6 +168,42 @@
   }
 }
 
+TEST(LostAnswer, RefusalThatStatesNothingIsPassedOnAsAPromise) {
+  struct Case {
+    const char* name;
+    RepeatRule repeat;
+    int status;
+    bool not_run;
+    int64_t attempts;
+    ErrorKind refusal;
+  };
+  const std::vector<Case> cases = {
+      {"unavailable", RepeatRule::kAtMostOnce, kUnavailable, false, 1,
+       ErrorKind::kOutcomeUnknown},
+      {"too many requests", RepeatRule::kAtMostOnce, kTooManyRequests, false, 1,
+       ErrorKind::kOutcomeUnknown},
+      {"timeout of the request", RepeatRule::kAtMostOnce, kRequestTimeout,
+       false, 1, ErrorKind::kOutcomeUnknown},
+      {"may be repeated", RepeatRule::kIdempotent, kTooManyRequests, false, 2,
+       ErrorKind::kNone},
+      {"stated", RepeatRule::kAtMostOnce, kUnavailable, true, 2,
+       ErrorKind::kNone},
+      {"stated by a timeout", RepeatRule::kAtMostOnce, kRequestTimeout, true, 1,
+       ErrorKind::kNone},
+      {"no promise", RepeatRule::kAtMostOnce, kConflict, false, 1,
+       ErrorKind::kNone},
+  };
+  for (const Case& c : cases) {
+    OneCall call(c.repeat, 2);
+    call.Answer(1, c.status, c.not_run, true);
+    CHECK_EQUAL_TEXT(c.attempts, call.outcome().attempts, c.name);
+    CHECK_EQUAL_TEXT(static_cast<int>(c.refusal),
+                     static_cast<int>(call.outcome().refusal), c.name);
+    CHECK_EQUAL_TEXT(c.refusal == ErrorKind::kNone && c.attempts == 1,
+                     call.outcome().is_relayed, c.name);
+  }
+}
+
 // Guards against requests that are cut off without an answer when the router
 // ends.
 TEST(LostAnswer, RequestsInProgressAreAnsweredWhenTheRouterEnds) {
