Take no answer without an id on a connection that has brought another

What callers saw: the answer to another request, with its signature (MIXED).

Cause: an answer without an id matched any request.

Only the first answer of a connection may lack its id now. A later one is logged (513) and ends the attempt and the connection; the request may have run.

--- a/libs/dispatch/include/dispatch/attempt_failure.h
+++ b/libs/dispatch/include/dispatch/attempt_failure.h
@@ -13,6 +13,8 @@
   kLost,
   // The bytes received are not a valid answer; the request may have run.
   kDamaged,
+  // The answer may belong to another request; this one may have run.
+  kUnattributable,
   // The server sent events of a stream in another order than that in which they
   // are due.
   kOutOfOrder,
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -74,6 +74,8 @@
       return "connection lost";
     case AttemptFailure::kDamaged:
       return "damaged answer";
+    case AttemptFailure::kUnattributable:
+      return "answer without an id";
     case AttemptFailure::kOutOfOrder:
       return "events out of order";
   }
@@ -241,7 +243,8 @@
                      not_sent ? Outcome::kUnreachable : Outcome::kFailed);
   if (not_sent) {
     containment_.OnRefused(now_, call->backend.key(), call->attempt_started_at);
-  } else if (event.failure != AttemptFailure::kOutOfOrder) {
+  } else if (event.failure == AttemptFailure::kLost ||
+             event.failure == AttemptFailure::kDamaged) {
     NoteLost(*call);
   }
   Abandon(*call, not_sent ? RunOutcome::kNotArrived : RunOutcome::kMayHaveRun,
--- a/libs/relay/include/relay/answer_head.h
+++ b/libs/relay/include/relay/answer_head.h
@@ -14,6 +14,8 @@
   HeaderList headers;
   // Value of Content-Length, if present.
   std::optional<uint64_t> content_length;
+  // The connection has brought no answer before this one.
+  bool is_first = true;
 };
 
 // True if neither a length nor chunks delimit the body, but the end of the
--- a/libs/relay/include/relay/answer_reader.h
+++ b/libs/relay/include/relay/answer_reader.h
@@ -21,7 +21,8 @@
   };
 
   // `is_head`: the request method was HEAD, so the answer has no body.
-  AnswerReader(Handler handler, bool is_head);
+  // `is_first`: see AnswerHead.
+  AnswerReader(Handler handler, bool is_head, bool is_first = true);
   ~AnswerReader();
   AnswerReader(AnswerReader&&) noexcept;
   AnswerReader& operator=(AnswerReader&&) noexcept;
--- a/libs/relay/src/answer_reader.cc
+++ b/libs/relay/src/answer_reader.cc
@@ -20,7 +20,9 @@
 
 class Parser : public MessageParser<false> {
  public:
-  explicit Parser(const AnswerReader::Handler& handler) : handler_(handler) {
+  Parser(const AnswerReader::Handler& handler, bool is_first)
+      : handler_(handler) {
+    head_.is_first = is_first;
     header_limit(kHeaderBytes);
     body_limit(std::numeric_limits<uint64_t>::max());
     eager(true);
@@ -65,17 +67,19 @@
 }  // namespace
 
 struct AnswerReader::State {
-  State(Handler h, bool head_only) : handler(std::move(h)), is_head(head_only) {
+  State(Handler h, bool head_only, bool first)
+      : handler(std::move(h)), is_head(head_only), is_first(first) {
     Restart();
   }
 
   void Restart() {
-    parser = std::make_unique<Parser>(handler);
+    parser = std::make_unique<Parser>(handler, is_first);
     parser->skip(is_head);
   }
 
   Handler handler;
   bool is_head;
+  bool is_first;
   std::unique_ptr<Parser> parser;
   bool damaged = false;
 };
@@ -84,8 +88,8 @@
   return !head.content_length && !head.headers.Find("Transfer-Encoding");
 }
 
-AnswerReader::AnswerReader(Handler handler, bool is_head)
-    : state_(std::make_unique<State>(std::move(handler), is_head)) {}
+AnswerReader::AnswerReader(Handler handler, bool is_head, bool is_first)
+    : state_(std::make_unique<State>(std::move(handler), is_head, is_first)) {}
 AnswerReader::~AnswerReader() = default;
 AnswerReader::AnswerReader(AnswerReader&&) noexcept = default;
 AnswerReader& AnswerReader::operator=(AnswerReader&&) noexcept = default;
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -131,7 +131,7 @@
     skipping_answer_ = !OnHead(head);
   };
   handler.on_body = [this](std::string_view bytes) { OnBody(bytes); };
-  reader_.emplace(std::move(handler), request_.is_head);
+  reader_.emplace(std::move(handler), request_.is_head, !has_answered_);
 }
 
 void UpstreamConnection::Write() {
@@ -244,6 +244,7 @@
     return false;
   }
   server_idle_timeout_ = AdvertisedIdleTimeout(head);
+  has_answered_ = true;
   return handler_->OnHead(head);
 }
 
--- a/libs/relay/src/upstream_connection.h
+++ b/libs/relay/src/upstream_connection.h
@@ -84,6 +84,8 @@
   OutgoingRequest request_;
   AnswerHandler* handler_ = nullptr;
   std::optional<AnswerReader> reader_;
+  // An answer has begun on the connection.
+  bool has_answered_ = false;
   // The answer being read belongs to another request and is discarded.
   bool skipping_answer_ = false;
   size_t head_sent_ = 0;
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -97,8 +97,8 @@
        "connections, so that their callers connect to other routers."},
       {EventId::kAnswerDiscarded, Level::kInfo, "answer_discarded",
        "An answer of a backend server was dropped, since it belongs to another "
-       "request than the one in progress on its connection; fields give its "
-       "status and the id that it states."},
+       "request than the one in progress on its connection, or may do so; "
+       "fields give its status and the id that it states."},
       {EventId::kGrantDrawn, Level::kDebug, "grant_drawn",
        "A router drew a grant on a budget."},
       {EventId::kGrantReturned, Level::kDebug, "grant_returned",
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -41,13 +41,20 @@
       framer_(exchange.position_, attempt.is_resumable) {}
 
 bool AttemptRelay::OnHead(const relay::AnswerHead& head) {
+  const auto self = shared_from_this();
   if (exchange_ == nullptr) {
     return false;
   }
-  if (!adapter::MatchesRequestId(head, exchange_->request_id_)) {
-    exchange_->events_.Report(DiscardedAnswer{exchange_->request_id_, backend_,
-                                              adapter::RequestIdOf(head),
-                                              head.status});
+  const std::string id = adapter::RequestIdOf(head);
+  // An answer without an id may be a copy of one to an earlier request.
+  const bool is_attributable = !id.empty() || head.is_first;
+  if (!is_attributable ||
+      !adapter::MatchesRequestId(head, exchange_->request_id_)) {
+    exchange_->events_.Report(
+        DiscardedAnswer{exchange_->request_id_, backend_, id, head.status});
+    if (!is_attributable) {
+      Break(AttemptFailure::kUnattributable);
+    }
     return false;
   }
   head_ = head;
