Send no request that can't end before a planned stop

What callers saw: in a planned stop in calm, requests that waited were sent to a server late in the grace and cut off at its end, among them requests that may not be repeated (LOST). With one server of 0.9 s a request, two slots and 1.1 s from SIGTERM to the end, requests that had waited were answered 502, outcome unknown.

Cause: only requests that arrived after the grace were checked against the end of the stop. Those that waited by then were sent whenever a slot came free; the estimates knew nothing of servers that had not answered yet.

The dispatcher learns of the stop at SIGTERM now. A request that has not run and may outlast the stop is sent only if the longest time that requests of its route took lately, or that one in progress has taken so far, fits; else it is refused as not run, with its wait counted, so that it has time at another router. What ends by its own deadline before the stop is sent as before, and so is what may have run already.

--- a/libs/dispatch/include/dispatch/dispatch_event.h
+++ b/libs/dispatch/include/dispatch/dispatch_event.h
@@ -21,6 +21,7 @@
 #include "dispatch/router_message_received.h"
 #include "dispatch/routers_listed.h"
 #include "dispatch/routing_table_updated.h"
+#include "dispatch/stop_requested.h"
 #include "dispatch/store_availability_changed.h"
 #include "dispatch/store_era_changed.h"
 #include "dispatch/tick.h"
@@ -47,6 +48,7 @@
                                    EvacuationsChanged,
                                    ConfigurationTracking,
                                    RoutersListed,
+                                   StopRequested,
                                    DrainRequested,
                                    PeerMessageReceived,
                                    RouterMessageReceived,
--- a/libs/dispatch/include/dispatch/reply.h
+++ b/libs/dispatch/include/dispatch/reply.h
@@ -41,14 +41,14 @@
   bool has_invalid_cold_remaining = false;
 
   friend bool operator==(const Reply& a, const Reply& b) {
-    return std::tie(a.status, a.media_type, a.not_run, a.instance_mismatch, a.is_signed,
-                    a.load, a.has_invalid_load, a.retry_after, a.is_leaving,
-                    a.request_limit, a.has_invalid_limit, a.cold_remaining,
-                    a.has_invalid_cold_remaining) ==
-           std::tie(b.status, b.media_type, b.not_run, b.instance_mismatch, b.is_signed,
-                    b.load, b.has_invalid_load, b.retry_after, b.is_leaving,
-                    b.request_limit, b.has_invalid_limit, b.cold_remaining,
-                    b.has_invalid_cold_remaining);
+    return std::tie(a.status, a.media_type, a.not_run, a.instance_mismatch,
+                    a.is_signed, a.load, a.has_invalid_load, a.retry_after,
+                    a.is_leaving, a.request_limit, a.has_invalid_limit,
+                    a.cold_remaining, a.has_invalid_cold_remaining) ==
+           std::tie(b.status, b.media_type, b.not_run, b.instance_mismatch,
+                    b.is_signed, b.load, b.has_invalid_load, b.retry_after,
+                    b.is_leaving, b.request_limit, b.has_invalid_limit,
+                    b.cold_remaining, b.has_invalid_cold_remaining);
   }
   friend bool operator!=(const Reply& a, const Reply& b) { return !(a == b); }
 };
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -104,6 +104,7 @@
   if (event.complete && IsSuccess(event.reply) &&
       answer_class == AnswerClass::kGood) {
     NoteSuccess(*call);
+    run_times_.OnAnswered(now_, call->route->name, now_ - call->placed_at);
   }
   const std::string status = "status " + std::to_string(event.reply.status);
   const bool is_resumed = call->phase == Call::Phase::kRelaying;
@@ -229,6 +230,7 @@
   placement_.OnEnded(now_, call->attempt, Outcome::kServed);
   NoteReceived(*call);
   NoteSuccess(*call);
+  run_times_.OnAnswered(now_, call->route->name, now_ - call->placed_at);
   End(*call, "answered", "whole");
   ProcessQueues();
 }
--- a/libs/dispatch/src/call_admission.cc
+++ b/libs/dispatch/src/call_admission.cc
@@ -1,8 +1,5 @@
 #include <algorithm>
-#include <set>
 #include <string>
-#include <string_view>
-#include <tuple>
 #include <vector>
 
 #include "base/digest.h"
@@ -15,11 +12,9 @@
 using ReserveResult = ledger::MeteredBudgetManager::ReserveResult;
 
 // Delays after which a refused caller may retry: without a configuration or
-// with one that may be outdated, while this router drains and another takes
-// over, without a usable server, and the minimum and maximum when all servers
-// are at capacity.
+// with one that may be outdated, without a usable server, and the minimum and
+// maximum when all servers are at capacity.
 constexpr base::Millis kNoConfigRetryAfter(500);
-constexpr base::Millis kLeavingRetryAfter(100);
 constexpr base::Millis kNoBackendRetryAfter(500);
 constexpr base::Millis kMinCapacityRetryAfter(200);
 // Another router may send more to servers with limits than this one.
@@ -31,8 +26,6 @@
 constexpr base::Millis kMinStreamStartTimeout(2000);
 constexpr int64_t kObjectiveTimeoutMultiple = 4;
 constexpr int64_t kGapTimeoutMultiple = 8;
-// Calls of one service placed in one step; bounds the duration of the step.
-constexpr size_t kMaxPlacedPerStep = 64;
 constexpr double kMillisPerSecond = 1000;
 
 // A request with the same id always goes to the same target of a split.
@@ -115,9 +108,8 @@
       std::min(call.answer_deadline, now_ + AnswerStartTimeout(route));
   call.has_budget = organisation != nullptr && organisation->prepaid &&
                     call.request.prompt.has_value();
-  if (draining_ && (call.has_budget || call.answer_deadline > drain_ends_at_)) {
-    Refuse(call, base::ErrorKind::kLeaving, "this router stops",
-           kLeavingRetryAfter);
+  if (draining_ && (call.has_budget || call.answer_deadline > *stop_ends_at_)) {
+    RefuseLeaving(call);
     return false;
   }
   return true;
@@ -174,6 +166,10 @@
 
 void Dispatcher::State::TryStartAttempt(Call& call) {
   queue_.Remove(call.id);
+  if (!MayEndBeforeStop(call)) {
+    RefuseLeaving(call);
+    return;
+  }
   if (MustWaitForDecision(call)) {
     Enqueue(call);
     return;
@@ -242,8 +238,13 @@
 }
 
 base::Millis Dispatcher::State::ExpectedWait(const Call& call) const {
+  return ExpectedWait(call,
+                      static_cast<int64_t>(queue_.Ahead(QueuedCallOf(call))));
+}
+
+base::Millis Dispatcher::State::ExpectedWait(const Call& call,
+                                             int64_t ahead) const {
   const std::vector<const Backend*> backends = UsableBackends(call);
-  const auto ahead = static_cast<int64_t>(queue_.Ahead(QueuedCallOf(call)));
   return std::max({WaitByLoad(call, backends, ahead),
                    WaitByLimits(backends, ahead), WaitByBackoff(backends)});
 }
@@ -323,6 +324,10 @@
     RefuseEvacuated(call);
     return;
   }
+  if (stop_ends_at_ && !MayEndBeforeStop(call, ExpectedWait(call))) {
+    RefuseLeaving(call);
+    return;
+  }
   if (WouldMissDeadline(call)) {
     Refuse(call, base::ErrorKind::kOverloaded,
            "the wait for a place would outlast the deadline",
@@ -335,64 +340,4 @@
   queue_.Add(QueuedCallOf(call));
 }
 
-void Dispatcher::State::ProcessBudgets() {
-  Emit(budgets_.Tick(now_));
-  RetryReservations();
-}
-
-void Dispatcher::State::RetryReservations() {
-  // By urgency, then by arrival.
-  std::vector<std::tuple<int64_t, base::Millis, CallId>> waiting;
-  for (const auto& [id, call] : calls_) {
-    if (call->phase == Call::Phase::kAwaitingBudget) {
-      waiting.emplace_back(call->urgency, call->arrived_at, id);
-    }
-  }
-  std::sort(waiting.begin(), waiting.end());
-  for (const auto& [urgency, arrived_at, id] : waiting) {
-    TryBudget(*calls_.at(id));
-  }
-}
-
-void Dispatcher::State::ProcessQueues() {
-  for (const base::ServiceId& service : queue_.Services()) {
-    size_t placed = 0;
-    // Software versions whose servers have no capacity for streams.
-    std::set<std::string> full;
-    for (const CallId id : queue_.InOrder(service)) {
-      Call& call = *calls_.at(id);
-      if (placed == kMaxPlacedPerStep) {
-        break;
-      }
-      if ((call.software_version && full.count(*call.software_version) > 0) ||
-          MustWaitForDecision(call)) {
-        continue;
-      }
-      const Choice choice = placement_.Choose(now_, MakePlacementRequest(call),
-                                              OpenBackends(call));
-      if (choice.kind == Choice::Kind::kTooLarge) {
-        // The configuration was changed while it waited.
-        RefuseTooLarge(call);
-        continue;
-      }
-      if (choice.kind != Choice::Kind::kPlaced) {
-        if (!call.software_version) {
-          break;
-        }
-        // Servers of other versions may have capacity for the calls behind.
-        full.insert(*call.software_version);
-        continue;
-      }
-      ++placed;
-      queue_.Start(id);
-      if (call.attempts_sent > 0 && !RetryBudgetFor(service).TryRetry()) {
-        Refuse(call, base::ErrorKind::kOverloaded,
-               "no retries are left for the service", kMinCapacityRetryAfter);
-        continue;
-      }
-      Start(call, choice);
-    }
-  }
-}
-
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -111,7 +111,8 @@
 
 std::optional<Choice> Dispatcher::State::NextServer(Call& call,
                                                     RunOutcome run_outcome) {
-  if (!MaySendAgain(call) || containment_.HasContained(now_, call.contents) ||
+  if (!MaySendAgain(call) || !MayEndBeforeStop(call) ||
+      containment_.HasContained(now_, call.contents) ||
       MustWaitForDecision(call) ||
       (run_outcome == RunOutcome::kMayHaveRun && !MayRunAgain(call))) {
     return std::nullopt;
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -181,16 +181,6 @@
       event.message);
 }
 
-void Dispatcher::State::On(const DrainRequested& event) {
-  draining_ = true;
-  drain_ends_at_ = event.ends_at;
-  if (event.ends_at <= now_) {
-    EndAllCalls();
-  }
-  budgets_.Drain();
-  ProcessBudgets();
-}
-
 void Dispatcher::State::On(const platform::KvReadDone& event) {
   if (FinishVersions(event)) {
     return;
@@ -227,6 +217,7 @@
       CheckTime(*found->second);
     }
   }
+  RefuseBeforeStop();
   if (now_ - versions_noted_at_ >= kVersionsInterval) {
     NoteVersions();
     backoff_.Tick(now_);
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -30,6 +30,7 @@
 #include "dispatch/version_register.h"
 #include "ledger/metered_budget_manager.h"
 #include "routing/retry_budget.h"
+#include "run_times.h"
 
 namespace godwit::dispatch {
 
@@ -62,6 +63,7 @@
   void On(const RoutersListed& event);
   void On(const PeerMessageReceived& event);
   void On(const RouterMessageReceived& event);
+  void On(const StopRequested& event);
   void On(const DrainRequested& event);
   void On(const platform::KvReadDone& event);
   void On(const platform::KvWriteDone& event);
@@ -87,12 +89,15 @@
   // follow from the load of the servers, from their limits if all have one, and
   // from the first end of the times for which all of them want no requests.
   base::Millis ExpectedWait(const Call& call) const;
+  // The same behind `ahead` calls.
+  base::Millis ExpectedWait(const Call& call, int64_t ahead) const;
   base::Millis WaitByLoad(const Call& call,
                           const std::vector<const Backend*>& backends,
                           int64_t ahead) const;
   base::Millis WaitByLimits(const std::vector<const Backend*>& backends,
                             int64_t ahead) const;
   base::Millis WaitByBackoff(const std::vector<const Backend*>& backends) const;
+  // Calls that wait; call_waiting.cc.
   // Runs the due work of the budgets, then retries the reservations of the
   // calls that wait for them.
   void ProcessBudgets();
@@ -105,6 +110,18 @@
   // time without requests, and whose limits leave room.
   std::vector<const Backend*> OpenBackends(const Call& call) const;
 
+  // The end of the router; call_stop.cc.
+  // The longest time that a request of the call's route took lately or has
+  // taken so far; empty if none is known.
+  std::optional<base::Millis> LongestRunTime(const Call& call) const;
+  // False if the call has not run, and may still run when the router ends if it
+  // is sent after `wait`.
+  bool MayEndBeforeStop(const Call& call,
+                        base::Millis wait = base::Millis()) const;
+  // Refuses the calls that wait and can't end before the router does.
+  void RefuseBeforeStop();
+  void RefuseLeaving(Call& call);
+
   // Streams that are resumed; call_origin.cc.
   // Binds a call that resumes a stream to the software version that began it.
   // Returns false if the call waits for other routers, or was refused.
@@ -279,8 +296,10 @@
   bool routers_listed_ = false;
   int64_t next_attempt_ = 1;
   bool draining_ = false;
-  // When the last request must have ended.
-  base::Millis drain_ends_at_;
+  // When the last request must have ended; empty unless the router is about to
+  // stop.
+  std::optional<base::Millis> stop_ends_at_;
+  RunTimes run_times_;
   // Valid during a step.
   base::Millis now_;
   std::vector<DispatchCommand> commands_;
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -13,7 +13,9 @@
        "The process serves: it has a configuration and the links that it "
        "needs."},
       {EventId::kStopRequested, Level::kInfo, "stop_requested",
-       "An orderly stop began; new work is refused as not run."},
+       "An orderly stop began; new work is refused as not run, at a direct "
+       "router "
+       "only what may not end in time."},
       {EventId::kDrained, Level::kInfo, "drained",
        "Everything in progress has ended after a stop was requested."},
       {EventId::kDrainBoundReached, Level::kWarning, "drain_bound_reached",
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -123,8 +123,11 @@
     stop_plan_.Begin(base::SteadyNow());
     callers_.Drain();
     store_watcher_.Deregister();
-    Log(EventId::kStopRequested, {{"open_requests", dispatcher_.open_calls()},
-                                  {"connections", callers_.connections()}});
+    Log(EventId::kStopRequested,
+        {{"open_requests", dispatcher_.open_calls()},
+         {"waiting_requests", dispatcher_.waiting_calls()},
+         {"connections", callers_.connections()}});
+    Raise(dispatch::StopRequested{stop_plan_.drain_ends_at()});
   }
 
   const base::Error& last_error() const noexcept { return error_; }
