Frame an event stream without events once

What callers saw: an answer with both Content-Length and Transfer-Encoding, when a server ended an event stream of chunks before any event. A client may take such an answer for damaged, or for two.

Cause: the length of an answer that is complete was stated although event streams are always sent in chunks.

ContinuedStreams, StreamWithoutEventsHasTwoFramings: "Content-Length: 0" beside chunks before.

--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -154,16 +154,18 @@
 void AttemptRelay::Relay(bool may_have_run_before) {
   relaying_ = true;
   relay::CallerSession& session = *exchange_->session_;
-  const bool has_length = complete_ || head_->content_length.has_value();
   if (!exchange_->head_sent_) {
     exchange_->head_sent_ = true;
-    std::string lines = adapter::EncodeAnswer(
-        *head_, has_length && !is_event_stream_, may_have_run_before);
-    if (complete_ && !head_->content_length) {
+    // The length of an event stream is open: another server may continue it.
+    const bool has_length =
+        !is_event_stream_ && (complete_ || head_->content_length.has_value());
+    std::string lines =
+        adapter::EncodeAnswer(*head_, has_length, may_have_run_before);
+    if (has_length && !head_->content_length) {
       relay::AppendHeader(lines, "Content-Length",
                           std::to_string(buffered_.size()));
     }
-    session.Begin(head_->status, lines, has_length && !is_event_stream_);
+    session.Begin(head_->status, lines, has_length);
   }
   exchange_->ForwardToCaller(buffered_);
   buffered_.clear();
