Agents resume streams only with their continuation

What callers saw, in the product's own mode: a stream was resumed at another agent whose engine answered 404, and the text of the error, or nothing, ended the stream as a whole answer, with length and digest.

Cause: an agent passed on any answer below 500, also where it runs a stream whose first part the caller has. It also closed a resumed stream as complete when the engine ended it without its final event, and passed on what was left of an incomplete one.

A run that resumes takes 200 with text/event-stream only, is complete only once the final event came (its own, or that of the part before), and drops text that is no event. Anything else fails the run, which costs nothing, and the router tries another agent.

AgentCore, AnswerThatIsNoContinuationEndsAStreamAsComplete: ten answers; the first that is no continuation was complete before. EngineAnswer, TextThatIsNoEventFollowsAResumedStream. WholeAnswer, StreamsSurviveFaults, has an engine that dies while the other one answers 404: it failed before.

--- a/libs/agent/include/agent/engine_answer.h
+++ b/libs/agent/include/agent/engine_answer.h
@@ -27,7 +27,8 @@
 
   // Adds received bytes of the answer and returns the events that are complete.
   Piece Feed(std::string_view bytes);
-  // Ends the answer and returns the remaining bytes.
+  // Ends the answer and returns the remaining bytes; an incomplete event of a
+  // resumed stream is left out.
   Piece Finish();
 
   // Tokens of the prompt: the usage reported by the engine or, if it reports
@@ -37,6 +38,9 @@
   // or, if it reports none, the number of events with content.
   base::Tokens completion_tokens() const noexcept;
 
+  // False for a stream whose final event has not been received.
+  bool has_final_event() const noexcept { return !stream_ || done_; }
+
   // Returns the number of tokens carried by the events of a stream.
   static base::Tokens CountTokens(std::string_view events);
 
@@ -50,6 +54,8 @@
   // Whether an event with a finish reason, and the final event, were received.
   bool finished_ = false;
   bool done_ = false;
+  // The stream resumes one that its caller has received in part.
+  bool resumes_ = false;
   // Streams: the incomplete event at the end; its first `searched_` bytes do
   // not contain its end. Other answers: all bytes, as far as they are parsed.
   std::string buffer_;
--- a/libs/agent/src/engine_answer.cc
+++ b/libs/agent/src/engine_answer.cc
@@ -77,6 +77,7 @@
 
 EngineAnswer::EngineAnswer(const link::StartRun& start)
     : stream_(RequestsStream(start.body)),
+      resumes_(!start.answer_prefix.empty()),
       prompt_tokens_(
           std::max<base::Tokens>(start.reserved - start.output_cap, 0)) {
   if (stream_) {
@@ -113,7 +114,7 @@
   Piece piece;
   if (!stream_) {
     ReadJson(buffer_);
-  } else if (!done_) {
+  } else if (!done_ && !resumes_) {
     piece.bytes = std::move(buffer_);
   }
   buffer_.clear();
--- a/libs/agent/src/run.h
+++ b/libs/agent/src/run.h
@@ -41,6 +41,8 @@
   // Body and answer prefix are cleared once they were sent to the backend
   // server.
   link::StartRun start;
+  // Continues a stream that the caller has received in part.
+  bool resumes = false;
   RunStage stage = RunStage::kQueued;
   // Router incarnation that started the run; empty for a tombstone.
   base::Incarnation started_by;
--- a/libs/agent/src/run_lifecycle.cc
+++ b/libs/agent/src/run_lifecycle.cc
@@ -1,6 +1,7 @@
 #include "run_lifecycle.h"
 
 #include <algorithm>
+#include <cctype>
 #include <string>
 #include <utility>
 
@@ -16,6 +17,9 @@
 using base::Error;
 using base::ErrorKind;
 
+constexpr int kOkStatus = 200;
+constexpr char kEventStreamType[] = "text/event-stream";
+
 bool IsValid(const link::StartRun& start) noexcept {
   return !start.attempt.empty() && !start.grant.empty() &&
          start.reserved >= 0 && start.reserved <= kMaxReserved &&
@@ -31,6 +35,16 @@
   return base::Millis(SaturatingAdd(now.count(), span.count()));
 }
 
+// Whether the answer may follow what the caller has received of a stream.
+bool IsContinuation(const BackendHead& head) {
+  std::string type = head.content_type.substr(0, head.content_type.find(';'));
+  type.erase(type.find_last_not_of(" \t") + 1);
+  std::transform(type.begin(), type.end(), type.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return head.status == kOkStatus && type == kEventStreamType;
+}
+
 }  // namespace
 
 RunLifecycle::RunLifecycle(const AgentOptions& options,
@@ -55,6 +69,7 @@
   run.start = std::move(start);
   run.started_by = delivery_.PeerOf(from);
   run.deadline = After(now, run.start.deadline_in);
+  run.resumes = !run.start.answer_prefix.empty();
   if (refusal) {
     run.stage = RunStage::kRefused;
     run.error = refusal->error;
@@ -242,15 +257,17 @@
   if (run == nullptr || run->head) {
     return;
   }
-  if (options_.kind == config::ServiceKind::kModelPool &&
-      event.status >= kServerErrorStatus) {
+  const bool is_failure = options_.kind == config::ServiceKind::kModelPool &&
+                          event.status >= kServerErrorStatus;
+  if (is_failure || (run->resumes && !IsContinuation(event))) {
     CancelBackendCall(*run);
-    Fail(
-        now, *run,
-        Error(ErrorKind::kBackendFailed,
-              "the engine answered with status " + std::to_string(event.status),
-              "send the request again"),
-        0);
+    Fail(now, *run,
+         Error(ErrorKind::kBackendFailed,
+               "the engine answered with status " +
+                   std::to_string(event.status) +
+                   (is_failure ? "" : ", which continues no stream"),
+               "send the request again"),
+         0);
     return;
   }
   run->head = link::RunHead{run->start.key, event.attempt, event.status,
@@ -278,7 +295,13 @@
   Run& run = found->second;
   CloseBackend(now, run);
   if (run.stage == RunStage::kRunning) {
-    if (run.head) {
+    if (run.resumes && !event.has_final_event) {
+      Fail(now, run,
+           Error(ErrorKind::kBackendFailed,
+                 "the engine ended a stream before its last event",
+                 "send the request again"),
+           0);
+    } else if (run.head) {
       Complete(now, run, BillFor(run, event));
     } else {
       Fail(now, run,
--- a/libs/agent/tests/agent_core_test.cc
+++ b/libs/agent/tests/agent_core_test.cc
@@ -285,7 +285,8 @@
   StartRun start = Start("run");
   start.answer_prefix = "ab";
   start.resume_tokens = 2;
-  harness.Open(start);
+  harness.Receive(start);
+  harness.Step(BackendHead{start.attempt, 200, "text/event-stream"});
   harness.Step(BackendData{start.attempt, "cd", 2});
   harness.Step(BackendEnd{start.attempt, 1, 4});
   CHECK(harness.Answer() == "cd");
@@ -294,6 +295,48 @@
   CHECK(harness.Sent<link::RunEnd>()[0].digest == Digest::Of("abcd"));
 }
 
+TEST(AgentCore, AnswerThatIsNoContinuationEndsAStreamAsComplete) {
+  struct Case {
+    const char* name;
+    int status;
+    const char* content_type;
+    bool has_final_event;
+    bool is_complete;
+  };
+  const std::vector<Case> cases = {
+      {"continuation", 200, "text/event-stream", true, true},
+      {"continuation, with parameters", 200, "Text/Event-Stream; charset=utf-8",
+       true, true},
+      {"ends early", 200, "text/event-stream", false, false},
+      {"client error", 404, "application/json", false, false},
+      {"too many requests", 429, "text/event-stream", true, false},
+      {"server error", 503, "application/json", false, false},
+      {"no content", 204, "", false, false},
+      {"part of the content", 206, "text/event-stream", true, false},
+      {"another type", 200, "application/json", true, false},
+      {"no type", 200, "", true, false},
+  };
+  for (const Case& c : cases) {
+    AgentHarness harness;
+    StartRun start = Start("run");
+    start.answer_prefix = "ab";
+    start.resume_tokens = 2;
+    harness.Receive(start);
+    harness.Step(BackendHead{start.attempt, c.status, c.content_type});
+    if (c.is_complete) {
+      harness.Step(BackendData{start.attempt, "cd", 2});
+    }
+    harness.Step(BackendEnd{start.attempt, 1, 4, c.has_final_event});
+    const bool is_complete = !harness.Sent<link::RunEnd>().empty();
+    CHECK_EQUAL_TEXT(c.is_complete, is_complete, c.name);
+    CHECK_EQUAL_TEXT(c.is_complete, harness.Sent<link::RunFailed>().empty(),
+                     c.name);
+    if (!c.is_complete) {
+      CHECK_EQUAL_TEXT(0, harness.Sent<link::RunFailed>()[0].billed, c.name);
+    }
+  }
+}
+
 TEST(AgentCore, RunContinuesForTheGracePeriodAfterItsLinkIsLost) {
   struct Case {
     bool repeatable;
--- a/libs/agent/tests/engine_answer_test.cc
+++ b/libs/agent/tests/engine_answer_test.cc
@@ -99,6 +99,32 @@
   }
 }
 
+TEST(EngineAnswer, TextThatIsNoEventFollowsAResumedStream) {
+  struct Case {
+    const char* name;
+    const char* prefix;
+    const char* bytes;
+    const char* rest;
+    bool has_final_event;
+  };
+  const std::vector<Case> cases = {
+      {"text", "data: {}\n\n", "not found", "", false},
+      {"incomplete event", "data: {}\n\n", "data: {\"cho", "", false},
+      {"final event", "data: {}\n\n", "data: [DONE]\n\n", "", true},
+      {"prefix with the final event", "data: [DONE]\n\n", "", "", true},
+      {"new stream", "", "not found", "not found", false},
+  };
+  for (const Case& c : cases) {
+    StartRun start;
+    start.body = R"({"stream":true})";
+    start.answer_prefix = c.prefix;
+    EngineAnswer answer(start);
+    answer.Feed(c.bytes);
+    STRCMP_EQUAL_TEXT(c.rest, answer.Finish().bytes.c_str(), c.name);
+    CHECK_EQUAL_TEXT(c.has_final_event, answer.has_final_event(), c.name);
+  }
+}
+
 TEST(EngineAnswer, RequestCarriesCapAndResume) {
   struct Case {
     std::string body;
--- a/standins/engine/src/engine_service.cc
+++ b/standins/engine/src/engine_service.cc
@@ -148,7 +148,8 @@
 void EngineService::Complete(const std::shared_ptr<http::Exchange>& exchange) {
   if (faults_.fail_next > 0) {
     --faults_.fail_next;
-    exchange->Respond(Refusal(500, ErrorKind::kInternal, "injected failure"));
+    exchange->Respond(
+        Refusal(faults_.fail_status, ErrorKind::kInternal, "injected failure"));
     return;
   }
   const json body = ParseObject(exchange->request().body);
@@ -308,6 +309,7 @@
   const json faults = ParseObject(request.body);
   faults_.hang = MemberOr(faults, "hang", faults_.hang);
   faults_.fail_next = MemberOr(faults, "fail_next", faults_.fail_next);
+  faults_.fail_status = MemberOr(faults, "fail_status", faults_.fail_status);
   faults_.speed = MemberOr(faults, "speed", faults_.speed);
   faults_.die_after_tokens =
       MemberOr(faults, "die_after_tokens", faults_.die_after_tokens);
--- a/standins/engine/src/engine_service.h
+++ b/standins/engine/src/engine_service.h
@@ -48,8 +48,10 @@
   struct Faults {
     // No tokens are produced.
     bool hang = false;
-    // Number of next requests that are answered with 500 without running.
+    // Number of next requests that are answered with fail_status without
+    // running.
     int64_t fail_next = 0;
+    int fail_status = 500;
     // Speed factor; below 1 is slower.
     double speed = 1;
     // Number of tokens after which the process terminates; never if negative.
--- a/tests/process/whole_answer_test.cc
+++ b/tests/process/whole_answer_test.cc
@@ -56,6 +56,15 @@
          fleet.SetFault(BusyEngine(fleet).backend->port(),
                         R"({"die_after_tokens":1})");
        }},
+      {"failed engine, and the next one answers with an error", false,
+       [](ProcessFleet& fleet) {
+         FleetProcess& busy = BusyEngine(fleet);
+         FleetProcess& other =
+             &busy == &fleet.engine(0) ? fleet.engine(1) : fleet.engine(0);
+         fleet.SetFault(other.backend->port(),
+                        R"({"fail_next":8,"fail_status":404})");
+         fleet.SetFault(busy.backend->port(), R"({"die_after_tokens":1})");
+       }},
       {"killed agent", false,
        [](ProcessFleet& fleet) { BusyEngine(fleet).process->Signal(SIGKILL); }},
       {"paused agent", false,
@@ -74,6 +83,7 @@
       CHECK_TEXT(!c.is_transparent || streams.AllComplete(), c.name.c_str());
       fleet.engine(0).process->Signal(SIGCONT);
       fleet.engine(1).process->Signal(SIGCONT);
+      fleet.SetEngineFaults(R"({"fail_next":0})");
       CHECK_TEXT(streams.Retry(1), c.name.c_str());
       CHECK_TEXT(streams.AllComplete(), c.name.c_str());
     });
--- a/tools/godwit-agent/src/backend_caller.cc
+++ b/tools/godwit-agent/src/backend_caller.cc
@@ -140,7 +140,8 @@
   calls_.erase(attempt);
   if (response) {
     on_event_(agent::BackendEnd{attempt, answer.prompt_tokens(),
-                                answer.completion_tokens()});
+                                answer.completion_tokens(),
+                                answer.has_final_event()});
     return;
   }
   on_event_(agent::BackendFailed{attempt, call.sent(), call.last_error().kind(),
