Agents call their engine over a new connection for each request

What callers saw, in the product's own mode: the answer to another request, when an engine wrote an answer a second time on a connection that carried the next request.

Cause: answers of engines carry no id there, so a late copy can't be told from the answer that is due. The pool dropped connections that showed bytes while they were idle, which a copy that comes later passes.

An agent and its engine run on one VM, where a connection costs little: the agent reuses none. ClientPool::MaxIdleTime(0) keeps no connection.

AgentProcess, CopyOfAnAnswerIsTakenForTheNextOne: the second request got the first one's answer before.

--- a/libs/http/include/http/client_pool.h
+++ b/libs/http/include/http/client_pool.h
@@ -26,7 +26,8 @@
   ClientPool(const ClientPool&) = delete;
   ClientPool& operator=(const ClientPool&) = delete;
 
-  // Maximum time for which an unused connection is kept for reuse. Default 5 s.
+  // Maximum time for which an unused connection is kept for reuse. Default 5 s;
+  // zero for a new connection for each call.
   // Returns *this.
   ClientPool& MaxIdleTime(base::Millis span);
 
--- a/libs/http/src/connection_pool.cc
+++ b/libs/http/src/connection_pool.cc
@@ -48,6 +48,9 @@
 
 void ConnectionPool::PutIdle(tcp::socket socket) {
   CloseExpired();
+  if (max_idle_time_ <= base::Millis()) {
+    return;
+  }
   if (idle_.size() >= kMaxIdleConnections) {
     idle_.pop_front();
   }
--- a/tools/godwit-agent/src/backend_caller.cc
+++ b/tools/godwit-agent/src/backend_caller.cc
@@ -74,7 +74,11 @@
     : runtime_(runtime),
       settings_(settings),
       on_event_(std::move(on_event)),
-      pool_(runtime, settings.backend.ip, settings.backend.port) {}
+      pool_(runtime, settings.backend.ip, settings.backend.port) {
+  // Answers carry no id of the request, so that a late copy of one could not be
+  // told from the answer to the next request on its connection.
+  pool_.MaxIdleTime(base::Millis());
+}
 
 BackendCaller::~BackendCaller() = default;
 
--- a/tools/godwit-agent/tests/agent_process_test.cc
+++ b/tools/godwit-agent/tests/agent_process_test.cc
@@ -2,7 +2,9 @@
 #include <exception>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 #include <variant>
@@ -12,6 +14,7 @@
 #include "http/client_call.h"
 #include "http/client_pool.h"
 #include "link/transport.h"
+#include "raw_server.h"
 #include "runtime/runtime.h"
 #include "stream/answer_assembler.h"
 #include "support/child_process.h"
@@ -184,13 +187,16 @@
 
 // Platform, engine and agent as separate processes.
 struct Fleet {
-  explicit Fleet(const std::string& drain_limit_ms = "20000")
+  // `backend`: the port that the agent calls; zero for the engine's.
+  explicit Fleet(const std::string& drain_limit_ms = "20000",
+                 uint16_t backend = 0)
       : settings(directory.path() + "/agent.yaml") {
-    std::ofstream(settings) << "process: agent-1\nfleet: lantern\n"
-                            << "data_centre: keelung\nkind: model_pool\n"
-                            << "platform: 127.0.0.1:" << platform.port()
-                            << "\nbackend: 127.0.0.1:" << engine.port()
-                            << "\ndrain_limit_ms: " << drain_limit_ms << "\n";
+    std::ofstream(settings)
+        << "process: agent-1\nfleet: lantern\n"
+        << "data_centre: keelung\nkind: model_pool\n"
+        << "platform: 127.0.0.1:" << platform.port()
+        << "\nbackend: 127.0.0.1:" << (backend == 0 ? engine.port() : backend)
+        << "\ndrain_limit_ms: " << drain_limit_ms << "\n";
     agent = std::make_unique<ChildProcess>(
         "godwit-agent", std::vector<std::string>{"--settings", settings});
   }
@@ -234,6 +240,34 @@
   }
 }
 
+// An engine that writes its answer once more when the next request comes on the
+// same connection.
+TEST(AgentProcess, CopyOfAnAnswerIsTakenForTheNextOne) {
+  std::map<int, std::string> last;
+  std::mutex mutex;
+  godwit::http::RawServer engine(
+      [&](int connection, const std::string& request) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const std::string name = "x-request-id: ";
+        const size_t at = request.find(name) + name.size();
+        const std::string id = request.substr(at, request.find('\r', at) - at);
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " +
+            std::to_string(id.size()) + "\r\n\r\n" + id;
+        return std::exchange(last[connection], answer) + answer;
+      });
+  const Fleet fleet("20000", engine.port());
+  for (const char* attempt : {"run-1", "run-2", "run-3"}) {
+    RunOnCore([&](Runtime& runtime) {
+      Router router(runtime, fleet.agent->port(), AttemptId(attempt));
+      CHECK(router.Link());
+      router.Send(router.Start(kUnstreamed));
+      CHECK(Await([&] { return router.complete(); }));
+      STRCMP_EQUAL(attempt, router.answer().c_str());
+    });
+  }
+}
+
 TEST(AgentProcess, ResumesOverNewLinkWithoutSecondRun) {
   const Fleet fleet;
   RunOnCore([&](Runtime& runtime) {
