Answer what is in progress when the drain of a router ends

Cause: the router ended as soon as the limit had passed; nothing answered the callers that still waited, and answers were not flushed then.

They get 502, outcome unknown, or 503, not run, if nothing was sent to an agent for a request without a key. Streams that have begun are aborted, as before.

--- a/libs/router/include/router/router_event.h
+++ b/libs/router/include/router/router_event.h
@@ -9,6 +9,7 @@
 #include "router/caller_disconnected.h"
 #include "router/config_in_force.h"
 #include "router/drain_requested.h"
+#include "router/drain_timed_out.h"
 #include "router/fleet_record_received.h"
 #include "router/leases_listed.h"
 #include "router/link_closed.h"
@@ -34,6 +35,7 @@
                                  VmsListed,
                                  LeasesListed,
                                  DrainRequested,
+                                 DrainTimedOut,
                                  Tick>;
 
 }  // namespace godwit::router
--- a/libs/router/src/call_lifecycle.h
+++ b/libs/router/src/call_lifecycle.h
@@ -63,6 +63,8 @@
   // Number of calls whose caller waits for an answer.
   size_t open_calls() const noexcept;
   std::vector<OpenCall> OpenCalls() const;
+  // Answers the callers of all requests in progress, since the router ends.
+  void AnswerOpenCalls();
   // Number of all calls, including those that only wait to be billed.
   size_t calls() const noexcept { return calls_.size(); }
   // True while an answer of the agent may still be billed.
--- a/libs/router/src/call_lifecycle_end.cc
+++ b/libs/router/src/call_lifecycle_end.cc
@@ -108,6 +108,24 @@
   Register(call, false);
 }
 
+void CallLifecycle::AnswerOpenCalls() {
+  const Error leaving(ErrorKind::kLeaving, "this router is shutting down",
+                      "send the request again; another router takes it");
+  for (auto& [exchange, call] : calls_) {
+    const bool not_run = call.caller_waits && !call.start_sent &&
+                         !call.may_have_run && !call.has_key;
+    if (!not_run) {
+      FailOutcomeUnknown(call, leaving, kRetryAfter);
+      continue;
+    }
+    context_.Emit(
+        AnswerError{call.request.exchange,
+                    CallerError{leaving.kind(), leaving.message(),
+                                leaving.remedy(), true, kRetryAfter}});
+    CloseCaller(call, Outcome::kNotRun, leaving.kind());
+  }
+}
+
 void CallLifecycle::FailOutcomeUnknown(Call& call,
                                        const base::Error& error,
                                        base::Millis retry_after) {
--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -252,6 +252,8 @@
 
   void On(const DrainRequested&) { context_.draining = true; }
 
+  void On(const DrainTimedOut&) { call_lifecycle_.AnswerOpenCalls(); }
+
   void On(const Tick& event) {
     wall_offset_ = event.wall - context_.now;
     context_.wall = event.wall;
--- a/tools/godwit-router/src/router_daemon.cc
+++ b/tools/godwit-router/src/router_daemon.cc
@@ -317,13 +317,12 @@
                          "the drain limit is over; still running: " + names,
                          "raise drain_limit_ms to let them end");
     Log(EventId::kDrainBoundReached, {{"running", names}});
+    Handle(router::DrainTimedOut());
   }
 
   void Stop() {
     server_->StopAccepting();
-    if (error_.kind() == base::ErrorKind::kNone) {
-      FlushAnswers();
-    }
+    FlushAnswers();
     kernel_.Stop();
     runtime::Runtime::SleepFor(kCloseFlushTime);
     runtime_.Stop();
--- a/tools/godwit-router/tests/router_process_test.cc
+++ b/tools/godwit-router/tests/router_process_test.cc
@@ -228,6 +228,23 @@
   STRCMP_CONTAINS("still running: language", fleet.Log().c_str());
 }
 
+TEST(RouterProcess, RequestInProgressIsCutOffWithoutAnAnswer) {
+  TestFleet fleet({"drain_limit_ms: 300\n", "", false});
+  CHECK(Await([&] { return fleet.IsReady(); }));
+  fleet.InjectFaults(fleet.engine, R"({"hang":true})");
+  RawConnection caller(fleet.port());
+  caller.Send(QuestionText());
+  CHECK(Await([&] {
+    return fleet.Get("/status").find(R"("open_requests":1)") !=
+           std::string::npos;
+  }));
+  fleet.router->Signal(SIGTERM);
+  const std::string answer = caller.ReadToEnd();
+  STRCMP_CONTAINS("outcome_unknown", answer.c_str());
+  STRCMP_CONTAINS("\"not_run\":false", answer.c_str());
+  CHECK_EQUAL(1, fleet.router->Wait());
+}
+
 TEST(RouterProcess, StopsWhileKvIsUnavailable) {
   TestFleet fleet({"handback_limit_ms: 500\n", "", false});
   CHECK(Await([&] { return fleet.IsReady(); }));
