Before a planned stop, expect of repeatable requests what most of them take

Requests that may not be repeated still need the longest time, including what those in progress have taken; for others the 90th percentile of the last 64 requests must be left. A request that is refused has its caller's retry, one that is broken off may go on elsewhere.

--- a/libs/dispatch/src/call_stop.cc
+++ b/libs/dispatch/src/call_stop.cc
@@ -9,6 +9,10 @@
 
 // Delay after which a refused caller may retry; another router takes over.
 constexpr base::Millis kLeavingRetryAfter(100);
+// Percentages of a route's requests whose time must be left: of those that may
+// not be repeated, and of others.
+constexpr int kAll = 100;
+constexpr int kMost = 90;
 
 }  // namespace
 
@@ -27,9 +31,15 @@
   ProcessBudgets();
 }
 
-std::optional<base::Millis> Dispatcher::State::LongestRunTime(
+std::optional<base::Millis> Dispatcher::State::ExpectedRunTime(
     const Call& call) const {
-  auto longest = run_times_.Longest(now_, call.route->name);
+  const bool may_repeat = call.route->repeat != RepeatRule::kAtMostOnce;
+  auto longest =
+      run_times_.Percentile(now_, call.route->name, may_repeat ? kMost : kAll);
+  if (longest && may_repeat) {
+    return longest;
+  }
+  // Servers may have become slower.
   for (const auto& [id, other] : calls_) {
     if (other->attempt != 0 && other->route->name == call.route->name) {
       longest = std::max(longest, std::optional(now_ - other->placed_at));
@@ -44,7 +54,7 @@
       call.answer_deadline <= *stop_ends_at_) {
     return true;
   }
-  const auto run = LongestRunTime(call);
+  const auto run = ExpectedRunTime(call);
   return run && now_ + wait + *run <= *stop_ends_at_;
 }
 
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -111,9 +111,9 @@
   std::vector<const Backend*> OpenBackends(const Call& call) const;
 
   // The end of the router; call_stop.cc.
-  // The longest time that a request of the call's route took lately or has
-  // taken so far; empty if none is known.
-  std::optional<base::Millis> LongestRunTime(const Call& call) const;
+  // The time that the call must be expected to take, as others of its route did
+  // lately or have taken so far; empty if not known.
+  std::optional<base::Millis> ExpectedRunTime(const Call& call) const;
   // False if the call has not run, and may still run when the router ends if it
   // is sent after `wait`.
   bool MayEndBeforeStop(const Call& call,
--- a/libs/dispatch/src/run_times.cc
+++ b/libs/dispatch/src/run_times.cc
@@ -1,45 +1,47 @@
 #include "run_times.h"
 
 #include <algorithm>
-#include <utility>
+#include <vector>
 
 namespace godwit::dispatch {
 namespace {
 
-constexpr base::Millis kWindow(30'000);
+constexpr base::Millis kMaxAge(60'000);
+constexpr size_t kRequests = 64;
+// Routes of earlier configurations are dropped above this.
+constexpr size_t kMaxRoutes = 4096;
+constexpr size_t kPercent = 100;
 
 }  // namespace
 
 void RunTimes::OnAnswered(base::Millis now,
                           const std::string& route,
                           base::Millis time) {
-  if (now - began_at_ >= kWindow) {
-    previous_ = std::exchange(current_, {});
-    if (now - began_at_ >= kWindow + kWindow) {
-      previous_.clear();
-    }
-    began_at_ = now;
+  if (routes_.size() >= kMaxRoutes && routes_.count(route) == 0) {
+    routes_.clear();
+  }
+  Route& known = routes_[route];
+  known.answered_at = now;
+  known.times.push_back(time);
+  if (known.times.size() > kRequests) {
+    known.times.pop_front();
   }
-  base::Millis& longest = current_[route];
-  longest = std::max(longest, time);
 }
 
-std::optional<base::Millis> RunTimes::Longest(base::Millis now,
-                                              const std::string& route) const {
-  if (now - began_at_ >= kWindow + kWindow) {
+std::optional<base::Millis> RunTimes::Percentile(base::Millis now,
+                                                 const std::string& route,
+                                                 int percent) const {
+  const auto found = routes_.find(route);
+  if (found == routes_.end() || now - found->second.answered_at > kMaxAge) {
     return std::nullopt;
   }
-  const auto current = Find(current_, route);
-  const auto previous =
-      now - began_at_ < kWindow ? Find(previous_, route) : std::nullopt;
-  return std::max(current, previous);
-}
-
-std::optional<base::Millis> RunTimes::Find(const Times& times,
-                                           const std::string& route) {
-  const auto found = times.find(route);
-  return found == times.end() ? std::nullopt
-                              : std::make_optional(found->second);
+  const std::deque<base::Millis>& known = found->second.times;
+  std::vector<base::Millis> times(known.begin(), known.end());
+  const size_t rank =
+      (times.size() * static_cast<size_t>(percent) + kPercent - 1) / kPercent;
+  const auto at = times.begin() + static_cast<ptrdiff_t>(rank) - 1;
+  std::nth_element(times.begin(), at, times.end());
+  return *at;
 }
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/run_times.h
+++ b/libs/dispatch/src/run_times.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_SRC_RUN_TIMES_H_
 #define DISPATCH_SRC_RUN_TIMES_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -16,21 +17,19 @@
   void OnAnswered(base::Millis now,
                   const std::string& route,
                   base::Millis time);
-  // The longest time of the last half a minute at least; empty if the route had
-  // no answer in it.
-  std::optional<base::Millis> Longest(base::Millis now,
-                                      const std::string& route) const;
+  // The time within which `percent` of the route's last requests were answered;
+  // empty if none was answered in the last minute.
+  std::optional<base::Millis> Percentile(base::Millis now,
+                                         const std::string& route,
+                                         int percent) const;
 
  private:
-  using Times = std::map<std::string, base::Millis>;
+  struct Route {
+    base::Millis answered_at;
+    std::deque<base::Millis> times;
+  };
 
-  static std::optional<base::Millis> Find(const Times& times,
-                                          const std::string& route);
-
-  // The times of the window that began at began_at_, and of the one before.
-  base::Millis began_at_;
-  Times current_;
-  Times previous_;
+  std::map<std::string, Route> routes_;
 };
 
 }  // namespace godwit::dispatch
