--- a/libs/agent/include/agent/backend_end.h
+++ b/libs/agent/include/agent/backend_end.h
@@ -20,9 +20,9 @@
 
   friend bool operator==(const BackendEnd& a, const BackendEnd& b) {
     return std::tie(a.attempt, a.prompt_tokens, a.completion_tokens,
-                    a.has_final_event) ==
-           std::tie(b.attempt, b.prompt_tokens, b.completion_tokens,
-                    b.has_final_event);
+                    a.has_final_event) == std::tie(b.attempt, b.prompt_tokens,
+                                                   b.completion_tokens,
+                                                   b.has_final_event);
   }
   friend bool operator!=(const BackendEnd& a, const BackendEnd& b) {
     return !(a == b);
