Take no request whose deadline is after the stop of a router

Cause: the router learnt of the stop only when the grace was over.

It learns of the end of its drain at SIGTERM, and refuses what may still run then, by the deadline of its class, as not run. Requests that end by then are taken as before.

RouterProcess, RequestThatMayOutlastTheStopIsTaken: 200 before, now 503 "leaving".

--- a/libs/router/include/router/router_event.h
+++ b/libs/router/include/router/router_event.h
@@ -16,6 +16,7 @@
 #include "router/link_message_received.h"
 #include "router/link_opened.h"
 #include "router/request_received.h"
+#include "router/stop_requested.h"
 #include "router/tick.h"
 #include "router/vms_listed.h"
 
@@ -34,6 +35,7 @@
                                  FleetRecordReceived,
                                  VmsListed,
                                  LeasesListed,
+                                 StopRequested,
                                  DrainRequested,
                                  DrainTimedOut,
                                  Tick>;
--- a/libs/router/src/call_lifecycle.cc
+++ b/libs/router/src/call_lifecycle.cc
@@ -72,7 +72,9 @@
                             call.has_key ? "key" : "attempt", key});
   call.body_digest = DigestOfParts(
       {call.request.method, call.request.path, call.request.body});
-  if (context_.draining) {
+  const bool may_outlast_stop =
+      context_.stop_ends_at && call.deadline > *context_.stop_ends_at;
+  if (context_.draining || may_outlast_stop) {
     Refuse(call,
            Error(ErrorKind::kLeaving, "this router is shutting down",
                  "send the request again; another router takes it"),
--- a/libs/router/src/context.h
+++ b/libs/router/src/context.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <utility>
@@ -66,6 +67,8 @@
   admission::OrganisationLimits limits;
   KvMux kv;
   bool draining = false;
+  // When requests in progress are ended; empty unless the router is to stop.
+  std::optional<base::Millis> stop_ends_at;
   bool refreshing_fleet = false;
   int64_t next_attempt = 1;
 };
--- a/libs/router/src/router_core.cc
+++ b/libs/router/src/router_core.cc
@@ -250,6 +250,8 @@
     context_.StepBudgetManager(ledger::LiveHoldersListed{event.routers});
   }
 
+  void On(const StopRequested& event) { context_.stop_ends_at = event.ends_at; }
+
   void On(const DrainRequested&) { context_.draining = true; }
 
   void On(const DrainTimedOut&) { call_lifecycle_.AnswerOpenCalls(); }
--- a/tools/godwit-router/src/router_daemon.cc
+++ b/tools/godwit-router/src/router_daemon.cc
@@ -116,6 +116,7 @@
     }
     stop_plan_.Begin(base::SteadyNow());
     Log(EventId::kStopRequested, {{"open_requests", core_.open_calls()}});
+    Handle(router::StopRequested{stop_plan_.drain_ends_at()});
   }
 
   void ReloadCertificates() {
--- a/tools/godwit-router/tests/router_process_test.cc
+++ b/tools/godwit-router/tests/router_process_test.cc
@@ -245,6 +245,21 @@
   CHECK_EQUAL(1, fleet.router->Wait());
 }
 
+// The deadline of the requests is a minute away.
+TEST(RouterProcess, RequestThatMayOutlastTheStopIsTaken) {
+  TestFleet fleet({"drain_grace_ms: 4000\ndrain_limit_ms: 5000\n", "", false});
+  CHECK(Await([&] { return fleet.IsReady(); }));
+  CHECK_EQUAL(200, StatusOfAnswer(fleet.Send(TicketText())));
+  fleet.router->Signal(SIGTERM);
+  CHECK(Await([&] { return StatusOfAnswer(fleet.Get("/readyz")) == 503; }));
+  const std::string refusal = fleet.Send(TicketText());
+  CHECK_EQUAL(503, StatusOfAnswer(refusal));
+  STRCMP_EQUAL(
+      "leaving",
+      CheckedError(refusal, "leaving").at("kind").get<std::string>().c_str());
+  CHECK_EQUAL(0, fleet.router->Wait());
+}
+
 TEST(RouterProcess, StopsWhileKvIsUnavailable) {
   TestFleet fleet({"handback_limit_ms: 500\n", "", false});
   CHECK(Await([&] { return fleet.IsReady(); }));
