Take the default of a setting that the template left unfilled

Cause: `retry_window_ms: {{bounds.budgetWindowS}}000` is a YAML map while the placeholder stands, and "000", no bound, where a platform renders nothing. A key with a default was required of the platform.

Change: a key with a default takes it if its value is empty or holds a placeholder, and 109 setting_unfilled names it; keys without a default are refused as before.

--- a/libs/config/include/config/settings.h
+++ b/libs/config/include/config/settings.h
@@ -39,6 +39,11 @@
   // Keys declared by Names.
   const std::vector<std::string>& Names(std::string_view key) const;
 
+  // Keys of the file that have their default, since no value was filled in.
+  const std::vector<std::string>& unfilled() const noexcept {
+    return unfilled_;
+  }
+
  private:
   friend class SettingsReader;
   struct Value {
@@ -53,6 +58,7 @@
   const Value& ValueOf(std::string_view key) const;
 
   std::map<std::string, Value, std::less<>> values_;
+  std::vector<std::string> unfilled_;
 };
 
 }  // namespace godwit::config
--- a/libs/config/include/config/settings_reader.h
+++ b/libs/config/include/config/settings_reader.h
@@ -21,7 +21,10 @@
 //       .Port("listen_port", "0 for a free one").Default("8080");
 //   const auto settings = reader.ReadFile(path);
 //
-// A key is required unless Default or Optional follows its declaration.
+// A key is required unless Default or Optional follows its declaration. Where
+// the file is rendered from a template, a value may be missing: a key with a
+// default takes it if its value is empty or still holds a {{placeholder}}; see
+// Settings::unfilled.
 // On failure, programs print last_error() and exit with kSettingsExitCode.
 class SettingsReader {
  public:
--- a/libs/config/src/settings_reader.cc
+++ b/libs/config/src/settings_reader.cc
@@ -34,6 +34,8 @@
 };
 
 constexpr int64_t kMaxPort = std::numeric_limits<uint16_t>::max();
+// Begins a placeholder of a template.
+constexpr char kPlaceholder[] = "{{";
 constexpr char kAddressRemedy[] =
     "write an IP number and a port, such as 127.0.0.1:8080";
 
@@ -149,6 +151,14 @@
     return "text";
   }
 
+  // False if the template of the file left the entry `node` of this key without
+  // a value. Empty text is a value that is not valid.
+  bool IsFilledIn(const YamlNode& node) const {
+    return node.kind != YamlNode::Kind::kScalar ||
+           (node.scalar.find(kPlaceholder) == std::string::npos &&
+            (!node.scalar.empty() || type == Type::kString));
+  }
+
   // Reads the entry of this key, which must be present.
   Settings::Value Read(MapReader& reader) const;
 };
@@ -311,7 +321,13 @@
       return std::nullopt;
     }
     Settings::Value& value = settings.values_[key.name];
-    if (reader.Find(key.name) != nullptr) {
+    const YamlNode* node = reader.Find(key.name);
+    const bool unfilled =
+        node != nullptr && key.fallback && !key.IsFilledIn(*node);
+    if (unfilled) {
+      settings.unfilled_.push_back(key.name);
+    }
+    if (node != nullptr && !unfilled) {
       value = key.Read(reader);
     } else if (key.fallback) {
       const auto fallback = YamlReader().Read(key.name + ": " + *key.fallback);
--- a/libs/config/tests/settings_reader_test.cc
+++ b/libs/config/tests/settings_reader_test.cc
@@ -102,6 +102,41 @@
   }
 }
 
+TEST(SettingsReader, UnfilledPlaceholderMakesTheSettingsInvalid) {
+  struct Case {
+    std::string line;
+    Millis drain;
+    size_t unfilled;
+  };
+  const Case cases[] = {
+      {"drain_ms: '{{bounds.drainS}}000'\n", Millis(30000), 1},
+      {"drain_ms: '{{#drain}}{{.}}{{/drain}}'\n", Millis(30000), 1},
+      {"drain_ms: ''\n", Millis(30000), 1},
+      {"drain_ms: '7000'\n", Millis(7000), 0},
+      {"drain_ms: 7000\n", Millis(7000), 0},
+      {"", Millis(30000), 0},
+  };
+  for (const Case& c : cases) {
+    SettingsReader reader;
+    DeclareKeys(reader);
+    const auto settings = reader.Read(kMinimal + c.line, "router.yaml");
+    CHECK_TEXT(settings.has_value(), reader.last_error().ToString().c_str());
+    CHECK(settings->Duration("drain_ms") == c.drain);
+    CHECK_EQUAL(c.unfilled, settings->unfilled().size());
+  }
+}
+
+TEST(SettingsReader, RefusesUnfilledKeysWithoutDefault) {
+  for (const char* line :
+       {"process: '{{nodeName}}'\nlisten_ip: 127.0.0.1\nplatform: 10.0.0.1:1\n",
+        "process: a\nlisten_ip: '{{ip}}'\nplatform: 10.0.0.1:1\n",
+        "process: a\nlisten_ip: 127.0.0.1\nplatform: ''\n"}) {
+    SettingsReader reader;
+    DeclareKeys(reader);
+    CHECK_TEXT(!reader.Read(line, "router.yaml"), line);
+  }
+}
+
 TEST(SettingsReader, RefusesMissingFile) {
   SettingsReader reader;
   CHECK(!reader.ReadFile("no/such/file.yaml"));
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -17,6 +17,7 @@
   kProcessStopped = 106,
   kSettingsRefused = 107,
   kSettingsReloaded = 108,
+  kSettingUnfilled = 109,
   // Configuration.
   kConfigInForce = 201,
   kConfigRejected = 202,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -28,6 +28,9 @@
       {EventId::kSettingsReloaded, Level::kInfo, "settings_reloaded",
        "The settings file was read again; fields name the settings that "
        "take effect only after a restart."},
+      {EventId::kSettingUnfilled, Level::kWarning, "setting_unfilled",
+       "The template of the settings left a key without a value; it has its "
+       "default."},
       {EventId::kConfigInForce, Level::kInfo, "config_in_force",
        "A configuration came into force; fields name its revision."},
       {EventId::kConfigRejected, Level::kError, "config_rejected",
--- a/tools/godwit-edge/src/main.cc
+++ b/tools/godwit-edge/src/main.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <string>
 
 #include "config/settings.h"
 #include "config/settings_reader.h"
@@ -67,6 +68,9 @@
   auto options = godwit::daemon::LogOptionsOf(settings);
   options.to_stdout = true;
   godwit::telemetry::StartLogging(options);
+  for (const std::string& key : settings.unfilled()) {
+    Log(EventId::kSettingUnfilled, {{"key", key}});
+  }
   // The concurrency hint 1 avoids locking, since only one thread runs the
   // context.
   boost::asio::io_context io(1);
