Notice within the stated time that a watch of the store was lost

Cause: a watch waited for 10 s and was given up a second later; only another call without an answer ended it sooner. Answered calls show that the store lives, not that it still knows the watch. Class: silence taken for 'no change'.

Change: a watch asks the store to wait for change_detection_ms less the time to notice and to list, 1.5 s at the users' stabilityWindowMs of 3 s, so that its own silence shows that it was lost.

--- a/libs/platform/include/platform/call_deadline.h
+++ b/libs/platform/include/platform/call_deadline.h
@@ -11,6 +11,10 @@
 // takes just as long. No I/O.
 class CallDeadline {
  public:
+  // Time without a byte of the answer after which a call is given up. Answers
+  // usually take milliseconds; a slow KV takes a quarter of a second.
+  static constexpr base::Millis kSilenceTimeout{1000};
+
   // `wait` is the time for which the KV may hold the call back by request.
   CallDeadline(base::Millis started_at, base::Millis wait);
 
--- a/libs/platform/src/call_deadline.cc
+++ b/libs/platform/src/call_deadline.cc
@@ -5,9 +5,6 @@
 namespace godwit::platform {
 namespace {
 
-// Time without a byte of the answer. Answers usually take milliseconds; a slow
-// KV takes a quarter of a second.
-constexpr base::Millis kSilenceTimeout(1000);
 // Time for a whole answer. The largest page, 1.4 MB as base64, takes 11 s at
 // 1 Mbit/s.
 constexpr base::Millis kMaxTransferTime(12'000);
--- a/libs/platform/src/kv_liveness.cc
+++ b/libs/platform/src/kv_liveness.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "platform/call_deadline.h"
+
 namespace godwit::platform {
 namespace {
 
@@ -10,9 +12,17 @@
 // Bound on the probes of all processes together.
 constexpr int64_t kMaxProbesPerSecond = 200;
 constexpr int64_t kMillisPerSecond = 1000;
+// Time to list the keys once a watch was given up.
+constexpr base::Millis kListTime(500);
+constexpr base::Millis kMinWatchWait(250);
 
 }  // namespace
 
+KvLiveness::KvLiveness(base::Millis change_detection)
+    : watch_wait_(std::max(
+          kMinWatchWait,
+          change_detection - CallDeadline::kSilenceTimeout - kListTime)) {}
+
 void KvLiveness::SetProcesses(size_t count) {
   processes_ = std::max<size_t>(1, count);
 }
--- a/libs/platform/tests/kv_liveness_test.cc
+++ b/libs/platform/tests/kv_liveness_test.cc
@@ -3,11 +3,20 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "platform/call_deadline.h"
+
 #include <CppUTest/TestHarness.h>
 
 using godwit::base::Millis;
+using godwit::platform::CallDeadline;
 using godwit::platform::KvLiveness;
 
+namespace {
+
+constexpr Millis kDetection(3000);
+
+}  // namespace
+
 TEST_GROUP(KvLiveness){};
 
 TEST(KvLiveness, WatchThatWasPendingDuringAnUnansweredCallIsUnreliable) {
@@ -16,7 +25,7 @@
     int64_t sent_at_ms;
     bool is_reliable;
   };
-  KvLiveness liveness;
+  KvLiveness liveness(kDetection);
   CHECK(liveness.IsWatchReliable(Millis(0)));
   liveness.OnAnswered(Millis(3000));
   liveness.OnUnanswered(Millis(5000));
@@ -44,7 +53,7 @@
         Case{"quiet", 1, 500, true}, Case{"quiet, 68 processes", 68, 500, true},
         Case{"quiet, 320 processes", 320, 1599, false},
         Case{"longer quiet, 320 processes", 320, 1600, true}}) {
-    KvLiveness liveness;
+    KvLiveness liveness(kDetection);
     liveness.SetProcesses(c.processes);
     liveness.OnAnswered(Millis(10'000));
     // Answers may come out of order.
@@ -56,8 +65,26 @@
 }
 
 TEST(KvLiveness, UnansweredCallsDoNotPutOffProbes) {
-  KvLiveness liveness;
+  KvLiveness liveness(kDetection);
   liveness.OnAnswered(Millis(1000));
   liveness.OnUnanswered(Millis(1400));
   CHECK(liveness.IsProbeDue(Millis(1500)));
 }
+
+TEST(KvLiveness, LostWatchIsNoticedLaterThanStated) {
+  // What the calls of a slow KV take.
+  constexpr Millis slow_list(250);
+  for (const int64_t detection_ms : {2000, 3000, 4000, 10'000}) {
+    const Millis detection(detection_ms);
+    const KvLiveness liveness(detection);
+    CallDeadline deadline(Millis(0), liveness.watch_wait());
+    CHECK(deadline.HasPassed(detection - slow_list));
+    // A watch without changes is answered once its wait is over.
+    CHECK(!deadline.HasPassed(liveness.watch_wait() + slow_list));
+    CHECK(liveness.watch_wait() > Millis(0));
+  }
+}
+
+TEST(KvLiveness, WatchesWaitHoweverShortTheStatedTime) {
+  CHECK(KvLiveness(Millis(0)).watch_wait() > Millis(0));
+}
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -67,6 +67,7 @@
         store_watcher_(store_,
                        {options_.process, options_.incarnation,
                         settings.Address("routers"), MillicoresFrom(settings)},
+                       settings.Duration("change_detection_ms"),
                        [this](const dispatch::DispatchEvent& event) {
                          OnStoreEvent(event);
                        }),
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -18,6 +18,7 @@
 constexpr int64_t kMaxRetries = 1'000'000;
 constexpr int64_t kMaxCostMillis = 60'000;
 constexpr int64_t kMaxRetryWindowMillis = 600'000;
+constexpr int64_t kMaxChangeDetectionMillis = 60'000;
 // The share of a VM may be a small part of a core.
 constexpr double kMinProcessorShare = 0.001;
 constexpr double kMaxProcessorShare = 1024;
@@ -79,6 +80,11 @@
                 "router that starts may retry at once",
                 0, kMaxRetryWindowMillis)
       .Default("10000")
+      .Duration("change_detection_ms",
+                "time within which changes in the platform's store are noticed "
+                "although it loses the answers that report them",
+                0, kMaxChangeDetectionMillis)
+      .Default("3000")
       .Duration("other_data_centre_cost_ms",
                 "how much sooner a backend server of another data centre must "
                 "answer to be chosen",
--- a/tools/godwit-edge/src/store_watcher.cc
+++ b/tools/godwit-edge/src/store_watcher.cc
@@ -16,10 +16,6 @@
 using telemetry::EventId;
 using telemetry::Log;
 
-// Longest wait for a change. It is long because the store counts each watch as
-// a call; keep-alive probes and other calls detect sooner that it may never be
-// answered.
-constexpr base::Millis kWatchTimeout(10'000);
 // Interval between watches of the backend servers, which register in bursts.
 constexpr base::Millis kBackendWatchInterval(250);
 // Interval between lists of the routers. It may be long, since routers send
@@ -33,16 +29,20 @@
 StoreWatcher::StoreWatcher(
     adapter::StoreClient& store,
     ledger::Peer self,
+    base::Millis change_detection,
     std::function<void(const dispatch::DispatchEvent&)> raise)
     : store_(store),
       raise_(std::move(raise)),
       backends_(kBackendWatchInterval),
-      registration_(store, std::move(self), [this] {
-        // Ensures that of two routers that start at the same time, one lists
-        // the other.
-        needs_current_list_ = true;
-        next_list_at_ = base::Millis();
-      }) {
+      registration_(store,
+                    std::move(self),
+                    [this] {
+                      // Ensures that of two routers that start at the same
+                      // time, one lists the other.
+                      needs_current_list_ = true;
+                      next_list_at_ = base::Millis();
+                    }),
+      liveness_(change_detection) {
   store_.OnEra([this](int64_t era) { OnEra(era); });
   configuration_.prefix = adapter::OperatorKeyPrefix();
   configuration_.on_listed = &StoreWatcher::OnOperatorKeysListed;
@@ -90,7 +90,7 @@
   } else {
     subscription.watch = store_.Watch(
         subscription.prefix, std::get<Watcher::Watch>(*request).after_revision,
-        kWatchTimeout, done);
+        liveness_.watch_wait(), done);
   }
 }
 
--- a/tools/godwit-edge/src/store_watcher.h
+++ b/tools/godwit-edge/src/store_watcher.h
@@ -26,8 +26,11 @@
 // Registers this router there.
 class StoreWatcher {
  public:
+  // `change_detection` is the time within which a change in the store is to be
+  // noticed although the call that would report it is never answered.
   StoreWatcher(adapter::StoreClient& store,
                ledger::Peer self,
+               base::Millis change_detection,
                std::function<void(const dispatch::DispatchEvent&)> raise);
 
   // Call it every few tens of milliseconds.
