Read from the KV after a lost watch, in the product's own mode

What operators would see: where the KV loses the answers of watches and answers all other calls, godwit-router and godwit-agent keep their configuration and fleet record for as long as it lasts; 15 s is the stated time until a configuration is in force.

Cause: another watch followed the lost one. A KV with a newer revision answers it at once, and that answer is lost, too. Class: silence taken for 'no change'.

Change: the call after a lost watch is a read, in ConfigSync and in WatchFleet, which can now be ended by its callback. The stand-in KV can lose the answers of watches.

--- a/libs/config/include/config/config_sync.h
+++ b/libs/config/include/config/config_sync.h
@@ -70,6 +70,9 @@
   // Version that the KV returned last.
   int64_t kv_revision_ = 0;
   bool kv_answered_ = false;
+  // The next call to the KV is a read: a first answer must not be delayed by
+  // the wait of a watch, and a KV may lose the answers of watches only.
+  bool read_next_ = true;
   bool kv_failed_ = false;
   bool watching_ = false;
   base::Millis next_watch_;
--- a/libs/config/src/config_sync.cc
+++ b/libs/config/src/config_sync.cc
@@ -37,6 +37,7 @@
   const bool changed = event.revision != kv_revision_ && event.revision != 0;
   watching_ = false;
   kv_answered_ = true;
+  read_next_ = false;
   kv_revision_ = event.revision;
   next_watch_ = decreased ? now_ + options_.kv_retry : now_;
   if (changed) {
@@ -47,6 +48,7 @@
 void ConfigSync::On(const KvWatchFailed& /*event*/) {
   watching_ = false;
   kv_failed_ = true;
+  read_next_ = true;
   next_watch_ = now_ + options_.kv_retry;
 }
 
@@ -106,12 +108,9 @@
   if (watching_ || now_ < next_watch_) {
     return;
   }
-  // A first answer, or the first one after a failure, must not be delayed by
-  // the wait of a watch.
-  const bool immediately = !kv_answered_;
   watching_ = true;
-  commands_.emplace_back(WatchKv{
-      kv_revision_, immediately ? base::Millis() : options_.watch_wait});
+  commands_.emplace_back(
+      WatchKv{kv_revision_, read_next_ ? base::Millis() : options_.watch_wait});
 }
 
 void ConfigSync::PullWhenBehind() {
--- a/libs/daemon/include/daemon/watch_fleet.h
+++ b/libs/daemon/include/daemon/watch_fleet.h
@@ -14,15 +14,14 @@
 namespace godwit::daemon {
 
 // Watches the fleet record in the KV and calls `on_record` with each newer
-// version; never returns. `watch_timeout` is the duration of one watch call; a
-// failed call is retried after `retry_delay`. Blocks the calling fiber. Core
-// thread only.
-[[noreturn]] void WatchFleet(
-    platform::Client& client,
-    base::Millis watch_timeout,
-    base::Millis retry_delay,
-    const std::function<void(const membership::FleetRecord&, int64_t version)>&
-        on_record);
+// version, until it returns false. `watch_timeout` is the duration of one watch
+// call; a failed call is retried after `retry_delay`. Blocks the calling fiber.
+// Core thread only.
+void WatchFleet(platform::Client& client,
+                base::Millis watch_timeout,
+                base::Millis retry_delay,
+                const std::function<bool(const membership::FleetRecord&,
+                                         int64_t version)>& on_record);
 
 }  // namespace godwit::daemon
 
--- a/libs/daemon/src/watch_fleet.cc
+++ b/libs/daemon/src/watch_fleet.cc
@@ -9,12 +9,16 @@
 void WatchFleet(platform::Client& client,
                 base::Millis watch_timeout,
                 base::Millis retry_delay,
-                const std::function<void(const membership::FleetRecord&,
+                const std::function<bool(const membership::FleetRecord&,
                                          int64_t version)>& on_record) {
   int64_t version = 0;
+  // A KV may lose the answers of watches only.
+  bool read_next = false;
   for (;;) {
     const platform::KvReadDone done =
-        client.Watch(membership::kFleetKey, version, watch_timeout);
+        read_next ? client.Read(membership::kFleetKey)
+                  : client.Watch(membership::kFleetKey, version, watch_timeout);
+    read_next = !done.available;
     if (!done.available) {
       runtime::Runtime::SleepFor(retry_delay);
       continue;
@@ -29,7 +33,9 @@
       continue;
     }
     version = done.version.revision;
-    on_record(*record, version);
+    if (!on_record(*record, version)) {
+      return;
+    }
   }
 }
 
--- a/standins/platform/src/platform_service.cc
+++ b/standins/platform/src/platform_service.cc
@@ -256,6 +256,7 @@
   faults_.delay =
       base::Millis(MemberOr(faults, "delay_ms", faults_.delay.count()));
   faults_.lose_answers = MemberOr(faults, "lose_answers", faults_.lose_answers);
+  faults_.lose_watches = MemberOr(faults, "lose_watches", faults_.lose_watches);
   writes_.per_second =
       MemberOr(faults, "writes_per_second", writes_.per_second);
   reads_.per_second = MemberOr(faults, "reads_per_second", reads_.per_second);
@@ -294,7 +295,7 @@
       ++watch;
       continue;
     }
-    Answer(*watch->exchange, ReadValue(key));
+    AnswerWatch(*watch, ReadValue(key));
     watch = watches_.erase(watch);
   }
 }
@@ -312,9 +313,9 @@
       ++watch;
       continue;
     }
-    Answer(*watch->exchange,
-           faults_.outage ? Refusal(503, ErrorKind::kUnavailable, "outage")
-                          : Response{304, {}, ""});
+    AnswerWatch(*watch, faults_.outage
+                            ? Refusal(503, ErrorKind::kUnavailable, "outage")
+                            : Response{304, {}, ""});
     watch = watches_.erase(watch);
   }
 }
@@ -324,4 +325,12 @@
   exchange.Respond(std::move(response));
 }
 
+void PlatformService::AnswerWatch(const Watch& watch, Response response) {
+  if (faults_.lose_watches) {
+    lost_.push_back(watch.exchange);
+    return;
+  }
+  Answer(*watch.exchange, std::move(response));
+}
+
 }  // namespace godwit::standin
--- a/standins/platform/src/platform_service.h
+++ b/standins/platform/src/platform_service.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/millis.h"
 #include "http/response.h"
@@ -52,6 +53,8 @@
     base::Millis delay;
     // Number of next writes that take effect but are not answered.
     int64_t lose_answers = 0;
+    // Watches end without an answer; all other calls are answered.
+    bool lose_watches = false;
   };
 
   struct Counts {
@@ -100,6 +103,7 @@
   http::Response ReadValue(const std::string& key) const;
   void Notify(const std::string& key);
   void Answer(http::Exchange& exchange, http::Response response);
+  void AnswerWatch(const Watch& watch, http::Response response);
 
   runtime::Runtime& runtime_;
   base::Millis vm_lag_;
@@ -109,6 +113,8 @@
   RateLimiter writes_;
   RateLimiter reads_;
   std::list<Watch> watches_;
+  // Calls whose answers were lost; kept, since their connections stay open.
+  std::vector<std::shared_ptr<http::Exchange>> lost_;
   std::deque<VmList> vm_lists_;
 };
 
--- a/tests/config_process/config_process_test.cc
+++ b/tests/config_process/config_process_test.cc
@@ -216,3 +216,16 @@
   CHECK(fleet.AwaitRevision("router-1", won));
   CHECK(fleet.AwaitRevision("router-2", won));
 }
+
+TEST(ConfigProcess,
+     ConfigurationNeverArrivesWhereTheKvLosesTheAnswersOfWatches) {
+  Fleet fleet;
+  const int64_t first = fleet.Apply(1, 0);
+  CHECK(fleet.AwaitRevision("router-1", first));
+  CHECK(fleet.AwaitRevision("router-2", first));
+  fleet.SetFaults(R"({"lose_watches": true})");
+  const int64_t second = fleet.Apply(2, first);
+  CHECK(second > first);
+  CHECK(fleet.AwaitRevision("router-1", second));
+  CHECK(fleet.AwaitRevision("router-2", second));
+}
--- a/tools/godwit-agent/src/fleet_member.cc
+++ b/tools/godwit-agent/src/fleet_member.cc
@@ -79,6 +79,7 @@
       [this](const membership::FleetRecord& record, int64_t version) {
         handler_.on_version(version);
         CheckRemoved(record);
+        return true;
       });
 }
 
--- a/tools/godwit-router/src/platform_watch.cc
+++ b/tools/godwit-router/src/platform_watch.cc
@@ -35,6 +35,7 @@
       client_, kWatchTimeout, kRetryDelay,
       [this](const membership::FleetRecord& record, int64_t version) {
         on_event_(router::FleetRecordReceived{record, version});
+        return true;
       });
 }
 
