Take a lender's refusal for the message that it answers only

What callers saw: 503 budget_unavailable for a budget that the lender would have lent; after a top-up even 402, which callers do not repeat; and a second lender that draws.

The reply to the copy came during the next request, or a refusal of a larger amount counted for a smaller, more urgent one.

Change: messages that request tokens have a number, and replies state it. Replies to earlier requests change the sums only; a refusal counts with the amount and urgency of its message. Lenders of earlier versions state none and are understood as before.

--- a/libs/ledger/include/ledger/loan_reply.h
+++ b/libs/ledger/include/ledger/loan_reply.h
@@ -40,12 +40,16 @@
   bool is_scarce = false;
   // Of a refusal: when tokens are expected; zero if it is not known.
   base::Millis retry_after;
+  // Of the request that it answers; zero if it answers none.
+  int64_t number = 0;
 
   friend bool operator==(const LoanReply& a, const LoanReply& b) {
     return std::tie(a.lender, a.borrower, a.budget, a.lent, a.state, a.left,
-                    a.granted, a.wall_time, a.is_scarce, a.retry_after) ==
-           std::tie(b.lender, b.borrower, b.budget, b.lent, b.state, b.left,
-                    b.granted, b.wall_time, b.is_scarce, b.retry_after);
+                    a.granted, a.wall_time, a.is_scarce, a.retry_after,
+                    a.number) == std::tie(b.lender, b.borrower, b.budget,
+                                          b.lent, b.state, b.left, b.granted,
+                                          b.wall_time, b.is_scarce,
+                                          b.retry_after, b.number);
   }
   friend bool operator!=(const LoanReply& a, const LoanReply& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/loan_request.h
+++ b/libs/ledger/include/ledger/loan_request.h
@@ -31,14 +31,16 @@
   // the time for which it has waited.
   int64_t urgency = 0;
   base::Millis waited;
+  // Of a message that requests tokens: tells it from the borrower's others.
+  int64_t number = 0;
 
   friend bool operator==(const LoanRequest& a, const LoanRequest& b) {
     return std::tie(a.borrower, a.lender, a.budget, a.used, a.unproven,
                     a.returned, a.least, a.wished, a.wall_time, a.urgency,
-                    a.waited) == std::tie(b.borrower, b.lender, b.budget,
-                                          b.used, b.unproven, b.returned,
-                                          b.least, b.wished, b.wall_time,
-                                          b.urgency, b.waited);
+                    a.waited, a.number) ==
+           std::tie(b.borrower, b.lender, b.budget, b.used, b.unproven,
+                    b.returned, b.least, b.wished, b.wall_time, b.urgency,
+                    b.waited, b.number);
   }
   friend bool operator!=(const LoanRequest& a, const LoanRequest& b) {
     return !(a == b);
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -12,8 +12,8 @@
 #include "ledger/budget_limit.h"
 #include "ledger/budget_report.h"
 #include "ledger/metered_policy.h"
-#include "ledger/peer.h"
 #include "ledger/shard.h"
+#include "open_loan_request.h"
 #include "reservation_queue.h"
 
 namespace godwit::ledger {
@@ -28,18 +28,6 @@
         reservations(policy.burn_half_life),
         returns(kReturnsHalfLife) {}
 
-  // A loan request without a final answer.
-  struct OpenLoanRequest {
-    Peer lender;
-    base::Millis first_sent_at;
-    base::Millis sent_at;
-    // The lender received it and draws from the ledger.
-    bool is_pending = false;
-    // What the first of the waiting requests needs in total, and its rank.
-    base::Tokens amount = 0;
-    ReservationRank rank;
-  };
-
   // Short, since what is returned follows the requests in progress.
   static constexpr base::Millis kReturnsHalfLife{1'000};
 
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -100,8 +100,8 @@
       request, from, now, {request.urgency, now - request.waited}};
   if (!TryAnswer(now, waiting)) {
     loans_.AddWaiting(waiting);
-    Reply(from, *local, request.borrower, LoanReply::State::kPending,
-          base::Millis());
+    Reply(from, *local, request.borrower, request.number,
+          LoanReply::State::kPending, base::Millis());
   }
 }
 
@@ -133,7 +133,8 @@
   const Shard& shard = ShardOfBudget(local);
   const auto reply = [&](LoanReply::State state,
                          base::Millis retry_after = base::Millis()) {
-    Reply(waiting.from, local, request.borrower, state, retry_after);
+    Reply(waiting.from, local, request.borrower, request.number, state,
+          retry_after);
     return true;
   };
   const Tokens lent = loans_.Lent(request);
@@ -179,14 +180,15 @@
 void MeteredBudgetManager::State::Reply(const base::Endpoint& to,
                                         const MeteredBudget& budget,
                                         const base::Incarnation& borrower,
+                                        int64_t number,
                                         LoanReply::State state,
                                         base::Millis retry_after) {
   const base::BudgetId& id = budget.limit.budget;
   const Tokens left = std::max<Tokens>(0, MaxRemaining(budget));
-  outbox_.emplace_back(SendToPeer{
-      to,
-      LoanReply{self_, borrower, id, loans_.Lent(id, borrower), state, left,
-                Granted(budget), WallTime(), budget.is_scarce, retry_after}});
+  outbox_.emplace_back(
+      SendToPeer{to, LoanReply{self_, borrower, id, loans_.Lent(id, borrower),
+                               state, left, Granted(budget), WallTime(),
+                               budget.is_scarce, retry_after, number}});
 }
 
 void MeteredBudgetManager::State::On(base::Millis now, const LoanReply& reply) {
@@ -199,7 +201,13 @@
   reported_grants_[{reply.budget, reply.lender}] = {reply.granted, now};
   RecordScarcity(now, *local, reply);
   if (!local->loan_request ||
-      local->loan_request->lender.incarnation != reply.lender) {
+      local->loan_request->lender().incarnation != reply.lender) {
+    return;
+  }
+  const OpenLoanRequest::Send* send = local->loan_request->Find(reply.number);
+  if (send == nullptr) {
+    // Answers an earlier request, whose amount and limit are not those of this
+    // one.
     return;
   }
   switch (reply.state) {
@@ -207,16 +215,19 @@
       local->loan_request.reset();
       return;
     case LoanReply::State::kPending:
-      local->loan_request->is_pending = true;
+      local->loan_request->SetPending();
       return;
     case LoanReply::State::kNothingFree:
-      RecordRefusal(now, *local, reply);
+      RecordRefusal(now, *local, *send, reply);
+      if (!local->loan_request->IsRefusedWith(*send)) {
+        return;
+      }
       local->loan_request.reset();
       // Requests that were not refused repeat their reservations.
       local->loan_need = 0;
       return;
     case LoanReply::State::kRefused:
-      local->refused_until[local->loan_request->lender.process] =
+      local->refused_until[local->loan_request->lender().process] =
           now + policy_.refused_backoff;
       local->loan_request.reset();
       return;
@@ -264,31 +275,31 @@
   if (!budget.loan_request) {
     return;
   }
-  const MeteredBudget::OpenLoanRequest request = *budget.loan_request;
+  const OpenLoanRequest& request = *budget.loan_request;
   const base::Millis limit =
-      request.is_pending ? policy_.pending_timeout : policy_.loan_timeout;
-  if (now - request.first_sent_at >= limit) {
-    if (!request.is_pending) {
-      unresponsive_until_[request.lender.process] =
+      request.is_pending() ? policy_.pending_timeout : policy_.loan_timeout;
+  if (now - request.first_sent_at() >= limit) {
+    if (!request.is_pending()) {
+      unresponsive_until_[request.lender().process] =
           now + policy_.unresponsive_backoff;
-      outbox_.emplace_back(PeerUnresponsive{request.lender, budget.limit.budget,
-                                            now - request.first_sent_at});
+      outbox_.emplace_back(PeerUnresponsive{request.lender(),
+                                            budget.limit.budget,
+                                            now - request.first_sent_at()});
     }
-    budget.refused_until[request.lender.process] =
+    budget.refused_until[request.lender().process] =
         now + policy_.refused_backoff;
     budget.loan_request.reset();
     return;
   }
   const auto first = budget.waiting.First();
   const bool is_preceded =
-      IsScarce(now, budget) && first && first->rank < request.rank;
+      IsScarce(now, budget) && first && first->rank < request.Find(0)->rank;
   const bool is_unanswered =
-      now - request.sent_at >= (request.is_pending
-                                    ? kPendingResendInterval
-                                    : policy_.loan_resend_interval);
+      now - request.sent_at() >= (request.is_pending()
+                                      ? kPendingResendInterval
+                                      : policy_.loan_resend_interval);
   if (is_preceded || is_unanswered) {
-    budget.loan_request->sent_at = now;
-    SendLoanRequest(now, budget, request.lender, true);
+    SendLoanRequest(now, budget, request.lender(), true);
   }
 }
 
@@ -308,8 +319,7 @@
     return;
   }
   budget.next_refill_at = now + policy_.refill_interval;
-  budget.loan_request =
-      MeteredBudget::OpenLoanRequest{*lender, now, now, false, 0, {}};
+  budget.loan_request.emplace(*lender, now);
   SendLoanRequest(now, budget, *lender, true);
 }
 
@@ -344,9 +354,11 @@
       request.urgency = first->rank.urgency;
       request.waited = std::max(base::Millis(), now - first->rank.since);
     }
+    request.number = ++loan_requests_sent_;
     if (budget.loan_request) {
-      budget.loan_request->amount = budget.loan_need;
-      budget.loan_request->rank = first ? first->rank : ReservationRank();
+      budget.loan_request->AddSend(now,
+                                   {request.number, budget.loan_need,
+                                    first ? first->rank : ReservationRank()});
     }
   }
   loan.reported = loan.used + loan.returned;
--- a/libs/ledger/src/metered_scarcity.cc
+++ b/libs/ledger/src/metered_scarcity.cc
@@ -170,7 +170,7 @@
   for (const base::Incarnation& borrower :
        loans_.BorrowersOf(budget.limit.budget)) {
     if (const Peer* const peer = PeerOf(borrower)) {
-      Reply(peer->address, budget, borrower, LoanReply::State::kLent,
+      Reply(peer->address, budget, borrower, 0, LoanReply::State::kLent,
             base::Millis());
     }
   }
@@ -182,14 +182,16 @@
   budget.scarce_until = reply.is_scarce ? now + kScarceValidity : now;
 }
 
-void MeteredBudgetManager::State::RecordRefusal(base::Millis now,
-                                                MeteredBudget& budget,
-                                                const LoanReply& reply) {
+void MeteredBudgetManager::State::RecordRefusal(
+    base::Millis now,
+    MeteredBudget& budget,
+    const OpenLoanRequest::Send& send,
+    const LoanReply& reply) {
   budget.nothing_free_until = now + policy_.nothing_free_backoff;
   budget.reported_left = reply.left;
   budget.refused_at = now;
-  budget.refused_amount = budget.loan_request->amount;
-  budget.refused_rank = budget.loan_request->rank;
+  budget.refused_amount = send.amount;
+  budget.refused_rank = send.rank;
   budget.retry_after =
       reply.retry_after == base::Millis()
           ? kUnknownRetryAfter
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -179,6 +179,7 @@
   void Reply(const base::Endpoint& to,
              const MeteredBudget& budget,
              const base::Incarnation& borrower,
+             int64_t number,
              LoanReply::State state,
              base::Millis retry_after);
 
@@ -218,9 +219,10 @@
   void RecordScarcity(base::Millis now,
                       MeteredBudget& budget,
                       const LoanReply& reply);
-  // Records that a lender refused the open loan request.
+  // Records that a lender refused `send` of the open loan request.
   void RecordRefusal(base::Millis now,
                      MeteredBudget& budget,
+                     const OpenLoanRequest::Send& send,
                      const LoanReply& reply);
   // True if a lender has refused this waiting request, or one before it that
   // needs no more.
@@ -328,6 +330,8 @@
   // Last grants that lenders reported.
   std::map<std::pair<base::BudgetId, base::Incarnation>, ReportedGrant>
       reported_grants_;
+  // Messages that request tokens, sent by this incarnation.
+  int64_t loan_requests_sent_ = 0;
   size_t routers_ = 1;
   // Wall clock minus monotonic clock; empty until it is known.
   std::optional<base::Millis> clock_offset_;
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -38,7 +38,8 @@
           {"wished", request.wished},
           {"wall", request.wall_time.count()},
           {"urgency", request.urgency},
-          {"waited", request.waited.count()}};
+          {"waited", request.waited.count()},
+          {"number", request.number}};
 }
 
 Json ToJson(const LoanReply& reply) {
@@ -52,7 +53,8 @@
           {"granted", reply.granted},
           {"wall", reply.wall_time.count()},
           {"scarce", reply.is_scarce ? 1 : 0},
-          {"retry", reply.retry_after.count()}};
+          {"retry", reply.retry_after.count()},
+          {"number", reply.number}};
 }
 
 Json ToJson(const Peer& peer) {
@@ -188,7 +190,8 @@
                        *least, *wished, WallTimeIn(*document),
                        // Routers of earlier versions don't send these.
                        Amount(*document, "urgency").value_or(0),
-                       base::Millis(Amount(*document, "waited").value_or(0))};
+                       base::Millis(Amount(*document, "waited").value_or(0)),
+                       Amount(*document, "number").value_or(0)};
   }
   const auto lent = Amount(*document, "lent");
   const auto left = Amount(*document, "left");
@@ -203,7 +206,8 @@
                    Amount(*document, "granted").value_or(0),
                    WallTimeIn(*document),
                    Amount(*document, "scarce").value_or(0) > 0,
-                   base::Millis(Amount(*document, "retry").value_or(0))};
+                   base::Millis(Amount(*document, "retry").value_or(0)),
+                   Amount(*document, "number").value_or(0)};
 }
 
 std::string EncodePeer(const Peer& peer) {
--- a/libs/ledger/tests/peer_codec_test.cc
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -36,7 +36,8 @@
                            4000,
                            Millis(70'000),
                            2,
-                           Millis(35)};
+                           Millis(35),
+                           12};
 const LoanReply kReply{Incarnation("edge-2.9"),
                        Incarnation("edge-1.7"),
                        BudgetId("kiosks"),
@@ -46,7 +47,8 @@
                        90'000,
                        Millis(70'000),
                        true,
-                       Millis(250)};
+                       Millis(250),
+                       12};
 const Peer kPeer{ProcessId("edge-1"),
                  Incarnation("edge-1.7"),
                  {"10.1.0.19", 7200},
