Keep connections to peers that read slowly

A request with a body that a server read late was lost after 1.5 s.

Cause: TCP_USER_TIMEOUT ends connections to peers without room, whether they acknowledge the kernel's probes or not.

Change: SlowPeerGuard turns it off while nothing is in flight and bytes wait, and finds a peer without room gone if two probes were lost and nothing was acknowledged for the timeout. Where the kernel does not state this, all is as before.

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -37,6 +37,10 @@
     size_t connections = 10'000;
   };
 
+  // A caller that acknowledges nothing for this long, while bytes for it wait,
+  // counts as disconnected.
+  static constexpr base::Millis kAckTimeout{5000};
+
   CallerServer(boost::asio::io_context& io, CallerHandler& handler);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
--- a/libs/relay/src/caller_io.h
+++ b/libs/relay/src/caller_io.h
@@ -5,8 +5,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
+#include "relay/caller_server.h"
 #include "relay/caller_session.h"
 #include "relay/request_reader.h"
+#include "slow_peer_guard.h"
 
 namespace godwit::relay {
 
@@ -16,9 +18,12 @@
   static constexpr size_t kReadBytes = 16 * 1024;
 
   Io(boost::asio::ip::tcp::socket connection, RequestReader::Limits limits)
-      : socket(std::move(connection)), reader(limits) {}
+      : socket(std::move(connection)),
+        guard(CallerServer::kAckTimeout),
+        reader(limits) {}
 
   boost::asio::ip::tcp::socket socket;
+  SlowPeerGuard guard;
   RequestReader reader;
   std::array<char, kReadBytes> buffer;
   std::string inbox;
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -21,8 +21,6 @@
 // Backlog of connections waiting to be accepted. The kernel drops connections
 // above it, and their callers retry only after a second.
 constexpr int kBacklog = 4096;
-// A caller that acknowledges no bytes for this long counts as disconnected.
-constexpr base::Millis kCallerAckTimeout(5000);
 // Time in which requests are read that callers had sent before the server
 // closed.
 constexpr base::Millis kCloseDelay(50);
@@ -101,7 +99,7 @@
   }
   error_code ignored;
   socket.non_blocking(true, ignored);
-  SetSocketOptions(socket, kCallerAckTimeout);
+  SetSocketOptions(socket, kAckTimeout);
   const RequestReader::Limits limits{limits_.header_bytes, limits_.body_bytes};
   auto session = std::make_shared<CallerSession>(
       *this, std::make_unique<CallerSession::Io>(std::move(socket), limits));
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -235,6 +235,9 @@
     const size_t written =
         io.socket.write_some(asio::buffer(io.outbox) + io.sent, error);
     io.sent += written;
+    if (written > 0) {
+      io.guard.OnSent(base::SteadyNow());
+    }
     server_.traffic_.AddSent(written);
     if (error == asio::error::would_block) {
       awaiting_writable_ = true;
@@ -317,6 +320,9 @@
 }
 
 void CallerSession::Tick(base::Millis now) {
+  if (!closed_ && io_->guard.IsPeerGone(now, io_->socket)) {
+    OnDisconnected();
+  }
   if (closed_ || state_ == State::kAnswering) {
     return;
   }
--- a/libs/relay/src/socket_options.cc
+++ b/libs/relay/src/socket_options.cc
@@ -28,7 +28,13 @@
   Set(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
   Set(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbePeriodSeconds);
   Set(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbesLost);
-  Set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ack_timeout.count()));
+  SetAckTimeout(socket, ack_timeout);
+}
+
+void SetAckTimeout(boost::asio::ip::tcp::socket& socket,
+                   base::Millis ack_timeout) {
+  Set(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+      static_cast<int>(ack_timeout.count()));
 }
 
 }  // namespace godwit::relay
--- a/libs/relay/src/socket_options.h
+++ b/libs/relay/src/socket_options.h
@@ -13,6 +13,10 @@
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket,
                       base::Millis ack_timeout);
 
+// Replaces `ack_timeout`; zero stands for the kernel's own, of minutes.
+void SetAckTimeout(boost::asio::ip::tcp::socket& socket,
+                   base::Millis ack_timeout);
+
 }  // namespace godwit::relay
 
 #endif  // RELAY_SOCKET_OPTIONS_H_
--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -53,7 +53,10 @@
 
 UpstreamConnection::UpstreamConnection(UpstreamPool& pool,
                                        base::Endpoint server)
-    : pool_(pool), server_(std::move(server)), socket_(pool.io_) {}
+    : pool_(pool),
+      server_(std::move(server)),
+      socket_(pool.io_),
+      guard_(pool.options_.ack_timeout) {}
 
 bool UpstreamConnection::HasCarried(const std::string& id) const {
   return !id.empty() && std::find(carried_.begin(), carried_.end(),
@@ -155,6 +158,7 @@
       return;
     }
     pool_.traffic_.AddSent(sent);
+    guard_.OnSent(base::SteadyNow());
     const size_t head_bytes = std::min(sent, unsent[0].size());
     head_sent_ += head_bytes;
     body_sent_ += sent - head_bytes;
@@ -291,6 +295,12 @@
   }
 }
 
+void UpstreamConnection::CheckSending(base::Millis now) {
+  if (open_ && !closed_ && guard_.IsPeerGone(now, socket_)) {
+    Fail(Failure::kLost);
+  }
+}
+
 void UpstreamConnection::BecomeIdle(base::Millis now,
                                     base::Millis idle_timeout) {
   request_id_ = 0;
--- a/libs/relay/src/upstream_connection.h
+++ b/libs/relay/src/upstream_connection.h
@@ -15,6 +15,7 @@
 #include "relay/answer_reader.h"
 #include "relay/outgoing_request.h"
 #include "relay/upstream_pool.h"
+#include "slow_peer_guard.h"
 
 namespace godwit::relay {
 
@@ -39,6 +40,8 @@
 
   // Fails the request if the connection has not opened within `timeout`.
   void CheckConnect(base::Millis now, base::Millis timeout);
+  // Fails the request if its server has no room for it and is gone.
+  void CheckSending(base::Millis now);
 
   // True if a request with this id was assigned to the connection; false for an
   // empty id.
@@ -75,6 +78,7 @@
   UpstreamPool& pool_;
   const base::Endpoint server_;
   boost::asio::ip::tcp::socket socket_;
+  SlowPeerGuard guard_;
   std::array<char, kReadBytes> buffer_;
   std::string inbox_;
 
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/upstream_pool.cc
@@ -117,6 +117,7 @@
   }
   for (const auto& connection : checked) {
     connection->CheckConnect(now, options_.connect_timeout);
+    connection->CheckSending(now);
   }
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     auto& connections = entry->second;
