Bill what was sent when its caller leaves before the first byte

Cause: a request without a byte of an answer counted as not begun as long as its server answered others. A server may begin while the close is under way, or look at its connection only when it writes. Class: silence taken for "nothing happened".

Change: what was sent, and not stated as not run, is billed in doubt.

--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -21,10 +21,6 @@
 constexpr int64_t kStallMultiple = 8;
 constexpr base::Millis kMinStallTime(2000);
 
-// Without a byte from a server for longer than this, what it has sent may be
-// held up on the way.
-constexpr base::Millis kHeldUpTime(250);
-
 std::vector<uint64_t> SharedParts(const Request& request) {
   return request.prompt ? request.prompt->SharedParts()
                         : std::vector<uint64_t>();
@@ -140,24 +136,6 @@
   }
 }
 
-bool Dispatcher::State::MayHaveBegun(const Call& call) const {
-  // A server runs a prompt from the first token on, which it sends at once.
-  const bool shows_start = call.request.prompt && call.route->is_stream;
-  if (!shows_start || call.attempt_begun || call.last_received_at) {
-    return true;
-  }
-  if (now_ - call.attempt_started_at < kHeldUpTime) {
-    return false;
-  }
-  // A link that is cut may hold up what the server has sent.
-  return std::none_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
-    const Call& other = *entry.second;
-    return other.backend.key() == call.backend.key() &&
-           other.last_received_at &&
-           now_ - *other.last_received_at < kHeldUpTime;
-  });
-}
-
 void Dispatcher::State::RecordAbandoned(const Call& call,
                                         const std::string& reason,
                                         const char* next) {
--- a/libs/dispatch/src/dispatcher_state.cc
+++ b/libs/dispatch/src/dispatcher_state.cc
@@ -63,7 +63,9 @@
   }
   Call& call = *found->second;
   if (call.attempt != 0) {
-    call.may_have_run = call.may_have_run || MayHaveBegun(call);
+    // Its server may run it whatever becomes of the connection, and has not
+    // stated that it does not.
+    call.may_have_run = true;
     Cancel(call, Outcome::kCancelled);
   }
   End(call, "caller_gone", "the caller closed its connection");
--- a/libs/dispatch/src/dispatcher_state.h
+++ b/libs/dispatch/src/dispatcher_state.h
@@ -190,9 +190,6 @@
   // be sent again. Counts against the retry budget.
   std::optional<Choice> NextServer(Call& call, RunOutcome run_outcome);
   void CountAttemptEnd(Call& call, RunOutcome run_outcome);
-  // True unless the server has certainly not begun the answer to the attempt in
-  // progress: its connections work, and it has sent nothing.
-  bool MayHaveBegun(const Call& call) const;
   void RecordAbandoned(const Call& call,
                        const std::string& reason,
                        const char* next);
