Bound the memory of the request bodies that a router holds

What callers would see: many large bodies at once end a router, and all requests in progress there. 60 bodies of 7 MB, each allowed, took 484 MB; its VM has 260 MB.

Cause: the size of a body and the number of connections were bounded, their product was not, and a body is kept until its request ends.

Change: BodyMemory bounds all bodies by a third of the VM's memory (memory_mb).

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -17,6 +17,7 @@
 
 namespace godwit::relay {
 
+class BodyMemory;
 class CallerHandler;
 class CallerSession;
 
@@ -28,6 +29,10 @@
   struct Limits {
     size_t header_bytes = size_t{16} * 1024;
     size_t body_bytes = size_t{8} * 1024 * 1024;
+    // Memory for the bodies of all requests that are received or in progress;
+    // at least twice the largest body is used. Further ones are not read until
+    // there is room, and refused as not run if that takes a second.
+    size_t held_body_bytes = size_t{64} * 1024 * 1024;
     // Maximum time from the first byte of a request to its last.
     base::Millis request_timeout{10000};
     // Maximum idle time between requests on one connection.
@@ -52,7 +57,7 @@
   const base::Error& last_error() const noexcept { return error_; }
 
   // Takes effect for requests that begin after the call.
-  void SetLimits(const Limits& limits) { limits_ = limits; }
+  void SetLimits(const Limits& limits);
   const Limits& limits() const noexcept { return limits_; }
 
   // Closes each connection after its next answer. New connections are still
@@ -93,6 +98,8 @@
   boost::asio::io_context& io_;
   CallerHandler& handler_;
   Limits limits_;
+  // Shared with the bodies, which may outlive the server.
+  const std::shared_ptr<BodyMemory> body_memory_;
   bool draining_ = false;
   // Connections that are still to be closed after an answer.
   size_t to_close_ = 0;
--- a/libs/relay/include/relay/caller_session.h
+++ b/libs/relay/include/relay/caller_session.h
@@ -63,6 +63,13 @@
   // which may have waited to be read on a busy VM. Reads what else was
   // received.
   bool HasCallerDisconnected();
+  // Reserves memory for the rest of the body that is being received; false if
+  // it has to wait.
+  bool ReserveBody();
+  void ReleaseBody();
+  // Reads on once the body finds room, or refuses the request.
+  void AwaitRoom(base::Millis now);
+  std::shared_ptr<const std::string> TakeBody();
   void OnRequestComplete();
   void Refuse(int status, const std::string& reason);
   void Queue(std::string_view bytes);
--- a/libs/relay/include/relay/request_reader.h
+++ b/libs/relay/include/relay/request_reader.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,10 @@
   const std::string& refusal_reason() const noexcept;
 
   const RequestHead& head() const noexcept;
+  // Bytes of the body so far, and those of the whole body if its length is
+  // stated.
+  size_t body_bytes() const noexcept;
+  std::optional<size_t> stated_body_bytes() const;
   // Moves out the body, after removal of the transfer coding.
   std::string TakeBody();
 
--- a/libs/relay/src/caller_io.h
+++ b/libs/relay/src/caller_io.h
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "relay/caller_server.h"
@@ -29,6 +31,10 @@
   std::string inbox;
   std::string outbox;
   size_t sent = 0;
+  // Of the request that is being received; zero before its body.
+  int64_t body_id = 0;
+  // Since when its body finds no room, and is not read.
+  std::optional<base::Millis> no_room_since;
 };
 
 }  // namespace godwit::relay
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -1,5 +1,6 @@
 #include "relay/caller_server.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "base/clocks.h"
+#include "body_memory.h"
 #include "caller_io.h"
 #include "relay/caller_handler.h"
 #include "relay/caller_session.h"
@@ -35,7 +37,11 @@
 };
 
 CallerServer::CallerServer(asio::io_context& io, CallerHandler& handler)
-    : io_(io), handler_(handler) {}
+    : io_(io),
+      handler_(handler),
+      body_memory_(std::make_shared<BodyMemory>(0)) {
+  SetLimits(limits_);
+}
 
 CallerServer::~CallerServer() {
   for (const auto& session : std::exchange(sessions_, {})) {
@@ -43,6 +49,12 @@
   }
 }
 
+void CallerServer::SetLimits(const Limits& limits) {
+  limits_ = limits;
+  body_memory_->SetCapacity(
+      std::max(limits.held_body_bytes, limits.body_bytes * 2));
+}
+
 bool CallerServer::Listen(const base::Endpoint& address) {
   acceptor_ = std::make_shared<Acceptor>(io_);
   asio::ip::tcp::acceptor& acceptor = acceptor_->acceptor;
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/clocks.h"
+#include "body_memory.h"
 #include "caller_io.h"
 #include "relay/caller_handler.h"
 #include "relay/caller_server.h"
@@ -20,6 +21,12 @@
 using boost::system::error_code;
 
 constexpr int kRequestTimeoutStatus = 408;
+constexpr int kUnavailableStatus = 503;
+// Steps in which memory is reserved for a body whose length is not stated.
+constexpr size_t kBodyStep = size_t{64} * 1024;
+// Longest time for which a body waits for room: callers may give up one that is
+// not read for longer.
+constexpr base::Millis kMaxRoomWait(1000);
 // Maximum bytes of pipelined requests buffered while one is being answered.
 constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
 // OnCallerWritable is called once the output queue is below this.
@@ -59,7 +66,7 @@
 }
 
 void CallerSession::Read() {
-  if (closed_ || reading_) {
+  if (closed_ || reading_ || io_->no_room_since) {
     return;
   }
   reading_ = true;
@@ -110,6 +117,7 @@
   const size_t taken = io_->reader.Feed(io_->inbox);
   io_->inbox.erase(0, taken);
   if (io_->reader.refusal_status() != 0) {
+    ReleaseBody();
     Refuse(io_->reader.refusal_status(), io_->reader.refusal_reason());
     return;
   }
@@ -117,6 +125,9 @@
     OnRequestComplete();
     return;
   }
+  if (io_->reader.has_head() && !ReserveBody()) {
+    io_->no_room_since = base::SteadyNow();
+  }
   if (!had_head && io_->reader.has_head() &&
       io_->reader.head().headers.HasToken("expect", "100-continue")) {
     Queue("HTTP/1.1 100 Continue\r\n\r\n");
@@ -124,6 +135,32 @@
   }
 }
 
+bool CallerSession::ReserveBody() {
+  if (io_->body_id == 0) {
+    io_->body_id = server_.body_memory_->Begin();
+  }
+  const size_t bytes = io_->reader.stated_body_bytes().value_or(
+      (io_->reader.body_bytes() / kBodyStep + 1) * kBodyStep);
+  return server_.body_memory_->Reserve(io_->body_id, bytes);
+}
+
+void CallerSession::ReleaseBody() {
+  server_.body_memory_->Release(std::exchange(io_->body_id, 0));
+  io_->no_room_since.reset();
+}
+
+void CallerSession::AwaitRoom(base::Millis now) {
+  if (ReserveBody()) {
+    io_->no_room_since.reset();
+    Read();
+  } else if (now - *io_->no_room_since > kMaxRoomWait) {
+    receiving_request_ = false;
+    ReleaseBody();
+    Refuse(kUnavailableStatus, "no memory for the body of the request");
+    Read();
+  }
+}
+
 bool CallerSession::HasCallerDisconnected() {
   error_code error;
   const size_t size = io_->socket.read_some(asio::buffer(io_->buffer), error);
@@ -131,6 +168,23 @@
   return error && error != asio::error::would_block;
 }
 
+// The memory of a body is released with its last owner.
+std::shared_ptr<const std::string> CallerSession::TakeBody() {
+  auto body = std::make_unique<const std::string>(io_->reader.TakeBody());
+  if (body->empty()) {
+    ReleaseBody();
+    return body;
+  }
+  const auto memory = server_.body_memory_;
+  const int64_t id =
+      io_->body_id == 0 ? memory->Begin() : std::exchange(io_->body_id, 0);
+  memory->Complete(id, body->size());
+  return {body.release(), [memory, id](const std::string* owned) {
+            memory->Release(id);
+            delete owned;
+          }};
+}
+
 void CallerSession::OnRequestComplete() {
   receiving_request_ = false;
   if (HasCallerDisconnected()) {
@@ -140,7 +194,7 @@
   state_ = State::kAnswering;
   ReceivedRequest request;
   request.head = io_->reader.head();
-  request.body = std::make_shared<const std::string>(io_->reader.TakeBody());
+  request.body = TakeBody();
   request.received_at = base::SteadyNow();
   is_head_ = request.head.method == "HEAD";
   close_after_answer_ = request.head.headers.HasToken("connection", "close");
@@ -153,7 +207,9 @@
   is_head_ = false;
   // The start of the next request cannot be determined reliably.
   close_after_answer_ = true;
-  Respond(status, "Content-Type: text/plain\r\n", reason + "\n");
+  const std::string retry =
+      status == kUnavailableStatus ? "Retry-After: 1\r\n" : "";
+  Respond(status, "Content-Type: text/plain\r\n" + retry, reason + "\n");
 }
 
 void CallerSession::Respond(int status,
@@ -306,6 +362,7 @@
     return;
   }
   closed_ = true;
+  ReleaseBody();
   error_code ignored;
   io_->socket.close(ignored);
   server_.Remove(shared_from_this());
@@ -323,6 +380,9 @@
   if (!closed_ && io_->guard.IsPeerGone(now, io_->socket)) {
     OnDisconnected();
   }
+  if (!closed_ && io_->no_room_since) {
+    AwaitRoom(now);
+  }
   if (closed_ || state_ == State::kAnswering) {
     return;
   }
@@ -335,6 +395,7 @@
   }
   if (receiving_request_ && now - phase_started_at_ > limits.request_timeout) {
     receiving_request_ = false;
+    ReleaseBody();
     Refuse(kRequestTimeoutStatus, "the request took too long to arrive");
   } else if (!receiving_request_ &&
              now - phase_started_at_ > limits.keep_alive_timeout) {
--- a/libs/relay/src/request_reader.cc
+++ b/libs/relay/src/request_reader.cc
@@ -166,6 +166,16 @@
   return state_->parser.head;
 }
 
+size_t RequestReader::body_bytes() const noexcept {
+  return state_->parser.body.size();
+}
+
+std::optional<size_t> RequestReader::stated_body_bytes() const {
+  const auto length = state_->parser.content_length();
+  return length ? std::make_optional(static_cast<size_t>(*length))
+                : std::nullopt;
+}
+
 std::string RequestReader::TakeBody() {
   return std::move(state_->parser.body);
 }
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -95,6 +95,7 @@
          {"platform", settings_.Address("platform").ToText()}});
     relay::CallerServer::Limits limits;
     limits.connections = MaxCallerConnections(settings_);
+    limits.held_body_bytes = HeldBodyBytes(settings_);
     callers_.SetLimits(limits);
     if (!callers_.Listen(settings_.Address("callers"))) {
       error_ = callers_.last_error();
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -15,6 +15,11 @@
 constexpr int64_t kMinStopMillis = 1000;
 constexpr int64_t kMaxStopMillis = 3'600'000;
 constexpr int64_t kMaxDescriptors = 1'000'000;
+constexpr int64_t kMinMemoryMb = 16;
+constexpr int64_t kMaxMemoryMb = 1'000'000;
+constexpr size_t kBytesPerMb = 1'000'000;
+// Share of the memory that bodies of requests may take.
+constexpr size_t kBodyMemoryDivisor = 3;
 constexpr int64_t kMaxRetries = 1'000'000;
 constexpr int64_t kMaxCostMillis = 60'000;
 constexpr int64_t kMaxRetryWindowMillis = 600'000;
@@ -106,6 +111,11 @@
             "it is saturated, callers are handed over to other routers",
             0, kMaxLinkMbps)
       .Default("0")
+      .Integer("memory_mb",
+               "memory of this VM, of which a third may hold the bodies of "
+               "callers' requests",
+               kMinMemoryMb, kMaxMemoryMb)
+      .Default("256")
       .Integer("descriptors", "file descriptors that this process may use",
                kReservedDescriptors * 2, kMaxDescriptors)
       .Default("4096");
@@ -164,6 +174,11 @@
   return options;
 }
 
+size_t HeldBodyBytes(const config::Settings& settings) {
+  return static_cast<size_t>(settings.Integer("memory_mb")) * kBytesPerMb /
+         kBodyMemoryDivisor;
+}
+
 size_t MaxCallerConnections(const config::Settings& settings) {
   return static_cast<size_t>(
       (settings.Integer("descriptors") - kReservedDescriptors) / 2);
