--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "base/clocks.h"
-#include "body_memory.h"
 #include "caller_io.h"
 #include "relay/caller_handler.h"
 #include "relay/caller_server.h"
@@ -22,11 +21,6 @@
 
 constexpr int kRequestTimeoutStatus = 408;
 constexpr int kUnavailableStatus = 503;
-// Steps in which memory is reserved for a body whose length is not stated.
-constexpr size_t kBodyStep = size_t{64} * 1024;
-// Longest time for which a body waits for room: callers may give up one that is
-// not read for longer.
-constexpr base::Millis kMaxRoomWait(1000);
 // Maximum bytes of pipelined requests buffered while one is being answered.
 constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
 // OnCallerWritable is called once the output queue is below this.
@@ -135,32 +129,6 @@
   }
 }
 
-bool CallerSession::ReserveBody() {
-  if (io_->body_id == 0) {
-    io_->body_id = server_.body_memory_->Begin();
-  }
-  const size_t bytes = io_->reader.stated_body_bytes().value_or(
-      (io_->reader.body_bytes() / kBodyStep + 1) * kBodyStep);
-  return server_.body_memory_->Reserve(io_->body_id, bytes);
-}
-
-void CallerSession::ReleaseBody() {
-  server_.body_memory_->Release(std::exchange(io_->body_id, 0));
-  io_->no_room_since.reset();
-}
-
-void CallerSession::AwaitRoom(base::Millis now) {
-  if (ReserveBody()) {
-    io_->no_room_since.reset();
-    Read();
-  } else if (now - *io_->no_room_since > kMaxRoomWait) {
-    receiving_request_ = false;
-    ReleaseBody();
-    Refuse(kUnavailableStatus, "no memory for the body of the request");
-    Read();
-  }
-}
-
 bool CallerSession::HasCallerDisconnected() {
   error_code error;
   const size_t size = io_->socket.read_some(asio::buffer(io_->buffer), error);
@@ -168,23 +136,6 @@
   return error && error != asio::error::would_block;
 }
 
-// The memory of a body is released with its last owner.
-std::shared_ptr<const std::string> CallerSession::TakeBody() {
-  auto body = std::make_unique<const std::string>(io_->reader.TakeBody());
-  if (body->empty()) {
-    ReleaseBody();
-    return body;
-  }
-  const auto memory = server_.body_memory_;
-  const int64_t id =
-      io_->body_id == 0 ? memory->Begin() : std::exchange(io_->body_id, 0);
-  memory->Complete(id, body->size());
-  return {body.release(), [memory, id](const std::string* owned) {
-            memory->Release(id);
-            delete owned;
-          }};
-}
-
 void CallerSession::OnRequestComplete() {
   receiving_request_ = false;
   if (HasCallerDisconnected()) {
--- /dev/null
+++ b/libs/relay/src/caller_session_body.cc
@@ -0,0 +1,67 @@
+// Memory of the body of the request that a session receives.
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "base/clocks.h"
+#include "body_memory.h"
+#include "caller_io.h"
+#include "relay/caller_server.h"
+#include "relay/caller_session.h"
+
+namespace godwit::relay {
+namespace {
+
+constexpr int kUnavailableStatus = 503;
+// Steps in which memory is reserved for a body whose length is not stated.
+constexpr size_t kBodyStep = size_t{64} * 1024;
+// Longest time for which a body waits for room: callers may give up one that is
+// not read for longer.
+constexpr base::Millis kMaxRoomWait(1000);
+
+}  // namespace
+
+bool CallerSession::ReserveBody() {
+  if (io_->body_id == 0) {
+    io_->body_id = server_.body_memory_->Begin();
+  }
+  const size_t bytes = io_->reader.stated_body_bytes().value_or(
+      (io_->reader.body_bytes() / kBodyStep + 1) * kBodyStep);
+  return server_.body_memory_->Reserve(io_->body_id, bytes);
+}
+
+void CallerSession::ReleaseBody() {
+  server_.body_memory_->Release(std::exchange(io_->body_id, 0));
+  io_->no_room_since.reset();
+}
+
+void CallerSession::AwaitRoom(base::Millis now) {
+  if (ReserveBody()) {
+    io_->no_room_since.reset();
+    Read();
+  } else if (now - *io_->no_room_since > kMaxRoomWait) {
+    receiving_request_ = false;
+    ReleaseBody();
+    Refuse(kUnavailableStatus, "no memory for the body of the request");
+    Read();
+  }
+}
+
+// The memory of a body is released with its last owner.
+std::shared_ptr<const std::string> CallerSession::TakeBody() {
+  auto body = std::make_unique<const std::string>(io_->reader.TakeBody());
+  if (body->empty()) {
+    ReleaseBody();
+    return body;
+  }
+  const auto memory = server_.body_memory_;
+  const int64_t id =
+      io_->body_id == 0 ? memory->Begin() : std::exchange(io_->body_id, 0);
+  memory->Complete(id, body->size());
+  return {body.release(), [memory, id](const std::string* owned) {
+            memory->Release(id);
+            delete owned;
+          }};
+}
+
+}  // namespace godwit::relay
