Refuse a budget as unknown only by a read that began after the request

What callers saw: 404 for an organisation whose budget had just been created (the demo's first request, once, in the product's own mode).

Cause: a record read up to 250 ms before the request counted as proof that the budget does not exist. Class: silence taken for 'no change'.

Evidence: NewBudget, RequestAfterTheCreationIsRefusedAsUnknown, failed and passes. That the demo's failure had this cause is suspected; it was not reproduced.

--- a/libs/ledger/src/budget_manager_reserve.cc
+++ b/libs/ledger/src/budget_manager_reserve.cc
@@ -54,7 +54,7 @@
 
 void BudgetManager::State::On(const ReserveRequested& event) {
   const LocalBudget::Waiting waiting{
-      event, std::min(event.expires, now_ + policy_.max_wait)};
+      event, std::min(event.expires, now_ + policy_.max_wait), now_};
   if (event.amount < 0) {
     commands_.emplace_back(ReserveRefused{
         event.attempt,
@@ -158,6 +158,10 @@
   }
   const Budget* const budget = shard.view.budget(local.id);
   if (budget == nullptr) {
+    if (shard.view.confirmed_at() < waiting.since) {
+      // It may have been created since the record was read.
+      return std::nullopt;
+    }
     return ReserveRefused{
         attempt,
         Error(ErrorKind::kNotFound, "there is no budget " + local.id.value(),
--- a/libs/ledger/src/local_budget.h
+++ b/libs/ledger/src/local_budget.h
@@ -17,6 +17,8 @@
   struct Waiting {
     ReserveRequested request;
     base::Millis deadline;
+    // When it was requested.
+    base::Millis since;
   };
 
   LocalBudget(base::BudgetId budget, int shard_of, base::Millis half_life)
