State why tokens of a closed grant count as used; failing target of a loss of all

Cause of blindness: 605 gave one number for what a lost incarnation may have used, 510 no tokens, and the metrics did not add up to a limit, so that cut-off requests, loans, advance and growth could not be told apart.

Change: a promise states what the grant was used for; 605 and godwit_budget_closed_tokens_total give the parts (used, reserved, lent, advance, growth, unbounded) and the lifetime; 510 the prompt and the reservation; godwit_budget_tokens adds up to the limit at the lender.

--- a/libs/dispatch/include/dispatch/start_attempt.h
+++ b/libs/dispatch/include/dispatch/start_attempt.h
@@ -43,6 +43,10 @@
   // tokens that the server does not have cached.
   base::Millis expected;
   base::Tokens uncached = 0;
+  // Tokens of the prompt, and the tokens that are reserved of the budget, for
+  // logs.
+  base::Tokens input = 0;
+  base::Tokens reserved = 0;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/call_attempts.cc
+++ b/libs/dispatch/src/call_attempts.cc
@@ -69,6 +69,8 @@
   start.backend = call.backend;
   start.expected = choice.expected;
   start.uncached = choice.uncached;
+  start.input = call.request.prompt ? call.request.prompt->input_tokens : 0;
+  start.reserved = call.reserved;
   start.time_left = std::max(base::Millis(1), call.answer_deadline - now_);
   start.urgency = call.urgency;
   start.organisation = call.organisation;
--- a/libs/ledger/include/ledger/budget_report.h
+++ b/libs/ledger/include/ledger/budget_report.h
@@ -47,13 +47,19 @@
   // Neither free nor known to be used: of requests whose end is not known, and
   // of routers that ended.
   base::Tokens in_doubt = 0;
+  // Known to be used.
+  base::Tokens delivered = 0;
+  // Granted to other routers or to incarnations that ended, and not known to be
+  // used. At the lender, free, held, lent, in_doubt, delivered and elsewhere
+  // add up to the limit.
+  base::Tokens elsewhere = 0;
   Refusals refusals;
 
   friend bool operator==(const BudgetReport& a, const BudgetReport& b) {
     return std::tie(a.budget, a.is_lender, a.is_scarce, a.free, a.held, a.lent,
-                    a.in_doubt, a.refusals) ==
+                    a.in_doubt, a.delivered, a.elsewhere, a.refusals) ==
            std::tie(b.budget, b.is_lender, b.is_scarce, b.free, b.held, b.lent,
-                    b.in_doubt, b.refusals);
+                    b.in_doubt, b.delivered, b.elsewhere, b.refusals);
   }
   friend bool operator!=(const BudgetReport& a, const BudgetReport& b) {
     return !(a == b);
--- a/libs/ledger/include/ledger/grant_closed.h
+++ b/libs/ledger/include/ledger/grant_closed.h
@@ -1,7 +1,11 @@
 #ifndef LEDGER_GRANT_CLOSED_H_
 #define LEDGER_GRANT_CLOSED_H_
 
+#include <optional>
+
 #include "base/ids.h"
+#include "base/millis.h"
+#include "ledger/counted_tokens.h"
 
 namespace godwit::ledger {
 
@@ -10,12 +14,13 @@
   base::BudgetId budget;
   base::Incarnation holder;
   base::Tokens amount = 0;
-  // Tokens known to be used, and tokens counted as used. The difference may be
-  // unused.
+  // Tokens of the grant that the ledger knew to be used.
   base::Tokens billed = 0;
-  base::Tokens counted = 0;
-  // True if the incarnation's promise bounded its usage.
-  bool by_promise = false;
+  // Tokens that count as used; the rest is free.
+  CountedTokens counted;
+  // How long the holder can have lived after the promise that bounded its
+  // usage; empty if none did.
+  std::optional<base::Millis> lifetime;
 };
 
 }  // namespace godwit::ledger
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -110,6 +110,7 @@
   for (const auto& [id, budget] : budgets_) {
     if (Granted(budget) > 0) {
       promise.allowances[id] = NextAllowance(now, budget);
+      promise.uses[id] = UseOf(budget);
     }
   }
   auto write =
@@ -264,8 +265,10 @@
         most ? std::min(grant.amount, std::max(grant.billed(), *most))
              : grant.amount;
     CloseGrant(edit, budget, id, counted);
-    closed.push_back({budget, grant.holder, grant.amount, grant.billed(),
-                      counted, most.has_value()});
+    closed.push_back(
+        {budget, grant.holder, grant.amount, grant.billed(),
+         promises_.Explain(budget, most.has_value(), grant.billed(), counted),
+         most ? lifetime : std::nullopt});
   }
   return closed;
 }
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -105,10 +105,14 @@
   return promises_.Promised(now_, budget.limit.budget);
 }
 
+GrantUse MeteredBudgetManager::State::UseOf(const MeteredBudget& budget) const {
+  return {budget.spent, budget.ReservedOfGrant(),
+          loans_.Outstanding(budget.limit.budget)};
+}
+
 Tokens MeteredBudgetManager::State::Allocated(
     const MeteredBudget& budget) const {
-  return budget.spent + budget.ReservedOfGrant() +
-         loans_.Outstanding(budget.limit.budget);
+  return UseOf(budget).Sum();
 }
 
 Tokens MeteredBudgetManager::State::Unallocated(
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -13,6 +13,7 @@
 #include "fleet_clock.h"
 #include "ledger/clock_reply.h"
 #include "ledger/clock_request.h"
+#include "ledger/grant_use.h"
 #include "ledger/ledger_codec.h"
 #include "ledger/ledger_edit.h"
 #include "ledger/ledger_record.h"
@@ -109,6 +110,7 @@
                      MeteredBudget& budget,
                      base::Tokens amount,
                      const ReservationRank& rank);
+  GrantUse UseOf(const MeteredBudget& budget) const;
   // Returns the tokens of this router's grant that are used, reserved or lent.
   base::Tokens Allocated(const MeteredBudget& budget) const;
   // Returns the other tokens of this router's grant, and the part of them that
--- a/libs/ledger/src/promise_codec.cc
+++ b/libs/ledger/src/promise_codec.cc
@@ -1,5 +1,7 @@
 #include "promise_codec.h"
 
+#include <map>
+
 #include <nlohmann/json.hpp>
 
 #include "cbor/read.h"
@@ -11,6 +13,33 @@
 
 // Tokens at the start, and tokens for each second of slow and fast growth.
 constexpr size_t kAllowanceFields = 3;
+// Tokens spent, reserved and lent.
+constexpr size_t kUseFields = 3;
+
+// Routers of earlier versions don't write uses. Returns false if they are
+// malformed.
+bool ReadUses(const Json* uses, std::map<base::BudgetId, GrantUse>& into) {
+  if (uses == nullptr) {
+    return true;
+  }
+  if (!uses->is_object()) {
+    return false;
+  }
+  for (const auto& [budget, value] : uses->items()) {
+    if (!value.is_array() || value.size() != kUseFields) {
+      return false;
+    }
+    const auto spent = cbor::Integer(&value[0]);
+    const auto reserved = cbor::Integer(&value[1]);
+    const auto lent = cbor::Integer(&value[2]);
+    if (!spent || *spent < 0 || !reserved || *reserved < 0 || !lent ||
+        *lent < 0) {
+      return false;
+    }
+    into[base::BudgetId(budget)] = {*spent, *reserved, *lent};
+  }
+  return true;
+}
 
 }  // namespace
 
@@ -20,6 +49,10 @@
     allowances[budget.value()] = Json::array(
         {allowance.initial, allowance.per_second, allowance.later_per_second});
   }
+  Json uses = Json::object();
+  for (const auto& [budget, use] : promise.uses) {
+    uses[budget.value()] = Json::array({use.spent, use.reserved, use.lent});
+  }
   Json clocks = Json::object();
   for (const auto& [router, wall_time] : promise.wall_clocks) {
     clocks[router.value()] = wall_time.count();
@@ -30,7 +63,8 @@
                          {"fleet_time", promise.fleet_time.count()},
                          {"wall_clocks", std::move(clocks)},
                          {"era", promise.era},
-                         {"allowances", std::move(allowances)}};
+                         {"allowances", std::move(allowances)},
+                         {"uses", std::move(uses)}};
   std::string bytes;
   Json::to_cbor(document, bytes);
   return bytes;
@@ -91,6 +125,9 @@
     promise.allowances[base::BudgetId(budget)] = {*initial, *per_second,
                                                   *later_per_second};
   }
+  if (!ReadUses(cbor::Find(*document, "uses"), promise.uses)) {
+    return std::nullopt;
+  }
   return promise;
 }
 
--- a/libs/ledger/src/promise_manager.cc
+++ b/libs/ledger/src/promise_manager.cc
@@ -126,6 +126,37 @@
              : found->second.At(lifetime);
 }
 
+CountedTokens PromiseManager::Explain(const base::BudgetId& budget,
+                                      bool is_bounded,
+                                      base::Tokens billed,
+                                      base::Tokens counted) const {
+  base::Tokens left = counted;
+  const auto take = [&left](base::Tokens amount) {
+    const base::Tokens part = std::clamp<base::Tokens>(amount, 0, left);
+    left -= part;
+    return part;
+  };
+  CountedTokens parts;
+  if (!is_bounded) {
+    parts.used = take(billed);
+    parts.unbounded = left;
+    return parts;
+  }
+  const auto use = earlier_promise_->uses.find(budget);
+  const GrantUse known =
+      use == earlier_promise_->uses.end() ? GrantUse() : use->second;
+  const auto allowance = earlier_promise_->allowances.find(budget);
+  const base::Tokens initial = allowance == earlier_promise_->allowances.end()
+                                   ? 0
+                                   : allowance->second.initial;
+  parts.used = take(std::max(billed, known.spent));
+  parts.reserved = take(known.reserved);
+  parts.lent = take(known.lent);
+  parts.advance = take(initial - known.Sum());
+  parts.growth = left;
+  return parts;
+}
+
 std::optional<platform::KvRead> PromiseManager::Read(base::Millis now,
                                                      int64_t operation) {
   if (const auto busy = view_.busy_since()) {
--- a/libs/ledger/src/promise_manager.h
+++ b/libs/ledger/src/promise_manager.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "failure_backoff.h"
+#include "ledger/counted_tokens.h"
 #include "ledger/metered_policy.h"
 #include "promise_codec.h"
 #include "spend_promise.h"
@@ -75,6 +76,14 @@
                                          const base::BudgetId& budget,
                                          base::Millis lifetime) const;
 
+  // Returns why `counted` tokens of the holder's grant count as used, of which
+  // `billed` are known to be: what the earlier promise states, in the order of
+  // the result. `is_bounded` is false if no promise bounds them.
+  CountedTokens Explain(const base::BudgetId& budget,
+                        bool is_bounded,
+                        base::Tokens billed,
+                        base::Tokens counted) const;
+
   // Returns the read that is due, if any.
   std::optional<platform::KvRead> Read(base::Millis now, int64_t operation);
   // Returns a write of the promise, or no value while an operation is in flight
--- a/libs/ledger/src/spend_promise.h
+++ b/libs/ledger/src/spend_promise.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "ledger/grant_use.h"
 #include "spend_allowance.h"
 #include "wall_clocks.h"
 
@@ -32,12 +33,15 @@
   int64_t era = 0;
   // By budget; nothing may be spent of a budget that is missing.
   std::map<base::BudgetId, SpendAllowance> allowances;
+  // By budget, at the start of the allowances; missing in promises of earlier
+  // versions.
+  std::map<base::BudgetId, GrantUse> uses;
 
   friend bool operator==(const SpendPromise& a, const SpendPromise& b) {
     return std::tie(a.holder, a.clock, a.clock_offset, a.fleet_time,
-                    a.wall_clocks, a.era, a.allowances) ==
+                    a.wall_clocks, a.era, a.allowances, a.uses) ==
            std::tie(b.holder, b.clock, b.clock_offset, b.fleet_time,
-                    b.wall_clocks, b.era, b.allowances);
+                    b.wall_clocks, b.era, b.allowances, b.uses);
   }
   friend bool operator!=(const SpendPromise& a, const SpendPromise& b) {
     return !(a == b);
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -93,6 +93,11 @@
   Restart(index, true);
 }
 
+void MeteredSimulation::Kill(size_t index, base::Millis down) {
+  routers_[index]->off_until = now_ + down;
+  Restart(index);
+}
+
 void MeteredSimulation::BreakPromises() {
   for (const auto& router : routers_) {
     router->leap = kLeap;
@@ -172,13 +177,14 @@
 void MeteredSimulation::Run(size_t index,
                             base::Tokens amount,
                             int used_percent,
-                            base::Millis duration) {
+                            base::Millis duration,
+                            bool uses_at_start) {
   Router& router = *routers_[index];
   if (IsOff(router)) {
     return;
   }
   router.waiting.push_back(
-      {amount, now_, 0, {used_percent, duration}, std::nullopt});
+      {amount, now_, 0, {used_percent, duration, uses_at_start}, std::nullopt});
   TryReserve(router);
   delayed_ += router.waiting.empty() ? 0 : 1;
 }
@@ -271,7 +277,7 @@
       continue;
     }
     if (const auto* closed = std::get_if<GrantClosed>(&command)) {
-      counted_ += closed->counted;
+      counted_ += closed->counted.Sum();
     } else if (const auto* message = std::get_if<SendToPeer>(&command)) {
       Send(index, *message);
     } else if (const auto* read = std::get_if<platform::KvRead>(&command)) {
@@ -370,6 +376,17 @@
   });
 }
 
+std::optional<BudgetReport> MeteredSimulation::LenderReport() const {
+  for (const auto& router : routers_) {
+    for (const BudgetReport& report : router->manager->Reports()) {
+      if (report.is_lender && report.delivered > 0) {
+        return report;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 BudgetReport::Refusals MeteredSimulation::refusals() const {
   BudgetReport::Refusals sum;
   for (const auto& router : routers_) {
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -67,11 +67,13 @@
   void Request(size_t router, base::Tokens amount, int64_t urgency = 0);
   // Submits a request that ends by itself. Its outcome is recorded.
   void Request(size_t router, const TimedRequest& request);
-  // Submits a request that ends by itself and uses its tokens at an even rate.
+  // Submits a request that ends by itself and uses its tokens at an even rate,
+  // or all of them at its start.
   void Run(size_t router,
            base::Tokens amount,
            int used_percent,
-           base::Millis duration);
+           base::Millis duration,
+           bool uses_at_start = false);
   // Ends the oldest running request of a router, which used `used_percent` of
   // its reservation.
   void Finish(size_t router, int used_percent);
@@ -82,6 +84,8 @@
   void Restart(size_t router, bool with_vm = false);
   // Restarts a router and its VM, which are off for a while.
   void PowerOff(size_t router, base::Millis down);
+  // Terminates a router, which starts again after a while on the same VM.
+  void Kill(size_t router, base::Millis down);
   // Disconnects a router from the KV, or reconnects it.
   void Partition(size_t router, bool partitioned);
   void Drain(size_t router);
@@ -106,6 +110,8 @@
   int64_t falsely_exhausted() const { return falsely_exhausted_; }
   // True if a router finds its budget scarce.
   bool IsScarceAnywhere() const;
+  // Returns what the lender of the budget reports, if one has read its record.
+  std::optional<BudgetReport> LenderReport() const;
   // Returns what the running incarnations count.
   BudgetReport::Refusals refusals() const;
   // Returns what the ledger sets aside for a router beyond its billed usage.
--- a/libs/ledger/tests/power_loss_parts_test.cc
+++ b/libs/ledger/tests/power_loss_parts_test.cc
@@ -2,6 +2,7 @@
 // how soon requests are served afterwards. The requests use a part of their
 // reservations and run for a while, as those of a real day do.
 #include <algorithm>
+#include <cstdint>
 #include <cstdio>
 
 #include "ledger/metered_policy.h"
@@ -33,12 +34,23 @@
 constexpr int64_t kStartSpreadMs = 400;
 constexpr int64_t kClockSpreadMs = 300;
 
+// Prompts of which one in eight is eight times as large, and what is reserved
+// for their output.
+constexpr RequestMix kPrompts4{4, 80, 100, Millis(300), Millis(3000),
+                               6, 8,  true};
+constexpr RequestMix kPrompts29{29,           80, 100, Millis(300),
+                                Millis(3000), 6,  8,   true};
+
+enum class LossKind : uint8_t { kPower, kProcess };
+
 struct Load {
   const char* name;
   RequestMix mix;
-  // How long it lasts before the loss of power, and for how long VMs are off.
+  // How long it lasts before the loss of all routers, and for how long these
+  // are off.
   int seconds;
   Millis off;
+  LossKind kind = LossKind::kPower;
 };
 
 struct Figures {
@@ -46,6 +58,8 @@
   double advance = 0;
   double loans = 0;
   double reservations = 0;
+  // Mean time for which a router was off.
+  double time_off = 0;
   // Growth while the VMs were off, and for what is not known of the time.
   double off = 0;
   double unknown = 0;
@@ -92,8 +106,14 @@
   int64_t off_ms = 0;
   for (size_t router = 0; router < load.mix.routers; ++router) {
     const int64_t spread = static_cast<int64_t>(router * 37 % kStartSpreadMs);
-    simulation.PowerOff(router, load.off + Millis(spread));
+    if (load.kind == LossKind::kPower) {
+      simulation.PowerOff(router, load.off + Millis(spread));
+    } else {
+      simulation.Kill(router, load.off + Millis(spread));
+    }
     off_ms = std::max(off_ms, load.off.count() + spread);
+    figures.time_off += static_cast<double>(load.off.count() + spread) / 1000 /
+                        static_cast<double>(load.mix.routers);
   }
   const Millis lost_at = simulation.now();
   const int64_t refused = simulation.refused();
@@ -136,6 +156,7 @@
     mean.advance += one.advance / k_runs;
     mean.loans += one.loans / k_runs;
     mean.reservations += one.reservations / k_runs;
+    mean.time_off += one.time_off / k_runs;
     mean.off += one.off / k_runs;
     mean.unknown += one.unknown / k_runs;
     mean.total += one.total / k_runs;
@@ -220,6 +241,55 @@
   }
 }
 
+TEST(PowerLossParts, TokensOfABudgetAddUpAtItsLender) {
+  MeteredSimulation simulation(1, kParts4.routers, kLimit, MeteredPolicy());
+  simulation.BeginEras();
+  simulation.Connect();
+  simulation.Advance(Millis(1000));
+  LoadGenerator generator(simulation, kParts4, 1);
+  int reports = 0;
+  for (int round = 0; round < 200; ++round) {
+    if (round == 100) {
+      for (size_t router = 0; router < kParts4.routers; ++router) {
+        simulation.PowerOff(router, Millis(900));
+      }
+    }
+    generator.RunFor(kRound);
+    if (const auto report = simulation.LenderReport()) {
+      ++reports;
+      CHECK_EQUAL(kLimit, report->free + report->held + report->lent +
+                              report->in_doubt + report->delivered +
+                              report->elsewhere);
+    }
+  }
+  CHECK(reports > 150);
+}
+
+TEST_GROUP(PowerLossTargetOfPrompts){};
+
+// Target: a loss of all routers costs the time for which they are off and half
+// a second of use, beyond what requests in progress had used.
+TEST(PowerLossTargetOfPrompts, CostsTheTimeOffAndHalfASecond) {
+  constexpr double k_most_beyond_off_s = 0.5;
+  for (const Load& load :
+       {Load{"prompts", kPrompts4, 10, Millis(1600)},
+        Load{"prompts, killed", kPrompts4, 10, Millis(500), LossKind::kProcess},
+        Load{"prompts", kPrompts29, 10, Millis(1600)},
+        Load{"prompts, killed", kPrompts29, 10, Millis(500),
+             LossKind::kProcess}}) {
+    const Figures figures = Mean(load);
+    std::printf(
+        "%s, %zu routers off for %.1f s: advance %.2f + loans %.2f + "
+        "reservations %.2f + off %.2f + clocks and growth %.2f = %.2f s; "
+        "%.2f KV operations/s, %.0f%% of requests wait\n",
+        load.name, load.mix.routers, figures.time_off, figures.advance,
+        figures.loans, figures.reservations, figures.off, figures.unknown,
+        figures.total, figures.operations, figures.delayed);
+    CHECK_TEXT(figures.total <= figures.time_off + k_most_beyond_off_s,
+               load.name);
+  }
+}
+
 // Guards against promises and loans that are too small for an outage.
 TEST(PowerLossParts, OutagesAreServed) {
   struct Case {
--- a/libs/ledger/tests/promise_manager_test.cc
+++ b/libs/ledger/tests/promise_manager_test.cc
@@ -14,6 +14,7 @@
 using godwit::base::Incarnation;
 using godwit::base::Millis;
 using godwit::base::ProcessId;
+using godwit::ledger::CountedTokens;
 using godwit::ledger::MeteredPolicy;
 using godwit::ledger::PromiseManager;
 using godwit::ledger::SpendPromise;
@@ -67,6 +68,33 @@
   }
 };
 
+TEST(PromiseManager, ExplainsWhatCountsOfAnEarlierGrant) {
+  SpendPromise promise = Promise(1000);
+  promise.holder = Incarnation("edge-1.0");
+  promise.uses[kBudget] = {500, 200, 100};
+  PromiseManager next(kProcess, kSelf, policy);
+  next.Read(first, 1);
+  next.Finish(first, MakeReadDone(
+                         1, 5, godwit::ledger::PromiseCodec().Encode(promise)));
+  struct Case {
+    bool is_bounded;
+    int64_t billed;
+    int64_t counted;
+    CountedTokens expected;
+  };
+  for (const Case& c : {Case{true, 400, 1300, {500, 200, 100, 200, 300, 0}},
+                        // What was billed later is known to be used.
+                        Case{true, 700, 1300, {700, 200, 100, 200, 100, 0}},
+                        // The grant is smaller than what the promise allows.
+                        Case{true, 400, 750, {500, 200, 50, 0, 0, 0}},
+                        Case{false, 400, 1300, {400, 0, 0, 0, 0, 900}}}) {
+    const CountedTokens parts =
+        next.Explain(kBudget, c.is_bounded, c.billed, c.counted);
+    CHECK(c.expected == parts);
+    CHECK_EQUAL(c.counted, parts.Sum());
+  }
+}
+
 TEST(PromiseManager, AllowsMoreAsTimePasses) {
   CHECK_EQUAL(100, manager.Promised(first, kBudget));
   CHECK_EQUAL(600, manager.Promised(first + Millis(500), kBudget));
--- a/libs/ledger/tests/request_mix.h
+++ b/libs/ledger/tests/request_mix.h
@@ -15,6 +15,12 @@
   int most_used_percent = 100;
   base::Millis shortest;
   base::Millis longest;
+  int per_second = 18;
+  // One of this number of requests is as many times as large as the others; 1
+  // if all are of one kind.
+  int large_every = 1;
+  // What is used is used at the start, as by a prompt.
+  bool uses_at_start = false;
 };
 
 }  // namespace godwit::ledger
--- a/libs/ledger/tests/simulated_router.h
+++ b/libs/ledger/tests/simulated_router.h
@@ -25,6 +25,7 @@
   struct Course {
     int used_percent = 100;
     base::Millis duration;
+    bool uses_at_start = false;
   };
   struct Waiting {
     base::Tokens amount;
@@ -49,8 +50,10 @@
         return amount;
       }
       const auto most = amount * course.used_percent / 100;
-      return most * std::min(now - since, course.duration).count() /
-             course.duration.count();
+      return course.uses_at_start
+                 ? most
+                 : most * std::min(now - since, course.duration).count() /
+                       course.duration.count();
     }
   };
 
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -42,6 +42,7 @@
   kPlaceWait,
   kBudgetTokens,
   kBudgetRefusalsTotal,
+  kBudgetClosedTokensTotal,
   kBackendsCold,
   kDataCentresEvacuated,
   kLinkUtilization,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -89,7 +89,9 @@
        "prompt but the last, and a digest by which repeats are recognised."},
       {EventId::kRequestPlaced, Level::kInfo, "request_placed",
        "A request was sent to a backend server; fields give what the "
-       "choice was based on, the parts of the prompt but the last, and "
+       "choice was based on, the tokens of "
+       "the prompt, the tokens that are reserved of the budget, the parts of "
+       "the prompt but the last, and "
        "a digest by which repeats are recognised."},
       {EventId::kRequestFinished, Level::kInfo, "request_finished",
        "A request got its final answer from a router that calls backend "
@@ -113,9 +115,12 @@
       {EventId::kGrantSealed, Level::kInfo, "grant_sealed",
        "A grant was sealed; nothing may be spent under it."},
       {EventId::kGrantRecovered, Level::kInfo, "grant_recovered",
-       "The grant of an ended life was settled; `counted` of it counts as "
-       "used, "
-       "and its rest is free."},
+       "The grant of an ended incarnation was closed; `counted` of it counts "
+       "as "
+       "used, and its rest is free. `used`, `reserved`, `lent`, `advance`, "
+       "`growth` and `unbounded` add up to `counted` and say why; "
+       "`lifetime_ms` "
+       "is how long the incarnation can have lived after its last promise."},
       {EventId::kUsageHeld, Level::kWarning, "usage_held",
        "Usage under a sealed grant can't be known; its bound stays held until "
        "an operator writes it off."},
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -215,9 +215,8 @@
        "godwit_budget_tokens",
        "tokens",
        {"organisation", "state"},
-       "Tokens of a budget as a direct router knows them: free (at its "
-       "lender), "
-       "held, lent, in_doubt (at its lender)."},
+       "Tokens of a budget as a direct router knows them: held and lent, and "
+       "at its lender free, in_doubt, delivered and elsewhere."},
       {MetricId::kBudgetRefusalsTotal,
        MetricType::kCounter,
        "godwit_budget_refusals_total",
@@ -225,6 +224,14 @@
        {"organisation", "cause"},
        "Requests that a direct router refused for lack of tokens: exhausted, "
        "nothing_free, timed_out, kv_unavailable."},
+      {MetricId::kBudgetClosedTokensTotal,
+       MetricType::kCounter,
+       "godwit_budget_closed_tokens_total",
+       "tokens",
+       {"organisation", "cause"},
+       "Tokens that a direct router counted as used when it closed the grants "
+       "of its earlier incarnations: used, reserved, lent, advance, growth, "
+       "unbounded."},
       {MetricId::kBackendsCold,
        MetricType::kGauge,
        "godwit_backends_cold",
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -234,6 +234,10 @@
   void Execute(const Record& record) {
     LogRecord(record);
   }
+  void Execute(const ledger::GrantClosed& command) {
+    LogRecord(command);
+    CountGrantClosed(metrics_, command);
+  }
   void Execute(const dispatch::CallEnded& command) {
     LogCallEnded(command);
     CountCallEnded(metrics_, command);
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -131,6 +131,9 @@
        {"software_version", attempt.backend.software_version},
        {"expected_ms", attempt.expected},
        {"uncached_tokens", attempt.uncached},
+       {"organisation", attempt.organisation},
+       {"input_tokens", attempt.input},
+       {"reserved_tokens", attempt.reserved},
        {"urgency", attempt.urgency},
        {"time_left_ms", attempt.time_left},
        {"resume_after", attempt.resume_after.value_or(-1)},
@@ -157,12 +160,20 @@
 }
 
 void LogRecord(const ledger::GrantClosed& closed) {
-  Log(EventId::kGrantRecovered, {{"budget", closed.budget},
-                                 {"holder", closed.holder},
-                                 {"amount", closed.amount},
-                                 {"billed", closed.billed},
-                                 {"counted", closed.counted},
-                                 {"by_promise", closed.by_promise}});
+  Log(EventId::kGrantRecovered,
+      {{"budget", closed.budget},
+       {"holder", closed.holder},
+       {"amount", closed.amount},
+       {"billed", closed.billed},
+       {"counted", closed.counted.Sum()},
+       {"used", closed.counted.used},
+       {"reserved", closed.counted.reserved},
+       {"lent", closed.counted.lent},
+       {"advance", closed.counted.advance},
+       {"growth", closed.counted.growth},
+       {"unbounded", closed.counted.unbounded},
+       {"by_promise", closed.lifetime.has_value()},
+       {"lifetime_ms", closed.lifetime.value_or(base::Millis())}});
 }
 
 void LogRecord(const ledger::PeerUnresponsive& unresponsive) {
@@ -285,6 +296,8 @@
     // Zero when another router has become the lender.
     set(MetricId::kBudgetTokens, "free", report.free);
     set(MetricId::kBudgetTokens, "in_doubt", report.in_doubt);
+    set(MetricId::kBudgetTokens, "delivered", report.delivered);
+    set(MetricId::kBudgetTokens, "elsewhere", report.elsewhere);
     const ledger::BudgetReport::Refusals& refusals = report.refusals;
     set(MetricId::kBudgetRefusalsTotal, "exhausted", refusals.exhausted);
     set(MetricId::kBudgetRefusalsTotal, "nothing_free", refusals.nothing_free);
@@ -294,6 +307,20 @@
   }
 }
 
+void CountGrantClosed(telemetry::Metrics& metrics,
+                      const ledger::GrantClosed& closed) {
+  const auto add = [&](const char* cause, base::Tokens tokens) {
+    metrics.Add(MetricId::kBudgetClosedTokensTotal,
+                {closed.budget.value(), cause}, static_cast<double>(tokens));
+  };
+  add("used", closed.counted.used);
+  add("reserved", closed.counted.reserved);
+  add("lent", closed.counted.lent);
+  add("advance", closed.counted.advance);
+  add("growth", closed.counted.growth);
+  add("unbounded", closed.counted.unbounded);
+}
+
 void CountCallEnded(telemetry::Metrics& metrics,
                     const dispatch::CallEnded& ended) {
   const std::string& service = ended.service.value();
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -50,6 +50,8 @@
 void LogDiscardedAnswer(const DiscardedAnswer& answer);
 void LogCallEnded(const dispatch::CallEnded& ended);
 
+void CountGrantClosed(telemetry::Metrics& metrics,
+                      const ledger::GrantClosed& closed);
 void CountCallEnded(telemetry::Metrics& metrics,
                     const dispatch::CallEnded& ended);
 void SetDispatcherMetrics(telemetry::Metrics& metrics,
