Allow less in advance; wait for a promise instead of refusing

What callers saw: after a loss of all routers every organisation got 503 although a tenth of its budget was neither used nor in doubt for a request. Per loss, 1.4 s of use were lost beyond the time off.

Class: a bound of one rare case (a large request during an outage) that is paid at each loss.

Change: the advance is 0.25 s of use or one mean request; a promise that allows twice that is reduced; a request that the grant covers and the promise does not yet waits for the next promise, or for growth while the KV is silent, which is faster after 3 s. A lost write of the promise is repeated after 0.5 s.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -55,21 +55,27 @@
   base::Millis min_write_interval = base::Millis(40);
   // A router keeps to its promise, which allows it the tokens in use, those of
   // this period at the burn rate in advance, and more as time passes: the burn
-  // rate in percent, first slowly and then faster, or the target of its holding
-  // within the given period if that is more. What is allowed and not used is
-  // lost when the VM restarts.
-  base::Millis promise_cover = base::Millis(700);
+  // rate in percent, faster from SpendAllowance::kFasterAfter and again from
+  // kFastestAfter on, or the target of its holding within the given period if
+  // that is more. What is allowed and not used is lost with the router.
+  base::Millis promise_cover = base::Millis(250);
   int64_t promise_rate_percent = 100;
-  int64_t promise_later_percent = 300;
+  int64_t promise_faster_percent = 200;
+  int64_t promise_fastest_percent = 300;
   base::Millis promise_opening = base::Millis(16'000);
-  // At least this fraction of the limit is allowed in advance, if the target is
-  // as large.
+  // While usage has just begun, this fraction of the limit or the largest
+  // request is allowed in advance, if the target is as large.
   int64_t min_advance_divisor = 100;
-  // A promise is written again once less than this share of what it should
-  // allow in advance remains, in percent, and, while tokens are used, at least
-  // at the given interval.
+  // A promise is written again once less than the first share of what it should
+  // allow in advance remains, in percent; while more than the second share
+  // does, at the first interval; and, while tokens are used, at the second one.
   int64_t promise_refill_percent = 30;
-  base::Millis promise_refresh_interval = base::Millis(1'500);
+  int64_t promise_surplus_percent = 200;
+  base::Millis promise_reduce_interval = base::Millis(600);
+  base::Millis promise_refresh_interval = base::Millis(1'800);
+  // A write of the promise without an answer is repeated after this time. A
+  // slow KV answers earlier.
+  base::Millis promise_timeout = base::Millis(500);
   // Differences between two clock readings of one VM below this value are
   // ignored.
   base::Millis clock_jitter = base::Millis(50);
@@ -95,6 +101,9 @@
   // Maximum time that a reservation waits for the KV or for tokens that other
   // routers return.
   base::Millis max_wait = base::Millis(400);
+  // Maximum time that a reservation waits for a promise to grow, or for a
+  // lender that waits itself: longer than what a surge takes beyond the mean.
+  base::Millis promise_wait = base::Millis(1'500);
   // A reservation that was not repeated for this long no longer waits: its
   // request ended.
   base::Millis need_timeout = base::Millis(200);
@@ -120,7 +129,7 @@
   // mean size, as long as such loans of all routers are at most the fraction
   // 1/small_loan_divisor of the limit.
   int64_t loan_requests = 2;
-  int64_t small_loan_divisor = 50;
+  int64_t small_loan_divisor = 100;
   // A loan is refilled once less than this share of its target remains, in
   // percent.
   int64_t loan_refill_percent = 50;
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -62,7 +62,8 @@
   // Rate at which reservations and loans of this router's grant are returned
   // unused.
   BurnRate returns;
-  // Last time at which tokens of this router's grant were reserved or lent.
+  // Last time at which tokens of this router's grant were lent, or reserved for
+  // want of a lender.
   base::Millis last_drawn_at;
   // Times of the first usage and of the first reservation; the averages are
   // biased shortly after them.
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -110,7 +110,9 @@
   if (Available(budget) >= amount + ahead) {
     budget.reserved += amount;
     budget.RecordReservation(now, amount);
-    if (budget.ReservedOfGrant() > 0) {
+    // What is left of a holding is not kept for requests that a lender could
+    // serve.
+    if (budget.ReservedOfGrant() > 0 && LenderOf(now, budget) == nullptr) {
       budget.last_drawn_at = now;
     }
     budget.need = 0;
@@ -132,6 +134,14 @@
   return result;
 }
 
+base::Millis MeteredBudgetManager::State::MaxWait(const MeteredBudget& budget,
+                                                  base::Tokens amount) const {
+  const bool is_pending =
+      budget.loan_request && budget.loan_request->is_pending();
+  return is_pending || IsAllowedSoon(budget, amount) ? policy_.promise_wait
+                                                     : policy_.max_wait;
+}
+
 MeteredBudgetManager::ReserveResult MeteredBudgetManager::State::Wait(
     base::Millis now,
     MeteredBudget& budget,
@@ -148,7 +158,7 @@
   }
   const bool is_scarce = IsScarce(now, budget);
   const base::Millis waited = now - rank.since;
-  const bool waited_enough = waited >= policy_.max_wait;
+  const bool waited_enough = waited >= MaxWait(budget, amount);
   if (waited_enough) {
     budget.retry_after = kDefaultRetryAfter;
   }
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -141,7 +141,13 @@
       return policy_.deferred_write_interval;
     }
   }
-  // What a promise allows and is not used grows with its age.
+  // What a promise allows and is not used is lost with the router. At the end
+  // of a budget little is granted.
+  if (!budget.is_scarce && (promised - allocated) * kPercent >
+                               advance * policy_.promise_surplus_percent) {
+    return policy_.promise_reduce_interval;
+  }
+  // An old promise allows more for the time that a router is off.
   if (granted > 0 && budget.last_drawn_at > promises_.written_at()) {
     return policy_.promise_refresh_interval;
   }
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -130,6 +130,11 @@
                             unallocated);
 }
 
+bool MeteredBudgetManager::State::IsAllowedSoon(const MeteredBudget& budget,
+                                                Tokens amount) const {
+  return Unallocated(budget) >= amount && OwnAvailable(budget) < amount;
+}
+
 Tokens MeteredBudgetManager::State::Available(
     const MeteredBudget& budget) const {
   return OwnAvailable(budget) +
@@ -150,14 +155,19 @@
   const Tokens predicted =
       budget.BurnOver(now, policy_.promise_cover, policy_) *
       policy_.promise_rate_percent / kPercent;
-  const Tokens target = Target(now, budget);
-  const Tokens large_request =
-      std::min({target, budget.largest_reservation,
-                budget.limit.limit / policy_.large_divisor});
   // Usage that has just begun is not predicted yet.
-  const Tokens minimum =
-      std::min(target, budget.limit.limit / policy_.min_advance_divisor);
-  return budget.Need() + std::max({predicted, large_request, minimum});
+  const bool is_predicted =
+      budget.first_used_at &&
+      now - *budget.first_used_at >= policy_.burn_half_life;
+  const Tokens opening =
+      is_predicted
+          ? 0
+          : std::min(
+                Target(now, budget),
+                std::max(budget.limit.limit / policy_.min_advance_divisor,
+                         std::min(budget.largest_reservation,
+                                  budget.limit.limit / policy_.large_divisor)));
+  return budget.Need() + std::max({predicted, budget.mean_request, opening});
 }
 
 SpendAllowance MeteredBudgetManager::State::NextAllowance(
@@ -166,9 +176,13 @@
   const Tokens burn = budget.BurnOver(now, base::Seconds(1), policy_);
   const Tokens opening = Target(now, budget) * base::Seconds(1).count() /
                          policy_.promise_opening.count();
+  const auto at_rate = [&](int64_t percent) {
+    return std::max(burn * percent / kPercent, opening);
+  };
   return {std::min(Granted(budget), Allocated(budget) + Headroom(now, budget)),
-          std::max(burn * policy_.promise_rate_percent / kPercent, opening),
-          std::max(burn * policy_.promise_later_percent / kPercent, opening)};
+          at_rate(policy_.promise_rate_percent),
+          at_rate(policy_.promise_faster_percent),
+          at_rate(policy_.promise_fastest_percent)};
 }
 
 bool MeteredBudgetManager::State::IsOverCommitted(
--- a/libs/ledger/src/promise_codec.cc
+++ b/libs/ledger/src/promise_codec.cc
@@ -1,6 +1,7 @@
 #include "promise_codec.h"
 
 #include <map>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -11,11 +12,32 @@
 
 using Json = nlohmann::json;
 
-// Tokens at the start, and tokens for each second of slow and fast growth.
-constexpr size_t kAllowanceFields = 3;
+// Tokens at the start, and for each second at each speed of growth. Earlier
+// versions knew two speeds.
+constexpr size_t kAllowanceFields = 4;
+constexpr size_t kEarlierAllowanceFields = 3;
 // Tokens spent, reserved and lent.
 constexpr size_t kUseFields = 3;
 
+std::optional<SpendAllowance> ReadAllowance(const Json& value) {
+  if (!value.is_array() || (value.size() != kAllowanceFields &&
+                            value.size() != kEarlierAllowanceFields)) {
+    return std::nullopt;
+  }
+  std::vector<base::Tokens> fields;
+  for (const Json& field : value) {
+    const auto tokens = cbor::Integer(&field);
+    if (!tokens || *tokens < 0) {
+      return std::nullopt;
+    }
+    fields.push_back(*tokens);
+  }
+  if (fields.size() == kEarlierAllowanceFields) {
+    fields.insert(fields.begin() + 2, fields[1]);
+  }
+  return SpendAllowance{fields[0], fields[1], fields[2], fields[3]};
+}
+
 // Routers of earlier versions don't write uses. Returns false if they are
 // malformed.
 bool ReadUses(const Json* uses, std::map<base::BudgetId, GrantUse>& into) {
@@ -47,7 +69,8 @@
   Json allowances = Json::object();
   for (const auto& [budget, allowance] : promise.allowances) {
     allowances[budget.value()] = Json::array(
-        {allowance.initial, allowance.per_second, allowance.later_per_second});
+        {allowance.initial, allowance.per_second, allowance.faster_per_second,
+         allowance.fastest_per_second});
   }
   Json uses = Json::object();
   for (const auto& [budget, use] : promise.uses) {
@@ -112,18 +135,11 @@
     }
   }
   for (const auto& [budget, value] : allowances->items()) {
-    if (!value.is_array() || value.size() != kAllowanceFields) {
-      return std::nullopt;
-    }
-    const auto initial = cbor::Integer(&value[0]);
-    const auto per_second = cbor::Integer(&value[1]);
-    const auto later_per_second = cbor::Integer(&value[2]);
-    if (!initial || *initial < 0 || !per_second || *per_second < 0 ||
-        !later_per_second || *later_per_second < 0) {
+    const auto allowance = ReadAllowance(value);
+    if (!allowance) {
       return std::nullopt;
     }
-    promise.allowances[base::BudgetId(budget)] = {*initial, *per_second,
-                                                  *later_per_second};
+    promise.allowances[base::BudgetId(budget)] = *allowance;
   }
   if (!ReadUses(cbor::Find(*document, "uses"), promise.uses)) {
     return std::nullopt;
--- a/libs/ledger/src/promise_manager.cc
+++ b/libs/ledger/src/promise_manager.cc
@@ -160,7 +160,7 @@
 std::optional<platform::KvRead> PromiseManager::Read(base::Millis now,
                                                      int64_t operation) {
   if (const auto busy = view_.busy_since()) {
-    if (now - *busy < policy_.operation_timeout) {
+    if (now - *busy < policy_.promise_timeout) {
       return std::nullopt;
     }
     view_.Abandon();
--- a/libs/ledger/src/spend_allowance.h
+++ b/libs/ledger/src/spend_allowance.h
@@ -10,28 +10,35 @@
 namespace godwit::ledger {
 
 // Upper bound of what a router has spent of a grant, which grows with time. It
-// grows slowly at first, so that little may have been used when a VM restarts,
-// and faster later, which only an outage of the KV lasts for.
+// grows at the rate of use while a VM may be restarting, so that little is lost
+// with it, and faster the longer only an outage of the KV lasts.
 struct SpendAllowance {
-  // Duration of the slow growth.
-  static constexpr base::Millis kSlowSpan{5'000};
+  // Time at which the growth becomes faster, and again faster.
+  static constexpr base::Millis kFasterAfter{3'000};
+  static constexpr base::Millis kFastestAfter{5'000};
 
   // Tokens that may have been spent at the start.
   base::Tokens initial = 0;
-  // Further tokens for each second since, and for each second after the slow
-  // growth.
+  // Further tokens for each second since, at each speed.
   base::Tokens per_second = 0;
-  base::Tokens later_per_second = 0;
+  base::Tokens faster_per_second = 0;
+  base::Tokens fastest_per_second = 0;
 
   base::Tokens At(base::Millis elapsed) const {
-    const base::Millis slow = std::clamp(elapsed, base::Millis(0), kSlowSpan);
-    const base::Millis fast = std::max(base::Millis(0), elapsed - kSlowSpan);
-    return initial + Growth(per_second, slow) + Growth(later_per_second, fast);
+    const auto within = [elapsed](base::Millis begin, base::Millis end) {
+      return std::clamp(elapsed, begin, end) - begin;
+    };
+    return initial + Growth(per_second, within(base::Millis(0), kFasterAfter)) +
+           Growth(faster_per_second, within(kFasterAfter, kFastestAfter)) +
+           Growth(fastest_per_second,
+                  std::max(base::Millis(0), elapsed - kFastestAfter));
   }
 
   friend bool operator==(const SpendAllowance& a, const SpendAllowance& b) {
-    return std::tie(a.initial, a.per_second, a.later_per_second) ==
-           std::tie(b.initial, b.per_second, b.later_per_second);
+    return std::tie(a.initial, a.per_second, a.faster_per_second,
+                    a.fastest_per_second) == std::tie(b.initial, b.per_second,
+                                                      b.faster_per_second,
+                                                      b.fastest_per_second);
   }
   friend bool operator!=(const SpendAllowance& a, const SpendAllowance& b) {
     return !(a == b);
