--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -27,6 +27,10 @@
 // block, and above any chunk size line or trailer. A server in trouble may send
 // such a line without end.
 constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
+// Bytes that a server sends before the answer to the request begins: interim
+// answers, and answers to other requests. A server in trouble may send these
+// without end.
+constexpr size_t kMaxBytesBeforeAnswer = size_t{2} * 1024 * 1024;
 // Requests with ids that one connection carries.
 constexpr size_t kMaxCarried = 1024;
 constexpr std::string_view kTimeout = "timeout=";
@@ -110,6 +114,8 @@
   request_id_ = id;
   started_at_ = now;
   received_any_ = false;
+  has_own_answer_ = false;
+  bytes_before_answer_ = 0;
   if (open_) {
     idle_before_send_ = now - idle_since_;
   }
@@ -215,6 +221,13 @@
   }
   inbox_.append(buffer_.data(), size);
   Consume();
+  if (handler_ != nullptr && !has_own_answer_) {
+    bytes_before_answer_ += size;
+    if (bytes_before_answer_ > kMaxBytesBeforeAnswer) {
+      Fail(Failure::kDamaged);
+      return;
+    }
+  }
   Read();
 }
 
@@ -249,7 +262,8 @@
   }
   server_idle_timeout_ = AdvertisedIdleTimeout(head);
   has_answered_ = true;
-  return handler_->OnHead(head);
+  has_own_answer_ = handler_->OnHead(head);
+  return has_own_answer_;
 }
 
 void UpstreamConnection::OnBody(std::string_view bytes) {
--- a/libs/relay/src/upstream_connection.h
+++ b/libs/relay/src/upstream_connection.h
@@ -90,6 +90,10 @@
   std::optional<AnswerReader> reader_;
   // An answer has begun on the connection.
   bool has_answered_ = false;
+  // The answer to the current request has begun; before that, how many bytes
+  // have been received.
+  bool has_own_answer_ = false;
+  size_t bytes_before_answer_ = 0;
   // The answer being read belongs to another request and is discarded.
   bool skipping_answer_ = false;
   size_t head_sent_ = 0;
--- a/libs/relay/tests/upstream_pool_test.cc
+++ b/libs/relay/tests/upstream_pool_test.cc
@@ -49,6 +49,15 @@
   Failure failure = Failure::kLost;
 };
 
+// Returns copies of `text`, together of at least `size` bytes.
+std::string Repeat(const std::string& text, size_t size) {
+  std::string copies;
+  while (copies.size() < size) {
+    copies += text;
+  }
+  return copies;
+}
+
 OutgoingRequest Get(const std::string& id = "") {
   OutgoingRequest request;
   request.id = id;
@@ -71,13 +80,21 @@
   const std::string endless(size_t{4} * 1024 * 1024, 'x');
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 2\r\n\r\nab";
   const std::vector<Case> cases = {
       {"no line end", endless},
       {"a status line without end", "HTTP/1.1 200 " + endless},
       {"a header without end", "HTTP/1.1 200 OK\r\nX-Id: " + endless},
       {"a chunk size without end", chunked + std::string(endless.size(), '0')},
       {"a chunk extension without end", chunked + "5;a=" + endless},
-      {"a trailer without end", chunked + "0\r\nX-Trailer: " + endless}};
+      {"a trailer without end", chunked + "0\r\nX-Trailer: " + endless},
+      {"answers to other requests without end", Repeat(other, endless.size())},
+      {"an answer to another request without end",
+       "HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 9999999\r\n\r\n" +
+           endless},
+      {"interim answers without end",
+       Repeat("HTTP/1.1 100 Continue\r\n\r\n", endless.size())}};
   for (const Case& c : cases) {
     RawServer server([&c](int, const std::string&) { return c.bytes; });
     Answer answer;
