--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -93,11 +93,6 @@
   Restart(index, true);
 }
 
-void MeteredSimulation::Kill(size_t index, base::Millis down) {
-  routers_[index]->off_until = now_ + down;
-  Restart(index);
-}
-
 void MeteredSimulation::BreakPromises() {
   for (const auto& router : routers_) {
     router->leap = kLeap;
@@ -174,21 +169,6 @@
   delayed_ += router.waiting.empty() ? 0 : 1;
 }
 
-void MeteredSimulation::Run(size_t index,
-                            base::Tokens amount,
-                            int used_percent,
-                            base::Millis duration,
-                            bool uses_at_start) {
-  Router& router = *routers_[index];
-  if (IsOff(router)) {
-    return;
-  }
-  router.waiting.push_back(
-      {amount, now_, 0, {used_percent, duration, uses_at_start}, std::nullopt});
-  TryReserve(router);
-  delayed_ += router.waiting.empty() ? 0 : 1;
-}
-
 void MeteredSimulation::Request(size_t index, const TimedRequest& request) {
   Router& router = *routers_[index];
   if (IsOff(router)) {
@@ -376,17 +356,6 @@
   });
 }
 
-std::optional<BudgetReport> MeteredSimulation::LenderReport() const {
-  for (const auto& router : routers_) {
-    for (const BudgetReport& report : router->manager->Reports()) {
-      if (report.is_lender && report.delivered > 0) {
-        return report;
-      }
-    }
-  }
-  return std::nullopt;
-}
-
 BudgetReport::Refusals MeteredSimulation::refusals() const {
   BudgetReport::Refusals sum;
   for (const auto& router : routers_) {
--- a/libs/ledger/tests/power_loss_parts.cc
+++ b/libs/ledger/tests/power_loss_parts.cc
@@ -2,6 +2,7 @@
 // costs.
 #include <algorithm>
 #include <deque>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -24,6 +25,26 @@
 
 }  // namespace
 
+void MeteredSimulation::Kill(size_t index, base::Millis down) {
+  routers_[index]->off_until = now_ + down;
+  Restart(index);
+}
+
+void MeteredSimulation::Run(size_t index,
+                            base::Tokens amount,
+                            int used_percent,
+                            base::Millis duration,
+                            bool uses_at_start) {
+  Router& router = *routers_[index];
+  if (IsOff(router)) {
+    return;
+  }
+  router.waiting.push_back(
+      {amount, now_, 0, {used_percent, duration, uses_at_start}, std::nullopt});
+  TryReserve(router);
+  delayed_ += router.waiting.empty() ? 0 : 1;
+}
+
 void MeteredSimulation::FinishDue(Router& router) {
   std::deque<Router::Running> still_running;
   for (const Router::Running& running : router.running) {
@@ -62,4 +83,15 @@
   return parts;
 }
 
+std::optional<BudgetReport> MeteredSimulation::LenderReport() const {
+  for (const auto& router : routers_) {
+    for (const BudgetReport& report : router->manager->Reports()) {
+      if (report.is_lender && report.delivered > 0) {
+        return report;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace godwit::ledger
