Let a lender without the KV refuse at once; borrowers wait and ask again

Cause: a lender without the KV kept requests pending until its promise grew, so that borrowers did not turn to the next lender, which draws.

Change: it refuses as before; a borrower whose lenders all refused waits, up to 2 s, and asks again. The growth is faster after 2.5 s instead of 3 s.

--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -103,7 +103,7 @@
   base::Millis max_wait = base::Millis(400);
   // Maximum time that a reservation waits for a promise to grow, or for a
   // lender that waits itself: longer than what a surge takes beyond the mean.
-  base::Millis promise_wait = base::Millis(1'500);
+  base::Millis promise_wait = base::Millis(2'000);
   // A reservation that was not repeated for this long no longer waits: its
   // request ended.
   base::Millis need_timeout = base::Millis(200);
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -134,12 +134,16 @@
   return result;
 }
 
-base::Millis MeteredBudgetManager::State::MaxWait(const MeteredBudget& budget,
-                                                  base::Tokens amount) const {
-  const bool is_pending =
-      budget.loan_request && budget.loan_request->is_pending();
-  return is_pending || IsAllowedSoon(budget, amount) ? policy_.promise_wait
-                                                     : policy_.max_wait;
+bool MeteredBudgetManager::State::MayGrow(base::Millis now,
+                                          const MeteredBudget& budget,
+                                          base::Tokens amount) const {
+  const bool has_refused =
+      std::any_of(budget.refused_until.begin(), budget.refused_until.end(),
+                  [&](const auto& refusal) {
+                    // Until the lender has been asked again and has answered.
+                    return now < refusal.second + policy_.max_wait;
+                  });
+  return has_refused || IsAllowedSoon(budget, amount);
 }
 
 MeteredBudgetManager::ReserveResult MeteredBudgetManager::State::Wait(
@@ -158,7 +162,9 @@
   }
   const bool is_scarce = IsScarce(now, budget);
   const base::Millis waited = now - rank.since;
-  const bool waited_enough = waited >= MaxWait(budget, amount);
+  const bool waited_enough =
+      waited >=
+      (MayGrow(now, budget, amount) ? policy_.promise_wait : policy_.max_wait);
   if (waited_enough) {
     budget.retry_after = kDefaultRetryAfter;
   }
@@ -192,8 +198,9 @@
     return ReserveResult::kUnavailable;
   }
   // Tokens that are held but not promised become available soon.
+  const bool may_grow = MayGrow(now, budget, amount) && !waited_enough;
   if ((IsKvUnavailable(now, shard) || !MayOpenSoon(now, shard)) &&
-      Unallocated(budget) < amount) {
+      Unallocated(budget) < amount && !may_grow) {
     ++refusals.kv_unavailable;
     budget.retry_after = policy_.refused_backoff;
     return ReserveResult::kUnavailable;
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -153,9 +153,7 @@
   // A lender that can neither draw nor renew its promise directs the borrower
   // to the next one, which draws for itself.
   const bool can_draw = !IsKvUnanswered(now, shard, kMaxLoanLatency);
-  const bool is_allowed_soon = IsAllowedSoon(local, least);
-  const bool is_serving =
-      !draining_ && !local.dropped && (can_draw || is_allowed_soon);
+  const bool is_serving = !draining_ && !local.dropped && can_draw;
   if (least == 0 && is_serving) {
     // Nobody waits for the tokens. A refusal would direct the next request that
     // somebody waits for to another lender, which would compete for the ledger.
@@ -173,9 +171,7 @@
     return reply(LoanReply::State::kNothingFree,
                  RetryAfter(now, local, needed));
   }
-  const base::Millis longest =
-      is_allowed_soon ? policy_.promise_wait : policy_.pending_timeout;
-  if (!is_serving || waited >= longest) {
+  if (!is_serving || waited >= policy_.pending_timeout) {
     return reply(LoanReply::State::kRefused);
   }
   return false;
@@ -219,7 +215,7 @@
       local->loan_request.reset();
       return;
     case LoanReply::State::kPending:
-      local->loan_request->SetPending(now);
+      local->loan_request->SetPending();
       return;
     case LoanReply::State::kNothingFree:
       RecordRefusal(now, *local, *send, reply);
@@ -280,11 +276,9 @@
     return;
   }
   const OpenLoanRequest& request = *budget.loan_request;
-  const bool is_silent =
-      request.is_pending()
-          ? now - request.pending_at() >= policy_.pending_timeout
-          : now - request.first_sent_at() >= policy_.loan_timeout;
-  if (is_silent || now - request.first_sent_at() >= policy_.promise_wait) {
+  const base::Millis limit =
+      request.is_pending() ? policy_.pending_timeout : policy_.loan_timeout;
+  if (now - request.first_sent_at() >= limit) {
     if (!request.is_pending()) {
       unresponsive_until_[request.lender().process] =
           now + policy_.unresponsive_backoff;
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -120,8 +120,11 @@
   // True if this router's grant covers `amount` and its promise does not yet,
   // which grows until the KV takes another one.
   bool IsAllowedSoon(const MeteredBudget& budget, base::Tokens amount) const;
-  // Returns the maximum time that a request for `amount` waits.
-  base::Millis MaxWait(const MeteredBudget& budget, base::Tokens amount) const;
+  // True if the promise of this router, or of a lender that refused for now,
+  // may grow to allow `amount`.
+  bool MayGrow(base::Millis now,
+               const MeteredBudget& budget,
+               base::Tokens amount) const;
   // Returns the tokens that are set aside for no router. The record lacks a
   // budget that was never drawn from, and states an earlier limit after a
   // change, until the next write.
--- a/libs/ledger/src/open_loan_request.h
+++ b/libs/ledger/src/open_loan_request.h
@@ -2,7 +2,6 @@
 #define LEDGER_OPEN_LOAN_REQUEST_H_
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 #include "base/ids.h"
@@ -30,12 +29,10 @@
   base::Millis first_sent_at() const noexcept { return first_sent_at_; }
   base::Millis sent_at() const noexcept { return sent_at_; }
   // True if the lender received it and draws from the ledger.
-  bool is_pending() const noexcept { return pending_at_.has_value(); }
-  // When the lender last answered that it is pending; it is.
-  base::Millis pending_at() const noexcept { return *pending_at_; }
+  bool is_pending() const noexcept { return is_pending_; }
 
   void AddSend(base::Millis now, const Send& send);
-  void SetPending(base::Millis now) noexcept { pending_at_ = now; }
+  void SetPending() noexcept { is_pending_ = true; }
   // The send with that number; null if it belongs to an earlier request. Zero,
   // which lenders of earlier versions state, stands for the last one.
   const Send* Find(int64_t number) const;
@@ -46,7 +43,7 @@
   Peer lender_;
   base::Millis first_sent_at_;
   base::Millis sent_at_;
-  std::optional<base::Millis> pending_at_;
+  bool is_pending_ = false;
   std::vector<Send> sends_;
 };
 
--- a/libs/ledger/src/spend_allowance.h
+++ b/libs/ledger/src/spend_allowance.h
@@ -14,7 +14,7 @@
 // with it, and faster the longer only an outage of the KV lasts.
 struct SpendAllowance {
   // Time at which the growth becomes faster, and again faster.
-  static constexpr base::Millis kFasterAfter{3'000};
+  static constexpr base::Millis kFasterAfter{2'500};
   static constexpr base::Millis kFastestAfter{5'000};
 
   // Tokens that may have been spent at the start.
