Wait longer for lenders that refused, not for silent ones

Seen: dispatch_test, UrgentCallsComeFirstThenEarlierOnes, failed: a call whose lender never answered waited for 2 s instead of 0.4 s.

Cause: a lender that is given up as silent is left out like one that refused, and the wait for growing promises counted both.

Change: the time of a lender's refusal is kept apart. promise_manager_test states the allowances at three speeds; its promises keep the earlier two, and the speeds have a case of their own.

--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -77,6 +77,8 @@
   // Lenders that refused a loan of this budget, and the time until which they
   // receive no further request for it.
   std::map<base::ProcessId, base::Millis> refused_until;
+  // When a lender last answered that it can't lend for now.
+  std::optional<base::Millis> lender_refused_at;
   // Requests that wait here.
   ReservationQueue waiting;
   // As the router that grants or lends: whether the budget is scarce, since
--- a/libs/ledger/src/metered_budget_manager.cc
+++ b/libs/ledger/src/metered_budget_manager.cc
@@ -137,12 +137,10 @@
 bool MeteredBudgetManager::State::MayGrow(base::Millis now,
                                           const MeteredBudget& budget,
                                           base::Tokens amount) const {
-  const bool has_refused =
-      std::any_of(budget.refused_until.begin(), budget.refused_until.end(),
-                  [&](const auto& refusal) {
-                    // Until the lender has been asked again and has answered.
-                    return now < refusal.second + policy_.max_wait;
-                  });
+  // Until the lender has been asked again and has answered.
+  const bool has_refused = budget.lender_refused_at &&
+                           now - *budget.lender_refused_at <
+                               policy_.refused_backoff + policy_.max_wait;
   return has_refused || IsAllowedSoon(budget, amount);
 }
 
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -229,6 +229,7 @@
     case LoanReply::State::kRefused:
       local->refused_until[local->loan_request->lender().process] =
           now + policy_.refused_backoff;
+      local->lender_refused_at = now;
       local->loan_request.reset();
       return;
   }
--- a/libs/ledger/tests/promise_manager_test.cc
+++ b/libs/ledger/tests/promise_manager_test.cc
@@ -31,7 +31,7 @@
 
 SpendPromise Promise(int64_t initial) {
   SpendPromise promise;
-  promise.allowances[kBudget] = {initial, 1000, 2000};
+  promise.allowances[kBudget] = {initial, 1000, 1000, 2000};
   promise.clock_offset = Millis(5'000);
   promise.fleet_time = Millis(15'000);
   return promise;
@@ -104,6 +104,18 @@
   CHECK_EQUAL(0, manager.Promised(first, BudgetId("vans")));
 }
 
+TEST(PromiseManager, AllowancesGrowFasterTheLongerAnOutageLasts) {
+  using godwit::ledger::SpendAllowance;
+  const SpendAllowance allowance{100, 1000, 2000, 3000};
+  const Millis faster = SpendAllowance::kFasterAfter;
+  const Millis fastest = SpendAllowance::kFastestAfter;
+  CHECK_EQUAL(100 + faster.count(), allowance.At(faster));
+  CHECK_EQUAL(allowance.At(faster) + 2 * (fastest - faster).count(),
+              allowance.At(fastest));
+  CHECK_EQUAL(allowance.At(fastest) + 3000,
+              allowance.At(fastest + Millis(1000)));
+}
+
 TEST(PromiseManager, KeepsToEachVersionThatMayBeStored) {
   // A later incarnation may find the write, whose answer this one missed during
   // a pause, or the version before.
