--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -101,8 +101,8 @@
   // Maximum time that a reservation waits for the KV or for tokens that other
   // routers return.
   base::Millis max_wait = base::Millis(400);
-  // Maximum time that a reservation waits for a promise to grow, or for a
-  // lender that waits itself: longer than what a surge takes beyond the mean.
+  // Maximum time that a reservation waits for this router's promise, or that of
+  // a lender that refused for now, to grow.
   base::Millis promise_wait = base::Millis(2'000);
   // A reservation that was not repeated for this long no longer waits: its
   // request ended.
