A reset that a write has reported ends an answer without length as lost

Cause: the kernel reports the error of a connection once. UpstreamConnection::Write received it and left the result to the pending read, which then ended as a plain end of the connection, and an answer without length is complete with that. Fix: a connection remembers that a write failed; its end is then no orderly one.

--- a/libs/relay/src/upstream_connection.cc
+++ b/libs/relay/src/upstream_connection.cc
@@ -161,6 +161,7 @@
     if (error) {
       // An answer may be in transit or already received; the pending read
       // reports the result.
+      write_failed_ = true;
       return;
     }
     pool_.traffic_.AddSent(sent);
@@ -206,7 +207,9 @@
     Close();
     return;
   }
-  if (error == asio::error::eof) {
+  // The kernel reports the error of a connection once, here to a write. Reads
+  // after it end as if the server had closed the connection in order.
+  if (error == asio::error::eof && !write_failed_) {
     reader_->FeedEnd();
     if (reader_->complete() && !skipping_answer_) {
       FinishAnswer();
--- a/libs/relay/src/upstream_connection.h
+++ b/libs/relay/src/upstream_connection.h
@@ -103,6 +103,8 @@
   bool reading_ = false;
   bool paused_ = false;
   bool awaiting_writable_ = false;
+  // A write has failed: the connection was reset, or is unresponsive.
+  bool write_failed_ = false;
   base::Millis opened_at_;
   base::Millis idle_until_;
   base::Millis idle_since_;
