Responses whose framing has no end are ended by the client of libs/http

What was seen: a server that sends a chunk size, extension, trailer or interim responses without end was read until a timeout, all of it kept. Cause: the buffer of a call and the bytes of interim responses had no bound. Evidence: BrokenAnswer.FramingWithoutEndIsReadOn, 4 MB each: the call ended with its total timeout of 10 s. Fix: at most 128 KiB are kept unparsed, as in the direct router, and interim responses take 64 KiB. The test passes.

--- a/libs/http/src/call_operation.cc
+++ b/libs/http/src/call_operation.cc
@@ -34,6 +34,11 @@
 // Lower statuses are interim responses, which another response follows.
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr uint32_t kMaxHeaderBytes = 64 * 1024;
+// Received bytes that are not parsed yet: above the limit on a head, and above
+// any chunk size line or trailer. A server may send such a line without end.
+constexpr size_t kMaxUnparsedBytes = size_t{128} * 1024;
+// Bytes of the interim responses before the final one.
+constexpr size_t kMaxInterimBytes = size_t{64} * 1024;
 
 base::Error ConnectionError(const std::string& server, error_code ec) {
   return {base::ErrorKind::kUnavailable,
@@ -233,6 +238,11 @@
     if (!guard::IsUnambiguous(FramingOf(head.base()))) {
       return Reject("the length of the body is ambiguous");
     }
+    interim_bytes_ += parsed;
+    if (head.result_int() < kFirstFinalStatus &&
+        interim_bytes_ > kMaxInterimBytes) {
+      return Reject("interim responses without end");
+    }
     return true;
   }
 
@@ -356,7 +366,8 @@
   bool ended_ = false;
   Watchdog idle_watchdog_;
   Watchdog total_watchdog_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
+  size_t interim_bytes_ = 0;
   std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
   std::array<char, kReadBytes> piece_{};
 };
