Trailers, chunk sizes and extensions without end are refused

Callers saw: a router ended, out of memory, with all requests in progress; one client sent trailers without end behind a chunked body. Cause: Beast takes chunk sizes with their extensions, and trailers, only once they are complete. What it had not taken stayed in the inbox of the connection, which was bounded only while an answer was awaited. Fix: unparsed bytes of a body's framing are bounded by the limit on the head, and all framing of a body by that limit and 16 bytes for each byte of the body, so that extensions of many chunks are bounded, too. The request is refused with 431 and the connection closed. Chunks of one byte with extensions and a trailer within the limit are served (BodiesInChunksOfOneByteAreRefused).

--- a/libs/relay/include/relay/request_reader.h
+++ b/libs/relay/include/relay/request_reader.h
@@ -19,7 +19,8 @@
 class RequestReader {
  public:
   struct Limits {
-    // Maximum size of request line and headers in bytes.
+    // Maximum size of request line and headers in bytes. Also bounds the
+    // trailers of a body, and each chunk size with its extensions.
     size_t header_bytes = size_t{16} * 1024;
     // Maximum size of the body in bytes.
     size_t body_bytes = size_t{8} * 1024 * 1024;
--- a/libs/relay/src/request_reader.cc
+++ b/libs/relay/src/request_reader.cc
@@ -19,6 +19,9 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kVersionNotSupported = 505;
 constexpr int kHttp11 = 11;
+// Bytes of chunk sizes, extensions and line ends for each byte of a body,
+// beside those that the limit on the head allows: chunks of one byte take five.
+constexpr size_t kMaxFramingPerBodyByte = 16;
 
 class Parser : public MessageParser<true> {
  public:
@@ -92,8 +95,21 @@
     reason = std::move(reason_text);
   }
 
+  // Bounds the chunk sizes, extensions and trailers of a body, of which
+  // `unparsed` bytes wait for the end of a line or of the trailers.
+  void CheckFraming(size_t unparsed) {
+    if (unparsed > header_bytes ||
+        framing_bytes >
+            header_bytes + kMaxFramingPerBodyByte * parser.body.size()) {
+      Fail(kHeaderTooLarge,
+           "the trailers or the framing of chunks are too large");
+    }
+  }
+
   Parser parser;
   size_t header_bytes;
+  // Bytes after the head that are not part of the body.
+  size_t framing_bytes = 0;
   int status = 0;
   std::string reason;
 };
@@ -117,9 +133,17 @@
       state.Fail(kBadRequest, "a header line is folded");
       break;
     }
+    const bool is_body = state.parser.is_header_done();
+    const size_t body_before = state.parser.body.size();
     error_code error;
-    taken += state.parser.put(
+    const size_t parsed = state.parser.put(
         boost::asio::const_buffer(unread.data(), unread.size()), error);
+    taken += parsed;
+    if (is_body && state.parser.chunked() &&
+        (!error || error == http::error::need_more)) {
+      state.framing_bytes += parsed - (state.parser.body.size() - body_before);
+      state.CheckFraming(unread.size() - parsed);
+    }
     if (error == http::error::need_more) {
       if (!state.parser.is_header_done() &&
           bytes.size() - taken > state.header_bytes) {
--- a/libs/relay/tests/request_reader_test.cc
+++ b/libs/relay/tests/request_reader_test.cc
@@ -133,3 +133,52 @@
     }
   }
 }
+
+TEST(RequestReader, FramingOfABodyHasNoEnd) {
+  struct Case {
+    const char* name;
+    std::string opening;
+    std::string repeated;
+  };
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Case> cases = {
+      {"a trailer", head + "0\r\nX: ", "a"},
+      {"trailers", head + "0\r\n", "X: a\r\n"},
+      {"a chunk extension", head + "5;a=", "a"},
+      {"a chunk size", head, "0"},
+      {"an extension for each byte", head,
+       "1;a=" + std::string(400, 'a') + "\r\nx\r\n"},
+  };
+  constexpr size_t max_held = 2 * 512;
+  constexpr size_t max_sent = size_t{64} * 1024;
+  for (const Case& c : cases) {
+    RequestReader reader(kLimits);
+    std::string unread = c.opening;
+    size_t sent = 0;
+    while (reader.refusal_status() == 0 && sent < max_sent) {
+      unread.erase(0, reader.Feed(unread));
+      CHECK_TEXT(unread.size() <= max_held, c.name);
+      unread += c.repeated;
+      sent += c.repeated.size();
+    }
+    CHECK_EQUAL_TEXT(431, reader.refusal_status(), c.name);
+  }
+}
+
+TEST(RequestReader, BodiesInChunksOfOneByteAreRefused) {
+  std::string bytes =
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string body;
+  for (size_t i = 0; i < kLimits.body_bytes; ++i) {
+    bytes += "00000001;a=b\r\nx\r\n";
+    body += "x";
+  }
+  bytes += "0\r\nX-Trailer: " + std::string(400, 't') + "\r\n\r\n";
+  for (const size_t step : {size_t{1}, size_t{10'000}}) {
+    RequestReader reader(kLimits);
+    FeedInPieces(reader, bytes, step);
+    CHECK(reader.complete());
+    STRCMP_EQUAL(body.c_str(), reader.TakeBody().c_str());
+  }
+}
