Bytes behind a last request, and behind answers that are not read, are not kept

Callers saw: a router ended, out of memory. Clients sent a last request (with Connection: close, or a malformed one), did not read, and sent on: 2.5 GB in 5 s. Others sent requests that were refused, without end. Cause: the inbox of a connection was bounded only while an answer was awaited. Once the last answer waited for its reader, nothing was parsed any more and all was kept. Requests were answered on, however many answers waited. And for each request that was answered at once, two reads of 16 KiB followed. Fix: bytes after the last request are dropped, and the connection ends after 64 KiB of them while an answer is awaited; once it is complete, the connection is not read before the answer has left. The next request begins when at most 16 KiB of answers wait, and requests that were received are parsed before more is read. Without a pending read, a failed write reports that the caller left.

--- a/libs/relay/include/relay/caller_session.h
+++ b/libs/relay/include/relay/caller_session.h
@@ -58,6 +58,10 @@
   void Start();
   void Read();
   void OnRead(size_t size);
+  // Handles bytes received after the last request of the connection.
+  void Discard(size_t size);
+  // True while answers that the caller does not read fill the output queue.
+  bool awaits_reader() const noexcept;
   void Consume();
   // True if the caller closed its connection after it had sent its request,
   // which may have waited to be read on a busy VM. Reads what else was
@@ -74,6 +78,7 @@
   void Refuse(int status, const std::string& reason);
   void Queue(std::string_view bytes);
   void Flush();
+  void OnWriteFailed();
   void OnWritable();
   void Linger();
   void FinishAnswer();
@@ -94,6 +99,10 @@
   bool is_head_ = false;
   bool reading_ = false;
   bool awaiting_writable_ = false;
+  // Bytes received earlier are about to be parsed.
+  bool consume_pending_ = false;
+  // Bytes received after the last request.
+  size_t discarded_bytes_ = 0;
   // Part of a request has been received since the last complete one.
   bool receiving_request_ = false;
   // Start of the current phase: idle, receiving a request, or lingering.
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -60,7 +60,8 @@
 }
 
 void CallerSession::Read() {
-  if (closed_ || reading_ || io_->no_room_since) {
+  if (closed_ || reading_ || consume_pending_ || io_->no_room_since ||
+      awaits_reader()) {
     return;
   }
   reading_ = true;
@@ -81,8 +82,8 @@
 
 void CallerSession::OnRead(size_t size) {
   server_.traffic_.AddReceived(size);
-  if (lingering_) {
-    Read();
+  if (lingering_ || close_after_answer_) {
+    Discard(size);
     return;
   }
   io_->inbox.append(io_->buffer.data(), size);
@@ -96,9 +97,23 @@
   Read();
 }
 
+void CallerSession::Discard(size_t size) {
+  discarded_bytes_ += size;
+  if (!lingering_ && discarded_bytes_ > kMaxPipelinedBytes) {
+    OnDisconnected();
+    return;
+  }
+  Read();
+}
+
+bool CallerSession::awaits_reader() const noexcept {
+  return state_ == State::kReading && !lingering_ &&
+         queued_bytes() > (close_after_answer_ ? 0 : kLowWatermarkBytes);
+}
+
 void CallerSession::Consume() {
   if (closed_ || close_after_answer_ || state_ == State::kAnswering ||
-      io_->inbox.empty()) {
+      awaits_reader() || io_->inbox.empty()) {
     return;
   }
   if (!receiving_request_) {
@@ -130,14 +145,27 @@
 }
 
 bool CallerSession::HasCallerDisconnected() {
+  if (io_->inbox.size() >= Io::kReadBytes) {
+    // The end of the connection is behind further requests.
+    return false;
+  }
   error_code error;
   const size_t size = io_->socket.read_some(asio::buffer(io_->buffer), error);
-  io_->inbox.append(io_->buffer.data(), size);
+  if (close_after_answer_) {
+    discarded_bytes_ += size;
+  } else {
+    io_->inbox.append(io_->buffer.data(), size);
+  }
   return error && error != asio::error::would_block;
 }
 
 void CallerSession::OnRequestComplete() {
   receiving_request_ = false;
+  close_after_answer_ =
+      io_->reader.head().headers.HasToken("connection", "close");
+  if (close_after_answer_) {
+    io_->inbox.clear();
+  }
   if (HasCallerDisconnected()) {
     OnDisconnected();
     return;
@@ -148,7 +176,6 @@
   request.body = TakeBody();
   request.received_at = base::SteadyNow();
   is_head_ = request.head.method == "HEAD";
-  close_after_answer_ = request.head.headers.HasToken("connection", "close");
   server_.handler_.OnRequest(shared_from_this(), std::move(request));
 }
 
@@ -158,6 +185,7 @@
   is_head_ = false;
   // The start of the next request cannot be determined reliably.
   close_after_answer_ = true;
+  io_->inbox.clear();
   const std::string retry =
       status == kUnavailableStatus ? "Retry-After: 1\r\n" : "";
   Respond(status, "Content-Type: text/plain\r\n" + retry, reason + "\n");
@@ -225,9 +253,13 @@
   state_ = State::kReading;
   phase_started_at_ = base::SteadyNow();
   Flush();
-  if (!closed_ && !io_->inbox.empty()) {
-    asio::post(io_->socket.get_executor(),
-               [self = shared_from_this()] { self->Consume(); });
+  if (!closed_ && !io_->inbox.empty() && !consume_pending_) {
+    consume_pending_ = true;
+    asio::post(io_->socket.get_executor(), [self = shared_from_this()] {
+      self->consume_pending_ = false;
+      self->Consume();
+      self->Read();
+    });
   }
 }
 
@@ -259,7 +291,7 @@
       break;
     }
     if (error) {
-      // The pending read reports the disconnection.
+      OnWriteFailed();
       return;
     }
   }
@@ -275,10 +307,27 @@
   }
 }
 
+// A pending read reports the disconnection. Without one, the answers are
+// complete and nobody else would notice.
+void CallerSession::OnWriteFailed() {
+  if (!reading_) {
+    asio::post(io_->socket.get_executor(),
+               [self = shared_from_this()] { self->OnDisconnected(); });
+  }
+}
+
 void CallerSession::OnWritable() {
   Flush();
-  if (!closed_ && awaits_answer() && queued_bytes() < kLowWatermarkBytes) {
-    server_.handler_.OnCallerWritable(shared_from_this());
+  if (closed_) {
+    return;
+  }
+  if (awaits_answer()) {
+    if (queued_bytes() < kLowWatermarkBytes) {
+      server_.handler_.OnCallerWritable(shared_from_this());
+    }
+  } else if (!awaits_reader()) {
+    Consume();
+    Read();
   }
 }
 
@@ -289,6 +338,7 @@
   phase_started_at_ = base::SteadyNow();
   error_code ignored;
   io_->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Read();
 }
 
 size_t CallerSession::queued_bytes() const noexcept {
