The queue of log lines is bounded in bytes

What was seen: 20,000 lines of 1,000 bytes wait for a stalled reader of the log. Cause: the queue bounded the number of lines; events of refused requests carry what their callers sent, so that their size is the callers' choice. Evidence: Log.LinesThatAreNotReadFillTheMemory failed before. Fix: 8 MB with the records' own memory; further lines are dropped and counted as before. The test passes.

--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -27,16 +27,31 @@
 namespace logging = boost::log;
 
 constexpr size_t kMaxQueuedLines = 20'000;
+// Memory of the queued lines, each with that of its record.
+constexpr size_t kMaxQueuedBytes = 8'000'000;
+constexpr size_t kRecordBytes = 512;
 
 std::atomic<int64_t> dropped_lines{0};
+std::atomic<size_t> queued_bytes{0};
+
+size_t BytesOf(const std::string& line) {
+  return line.size() + kRecordBytes;
+}
+
+// Called when a line leaves the queue.
+void ReleaseBytes(const logging::record_view& record) {
+  if (const auto line = record[logging::expressions::smessage]) {
+    queued_bytes.fetch_sub(BytesOf(*line), std::memory_order_relaxed);
+  }
+}
 
 // Overflow policy of the Boost.Log queue: drops and counts the lines that do
 // not fit.
 class CountingOverflowPolicy {
  public:
   template <typename Lock>
-  static bool on_overflow(const logging::record_view& /*record*/,
-                          Lock& /*lock*/) {
+  static bool on_overflow(const logging::record_view& record, Lock& /*lock*/) {
+    ReleaseBytes(record);
     dropped_lines.fetch_add(1, std::memory_order_relaxed);
     return false;
   }
@@ -70,6 +85,7 @@
   state->sink->set_formatter([](const logging::record_view& record,
                                 logging::formatting_ostream& stream) {
     stream << record[logging::expressions::smessage];
+    ReleaseBytes(record);
   });
   logging::core::get()->add_sink(state->sink);
   logging_state = std::move(state);
@@ -95,6 +111,12 @@
   const std::string line = options.format == LogFormat::kJson
                                ? JsonLine(now, id, options.process, fields)
                                : TextLine(now, id, options.process, fields);
+  if (queued_bytes.load(std::memory_order_relaxed) + BytesOf(line) >
+      kMaxQueuedBytes) {
+    dropped_lines.fetch_add(1, std::memory_order_relaxed);
+    return;
+  }
+  queued_bytes.fetch_add(BytesOf(line), std::memory_order_relaxed);
   BOOST_LOG(logging_state->logger) << line;
 }
 
