A server whose callers do not read their answers is not silent

Callers saw: while clients of a service don't read their answers, ordinary calls to it wait for seconds and are refused, although its servers are idle. Cause: an answer that its caller doesn't read is not read from the server either. Fix: attempts whose answers are paused don't count as awaited; the time of silence begins when one that is awaited starts or goes on.

--- a/libs/dispatch/include/dispatch/placement.h
+++ b/libs/dispatch/include/dispatch/placement.h
@@ -65,11 +65,13 @@
                   const std::optional<LoadReport>& load);
   // More of the answer arrived, which has `events` events now; 0 if not known.
   void OnProgressed(base::Millis now, int64_t attempt, int64_t events = 0);
+  // The answer is not read from now on, or is read again.
+  void OnPaused(base::Millis now, int64_t attempt, bool is_paused);
   void OnEnded(base::Millis now, int64_t attempt, Outcome outcome);
 
-  // Whether the server of the attempt has work in progress and has sent nothing
-  // on any connection for the response timeout, extended by the time that the
-  // prefill of its pending prompts may take.
+  // Whether the server of the attempt has work in progress whose answers are
+  // read, and has sent nothing on any connection for the response timeout,
+  // extended by the time that the prefill of its pending prompts may take.
   bool IsUnresponsive(base::Millis now, int64_t attempt) const;
 
   // The server is cold until then, and has twice the response timeout.
--- a/libs/dispatch/src/attempt_events.cc
+++ b/libs/dispatch/src/attempt_events.cc
@@ -194,6 +194,7 @@
     return;
   }
   call->is_paused = event.is_paused;
+  placement_.OnPaused(now_, call->attempt, event.is_paused);
   if (!event.is_paused) {
     // What the server sent meanwhile is only read from now on.
     call->last_received_at = now_;
--- a/libs/dispatch/src/placement.cc
+++ b/libs/dispatch/src/placement.cc
@@ -95,7 +95,7 @@
   if (state_->UsesCapacityModel(request)) {
     state_->RecordExpectation(now, request, load, backend.slots, started);
   }
-  if (load.in_flight == 0) {
+  if (!load.IsAwaited()) {
     load.last_received_at = now;
   }
   ++load.in_flight;
@@ -150,6 +150,23 @@
   }
 }
 
+void Placement::OnPaused(base::Millis now, int64_t attempt, bool is_paused) {
+  const auto found = state_->attempts.find(attempt);
+  if (found == state_->attempts.end() || found->second.is_paused == is_paused) {
+    return;
+  }
+  found->second.is_paused = is_paused;
+  ServerLoad& load = state_->loads[found->second.server];
+  if (is_paused) {
+    ++load.paused;
+    return;
+  }
+  if (!load.IsAwaited()) {
+    load.last_received_at = now;
+  }
+  --load.paused;
+}
+
 void Placement::OnEnded(base::Millis now, int64_t attempt, Outcome outcome) {
   const auto found = state_->attempts.find(attempt);
   if (found == state_->attempts.end()) {
@@ -159,6 +176,7 @@
   state_->attempts.erase(found);
   ServerLoad& load = state_->loads[ended.server];
   --load.in_flight;
+  load.paused -= ended.is_paused ? 1 : 0;
   load.memory -= ended.memory;
   if (!ended.answered) {
     --load.unanswered;
--- a/libs/dispatch/src/placement_state.cc
+++ b/libs/dispatch/src/placement_state.cc
@@ -256,7 +256,7 @@
   // A cold server answers more slowly.
   const base::Millis response_timeout =
       options.response_timeout * (now < load.cold_until ? 2 : 1);
-  return load.in_flight > 0 &&
+  return load.IsAwaited() &&
          now - load.last_received_at > response_timeout + prefill_time;
 }
 
--- a/libs/dispatch/src/placement_state.h
+++ b/libs/dispatch/src/placement_state.h
@@ -29,6 +29,8 @@
     // Expected time to the first byte at a server of typical speed.
     double typical_first_byte_ms = 0;
     bool answered = false;
+    // Its answer is not read, since its caller does not read.
+    bool is_paused = false;
     // Prompt tokens that were expected to be read before the first byte, also
     // for other routers, how long work took then as a multiple of the usual
     // time, and how much of both this router knew; from 0 to 1.
--- a/libs/dispatch/src/server_load.h
+++ b/libs/dispatch/src/server_load.h
@@ -20,6 +20,9 @@
   // and the prompt tokens that the server has yet to process for the latter.
   int64_t in_flight = 0;
   int64_t unanswered = 0;
+  // Attempts in progress whose answers are not read, since their callers don't
+  // read. The silence of the server on them means nothing.
+  int64_t paused = 0;
   base::Tokens pending_prefill = 0;
   // Tokens that the attempts in progress are expected to hold in its memory.
   base::Tokens memory = 0;
@@ -34,7 +37,8 @@
   // it is based on.
   double failures = 0;
   int64_t samples = 0;
-  // When a byte last arrived, or the first of the attempts in progress started.
+  // When a byte last arrived, or the first of the attempts in progress that are
+  // not paused started or went on.
   base::Millis last_received_at;
   int64_t ejections = 0;
   base::Millis ejected_until;
@@ -57,6 +61,8 @@
   // Slowness, which decays towards 1 without new observations.
   double SlownessAt(base::Millis now) const;
   void ObserveSlowness(base::Millis now, double ratio);
+  // True if bytes of the server are awaited.
+  bool IsAwaited() const { return in_flight > paused; }
   bool IsEjected(base::Millis now) const { return now < ejected_until; }
   void Eject(base::Millis now, base::Millis shortest, base::Millis longest);
 };
