Answers that are not read, and requests behind others, have a bound in memory

Callers saw: a router ended, out of memory, by clients that each stay within limits: 360 clients that don't read 4 MB took 127 to 198 MB, with 60 KB pipelined behind the request 241 to 248 MB, in a router that has 96 MB. A VM of 260 MB has places for 1,925 callers; each could hold 256 KB of its answer twice. Cause: one connection was bounded, their sum was not; and the beginning of an answer, kept until its relay began, was never freed. Evidence: caller_memory_process_test, ManyClientsThatHoldLargeAnswers and ManyClientsThatHoldPipelinedBytes, failed before in three plays of three. Fix: a quarter of memory_mb is for these buffers. A connection's share of it is where its answer is not read on, 256 KB as before unless many connections are open, 16 KB at least; connections that hold most are closed if the sum exceeds the quarter. What has been sent leaves the queue before it is empty. After: both pass, slow_callers_process_test (1,000 callers) too.

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -33,6 +33,10 @@
     // at least twice the largest body is used. Further ones are not read until
     // there is room, and refused as not run if that takes a second.
     size_t held_body_bytes = size_t{64} * 1024 * 1024;
+    // Memory for answers that callers have not read, and for bytes received
+    // behind the requests in progress. The connections that hold most of it are
+    // closed when it is exceeded.
+    size_t held_buffer_bytes = size_t{64} * 1024 * 1024;
     // Maximum time from the first byte of a request to its last.
     base::Millis request_timeout{10000};
     // Maximum idle time between requests on one connection.
@@ -77,6 +81,10 @@
   void Tick();
 
   size_t connections() const noexcept { return sessions_.size(); }
+  // Bytes of answers that one connection may hold before its answer is not read
+  // on: its share of half of the memory for buffers. The other half is for the
+  // beginnings of answers that are not sent yet.
+  size_t buffer_share() const noexcept;
   const LinkTraffic& traffic() const noexcept { return traffic_; }
   // Number of connections with a request that has not been received or whose
   // answer has not been sent completely.
@@ -92,6 +100,11 @@
   // Starts a session on the connection that was accepted last.
   void AddSession();
   void Remove(const std::shared_ptr<CallerSession>& session);
+  // Accounts for the buffers of a session, which held `before` bytes.
+  void OnBuffersChanged(size_t before, size_t now);
+  // Closes the sessions that hold most until the rest fits. Must not be called
+  // from within a call of the handler, which is told of them.
+  void CloseLargestHolders();
   // Whether a connection is to be closed after the answer that begins.
   bool TakeClose() noexcept;
 
@@ -104,6 +117,8 @@
   // Connections that are still to be closed after an answer.
   size_t to_close_ = 0;
   LinkTraffic traffic_;
+  // Bytes in the buffers of all sessions.
+  size_t held_bytes_ = 0;
   std::optional<base::Millis> closing_since_;
   base::Error error_;
   std::shared_ptr<Acceptor> acceptor_;
--- a/libs/relay/include/relay/caller_session.h
+++ b/libs/relay/include/relay/caller_session.h
@@ -42,6 +42,9 @@
 
   // Bytes queued that the socket has not accepted yet.
   size_t queued_bytes() const noexcept;
+  // Bytes of an answer that may wait here, beyond which it should not be read
+  // on.
+  size_t buffer_share() const noexcept;
   // True while the answer to the request on this connection is incomplete.
   bool awaits_answer() const noexcept { return state_ == State::kAnswering; }
   // True while a request or its answer is incomplete.
@@ -77,6 +80,12 @@
   void OnRequestComplete();
   void Refuse(int status, const std::string& reason);
   void Queue(std::string_view bytes);
+  // Removes bytes from the output queue that have been sent.
+  void DropSent();
+  // Tells the server how much memory the buffers take.
+  void AccountBuffers();
+  // Bytes in the buffers, as accounted last.
+  size_t held_bytes() const noexcept { return held_bytes_; }
   void Flush();
   void OnWriteFailed();
   void OnWritable();
@@ -99,6 +108,7 @@
   bool is_head_ = false;
   bool reading_ = false;
   bool awaiting_writable_ = false;
+  size_t held_bytes_ = 0;
   // Bytes received earlier are about to be parsed.
   bool consume_pending_ = false;
   // Bytes received after the last request.
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -26,6 +26,9 @@
 // Time in which requests are read that callers had sent before the server
 // closed.
 constexpr base::Millis kCloseDelay(50);
+// Bounds of a connection's share of the memory for buffers.
+constexpr size_t kMinBufferShare = size_t{16} * 1024;
+constexpr size_t kMaxBufferShare = size_t{256} * 1024;
 
 }  // namespace
 
@@ -137,6 +140,26 @@
   sessions_.erase(session);
 }
 
+size_t CallerServer::buffer_share() const noexcept {
+  const size_t share =
+      limits_.held_buffer_bytes / 2 / std::max<size_t>(1, sessions_.size());
+  return std::clamp(share, kMinBufferShare, kMaxBufferShare);
+}
+
+void CallerServer::OnBuffersChanged(size_t before, size_t now) {
+  held_bytes_ += now - before;
+}
+
+void CallerServer::CloseLargestHolders() {
+  while (held_bytes_ > limits_.held_buffer_bytes && !sessions_.empty()) {
+    const auto largest = *std::max_element(
+        sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
+          return a->held_bytes() < b->held_bytes();
+        });
+    largest->OnDisconnected();
+  }
+}
+
 bool CallerServer::TakeClose() noexcept {
   if (draining_) {
     return true;
@@ -156,6 +179,7 @@
 }
 
 void CallerServer::Tick() {
+  CloseLargestHolders();
   const base::Millis now = base::SteadyNow();
   const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(),
                                                              sessions_.end());
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -87,6 +87,7 @@
     return;
   }
   io_->inbox.append(io_->buffer.data(), size);
+  AccountBuffers();
   if (state_ == State::kAnswering && io_->inbox.size() > kMaxPipelinedBytes) {
     // Reading on would let one caller exhaust memory; not reading would hide
     // its disconnection.
@@ -125,6 +126,7 @@
   const bool had_head = io_->reader.has_head();
   const size_t taken = io_->reader.Feed(io_->inbox);
   io_->inbox.erase(0, taken);
+  AccountBuffers();
   if (io_->reader.refusal_status() != 0) {
     ReleaseBody();
     Refuse(io_->reader.refusal_status(), io_->reader.refusal_reason());
@@ -298,9 +300,9 @@
   if (closed_) {
     return;
   }
-  if (io.sent == io.outbox.size()) {
-    io.outbox.clear();
-    io.sent = 0;
+  DropSent();
+  AccountBuffers();
+  if (io.outbox.empty()) {
     if (close_after_answer_ && state_ == State::kReading && !lingering_) {
       Linger();
     }
@@ -316,6 +318,29 @@
   }
 }
 
+void CallerSession::DropSent() {
+  Io& io = *io_;
+  if (io.sent == io.outbox.size()) {
+    io.outbox.clear();
+    io.sent = 0;
+    if (io.outbox.capacity() > kLowWatermarkBytes) {
+      io.outbox.shrink_to_fit();
+    }
+  } else if (io.sent >= kLowWatermarkBytes && io.sent * 2 >= io.outbox.size()) {
+    io.outbox.erase(0, io.sent);
+    io.sent = 0;
+  }
+}
+
+void CallerSession::AccountBuffers() {
+  const size_t now = closed_ ? 0 : io_->inbox.size() + io_->outbox.size();
+  server_.OnBuffersChanged(std::exchange(held_bytes_, now), now);
+}
+
+size_t CallerSession::buffer_share() const noexcept {
+  return server_.buffer_share();
+}
+
 void CallerSession::OnWritable() {
   Flush();
   if (closed_) {
@@ -363,6 +388,7 @@
     return;
   }
   closed_ = true;
+  AccountBuffers();
   ReleaseBody();
   error_code ignored;
   io_->socket.close(ignored);
--- a/tools/godwit-edge/src/attempt_relay.cc
+++ b/tools/godwit-edge/src/attempt_relay.cc
@@ -1,5 +1,7 @@
 #include "attempt_relay.h"
 
+#include <utility>
+
 #include "adapter/messages.h"
 #include "discarded_answer.h"
 #include "dispatch/attempt_failure.h"
@@ -15,8 +17,6 @@
 constexpr int kOk = 200;
 // Servers may leave the type out.
 constexpr char kEventStreamType[] = "text/event-stream";
-// Longer answers are forwarded as they arrive.
-constexpr size_t kMaxBufferedBytes = size_t{256} * 1024;
 
 AttemptFailure ToAttemptFailure(relay::AnswerHandler::Failure failure) {
   switch (failure) {
@@ -96,7 +96,8 @@
     return;
   }
   buffered_.append(bytes);
-  if (buffered_.size() > kMaxBufferedBytes && !reported_) {
+  // Longer answers are forwarded as they arrive.
+  if (buffered_.size() > exchange_->session_->buffer_share() && !reported_) {
     ReportAnswer(false);
   }
 }
@@ -167,8 +168,7 @@
     }
     session.Begin(head_->status, lines, has_length);
   }
-  exchange_->ForwardToCaller(buffered_);
-  buffered_.clear();
+  exchange_->ForwardToCaller(std::exchange(buffered_, {}));
   if (complete_) {
     session.End();
   }
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -93,10 +93,7 @@
          {"data_centre", options_.placement.data_centre},
          {"callers", settings_.Address("callers").ToText()},
          {"platform", settings_.Address("platform").ToText()}});
-    relay::CallerServer::Limits limits;
-    limits.connections = MaxCallerConnections(settings_);
-    limits.held_body_bytes = HeldBodyBytes(settings_);
-    callers_.SetLimits(limits);
+    callers_.SetLimits(CallerLimitsFrom(settings_));
     if (!callers_.Listen(settings_.Address("callers"))) {
       error_ = callers_.last_error();
       return false;
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -18,8 +18,10 @@
 constexpr int64_t kMinMemoryMb = 16;
 constexpr int64_t kMaxMemoryMb = 1'000'000;
 constexpr size_t kBytesPerMb = 1'000'000;
-// Share of the memory that bodies of requests may take.
+// Shares of the memory that bodies of requests may take, and answers that
+// callers have not read with requests that wait behind others.
 constexpr size_t kBodyMemoryDivisor = 3;
+constexpr size_t kBufferMemoryDivisor = 4;
 constexpr int64_t kMaxRetries = 1'000'000;
 constexpr int64_t kMaxCostMillis = 60'000;
 constexpr int64_t kMaxRetryWindowMillis = 600'000;
@@ -113,7 +115,8 @@
       .Default("0")
       .Integer("memory_mb",
                "memory of this VM, of which a third may hold the bodies of "
-               "callers' requests",
+               "callers' requests, and a quarter answers that they have not "
+               "read and requests that wait behind others",
                kMinMemoryMb, kMaxMemoryMb)
       .Default("256")
       .Integer("descriptors", "file descriptors that this process may use",
@@ -174,14 +177,15 @@
   return options;
 }
 
-size_t HeldBodyBytes(const config::Settings& settings) {
-  return static_cast<size_t>(settings.Integer("memory_mb")) * kBytesPerMb /
-         kBodyMemoryDivisor;
-}
-
-size_t MaxCallerConnections(const config::Settings& settings) {
-  return static_cast<size_t>(
+relay::CallerServer::Limits CallerLimitsFrom(const config::Settings& settings) {
+  const size_t memory =
+      static_cast<size_t>(settings.Integer("memory_mb")) * kBytesPerMb;
+  relay::CallerServer::Limits limits;
+  limits.connections = static_cast<size_t>(
       (settings.Integer("descriptors") - kReservedDescriptors) / 2);
+  limits.held_body_bytes = memory / kBodyMemoryDivisor;
+  limits.held_buffer_bytes = memory / kBufferMemoryDivisor;
+  return limits;
 }
 
 }  // namespace godwit::edge
--- a/tools/godwit-edge/src/edge_settings.h
+++ b/tools/godwit-edge/src/edge_settings.h
@@ -39,12 +39,9 @@
 relay::CallerRebalancer::Options RebalancerOptionsFrom(
     const config::Settings& settings);
 
-// Memory for the bodies of callers' requests.
-size_t HeldBodyBytes(const config::Settings& settings);
-
-// Largest number of caller connections that the file descriptors allow: each
-// may need a second one, to a backend server.
-size_t MaxCallerConnections(const config::Settings& settings);
+// Limits by the memory and the file descriptors of this VM: a caller's
+// connection may need a second one, to a backend server.
+relay::CallerServer::Limits CallerLimitsFrom(const config::Settings& settings);
 
 }  // namespace godwit::edge
 
--- a/tools/godwit-edge/src/exchange.cc
+++ b/tools/godwit-edge/src/exchange.cc
@@ -15,8 +15,6 @@
 namespace godwit::edge {
 namespace {
 
-// Unsent bytes for a caller above which its answer is not read further.
-constexpr size_t kMaxQueuedBytes = size_t{256} * 1024;
 constexpr double kMillisPerSecond = 1000;
 
 // True for refusals that guarantee that the request has not run.
@@ -83,7 +81,7 @@
 
 void Exchange::ForwardToCaller(std::string_view bytes) {
   session_->Write(bytes);
-  if (session_->queued_bytes() > kMaxQueuedBytes && !is_paused_) {
+  if (session_->queued_bytes() > session_->buffer_share() && !is_paused_) {
     servers_.PauseReading(attempt_->upstream);
     SetPaused(true);
   }
