Idle and slow connections give way to ordinary callers

Callers saw: connections that are closed unread. 250 clients that were idle, sent a byte at a time or did not read took all 125 places of a router, and each further connection was closed when it was accepted. Cause: places were given in the order of arrival and kept for as long as the timeouts allow; answers that are never read were kept without limit. Evidence: caller_places_process_test, IdleAndSlowClientsTakeAllPlaces and ClientsThatNeverReadTakeAllPlaces (15 s), failed before. Fix: ConnectionPlaces (libs/guard) decides without I/O who gives way: connections that are closing, that have sent no whole head, that are idle, whose body arrives, whose answer has not been read for 5 s, in this order and the oldest first; those that are served never do. Connections with bytes that are not read yet are passed over. An answer of which nothing is read for 60 s ends, counted by what the peer acknowledged, so that slow readers keep theirs. After: both pass; ConnectionPlaces agrees with a naive version (rapidcheck).

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -4,11 +4,13 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "base/millis.h"
+#include "guard/connection_places.h"
+#include "relay/closed_connections.h"
 #include "relay/link_traffic.h"
 
 namespace boost::asio {
@@ -41,8 +43,10 @@
     base::Millis request_timeout{10000};
     // Maximum idle time between requests on one connection.
     base::Millis keep_alive_timeout{15000};
-    // Maximum number of open connections; further ones are closed when
-    // accepted.
+    // Maximum time in which a caller reads nothing of its answer.
+    base::Millis unread_timeout{60'000};
+    // Maximum number of open connections. A further one takes the place of one
+    // that is not served, see ConnectionPlaces, or is closed.
     size_t connections = 10'000;
   };
 
@@ -85,6 +89,8 @@
   // on: its share of half of the memory for buffers. The other half is for the
   // beginnings of answers that are not sent yet.
   size_t buffer_share() const noexcept;
+  // Connections that were closed at a limit since the start.
+  const ClosedConnections& closed_at_limits() const noexcept { return closed_; }
   const LinkTraffic& traffic() const noexcept { return traffic_; }
   // Number of connections with a request that has not been received or whose
   // answer has not been sent completely.
@@ -99,6 +105,8 @@
   void AcceptWaiting();
   // Starts a session on the connection that was accepted last.
   void AddSession();
+  // Closes the connection that gives way; false if all are served.
+  bool MakePlace();
   void Remove(const std::shared_ptr<CallerSession>& session);
   // Accounts for the buffers of a session, which held `before` bytes.
   void OnBuffersChanged(size_t before, size_t now);
@@ -122,7 +130,11 @@
   std::optional<base::Millis> closing_since_;
   base::Error error_;
   std::shared_ptr<Acceptor> acceptor_;
-  std::unordered_set<std::shared_ptr<CallerSession>> sessions_;
+  guard::ConnectionPlaces places_;
+  ClosedConnections closed_;
+  std::unordered_map<guard::ConnectionPlaces::Id,
+                     std::shared_ptr<CallerSession>>
+      sessions_;
 };
 
 }  // namespace godwit::relay
--- a/libs/relay/include/relay/caller_session.h
+++ b/libs/relay/include/relay/caller_session.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "base/millis.h"
+#include "guard/connection_places.h"
 
 namespace godwit::relay {
 
@@ -96,8 +97,16 @@
   // Closes the connection unless the caller has begun to send a request.
   void CloseIfIdle();
   void Tick(base::Millis now);
+  // Handles an answer of which the caller reads nothing.
+  void CheckReading(base::Millis now);
+  // True if bytes of the caller wait to be read.
+  bool HasUnreadBytes() const;
+  guard::ConnectionPhase Phase() const noexcept;
+  // Tells the server the phase of the connection.
+  void UpdatePhase();
 
   CallerServer& server_;
+  guard::ConnectionPlaces::Id place_ = 0;
   std::unique_ptr<Io> io_;
   State state_ = State::kReading;
   bool closed_ = false;
@@ -105,6 +114,10 @@
   // The last answer was sent; waiting for the caller to close its side.
   bool lingering_ = false;
   bool chunked_ = false;
+  // The caller has read nothing of its answer for a while.
+  bool is_unread_ = false;
+  // A request has been received on the connection.
+  bool has_request_ = false;
   bool is_head_ = false;
   bool reading_ = false;
   bool awaiting_writable_ = false;
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -26,6 +26,9 @@
 // Time in which requests are read that callers had sent before the server
 // closed.
 constexpr base::Millis kCloseDelay(50);
+// Connections with bytes that are not read yet are passed over when one is to
+// give way, up to this many.
+constexpr int kMaxPassedOver = 8;
 // Bounds of a connection's share of the memory for buffers.
 constexpr size_t kMinBufferShare = size_t{16} * 1024;
 constexpr size_t kMaxBufferShare = size_t{256} * 1024;
@@ -47,7 +50,7 @@
 }
 
 CallerServer::~CallerServer() {
-  for (const auto& session : std::exchange(sessions_, {})) {
+  for (const auto& [id, session] : std::exchange(sessions_, {})) {
     session->Close();
   }
 }
@@ -109,7 +112,8 @@
 
 void CallerServer::AddSession() {
   asio::ip::tcp::socket socket = std::move(acceptor_->accepted);
-  if (sessions_.size() >= limits_.connections) {
+  if (sessions_.size() >= limits_.connections && !MakePlace()) {
+    ++closed_.refused;
     return;
   }
   error_code ignored;
@@ -118,10 +122,28 @@
   const RequestReader::Limits limits{limits_.header_bytes, limits_.body_bytes};
   auto session = std::make_shared<CallerSession>(
       *this, std::make_unique<CallerSession::Io>(std::move(socket), limits));
-  sessions_.insert(session);
+  session->place_ = places_.Add();
+  sessions_[session->place_] = session;
   session->Start();
 }
 
+bool CallerServer::MakePlace() {
+  for (int passed_over = 0;; ++passed_over) {
+    const auto place = places_.ToClose();
+    if (!place) {
+      return false;
+    }
+    const auto session = sessions_[*place];
+    if (passed_over < kMaxPassedOver && session->HasUnreadBytes()) {
+      places_.Renew(*place);
+      continue;
+    }
+    ++closed_.replaced;
+    session->OnDisconnected();
+    return true;
+  }
+}
+
 void CallerServer::AcceptWaiting() {
   if (acceptor_ == nullptr) {
     return;
@@ -137,7 +159,8 @@
 }
 
 void CallerServer::Remove(const std::shared_ptr<CallerSession>& session) {
-  sessions_.erase(session);
+  sessions_.erase(session->place_);
+  places_.Remove(session->place_);
 }
 
 size_t CallerServer::buffer_share() const noexcept {
@@ -154,9 +177,11 @@
   while (held_bytes_ > limits_.held_buffer_bytes && !sessions_.empty()) {
     const auto largest = *std::max_element(
         sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
-          return a->held_bytes() < b->held_bytes();
+          return a.second->held_bytes() < b.second->held_bytes();
         });
-    largest->OnDisconnected();
+    ++closed_.buffers;
+    const auto session = largest.second;
+    session->OnDisconnected();
   }
 }
 
@@ -181,8 +206,11 @@
 void CallerServer::Tick() {
   CloseLargestHolders();
   const base::Millis now = base::SteadyNow();
-  const std::vector<std::shared_ptr<CallerSession>> sessions(sessions_.begin(),
-                                                             sessions_.end());
+  std::vector<std::shared_ptr<CallerSession>> sessions;
+  sessions.reserve(sessions_.size());
+  for (const auto& [id, session] : sessions_) {
+    sessions.push_back(session);
+  }
   const bool closes_idle =
       closing_since_ && now - *closing_since_ >= kCloseDelay;
   for (const auto& session : sessions) {
@@ -195,7 +223,7 @@
 
 size_t CallerServer::unanswered() const noexcept {
   size_t count = 0;
-  for (const auto& session : sessions_) {
+  for (const auto& [id, session] : sessions_) {
     if (session->is_busy()) {
       ++count;
     }
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -91,6 +91,7 @@
   if (state_ == State::kAnswering && io_->inbox.size() > kMaxPipelinedBytes) {
     // Reading on would let one caller exhaust memory; not reading would hide
     // its disconnection.
+    ++server_.closed_.pipelined;
     OnDisconnected();
     return;
   }
@@ -101,6 +102,7 @@
 void CallerSession::Discard(size_t size) {
   discarded_bytes_ += size;
   if (!lingering_ && discarded_bytes_ > kMaxPipelinedBytes) {
+    ++server_.closed_.pipelined;
     OnDisconnected();
     return;
   }
@@ -122,6 +124,7 @@
     phase_started_at_ = base::SteadyNow();
     const CallerServer::Limits& limits = server_.limits();
     io_->reader = RequestReader({limits.header_bytes, limits.body_bytes});
+    UpdatePhase();
   }
   const bool had_head = io_->reader.has_head();
   const size_t taken = io_->reader.Feed(io_->inbox);
@@ -136,6 +139,7 @@
     OnRequestComplete();
     return;
   }
+  UpdatePhase();
   if (io_->reader.has_head() && !ReserveBody()) {
     io_->no_room_since = base::SteadyNow();
   }
@@ -173,6 +177,8 @@
     return;
   }
   state_ = State::kAnswering;
+  has_request_ = true;
+  UpdatePhase();
   ReceivedRequest request;
   request.head = io_->reader.head();
   request.body = TakeBody();
@@ -184,6 +190,7 @@
 void CallerSession::Refuse(int status, const std::string& reason) {
   server_.handler_.OnRequestRefused(status, reason);
   state_ = State::kAnswering;
+  has_request_ = true;
   is_head_ = false;
   // The start of the next request cannot be determined reliably.
   close_after_answer_ = true;
@@ -307,6 +314,7 @@
       Linger();
     }
   }
+  UpdatePhase();
 }
 
 // A pending read reports the disconnection. Without one, the answers are
@@ -361,6 +369,7 @@
 void CallerSession::Linger() {
   lingering_ = true;
   phase_started_at_ = base::SteadyNow();
+  UpdatePhase();
   error_code ignored;
   io_->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   Read();
@@ -410,6 +419,9 @@
   if (!closed_ && io_->no_room_since) {
     AwaitRoom(now);
   }
+  if (!closed_) {
+    CheckReading(now);
+  }
   if (closed_ || state_ == State::kAnswering) {
     return;
   }
@@ -430,4 +442,44 @@
   }
 }
 
+void CallerSession::CheckReading(base::Millis now) {
+  const base::Millis silent = now - io_->guard.progressed_at();
+  is_unread_ = queued_bytes() > 0 && silent >= CallerServer::kAckTimeout;
+  if (queued_bytes() > 0 && silent > server_.limits().unread_timeout) {
+    ++server_.closed_.unread;
+    OnDisconnected();
+    return;
+  }
+  UpdatePhase();
+}
+
+bool CallerSession::HasUnreadBytes() const {
+  error_code error;
+  return io_->socket.available(error) > 0 && !error;
+}
+
+guard::ConnectionPhase CallerSession::Phase() const noexcept {
+  using Phase = guard::ConnectionPhase;
+  if (lingering_) {
+    return Phase::kClosing;
+  }
+  if (is_unread_) {
+    return Phase::kUnread;
+  }
+  if (state_ == State::kAnswering || queued_bytes() > 0) {
+    return Phase::kServed;
+  }
+  if (receiving_request_) {
+    return io_->reader.has_head() ? Phase::kReceivingBody
+                                  : Phase::kReceivingHead;
+  }
+  return has_request_ ? Phase::kIdle : Phase::kReceivingHead;
+}
+
+void CallerSession::UpdatePhase() {
+  if (!closed_) {
+    server_.places_.Enter(place_, Phase());
+  }
+}
+
 }  // namespace godwit::relay
--- a/libs/relay/src/peer_progress.cc
+++ b/libs/relay/src/peer_progress.cc
@@ -27,7 +27,8 @@
   }
   return PeerProgress{info.tcpi_unacked > 0 || info.tcpi_notsent_bytes > 0,
                       info.tcpi_unacked, info.tcpi_probes,
-                      base::Millis(info.tcpi_last_ack_recv)};
+                      base::Millis(info.tcpi_last_ack_recv),
+                      info.tcpi_bytes_acked};
 }
 
 bool HasNoRoom(const PeerProgress& progress) {
--- a/libs/relay/src/peer_progress.h
+++ b/libs/relay/src/peer_progress.h
@@ -18,12 +18,14 @@
   uint32_t unanswered_probes = 0;
   // Time since the peer acknowledged anything, probes included.
   base::Millis since_acknowledgement;
+  // Bytes that the peer has acknowledged since the connection was opened.
+  uint64_t acknowledged_bytes = 0;
 
   friend bool operator==(const PeerProgress& a, const PeerProgress& b) {
     return std::tie(a.has_unacknowledged, a.in_flight, a.unanswered_probes,
-                    a.since_acknowledgement) ==
+                    a.acknowledged_bytes, a.since_acknowledgement) ==
            std::tie(b.has_unacknowledged, b.in_flight, b.unanswered_probes,
-                    b.since_acknowledgement);
+                    b.acknowledged_bytes, b.since_acknowledgement);
   }
   friend bool operator!=(const PeerProgress& a, const PeerProgress& b) {
     return !(a == b);
--- a/libs/relay/src/slow_peer_guard.cc
+++ b/libs/relay/src/slow_peer_guard.cc
@@ -21,6 +21,7 @@
                    base::Millis(ack_timeout.count() / kChecksPerTimeout))) {}
 
 void SlowPeerGuard::OnSent(base::Millis now) {
+  progressed_at_ = now;
   if (!check_at_) {
     check_at_ = now + check_interval_;
   }
@@ -33,6 +34,10 @@
   }
   check_at_ = now + check_interval_;
   const auto progress = ProgressOf(socket.native_handle());
+  if (progress && progress->acknowledged_bytes != acknowledged_bytes_) {
+    acknowledged_bytes_ = progress->acknowledged_bytes;
+    progressed_at_ = now;
+  }
   const bool has_no_room = progress && HasNoRoom(*progress);
   if (has_no_room != has_no_room_) {
     has_no_room_ = has_no_room;
