The idle timeout does not cut off an answer that is read late

Callers saw: the end of an answer was missing if it took longer to read than the idle timeout, although the caller read on. Cause: the idle timeout ran from the moment at which the answer was complete in the router, and dropped what still waited for the caller. Evidence: CallerLimits.AnswerThatIsReadLateIsCutOffByTheIdleTimeout, 12 MB read after 1.5 s with an idle timeout of 0.2 s: 3.9 MB arrived. Fix: a connection is idle once its answers have left. The test passes.

--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -310,6 +310,9 @@
   DropSent();
   AccountBuffers();
   if (io.outbox.empty()) {
+    if (!receiving_request_) {
+      phase_started_at_ = base::SteadyNow();
+    }
     if (close_after_answer_ && state_ == State::kReading && !lingering_) {
       Linger();
     }
@@ -422,7 +425,7 @@
   if (!closed_) {
     CheckReading(now);
   }
-  if (closed_ || state_ == State::kAnswering) {
+  if (closed_ || state_ == State::kAnswering || queued_bytes() > 0) {
     return;
   }
   const CallerServer::Limits& limits = server_.limits();
--- a/libs/relay/tests/caller_limits_test.cc
+++ b/libs/relay/tests/caller_limits_test.cc
@@ -1,7 +1,10 @@
 // Limits of a CallerServer on clients that don't behave.
 #include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <future>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "raw_connection.h"
 #include "raw_server.h"
@@ -61,8 +64,36 @@
     }
     CHECK(server.Listen(Local(port)));
   }
+
+  // Runs the server until `future` is ready.
+  template <typename Future>
+  void RunUntilReady(const Future& future) {
+    while (future.wait_for(std::chrono::seconds(0)) !=
+           std::future_status::ready) {
+      io.restart();
+      io.run_for(std::chrono::milliseconds(10));
+      server.Tick();
+    }
+  }
 };
 
+// An idle connection is one whose answers have left.
+TEST(CallerLimits, AnswerThatIsReadLateIsCutOffByTheIdleTimeout) {
+  CallerServer::Limits limits;
+  limits.keep_alive_timeout = Millis(200);
+  server.SetLimits(limits);
+  answers.bytes = kAnswerBytes;
+  auto received = std::async(std::launch::async, [this] {
+    RawConnection caller(port);
+    caller.Send(kGet);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    return caller.ReadToEnd();
+  });
+  RunUntilReady(received);
+  const std::string answer = received.get();
+  CHECK_EQUAL(kAnswerBytes, answer.size() - answer.find("\r\n\r\n") - 4);
+}
+
 TEST(CallerLimits, AnswerThatIsNeverReadHoldsItsConnection) {
   CallerServer::Limits limits;
   limits.unread_timeout = Millis(300);
