A router without file descriptors does not accept in a loop

What was seen: a router whose descriptors had run out took a whole core, and answered nobody. Cause: an accept that failed was repeated at once, and failed again. Evidence: CallerLimits.AcceptsInALoopWithoutDescriptors: more than 100 handlers ran in 250 ms. Fix: the next accept follows after 100 ms, once a connection that is not served was closed. The test passes: the caller that waited is answered.

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -101,6 +101,8 @@
   struct Acceptor;
 
   void Accept();
+  // Accepts again after a while, once a connection was closed.
+  void RetryAccept();
   // Accepts the connections that callers have opened so far.
   void AcceptWaiting();
   // Starts a session on the connection that was accepted last.
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -26,6 +28,8 @@
 // Time in which requests are read that callers had sent before the server
 // closed.
 constexpr base::Millis kCloseDelay(50);
+// Time until the next attempt to accept a connection after one that failed.
+constexpr std::chrono::milliseconds kAcceptRetryDelay(100);
 // Connections with bytes that are not read yet are passed over when one is to
 // give way, up to this many.
 constexpr int kMaxPassedOver = 8;
@@ -36,10 +40,12 @@
 }  // namespace
 
 struct CallerServer::Acceptor {
-  explicit Acceptor(asio::io_context& io) : acceptor(io), accepted(io) {}
+  explicit Acceptor(asio::io_context& io)
+      : acceptor(io), accepted(io), retry_timer(io) {}
   asio::ip::tcp::acceptor acceptor;
   // The connection that was accepted last, until it has a session.
   asio::ip::tcp::socket accepted;
+  asio::steady_timer retry_timer;
 };
 
 CallerServer::CallerServer(asio::io_context& io, CallerHandler& handler)
@@ -103,13 +109,27 @@
         if (acceptor_ == nullptr) {
           return;
         }
-        if (!error) {
-          AddSession();
+        if (error) {
+          RetryAccept();
+          return;
         }
+        AddSession();
         Accept();
       });
 }
 
+void CallerServer::RetryAccept() {
+  ++closed_.not_accepted;
+  MakePlace();
+  acceptor_->retry_timer.expires_after(kAcceptRetryDelay);
+  acceptor_->retry_timer.async_wait(
+      [this, keep = acceptor_](const error_code& error) {
+        if (acceptor_ != nullptr && !error) {
+          Accept();
+        }
+      });
+}
+
 void CallerServer::AddSession() {
   asio::ip::tcp::socket socket = std::move(acceptor_->accepted);
   if (sessions_.size() >= limits_.connections && !MakePlace()) {
--- a/libs/relay/tests/caller_limits_test.cc
+++ b/libs/relay/tests/caller_limits_test.cc
@@ -1,4 +1,6 @@
 // Limits of a CallerServer on clients that don't behave.
+#include <sys/resource.h>
+
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <future>
@@ -110,6 +112,26 @@
   CHECK_EQUAL(1, server.closed_at_limits().unread);
 }
 
+// Guards against a loop of accepts that fail, which takes the whole processor.
+TEST(CallerLimits, AcceptsInALoopWithoutDescriptors) {
+  RawConnection idle(port);
+  CHECK(RunUntil(io, [&] { return server.connections() == 1; }));
+  RawConnection caller(port);
+  caller.Send(kGet);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit none{0, before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &none);
+  io.restart();
+  const size_t handlers = io.run_for(std::chrono::milliseconds(250));
+  setrlimit(RLIMIT_NOFILE, &before);
+  CHECK(handlers < 100);
+  CHECK(server.closed_at_limits().not_accepted > 0);
+  // The idle connection has given way, and the next caller is answered.
+  CHECK(RunUntil(io, [&] { return answers.requests == 1; }));
+  CHECK_EQUAL(1, server.connections());
+}
+
 TEST(CallerLimits, ConnectionWithAnUnreadRequestGivesWay) {
   CallerServer::Limits limits;
   limits.connections = 2;
