Readiness and metrics addresses have a bound on connections; closes are reported

What was seen: 520 clients of the readiness address took 530 of the 500 descriptors of a router, and callers were not accepted; which limit had closed a connection could not be told from outside. Cause: both addresses had the places of the callers' address, 10,000 by default. Fix: 16 connections each, of which the idle ones give way, heads of 8 KiB, bodies of 4 KiB, 3 s.

--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -50,6 +50,7 @@
   kRequestFinished = 511,
   kCallersHandedOver = 512,
   kAnswerDiscarded = 513,
+  kConnectionsClosed = 514,
   // Budgets and claims.
   kGrantDrawn = 601,
   kGrantReturned = 602,
--- a/libs/telemetry/include/telemetry/metric_id.h
+++ b/libs/telemetry/include/telemetry/metric_id.h
@@ -48,6 +48,7 @@
   kLinkUtilization,
   kConnectionsHandedOverTotal,
   kAnswersDiscardedTotal,
+  kConnectionsClosedTotal,
 };
 
 }  // namespace godwit::telemetry
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -106,6 +106,9 @@
        "An answer of a backend server was dropped, since it belongs to another "
        "request than the one in progress on its connection, or may do so; "
        "fields give its status and the id that it states."},
+      {EventId::kConnectionsClosed, Level::kWarning, "connections_closed",
+       "Connections of an address were closed since a limit was reached, "
+       "during the second before; fields count them by the limit."},
       {EventId::kGrantDrawn, Level::kDebug, "grant_drawn",
        "A router drew a grant on a budget."},
       {EventId::kGrantReturned, Level::kDebug, "grant_returned",
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -267,6 +267,14 @@
        {},
        "Answers of backend servers that a direct router dropped, since they "
        "belong to another request than the one in progress."},
+      {MetricId::kConnectionsClosedTotal,
+       MetricType::kCounter,
+       "godwit_connections_closed_total",
+       "connections",
+       {"address", "limit"},
+       "Connections that a direct router closed at a limit (replaced, refused, "
+       "buffers, unread, pipelined, not_accepted) of an address (callers, "
+       "readiness, metrics)."},
   };
   return table;
 }
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -12,6 +12,7 @@
 #include "base/clocks.h"
 #include "call_decoder.h"
 #include "caller_hand_over.h"
+#include "closed_connection_log.h"
 #include "config/settings.h"
 #include "daemon/stop_plan.h"
 #include "dispatch/dispatcher.h"
@@ -292,8 +293,15 @@
                : PageServer::Page{kUnavailable, "text/plain", "not ready\n"};
   }
 
+  void ReportClosedConnections(base::Millis now) {
+    closed_callers_.Report(now, callers_.closed_at_limits(), metrics_);
+    closed_readiness_.Report(now, readiness_.closed_at_limits(), metrics_);
+    closed_pages_.Report(now, operator_pages_.closed_at_limits(), metrics_);
+  }
+
   void Tick() {
     const base::Millis now = base::SteadyNow();
+    ReportClosedConnections(now);
     hand_over_.Tick(now, metrics_);
     store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
     store_watcher_.Tick(now);
@@ -366,6 +374,9 @@
   CallerHandOver hand_over_;
   PageServer readiness_;
   PageServer operator_pages_;
+  ClosedConnectionLog closed_callers_{"callers"};
+  ClosedConnectionLog closed_readiness_{"readiness"};
+  ClosedConnectionLog closed_pages_{"metrics"};
   std::unordered_map<dispatch::CallId, Exchange> exchanges_;
   std::unordered_map<const relay::CallerSession*, dispatch::CallId>
       calls_by_session_;
--- a/tools/godwit-edge/src/page_server.h
+++ b/tools/godwit-edge/src/page_server.h
@@ -12,7 +12,10 @@
 
 namespace godwit::edge {
 
-// An HTTP listener that answers each request immediately with a page.
+// An HTTP listener that answers each request immediately with a page. Its
+// limits are fixed: 16 connections, of which those that are not served give way
+// to new ones, heads of 8 KiB and bodies of 4 KiB within 3 s, 4 MiB of unread
+// pages.
 class PageServer : public relay::CallerHandler {
  public:
   struct Page {
@@ -34,6 +37,9 @@
   // milliseconds.
   void Tick() { server_.Tick(); }
   void Close() { server_.Close(); }
+  const relay::ClosedConnections& closed_at_limits() const noexcept {
+    return server_.closed_at_limits();
+  }
 
   void OnRequest(const std::shared_ptr<relay::CallerSession>& session,
                  relay::ReceivedRequest request) override;
