--- a/libs/relay/src/body_memory.h
+++ b/libs/guard/include/guard/body_memory.h
@@ -1,12 +1,12 @@
-#ifndef RELAY_BODY_MEMORY_H_
-#define RELAY_BODY_MEMORY_H_
+#ifndef GUARD_BODY_MEMORY_H_
+#define GUARD_BODY_MEMORY_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
 
-namespace godwit::relay {
+namespace godwit::guard {
 
 // Bounds the memory of request bodies: of those that are being received, and of
 // requests in progress. Load: many large bodies at once, which together exceed
@@ -43,6 +43,6 @@
   std::set<int64_t> waiting_;
 };
 
-}  // namespace godwit::relay
+}  // namespace godwit::guard
 
-#endif  // RELAY_BODY_MEMORY_H_
+#endif  // GUARD_BODY_MEMORY_H_
--- a/libs/relay/src/body_memory.cc
+++ b/libs/guard/src/body_memory.cc
@@ -1,6 +1,6 @@
-#include "body_memory.h"
+#include "guard/body_memory.h"
 
-namespace godwit::relay {
+namespace godwit::guard {
 namespace {
 
 // Larger bodies leave a part of the memory to smaller ones.
@@ -65,4 +65,4 @@
   waiting_.erase(id);
 }
 
-}  // namespace godwit::relay
+}  // namespace godwit::guard
--- a/libs/relay/tests/body_memory_test.cc
+++ b/libs/guard/tests/body_memory_test.cc
@@ -1,11 +1,11 @@
-#include "body_memory.h"
+#include "guard/body_memory.h"
 
 #include <cstddef>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
 
-using godwit::relay::BodyMemory;
+using godwit::guard::BodyMemory;
 
 namespace {
 
--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -17,9 +17,12 @@
 class io_context;
 }
 
+namespace godwit::guard {
+class BodyMemory;
+}
+
 namespace godwit::relay {
 
-class BodyMemory;
 class CallerHandler;
 class CallerSession;
 
@@ -122,7 +125,7 @@
   CallerHandler& handler_;
   Limits limits_;
   // Shared with the bodies, which may outlive the server.
-  const std::shared_ptr<BodyMemory> body_memory_;
+  const std::shared_ptr<guard::BodyMemory> body_memory_;
   bool draining_ = false;
   // Connections that are still to be closed after an answer.
   size_t to_close_ = 0;
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/clocks.h"
-#include "body_memory.h"
 #include "caller_io.h"
+#include "guard/body_memory.h"
 #include "relay/caller_handler.h"
 #include "relay/caller_session.h"
 #include "socket_options.h"
@@ -51,7 +51,7 @@
 CallerServer::CallerServer(asio::io_context& io, CallerHandler& handler)
     : io_(io),
       handler_(handler),
-      body_memory_(std::make_shared<BodyMemory>(0)) {
+      body_memory_(std::make_shared<guard::BodyMemory>(0)) {
   SetLimits(limits_);
 }
 
--- a/libs/relay/src/caller_session_body.cc
+++ b/libs/relay/src/caller_session_body.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "base/clocks.h"
-#include "body_memory.h"
 #include "caller_io.h"
+#include "guard/body_memory.h"
 #include "relay/caller_server.h"
 #include "relay/caller_session.h"
 
