godwit-router: bounds on framing, bodies and places of callers

Callers saw: a router of the product's own mode ended, out of memory or descriptors: trailers, chunk sizes and extensions without end (1.5 GB), many bodies at once, connections and TLS handshakes that took all descriptors. Cause: the buffer of a connection and the sum of all bodies had no bound; 10,000 connections were accepted whatever the VM allows, and kept while they were idle. Fix: unparsed bytes are bounded by 64 KiB and the framing of a body by its size; a quarter of memory_mb (new, 256) holds bodies until their answers have left, and one that finds no room is refused with 503 as not run; descriptors (new, 4096) gives the places, and ConnectionPlaces decides who gives way, handshakes like heads. Buffers of TLS records are released when idle, renegotiation is refused. Three faults of one class in one commit, as they change the same functions.

--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -41,9 +41,14 @@
     // A connection that accepts no response bytes for this long is closed.
     // Default 60 s.
     Builder& WriteTimeout(base::Millis span);
-    // Connections beyond this number are refused with 503, or closed with TLS.
-    // Default 10,000.
+    // A connection beyond this number takes the place of one that is not
+    // served. If all are, it is refused with 503, or closed with TLS. Default
+    // 10,000.
     Builder& MaxConnections(size_t count);
+    // Memory for the bodies of all requests until they are answered; at least
+    // twice the largest body is used. A request whose body finds none is
+    // refused with 503 as not run. Default 64 MB.
+    Builder& HeldBodyBytes(size_t bytes);
     // PEM files; serves TLS when set.
     Builder& Tls(std::string certificate_file, std::string key_file);
     Builder& Handle(Handler handler);
@@ -61,6 +66,7 @@
     base::Millis read_timeout_ = base::Seconds(10);
     base::Millis write_timeout_ = base::Seconds(60);
     size_t max_connections_ = 10'000;
+    size_t held_body_bytes_ = size_t{64} * 1024 * 1024;
     std::string certificate_file_;
     std::string key_file_;
     Handler handler_;
--- a/libs/http/src/refusal.cc
+++ b/libs/http/src/refusal.cc
@@ -16,6 +16,9 @@
             {ErrorKind::kTooLarge, "the request body is too large",
              "send a shorter body"}};
   }
+  if (ec == boost::beast::http::error::buffer_overflow) {
+    return FramingRefusal();
+  }
   return {400,
           {ErrorKind::kMalformed, "this is not HTTP/1.1: " + ec.message(),
            "send a well-formed HTTP/1.1 request"}};
@@ -34,6 +37,19 @@
            "close idle connections, or try again later"}};
 }
 
+Refusal MemoryRefusal() {
+  return {503,
+          {base::ErrorKind::kOverloaded, "no memory for the request's body",
+           "send the request again a little later"}};
+}
+
+Refusal FramingRefusal() {
+  return {431,
+          {base::ErrorKind::kTooLarge,
+           "the trailers or the framing of chunks are too large",
+           "send fewer trailers and larger chunks"}};
+}
+
 Refusal VersionRefusal() {
   return {505,
           {base::ErrorKind::kMalformed, "only HTTP/1.1 is served",
--- a/libs/http/src/refusal.h
+++ b/libs/http/src/refusal.h
@@ -19,6 +19,10 @@
 Refusal TimeoutRefusal();
 // Refusal of a connection beyond the server's limit.
 Refusal ConnectionLimitRefusal();
+// Refusal of a request whose body finds no memory.
+Refusal MemoryRefusal();
+// Refusal of a body whose framing takes too many bytes.
+Refusal FramingRefusal();
 // Refusal of another version of HTTP.
 Refusal VersionRefusal();
 
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -74,6 +75,7 @@
   }
 
   void RetryAccept() {
+    context->MakePlace();
     accept_retry_timer.expires_after(kAcceptRetryDelay);
     accept_retry_timer.async_wait(
         [self = shared_from_this()](boost::system::error_code ec) {
@@ -89,7 +91,7 @@
     acceptor.close(ec);
     accept_retry_timer.cancel();
     const auto sessions = context->sessions;
-    for (Session* session : sessions) {
+    for (const auto& [place, session] : sessions) {
       session->CloseIfIdle();
     }
   }
@@ -97,7 +99,7 @@
   void CloseAll() {
     StopAccepting();
     const auto sessions = context->sessions;
-    for (Session* session : sessions) {
+    for (const auto& [place, session] : sessions) {
       session->Close();
     }
   }
@@ -143,6 +145,11 @@
   return *this;
 }
 
+Server::Builder& Server::Builder::HeldBodyBytes(size_t bytes) {
+  held_body_bytes_ = bytes;
+  return *this;
+}
+
 Server::Builder& Server::Builder::Tls(std::string certificate_file,
                                       std::string key_file) {
   certificate_file_ = std::move(certificate_file);
@@ -163,6 +170,7 @@
   context.read_timeout = read_timeout_;
   context.write_timeout = write_timeout_;
   context.max_connections = max_connections_;
+  context.bodies.SetCapacity(std::max(held_body_bytes_, max_body_bytes_ * 2));
   context.handler = handler_;
   state->certificate_file = certificate_file_;
   state->key_file = key_file_;
--- a/libs/http/src/session.cc
+++ b/libs/http/src/session.cc
@@ -1,5 +1,6 @@
 #include "session.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/ssl/stream.hpp>
@@ -14,6 +15,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "base/clocks.h"
+#include "body_reservation.h"
 #include "exchange_state.h"
 #include "http/error_response.h"
 #include "messages.h"
@@ -40,7 +43,16 @@
 // that unread bytes don't reset the connection and destroy the last response.
 constexpr base::Millis kLingerTimeout = base::Seconds(2);
 constexpr size_t kReadBytes = 4096;
+// Received bytes that are not parsed yet, beside the limit on the head: also
+// bounds trailers, and chunk sizes with their extensions.
+constexpr size_t kMaxUnparsedBytes = size_t{64} * 1024;
+// Bytes of the framing of a body for each of its bytes, beside the limit on the
+// head.
+constexpr size_t kMaxFramingPerBodyByte = 16;
+// Time without progress after which an answer counts as not read.
+constexpr base::Millis kUnreadTime = base::Seconds(5);
 constexpr unsigned kHttp11 = 11;
+constexpr int kUnavailableStatus = 503;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool IsParseError(error_code ec) {
@@ -64,13 +76,18 @@
       : context_(std::move(context)),
         tls_(std::move(tls)),
         stream_(std::forward<StreamArgs>(stream_args)...),
-        watchdog_(context_->runtime.io()) {}
+        watchdog_(context_->runtime.io()),
+        buffer_(std::max(context_->max_header_bytes, kMaxUnparsedBytes)),
+        body_(context_->bodies) {}
 
   void Start() override {
-    const bool over_limit =
-        context_->sessions.size() >= context_->max_connections;
-    context_->sessions.insert(this);
-    if (over_limit) {
+    bool has_place = context_->sessions.size() < context_->max_connections;
+    while (!has_place && context_->MakePlace()) {
+      has_place = context_->sessions.size() < context_->max_connections;
+    }
+    place_ = context_->places.Add();
+    context_->sessions[place_] = this;
+    if (!has_place) {
       RefuseConnection();
     } else if constexpr (kTls) {
       StartCloseTimeout(context_->read_timeout);
@@ -93,7 +110,9 @@
     }
     phase_ = Phase::kClosed;
     watchdog_.Stop();
-    context_->sessions.erase(this);
+    context_->sessions.erase(place_);
+    context_->places.Remove(place_);
+    body_.Release();
     error_code ec;
     Socket().close(ec);
     if (auto exchange = std::exchange(exchange_, nullptr)) {
@@ -102,6 +121,10 @@
     }
   }
 
+  bool IsUnread(base::Millis now) const override {
+    return writing_ && now - write_started_at_ >= kUnreadTime;
+  }
+
   void Respond(Response response) override {
     PostToIo([response = std::move(response)](StreamSession& self) {
       self.DisableKeepAliveIfStopping();
@@ -147,6 +170,7 @@
     kClosed,
   };
 
+  using Place = guard::ConnectionPhase;
   using Parser = beast::http::request_parser<beast::http::string_body>;
 
   template <typename Function>
@@ -190,6 +214,8 @@
     NextRequest();
   }
 
+  void Enter(Place phase) { context_->places.Enter(place_, phase); }
+
   void RefuseConnection() {
     if constexpr (kTls) {
       Close();
@@ -200,6 +226,7 @@
 
   void NextRequest() {
     phase_ = Phase::kIdle;
+    Enter(has_request_ ? Place::kIdle : Place::kReceivingHead);
     if (context_->stopping && buffer_.size() == 0) {
       Linger();
       return;
@@ -239,7 +266,9 @@
 
   void ReadHeader() {
     phase_ = Phase::kReading;
+    Enter(Place::kReceivingHead);
     timed_out_ = false;
+    framing_bytes_ = 0;
     parser_.emplace();
     parser_->header_limit(static_cast<uint32_t>(context_->max_header_bytes));
     parser_->body_limit(context_->max_body_bytes);
@@ -261,6 +290,12 @@
       Refuse(VersionRefusal());
       return;
     }
+    Enter(Place::kReceivingBody);
+    const auto length = parser_->content_length();
+    if (length && !body_.Reserve(static_cast<size_t>(*length))) {
+      Refuse(MemoryRefusal());
+      return;
+    }
     const auto expect = parser_->get()[beast::http::field::expect];
     if (beast::iequals(expect, "100-continue") && !parser_->is_done()) {
       asio::async_write(stream_,
@@ -280,15 +315,34 @@
   }
 
   void ReadBody() {
-    beast::http::async_read(stream_, buffer_, *parser_,
-                            Bound(&StreamSession::OnRequest));
+    if (parser_->is_done()) {
+      OnRequest();
+      return;
+    }
+    body_before_ = parser_->get().body().size();
+    beast::http::async_read_some(stream_, buffer_, *parser_,
+                                 Bound(&StreamSession::OnBody));
   }
 
-  void OnRequest(error_code ec, size_t /*bytes*/) {
+  void OnBody(error_code ec, size_t bytes) {
     if (ec) {
       OnReadFailed(ec);
       return;
     }
+    const size_t body = parser_->get().body().size();
+    framing_bytes_ += bytes - std::min(bytes, body - body_before_);
+    if (framing_bytes_ >
+        context_->max_header_bytes + kMaxFramingPerBodyByte * body) {
+      Refuse(FramingRefusal());
+    } else if (!body_.Reserve(body)) {
+      Refuse(MemoryRefusal());
+    } else {
+      ReadBody();
+    }
+  }
+
+  void OnRequest() {
+    body_.Complete(parser_->get().body().size());
     watchdog_.Stop();
     BeginResponse();
     Request request;
@@ -305,6 +359,7 @@
         context->handler(std::move(exchange));
       }
     });
+    buffer_.shrink_to_fit();
     ReadAhead();
   }
 
@@ -320,6 +375,8 @@
 
   void BeginResponse() {
     phase_ = Phase::kResponding;
+    has_request_ = true;
+    Enter(Place::kServed);
     output_.Reset({parser_->get().method() == beast::http::verb::head,
                    parser_->get().keep_alive()});
   }
@@ -332,8 +389,15 @@
 
   void Refuse(const Refusal& refusal) {
     phase_ = Phase::kResponding;
+    body_.Release();
+    parser_.reset();
+    Enter(Place::kClosing);
     output_.Reset({/*without_body=*/false, /*keep_alive=*/false});
-    output_.SetComplete(ErrorResponse(refusal.status, refusal.error, true));
+    Response response = ErrorResponse(refusal.status, refusal.error, true);
+    if (refusal.status == kUnavailableStatus) {
+      response.headers["retry-after"] = "1";
+    }
+    output_.SetComplete(response);
     WriteQueued();
   }
 
@@ -356,6 +420,7 @@
 
   void WriteSome() {
     writing_ = true;
+    write_started_at_ = base::SteadyNow();
     StartCloseTimeout(context_->write_timeout);
     const std::string_view piece = output_.piece();
     stream_.async_write_some(asio::buffer(piece.data(), piece.size()),
@@ -388,6 +453,7 @@
   }
 
   void FinishResponse() {
+    body_.Release();
     if (auto exchange = std::exchange(exchange_, nullptr)) {
       --context_->unanswered;
       context_->runtime.Post([exchange] { exchange->Finished(); });
@@ -401,6 +467,7 @@
 
   void Linger() {
     phase_ = Phase::kLingering;
+    Enter(Place::kClosing);
     StartCloseTimeout(kLingerTimeout);
     if constexpr (kTls) {
       stream_.async_shutdown(Bound(&StreamSession::OnTlsShutdown));
@@ -437,6 +504,13 @@
   Watchdog watchdog_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  BodyReservation body_;
+  // Size of the body before the read in progress, and bytes read after the head
+  // that are not part of it.
+  size_t body_before_ = 0;
+  size_t framing_bytes_ = 0;
+  guard::ConnectionPlaces::Id place_ = 0;
+  bool has_request_ = false;
   std::shared_ptr<Exchange::State> exchange_;
   Phase phase_ = Phase::kReading;
   bool reading_ahead_ = false;
@@ -444,6 +518,7 @@
   ResponseOutput output_;
   // Whether a piece of the output is being written.
   bool writing_ = false;
+  base::Millis write_started_at_;
 };
 
 }  // namespace
--- a/libs/http/src/session.h
+++ b/libs/http/src/session.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 
+#include "base/millis.h"
 #include "response_writer.h"
 
 namespace godwit::http {
@@ -18,6 +19,8 @@
   // Closes the connection if no request is being read or answered.
   virtual void CloseIfIdle() = 0;
   virtual void Close() = 0;
+  // True if the caller has taken no byte of its answer for some seconds.
+  virtual bool IsUnread(base::Millis now) const = 0;
 
   // Serves TLS if `tls` is set.
   static std::shared_ptr<Session> Make(boost::asio::ip::tcp::socket socket,
--- a/libs/http/src/session_context.h
+++ b/libs/http/src/session_context.h
@@ -3,10 +3,12 @@
 
 #include <atomic>
 #include <cstddef>
+#include <map>
 #include <memory>
-#include <set>
 
 #include "base/millis.h"
+#include "guard/body_memory.h"
+#include "guard/connection_places.h"
 #include "http/server.h"
 
 namespace godwit::http {
@@ -28,8 +30,15 @@
   // I/O thread: set when no new connections are accepted and open ones close as
   // soon as they are idle.
   bool stopping = false;
-  // I/O thread: the open connections.
-  std::set<Session*> sessions;
+  // I/O thread: the open connections, by their places.
+  guard::ConnectionPlaces places;
+  std::map<guard::ConnectionPlaces::Id, Session*> sessions;
+  // I/O thread: bodies of requests until their answers have left.
+  guard::BodyMemory bodies{0};
+
+  // I/O thread: closes the connection that gives way to a new one; false if all
+  // are served.
+  bool MakePlace();
   // Requests whose complete response has not been written to the connection
   // yet. Modified on the I/O thread only.
   std::atomic<size_t> unanswered{0};
--- a/libs/http/src/tls_context.cc
+++ b/libs/http/src/tls_context.cc
@@ -18,7 +18,10 @@
                        boost::asio::ssl::context::no_sslv2 |
                        boost::asio::ssl::context::no_sslv3 |
                        boost::asio::ssl::context::no_tlsv1 |
-                       boost::asio::ssl::context::no_tlsv1_1);
+                       boost::asio::ssl::context::no_tlsv1_1 |
+                       SSL_OP_NO_RENEGOTIATION);
+  // An idle connection holds no buffers for records.
+  SSL_CTX_set_mode(context_.native_handle(), SSL_MODE_RELEASE_BUFFERS);
 }
 
 std::shared_ptr<TlsContext> TlsContext::Load(
--- a/tools/godwit-router/src/router_daemon.cc
+++ b/tools/godwit-router/src/router_daemon.cc
@@ -208,6 +208,8 @@
     builder.Address(settings_.Text("listen_ip"), settings_.Port("listen_port"))
         .MaxBodyBytes(static_cast<size_t>(settings_.Integer("max_body_bytes")))
         .ReadTimeout(settings_.Duration("read_limit_ms"))
+        .HeldBodyBytes(HeldBodyBytesOf(settings_))
+        .MaxConnections(MaxConnectionsOf(settings_))
         .Handle([this](const std::shared_ptr<http::Exchange>& exchange) {
           frontend_.OnExchange(exchange);
         });
--- a/tools/godwit-router/src/router_settings.cc
+++ b/tools/godwit-router/src/router_settings.cc
@@ -14,6 +14,15 @@
 constexpr int64_t kMaxStopMillis = 3'600'000;
 constexpr int64_t kMaxReadMillis = 600'000;
 constexpr int64_t kMaxBodyBytes = int64_t{64} * 1024 * 1024;
+constexpr int64_t kMinMemoryMb = 16;
+constexpr int64_t kMaxMemoryMb = 1'000'000;
+constexpr size_t kBytesPerMb = 1'000'000;
+// Share of the memory that bodies of requests may take. Their requests hold
+// them once more.
+constexpr size_t kBodyMemoryDivisor = 4;
+constexpr int64_t kMaxDescriptors = 1'000'000;
+// File descriptors that are not available for callers and links.
+constexpr int64_t kReservedDescriptors = 250;
 
 void DeclareCallers(config::SettingsReader& reader) {
   reader.Ip("listen_ip", "IP number that callers connect to")
@@ -25,6 +34,16 @@
       .Duration("read_limit_ms", "longest time for a request to arrive whole",
                 100, kMaxReadMillis)
       .Default("10000")
+      .Integer("memory_mb",
+               "memory of this VM, of which a quarter may hold the bodies of "
+               "callers' requests",
+               kMinMemoryMb, kMaxMemoryMb)
+      .Default("256")
+      .Integer("descriptors",
+               "file descriptors that this process may use, of which those "
+               "above 250 are for callers and links, half each",
+               kReservedDescriptors * 2, kMaxDescriptors)
+      .Default("4096")
       .String("tls_certificate_file",
               "PEM certificate for callers; they are served over TLS when it "
               "is set")
@@ -83,6 +102,16 @@
           settings.Duration("handback_limit_ms")};
 }
 
+size_t HeldBodyBytesOf(const config::Settings& settings) {
+  return static_cast<size_t>(settings.Integer("memory_mb")) * kBytesPerMb /
+         kBodyMemoryDivisor;
+}
+
+size_t MaxConnectionsOf(const config::Settings& settings) {
+  return static_cast<size_t>(
+      (settings.Integer("descriptors") - kReservedDescriptors) / 2);
+}
+
 std::optional<CallerTls> CallerTlsOf(const config::Settings& settings,
                                      base::Error* error) {
   const CallerTls files{settings.Text("tls_certificate_file"),
--- a/tools/godwit-router/src/router_settings.h
+++ b/tools/godwit-router/src/router_settings.h
@@ -33,6 +33,12 @@
 
 daemon::StopPlan::Limits StopLimitsOf(const config::Settings& settings);
 
+// Memory for the bodies of callers' requests.
+size_t HeldBodyBytesOf(const config::Settings& settings);
+
+// Largest number of caller connections that the file descriptors allow.
+size_t MaxConnectionsOf(const config::Settings& settings);
+
 // Returns nullopt and sets `error` if only one of the files is set or the
 // certificate is not usable.
 std::optional<CallerTls> CallerTlsOf(const config::Settings& settings,
