Origins of streams are kept by the digest of their request's id

What was seen: ids of 15 kB fill the memory: 16,384 origins are kept for 30 s, with the id twice each. Cause: the number of records was bounded; an id is the caller's choice, as long as a head allows. Evidence: StreamOrigins.LongRequestIdsFillTheMemory failed before. Fix: the digest is the key.

--- a/libs/dispatch/include/dispatch/stream_origins.h
+++ b/libs/dispatch/include/dispatch/stream_origins.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/digest.h"
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/millis.h"
@@ -90,9 +91,10 @@
   // What served before this router started is known.
   bool knows_earlier_ = false;
   bool is_following_ = true;
-  std::unordered_map<std::string, std::string> versions_by_request_;
+  // By digest: an id may be as long as a head.
+  std::unordered_map<base::Digest, std::string> versions_by_request_;
   // Order in which the records expire.
-  std::deque<std::pair<base::Millis, std::string>> expiries_;
+  std::deque<std::pair<base::Millis, base::Digest>> expiries_;
 };
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/src/stream_origins.cc
+++ b/libs/dispatch/src/stream_origins.cc
@@ -101,8 +101,9 @@
                            const std::string& request_id,
                            const std::string& software_version) {
   // The first record stays: what a stream began with does not change.
-  if (versions_by_request_.try_emplace(request_id, software_version).second) {
-    expiries_.emplace_back(now + kRetention, request_id);
+  const base::Digest key = base::Digest::Of(request_id);
+  if (versions_by_request_.try_emplace(key, software_version).second) {
+    expiries_.emplace_back(now + kRetention, key);
   }
   Expire(now);
 }
@@ -110,7 +111,7 @@
 StreamOrigin StreamOrigins::Find(base::Millis now,
                                  const base::ServiceId& service,
                                  const std::string& request_id) const {
-  const auto record = versions_by_request_.find(request_id);
+  const auto record = versions_by_request_.find(base::Digest::Of(request_id));
   if (record != versions_by_request_.end()) {
     return {StreamOrigin::Certainty::kRecorded, record->second};
   }
--- a/libs/dispatch/tests/stream_origins_test.cc
+++ b/libs/dispatch/tests/stream_origins_test.cc
@@ -1,5 +1,7 @@
 #include "dispatch/stream_origins.h"
 
+#include <malloc.h>
+
 #include <set>
 #include <string>
 #include <utility>
@@ -188,3 +190,21 @@
     }
   }
 }
+
+// Ids are the callers' choice, and may be as long as a head.
+TEST(StreamOrigins, LongRequestIdsFillTheMemory) {
+  constexpr size_t streams = 2000;
+  constexpr size_t id_bytes = 15'000;
+  constexpr size_t max_bytes = 4'000'000;
+  const FleetMembers members = Fleet(3);
+  StreamOrigins origins(members);
+  const size_t before = mallinfo2().uordblks;
+  for (size_t i = 0; i < streams; ++i) {
+    const std::string id = std::string(id_bytes, 'x') + std::to_string(i);
+    origins.Record(Millis(1000), id, "v1");
+    STRCMP_EQUAL(
+        "v1",
+        origins.Find(Millis(1000), kService, id).software_version.c_str());
+  }
+  CHECK(mallinfo2().uordblks <= before + max_bytes);
+}
