Large heads of requests in progress count as memory

Callers saw: a router above its memory although each request was within its limits: 360 requests whose heads list 2,200 parts of a prompt (12 kB) took 101 MB in a router that has 96 MB. Evidence: caller_memory_process_test, ManyClientsThatHoldPromptsOfManyParts, failed before. Fix: what a head above 2 KiB takes beyond the usual is reserved with the body, in the third of memory_mb; a request that finds no room is refused as not run, 503. Heads up to 2 KiB are served as before.

--- a/libs/relay/include/relay/header_list.h
+++ b/libs/relay/include/relay/header_list.h
@@ -19,6 +19,8 @@
 
   // Value of the first line with the given name.
   std::optional<std::string_view> Find(std::string_view name) const;
+  // Bytes of all names and values.
+  size_t bytes() const;
   // Number of lines with the given name.
   size_t Count(std::string_view name) const;
   // True when a line with the given name contains `token` in its
--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -176,6 +176,11 @@
     OnDisconnected();
     return;
   }
+  if (!ReserveRequest()) {
+    ReleaseBody();
+    RefuseForMemory();
+    return;
+  }
   state_ = State::kAnswering;
   has_request_ = true;
   UpdatePhase();
--- a/libs/relay/src/caller_session_body.cc
+++ b/libs/relay/src/caller_session_body.cc
@@ -15,19 +15,44 @@
 constexpr int kUnavailableStatus = 503;
 // Steps in which memory is reserved for a body whose length is not stated.
 constexpr size_t kBodyStep = size_t{64} * 1024;
+// A head above the first size takes about this many times the rest of it once
+// it is decoded: it may list thousands of parts of a prompt.
+constexpr size_t kUsualHeadBytes = size_t{2} * 1024;
+constexpr size_t kDecodedHeadFactor = 24;
 // Longest time for which a body waits for room: callers may give up one that is
 // not read for longer.
 constexpr base::Millis kMaxRoomWait(1000);
 
+// Memory that a decoded head takes beyond the usual.
+size_t DecodedBytes(const RequestHead& head) {
+  const size_t bytes = head.target.size() + head.headers.bytes();
+  return bytes <= kUsualHeadBytes
+             ? 0
+             : (bytes - kUsualHeadBytes) * kDecodedHeadFactor;
+}
+
 }  // namespace
 
+bool CallerSession::ReserveRequest() {
+  const size_t decoded = DecodedBytes(io_->reader.head());
+  if (decoded == 0) {
+    return true;
+  }
+  if (io_->body_id == 0) {
+    io_->body_id = server_.body_memory_->Begin();
+  }
+  return server_.body_memory_->Reserve(io_->body_id,
+                                       io_->reader.body_bytes() + decoded);
+}
+
 bool CallerSession::ReserveBody() {
   if (io_->body_id == 0) {
     io_->body_id = server_.body_memory_->Begin();
   }
   const size_t bytes = io_->reader.stated_body_bytes().value_or(
       (io_->reader.body_bytes() / kBodyStep + 1) * kBodyStep);
-  return server_.body_memory_->Reserve(io_->body_id, bytes);
+  return server_.body_memory_->Reserve(
+      io_->body_id, bytes + DecodedBytes(io_->reader.head()));
 }
 
 void CallerSession::ReleaseBody() {
@@ -42,22 +67,27 @@
   } else if (now - *io_->no_room_since > kMaxRoomWait) {
     receiving_request_ = false;
     ReleaseBody();
-    Refuse(kUnavailableStatus, "no memory for the body of the request");
+    RefuseForMemory();
     Read();
   }
 }
 
-// The memory of a body is released with its last owner.
+void CallerSession::RefuseForMemory() {
+  Refuse(kUnavailableStatus, "no memory for the body of the request");
+}
+
+// The memory of a request is released with the last owner of its body.
 std::shared_ptr<const std::string> CallerSession::TakeBody() {
+  const size_t decoded = DecodedBytes(io_->reader.head());
   auto body = std::make_unique<const std::string>(io_->reader.TakeBody());
-  if (body->empty()) {
+  if (body->empty() && decoded == 0) {
     ReleaseBody();
     return body;
   }
   const auto memory = server_.body_memory_;
   const int64_t id =
       io_->body_id == 0 ? memory->Begin() : std::exchange(io_->body_id, 0);
-  memory->Complete(id, body->size());
+  memory->Complete(id, body->size() + decoded);
   return {body.release(), [memory, id](const std::string* owned) {
             memory->Release(id);
             delete owned;
--- a/libs/relay/src/header_list.cc
+++ b/libs/relay/src/header_list.cc
@@ -57,6 +57,14 @@
   return std::nullopt;
 }
 
+size_t HeaderList::bytes() const {
+  size_t bytes = 0;
+  for (const HeaderField& field : fields_) {
+    bytes += field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 size_t HeaderList::Count(std::string_view name) const {
   return static_cast<size_t>(std::count_if(
       fields_.begin(), fields_.end(), [name](const HeaderField& f) {
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -114,8 +114,9 @@
             0, kMaxLinkMbps)
       .Default("0")
       .Integer("memory_mb",
-               "memory of this VM, of which a third may hold the bodies of "
-               "callers' requests, and a quarter answers that they have not "
+               "memory of this VM, of which a third may hold the bodies and "
+               "large heads of callers' requests, and a quarter answers that "
+               "they have not "
                "read and requests that wait behind others",
                kMinMemoryMb, kMaxMemoryMb)
       .Default("256")
