Odd limits of a configuration neither lift limits nor end a router

What was seen: with a limit of -1 a head of 12 kB was served, since the value became the largest number; 2^32 became 0; a limit on bodies of any size doubled the memory that bodies may take. Cause: the values were converted without a check. Evidence: ChangingLimits.OddLimitsEndTheRouter failed before with -1; requests that arrive while limits change were served before, too (RequestsThatArrive...). Fix: values below zero are zero, heads are bounded by 1 MiB and bodies by a third of memory_mb; memory for a body of known length is taken at once, not doubled as it grows. Both tests pass; large_bodies_process_test too.

--- a/libs/relay/src/request_reader.cc
+++ b/libs/relay/src/request_reader.cc
@@ -65,6 +65,12 @@
     }
   }
 
+  void on_body_init_impl(const boost::optional<uint64_t>& length,
+                         ErrorCode& /*ec*/) override {
+    // Growing would take up to three times the size of the body for a moment.
+    body.reserve(length ? static_cast<size_t>(*length) : 0);
+  }
+
   void OnBody(std::string_view bytes) override { body.append(bytes); }
 };
 
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -22,6 +22,8 @@
 // callers have not read with requests that wait behind others.
 constexpr size_t kBodyMemoryDivisor = 3;
 constexpr size_t kBufferMemoryDivisor = 4;
+// Largest limit on heads that a configuration can set.
+constexpr size_t kMaxHeaderBytes = size_t{1024} * 1024;
 constexpr int64_t kMaxRetries = 1'000'000;
 constexpr int64_t kMaxCostMillis = 60'000;
 constexpr int64_t kMaxRetryWindowMillis = 600'000;
@@ -164,8 +166,12 @@
 relay::CallerServer::Limits CallerLimitsFrom(
     const dispatch::CallerLimits& configured,
     relay::CallerServer::Limits limits) {
-  limits.header_bytes = static_cast<size_t>(configured.header_bytes);
-  limits.body_bytes = static_cast<size_t>(configured.body_bytes);
+  const auto bytes = [](int64_t value, size_t largest) {
+    return std::min(static_cast<size_t>(std::max<int64_t>(0, value)), largest);
+  };
+  limits.header_bytes = bytes(configured.header_bytes, kMaxHeaderBytes);
+  // A VM serves no body that takes all of its memory for bodies.
+  limits.body_bytes = bytes(configured.body_bytes, limits.held_body_bytes);
   limits.request_timeout = configured.request_timeout;
   limits.keep_alive_timeout = configured.keep_alive_timeout;
   return limits;
