Bodies that arrive slowly do not starve others of memory

Callers saw: requests with a body refused with 503 for as long as clients held bodies that they did not send on, a minute in the test. Cause: the memory of a body is reserved with its head, and kept until the request's timeout; one that waited was refused after a second, however the others behaved. Evidence: caller_memory_process_test, HeldBodiesStarveOrdinaryOnes: 20 tries of a body of 100 kB failed beside 360 clients that sent four bytes. Fix: when a body has waited for half a second, the oldest of those that arrive at less than 64 KiB a second gives way: it is refused with 408, not run.

--- a/libs/relay/include/relay/caller_server.h
+++ b/libs/relay/include/relay/caller_server.h
@@ -115,6 +115,9 @@
   void Remove(const std::shared_ptr<CallerSession>& session);
   // Accounts for the buffers of a session, which held `before` bytes.
   void OnBuffersChanged(size_t before, size_t now);
+  // Refuses the body that arrives most slowly, so that one that waits for
+  // memory finds some.
+  void RefuseSlowestBody(base::Millis now);
   // Closes the sessions that hold most until the rest fits. Must not be called
   // from within a call of the handler, which is told of them.
   void CloseLargestHolders();
--- a/libs/relay/include/relay/caller_session.h
+++ b/libs/relay/include/relay/caller_session.h
@@ -71,17 +71,20 @@
   // which may have waited to be read on a busy VM. Reads what else was
   // received.
   bool HasCallerDisconnected();
-  // Reserves memory for the request that is being received, with the rest of its
-  // body; false if it has to wait.
+  // Reserves memory for the request that is being received, with the rest of
+  // its body; false if it has to wait.
   bool ReserveBody();
-  // Reserves memory for a request that has been received whole; false if there is
-  // none.
+  // Reserves memory for a request that has been received whole; false if there
+  // is none.
   bool ReserveRequest();
   void ReleaseBody();
   // Reads on once the body finds room, or refuses the request.
   void AwaitRoom(base::Millis now);
   std::shared_ptr<const std::string> TakeBody();
   void OnRequestComplete();
+  // True if the body arrives at less than a modest rate, while it holds memory.
+  bool IsBodySlow(base::Millis now) const;
+  void RefuseSlowBody();
   void RefuseForMemory();
   void Refuse(int status, const std::string& reason);
   void Queue(std::string_view bytes);
--- a/libs/relay/include/relay/closed_connections.h
+++ b/libs/relay/include/relay/closed_connections.h
@@ -19,15 +19,17 @@
   size_t unread = 0;
   // Sent too much behind a request that was not answered yet.
   size_t pipelined = 0;
+  // Sent a body slowly while others found no memory.
+  size_t slow_bodies = 0;
   // Failed attempts to accept one, for lack of file descriptors.
   size_t not_accepted = 0;
 
   friend bool operator==(const ClosedConnections& a,
                          const ClosedConnections& b) {
     return std::tie(a.replaced, a.refused, a.buffers, a.unread, a.pipelined,
-                    a.not_accepted) == std::tie(b.replaced, b.refused,
-                                                b.buffers, b.unread,
-                                                b.pipelined, b.not_accepted);
+                    a.slow_bodies, a.not_accepted) ==
+           std::tie(b.replaced, b.refused, b.buffers, b.unread, b.pipelined,
+                    b.slow_bodies, b.not_accepted);
   }
   friend bool operator!=(const ClosedConnections& a,
                          const ClosedConnections& b) {
--- a/libs/relay/src/caller_io.h
+++ b/libs/relay/src/caller_io.h
@@ -33,6 +33,8 @@
   size_t sent = 0;
   // Of the request that is being received; zero before its body.
   int64_t body_id = 0;
+  // When its body found room.
+  base::Millis body_since;
   // Since when its body finds no room, and is not read.
   std::optional<base::Millis> no_room_since;
 };
--- a/libs/relay/src/caller_server.cc
+++ b/libs/relay/src/caller_server.cc
@@ -205,6 +205,21 @@
   }
 }
 
+void CallerServer::RefuseSlowestBody(base::Millis now) {
+  std::shared_ptr<CallerSession> slowest;
+  for (const auto& [id, session] : sessions_) {
+    if (session->IsBodySlow(now) &&
+        (slowest == nullptr ||
+         session->phase_started_at_ < slowest->phase_started_at_)) {
+      slowest = session;
+    }
+  }
+  if (slowest != nullptr) {
+    ++closed_.slow_bodies;
+    slowest->RefuseSlowBody();
+  }
+}
+
 bool CallerServer::TakeClose() noexcept {
   if (draining_) {
     return true;
--- a/libs/relay/src/caller_session_body.cc
+++ b/libs/relay/src/caller_session_body.cc
@@ -15,6 +15,12 @@
 constexpr int kUnavailableStatus = 503;
 // Steps in which memory is reserved for a body whose length is not stated.
 constexpr size_t kBodyStep = size_t{64} * 1024;
+// While a body waits for room, others that arrive more slowly than this, after
+// the first half second, give way.
+constexpr base::Millis kSlowBodyTime(500);
+constexpr int64_t kSlowBodyBytesPerSecond = int64_t{64} * 1024;
+constexpr int64_t kMillisPerSecond = 1000;
+constexpr int kRequestTimeoutStatus = 408;
 // A head above the first size takes about this many times the rest of it once
 // it is decoded: it may list thousands of parts of a prompt.
 constexpr size_t kUsualHeadBytes = size_t{2} * 1024;
@@ -22,6 +28,8 @@
 // Longest time for which a body waits for room: callers may give up one that is
 // not read for longer.
 constexpr base::Millis kMaxRoomWait(1000);
+// Time after which bodies that arrive slowly give way to one that waits.
+constexpr base::Millis kRoomPatience(500);
 
 // Memory that a decoded head takes beyond the usual.
 size_t DecodedBytes(const RequestHead& head) {
@@ -48,6 +56,7 @@
 bool CallerSession::ReserveBody() {
   if (io_->body_id == 0) {
     io_->body_id = server_.body_memory_->Begin();
+    io_->body_since = base::SteadyNow();
   }
   const size_t bytes = io_->reader.stated_body_bytes().value_or(
       (io_->reader.body_bytes() / kBodyStep + 1) * kBodyStep);
@@ -63,15 +72,33 @@
 void CallerSession::AwaitRoom(base::Millis now) {
   if (ReserveBody()) {
     io_->no_room_since.reset();
+    io_->body_since = now;
     Read();
   } else if (now - *io_->no_room_since > kMaxRoomWait) {
     receiving_request_ = false;
     ReleaseBody();
     RefuseForMemory();
     Read();
+  } else if (now - *io_->no_room_since > kRoomPatience) {
+    server_.RefuseSlowestBody(now);
   }
 }
 
+bool CallerSession::IsBodySlow(base::Millis now) const {
+  const base::Millis elapsed = now - io_->body_since;
+  return receiving_request_ && io_->body_id != 0 && !io_->no_room_since &&
+         elapsed >= kSlowBodyTime &&
+         static_cast<int64_t>(io_->reader.body_bytes()) * kMillisPerSecond <
+             kSlowBodyBytesPerSecond * elapsed.count();
+}
+
+void CallerSession::RefuseSlowBody() {
+  receiving_request_ = false;
+  ReleaseBody();
+  Refuse(kRequestTimeoutStatus,
+         "the body arrived too slowly while others waited for memory");
+}
+
 void CallerSession::RefuseForMemory() {
   Refuse(kUnavailableStatus, "no memory for the body of the request");
 }
--- a/libs/telemetry/src/metric_table.cc
+++ b/libs/telemetry/src/metric_table.cc
@@ -273,7 +273,8 @@
        "connections",
        {"address", "limit"},
        "Connections that a direct router closed at a limit (replaced, refused, "
-       "buffers, unread, pipelined, not_accepted) of an address (callers, "
+       "buffers, unread, pipelined, slow_bodies, not_accepted) of an address "
+       "(callers, "
        "readiness, metrics)."},
   };
   return table;
--- a/tools/godwit-edge/src/closed_connection_log.cc
+++ b/tools/godwit-edge/src/closed_connection_log.cc
@@ -23,6 +23,7 @@
     {"buffers", &relay::ClosedConnections::buffers},
     {"unread", &relay::ClosedConnections::unread},
     {"pipelined", &relay::ClosedConnections::pipelined},
+    {"slow_bodies", &relay::ClosedConnections::slow_bodies},
     {"not_accepted", &relay::ClosedConnections::not_accepted},
 };
 
