--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -78,8 +78,10 @@
                }),
         callers_(io, *this),
         hand_over_(RebalancerOptionsFrom(settings), callers_, servers_),
-        readiness_(io, [this](const std::string&) { return ReadinessPage(); }),
-        operator_pages_(io, [this](const std::string& target) {
+        readiness_(io,
+                   "readiness",
+                   [this](const std::string&) { return ReadinessPage(); }),
+        operator_pages_(io, "metrics", [this](const std::string& target) {
           return OperatorPage(target, dispatcher_, store_watcher_.era(),
                               metrics_);
         }) {
@@ -185,7 +187,6 @@
   }
 
  private:
-  // Handles an event of the store watcher.
   void OnStoreEvent(const dispatch::DispatchEvent& event) {
     if (const auto* updated =
             std::get_if<dispatch::RoutingTableUpdated>(&event)) {
@@ -227,7 +228,6 @@
       exchange->Abort();
     }
   }
-  // The other commands are records for logs.
   template <typename Record>
   void Execute(const Record& record) {
     LogRecord(record);
@@ -293,23 +293,17 @@
                : PageServer::Page{kUnavailable, "text/plain", "not ready\n"};
   }
 
-  void ReportClosedConnections(base::Millis now) {
-    closed_callers_.Report(now, callers_.closed_at_limits(), metrics_);
-    closed_readiness_.Report(now, readiness_.closed_at_limits(), metrics_);
-    closed_pages_.Report(now, operator_pages_.closed_at_limits(), metrics_);
-  }
-
   void Tick() {
     const base::Millis now = base::SteadyNow();
-    ReportClosedConnections(now);
     hand_over_.Tick(now, metrics_);
     store_watcher_.SetLedgerEra(dispatcher_.ledger_era());
     store_watcher_.Tick(now);
     store_.Tick();
     servers_.Tick();
     callers_.Tick();
-    readiness_.Tick();
-    operator_pages_.Tick();
+    closed_callers_.Report(now, callers_.closed_at_limits(), metrics_);
+    readiness_.Tick(now, metrics_);
+    operator_pages_.Tick(now, metrics_);
     Raise(dispatch::Tick{base::WallNow() - now});
     if (!ready_logged_ && dispatcher_.ready()) {
       ready_logged_ = true;
@@ -371,12 +365,10 @@
   StoreWatcher store_watcher_;
   PeerSocket peers_;
   relay::CallerServer callers_;
+  ClosedConnectionLog closed_callers_{"callers"};
   CallerHandOver hand_over_;
   PageServer readiness_;
   PageServer operator_pages_;
-  ClosedConnectionLog closed_callers_{"callers"};
-  ClosedConnectionLog closed_readiness_{"readiness"};
-  ClosedConnectionLog closed_pages_{"metrics"};
   std::unordered_map<dispatch::CallId, Exchange> exchanges_;
   std::unordered_map<const relay::CallerSession*, dispatch::CallId>
       calls_by_session_;
--- a/tools/godwit-edge/src/page_server.cc
+++ b/tools/godwit-edge/src/page_server.cc
@@ -19,8 +19,12 @@
 
 }  // namespace
 
-PageServer::PageServer(boost::asio::io_context& io, PageHandler handler)
-    : handler_(std::move(handler)), server_(io, *this) {
+PageServer::PageServer(boost::asio::io_context& io,
+                       std::string name,
+                       PageHandler handler)
+    : handler_(std::move(handler)),
+      server_(io, *this),
+      closed_(std::move(name)) {
   relay::CallerServer::Limits limits;
   limits.header_bytes = kMaxHeaderBytes;
   limits.body_bytes = kMaxBodyBytes;
@@ -36,6 +40,11 @@
   return server_.Listen(address);
 }
 
+void PageServer::Tick(base::Millis now, telemetry::Metrics& metrics) {
+  server_.Tick();
+  closed_.Report(now, server_.closed_at_limits(), metrics);
+}
+
 void PageServer::OnRequest(const std::shared_ptr<relay::CallerSession>& session,
                            relay::ReceivedRequest request) {
   const Page page = handler_(request.head.target);
--- a/tools/godwit-edge/src/page_server.h
+++ b/tools/godwit-edge/src/page_server.h
@@ -7,6 +7,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "closed_connection_log.h"
 #include "relay/caller_handler.h"
 #include "relay/caller_server.h"
 
@@ -26,20 +27,20 @@
   // Returns the page for a request target.
   using PageHandler = std::function<Page(const std::string& target)>;
 
-  PageServer(boost::asio::io_context& io, PageHandler handler);
+  // `name` is that of its address in logs and metrics.
+  PageServer(boost::asio::io_context& io,
+             std::string name,
+             PageHandler handler);
 
   // False if the address can't be used; see last_error().
   bool Listen(const base::Endpoint& address);
   const base::Error& last_error() const noexcept {
     return server_.last_error();
   }
-  // Closes connections that exceeded a timeout. Call it every few tens of
-  // milliseconds.
-  void Tick() { server_.Tick(); }
+  // Closes connections that exceeded a timeout, and reports those that were
+  // closed at a limit. Call it every few tens of milliseconds.
+  void Tick(base::Millis now, telemetry::Metrics& metrics);
   void Close() { server_.Close(); }
-  const relay::ClosedConnections& closed_at_limits() const noexcept {
-    return server_.closed_at_limits();
-  }
 
   void OnRequest(const std::shared_ptr<relay::CallerSession>& session,
                  relay::ReceivedRequest request) override;
@@ -52,6 +53,7 @@
  private:
   PageHandler handler_;
   relay::CallerServer server_;
+  ClosedConnectionLog closed_;
 };
 
 }  // namespace godwit::edge
