Connections to servers have a bound in number

What was seen: connections to backend servers stay open for 4 s when idle, and callers that move from one service to another leave them behind; with those of callers, more than the descriptors of a VM. Cause: only time bounded idle connections. Evidence: UpstreamPool.IdleConnectionsTakeAllDescriptors failed with the bound taken out. No process was seen to run out of descriptors by it.

--- a/libs/http/tests/broken_heads.h
+++ b/libs/http/tests/broken_heads.h
@@ -55,7 +55,9 @@
                                   "Transfer-Encoding: gzip, chunked"s,
                                   "Content-Length: 2"s,
                                   "Content-Length: 3"s}) {
-    heads.push_back({line, "HTTP/1.1 200 OK\r\n" + line + "\r\n" + end});
+    heads.push_back(
+        {line,
+         std::string("HTTP/1.1 200 OK\r\n").append(line).append("\r\n") + end});
   }
   for (const char* length : {"+2", "-2", "0x2", "2, 2", "2 2", "two", ""}) {
     heads.push_back({std::string("length ") + length,
--- a/libs/relay/include/relay/upstream_pool.h
+++ b/libs/relay/include/relay/upstream_pool.h
@@ -37,6 +37,9 @@
     // Time without an acknowledgement of sent bytes after which the kernel
     // closes a connection.
     base::Millis ack_timeout{1500};
+    // Open connections above which the one that has been idle for longest is
+    // closed before another is opened.
+    size_t connections = 10'000;
   };
 
   UpstreamPool(boost::asio::io_context& io, Options options);
@@ -74,6 +77,9 @@
   // Called when a connection has finished its request; keeps it as idle if it
   // can serve another one.
   void Release(const std::shared_ptr<UpstreamConnection>& connection);
+  // Closes the connection that has been idle for longest; false if none is
+  // idle.
+  bool CloseOldestIdle();
   // An idle connection that has not carried the request `id`; null if there is
   // none.
   std::shared_ptr<UpstreamConnection> TakeIdle(base::Millis now,
--- a/libs/relay/src/upstream_pool.cc
+++ b/libs/relay/src/upstream_pool.cc
@@ -36,6 +36,8 @@
   auto connection = TakeIdle(now, server, request.id);
   const bool is_new = connection == nullptr;
   if (is_new) {
+    while (open_connections() >= options_.connections && CloseOldestIdle()) {
+    }
     connection = std::make_shared<UpstreamConnection>(*this, server);
     ++opened_;
   }
@@ -47,6 +49,22 @@
   return id;
 }
 
+bool UpstreamPool::CloseOldestIdle() {
+  // The connections of a server are in the order in which they became idle.
+  const auto oldest = std::min_element(
+      idle_.begin(), idle_.end(), [](const auto& a, const auto& b) {
+        return !a.second.empty() &&
+               (b.second.empty() || a.second.front()->idle_since() <
+                                        b.second.front()->idle_since());
+      });
+  if (oldest == idle_.end() || oldest->second.empty()) {
+    return false;
+  }
+  oldest->second.front()->Drop();
+  oldest->second.erase(oldest->second.begin());
+  return true;
+}
+
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
     base::Millis now,
     const base::Endpoint& server,
--- a/libs/relay/tests/caller_limits_test.cc
+++ b/libs/relay/tests/caller_limits_test.cc
@@ -18,7 +18,6 @@
 #include <CppUTest/TestHarness.h>
 
 using godwit::base::Millis;
-using godwit::base::SteadyNow;
 using godwit::http::RawConnection;
 using godwit::http::RawServer;
 using godwit::relay::CallerHandler;
--- a/libs/relay/tests/upstream_pool_test.cc
+++ b/libs/relay/tests/upstream_pool_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -209,6 +210,33 @@
   CHECK_EQUAL(2, pool.opened_connections());
 }
 
+// Load: requests that move from one service to another, while the connections
+// of the first are idle.
+TEST(UpstreamPool, IdleConnectionsTakeAllDescriptors) {
+  UpstreamPool::Options options;
+  options.connections = 3;
+  UpstreamPool bounded(io, options);
+  const auto answer_all = [](int, const std::string&) {
+    return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  };
+  std::vector<std::unique_ptr<RawServer>> servers;
+  for (int i = 0; i < 5; ++i) {
+    servers.push_back(std::make_unique<RawServer>(answer_all));
+    Answer answer;
+    bounded.Send(Local(servers.back()->port()), Get(), answer);
+    CHECK(RunUntil(io, [&] { return answer.finished(); }));
+    CHECK(answer.ended);
+    CHECK(bounded.open_connections() <= options.connections);
+  }
+  // The last three are still open.
+  for (int i = 2; i < 5; ++i) {
+    Answer answer;
+    bounded.Send(Local(servers[i]->port()), Get(), answer);
+    CHECK(RunUntil(io, [&] { return answer.finished(); }));
+  }
+  CHECK_EQUAL(5, bounded.opened_connections());
+}
+
 TEST(UpstreamPool, ReportsNotSentWhenTheConnectionFails) {
   uint16_t unused = 0;
   {
--- a/tools/godwit-edge/src/edge_daemon.cc
+++ b/tools/godwit-edge/src/edge_daemon.cc
@@ -63,7 +63,7 @@
         dispatcher_(options_),
         stop_plan_(StopLimitsFrom(settings)),
         timer_(io),
-        servers_(io, relay::UpstreamPool::Options()),
+        servers_(io, PoolOptionsFrom(settings)),
         store_(io, settings.Address("platform")),
         store_watcher_(store_,
                        {options_.process, options_.incarnation,
--- a/tools/godwit-edge/src/edge_settings.cc
+++ b/tools/godwit-edge/src/edge_settings.cc
@@ -61,6 +61,11 @@
   return text == kStated ? Use::kStated : Use::kNever;
 }
 
+size_t HalfOfDescriptors(const config::Settings& settings) {
+  return static_cast<size_t>(
+      (settings.Integer("descriptors") - kReservedDescriptors) / 2);
+}
+
 }  // namespace
 
 void DeclareSettings(config::SettingsReader& reader) {
@@ -184,12 +189,17 @@
   return options;
 }
 
+relay::UpstreamPool::Options PoolOptionsFrom(const config::Settings& settings) {
+  relay::UpstreamPool::Options options;
+  options.connections = HalfOfDescriptors(settings);
+  return options;
+}
+
 relay::CallerServer::Limits CallerLimitsFrom(const config::Settings& settings) {
   const size_t memory =
       static_cast<size_t>(settings.Integer("memory_mb")) * kBytesPerMb;
   relay::CallerServer::Limits limits;
-  limits.connections = static_cast<size_t>(
-      (settings.Integer("descriptors") - kReservedDescriptors) / 2);
+  limits.connections = HalfOfDescriptors(settings);
   limits.held_body_bytes = memory / kBodyMemoryDivisor;
   limits.held_buffer_bytes = memory / kBufferMemoryDivisor;
   return limits;
--- a/tools/godwit-edge/src/edge_settings.h
+++ b/tools/godwit-edge/src/edge_settings.h
@@ -9,6 +9,7 @@
 #include "dispatch/dispatcher_options.h"
 #include "relay/caller_rebalancer.h"
 #include "relay/caller_server.h"
+#include "relay/upstream_pool.h"
 
 namespace godwit::config {
 class Settings;
@@ -42,6 +43,7 @@
 // Limits by the memory and the file descriptors of this VM: a caller's
 // connection may need a second one, to a backend server.
 relay::CallerServer::Limits CallerLimitsFrom(const config::Settings& settings);
+relay::UpstreamPool::Options PoolOptionsFrom(const config::Settings& settings);
 
 }  // namespace godwit::edge
 
