Buffers of a closed connection are freed while its request runs on

Read in the diff, not seen: a request that goes on without its caller kept up to 64 KiB of pipelined bytes and its unread answer; and a body that waits for memory could be parsed on after a write. relay_io_test, caller_places and caller_memory pass.

--- a/libs/relay/src/caller_session.cc
+++ b/libs/relay/src/caller_session.cc
@@ -89,7 +89,7 @@
 
 void CallerSession::Consume() {
   if (closed_ || close_after_answer_ || state_ == State::kAnswering ||
-      awaits_reader() || io_->inbox.empty()) {
+      awaits_reader() || io_->no_room_since || io_->inbox.empty()) {
     return;
   }
   if (!receiving_request_) {
@@ -200,6 +200,10 @@
     return;
   }
   closed_ = true;
+  // A request in progress may keep the session for long.
+  io_->inbox = {};
+  io_->outbox = {};
+  io_->sent = 0;
   AccountBuffers();
   ReleaseBody();
   error_code ignored;
--- a/libs/relay/src/caller_session_output.cc
+++ b/libs/relay/src/caller_session_output.cc
@@ -195,7 +195,7 @@
 }
 
 void CallerSession::AccountBuffers() {
-  const size_t now = closed_ ? 0 : io_->inbox.size() + io_->outbox.size();
+  const size_t now = io_->inbox.size() + io_->outbox.size();
   server_.OnBuffersChanged(std::exchange(held_bytes_, now), now);
 }
 
