An interim answer at the end of a connection counts as damaged

Nothing was passed on: the connection asks for a complete answer. Cause: the end was accepted if the parser was done, which it is after an interim answer. Evidence: the case added to AnswerReader.DistinguishesCompleteFromDamagedAnswers failed before. After: it and relay_fuzz pass.

--- a/libs/relay/src/answer_reader.cc
+++ b/libs/relay/src/answer_reader.cc
@@ -138,7 +138,9 @@
     return;
   }
   state.parser->put_eof(error);
-  state.damaged = static_cast<bool>(error) || !state.parser->is_done();
+  // An interim answer is followed by another one.
+  state.damaged = static_cast<bool>(error) || !state.parser->is_done() ||
+                  state.parser->interim();
 }
 
 bool AnswerReader::complete() const noexcept {
--- a/libs/relay/tests/answer_reader_test.cc
+++ b/libs/relay/tests/answer_reader_test.cc
@@ -98,6 +98,8 @@
        ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", false,
        false, End::kDamaged, "", false},
       {"no bytes", "", false, true, End::kDamaged, "", false},
+      {"an interim answer only", "HTTP/1.1 100 Continue\r\n\r\n", false, true,
+       End::kDamaged, "", false},
   };
   for (const Case& c : cases) {
     for (const size_t step : {size_t{1}, size_t{1000}}) {
