Log what a merge after a return takes from each side (614 budget_merged)

A router that merges what it knew of a budget into the stored record now logs the tokens of closed and open grants on both sides and in the result.

--- a/libs/dispatch/include/dispatch/dispatch_command.h
+++ b/libs/dispatch/include/dispatch/dispatch_command.h
@@ -16,6 +16,7 @@
 #include "dispatch/relay_answer.h"
 #include "dispatch/send_to_router.h"
 #include "dispatch/start_attempt.h"
+#include "ledger/budget_merged.h"
 #include "ledger/grant_closed.h"
 #include "ledger/peer_unresponsive.h"
 #include "ledger/send_to_peer.h"
@@ -42,6 +43,7 @@
                                      platform::KvWrite,
                                      ledger::SendToPeer,
                                      ledger::GrantClosed,
+                                     ledger::BudgetMerged,
                                      ledger::PeerUnresponsive>;
 
 }  // namespace godwit::dispatch
--- a/libs/dispatch/tests/dispatch_simulation.h
+++ b/libs/dispatch/tests/dispatch_simulation.h
@@ -110,6 +110,7 @@
   void Handle(const platform::KvRead& command);
   void Handle(const platform::KvWrite& command);
   void Handle(const ledger::GrantClosed& /*command*/) {}
+  void Handle(const ledger::BudgetMerged& /*command*/) {}
   void Handle(const ledger::PeerUnresponsive& /*command*/) {}
   // There is no other router to lend to.
   void Handle(const ledger::SendToPeer& /*command*/) {}
--- a/libs/ledger/include/ledger/metered_budget_manager.h
+++ b/libs/ledger/include/ledger/metered_budget_manager.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "ledger/budget_limit.h"
+#include "ledger/budget_merged.h"
 #include "ledger/budget_report.h"
 #include "ledger/grant_closed.h"
 #include "ledger/metered_policy.h"
@@ -49,6 +50,7 @@
                                platform::KvWrite,
                                SendToPeer,
                                GrantClosed,
+                               BudgetMerged,
                                PeerUnresponsive>;
 
   enum class ReserveResult : uint8_t {
--- a/libs/ledger/src/metered_era.cc
+++ b/libs/ledger/src/metered_era.cc
@@ -44,6 +44,7 @@
     shard.retry_at = base::Millis();
     shard.last_write_at = base::Millis();
     shard.closing.clear();
+    shard.merging.clear();
   }
   layout_ = cas::KeyView<LedgerLayout, LayoutCodec>(layout_.key());
   layout_retry_at_ = base::Millis();
@@ -120,12 +121,33 @@
     return std::nullopt;
   }
   shard.last_write_at = now;
+  shard.merging = MergedBudgets(shard, merged);
   platform::KvWrite write =
       shard.view.StartWrite(now, next_operation_++, std::move(merged));
   write.conditions = era_marker_.Conditions();
   return write;
 }
 
+std::vector<BudgetMerged> MeteredBudgetManager::State::MergedBudgets(
+    const Shard& shard,
+    const LedgerRecord& merged) const {
+  const auto sums_in = [](const LedgerRecord& record,
+                          const base::BudgetId& id) {
+    const Budget* const budget = BudgetIn(record, id);
+    return budget == nullptr ? BudgetSums() : BudgetSums::Of(*budget);
+  };
+  std::vector<BudgetMerged> changed;
+  for (const auto& [id, budget] : merged.budgets) {
+    const Budget* const stored = BudgetIn(shard.view.record(), id);
+    if (stored == nullptr || *stored != budget) {
+      changed.push_back({id, era_, sums_in(shard.view.record(), id),
+                         sums_in(shard.earlier->record, id),
+                         BudgetSums::Of(budget)});
+    }
+  }
+  return changed;
+}
+
 void MeteredBudgetManager::State::CheckComplete(base::Millis now,
                                                 Shard& shard) {
   if (shard.is_complete || !shard.is_merged || !era_marker_.exists()) {
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -348,6 +348,10 @@
         outbox_.push_back(std::move(closed));
       }
       shard.closing.clear();
+      for (BudgetMerged& merged : shard.merging) {
+        outbox_.push_back(std::move(merged));
+      }
+      shard.merging.clear();
     }
     return;
   }
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -71,6 +71,8 @@
     int failures = 0;
     // Grants that the write in flight closes.
     std::vector<GrantClosed> closing;
+    // Budgets that the write in flight merges.
+    std::vector<BudgetMerged> merging;
     bool is_kv_answering = true;
     // Routers that lend from the shard's budgets, in order of preference; empty
     // while the fleet is not known.
@@ -260,6 +262,9 @@
   // Returns the operation that brings a shard closer to a complete record, if
   // one is due.
   std::optional<Command> NextMergeCommand(base::Millis now, Shard& shard);
+  // Returns the budgets of a shard that the next version of its record changes.
+  std::vector<BudgetMerged> MergedBudgets(const Shard& shard,
+                                          const LedgerRecord& merged) const;
   // Marks a merged shard as complete if no router can know more of it.
   void CheckComplete(base::Millis now, Shard& shard);
   // True unless it will be some time until the shard may be drawn from.
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -249,11 +249,16 @@
   routers_[index]->manager->Drain();
 }
 
+bool MeteredSimulation::IsDrained(size_t index) const {
+  return routers_[index]->manager->drained();
+}
+
 void MeteredSimulation::Submit(
     size_t index,
     const std::vector<MeteredBudgetManager::Command>& commands) {
   for (const auto& command : commands) {
-    if (std::holds_alternative<PeerUnresponsive>(command)) {
+    if (std::holds_alternative<PeerUnresponsive>(command) ||
+        std::holds_alternative<BudgetMerged>(command)) {
       continue;
     }
     if (const auto* closed = std::get_if<GrantClosed>(&command)) {
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -89,6 +89,8 @@
   // Disconnects a router from the KV, or reconnects it.
   void Partition(size_t router, bool partitioned);
   void Drain(size_t router);
+  // True once a draining router has returned its tokens.
+  bool IsDrained(size_t router) const;
   // Stores a new version of the configuration. Partitioned routers do not
   // receive it.
   void SetLimit(base::Tokens limit);
--- a/libs/telemetry/include/telemetry/event_id.h
+++ b/libs/telemetry/include/telemetry/event_id.h
@@ -65,6 +65,7 @@
   kHandOverLate = 611,
   kLedgerWritten = 612,
   kLoanAnswered = 613,
+  kBudgetMerged = 614,
   // Backend servers.
   kBackendDown = 701,
   kBackendUp = 702,
--- a/libs/telemetry/src/event_table.cc
+++ b/libs/telemetry/src/event_table.cc
@@ -145,6 +145,10 @@
       {EventId::kLoanAnswered, Level::kInfo, "loan_answered",
        "A router lent tokens of a budget to another, or refused to; `lent` is "
        "the sum of all it lent to that router."},
+      {EventId::kBudgetMerged, Level::kInfo, "budget_merged",
+       "After a return of the store, a router merged what it knew of a budget "
+       "into the stored record; fields give the tokens of closed and of open "
+       "grants in the stored record, as known, and merged."},
       {EventId::kBackendDown, Level::kWarning, "backend_down",
        "A backend server does not answer its agent."},
       {EventId::kBackendUp, Level::kInfo, "backend_up",
--- a/tools/godwit-edge/src/edge_log.cc
+++ b/tools/godwit-edge/src/edge_log.cc
@@ -15,6 +15,7 @@
 #include "dispatch/data_centre_state_changed.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/start_attempt.h"
+#include "ledger/budget_merged.h"
 #include "ledger/budget_report.h"
 #include "ledger/grant_closed.h"
 #include "ledger/loan_reply.h"
@@ -176,6 +177,27 @@
        {"lifetime_ms", closed.lifetime.value_or(base::Millis())}});
 }
 
+void LogRecord(const ledger::BudgetMerged& merged) {
+  Log(EventId::kBudgetMerged,
+      {{"budget", merged.budget},
+       {"era", merged.era},
+       {"stored_closed_billed", merged.stored.closed_billed},
+       {"stored_closed_held", merged.stored.closed_held},
+       {"stored_open_billed", merged.stored.open_billed},
+       {"stored_open_amount", merged.stored.open_amount},
+       {"stored_open_grants", merged.stored.open_grants},
+       {"known_closed_billed", merged.known.closed_billed},
+       {"known_closed_held", merged.known.closed_held},
+       {"known_open_billed", merged.known.open_billed},
+       {"known_open_amount", merged.known.open_amount},
+       {"known_open_grants", merged.known.open_grants},
+       {"merged_closed_billed", merged.merged.closed_billed},
+       {"merged_closed_held", merged.merged.closed_held},
+       {"merged_open_billed", merged.merged.open_billed},
+       {"merged_open_amount", merged.merged.open_amount},
+       {"merged_open_grants", merged.merged.open_grants}});
+}
+
 void LogRecord(const ledger::PeerUnresponsive& unresponsive) {
   Log(EventId::kPeerSilent, {{"peer", unresponsive.peer.incarnation},
                              {"address", unresponsive.peer.address.ToText()},
--- a/tools/godwit-edge/src/edge_log.h
+++ b/tools/godwit-edge/src/edge_log.h
@@ -16,6 +16,7 @@
 }  // namespace godwit::dispatch
 
 namespace godwit::ledger {
+struct BudgetMerged;
 struct GrantClosed;
 struct LoanReply;
 struct PeerUnresponsive;
@@ -40,6 +41,7 @@
 void LogRecord(const dispatch::AttemptAbandoned& record);
 void LogLedgerWrite(const std::string& key, const platform::KvWriteDone& done);
 void LogRecord(const ledger::GrantClosed& closed);
+void LogRecord(const ledger::BudgetMerged& merged);
 void LogRecord(const ledger::PeerUnresponsive& unresponsive);
 void LogLoan(const ledger::LoanReply& reply);
 void LogRecord(const dispatch::BackendHealthChanged& change);
