A closed grant stays in the record, so that a merge can't count it twice

Cause: closing a grant moved its usage to the budget's sums and erased it. After a return, MergeRecords took the larger sums and the union of the grants, in which the copy's is open again: its usage counted in the sum and by the grant, and once more for good when the next incarnation closed it. Its amount grew back to what the copy held.

Change: a closed grant is retired, not erased: its id, usage and what counts stay. Merging takes each grant once, by its id: retired before open, the larger usage, and the amount that bounds the holder's use, else the one that the holder set last (`revision`, also in loan replies). Retired grants of a process are folded after ten minutes, at once beyond eight; `sequence` tells which a folded one includes. An earlier version reads a retired grant as a sealed one of which all is set aside, and keeps it. This holds for `held` as for `billed`, whoever closed what, in any order and repetition; sums remain for what earlier versions closed.

--- a/libs/ledger/include/ledger/ledger_edit.h
+++ b/libs/ledger/include/ledger/ledger_edit.h
@@ -1,6 +1,7 @@
 #ifndef LEDGER_LEDGER_EDIT_H_
 #define LEDGER_LEDGER_EDIT_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,27 @@
   // already closed.
   bool Close(const base::BudgetId& budget, const base::GrantId& grant);
 
+  // Numbers a grant among those of its holder's process, and its amount among
+  // those that the holder set. kStale if it is sealed or closed.
+  bool NumberGrant(const base::BudgetId& budget,
+                   const base::GrantId& grant,
+                   int64_t revision);
+
+  // Closes a grant of a router that meters usage itself, and keeps it in the
+  // record (Grant::closure). Of it, `counted` tokens count: what is billed, and
+  // the rest as in doubt. That may be more than the grant's amount, and raises
+  // the limit if it is not free. A repeat has no effect. kStale if the grant
+  // does not exist, kInvalidArgument if less counts than is billed.
+  bool Retire(const base::BudgetId& budget,
+              const base::GrantId& grant,
+              base::Tokens counted,
+              GrantClosure closure);
+
+  // Folds the earliest retired grants of each process into one, as long as
+  // `is_due` returns true for them.
+  bool FoldRetired(const base::BudgetId& budget,
+                   const std::function<bool(const base::GrantId&)>& is_due);
+
   // Frees `amount` of the held tokens, or bills it. kConflict if less is held
   // or `amount` is not positive.
   bool WriteOff(const base::BudgetId& budget, base::Tokens amount, bool bill);
--- a/libs/ledger/include/ledger/metered_policy.h
+++ b/libs/ledger/include/ledger/metered_policy.h
@@ -169,6 +169,9 @@
   // Grants that lenders reported are remembered for this long after the last
   // report: longer than the KV can fall back.
   base::Millis reported_grant_retention = base::Millis(60'000);
+  // Retired grants are kept apart in a record for this long, which is longer,
+  // too; then those of a process are folded into one.
+  base::Millis retired_grant_retention = base::Millis(600'000);
   // An operation without an outcome is abandoned after this time.
   base::Millis operation_timeout = base::Millis(2'000);
 };
--- a/libs/ledger/src/budget_sums.cc
+++ b/libs/ledger/src/budget_sums.cc
@@ -9,6 +9,11 @@
   sums.closed_billed = budget.billed;
   sums.closed_held = budget.held;
   for (const auto& [id, grant] : budget.grants) {
+    if (grant.closure != GrantClosure::kNone) {
+      sums.closed_billed += grant.billed();
+      sums.closed_held += grant.amount - grant.billed();
+      continue;
+    }
     sums.open_billed += grant.billed();
     sums.open_amount += grant.amount;
     ++sums.open_grants;
--- a/libs/ledger/src/grant.cc
+++ b/libs/ledger/src/grant.cc
@@ -10,4 +10,12 @@
   return sum;
 }
 
+void Grant::FinishAccounts() {
+  const AccountState state =
+      billed() < amount ? AccountState::kLost : AccountState::kFinal;
+  for (auto& [agent, account] : agents) {
+    account.state = state;
+  }
+}
+
 }  // namespace godwit::ledger
--- a/libs/ledger/src/ledger_codec.cc
+++ b/libs/ledger/src/ledger_codec.cc
@@ -23,10 +23,20 @@
   for (const auto& [agent, account] : grant.agents) {
     agents[agent.value()] = ToJson(account);
   }
-  return Json{{"holder", grant.holder.value()},
-              {"amount", grant.amount},
-              {"state", static_cast<int>(grant.state)},
-              {"agents", std::move(agents)}};
+  Json fields = {{"holder", grant.holder.value()},
+                 {"amount", grant.amount},
+                 {"state", static_cast<int>(grant.state)},
+                 {"agents", std::move(agents)}};
+  if (grant.closure != GrantClosure::kNone) {
+    fields["closure"] = static_cast<int>(grant.closure);
+  }
+  if (grant.sequence != 0) {
+    fields["sequence"] = grant.sequence;
+  }
+  if (grant.revision != 0) {
+    fields["revision"] = grant.revision;
+  }
+  return fields;
 }
 
 Json ToJson(const Budget& budget) {
@@ -103,8 +113,29 @@
          ReadEnum(Element(value, 1, 2), AccountState::kLost, into.state);
 }
 
+// Earlier versions neither write nor keep some fields of a grant.
+template <typename Read>
+bool ReadIfPresent(const Json* value, Read read) {
+  return value == nullptr || read(value);
+}
+
+bool ReadNumber(const Json* value, int64_t& into) {
+  return ReadIfPresent(value, [&into](const Json* present) {
+    return ReadInteger(present, into) && into >= 0;
+  });
+}
+
+bool ReadClosure(const Json* value, GrantClosure& into) {
+  return ReadIfPresent(value, [&into](const Json* present) {
+    return ReadEnum(present, GrantClosure::kFolded, into);
+  });
+}
+
 bool ReadGrant(const Json& value, Grant& into) {
-  return ReadId(Find(value, "holder"), into.holder) &&
+  return ReadClosure(Find(value, "closure"), into.closure) &&
+         ReadNumber(Find(value, "sequence"), into.sequence) &&
+         ReadNumber(Find(value, "revision"), into.revision) &&
+         ReadId(Find(value, "holder"), into.holder) &&
          ReadInteger(Find(value, "amount"), into.amount) &&
          ReadEnum(Find(value, "state"), GrantState::kSealed, into.state) &&
          ReadMap(Find(value, "agents"), into.agents, ReadAccount);
--- /dev/null
+++ b/libs/ledger/src/metered_closing.cc
@@ -0,0 +1,89 @@
+// Grants of earlier incarnations of this process, which have terminated.
+#include <algorithm>
+#include <iterator>
+
+#include "metered_state.h"
+
+namespace godwit::ledger {
+
+using base::Tokens;
+
+bool MeteredBudgetManager::State::IsEarlierIncarnation(
+    const base::Incarnation& holder) const {
+  const std::string prefix = process_.value() + ".";
+  return holder != self_ &&
+         holder.value().compare(0, prefix.size(), prefix) == 0;
+}
+
+bool MeteredBudgetManager::State::HasEarlierGrant(const Budget& stored) const {
+  return std::any_of(stored.grants.begin(), stored.grants.end(),
+                     [this](const auto& entry) {
+                       return entry.second.state == GrantState::kActive &&
+                              IsEarlierIncarnation(entry.second.holder);
+                     });
+}
+
+void MeteredBudgetManager::State::FoldOldGrants(
+    base::Millis now,
+    Shard& shard,
+    LedgerEdit& edit,
+    const base::BudgetId& budget) const {
+  const Budget* const stored = BudgetIn(shard.view.record(), budget);
+  if (stored == nullptr) {
+    return;
+  }
+  for (const auto& [id, grant] : stored->grants) {
+    if (grant.closure != GrantClosure::kNone) {
+      shard.retired_since.try_emplace({budget, id}, now);
+    }
+  }
+  edit.FoldRetired(budget, [&](const base::GrantId& id) {
+    const auto since = shard.retired_since.find({budget, id});
+    return since != shard.retired_since.end() &&
+           now - since->second >= policy_.retired_grant_retention;
+  });
+  for (auto entry = shard.retired_since.begin();
+       entry != shard.retired_since.end();) {
+    const bool is_folded = entry->first.first == budget &&
+                           stored->grants.count(entry->first.second) == 0;
+    entry = is_folded ? shard.retired_since.erase(entry) : std::next(entry);
+  }
+}
+
+// Their usage is in the record or, if it is known how long they can have lived,
+// at most what they had promised for that time. Otherwise the full grant may
+// have been used.
+std::vector<GrantClosed> MeteredBudgetManager::State::CloseEarlierGrants(
+    base::Millis now,
+    LedgerEdit& edit,
+    const base::BudgetId& budget) {
+  std::vector<GrantClosed> closed;
+  const Budget* const stored = BudgetIn(edit.record(), budget);
+  if (stored == nullptr) {
+    return closed;
+  }
+  const auto lifetime = EarlierLifetime(now).at_most;
+  const auto grants = stored->grants;
+  for (const auto& [id, grant] : grants) {
+    if (grant.state != GrantState::kActive ||
+        !IsEarlierIncarnation(grant.holder)) {
+      continue;
+    }
+    std::optional<Tokens> most;
+    if (lifetime) {
+      most = promises_.MaxSpentBy(grant.holder, budget, *lifetime);
+    }
+    const Tokens counted =
+        most ? std::min(grant.amount, std::max(grant.billed(), *most))
+             : grant.amount;
+    edit.Retire(budget, id, counted,
+                most ? GrantClosure::kBounded : GrantClosure::kWhole);
+    closed.push_back(
+        {budget, grant.holder, grant.amount, grant.billed(),
+         promises_.Explain(budget, most.has_value(), grant.billed(), counted),
+         most ? lifetime : std::nullopt});
+  }
+  return closed;
+}
+
+}  // namespace godwit::ledger
--- a/libs/ledger/src/metered_era.cc
+++ b/libs/ledger/src/metered_era.cc
@@ -30,6 +30,9 @@
         earlier->record = MergeRecords(earlier->record, shard.view.record());
       }
     }
+    if (earlier) {
+      RenumberOwnGrants(*earlier);
+    }
     const LedgerRecord reported = ReportedGrants(i);
     if (!reported.budgets.empty()) {
       if (!earlier) {
@@ -43,6 +46,7 @@
     shard.view = View(ShardKey(static_cast<int>(i)));
     shard.retry_at = base::Millis();
     shard.last_write_at = base::Millis();
+    shard.retired_since.clear();
     shard.closing.clear();
     shard.merging.clear();
   }
@@ -59,6 +63,21 @@
   UpdateMergedEra();
 }
 
+// A write of the earlier era whose outcome is not known may be in what another
+// router knows. This router keeps to the smallest amount from now on, so that
+// this one comes last.
+void MeteredBudgetManager::State::RenumberOwnGrants(Earlier& earlier) {
+  for (const auto& [id, granted] : earlier.granted) {
+    const auto budget = earlier.record.budgets.find(id);
+    if (OwnGrant(earlier.record, id) == nullptr) {
+      continue;
+    }
+    Grant& own = budget->second.grants.at(GrantOf(id));
+    own.amount = std::max({granted, Allocated(*Find(id)), own.billed()});
+    own.revision = ++last_grant_revision_;
+  }
+}
+
 void MeteredBudgetManager::State::RecordPeerEra(base::Millis now,
                                                 const Peer& peer) {
   if (peer.process == process_) {
@@ -76,7 +95,8 @@
   for (const auto& [key, reported] : reported_grants_) {
     const auto& [budget, lender] = key;
     const MeteredBudget* const local = Find(budget);
-    if (local == nullptr || local->shard != shard || reported.amount == 0) {
+    if (local == nullptr || local->shard != shard ||
+        reported.bound.amount == 0) {
       continue;
     }
     Budget& into = record.budgets[budget];
@@ -84,7 +104,8 @@
     Grant& grant =
         into.grants[base::GrantId(lender.value() + "/" + budget.value())];
     grant.holder = lender;
-    grant.amount = reported.amount;
+    grant.amount = reported.bound.amount;
+    grant.revision = reported.bound.revision;
     grant.agents[lender];
   }
   return record;
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -211,6 +211,7 @@
       const auto closed = CloseEarlierGrants(now, edit, id);
       shard.closing.insert(shard.closing.end(), closed.begin(), closed.end());
     }
+    FoldOldGrants(now, shard, edit, id);
     EditBudget(now, edit, *budget);
   }
   edit.SetEra(era_);
@@ -227,10 +228,12 @@
   const Tokens target = Target(now, budget);
   const Tokens unallocated =
       std::max<Tokens>(0, Granted(budget) - Allocated(budget));
-  if (OwnGrant(edit.record(), id) != nullptr) {
+  const Grant* const before = OwnGrant(edit.record(), id);
+  const Tokens amount_before = before == nullptr ? 0 : before->amount;
+  if (before != nullptr) {
     edit.Settle(id, grant, self_, budget.spent - budget.unproven);
     if (draining_ && budget.reserved == 0 && loans_.Outstanding(id) == 0) {
-      CloseGrant(edit, id, grant, Allocated(budget));
+      edit.Retire(id, grant, Allocated(budget), GrantClosure::kBounded);
     } else if (unallocated > target) {
       edit.Shrink(id, grant, unallocated - target);
     }
@@ -244,68 +247,10 @@
   if (draw > 0 && edit.Draw(id, grant, self_, draw)) {
     edit.ListAgents(id, grant, {self_});
   }
-}
-
-// Earlier incarnations of this process have terminated. Their usage is in the
-// record or, if it is known how long they can have lived, at most what they had
-// promised for that time. Otherwise the full grant may have been used.
-std::vector<GrantClosed> MeteredBudgetManager::State::CloseEarlierGrants(
-    base::Millis now,
-    LedgerEdit& edit,
-    const base::BudgetId& budget) {
-  std::vector<GrantClosed> closed;
-  const Budget* const stored = BudgetIn(edit.record(), budget);
-  if (stored == nullptr) {
-    return closed;
-  }
-  const auto lifetime = EarlierLifetime(now).at_most;
-  const auto grants = stored->grants;
-  for (const auto& [id, grant] : grants) {
-    if (!IsEarlierIncarnation(grant.holder)) {
-      continue;
-    }
-    const auto most =
-        lifetime ? promises_.MaxSpentBy(grant.holder, budget, *lifetime)
-                 : std::nullopt;
-    const Tokens counted =
-        most ? std::min(grant.amount, std::max(grant.billed(), *most))
-             : grant.amount;
-    CloseGrant(edit, budget, id, counted);
-    closed.push_back(
-        {budget, grant.holder, grant.amount, grant.billed(),
-         promises_.Explain(budget, most.has_value(), grant.billed(), counted),
-         most ? lifetime : std::nullopt});
-  }
-  return closed;
-}
-
-// Closes a grant and frees all but `kept` tokens. The part of those that is not
-// billed may or may not have been used: it is neither free nor counted as used.
-void MeteredBudgetManager::State::CloseGrant(LedgerEdit& edit,
-                                             const base::BudgetId& budget,
-                                             const base::GrantId& id,
-                                             Tokens kept) {
-  const Grant grant = BudgetIn(edit.record(), budget)->grants.at(id);
-  edit.Shrink(budget, id, grant.amount - kept);
-  edit.Seal(budget, id);
-  for (const auto& [agent, account] : grant.agents) {
-    edit.MarkAgentLost(budget, id, agent);
-  }
-  edit.Close(budget, id);
-}
-
-bool MeteredBudgetManager::State::IsEarlierIncarnation(
-    const base::Incarnation& holder) const {
-  const std::string prefix = process_.value() + ".";
-  return holder != self_ &&
-         holder.value().compare(0, prefix.size(), prefix) == 0;
-}
-
-bool MeteredBudgetManager::State::HasEarlierGrant(const Budget& stored) const {
-  return std::any_of(stored.grants.begin(), stored.grants.end(),
-                     [this](const auto& entry) {
-                       return IsEarlierIncarnation(entry.second.holder);
-                     });
+  const Grant* const own = OwnGrant(edit.record(), id);
+  if (own != nullptr && own->amount != amount_before) {
+    edit.NumberGrant(id, grant, ++last_grant_revision_);
+  }
 }
 
 template <typename Done>
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -185,10 +185,11 @@
                                         base::Millis retry_after) {
   const base::BudgetId& id = budget.limit.budget;
   const Tokens left = std::max<Tokens>(0, MaxRemaining(budget));
-  outbox_.emplace_back(
-      SendToPeer{to, LoanReply{self_, borrower, id, loans_.Lent(id, borrower),
-                               state, left, Granted(budget), WallTime(),
-                               budget.is_scarce, retry_after, number}});
+  const GrantBound bound = BoundOf(budget);
+  outbox_.emplace_back(SendToPeer{
+      to, LoanReply{self_, borrower, id, loans_.Lent(id, borrower), state, left,
+                    bound.amount, WallTime(), budget.is_scarce, retry_after,
+                    number, bound.revision}});
 }
 
 void MeteredBudgetManager::State::On(base::Millis now, const LoanReply& reply) {
@@ -198,7 +199,8 @@
     return;
   }
   local->borrowed.SetLent(reply.lender, reply.lent);
-  reported_grants_[{reply.budget, reply.lender}] = {reply.granted, now};
+  reported_grants_[{reply.budget, reply.lender}] = {
+      {reply.granted, reply.granted_revision}, now};
   RecordScarcity(now, *local, reply);
   if (!local->loan_request ||
       local->loan_request->lender().incarnation != reply.lender) {
--- a/libs/ledger/src/metered_report.cc
+++ b/libs/ledger/src/metered_report.cc
@@ -28,18 +28,15 @@
   report.lent = loans_.Outstanding(budget.limit.budget);
   if (report.is_lender && stored != nullptr) {
     report.free = std::max<base::Tokens>(0, stored->free());
-    report.in_doubt = stored->held + budget.unproven;
+    const BudgetSums sums = BudgetSums::Of(*stored);
     const Grant* const own = OwnGrant(shard.record(), report.budget);
     const base::Tokens own_billed = own == nullptr ? 0 : own->billed();
-    base::Tokens granted = 0;
-    for (const auto& [id, grant] : stored->grants) {
-      granted += grant.amount;
-    }
-    const base::Tokens billed = stored->total_billed();
-    report.delivered = billed - own_billed + budget.spent - budget.unproven;
+    const base::Tokens billed_elsewhere = sums.open_billed - own_billed;
+    report.in_doubt = sums.closed_held + budget.unproven;
+    report.delivered =
+        sums.closed_billed + billed_elsewhere + budget.spent - budget.unproven;
     // What a write in flight gives back counts as elsewhere.
-    const base::Tokens billed_elsewhere = billed - stored->billed - own_billed;
-    report.elsewhere = granted - Granted(budget) - billed_elsewhere;
+    report.elsewhere = sums.open_amount - Granted(budget) - billed_elsewhere;
   }
   report.refusals = budget.refusals;
   return report;
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -77,7 +77,9 @@
     return nullptr;
   }
   const auto found = stored->grants.find(GrantOf(budget));
-  return found == stored->grants.end() ? nullptr : &found->second;
+  const bool is_open = found != stored->grants.end() &&
+                       found->second.state == GrantState::kActive;
+  return is_open ? &found->second : nullptr;
 }
 
 Tokens MeteredBudgetManager::State::Granted(const MeteredBudget& budget) const {
@@ -100,6 +102,20 @@
   return *least;
 }
 
+GrantBound MeteredBudgetManager::State::BoundOf(
+    const MeteredBudget& budget) const {
+  const Shard& shard = ShardOfBudget(budget);
+  Tokens most = Granted(budget);
+  if (!shard.earlier) {
+    shard.view.HoldsForAllVersions([&](const LedgerRecord& record) {
+      const Grant* const grant = OwnGrant(record, budget.limit.budget);
+      most = std::max(most, grant == nullptr ? 0 : grant->amount);
+      return true;
+    });
+  }
+  return {most, last_grant_revision_};
+}
+
 Tokens MeteredBudgetManager::State::Promised(
     const MeteredBudget& budget) const {
   return promises_.Promised(now_, budget.limit.budget);
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -11,6 +11,7 @@
 
 #include "era_marker.h"
 #include "fleet_clock.h"
+#include "grant_bound.h"
 #include "ledger/clock_reply.h"
 #include "ledger/clock_request.h"
 #include "ledger/grant_use.h"
@@ -69,6 +70,9 @@
     int lost_races = 0;
     // Consecutive operations without a useful answer.
     int failures = 0;
+    // Since when retired grants are known to be stored.
+    std::map<std::pair<base::BudgetId, base::GrantId>, base::Millis>
+        retired_since;
     // Grants that the write in flight closes.
     std::vector<GrantClosed> closing;
     // Budgets that the write in flight merges.
@@ -95,12 +99,15 @@
   const MeteredBudget* Find(const base::BudgetId& budget) const;
 
   base::GrantId GrantOf(const base::BudgetId& budget) const;
-  // Returns this router's grant of a budget in a record, or null.
+  // Returns this router's grant of a budget in a record, or null if it is
+  // closed or was never drawn.
   const Grant* OwnGrant(const LedgerRecord& record,
                         const base::BudgetId& budget) const;
   // Returns the smallest amount of this router's grant in any version of the
   // record that may be stored.
   base::Tokens Granted(const MeteredBudget& budget) const;
+  // Returns the largest one, which nothing that this router spends exceeds.
+  GrantBound BoundOf(const MeteredBudget& budget) const;
   // Returns what this router's promise allows it to spend.
   base::Tokens Promised(const MeteredBudget& budget) const;
   ReserveResult Reserve(base::Millis now,
@@ -256,6 +263,8 @@
   void SetEra(base::Millis now, int64_t era);
   // Records whether a peer has written to the ledger what it knew.
   void RecordPeerEra(base::Millis now, const Peer& peer);
+  // Sets what this router's grants set aside in an earlier record.
+  void RenumberOwnGrants(Earlier& earlier);
   // Returns the grants of a shard that lenders reported.
   LedgerRecord ReportedGrants(size_t shard) const;
   void ForgetOldReports(base::Millis now);
@@ -292,11 +301,17 @@
   bool HasWaiting(const Shard& shard) const;
   // True for an earlier incarnation of this process.
   bool IsEarlierIncarnation(const base::Incarnation& holder) const;
-  // True if the record has a grant of an earlier incarnation of this process.
+  // True if the record has an open grant of an earlier incarnation of this
+  // process.
   bool HasEarlierGrant(const Budget& stored) const;
   // Returns how long the earlier incarnation can have lived after it wrote its
   // promise. Undecided while other routers may still tell the time.
   PromiseManager::Lifetime EarlierLifetime(base::Millis now) const;
+  // Folds the grants that were retired longer ago than a copy of the KV is old.
+  void FoldOldGrants(base::Millis now,
+                     Shard& shard,
+                     LedgerEdit& edit,
+                     const base::BudgetId& budget) const;
   LedgerRecord NextRecord(base::Millis now, Shard& shard);
   void EditBudget(base::Millis now,
                   LedgerEdit& edit,
@@ -304,10 +319,6 @@
   std::vector<GrantClosed> CloseEarlierGrants(base::Millis now,
                                               LedgerEdit& edit,
                                               const base::BudgetId& budget);
-  void CloseGrant(LedgerEdit& edit,
-                  const base::BudgetId& budget,
-                  const base::GrantId& id,
-                  base::Tokens kept);
   template <typename Done>
   void OnDone(base::Millis now, const Done& done);
   // Starts to handle a call at `now`.
@@ -339,7 +350,7 @@
   // Peers that may know newer records than the stored ones.
   std::set<base::ProcessId> unmerged_peers_;
   struct ReportedGrant {
-    base::Tokens amount = 0;
+    GrantBound bound;
     base::Millis at;
   };
   // Last grants that lenders reported.
@@ -369,6 +380,8 @@
   std::map<base::ProcessId, base::Millis> unresponsive_until_;
   std::vector<Command> outbox_;
   int64_t next_operation_ = 1;
+  // See Grant::revision.
+  int64_t last_grant_revision_ = 0;
   bool draining_ = false;
 };
 
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -54,7 +54,8 @@
           {"wall", reply.wall_time.count()},
           {"scarce", reply.is_scarce ? 1 : 0},
           {"retry", reply.retry_after.count()},
-          {"number", reply.number}};
+          {"number", reply.number},
+          {"revision", reply.granted_revision}};
 }
 
 Json ToJson(const Peer& peer) {
@@ -207,7 +208,8 @@
                    WallTimeIn(*document),
                    Amount(*document, "scarce").value_or(0) > 0,
                    base::Millis(Amount(*document, "retry").value_or(0)),
-                   Amount(*document, "number").value_or(0)};
+                   Amount(*document, "number").value_or(0),
+                   Amount(*document, "revision").value_or(0)};
 }
 
 std::string EncodePeer(const Peer& peer) {
--- a/libs/ledger/tests/metered_simulation.cc
+++ b/libs/ledger/tests/metered_simulation.cc
@@ -330,28 +330,37 @@
   }
 }
 
-base::Tokens MeteredSimulation::Held(size_t index) const {
-  const Router& router = *routers_[index];
-  const base::Incarnation holder(router.name + "." +
-                                 std::to_string(router.incarnation));
+std::optional<Budget> MeteredSimulation::StoredBudget() const {
   const auto stored = kv_.stored().find(ShardKey(ShardOf(kBudget, keys_)));
   const auto record = stored == kv_.stored().end()
                           ? std::nullopt
                           : LedgerCodec().Decode(stored->second.value);
-  if (!record) {
-    return 0;
+  if (!record || record->budgets.count(kBudget) == 0) {
+    return std::nullopt;
   }
-  const auto budget = record->budgets.find(kBudget);
-  if (budget == record->budgets.end()) {
+  return record->budgets.at(kBudget);
+}
+
+base::Tokens MeteredSimulation::Held(size_t index) const {
+  const Router& router = *routers_[index];
+  const base::Incarnation holder(router.name + "." +
+                                 std::to_string(router.incarnation));
+  const auto budget = StoredBudget();
+  if (!budget) {
     return 0;
   }
   base::Tokens held = 0;
-  for (const auto& [id, grant] : budget->second.grants) {
+  for (const auto& [id, grant] : budget->grants) {
     held += grant.holder == holder ? grant.amount - grant.billed() : 0;
   }
   return held;
 }
 
+size_t MeteredSimulation::StoredGrants() const {
+  const auto budget = StoredBudget();
+  return budget ? budget->grants.size() : 0;
+}
+
 bool MeteredSimulation::IsScarceAnywhere() const {
   return std::any_of(routers_.begin(), routers_.end(), [](const auto& router) {
     const auto reports = router->manager->Reports();
--- a/libs/ledger/tests/metered_simulation.h
+++ b/libs/ledger/tests/metered_simulation.h
@@ -13,6 +13,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "ledger/budget.h"
 #include "ledger/budget_report.h"
 #include "ledger/metered_budget_manager.h"
 #include "ledger/metered_policy.h"
@@ -118,6 +119,8 @@
   BudgetReport::Refusals refusals() const;
   // Returns what the ledger sets aside for a router beyond its billed usage.
   base::Tokens Held(size_t router) const;
+  // Number of grants in the stored record of the budget.
+  size_t StoredGrants() const;
   // Number of reads and writes of the ledger and of promises.
   int64_t kv_operations() const { return kv_operations_; }
   // Returns the unused tokens of a loss of power that follows now, by cause.
@@ -141,6 +144,7 @@
 
   // Time of a router's monotonic clock.
   base::Millis TimeOf(const Router& router) const;
+  std::optional<Budget> StoredBudget() const;
   bool IsOff(const Router& router) const;
   void Process();
   // Ends the requests of Run() whose time has come.
--- a/libs/ledger/tests/store_return_test.cc
+++ b/libs/ledger/tests/store_return_test.cc
@@ -6,6 +6,7 @@
 
 #include <rapidcheck.h>
 
+#include "even_load.h"
 #include "ledger/metered_policy.h"
 #include "metered_simulation.h"
 #include "support/is_falsified.h"
@@ -14,6 +15,7 @@
 
 using godwit::base::Millis;
 using godwit::base::Tokens;
+using godwit::ledger::EvenLoad;
 using godwit::ledger::MeteredPolicy;
 using godwit::ledger::MeteredSimulation;
 
@@ -95,38 +97,8 @@
   RC_ASSERT(simulation.Used() <= simulation.highest_limit());
 }
 
-// A budget that lasts for 50 seconds.
-constexpr Tokens kLargeLimit = 10'000'000;
-constexpr Tokens kUsePerSecond = kLargeLimit / 50;
 constexpr Millis kAge(4'000);
 
-// Lets all routers use the budget at an even rate, `factor` times the usual.
-void LoadFor(MeteredSimulation& simulation, int seconds, int factor = 1) {
-  constexpr int k_rounds = 10;
-  const Tokens amount =
-      factor * kUsePerSecond / k_rounds / static_cast<Tokens>(kRouters);
-  for (int i = 0; i < seconds * k_rounds; ++i) {
-    for (size_t router = 0; router < kRouters; ++router) {
-      simulation.Request(router, amount);
-    }
-    simulation.Advance(Millis(1000 / k_rounds));
-    for (size_t router = 0; router < kRouters; ++router) {
-      simulation.Finish(router, 100);
-    }
-  }
-}
-
-// The router for which the ledger sets most aside: it lends to the others.
-size_t LenderOf(const MeteredSimulation& simulation) {
-  size_t lender = 0;
-  for (size_t router = 1; router < kRouters; ++router) {
-    if (simulation.Held(router) > simulation.Held(lender)) {
-      lender = router;
-    }
-  }
-  return lender;
-}
-
 void RestartAll(MeteredSimulation& simulation) {
   for (size_t router = 0; router < kRouters; ++router) {
     simulation.Restart(router);
@@ -157,7 +129,7 @@
       {"away before", 10,
        [](MeteredSimulation& simulation) {
          simulation.faults().unavailable = true;
-         LoadFor(simulation, 2);
+         EvenLoad::RunFor(simulation, 2);
          simulation.ReturnFromCopy(kAge);
          simulation.faults().unavailable = false;
        },
@@ -165,47 +137,47 @@
       {"twice in a row", 10,
        [](MeteredSimulation& simulation) {
          simulation.ReturnFromCopy(kAge);
-         LoadFor(simulation, 1);
+         EvenLoad::RunFor(simulation, 1);
          simulation.ReturnFromCopy(kAge);
        },
        0, 0.1, true},
       {"with writes that take effect late", 10,
        [](MeteredSimulation& simulation) {
          simulation.faults().late_write_percent = 30;
-         LoadFor(simulation, 2);
+         EvenLoad::RunFor(simulation, 2);
          simulation.ReturnFromCopy(kAge);
-         LoadFor(simulation, 5);
+         EvenLoad::RunFor(simulation, 5);
          simulation.faults().late_write_percent = 0;
        },
        0, 0.1, true},
       {"a borrower is cut off for longer than its peers wait", 10,
        [](MeteredSimulation& simulation) {
-         const size_t other = LenderOf(simulation) == 0 ? 1 : 0;
+         const size_t other = EvenLoad::LenderOf(simulation) == 0 ? 1 : 0;
          simulation.Partition(other, true);
          simulation.ReturnFromCopy(kAge);
-         LoadFor(simulation, 17);
+         EvenLoad::RunFor(simulation, 17);
          simulation.Partition(other, false);
        },
        0, 0.1, false},
       // The borrowers remember what it had drawn.
       {"the lender is killed just before", 10,
        [](MeteredSimulation& simulation) {
-         simulation.Restart(LenderOf(simulation));
+         simulation.Restart(EvenLoad::LenderOf(simulation));
          simulation.ReturnFromCopy(kAge);
        },
        0, age_s + 11, false},
       {"the lender is killed just after", 10,
        [](MeteredSimulation& simulation) {
          simulation.ReturnFromCopy(kAge);
-         simulation.Restart(LenderOf(simulation));
+         simulation.Restart(EvenLoad::LenderOf(simulation));
        },
        0, age_s + 11, false},
       // What was drawn for a surge is among what is lost.
       {"the lender is killed just after a surge", 3,
        [](MeteredSimulation& simulation) {
          constexpr int k_surge = 5;
-         LoadFor(simulation, 3, k_surge);
-         const size_t lender = LenderOf(simulation);
+         EvenLoad::RunFor(simulation, 3, k_surge);
+         const size_t lender = EvenLoad::LenderOf(simulation);
          simulation.ReturnFromCopy(kAge);
          simulation.Restart(lender);
        },
@@ -219,20 +191,19 @@
        age_s, age_s + 11, false},
   };
   for (const Case& c : cases) {
-    MeteredSimulation simulation(1, kRouters, kLargeLimit,
+    MeteredSimulation simulation(1, kRouters, EvenLoad::kLimit,
                                  MeteredPolicy().outage_cover);
     simulation.BeginEras();
     simulation.Connect();
     simulation.Advance(Millis(1000));
-    LoadFor(simulation, c.load_seconds);
+    EvenLoad::RunFor(simulation, c.load_seconds);
     const int64_t refused_before = simulation.refused();
     c.happen(simulation);
-    LoadFor(simulation, 20);
+    EvenLoad::RunFor(simulation, 20);
     CHECK_EQUAL_TEXT(c.serves_throughout,
                      simulation.refused() == refused_before, c.name);
-    LoadFor(simulation, 60);
-    const double left = static_cast<double>(kLargeLimit - simulation.Used()) /
-                        static_cast<double>(kUsePerSecond);
+    EvenLoad::RunFor(simulation, 60);
+    const double left = EvenLoad::SecondsLeft(simulation);
     CHECK_COMPARE_TEXT(-left, <=, c.max_twice, c.name);
     CHECK_COMPARE_TEXT(left, <=, c.max_lost, c.name);
   }
