A promise that was read before a return still bounds its holder's grant

Cause: a promise was believed if it states the current era. Its holder had ended when it was read, so that it is the last one if it states the era in which it was read, however often the store returns afterwards. Read after a return it may be an older one, and still proves nothing.

Change: the era of the read decides. The ledger of the new era may lack draws, or the grant. A promise therefore states what is set aside and its number; the record's amount bounds the use only if its number is later, and not at all after a return; a grant that the record lacks counts as the promise allows, where it was spent twice before.

--- a/libs/ledger/src/metered_closing.cc
+++ b/libs/ledger/src/metered_closing.cc
@@ -15,14 +15,31 @@
          holder.value().compare(0, prefix.size(), prefix) == 0;
 }
 
-bool MeteredBudgetManager::State::HasEarlierGrant(const Budget& stored) const {
-  return std::any_of(stored.grants.begin(), stored.grants.end(),
+bool MeteredBudgetManager::State::HasEarlierGrant(const base::BudgetId& budget,
+                                                  const Budget* stored) const {
+  if (LostGrant(budget, stored)) {
+    return true;
+  }
+  return stored != nullptr &&
+         std::any_of(stored->grants.begin(), stored->grants.end(),
                      [this](const auto& entry) {
                        return entry.second.state == GrantState::kActive &&
                               IsEarlierIncarnation(entry.second.holder);
                      });
 }
 
+std::optional<base::GrantId> MeteredBudgetManager::State::LostGrant(
+    const base::BudgetId& budget,
+    const Budget* stored) const {
+  const auto holder = promises_.HolderOfLostGrant(budget);
+  if (!holder) {
+    return std::nullopt;
+  }
+  const base::GrantId id = GrantOf(*holder, budget);
+  const bool is_stored = stored != nullptr && stored->grants.count(id) != 0;
+  return is_stored ? std::nullopt : std::make_optional(id);
+}
+
 void MeteredBudgetManager::State::FoldOldGrants(
     base::Millis now,
     Shard& shard,
@@ -50,6 +67,16 @@
   }
 }
 
+Tokens MeteredBudgetManager::State::AmountOf(
+    const Grant& grant,
+    const base::BudgetId& budget) const {
+  const GrantBound stated = promises_.GrantedTo(grant.holder, budget);
+  // The ledger may lack what the holder knew of an earlier era.
+  return grant.revision > stated.revision
+             ? grant.amount
+             : std::max(grant.amount, stated.amount);
+}
+
 // Their usage is in the record or, if it is known how long they can have lived,
 // at most what they had promised for that time. Otherwise the full grant may
 // have been used.
@@ -58,6 +85,12 @@
     LedgerEdit& edit,
     const base::BudgetId& budget) {
   std::vector<GrantClosed> closed;
+  if (const auto lost = LostGrant(budget, BudgetIn(edit.record(), budget))) {
+    const base::Incarnation holder = *promises_.HolderOfLostGrant(budget);
+    if (edit.Draw(budget, *lost, holder, 0)) {
+      edit.ListAgents(budget, *lost, {holder});
+    }
+  }
   const Budget* const stored = BudgetIn(edit.record(), budget);
   if (stored == nullptr) {
     return closed;
@@ -73,9 +106,11 @@
     if (lifetime) {
       most = promises_.MaxSpentBy(grant.holder, budget, *lifetime);
     }
-    const Tokens counted =
-        most ? std::min(grant.amount, std::max(grant.billed(), *most))
-             : grant.amount;
+    Tokens bound = AmountOf(grant, budget);
+    if (most) {
+      bound = promises_.MayHaveLostDraws() ? *most : std::min(*most, bound);
+    }
+    const Tokens counted = std::max(grant.billed(), bound);
     edit.Retire(budget, id, counted,
                 most ? GrantClosure::kBounded : GrantClosure::kWhole);
     closed.push_back(
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -111,6 +111,7 @@
     if (Granted(budget) > 0) {
       promise.allowances[id] = NextAllowance(now, budget);
       promise.uses[id] = UseOf(budget);
+      promise.granted[id] = BoundOf(budget);
     }
   }
   auto write =
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -66,7 +66,13 @@
 
 base::GrantId MeteredBudgetManager::State::GrantOf(
     const base::BudgetId& budget) const {
-  return base::GrantId(self_.value() + "/" + budget.value());
+  return GrantOf(self_, budget);
+}
+
+base::GrantId MeteredBudgetManager::State::GrantOf(
+    const base::Incarnation& holder,
+    const base::BudgetId& budget) {
+  return base::GrantId(holder.value() + "/" + budget.value());
 }
 
 const Grant* MeteredBudgetManager::State::OwnGrant(
@@ -305,6 +311,9 @@
     return has_free ? Urgency::kDeferred : Urgency::kNone;
   }
   const Budget* const stored = BudgetIn(record, id);
+  if (HasEarlierGrant(id, stored) && EarlierLifetime(now).is_decided) {
+    return Urgency::kNow;
+  }
   const Tokens limit = budget.limit.limit;
   const bool takes_part =
       has_grant || budget.Need() > 0 || IsLender(ShardOfBudget(budget));
@@ -312,9 +321,6 @@
       stored->limit != std::max(limit, Committed(*stored))) {
     return takes_part ? Urgency::kNow : Urgency::kNone;
   }
-  if (HasEarlierGrant(*stored) && EarlierLifetime(now).is_decided) {
-    return Urgency::kNow;
-  }
   const Tokens unallocated = Unallocated(budget);
   if (IsOverCommitted(budget)) {
     return has_free ? Urgency::kNow : Urgency::kNone;
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -99,6 +99,8 @@
   const MeteredBudget* Find(const base::BudgetId& budget) const;
 
   base::GrantId GrantOf(const base::BudgetId& budget) const;
+  static base::GrantId GrantOf(const base::Incarnation& holder,
+                               const base::BudgetId& budget);
   // Returns this router's grant of a budget in a record, or null if it is
   // closed or was never drawn.
   const Grant* OwnGrant(const LedgerRecord& record,
@@ -302,8 +304,13 @@
   // True for an earlier incarnation of this process.
   bool IsEarlierIncarnation(const base::Incarnation& holder) const;
   // True if the record has an open grant of an earlier incarnation of this
-  // process.
-  bool HasEarlierGrant(const Budget& stored) const;
+  // process, or lost one. `stored` may be null.
+  bool HasEarlierGrant(const base::BudgetId& budget,
+                       const Budget* stored) const;
+  // Returns the id of a grant that the KV lost with its last writes and that
+  // the record must count, or no value.
+  std::optional<base::GrantId> LostGrant(const base::BudgetId& budget,
+                                         const Budget* stored) const;
   // Returns how long the earlier incarnation can have lived after it wrote its
   // promise. Undecided while other routers may still tell the time.
   PromiseManager::Lifetime EarlierLifetime(base::Millis now) const;
@@ -312,6 +319,9 @@
                      Shard& shard,
                      LedgerEdit& edit,
                      const base::BudgetId& budget) const;
+  // Returns what is set aside for an earlier incarnation, by its promise or by
+  // the record, whichever is later.
+  base::Tokens AmountOf(const Grant& grant, const base::BudgetId& budget) const;
   LedgerRecord NextRecord(base::Millis now, Shard& shard);
   void EditBudget(base::Millis now,
                   LedgerEdit& edit,
--- a/libs/ledger/src/promise_codec.cc
+++ b/libs/ledger/src/promise_codec.cc
@@ -18,6 +18,8 @@
 constexpr size_t kEarlierAllowanceFields = 3;
 // Tokens spent, reserved and lent.
 constexpr size_t kUseFields = 3;
+// Amount and revision of a grant.
+constexpr size_t kBoundFields = 2;
 
 std::optional<SpendAllowance> ReadAllowance(const Json& value) {
   if (!value.is_array() || (value.size() != kAllowanceFields &&
@@ -63,6 +65,29 @@
   return true;
 }
 
+// Routers of earlier versions don't write what is granted.
+bool ReadGranted(const Json* granted,
+                 std::map<base::BudgetId, GrantBound>& into) {
+  if (granted == nullptr) {
+    return true;
+  }
+  if (!granted->is_object()) {
+    return false;
+  }
+  for (const auto& [budget, value] : granted->items()) {
+    if (!value.is_array() || value.size() != kBoundFields) {
+      return false;
+    }
+    const auto amount = cbor::Integer(&value[0]);
+    const auto revision = cbor::Integer(&value[1]);
+    if (!amount || *amount < 0 || !revision || *revision < 0) {
+      return false;
+    }
+    into[base::BudgetId(budget)] = {*amount, *revision};
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string PromiseCodec::Encode(const SpendPromise& promise) const {
@@ -76,6 +101,10 @@
   for (const auto& [budget, use] : promise.uses) {
     uses[budget.value()] = Json::array({use.spent, use.reserved, use.lent});
   }
+  Json granted = Json::object();
+  for (const auto& [budget, bound] : promise.granted) {
+    granted[budget.value()] = Json::array({bound.amount, bound.revision});
+  }
   Json clocks = Json::object();
   for (const auto& [router, wall_time] : promise.wall_clocks) {
     clocks[router.value()] = wall_time.count();
@@ -87,7 +116,8 @@
                          {"wall_clocks", std::move(clocks)},
                          {"era", promise.era},
                          {"allowances", std::move(allowances)},
-                         {"uses", std::move(uses)}};
+                         {"uses", std::move(uses)},
+                         {"granted", std::move(granted)}};
   std::string bytes;
   Json::to_cbor(document, bytes);
   return bytes;
@@ -141,7 +171,8 @@
     }
     promise.allowances[base::BudgetId(budget)] = *allowance;
   }
-  if (!ReadUses(cbor::Find(*document, "uses"), promise.uses)) {
+  if (!ReadUses(cbor::Find(*document, "uses"), promise.uses) ||
+      !ReadGranted(cbor::Find(*document, "granted"), promise.granted)) {
     return std::nullopt;
   }
   return promise;
--- a/libs/ledger/src/promise_manager.cc
+++ b/libs/ledger/src/promise_manager.cc
@@ -115,9 +115,10 @@
     const base::Incarnation& holder,
     const base::BudgetId& budget,
     base::Millis lifetime) const {
-  // The holder may have lived on after the KV lost a later promise.
+  // In a later era than the promise's, the holder may have lived on after the
+  // KV had lost a later promise.
   if (!earlier_promise_ || earlier_promise_->holder != holder ||
-      earlier_promise_->era != era_) {
+      earlier_promise_->era != earlier_era_) {
     return std::nullopt;
   }
   const auto found = earlier_promise_->allowances.find(budget);
@@ -126,6 +127,27 @@
              : found->second.At(lifetime);
 }
 
+GrantBound PromiseManager::GrantedTo(const base::Incarnation& holder,
+                                     const base::BudgetId& budget) const {
+  if (!earlier_promise_ || earlier_promise_->holder != holder) {
+    return {};
+  }
+  const auto found = earlier_promise_->granted.find(budget);
+  return found == earlier_promise_->granted.end() ? GrantBound()
+                                                  : found->second;
+}
+
+std::optional<base::Incarnation> PromiseManager::HolderOfLostGrant(
+    const base::BudgetId& budget) const {
+  if (!earlier_promise_ || earlier_promise_->era != earlier_era_ ||
+      !MayHaveLostDraws()) {
+    return std::nullopt;
+  }
+  const base::Incarnation& holder = earlier_promise_->holder;
+  return GrantedTo(holder, budget).amount > 0 ? std::make_optional(holder)
+                                              : std::nullopt;
+}
+
 CountedTokens PromiseManager::Explain(const base::BudgetId& budget,
                                       bool is_bounded,
                                       base::Tokens billed,
--- a/libs/ledger/src/promise_manager.h
+++ b/libs/ledger/src/promise_manager.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "failure_backoff.h"
+#include "grant_bound.h"
 #include "ledger/counted_tokens.h"
 #include "ledger/metered_policy.h"
 #include "promise_codec.h"
@@ -75,6 +76,16 @@
   std::optional<base::Tokens> MaxSpentBy(const base::Incarnation& holder,
                                          const base::BudgetId& budget,
                                          base::Millis lifetime) const;
+  // True if the KV may have lost what the earlier incarnation drew after the
+  // promise that was read.
+  bool MayHaveLostDraws() const noexcept { return earlier_era_ != era_; }
+  // Returns what `holder` stated to be set aside for it, or nothing.
+  GrantBound GrantedTo(const base::Incarnation& holder,
+                       const base::BudgetId& budget) const;
+  // Returns the earlier incarnation if it held a grant of the budget that the
+  // KV may have lost since its promise was read.
+  std::optional<base::Incarnation> HolderOfLostGrant(
+      const base::BudgetId& budget) const;
 
   // Returns why `counted` tokens of the holder's grant count as used, of which
   // `billed` are known to be: what the earlier promise states, in the order of
@@ -110,6 +121,7 @@
     if (!was_write && progress == cas::Progress::kAdopted &&
         !earlier_promise_) {
       earlier_promise_ = view_.record();
+      earlier_era_ = era_;
     }
     return true;
   }
@@ -125,6 +137,8 @@
   std::vector<SpendPromise> retained_;
   // The promise read first: that of an earlier incarnation, or empty.
   std::optional<SpendPromise> earlier_promise_;
+  // The era in which it was read.
+  int64_t earlier_era_ = 0;
   base::Millis written_at_;
   base::Millis retry_at_;
   bool is_kv_answering_ = true;
--- a/libs/ledger/src/spend_promise.h
+++ b/libs/ledger/src/spend_promise.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "grant_bound.h"
 #include "ledger/grant_use.h"
 #include "spend_allowance.h"
 #include "wall_clocks.h"
@@ -36,12 +37,15 @@
   // By budget, at the start of the allowances; missing in promises of earlier
   // versions.
   std::map<base::BudgetId, GrantUse> uses;
+  // By budget, what the holder's grant set aside; missing in promises of
+  // earlier versions.
+  std::map<base::BudgetId, GrantBound> granted;
 
   friend bool operator==(const SpendPromise& a, const SpendPromise& b) {
     return std::tie(a.holder, a.clock, a.clock_offset, a.fleet_time,
-                    a.wall_clocks, a.era, a.allowances, a.uses) ==
+                    a.wall_clocks, a.era, a.allowances, a.uses, a.granted) ==
            std::tie(b.holder, b.clock, b.clock_offset, b.fleet_time,
-                    b.wall_clocks, b.era, b.allowances, b.uses);
+                    b.wall_clocks, b.era, b.allowances, b.uses, b.granted);
   }
   friend bool operator!=(const SpendPromise& a, const SpendPromise& b) {
     return !(a == b);
--- a/libs/ledger/tests/closed_before_return_test.cc
+++ b/libs/ledger/tests/closed_before_return_test.cc
@@ -132,6 +132,12 @@
          EvenLoad::RunFor(simulation, 1);
          course.Return(simulation);
        }},
+      {"a crash whose promise was read before the return",
+       [](MeteredSimulation& simulation, const Course& course) {
+         Crash(simulation, course.lender);
+         simulation.Advance(Millis(kRestartMs + 10));
+         course.Return(simulation);
+       }},
       // Nothing bounds what the holder used. It is in doubt, and proves
       // nothing.
       {"a crash whose promise is lost",
@@ -186,3 +192,22 @@
   CHECK_EQUAL(0, simulation.falsely_exhausted());
   CHECK_COMPARE(EvenLoad::SecondsLeft(simulation), >=, 0);
 }
+
+// Guards against tokens that are spent twice because the copy lacks a grant
+// whose holder has ended.
+TEST(ClosedBeforeReturn, GrantsThatTheCopyLacksCount) {
+  MeteredSimulation simulation(1, EvenLoad::kRouters, EvenLoad::kLimit,
+                               MeteredPolicy().outage_cover);
+  simulation.BeginEras();
+  simulation.Connect();
+  simulation.Advance(Millis(500));
+  EvenLoad::RunFor(simulation, 3);
+  for (size_t router = 0; router < EvenLoad::kRouters; ++router) {
+    Crash(simulation, router);
+  }
+  simulation.Advance(Millis(kRestartMs + 5));
+  simulation.ReturnFromCopy(kAge);
+  EvenLoad::RunFor(simulation, 80);
+  CHECK_COMPARE(EvenLoad::SecondsLeft(simulation), >=, 0);
+  CHECK_EQUAL(0, simulation.falsely_exhausted());
+}
--- a/libs/ledger/tests/promise_manager_test.cc
+++ b/libs/ledger/tests/promise_manager_test.cc
@@ -169,6 +169,55 @@
   }
 }
 
+// Guards against a grant that counts in full although its holder had ended, and
+// its last promise was read, before the KV returned.
+TEST(PromiseManager, BelievesAPromiseThatItReadBeforeAReturn) {
+  struct Case {
+    const char* name;
+    int64_t read_in;
+    int64_t written_in;
+    int64_t now;
+    bool is_believed;
+    // Whether the ledger may lack a grant that the promise states.
+    bool may_be_lost;
+  };
+  const std::vector<Case> cases = {
+      {"no return", 1, 1, 1, true, false},
+      {"read before a return", 1, 1, 2, true, true},
+      {"read before two returns", 1, 1, 3, true, true},
+      {"read after a return", 2, 1, 2, false, false},
+      {"read between returns", 2, 1, 3, false, false},
+  };
+  for (const Case& c : cases) {
+    PromiseManager later{kProcess, Incarnation("edge-1.8"), policy};
+    later.SetEra(c.read_in);
+    later.Read(first, 1);
+    SpendPromise promise = Promise(100);
+    promise.holder = kSelf;
+    promise.clock = first;
+    promise.era = c.written_in;
+    promise.granted[kBudget] = {500, 3};
+    later.Finish(
+        first,
+        MakeReadDone(1, 5, godwit::ledger::PromiseCodec().Encode(promise)));
+    if (c.now != c.read_in) {
+      later.SetEra(c.now);
+    }
+    CHECK_EQUAL_TEXT(c.is_believed,
+                     later.MaxSpentBy(kSelf, kBudget, Millis(10)).has_value(),
+                     c.name);
+    CHECK_EQUAL_TEXT(c.now != c.read_in, later.MayHaveLostDraws(), c.name);
+    const auto holder = later.HolderOfLostGrant(kBudget);
+    CHECK_EQUAL_TEXT(c.may_be_lost, holder.has_value(), c.name);
+    CHECK_TEXT(!holder || *holder == kSelf, c.name);
+    const godwit::ledger::GrantBound bound = {500, 3};
+    CHECK_TEXT(later.GrantedTo(kSelf, kBudget) == bound, c.name);
+    CHECK_TEXT(later.GrantedTo(Incarnation("edge-1.0"), kBudget) ==
+                   godwit::ledger::GrantBound(),
+               c.name);
+  }
+}
+
 TEST(PromiseManager, BoundsTheLifetimeOfTheEarlierIncarnation) {
   struct Case {
     const char* name;
