A router that stops while records are merged promises what it can't return

Callers got 503 for tokens of a router that was stopped within two seconds of a return: 1.75 of 50 s of use (closed_before_return_test, "a stop while records are merged"; none without the return).

Cause: a router that stops wrote no promise, since it returns its tokens. Until the ledger is complete it can't, and its last promise allowed, and went on to allow, what a router that serves may use.

Change: until then it promises what it has reserved and lent, without growth. A stop with a complete ledger writes as many promises as before.

--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -98,7 +98,13 @@
       spacing = std::min(spacing.value_or(*needed), *needed);
     }
   }
-  if (!spacing || draining_ || !clock_offset_) {
+  // Until the ledger is complete, a router that stops can't return its tokens,
+  // but promises not to use them.
+  const bool returns_tokens =
+      draining_ &&
+      std::all_of(shards_.begin(), shards_.end(),
+                  [](const Shard& shard) { return shard.is_complete; });
+  if (!spacing || returns_tokens || !clock_offset_) {
     return std::nullopt;
   }
   SpendPromise promise;
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -174,6 +174,9 @@
 Tokens MeteredBudgetManager::State::Headroom(
     base::Millis now,
     const MeteredBudget& budget) const {
+  if (draining_) {
+    return budget.Need();
+  }
   const Tokens predicted =
       budget.BurnOver(now, policy_.promise_cover, policy_) *
       policy_.promise_rate_percent / kPercent;
@@ -199,7 +202,7 @@
   const Tokens opening = Target(now, budget) * base::Seconds(1).count() /
                          policy_.promise_opening.count();
   const auto at_rate = [&](int64_t percent) {
-    return std::max(burn * percent / kPercent, opening);
+    return draining_ ? 0 : std::max(burn * percent / kPercent, opening);
   };
   return {std::min(Granted(budget), Allocated(budget) + Headroom(now, budget)),
           at_rate(policy_.promise_rate_percent),
--- a/libs/ledger/tests/closed_before_return_test.cc
+++ b/libs/ledger/tests/closed_before_return_test.cc
@@ -152,6 +152,12 @@
          simulation.Advance(Millis(900));
          Crash(simulation, course.lender);
        }},
+      {"a stop while records are merged",
+       [](MeteredSimulation& simulation, const Course& course) {
+         course.Return(simulation);
+         simulation.Advance(Millis(300));
+         Stop(simulation, course.lender);
+       }},
       {"a router that knows the grant as open is cut off and merges late",
        [](MeteredSimulation& simulation, const Course& course) {
          const size_t other = course.lender == 0 ? 1 : 0;
