Lenders tell each other what they draw, so that a return can't lose it

Cause: what is set aside for a lender was stated to its borrowers only. One that serves all callers of a budget itself has none.

Change: while a router writes a draw, it tells the other lenders of the key (at most three) what is set aside for it, as a reply that answers no loan request, and again if another write came first. They merge it after a return. The grant then counts whole, which leaves what was not used in doubt.

The messages move the drawn delays of others in simulations.

--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -86,6 +86,8 @@
   bool is_scarce = false;
   base::Millis scarce_since;
   base::Millis announced_at;
+  // What other lenders were last told to be set aside for this router.
+  base::Tokens announced_bound = 0;
   // Last amount that what is free did not cover.
   base::Tokens uncovered = 0;
   base::Millis uncovered_at;
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -1,5 +1,6 @@
 // KV operations of a MeteredBudgetManager and their schedule.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/digest.h"
@@ -57,7 +58,12 @@
     if (auto command = NextShardCommand(now, shard)) {
       commands.push_back(std::move(*command));
     }
+    if (shard.has_new_bounds) {
+      AnnounceBounds(shard);
+    }
   }
+  std::move(outbox_.begin(), outbox_.end(), std::back_inserter(commands));
+  outbox_.clear();
   return commands;
 }
 
@@ -194,6 +200,7 @@
         shard.view.StartWrite(now, next_operation_++, NextRecord(now, shard));
     write.conditions = era_marker_.Conditions();
     write.conditions.push_back(*configuration_);
+    shard.has_new_bounds = true;
     return write;
   }
   // Tokens that other routers returned or are short of show only in a newer
@@ -279,6 +286,7 @@
       continue;
     }
     shard.is_kv_answering = progress != cas::Progress::kFailed;
+    shard.has_new_bounds = true;
     if (progress == cas::Progress::kFailed) {
       ++shard.failures;
       shard.retry_at = now + FailureBackoff(policy_, shard.failures);
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -194,13 +194,15 @@
 
 void MeteredBudgetManager::State::On(base::Millis now, const LoanReply& reply) {
   MeteredBudget* const local = Find(reply.budget);
-  if (reply.borrower != self_ || local == nullptr ||
-      local->borrowed.loans().count(reply.lender) == 0) {
+  if (reply.borrower != self_ || local == nullptr) {
     return;
   }
-  local->borrowed.SetLent(reply.lender, reply.lent);
   reported_grants_[{reply.budget, reply.lender}] = {
       {reply.granted, reply.granted_revision}, now};
+  if (local->borrowed.loans().count(reply.lender) == 0) {
+    return;
+  }
+  local->borrowed.SetLent(reply.lender, reply.lent);
   RecordScarcity(now, *local, reply);
   if (!local->loan_request ||
       local->loan_request->lender().incarnation != reply.lender) {
--- a/libs/ledger/src/metered_peers.cc
+++ b/libs/ledger/src/metered_peers.cc
@@ -1,5 +1,6 @@
 // The routers of the fleet as a MeteredBudgetManager knows them.
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -7,6 +8,13 @@
 #include "metered_state.h"
 
 namespace godwit::ledger {
+namespace {
+
+// Number of a reply that answers no request. Zero is that of replies of earlier
+// versions.
+constexpr int64_t kNoLoanRequest = std::numeric_limits<int64_t>::max();
+
+}  // namespace
 
 void MeteredBudgetManager::State::SetPeers(base::Millis now,
                                            const std::vector<Peer>& listed) {
@@ -75,6 +83,27 @@
   }
 }
 
+// What this router draws between a copy and a return of the KV is lost with it
+// unless another router knows. The other lenders of the shard are told while
+// the draw is written, so that they know before it is used, and again if
+// another write came first.
+void MeteredBudgetManager::State::AnnounceBounds(Shard& shard) {
+  shard.has_new_bounds = false;
+  for (MeteredBudget* const budget : shard.budgets) {
+    const base::Tokens bound = BoundOf(*budget).amount;
+    if (bound == budget->announced_bound) {
+      continue;
+    }
+    budget->announced_bound = bound;
+    for (const Peer& peer : shard.lenders) {
+      if (peer.process != process_) {
+        Reply(peer.address, *budget, peer.incarnation, kNoLoanRequest,
+              LoanReply::State::kLent, base::Millis());
+      }
+    }
+  }
+}
+
 void MeteredBudgetManager::State::On(base::Millis now, const PeerHello& hello) {
   const base::ProcessId& process = hello.peer.process;
   if (process == process_ || peers_.empty()) {
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -12,6 +12,7 @@
 #include "era_marker.h"
 #include "fleet_clock.h"
 #include "grant_bound.h"
+#include "known_peer.h"
 #include "ledger/clock_reply.h"
 #include "ledger/clock_request.h"
 #include "ledger/grant_use.h"
@@ -63,6 +64,8 @@
     // known to be complete.
     bool is_merged = true;
     bool is_complete = true;
+    // True if an operation may have changed what is set aside for this router.
+    bool has_new_bounds = false;
     // Budgets stored under the key; owned by the state.
     std::vector<MeteredBudget*> budgets;
     base::Millis retry_at;
@@ -83,14 +86,6 @@
     std::vector<Peer> lenders;
   };
 
-  struct KnownPeer {
-    Peer peer;
-    base::Millis last_confirmed_at;
-    // When its last PeerHello was received. For a while, lists of peers may be
-    // older than that.
-    std::optional<base::Millis> hello_received_at;
-  };
-
   // Returns null if the record does not have the budget.
   static const Budget* BudgetIn(const LedgerRecord& record,
                                 const base::BudgetId& id);
@@ -190,6 +185,8 @@
   // True if this router is among the lenders of any shard.
   bool IsAnyLender() const;
   void SendHello(const base::Endpoint& to);
+  // Tells the other lenders of a shard what this router's grants set aside.
+  void AnnounceBounds(Shard& shard);
   bool TryAnswer(base::Millis now, const LoanTracker::Waiting& waiting);
   // Returns the tokens to lend for a request that needs `least` and asks for
   // `requested`, or zero if it has to wait or is refused.
--- a/libs/ledger/tests/store_return_test.cc
+++ b/libs/ledger/tests/store_return_test.cc
@@ -209,6 +209,38 @@
   }
 }
 
+// Guards against tokens that are spent twice because only the killed router
+// knew of its draws: it had lent none of them.
+TEST(StoreReturn, DrawsOfAKilledLenderThatLendsNothingCount) {
+  struct Case {
+    const char* name;
+    bool is_killed_first;
+  };
+  const std::vector<Case> cases = {{"killed before the return", true},
+                                   {"killed after the return", false}};
+  for (const Case& c : cases) {
+    MeteredSimulation simulation(1, EvenLoad::kRouters, EvenLoad::kLimit,
+                                 MeteredPolicy().outage_cover);
+    simulation.BeginEras();
+    simulation.Connect();
+    simulation.Advance(Millis(6'000));
+    const size_t lender = EvenLoad::LenderOf(simulation);
+    for (int i = 0; i < 30; ++i) {
+      simulation.Request(lender, EvenLoad::kUsePerSecond / 2);
+      simulation.Advance(Millis(100));
+      simulation.Finish(lender, 100);
+    }
+    if (c.is_killed_first) {
+      simulation.Kill(lender, Millis(700));
+    }
+    simulation.ReturnFromCopy(kAge);
+    simulation.Kill(lender, Millis(700));
+    EvenLoad::RunFor(simulation, 80);
+    CHECK_COMPARE_TEXT(EvenLoad::SecondsLeft(simulation), >=, 0, c.name);
+    CHECK_EQUAL_TEXT(0, simulation.falsely_exhausted(), c.name);
+  }
+}
+
 TEST(StoreReturn, NeverSpendsAboveTheLimit) {
   CHECK(rc::check([] { RunSchedule({}); }));
 }
