A folded grant is not opened again by a promise or a report

Change: a router that has seen its predecessor's grant closed in a complete record does not look for it again; reports state the grant's `sequence`, which tells that it is folded.

Test: closed_before_return_test, FoldedGrantsCountOnce, failed with either missing: 9.75 of 50 s of use refused after the return, within 0.1 s of none now.

--- a/libs/ledger/include/ledger/loan_reply.h
+++ b/libs/ledger/include/ledger/loan_reply.h
@@ -44,14 +44,16 @@
   int64_t number = 0;
   // Orders `granted` among the amounts that the lender sets (Grant::revision).
   int64_t granted_revision = 0;
+  // That of the lender's grant (Grant::sequence).
+  int64_t granted_sequence = 0;
 
   friend bool operator==(const LoanReply& a, const LoanReply& b) {
     return std::tie(a.lender, a.borrower, a.budget, a.lent, a.state, a.left,
                     a.granted, a.wall_time, a.is_scarce, a.retry_after,
-                    a.number, a.granted_revision) ==
+                    a.number, a.granted_revision, a.granted_sequence) ==
            std::tie(b.lender, b.borrower, b.budget, b.lent, b.state, b.left,
                     b.granted, b.wall_time, b.is_scarce, b.retry_after,
-                    b.number, b.granted_revision);
+                    b.number, b.granted_revision, b.granted_sequence);
   }
   friend bool operator!=(const LoanReply& a, const LoanReply& b) {
     return !(a == b);
--- a/libs/ledger/src/metered_budget.h
+++ b/libs/ledger/src/metered_budget.h
@@ -86,6 +86,9 @@
   bool is_scarce = false;
   base::Millis scarce_since;
   base::Millis announced_at;
+  // True once the earlier incarnation's grant is known to be closed, or that
+  // there is none. It may no longer be apart in the record.
+  bool is_earlier_settled = false;
   // What other lenders were last told to be set aside for this router.
   base::Tokens announced_bound = 0;
   // Last amount that what is free did not cover.
--- a/libs/ledger/src/metered_closing.cc
+++ b/libs/ledger/src/metered_closing.cc
@@ -28,11 +28,26 @@
                      });
 }
 
+void MeteredBudgetManager::State::SettleEarlierGrants(Shard& shard) {
+  if (shard.settled_version == shard.view.version()) {
+    return;
+  }
+  shard.settled_version = shard.view.version();
+  for (MeteredBudget* const budget : shard.budgets) {
+    const base::BudgetId& id = budget->limit.budget;
+    const Budget* const stored = BudgetIn(shard.view.record(), id);
+    if (!HasEarlierGrant(id, stored)) {
+      budget->is_earlier_settled = true;
+    }
+  }
+}
+
 std::optional<base::GrantId> MeteredBudgetManager::State::LostGrant(
     const base::BudgetId& budget,
     const Budget* stored) const {
+  const MeteredBudget* const local = Find(budget);
   const auto holder = promises_.HolderOfLostGrant(budget);
-  if (!holder) {
+  if (!holder || local == nullptr || local->is_earlier_settled) {
     return std::nullopt;
   }
   const base::GrantId id = GrantOf(*holder, budget);
--- a/libs/ledger/src/metered_era.cc
+++ b/libs/ledger/src/metered_era.cc
@@ -106,6 +106,7 @@
     grant.holder = lender;
     grant.amount = reported.bound.amount;
     grant.revision = reported.bound.revision;
+    grant.sequence = reported.bound.sequence;
     grant.agents[lender];
   }
   return record;
--- a/libs/ledger/src/metered_kv.cc
+++ b/libs/ledger/src/metered_kv.cc
@@ -186,6 +186,7 @@
   if (!shard.is_complete) {
     return NextMergeCommand(now, shard);
   }
+  SettleEarlierGrants(shard);
   // Until the configuration of this era is known, writes would not take effect.
   if (configuration_->version.era != era_ || !era_marker_.exists()) {
     return std::nullopt;
--- a/libs/ledger/src/metered_lending.cc
+++ b/libs/ledger/src/metered_lending.cc
@@ -189,7 +189,7 @@
   outbox_.emplace_back(SendToPeer{
       to, LoanReply{self_, borrower, id, loans_.Lent(id, borrower), state, left,
                     bound.amount, WallTime(), budget.is_scarce, retry_after,
-                    number, bound.revision}});
+                    number, bound.revision, bound.sequence}});
 }
 
 void MeteredBudgetManager::State::On(base::Millis now, const LoanReply& reply) {
@@ -198,7 +198,7 @@
     return;
   }
   reported_grants_[{reply.budget, reply.lender}] = {
-      {reply.granted, reply.granted_revision}, now};
+      {reply.granted, reply.granted_revision, reply.granted_sequence}, now};
   if (local->borrowed.loans().count(reply.lender) == 0) {
     return;
   }
--- a/libs/ledger/src/metered_state.cc
+++ b/libs/ledger/src/metered_state.cc
@@ -111,15 +111,21 @@
 GrantBound MeteredBudgetManager::State::BoundOf(
     const MeteredBudget& budget) const {
   const Shard& shard = ShardOfBudget(budget);
-  Tokens most = Granted(budget);
-  if (!shard.earlier) {
-    shard.view.HoldsForAllVersions([&](const LedgerRecord& record) {
-      const Grant* const grant = OwnGrant(record, budget.limit.budget);
-      most = std::max(most, grant == nullptr ? 0 : grant->amount);
-      return true;
-    });
+  GrantBound bound = {Granted(budget), last_grant_revision_};
+  const auto add = [&](const LedgerRecord& record) {
+    if (const Grant* const own = OwnGrant(record, budget.limit.budget)) {
+      bound.amount =
+          shard.earlier ? bound.amount : std::max(bound.amount, own->amount);
+      bound.sequence = std::max(bound.sequence, own->sequence);
+    }
+    return true;
+  };
+  if (shard.earlier) {
+    add(shard.earlier->record);
+  } else {
+    shard.view.HoldsForAllVersions(add);
   }
-  return {most, last_grant_revision_};
+  return bound;
 }
 
 Tokens MeteredBudgetManager::State::Promised(
--- a/libs/ledger/src/metered_state.h
+++ b/libs/ledger/src/metered_state.h
@@ -64,6 +64,8 @@
     // known to be complete.
     bool is_merged = true;
     bool is_complete = true;
+    // Version for which SettleEarlierGrants() was called last.
+    platform::KvVersion settled_version;
     // True if an operation may have changed what is set aside for this router.
     bool has_new_bounds = false;
     // Budgets stored under the key; owned by the state.
@@ -304,8 +306,9 @@
   // process, or lost one. `stored` may be null.
   bool HasEarlierGrant(const base::BudgetId& budget,
                        const Budget* stored) const;
-  // Returns the id of a grant that the KV lost with its last writes and that
-  // the record must count, or no value.
+  // Records which earlier grants a complete shard shows to be closed.
+  void SettleEarlierGrants(Shard& shard);
+  // Returns the id of a grant that the KV lost and that must count, if any.
   std::optional<base::GrantId> LostGrant(const base::BudgetId& budget,
                                          const Budget* stored) const;
   // Returns how long the earlier incarnation can have lived after it wrote its
--- a/libs/ledger/src/peer_codec.cc
+++ b/libs/ledger/src/peer_codec.cc
@@ -55,7 +55,8 @@
           {"scarce", reply.is_scarce ? 1 : 0},
           {"retry", reply.retry_after.count()},
           {"number", reply.number},
-          {"revision", reply.granted_revision}};
+          {"revision", reply.granted_revision},
+          {"sequence", reply.granted_sequence}};
 }
 
 Json ToJson(const Peer& peer) {
@@ -209,7 +210,8 @@
                    Amount(*document, "scarce").value_or(0) > 0,
                    base::Millis(Amount(*document, "retry").value_or(0)),
                    Amount(*document, "number").value_or(0),
-                   Amount(*document, "revision").value_or(0)};
+                   Amount(*document, "revision").value_or(0),
+                   Amount(*document, "sequence").value_or(0)};
 }
 
 std::string EncodePeer(const Peer& peer) {
--- a/libs/ledger/tests/closed_before_return_test.cc
+++ b/libs/ledger/tests/closed_before_return_test.cc
@@ -54,9 +54,10 @@
 
 using Happen = std::function<void(MeteredSimulation&, const Course&)>;
 
-Outcome Play(const Happen& happen, bool returns) {
-  MeteredSimulation simulation(1, EvenLoad::kRouters, EvenLoad::kLimit,
-                               MeteredPolicy().outage_cover);
+Outcome Play(const Happen& happen,
+             bool returns,
+             const MeteredPolicy& policy = MeteredPolicy()) {
+  MeteredSimulation simulation(1, EvenLoad::kRouters, EvenLoad::kLimit, policy);
   simulation.BeginEras();
   simulation.Connect();
   simulation.Advance(Millis(1'000));
@@ -179,6 +180,26 @@
   }
 }
 
+// Guards against a grant that counts again since it is no longer apart in the
+// record, and the promise of its holder is still known.
+TEST(ClosedBeforeReturn, FoldedGrantsCountOnce) {
+  MeteredPolicy policy;
+  policy.retired_grant_retention = Millis(1'000);
+  for (const bool stops : {true, false}) {
+    const Happen happen = [stops](MeteredSimulation& simulation,
+                                  const Course& course) {
+      (stops ? Stop : Crash)(simulation, course.lender);
+      EvenLoad::RunFor(simulation, 8);
+      course.Return(simulation);
+    };
+    const Outcome without = Play(happen, false, policy);
+    const Outcome with = Play(happen, true, policy);
+    CHECK_EQUAL(0, with.falsely_exhausted);
+    CHECK_COMPARE(with.seconds_left, >=, 0);
+    CHECK_COMPARE(with.seconds_left, <=, without.seconds_left + 0.1);
+  }
+}
+
 // Guards against a record that grows with each restart of a router.
 TEST(ClosedBeforeReturn, OldGrantsAreFolded) {
   MeteredPolicy policy;
--- a/libs/ledger/tests/peer_codec_test.cc
+++ b/libs/ledger/tests/peer_codec_test.cc
@@ -48,7 +48,9 @@
                        Millis(70'000),
                        true,
                        Millis(250),
-                       12};
+                       12,
+                       12,
+                       3};
 const Peer kPeer{ProcessId("edge-1"),
                  Incarnation("edge-1.7"),
                  {"10.1.0.19", 7200},
