Random schedules of returns with stops in order, and without false 402

The schedules of returns knew kills and partitions, but no stop in order, and looked for tokens spent twice only. Two properties more: with stops, and with stops, kills and partitions, no request is refused as exhausted that the budget covers. All schedules check that now.

--- a/libs/ledger/tests/store_return_test.cc
+++ b/libs/ledger/tests/store_return_test.cc
@@ -29,6 +29,8 @@
   // Routers are killed, and partitioned from the KV.
   bool kills = false;
   bool partitions = false;
+  // Routers are stopped in order.
+  bool stops = false;
   // Injected fault: the routers do not learn of eras.
   bool hides_eras = false;
 };
@@ -48,7 +50,8 @@
 }
 
 // Runs a random schedule of requests with returns of the KV, also twice in a
-// row. Fails if more is used than the limit.
+// row. Fails if more is used than the limit, or if a request is refused as
+// exhausted although the budget covers it.
 void RunSchedule(const Schedule& schedule) {
   MeteredSimulation simulation(*rc::gen::arbitrary<uint64_t>(), kRouters,
                                kLimit);
@@ -61,7 +64,7 @@
   const int steps = InRange(20, 120);
   for (int i = 0; i < steps; ++i) {
     const auto router = InRange<size_t>(0, kRouters);
-    switch (InRange(0, 14)) {
+    switch (InRange(0, 15)) {
       case 0:
         Return(simulation);
         break;
@@ -84,6 +87,13 @@
         simulation.faults().late_write_percent = InRange(0, 30);
         simulation.faults().lost_answer_percent = InRange(0, 30);
         break;
+      case 5:
+        if (schedule.stops) {
+          simulation.Drain(router);
+          simulation.Advance(Millis(InRange(0, 1'000)));
+          simulation.Restart(router, *rc::gen::arbitrary<bool>());
+        }
+        break;
       default:
         for (int n = 0; n < 8; ++n) {
           simulation.Request(InRange<size_t>(0, kRouters),
@@ -95,6 +105,7 @@
     }
   }
   RC_ASSERT(simulation.Used() <= simulation.highest_limit());
+  RC_ASSERT(simulation.falsely_exhausted() == 0);
 }
 
 constexpr Millis kAge(4'000);
@@ -253,6 +264,24 @@
   }));
 }
 
+TEST(StoreReturn, NeitherSpendsTwiceNorRefusesWhenRoutersAreStopped) {
+  CHECK(rc::check([] {
+    Schedule schedule;
+    schedule.stops = true;
+    RunSchedule(schedule);
+  }));
+}
+
+TEST(StoreReturn, NeitherSpendsTwiceNorRefusesWhenRoutersAreStoppedAndCutOff) {
+  CHECK(rc::check([] {
+    Schedule schedule;
+    schedule.stops = true;
+    schedule.kills = true;
+    schedule.partitions = true;
+    RunSchedule(schedule);
+  }));
+}
+
 TEST(StoreReturn, NeverSpendsAboveTheLimitWhenRoutersAreKilled) {
   CHECK(rc::check([] {
     Schedule schedule;
