--- a/libs/ledger/tests/store_return_test.cc
+++ b/libs/ledger/tests/store_return_test.cc
@@ -64,7 +64,7 @@
   const int steps = InRange(20, 120);
   for (int i = 0; i < steps; ++i) {
     const auto router = InRange<size_t>(0, kRouters);
-    switch (InRange(0, 15)) {
+    switch (InRange(0, schedule.stops ? 15 : 14)) {
       case 0:
         Return(simulation);
         break;
@@ -87,12 +87,10 @@
         simulation.faults().late_write_percent = InRange(0, 30);
         simulation.faults().lost_answer_percent = InRange(0, 30);
         break;
-      case 5:
-        if (schedule.stops) {
-          simulation.Drain(router);
-          simulation.Advance(Millis(InRange(0, 1'000)));
-          simulation.Restart(router, *rc::gen::arbitrary<bool>());
-        }
+      case 14:
+        simulation.Drain(router);
+        simulation.Advance(Millis(InRange(0, 1'000)));
+        simulation.Restart(router, *rc::gen::arbitrary<bool>());
         break;
       default:
         for (int n = 0; n < 8; ++n) {
