--- a/review/standins-3/dropped_tenant.cc
+++ b/review/standins-3/dropped_tenant.cc
@@ -4,7 +4,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <memory>
-#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -12,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fleet.h"
+#include "tenant_load.h"
 
 namespace review {
 namespace {
@@ -19,15 +19,12 @@
 constexpr int kRouters = 4;
 constexpr int kEngines = 4;
 constexpr int kCallersPerRouter = 80;
-constexpr int64_t kStride = 50;
-constexpr int64_t kInput = 100;
-constexpr int64_t kEvents = 8;
 constexpr int64_t kPrepaid = 3'000'000;
 constexpr int64_t kTokensAtChange = kPrepaid / 100 * 98;
 constexpr int64_t kLimitMs = 40'000;
 
 nlohmann::json ConfigurationWith(int64_t version, bool has_tenant) {
-  nlohmann::json config = Configuration(version, kStride);
+  nlohmann::json config = Configuration(version, TenantLoad::kStride);
   config["tenants"] = nlohmann::json::array({{{"name", "other"},
                                               {"apiKeys", {"key-of-other"}},
                                               {"priority", 1},
@@ -41,64 +38,6 @@
   return config;
 }
 
-struct Counts {
-  std::atomic<int64_t> tokens{0};
-  std::atomic<int64_t> served{0};
-  std::atomic<int64_t> refused{0};
-  std::atomic<int64_t> unknown_key{0};
-  std::atomic<int64_t> exhausted{0};
-};
-
-void Call(const Router& router,
-          int seed,
-          const std::atomic<bool>& stops,
-          Counts& counts) {
-  std::minstd_rand random(static_cast<unsigned>(seed));
-  std::unique_ptr<Connection> connection;
-  while (!stops) {
-    if (connection == nullptr) {
-      const int fd = Connection::Dial(router.callers(), 1000);
-      if (fd < 0) {
-        SleepMs(50);
-        continue;
-      }
-      connection = std::make_unique<Connection>(fd);
-    }
-    StreamRequest request;
-    request.path = "/chat/";
-    request.key = "key-of-acme";
-    request.input_tokens = kInput;
-    request.max_output_tokens = kEvents * kStride;
-    request.deadline_ms = 6'000;
-    request.events = random() % 2 == 0 ? 1 : kEvents;
-    request.gap_ms = 10;
-    bool keeps = false;
-    const Attempt attempt = SendStream(*connection, request, &keeps);
-    if (attempt.status == 200) {
-      ++counts.served;
-      counts.tokens += kInput + attempt.events * kStride;
-    }
-    counts.refused += attempt.status == 503 ? 1 : 0;
-    counts.unknown_key += attempt.status == 401 ? 1 : 0;
-    counts.exhausted += attempt.status == 402 ? 1 : 0;
-    if (!keeps) {
-      connection.reset();
-    }
-    if (attempt.status != 200) {
-      SleepMs(static_cast<int64_t>(random() % 50));
-    }
-  }
-}
-
-std::string Describe(const Counts& counts) {
-  return "tokens " + std::to_string(counts.tokens) + " of " +
-         std::to_string(kPrepaid) + ", served " +
-         std::to_string(counts.served) + ", 503 " +
-         std::to_string(counts.refused) + ", 402 " +
-         std::to_string(counts.exhausted) + ", 401 " +
-         std::to_string(counts.unknown_key);
-}
-
 int Run(bool has_trouble, const std::string& directory) {
   Record record(directory + "/record.txt");
   Store store;
@@ -124,18 +63,18 @@
   SleepMs(4'000);
   record.Add("all routers are ready");
   std::atomic<bool> stops{false};
-  Counts counts;
+  TenantLoad load("key-of-acme");
   std::vector<std::thread> callers;
   callers.reserve(kRouters * kCallersPerRouter);
   for (int i = 0; i < kRouters * kCallersPerRouter; ++i) {
     callers.emplace_back(
-        [&, i] { Call(*routers[i % kRouters], i + 1, stops, counts); });
+        [&, i] { load.Call(*routers[i % kRouters], i + 1, stops); });
   }
   const int64_t ends_at = NowMs() + kLimitMs;
-  while (NowMs() < ends_at && counts.tokens < kTokensAtChange) {
+  while (NowMs() < ends_at && load.tokens() < kTokensAtChange) {
     SleepMs(1);
   }
-  record.Add("before the change: " + Describe(counts));
+  record.Add("before the change: " + load.Describe(kPrepaid));
   if (has_trouble) {
     store.Put("op/config", ConfigurationWith(11, false));
     record.Add("version 11 takes the tenant acme away");
@@ -145,11 +84,11 @@
   for (std::thread& caller : callers) {
     caller.join();
   }
-  record.Add("at the end: " + Describe(counts));
-  if (counts.served == 0) {
+  record.Add("at the end: " + load.Describe(kPrepaid));
+  if (load.served() == 0) {
     return 2;
   }
-  return counts.tokens > kPrepaid ? 1 : 0;
+  return load.tokens() > kPrepaid ? 1 : 0;
 }
 
 }  // namespace
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -13,6 +13,7 @@
 
 constexpr size_t kPageSize = 500;
 constexpr size_t kHistory = 20'000;
+constexpr int64_t kAnswerMs = 4;
 constexpr char kAlphabet[] =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
@@ -91,11 +92,47 @@
   Erase(key);
 }
 
+void Store::Copy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copied_items_ = items_;
+  copied_revision_ = revision_;
+}
+
+void Store::ReturnFromCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const std::map<std::string, Item> before = std::move(items_);
+  items_ = copied_items_;
+  revision_ = copied_revision_;
+  history_.clear();
+  leases_.clear();
+  for (auto item = items_.begin(); item != items_.end();) {
+    item = item->second.lease != 0 ? items_.erase(item) : std::next(item);
+  }
+  ++era_;
+  for (const auto& [key, item] : before) {
+    if (StartsWith(key, "op/") || StartsWith(key, "servers/")) {
+      Set(key, item.value, 0);
+    }
+  }
+  changed_.notify_all();
+}
+
 bool Store::Handle(Connection& connection, const Message& request) {
-  SleepMs(delay_ms_);
+  SleepMs(kAnswerMs);
+  if (is_away_) {
+    return false;
+  }
+  const int64_t era = era_;
   const auto [status, body] = Answer(request);
-  return connection.Write(
-      Response(status, {{"Content-Type", "application/json"}}, body.dump()));
+  if (is_away_ || era != era_) {
+    return false;
+  }
+  std::vector<std::pair<std::string, std::string>> headers = {
+      {"Content-Type", "application/json"}};
+  if (era > 0) {
+    headers.emplace_back("Store-Era", std::to_string(era));
+  }
+  return connection.Write(Response(status, headers, body.dump()));
 }
 
 std::pair<int, json> Store::Answer(const Message& request) {
@@ -183,8 +220,10 @@
   std::unique_lock<std::mutex> lock(mutex_);
   while (true) {
     ExpireLeases();
-    if (!history_.empty() && after + 1 < history_.front().revision &&
-        history_.size() == kHistory) {
+    const bool is_forgotten = !history_.empty() &&
+                              history_.size() == kHistory &&
+                              after + 1 < history_.front().revision;
+    if (is_forgotten || after > revision_) {
       return {410, json::object()};
     }
     json events = json::array();
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -26,8 +26,15 @@
   // acknowledged.
   void Put(const std::string& key, const nlohmann::json& value);
   void Remove(const std::string& key);
-  // Time that each answer takes.
-  void SetDelay(int64_t delay_ms) { delay_ms_ = delay_ms; }
+  // From now on, answers state the era of the store.
+  void StateEra() { era_ = 1; }
+  // Keeps a copy of what is stored.
+  void Copy();
+  // While it is away, channels are closed without an answer.
+  void SetAway(bool is_away) { is_away_ = is_away; }
+  // Comes back from the copy. What the operator and the engines wrote is
+  // written again; leases and what the system wrote since are gone.
+  void ReturnFromCopy();
 
  private:
   struct Item {
@@ -68,7 +75,10 @@
   std::map<int64_t, Lease> leases_;
   int64_t revision_ = 1;
   int64_t next_lease_ = 1;
-  std::atomic<int64_t> delay_ms_{4};
+  std::map<std::string, Item> copied_items_;
+  int64_t copied_revision_ = 0;
+  std::atomic<int64_t> era_{0};
+  std::atomic<bool> is_away_{false};
   std::atomic<bool> stops_{false};
   HttpServer server_;
 };
